--- /dev/null
+++ b/yuccacommand/command.go
@@ -0,0 +1,152 @@
+// Package yuccacommand is the command line: a file for each command.
+//
+// # Usage
+//
+//	os.Exit(yuccacommand.Main(os.Args[1:], os.Stdout, os.Stderr))
+//
+// The exit codes are part of the interface: see the constants.
+package yuccacommand
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/user"
+
+	"github.com/alecthomas/kong"
+	"github.com/ansel1/merry/v2"
+
+	"github.com/yuccaturn/yuccaturn/yuccaclient"
+	"github.com/yuccaturn/yuccaturn/yuccajsonc"
+	"github.com/yuccaturn/yuccaturn/yuccaproblem"
+)
+
+// Exit codes.
+const (
+	// ExitOK: what was asked for was done.
+	ExitOK = 0
+	// ExitFailed: it failed, such as a job with a failed task.
+	ExitFailed = 1
+	// ExitUsage: the command line, a file or a document is wrong.
+	ExitUsage = 2
+	// ExitConflict: another change or job has the version or the id.
+	ExitConflict = 3
+	// ExitUnreachable: no answer came, or the outcome is not known.
+	ExitUnreachable = 4
+)
+
+// errSilent ends a command whose output has said everything already.
+var errSilent = merry.Sentinel("failed")
+
+type commandLine struct {
+	Control controlCommand `cmd:"" help:"Run a control: a replica of the system's own state."`
+	Entry   entryCommand   `cmd:"" help:"Run an entry host for callers."`
+	Side    sideCommand    `cmd:"" help:"Run the process beside a target."`
+	Target  targetCommand  `cmd:"" help:"Run a stand-in target."`
+	Local   localCommand   `cmd:"" help:"Run a whole system in one process."`
+
+	Config     configCommands     `cmd:"" help:"Check, show and apply the operators' document."`
+	DataCentre dataCentreCommands `cmd:"" name:"data-centre" help:"List data centres, take them out, bring them back."`
+	Job        jobCommands        `cmd:"" help:"Submit, show and cancel jobs."`
+	Replica    replicaCommands    `cmd:"" help:"Change the control group."`
+	Status     statusCommand      `cmd:"" help:"Show what a person on call asks first."`
+	Version    versionCommand     `cmd:"" help:"Show the version."`
+}
+
+// output is where commands write.
+type output struct {
+	out io.Writer
+	err io.Writer
+}
+
+func (o *output) printf(format string, args ...any) { fmt.Fprintf(o.out, format, args...) }
+
+// Main runs the command line and returns the exit code.
+func Main(args []string, out, errOut io.Writer) int {
+	merry.SetStackCaptureEnabled(false)
+	var line commandLine
+	exited := -1
+	parser, err := kong.New(&line,
+		kong.Name("yuccaturn"),
+		kong.Description("A dispatcher for sub-second tasks.\n\nExample: yuccaturn local --demo"),
+		kong.Writers(out, errOut),
+		kong.Exit(func(code int) { exited = code }),
+		kong.ConfigureHelp(kong.HelpOptions{Compact: true}),
+	)
+	if err != nil {
+		fmt.Fprintln(errOut, "yuccaturn:", err)
+		return ExitUsage
+	}
+	parsed, err := parser.Parse(args)
+	if exited >= 0 {
+		return exited
+	}
+	if err != nil {
+		fmt.Fprintln(errOut, "yuccaturn:", err)
+		return ExitUsage
+	}
+	err = parsed.Run(&output{out: out, err: errOut})
+	if err != nil && !errors.Is(err, errSilent) {
+		fmt.Fprintln(errOut, "yuccaturn:", err)
+	}
+	return exitCode(err)
+}
+
+func exitCode(err error) int {
+	var findings yuccajsonc.Findings
+	var problem *yuccaproblem.Problem
+	switch {
+	case err == nil:
+		return ExitOK
+	case errors.As(err, &problem):
+		return problemCode(problem)
+	case errors.As(err, &findings), errors.Is(err, os.ErrNotExist):
+		return ExitUsage
+	case errors.Is(err, yuccaclient.ErrUnreachable):
+		return ExitUnreachable
+	}
+	return ExitFailed
+}
+
+func problemCode(p *yuccaproblem.Problem) int {
+	switch p.Type {
+	case yuccaproblem.VersionConflict, yuccaproblem.RequestReused, yuccaproblem.JobConflict:
+		return ExitConflict
+	case yuccaproblem.OutcomeUnknown, yuccaproblem.NoControl, yuccaproblem.Draining:
+		return ExitUnreachable
+	}
+	if p.Status == http.StatusBadRequest || p.Status == http.StatusUnprocessableEntity {
+		return ExitUsage
+	}
+	return ExitFailed
+}
+
+// controlAddress is the flag of commands that call a control.
+type controlAddress struct {
+	Address  string `help:"Operators' address of any control." default:"127.0.0.1:7111" placeholder:"HOST:PORT"`
+	Operator string `help:"Name for the history of changes." placeholder:"NAME"`
+}
+
+func (a controlAddress) client() *yuccaclient.Client {
+	operator := a.Operator
+	if operator == "" {
+		operator = systemUser()
+	}
+	return yuccaclient.New(a.Address, operator)
+}
+
+func systemUser() string {
+	if u, err := user.Current(); err == nil {
+		return u.Username
+	}
+	return "unknown"
+}
+
+// entryAddress is the flag of commands that call an entry.
+type entryAddress struct {
+	Address string `help:"Callers' address of any entry." default:"127.0.0.1:7211" placeholder:"HOST:PORT"`
+}
+
+func (a entryAddress) client() *yuccaclient.Client { return yuccaclient.New(a.Address, "") }
--- /dev/null
+++ b/yuccacommand/configdiff.go
@@ -0,0 +1,97 @@
+package yuccacommand
+
+import (
+	"context"
+	"strings"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/yuccaturn/yuccaturn/yuccaclient"
+)
+
+const diffHistory = 10_000
+
+type configDiff struct {
+	controlAddress
+	Section string `required:"" help:"The section." placeholder:"NAME"`
+	Version uint64 `required:"" help:"The version whose change is shown." placeholder:"N"`
+}
+
+// Help shows an example.
+func (configDiff) Help() string {
+	return "Example: yuccaturn config diff --section limits --version 4"
+}
+
+// Run shows the lines that the change took away and added.
+func (c *configDiff) Run(o *output) error {
+	changes, err := c.client().Changes(context.Background(), c.Section, diffHistory)
+	if err != nil {
+		return err
+	}
+	after, ok := bodyAt(changes, c.Version)
+	if !ok {
+		return merry.Errorf("version %d of section %q is not in the history", c.Version, c.Section)
+	}
+	before, _ := bodyAt(changes, c.Version-1)
+	for _, line := range diffLines(strings.Split(before, "\n"), strings.Split(after, "\n")) {
+		o.printf("%s\n", line)
+	}
+	return nil
+}
+
+func bodyAt(changes []yuccaclient.Change, version uint64) (string, bool) {
+	for _, change := range changes {
+		if change.Version == version {
+			return indented(change.Body), true
+		}
+	}
+	return "", false
+}
+
+// diffLines renders the longest common subsequence of lines with what was taken
+// away (-) and added (+).
+func diffLines(before, after []string) []string {
+	common := commonLengths(before, after)
+	var out []string
+	i, j := 0, 0
+	for i < len(before) && j < len(after) {
+		switch {
+		case before[i] == after[j]:
+			out = append(out, "  "+before[i])
+			i++
+			j++
+		case common[i+1][j] >= common[i][j+1]:
+			out = append(out, "- "+before[i])
+			i++
+		default:
+			out = append(out, "+ "+after[j])
+			j++
+		}
+	}
+	for ; i < len(before); i++ {
+		out = append(out, "- "+before[i])
+	}
+	for ; j < len(after); j++ {
+		out = append(out, "+ "+after[j])
+	}
+	return out
+}
+
+// commonLengths holds, for each pair of suffixes, the length of their longest
+// common subsequence.
+func commonLengths(before, after []string) [][]int {
+	lengths := make([][]int, len(before)+1)
+	for i := range lengths {
+		lengths[i] = make([]int, len(after)+1)
+	}
+	for i := len(before) - 1; i >= 0; i-- {
+		for j := len(after) - 1; j >= 0; j-- {
+			if before[i] == after[j] {
+				lengths[i][j] = lengths[i+1][j+1] + 1
+			} else {
+				lengths[i][j] = max(lengths[i+1][j], lengths[i][j+1])
+			}
+		}
+	}
+	return lengths
+}
--- /dev/null
+++ b/yuccacommand/control.go
@@ -0,0 +1,68 @@
+package yuccacommand
+
+import (
+	"github.com/yuccaturn/yuccaturn/yuccacontrol"
+	"github.com/yuccaturn/yuccaturn/yuccadisk"
+	"github.com/yuccaturn/yuccaturn/yuccametric"
+	"github.com/yuccaturn/yuccaturn/yuccamux"
+	"github.com/yuccaturn/yuccaturn/yuccaserver"
+	"github.com/yuccaturn/yuccaturn/yuccasettings"
+	"github.com/yuccaturn/yuccaturn/yuccawire"
+)
+
+type controlCommand struct {
+	Settings string `required:"" help:"Settings file." placeholder:"FILE"`
+}
+
+// Help shows an example.
+func (controlCommand) Help() string {
+	return "Example: yuccaturn control --settings examples/loopback/control-1.jsonc"
+}
+
+// Run runs the control until a signal.
+func (c *controlCommand) Run(o *output) error {
+	settings, err := yuccasettings.Load(yuccasettings.RoleControl, c.Settings)
+	if err != nil {
+		return err
+	}
+	folder, err := yuccadisk.Open(settings.Control.DataFolder)
+	if err != nil {
+		return err
+	}
+	defer folder.Close()
+	p := newProcess(settings, o)
+	if n := folder.CutBytes(); n > 0 {
+		p.logger.Warn("cut a torn tail off the log", "bytes", n)
+	}
+	network := yuccamux.New(yuccamux.Options{})
+	defer network.Close()
+	metrics := yuccametric.New("yuccaturn")
+	metrics.Publish()
+	control, err := yuccacontrol.New(yuccacontrol.Options{
+		Network:    network,
+		Storage:    folder,
+		Self:       replicaOf(yuccasettings.Replica{Name: settings.Process.Name, Listen: settings.Control.Listen, Operators: settings.Control.Operators}),
+		DataCentre: settings.Process.DataCentre,
+		Listed:     replicasOf(settings.Control.Replicas),
+		Random:     random(),
+		Metrics:    metrics,
+		Logger:     p.logger,
+	})
+	if err != nil {
+		return err
+	}
+	p.add(control, yuccaserver.New(settings.Control.Operators, yuccaserver.WithVars(control.Handler())))
+	return p.run()
+}
+
+func replicaOf(r yuccasettings.Replica) *yuccawire.ReplicaAddress {
+	return &yuccawire.ReplicaAddress{Name: r.Name, Address: r.Listen, OperatorAddress: r.Operators}
+}
+
+func replicasOf(list []yuccasettings.Replica) []*yuccawire.ReplicaAddress {
+	all := make([]*yuccawire.ReplicaAddress, len(list))
+	for i, r := range list {
+		all[i] = replicaOf(r)
+	}
+	return all
+}
--- /dev/null
+++ b/yuccacommand/datacentre.go
@@ -0,0 +1,138 @@
+package yuccacommand
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/yuccaturn/yuccaturn/yuccaclient"
+	"github.com/yuccaturn/yuccaturn/yuccacontrol"
+)
+
+const waitPoll = 100 * time.Millisecond
+
+type dataCentreCommands struct {
+	List dataCentreList `cmd:"" help:"List the data centres."`
+	Out  dataCentreOut  `cmd:"" help:"Take a data centre out: nothing starts there any more."`
+	In   dataCentreIn   `cmd:"" help:"Bring a data centre back."`
+}
+
+type dataCentreList struct {
+	controlAddress
+	JSON bool `name:"json" help:"Print JSON."`
+}
+
+// Help shows an example.
+func (dataCentreList) Help() string {
+	return "Example: yuccaturn data-centre list"
+}
+
+// Run lists the data centres.
+func (c *dataCentreList) Run(o *output) error {
+	all, err := c.client().DataCentres(context.Background())
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return json.NewEncoder(o.out).Encode(all)
+	}
+	for _, dc := range all {
+		o.printf("%s: %s\n", dc.Name, dataCentreState(dc))
+	}
+	return nil
+}
+
+func dataCentreState(dc yuccacontrol.DataCentreStatus) string {
+	switch {
+	case !dc.Out:
+		return "in"
+	case dc.Stopped:
+		return "out, nothing can start there"
+	case !dc.Settled:
+		return "out, waiting for leases that a former leader granted"
+	}
+	return "out, waiting for " + strings.Join(dc.Waiting, ", ")
+}
+
+type dataCentreOut struct {
+	controlAddress
+	RequestID string        `help:"Resend a request under the same id to get its first answer." placeholder:"ID"`
+	Wait      time.Duration `help:"Wait at most this long until nothing there can start a task." placeholder:"DURATION"`
+	Name      string        `arg:"" help:"The data centre."`
+}
+
+// Help shows an example.
+func (dataCentreOut) Help() string {
+	return "Returns when the change is committed, with --wait when it holds everywhere.\n\nExample: yuccaturn data-centre out cusco --wait 10s"
+}
+
+// Run takes the data centre out.
+func (c *dataCentreOut) Run(o *output) error {
+	client := c.client()
+	if err := setDataCentre(o, client, c.Name, true, c.RequestID); err != nil {
+		return err
+	}
+	if c.Wait == 0 {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), c.Wait)
+	defer cancel()
+	return waitStopped(ctx, o, client, c.Name)
+}
+
+func setDataCentre(o *output, client *yuccaclient.Client, name string, out bool, id string) error {
+	if id == "" {
+		id = rand.Text()
+	}
+	accepted, err := client.SetDataCentre(context.Background(), name, out, id)
+	if err != nil {
+		return merry.Prependf(err, "request %s", id)
+	}
+	return printAccepted(o, accepted, false)
+}
+
+func waitStopped(ctx context.Context, o *output, client *yuccaclient.Client, name string) error {
+	ticker := time.NewTicker(waitPoll)
+	defer ticker.Stop()
+	state := ""
+	for {
+		all, err := client.DataCentres(ctx)
+		for _, dc := range all {
+			if dc.Name != name {
+				continue
+			}
+			if now := dataCentreState(dc); now != state {
+				state = now
+				o.printf("%s: %s\n", name, state)
+			}
+			if err == nil && dc.Stopped {
+				return nil
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return merry.Errorf("data centre %q: the change is committed, but the wait ended first", name)
+		case <-ticker.C:
+		}
+	}
+}
+
+type dataCentreIn struct {
+	controlAddress
+	RequestID string `help:"Resend a request under the same id to get its first answer." placeholder:"ID"`
+	Name      string `arg:"" help:"The data centre."`
+}
+
+// Help shows an example.
+func (dataCentreIn) Help() string {
+	return "Example: yuccaturn data-centre in cusco"
+}
+
+// Run brings the data centre back.
+func (c *dataCentreIn) Run(o *output) error {
+	return setDataCentre(o, c.client(), c.Name, false, c.RequestID)
+}
--- /dev/null
+++ b/yuccacommand/job.go
@@ -0,0 +1,158 @@
+package yuccacommand
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/tailscale/hujson"
+
+	"github.com/yuccaturn/yuccaturn/yuccaclient"
+	"github.com/yuccaturn/yuccaturn/yuccajsonc"
+	"github.com/yuccaturn/yuccaturn/yuccaproblem"
+)
+
+type jobCommands struct {
+	Submit jobSubmit `cmd:"" help:"Submit a job and wait for its answer."`
+	Show   jobShow   `cmd:"" help:"Show a job that an entry has."`
+	Cancel jobCancel `cmd:"" help:"End a job: what has not started never will."`
+}
+
+type jobSubmit struct {
+	entryAddress
+	JSON bool   `name:"json" help:"Print the answer as JSON."`
+	File string `arg:"" help:"The job, JSON with comments." placeholder:"FILE"`
+}
+
+// Help shows an example.
+func (jobSubmit) Help() string {
+	return "Exits with 1 if the job failed, 4 if its outcome is not known.\n\nExample: yuccaturn job submit examples/job.jsonc"
+}
+
+// Run submits the job.
+func (c *jobSubmit) Run(o *output) error {
+	body, err := readJob(c.File)
+	if err != nil {
+		return err
+	}
+	return submit(context.Background(), o, c.client(), body, c.JSON)
+}
+
+// stampJob sets submitted_at where the file leaves it out.
+func stampJob(file string, text []byte, now time.Time) ([]byte, error) {
+	var fields map[string]json.RawMessage
+	if d := yuccajsonc.Decode(file, text, &fields); d.Err() != nil {
+		return nil, d.Err()
+	}
+	if _, given := fields["submitted_at"]; given {
+		return text, nil
+	}
+	value, err := hujson.Parse(text)
+	if err != nil {
+		return nil, err
+	}
+	patch := fmt.Sprintf(`[{"op": "add", "path": "/submitted_at", "value": %q}]`, now.UTC().Format(time.RFC3339Nano))
+	if err := value.Patch([]byte(patch)); err != nil {
+		return nil, err
+	}
+	return value.Pack(), nil
+}
+
+func submit(ctx context.Context, o *output, client *yuccaclient.Client, body []byte, asJSON bool) error {
+	job, text, err := client.Submit(ctx, body)
+	var problem *yuccaproblem.Problem
+	if err != nil && (!errors.As(err, &problem) || job.ID == "") {
+		return err
+	}
+	printJob(o, job, text, asJSON)
+	if err != nil {
+		return errors.Join(errSilent, err)
+	}
+	return nil
+}
+
+func printJob(o *output, job yuccaclient.Job, text []byte, asJSON bool) {
+	if asJSON {
+		o.printf("%s", text)
+		return
+	}
+	for _, t := range job.Tasks {
+		o.printf("%s: %s%s\n", t.ID, t.State, taskDetail(t))
+	}
+	done := 0
+	for _, t := range job.Tasks {
+		if t.State == "finished" {
+			done++
+		}
+	}
+	if job.State == "running" {
+		o.printf("job %s: running\n", job.ID)
+		return
+	}
+	o.printf("job %s: %s (%d of %d tasks)%s\n", job.ID, job.State, done, len(job.Tasks), reasonOf(job))
+}
+
+func reasonOf(job yuccaclient.Job) string {
+	if job.Reason == "" {
+		return ""
+	}
+	return ": " + job.Reason
+}
+
+func taskDetail(t yuccaclient.Task) string {
+	switch {
+	case t.Failure != "":
+		return " (" + t.Failure + ")"
+	case len(t.Result) > 0:
+		return " " + string(t.Result)
+	case t.ResultText != "":
+		return " " + t.ResultText
+	}
+	return ""
+}
+
+type jobShow struct {
+	entryAddress
+	JSON bool   `name:"json" help:"Print the answer as JSON."`
+	Team string `arg:"" help:"The job's team."`
+	ID   string `arg:"" name:"id" help:"The job's id."`
+}
+
+// Help shows an example.
+func (jobShow) Help() string {
+	return "Example: yuccaturn job show parishes regulation-2026-03-02"
+}
+
+// Run shows the job.
+func (c *jobShow) Run(o *output) error {
+	job, text, err := c.client().Job(context.Background(), c.Team, c.ID)
+	if err != nil {
+		return err
+	}
+	printJob(o, job, text, c.JSON)
+	return nil
+}
+
+type jobCancel struct {
+	entryAddress
+	JSON bool   `name:"json" help:"Print the answer as JSON."`
+	Team string `arg:"" help:"The job's team."`
+	ID   string `arg:"" name:"id" help:"The job's id."`
+}
+
+// Help shows an example.
+func (jobCancel) Help() string {
+	return "Example: yuccaturn job cancel parishes regulation-2026-03-02"
+}
+
+// Run cancels the job.
+func (c *jobCancel) Run(o *output) error {
+	job, text, err := c.client().Cancel(context.Background(), c.Team, c.ID)
+	if err != nil {
+		return err
+	}
+	printJob(o, job, text, c.JSON)
+	return nil
+}
--- /dev/null
+++ b/yuccacommand/local.go
@@ -0,0 +1,173 @@
+package yuccacommand
+
+import (
+	"context"
+	"log/slog"
+	"os"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/yuccaturn/yuccaturn/yuccaclient"
+	"github.com/yuccaturn/yuccaturn/yuccadocument"
+	"github.com/yuccaturn/yuccaturn/yuccalocal"
+	"github.com/yuccaturn/yuccaturn/yuccasettings"
+)
+
+const (
+	localStartTimeout = 20 * time.Second
+)
+
+type localCommand struct {
+	Settings string `help:"Settings file." default:"examples/local.jsonc" placeholder:"FILE"`
+	Demo     bool   `help:"Submit the example job, print its results, and stop."`
+}
+
+// Help shows an example.
+func (localCommand) Help() string {
+	return "Example: yuccaturn local --demo"
+}
+
+// Run runs the system until a signal, or until the demo has ended.
+func (c *localCommand) Run(o *output) error {
+	settings, err := yuccasettings.Load(yuccasettings.RoleLocal, c.Settings)
+	if err != nil {
+		return err
+	}
+	folder, err := os.MkdirTemp("", "yuccaturn-local-")
+	if err != nil {
+		return merry.Prepend(err, "making a data folder")
+	}
+	defer os.RemoveAll(folder)
+	p := newProcess(settings, o)
+	l := settings.Local
+	system, err := yuccalocal.New(yuccalocal.Options{
+		Folder: folder, Service: l.Service, DataCentres: l.DataCentres, Entries: l.Entries,
+		SidesPerDataCentre: l.SidesPerDataCentre, Slots: l.Slots, Sleep: l.Sleep, Logger: p.logger,
+	})
+	if err != nil {
+		return err
+	}
+	defer system.Close()
+	if c.Demo {
+		return runDemo(o, system, l)
+	}
+	starter := &localStarter{system: system, settings: l, logger: p.logger}
+	p.drain = system.Drain
+	p.add(system.Supervisor(), starter)
+	return p.run()
+}
+
+// localStarter applies the document and says where the system listens.
+type localStarter struct {
+	system   *yuccalocal.System
+	settings *yuccasettings.Local
+	logger   *slog.Logger
+}
+
+// Serve prepares the system, then waits for the end.
+func (s *localStarter) Serve(ctx context.Context) error {
+	callers, err := startLocal(ctx, s.system, s.settings)
+	if err != nil {
+		return err
+	}
+	operators, err := s.system.Operators(ctx)
+	if err != nil {
+		return err
+	}
+	s.logger.Info("ready", "callers", callers, "operators", operators)
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+// startLocal applies the document and waits until callers can be served.
+func startLocal(ctx context.Context, system *yuccalocal.System, l *yuccasettings.Local) ([]string, error) {
+	ctx, cancel := context.WithTimeout(ctx, localStartTimeout)
+	defer cancel()
+	address, err := system.Operators(ctx)
+	if err != nil {
+		return nil, err
+	}
+	text, err := os.ReadFile(l.Document)
+	if err != nil {
+		return nil, merry.Prepend(err, "reading the document")
+	}
+	if err := applyAll(ctx, yuccaclient.New(address, "local"), l.Document, text); err != nil {
+		return nil, err
+	}
+	if err := system.Ready(ctx); err != nil {
+		return nil, err
+	}
+	return system.Callers(ctx)
+}
+
+// applyAll applies each section of a document to a group that has none.
+func applyAll(ctx context.Context, client *yuccaclient.Client, file string, text []byte) error {
+	if _, err := yuccadocument.Parse(file, text); err != nil {
+		return err
+	}
+	for _, section := range []string{yuccadocument.SectionDataCentres, yuccadocument.SectionServices, yuccadocument.SectionLimits} {
+		body, err := yuccadocument.SectionOf(file, text, section)
+		if err != nil {
+			return err
+		}
+		if err := applyFirst(ctx, client, section, body); err != nil {
+			return merry.Prependf(err, "applying section %s", section)
+		}
+	}
+	return nil
+}
+
+// applyFirst tries again while the group has no leader yet.
+func applyFirst(ctx context.Context, client *yuccaclient.Client, section string, body []byte) error {
+	ticker := time.NewTicker(50 * time.Millisecond)
+	defer ticker.Stop()
+	for {
+		_, err := client.ApplySection(ctx, section, 0, "local-"+section, body)
+		if err == nil || exitCode(err) != ExitUnreachable {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return err
+		case <-ticker.C:
+		}
+	}
+}
+
+func runDemo(o *output, system *yuccalocal.System, l *yuccasettings.Local) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	ended := system.Supervisor().ServeBackground(ctx)
+	err := demo(ctx, o, system, l)
+	bounded, done := context.WithTimeout(context.Background(), localStartTimeout)
+	defer done()
+	if cut := system.Drain(bounded); cut > 0 {
+		o.printf("cut work in progress: %d\n", cut)
+	}
+	cancel()
+	<-ended
+	return err
+}
+
+func demo(ctx context.Context, o *output, system *yuccalocal.System, l *yuccasettings.Local) error {
+	callers, err := startLocal(ctx, system, l)
+	if err != nil {
+		return err
+	}
+	body, err := readJob(l.Job)
+	if err != nil {
+		return err
+	}
+	return submit(ctx, o, yuccaclient.New(callers[0], ""), body, false)
+}
+
+// readJob reads a job file. A job without the time of its submission gets the
+// current one.
+func readJob(file string) ([]byte, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, merry.Prepend(err, "reading the job")
+	}
+	return stampJob(file, text, time.Now())
+}
--- /dev/null
+++ b/yuccacommand/serve.go
@@ -0,0 +1,132 @@
+package yuccacommand
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/thejerf/suture/v4"
+
+	"github.com/yuccaturn/yuccaturn/yuccasettings"
+	"github.com/yuccaturn/yuccaturn/yuccatrace"
+)
+
+const (
+	flushTimeout = 2 * time.Second
+	stopTimeout  = 10 * time.Second
+)
+
+// process is a long-lived command under a supervisor.
+type process struct {
+	settings *yuccasettings.Settings
+	logger   *slog.Logger
+	services []suture.Service
+	// drain shuts down gracefully and returns what was cut at the end of its
+	// context. It may be nil.
+	drain func(ctx context.Context) int
+}
+
+func newProcess(settings *yuccasettings.Settings, o *output) *process {
+	logger := settings.Log.Logger(o.err).With("process", settings.Process.Name)
+	slog.SetDefault(logger)
+	return &process{settings: settings, logger: logger}
+}
+
+func (p *process) add(services ...suture.Service) { p.services = append(p.services, services...) }
+
+func random() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
+// incarnation names this run of the process; later runs get higher ones.
+func incarnation() uint64 { return uint64(time.Now().UnixNano()) }
+
+// run serves until a signal has drained the process, or a service has failed
+// for good.
+func (p *process) run() error {
+	flush, err := yuccatrace.Install(context.Background(), p.settings.Trace.Options(p.settings.Process.Name))
+	if err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	defer signal.Stop(signals)
+	err = p.serve(signals)
+	bounded, cancel := context.WithTimeout(context.Background(), flushTimeout)
+	defer cancel()
+	return errors.Join(err, flush(bounded))
+}
+
+func (p *process) serve(signals <-chan os.Signal) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	supervisor := suture.New(p.settings.Process.Name, suture.Spec{
+		EventHook: p.logEvent, PassThroughPanics: true, Timeout: stopTimeout,
+	})
+	for _, s := range p.services {
+		supervisor.Add(s)
+	}
+	ended := supervisor.ServeBackground(ctx)
+	p.logger.Info("started")
+	select {
+	case err := <-ended:
+		return merry.Prepend(err, "the process ended by itself")
+	case s := <-signals:
+		p.logger.Info("stopping", "signal", s.String())
+	}
+	p.drainUntil(signals)
+	cancel()
+	<-ended
+	p.logger.Info("stopped")
+	return nil
+}
+
+// drainUntil drains within the bounded time, or until a second signal.
+func (p *process) drainUntil(signals <-chan os.Signal) {
+	if p.drain == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), p.settings.Process.DrainTimeout)
+	defer cancel()
+	d := &drainer{drain: p.drain, done: make(chan int, 1)}
+	go d.run(ctx)
+	select {
+	case cut := <-d.done:
+		p.logDrained(cut)
+	case s := <-signals:
+		p.logger.Warn("stopping at once", "signal", s.String())
+		cancel()
+		p.logDrained(<-d.done)
+	}
+}
+
+func (p *process) logDrained(cut int) {
+	if cut > 0 {
+		p.logger.Warn("cut work in progress", "count", cut)
+		return
+	}
+	p.logger.Info("drained")
+}
+
+// drainer runs a drain beside the wait for signals.
+type drainer struct {
+	drain func(ctx context.Context) int
+	done  chan int
+}
+
+func (d *drainer) run(ctx context.Context) { d.done <- d.drain(ctx) }
+
+func (p *process) logEvent(e suture.Event) {
+	switch e := e.(type) {
+	case suture.EventServiceTerminate:
+		p.logger.Error("service ended", "service", e.ServiceName, "error", e.Err, "restarting", e.Restarting)
+	case suture.EventStopTimeout:
+		p.logger.Warn("service did not stop in time", "service", e.ServiceName)
+	case suture.EventBackoff:
+		p.logger.Warn("services fail often, waiting")
+	}
+}
--- /dev/null
+++ b/yuccacontrol/control.go
@@ -0,0 +1,207 @@
+package yuccacontrol
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/thejerf/suture/v4"
+
+	"github.com/yuccaturn/yuccaturn/yuccametric"
+	"github.com/yuccaturn/yuccaturn/yuccaregistry"
+	"github.com/yuccaturn/yuccaturn/yuccareplica"
+	"github.com/yuccaturn/yuccaturn/yuccastate"
+	"github.com/yuccaturn/yuccaturn/yuccawire"
+)
+
+const (
+	eventsCapacity   = 4096
+	tickInterval     = 25 * time.Millisecond
+	pushInterval     = 50 * time.Millisecond
+	expireInterval   = 10 * time.Second
+	compactEntries   = 20_000
+	maxBatchedEvents = 2048
+)
+
+// Errors that callers of a control tell apart.
+var (
+	// ErrNotLeader: nothing was recorded; the leader may take the request.
+	ErrNotLeader = merry.Sentinel("this control does not lead")
+	// ErrUnknownOutcome: the leadership ended before the result was known.
+	ErrUnknownOutcome = merry.Sentinel("the leadership ended before the outcome was known; send the same request again")
+)
+
+// Options holds what a control needs. All fields but Logger are required.
+type Options struct {
+	Network yuccawire.Network
+	Storage Storage
+	// Self is this replica; its id is the storage's.
+	Self *yuccawire.ReplicaAddress
+	// DataCentre is where the control runs.
+	DataCentre string
+	// Listed are the replicas of the settings, whose ids aren't known.
+	Listed  []*yuccawire.ReplicaAddress
+	Random  *rand.Rand
+	Metrics *yuccametric.Set
+	Logger  *slog.Logger
+}
+
+// Control is one replica. It is a suture service.
+type Control struct {
+	options Options
+	self    *yuccawire.ReplicaAddress
+	node    *yuccawire.Node
+	metrics *yuccametric.Set
+	events  chan event
+	disk    *writer
+	writes  writeQueue
+
+	// Owned by the loop.
+	core      *yuccareplica.Core
+	formation *yuccareplica.Formation
+	state     *yuccastate.State
+	registry  *yuccaregistry.Registry
+	led       uint64
+	peers     map[string]*peer
+	// heard holds the last link that brought a message of each replica.
+	heard     map[uint64]*conn
+	sessions  map[*session]struct{}
+	waiters   map[uint64]waiter
+	claims    []pendingClaims
+	pushed    uint64
+	pushAt    time.Time
+	probeAt   time.Time
+	expireAt  time.Time
+	promoteAt time.Time
+	diskErr   error
+}
+
+// waiter learns the result of the entry that it proposed.
+type waiter struct {
+	term uint64
+	done func(result yuccastate.Result, err error)
+}
+
+// New returns a control with what its storage holds.
+func New(options Options) (*Control, error) {
+	if options.Logger == nil {
+		options.Logger = slog.New(slog.DiscardHandler)
+	}
+	self := &yuccawire.ReplicaAddress{
+		Name: options.Self.GetName(), Address: options.Self.GetAddress(),
+		OperatorAddress: options.Self.GetOperatorAddress(), Id: options.Storage.ID(),
+	}
+	c := &Control{
+		options: options,
+		self:    self,
+		node: &yuccawire.Node{
+			Name: self.GetName(), Role: yuccawire.Role_ROLE_CONTROL, DataCentre: options.DataCentre,
+			Address: self.GetAddress(), Incarnation: self.GetId(),
+		},
+		metrics:  options.Metrics,
+		events:   make(chan event, eventsCapacity),
+		state:    yuccastate.New(),
+		peers:    make(map[string]*peer),
+		heard:    make(map[uint64]*conn),
+		sessions: make(map[*session]struct{}),
+		waiters:  make(map[uint64]waiter),
+	}
+	c.disk = newWriter(options.Storage)
+	stored := options.Storage.Stored()
+	if stored.Snapshot == nil {
+		c.formation = yuccareplica.NewFormation(self, options.Listed)
+		return c, nil
+	}
+	return c, c.start(stored)
+}
+
+// start takes up the log of a formed replica.
+func (c *Control) start(stored yuccareplica.Stored) error {
+	state, err := yuccastate.Decode(stored.Snapshot.GetState())
+	if err != nil {
+		return err
+	}
+	c.state = state
+	options := yuccareplica.Options{ID: c.self.GetId(), Random: c.options.Random}
+	c.core = yuccareplica.New(options, stored, time.Now())
+	c.formation = nil
+	return nil
+}
+
+// Serve runs the control until the context ends or its disk fails.
+func (c *Control) Serve(ctx context.Context) error {
+	listener, err := c.options.Network.Listen(c.self.GetAddress())
+	if err != nil {
+		return errors.Join(suture.ErrTerminateSupervisorTree, err)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer listener.Close()
+	a := &acceptor{control: c, listener: listener}
+	go a.run(ctx)
+	go c.disk.run(ctx)
+	return c.loop(ctx)
+}
+
+// acceptor greets the processes that dial this control.
+type acceptor struct {
+	control  *Control
+	listener yuccawire.Listener
+}
+
+func (a *acceptor) run(ctx context.Context) {
+	for {
+		link, err := a.listener.Accept()
+		if err != nil {
+			return
+		}
+		context.AfterFunc(ctx, func() { _ = link.Close() })
+		g := &greeting{control: a.control, link: link}
+		go g.run(ctx)
+	}
+}
+
+// Apply commits an operator's change and returns its result.
+func (c *Control) Apply(ctx context.Context, command *yuccawire.Command) (*yuccastate.ChangeResult, error) {
+	done := make(chan changed, 1)
+	select {
+	case c.events <- change{command: command, done: done}:
+	case <-ctx.Done():
+		return nil, ErrNotLeader
+	}
+	select {
+	case answer := <-done:
+		return answer.result, answer.err
+	case <-ctx.Done():
+		return nil, ErrUnknownOutcome
+	}
+}
+
+// inspect runs the question on the loop.
+func (c *Control) inspect(ctx context.Context, question func(c *Control)) error {
+	done := make(chan struct{})
+	select {
+	case c.events <- inspection{question: question, done: done}:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// fatal ends the whole process: after a failed sync it isn't known what the
+// disk holds, so this run must not vote or acknowledge any more.
+func (c *Control) fatal(err error) error {
+	c.options.Logger.Error("the data folder failed; this control stops", "error", err)
+	return errors.Join(suture.ErrTerminateSupervisorTree, merry.Prepend(err, "data folder"))
+}
+
+// Address is the address for the system's own processes.
+func (c *Control) Address() string { return c.self.GetAddress() }
--- /dev/null
+++ b/yuccacontrol/events.go
@@ -0,0 +1,35 @@
+package yuccacontrol
+
+import (
+	"github.com/yuccaturn/yuccaturn/yuccastate"
+	"github.com/yuccaturn/yuccaturn/yuccawire"
+)
+
+// event is one thing that the control's loop reacts to.
+type event interface{}
+
+// received is a message of a link that was accepted or dialled.
+type received struct {
+	from    *conn
+	message *yuccawire.Envelope
+}
+
+// closed tells that a link has ended.
+type closed struct{ from *conn }
+
+// change is an operator's command that awaits its result.
+type change struct {
+	command *yuccawire.Command
+	done    chan<- changed
+}
+
+type changed struct {
+	result *yuccastate.ChangeResult
+	err    error
+}
+
+// inspection runs a question on the loop, where the state may be read.
+type inspection struct {
+	question func(c *Control)
+	done     chan<- struct{}
+}
--- /dev/null
+++ b/yuccacontrol/replicas.go
@@ -0,0 +1,188 @@
+package yuccacontrol
+
+import (
+	"context"
+	"time"
+
+	"github.com/yuccaturn/yuccaturn/yuccareplica"
+	"github.com/yuccaturn/yuccaturn/yuccawire"
+)
+
+const (
+	probeInterval   = 300 * time.Millisecond
+	promoteInterval = 200 * time.Millisecond
+)
+
+func (c *Control) receiveReplica(now time.Time, from *conn, m *yuccawire.Replica) {
+	switch body := m.GetBody().(type) {
+	case *yuccawire.Replica_Probe:
+		c.answerProbe(now, from, body.Probe)
+	case *yuccawire.Replica_ProbeReply:
+		c.takeProbeReply(body.ProbeReply)
+	case *yuccawire.Replica_Form:
+		c.form(nil)
+	default:
+		if c.core != nil {
+			c.heard[m.GetFrom()] = from
+			c.core.Step(now, m)
+		}
+	}
+}
+
+// connectPeers keeps a peer for each replica of the settings and of the group.
+func (c *Control) connectPeers(ctx context.Context) {
+	wanted := make(map[string]bool)
+	for _, r := range c.options.Listed {
+		wanted[r.GetAddress()] = true
+	}
+	if c.core != nil {
+		for _, r := range c.core.Replicas().GetVoters() {
+			wanted[r.GetAddress()] = true
+		}
+		for _, r := range c.core.Replicas().GetLearners() {
+			wanted[r.GetAddress()] = true
+		}
+	}
+	delete(wanted, c.self.GetAddress())
+	for address := range wanted {
+		if c.peers[address] == nil {
+			c.connectPeer(ctx, address)
+		}
+	}
+	for address, p := range c.peers {
+		if !wanted[address] {
+			p.cancel()
+			delete(c.peers, address)
+		}
+	}
+}
+
+func (c *Control) connectPeer(ctx context.Context, address string) {
+	ctx, cancel := context.WithCancel(ctx)
+	p := &peer{control: c, address: address, outbox: make(chan *yuccawire.Envelope, peerCapacity), cancel: cancel}
+	c.peers[address] = p
+	go p.run(ctx)
+}
+
+// sendReplicas passes messages to their peers. A replica that has no
+// configuration yet answers over the link that brought the question.
+func (c *Control) sendReplicas(messages []*yuccawire.Replica) {
+	for _, m := range messages {
+		if p := c.peers[c.core.Address(m.GetTo()).GetAddress()]; p != nil {
+			p.send(m)
+		} else if from := c.heard[m.GetTo()]; from != nil {
+			_ = from.link.Send(replicaEnvelope(m))
+		}
+	}
+}
+
+// probe asks the listed replicas whether they belong to a group.
+func (c *Control) probe(now time.Time) {
+	if now.Before(c.probeAt) {
+		return
+	}
+	c.probeAt = now.Add(probeInterval)
+	for _, p := range c.peers {
+		probe := &yuccawire.Probe{From: c.self}
+		p.send(&yuccawire.Replica{Body: &yuccawire.Replica_Probe{Probe: probe}})
+	}
+	c.decideFormation()
+}
+
+func (c *Control) decideFormation() {
+	if c.formation == nil {
+		return
+	}
+	if first := c.formation.Decide(); first != nil {
+		c.form(first)
+	}
+}
+
+// form makes this replica part of a group. Without a first configuration it
+// starts with an empty log, which the leader fills.
+func (c *Control) form(first *yuccawire.Replicas) {
+	if c.formation == nil {
+		return
+	}
+	snapshot := &yuccawire.InstallSnapshot{}
+	if first != nil {
+		snapshot = yuccareplica.FirstSnapshot(first)
+	}
+	frame := &yuccawire.DiskFrame{Snapshot: snapshot, HardState: &yuccawire.HardState{Term: snapshot.GetIndexTerm()}}
+	if err := c.options.Storage.Write(frame); err != nil {
+		c.diskErr = err
+		return
+	}
+	stored := yuccareplica.Stored{Snapshot: snapshot, HardState: frame.GetHardState()}
+	if err := c.start(stored); err != nil {
+		c.diskErr = err
+		return
+	}
+	c.options.Logger.Info("joined a group", "first", first != nil)
+}
+
+// answerProbe tells a replica without a group whether there is one, and lets
+// it in.
+func (c *Control) answerProbe(now time.Time, from *conn, probe *yuccawire.Probe) {
+	joining := probe.GetFrom()
+	reply := &yuccawire.ProbeReply{From: c.self, Formed: c.core != nil}
+	_ = from.link.Send(replicaEnvelope(&yuccawire.Replica{Body: &yuccawire.Replica_ProbeReply{ProbeReply: reply}}))
+	if c.core == nil {
+		return
+	}
+	if c.core.Address(joining.GetId()) != nil {
+		_ = from.link.Send(replicaEnvelope(&yuccawire.Replica{Body: &yuccawire.Replica_Form{Form: &yuccawire.Form{}}}))
+		return
+	}
+	if c.leads(now) && c.isListed(joining) {
+		if err := c.core.Admit(now, joining); err == nil {
+			c.options.Logger.Info("admits a replica", "name", joining.GetName())
+		}
+	}
+}
+
+func replicaEnvelope(m *yuccawire.Replica) *yuccawire.Envelope {
+	return &yuccawire.Envelope{Body: &yuccawire.Envelope_Replica{Replica: m}}
+}
+
+// isListed tells whether the settings or the group name the replica at this
+// address.
+func (c *Control) isListed(joining *yuccawire.ReplicaAddress) bool {
+	for _, list := range [][]*yuccawire.ReplicaAddress{c.options.Listed, c.core.Replicas().GetVoters()} {
+		for _, r := range list {
+			if r.GetName() == joining.GetName() && r.GetAddress() == joining.GetAddress() {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (c *Control) takeProbeReply(reply *yuccawire.ProbeReply) {
+	if c.formation != nil {
+		c.formation.Answered(reply)
+		c.decideFormation()
+	}
+}
+
+// promote makes voters of learners that have caught up, one at a time.
+func (c *Control) promote(now time.Time) {
+	if now.Before(c.promoteAt) || !c.leads(now) {
+		return
+	}
+	c.promoteAt = now.Add(promoteInterval)
+	if c.core.Promote(now) {
+		c.options.Logger.Info("promotes a replica")
+	}
+}
+
+func (c *Control) removeReplica(now time.Time, name string) error {
+	for _, list := range [][]*yuccawire.ReplicaAddress{c.core.Replicas().GetVoters(), c.core.Replicas().GetLearners()} {
+		for _, r := range list {
+			if r.GetName() == name {
+				return c.core.Remove(now, r.GetId())
+			}
+		}
+	}
+	return yuccareplica.ErrUnknown
+}
--- /dev/null
+++ b/yuccacontrol/sessions.go
@@ -0,0 +1,190 @@
+package yuccacontrol
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/yuccaturn/yuccaturn/yuccalease"
+	"github.com/yuccaturn/yuccaturn/yuccastate"
+	"github.com/yuccaturn/yuccaturn/yuccawire"
+)
+
+// session is a process that renews its lease over one link.
+type session struct {
+	conn           *conn
+	sections       []*yuccawire.SectionVersion
+	membersEpoch   uint64
+	membersVersion uint64
+	fencesVersion  uint64
+}
+
+func (s *session) wantsMembers() bool {
+	return s.conn.node.GetRole() == yuccawire.Role_ROLE_ENTRY
+}
+
+func (s *session) send(r *yuccawire.Renewed) {
+	_ = s.conn.link.Send(&yuccawire.Envelope{Body: &yuccawire.Envelope_Renewed{Renewed: r}})
+}
+
+func (s *session) sendGoodbye() {
+	_ = s.conn.link.Send(&yuccawire.Envelope{Body: &yuccawire.Envelope_Goodbye{Goodbye: &yuccawire.Goodbye{}}})
+}
+
+func (c *Control) dropSession(s *session) {
+	if s != nil {
+		delete(c.sessions, s)
+		s.conn.session = nil
+	}
+}
+
+// renew grants a lease, with all that the process lacks.
+func (c *Control) renew(now time.Time, from *conn, r *yuccawire.Renew) {
+	if !c.leads(now) {
+		c.refuseRenewal(from, r)
+		return
+	}
+	node := r.GetNode()
+	if c.state.Fenced(node.GetName(), node.GetIncarnation()) || !c.registry.Renew(now, r) {
+		c.metrics.Add("renewals_fenced", 1)
+		_ = from.link.Send(&yuccawire.Envelope{Body: &yuccawire.Envelope_Renewed{Renewed: &yuccawire.Renewed{Sequence: r.GetSequence(), Fenced: true}}})
+		return
+	}
+	if from.session == nil {
+		from.session = &session{conn: from}
+		c.sessions[from.session] = struct{}{}
+	}
+	s := from.session
+	s.sections = r.GetSections()
+	s.membersEpoch, s.membersVersion = r.GetMembersEpoch(), r.GetMembersVersion()
+	s.fencesVersion = r.GetFencesVersion()
+	renewed := c.lacking(now, s)
+	renewed.Sequence = r.GetSequence()
+	renewed.LeaseMs = uint32(yuccalease.Duration.Milliseconds())
+	c.metrics.Add("renewals", 1)
+	s.send(renewed)
+}
+
+func (c *Control) refuseRenewal(from *conn, r *yuccawire.Renew) {
+	refusal := &yuccawire.Renewed{Sequence: r.GetSequence(), NotLeader: true}
+	if c.core != nil && c.core.Leader() != c.self.GetId() {
+		refusal.LeaderAddress = c.core.Address(c.core.Leader()).GetAddress()
+	}
+	c.metrics.Add("renewals_refused", 1)
+	_ = from.link.Send(&yuccawire.Envelope{Body: &yuccawire.Envelope_Renewed{Renewed: refusal}})
+}
+
+// lacking returns what the process lacks, and notes that it was sent.
+func (c *Control) lacking(now time.Time, s *session) *yuccawire.Renewed {
+	renewed := &yuccawire.Renewed{Sections: c.state.Newer(s.sections)}
+	renewed.Fences, renewed.FencesVersion = c.state.FencesSince(s.fencesVersion)
+	s.fencesVersion = renewed.GetFencesVersion()
+	s.noteSections(renewed.GetSections())
+	if s.wantsMembers() {
+		renewed.Members = c.registry.Delta(now, s.membersEpoch, s.membersVersion)
+	}
+	if delta := renewed.GetMembers(); delta != nil {
+		s.membersEpoch, s.membersVersion = delta.GetEpoch(), delta.GetVersion()
+	}
+	return renewed
+}
+
+func (s *session) noteSections(sent []*yuccawire.Section) {
+	for _, section := range sent {
+		for i, v := range s.sections {
+			if v.GetName() == section.GetName() {
+				s.sections[i] = &yuccawire.SectionVersion{Name: section.GetName(), Version: section.GetVersion()}
+			}
+		}
+	}
+}
+
+// pushSections sends new sections and fences to the processes without waiting
+// for their next renewal.
+func (c *Control) pushSections(now time.Time) {
+	if !c.leads(now) {
+		return
+	}
+	for s := range c.sessions {
+		renewed := &yuccawire.Renewed{Sections: c.state.Newer(s.sections)}
+		renewed.Fences, renewed.FencesVersion = c.state.FencesSince(s.fencesVersion)
+		if len(renewed.GetSections()) == 0 && len(renewed.GetFences()) == 0 {
+			continue
+		}
+		s.fencesVersion = renewed.GetFencesVersion()
+		s.noteSections(renewed.GetSections())
+		c.metrics.Add("pushes", 1)
+		s.send(renewed)
+	}
+}
+
+// pushMembers sends changes among the members to the entries.
+func (c *Control) pushMembers(now time.Time) {
+	if !c.leads(now) || c.pushed == c.registry.Version() || !c.registry.Settled(now) {
+		return
+	}
+	c.pushed = c.registry.Version()
+	for s := range c.sessions {
+		if !s.wantsMembers() {
+			continue
+		}
+		delta := c.registry.Delta(now, s.membersEpoch, s.membersVersion)
+		if delta == nil {
+			continue
+		}
+		s.membersEpoch, s.membersVersion = delta.GetEpoch(), delta.GetVersion()
+		s.send(&yuccawire.Renewed{Members: delta, FencesVersion: s.fencesVersion})
+	}
+}
+
+func (c *Control) expireMembers(now time.Time) {
+	if !c.leads(now) {
+		return
+	}
+	for _, m := range c.registry.Expire(now) {
+		c.metrics.Add("leases_lost", 1)
+		c.options.Logger.Info("lease lost", "name", m.Node().GetName(), "data_centre", m.Node().GetDataCentre())
+	}
+	c.metrics.Gauge("members", int64(len(c.registry.Members())))
+}
+
+func (c *Control) expireClaims(now time.Time) {
+	if now.Before(c.expireAt) || !c.leads(now) {
+		return
+	}
+	c.expireAt = now.Add(expireInterval)
+	c.metrics.Gauge("claims", int64(c.state.Jobs()))
+	if c.state.Jobs() == 0 {
+		return
+	}
+	kept := c.state.Document().Limits.KeepClaims()
+	expire := &yuccawire.ExpireJobs{NowUnixMs: now.UnixMilli(), KeptMs: kept.Milliseconds()}
+	c.proposeCommand(now, &yuccawire.Command{Body: &yuccawire.Command_ExpireJobs{ExpireJobs: expire}}, nil)
+}
+
+// proposeCommand appends the command and calls done with its result. It returns
+// false, and does not call done, where this replica can't propose.
+func (c *Control) proposeCommand(now time.Time, command *yuccawire.Command, done func(yuccastate.Result, error)) bool {
+	text, err := proto.Marshal(command)
+	if err != nil {
+		panic(err) // a generated message always encodes
+	}
+	index, term, ok := c.core.Propose(now, text)
+	if ok && done != nil {
+		c.waiters[index] = waiter{term: term, done: done}
+	}
+	return ok
+}
+
+func (c *Control) propose(now time.Time, ch change) {
+	if !c.leads(now) {
+		ch.done <- changed{err: ErrNotLeader}
+		return
+	}
+	answer := func(result yuccastate.Result, err error) {
+		ch.done <- changed{result: result.Change, err: err}
+	}
+	if !c.proposeCommand(now, ch.command, answer) {
+		ch.done <- changed{err: ErrNotLeader}
+	}
+}
--- /dev/null
+++ b/yuccacontrol/status.go
@@ -0,0 +1,234 @@
+package yuccacontrol
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/yuccaturn/yuccaturn/yuccadocument"
+	"github.com/yuccaturn/yuccaturn/yuccaregistry"
+	"github.com/yuccaturn/yuccaturn/yuccawire"
+)
+
+// Status is what a person on call asks first.
+type Status struct {
+	Name          string          `json:"name"`
+	Formed        bool            `json:"formed"`
+	Leads         bool            `json:"leads"`
+	Leader        string          `json:"leader"`
+	LeaderAddress string          `json:"leader_address"`
+	Term          uint64          `json:"term"`
+	Commit        uint64          `json:"commit"`
+	LogEntries    int             `json:"log_entries"`
+	Replicas      []ReplicaStatus `json:"replicas"`
+	Claims        int             `json:"claims"`
+	Sections      []SectionStatus `json:"sections"`
+	Out           []string        `json:"data_centres_out"`
+	Settled       bool            `json:"settled"`
+	Members       []MemberStatus  `json:"members"`
+}
+
+// ReplicaStatus is one control of the group.
+type ReplicaStatus struct {
+	Name    string `json:"name"`
+	Address string `json:"address"`
+	Voter   bool   `json:"voter"`
+	Linked  bool   `json:"linked"`
+}
+
+// SectionStatus is one section as it is accepted, and where it is not yet in
+// force.
+type SectionStatus struct {
+	Name    string   `json:"name"`
+	Version uint64   `json:"version"`
+	Lagging []string `json:"lagging"`
+}
+
+// MemberStatus is one process under a lease.
+type MemberStatus struct {
+	Name        string         `json:"name"`
+	Role        string         `json:"role"`
+	DataCentre  string         `json:"data_centre"`
+	Address     string         `json:"address"`
+	Incarnation uint64         `json:"incarnation"`
+	Leaving     bool           `json:"leaving"`
+	Targets     []TargetStatus `json:"targets,omitempty"`
+}
+
+// TargetStatus is one announced target.
+type TargetStatus struct {
+	Service string `json:"service"`
+	Slots   uint32 `json:"slots"`
+	Leaving bool   `json:"leaving"`
+}
+
+// Status answers from this control's own state; only the leader's lists
+// members.
+func (c *Control) Status(ctx context.Context) (Status, error) {
+	var status Status
+	err := c.inspect(ctx, func(c *Control) { status = c.status(time.Now()) })
+	return status, err
+}
+
+func (c *Control) status(now time.Time) Status {
+	s := Status{Name: c.self.GetName(), Formed: c.core != nil, Leads: c.leads(now)}
+	if c.core == nil {
+		return s
+	}
+	s.Term, s.Commit, s.LogEntries = c.core.Term(), c.core.Commit(), c.core.LogEntries()
+	if leader := c.core.Address(c.core.Leader()); leader != nil {
+		s.Leader, s.LeaderAddress = leader.GetName(), leader.GetOperatorAddress()
+	}
+	s.Replicas = append(c.replicaStatus(c.core.Replicas().GetVoters(), true),
+		c.replicaStatus(c.core.Replicas().GetLearners(), false)...)
+	s.Claims = c.state.Jobs()
+	s.Out = c.state.Out()
+	if c.registry != nil {
+		s.Settled = c.registry.Settled(now)
+		s.Members = memberStatus(c.registry.Members())
+	}
+	for _, name := range yuccadocument.AllSections {
+		s.Sections = append(s.Sections, c.sectionStatus(name))
+	}
+	return s
+}
+
+func (c *Control) replicaStatus(list []*yuccawire.ReplicaAddress, voter bool) []ReplicaStatus {
+	var all []ReplicaStatus
+	for _, r := range list {
+		linked := r.GetId() == c.self.GetId()
+		if p := c.peers[r.GetAddress()]; p != nil {
+			linked = p.up.Load()
+		}
+		all = append(all, ReplicaStatus{Name: r.GetName(), Address: r.GetAddress(), Voter: voter, Linked: linked})
+	}
+	return all
+}
+
+func (c *Control) sectionStatus(name string) SectionStatus {
+	s := SectionStatus{Name: name, Version: c.state.Section(name).GetVersion()}
+	if c.registry != nil {
+		s.Lagging = c.registry.Lagging(name, s.Version)
+	}
+	return s
+}
+
+func memberStatus(members []*yuccaregistry.Member) []MemberStatus {
+	all := make([]MemberStatus, len(members))
+	for i, m := range members {
+		node := m.Node()
+		all[i] = MemberStatus{
+			Name: node.GetName(), Role: roleName(node.GetRole()), DataCentre: node.GetDataCentre(),
+			Address: node.GetAddress(), Incarnation: node.GetIncarnation(), Leaving: m.Leaving(),
+		}
+		for _, t := range m.Targets() {
+			all[i].Targets = append(all[i].Targets, TargetStatus{Service: t.GetService(), Slots: t.GetSlots(), Leaving: t.GetLeaving()})
+		}
+	}
+	return all
+}
+
+func roleName(role yuccawire.Role) string {
+	switch role {
+	case yuccawire.Role_ROLE_CONTROL:
+		return "control"
+	case yuccawire.Role_ROLE_ENTRY:
+		return "entry"
+	case yuccawire.Role_ROLE_SIDE:
+		return "side"
+	case yuccawire.Role_ROLE_UNSPECIFIED:
+	}
+	return "unknown"
+}
+
+// DataCentreStatus tells whether a data centre is out, and whether anything in
+// it may still start tasks.
+type DataCentreStatus struct {
+	Name    string `json:"name"`
+	Out     bool   `json:"out"`
+	Version uint64 `json:"version"`
+	// Waiting names the sides that have not acknowledged and still hold a lease.
+	Waiting []string `json:"waiting"`
+	// Settled is false while sides may hold a lease of a former leader.
+	Settled bool `json:"settled"`
+	// Stopped is true when nothing in the data centre can start a task.
+	Stopped bool `json:"stopped"`
+}
+
+// DataCentres lists the data centres of the document. Only the leader answers.
+func (c *Control) DataCentres(ctx context.Context) ([]DataCentreStatus, error) {
+	var all []DataCentreStatus
+	err := c.inspectLeader(ctx, func(c *Control, now time.Time) { all = c.dataCentres(now) })
+	return all, err
+}
+
+func (c *Control) dataCentres(now time.Time) []DataCentreStatus {
+	version := c.state.Section(yuccadocument.SectionDataCentresOut).GetVersion()
+	lagging := c.registry.Lagging(yuccadocument.SectionDataCentresOut, version)
+	var all []DataCentreStatus
+	for _, name := range c.state.DataCentres() {
+		s := DataCentreStatus{Name: name, Out: c.state.IsOut(name), Version: version, Settled: c.registry.Settled(now)}
+		for _, m := range c.registry.Members() {
+			if m.Node().GetRole() == yuccawire.Role_ROLE_SIDE && m.Node().GetDataCentre() == name && slices.Contains(lagging, m.Node().GetName()) {
+				s.Waiting = append(s.Waiting, m.Node().GetName())
+			}
+		}
+		s.Stopped = s.Out && s.Settled && len(s.Waiting) == 0
+		all = append(all, s)
+	}
+	return all
+}
+
+// inspectLeader asks a question that only the leader may answer.
+func (c *Control) inspectLeader(ctx context.Context, question func(c *Control, now time.Time)) error {
+	led := false
+	err := c.inspect(ctx, func(c *Control) {
+		now := time.Now()
+		if led = c.leads(now); led {
+			question(c, now)
+		}
+	})
+	if err == nil && !led {
+		return ErrNotLeader
+	}
+	return err
+}
+
+// Section returns a section as it is accepted. Only the leader answers.
+func (c *Control) Section(ctx context.Context, name string) (*yuccawire.Section, error) {
+	var section *yuccawire.Section
+	err := c.inspectLeader(ctx, func(c *Control, _ time.Time) { section = c.state.Section(name) })
+	return section, err
+}
+
+// History returns the accepted changes, the newest first. Only the leader
+// answers.
+func (c *Control) History(ctx context.Context, section string, limit int) ([]*yuccawire.Change, error) {
+	var changes []*yuccawire.Change
+	err := c.inspectLeader(ctx, func(c *Control, _ time.Time) { changes = c.state.History(section, limit) })
+	return changes, err
+}
+
+// Job returns the claim of a job, or nil. Only the leader answers.
+func (c *Control) Job(ctx context.Context, key *yuccawire.JobKey) (*yuccawire.JobRecord, error) {
+	var record *yuccawire.JobRecord
+	err := c.inspectLeader(ctx, func(c *Control, _ time.Time) {
+		if held := c.state.Job(key); held != nil {
+			record = &yuccawire.JobRecord{
+				Job: held.GetJob(), Owner: held.GetOwner(), Incarnation: held.GetIncarnation(),
+				Finished: held.GetFinished(), Complete: held.GetComplete(), AtUnixMs: held.GetAtUnixMs(),
+			}
+		}
+	})
+	return record, err
+}
+
+// RemoveReplica begins to take a replica out of the group. Only the leader can.
+func (c *Control) RemoveReplica(ctx context.Context, name string) error {
+	var removal error
+	err := c.inspectLeader(ctx, func(c *Control, now time.Time) { removal = c.removeReplica(now, name) })
+	if err != nil {
+		return err
+	}
+	return removal
+}
--- /dev/null
+++ b/yuccadisk/folder.go
@@ -0,0 +1,190 @@
+package yuccadisk
+
+import (
+	"errors"
+	"fmt"
+	"io/fs"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/yuccaturn/yuccaturn/yuccareplica"
+	"github.com/yuccaturn/yuccaturn/yuccawire"
+)
+
+const (
+	identityFile = "identity"
+	logPrefix    = "log-"
+	partSuffix   = ".part"
+	filePerm     = 0o600
+	folderPerm   = 0o700
+)
+
+// ErrCorrupt is returned for a log whose synced part is damaged.
+var ErrCorrupt = merry.Sentinel("the log is damaged before its end; " +
+	"move the data folder away and start this control with an empty one, so that it joins again as a new replica")
+
+// ErrFailed is returned after a write or sync has failed once.
+var ErrFailed = merry.Sentinel("the data folder has failed; restart the control")
+
+// Folder is an open data folder. Its methods must not be called concurrently.
+type Folder struct {
+	path       string
+	id         uint64
+	generation uint64
+	file       *os.File
+	stored     yuccareplica.Stored
+	failed     bool
+	cutBytes   int
+}
+
+// Open reads the data folder, or makes a new one with a new id.
+func Open(path string) (*Folder, error) {
+	if err := os.MkdirAll(path, folderPerm); err != nil {
+		return nil, merry.Prepend(err, "making the data folder")
+	}
+	f := &Folder{path: path}
+	if err := f.openIdentity(); err != nil {
+		return nil, err
+	}
+	if err := f.openLog(); err != nil {
+		return nil, err
+	}
+	return f, nil
+}
+
+// ID is the id that was drawn when the folder was made.
+func (f *Folder) ID() uint64 { return f.id }
+
+// Stored is what the folder held when it was opened.
+func (f *Folder) Stored() yuccareplica.Stored { return f.stored }
+
+// CutBytes is the length of the torn tail that opening cut off.
+func (f *Folder) CutBytes() int { return f.cutBytes }
+
+func (f *Folder) openIdentity() error {
+	path := filepath.Join(f.path, identityFile)
+	text, err := os.ReadFile(path)
+	if errors.Is(err, fs.ErrNotExist) {
+		f.id = rand.Uint64() | 1
+		return f.writeSynced(identityFile, []byte(strconv.FormatUint(f.id, 16)+"\n"))
+	}
+	if err != nil {
+		return merry.Prepend(err, "reading the identity of the data folder")
+	}
+	f.id, err = strconv.ParseUint(strings.TrimSpace(string(text)), 16, 64)
+	if err != nil || f.id == 0 {
+		return merry.Errorf("%s: is %q, expected the folder's id in hexadecimal", path, text)
+	}
+	return nil
+}
+
+// openLog reads the newest log and removes what an interrupted replacement
+// left.
+func (f *Folder) openLog() error {
+	generations, err := f.generations()
+	if err != nil {
+		return err
+	}
+	if len(generations) == 0 {
+		return nil
+	}
+	f.generation = generations[len(generations)-1]
+	for _, old := range generations[:len(generations)-1] {
+		if err := os.Remove(f.logPath(old)); err != nil {
+			return merry.Prepend(err, "removing an old log")
+		}
+	}
+	return f.readLog()
+}
+
+func (f *Folder) generations() ([]uint64, error) {
+	files, err := os.ReadDir(f.path)
+	if err != nil {
+		return nil, merry.Prepend(err, "listing the data folder")
+	}
+	var generations []uint64
+	for _, file := range files {
+		name, ok := strings.CutPrefix(file.Name(), logPrefix)
+		if !ok {
+			continue
+		}
+		if strings.HasSuffix(name, partSuffix) {
+			_ = os.Remove(filepath.Join(f.path, file.Name()))
+			continue
+		}
+		n, err := strconv.ParseUint(name, 10, 64)
+		if err != nil {
+			return nil, merry.Errorf("%s: is no log of this program", filepath.Join(f.path, file.Name()))
+		}
+		generations = append(generations, n)
+	}
+	return sorted(generations), nil
+}
+
+func (f *Folder) logPath(generation uint64) string {
+	return filepath.Join(f.path, logName(generation))
+}
+
+func logName(generation uint64) string {
+	return fmt.Sprintf("%s%012d", logPrefix, generation)
+}
+
+func (f *Folder) readLog() error {
+	path := f.logPath(f.generation)
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return merry.Prepend(err, "reading the log")
+	}
+	sound := 0
+	for sound < len(text) {
+		frame, size := decodeFrame(text[sound:])
+		if frame == nil {
+			break
+		}
+		replay(&f.stored, frame)
+		sound += size
+	}
+	if sound == 0 || soundFrameIn(text[min(sound+1, len(text)):]) {
+		return merry.Prependf(ErrCorrupt, "%s: byte %d", path, sound)
+	}
+	f.cutBytes = len(text) - sound
+	return f.openForAppend(path, int64(sound))
+}
+
+func (f *Folder) openForAppend(path string, size int64) error {
+	file, err := os.OpenFile(path, os.O_WRONLY, filePerm)
+	if err != nil {
+		return merry.Prepend(err, "opening the log")
+	}
+	if err := file.Truncate(size); err != nil {
+		return merry.Prepend(err, "cutting the torn tail of the log")
+	}
+	if _, err := file.Seek(size, 0); err != nil {
+		return merry.Prepend(err, "seeking the end of the log")
+	}
+	if err := file.Sync(); err != nil {
+		return merry.Prepend(err, "syncing the log")
+	}
+	f.file = file
+	return nil
+}
+
+// replay brings what the disk holds from one frame to the next.
+func replay(stored *yuccareplica.Stored, frame *yuccawire.DiskFrame) {
+	if s := frame.GetSnapshot(); s != nil {
+		stored.Snapshot = s
+		stored.Entries = nil
+	}
+	if h := frame.GetHardState(); h != nil {
+		stored.HardState = h
+	}
+	for _, e := range frame.GetEntries() {
+		keep := e.GetIndex() - stored.Snapshot.GetIndex() - 1
+		stored.Entries = append(stored.Entries[:min(keep, uint64(len(stored.Entries)))], e)
+	}
+}
--- /dev/null
+++ b/yuccadisk/write.go
@@ -0,0 +1,106 @@
+package yuccadisk
+
+import (
+	"os"
+	"path/filepath"
+	"slices"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/yuccaturn/yuccaturn/yuccawire"
+)
+
+// Write appends the frame and returns when it is synced. After an error
+// nothing more is written, since it isn't known what the disk holds.
+func (f *Folder) Write(frame *yuccawire.DiskFrame) error {
+	if f.failed {
+		return ErrFailed
+	}
+	if f.file == nil {
+		return f.Replace(frame)
+	}
+	text, err := encodeFrame(frame)
+	if err != nil {
+		return f.fail(err, "encoding a frame")
+	}
+	if _, err := f.file.Write(text); err != nil {
+		return f.fail(err, "writing the log")
+	}
+	if err := f.file.Sync(); err != nil {
+		return f.fail(err, "syncing the log")
+	}
+	return nil
+}
+
+// Replace starts a new log whose first frame is this one, which must hold a
+// snapshot, and removes the old log.
+func (f *Folder) Replace(frame *yuccawire.DiskFrame) error {
+	if f.failed {
+		return ErrFailed
+	}
+	text, err := encodeFrame(frame)
+	if err != nil {
+		return f.fail(err, "encoding a snapshot")
+	}
+	if err := f.writeSynced(logName(f.generation+1), text); err != nil {
+		return f.fail(err, "writing a new log")
+	}
+	old := f.generation
+	f.generation++
+	if f.file != nil {
+		_ = f.file.Close()
+		_ = os.Remove(f.logPath(old))
+	}
+	return f.openForAppend(f.logPath(f.generation), int64(len(text)))
+}
+
+func (f *Folder) fail(err error, doing string) error {
+	f.failed = true
+	return merry.Prepend(err, doing)
+}
+
+// writeSynced makes a whole file appear under the name, or none.
+func (f *Folder) writeSynced(name string, text []byte) error {
+	path := filepath.Join(f.path, name)
+	if err := writeFile(path+partSuffix, text); err != nil {
+		return err
+	}
+	if err := os.Rename(path+partSuffix, path); err != nil {
+		return err
+	}
+	return syncFolder(f.path)
+}
+
+func writeFile(path string, text []byte) error {
+	file, err := os.OpenFile(path, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, filePerm)
+	if err != nil {
+		return err
+	}
+	defer file.Close()
+	if _, err := file.Write(text); err != nil {
+		return err
+	}
+	return file.Sync()
+}
+
+func syncFolder(path string) error {
+	folder, err := os.Open(path)
+	if err != nil {
+		return err
+	}
+	defer folder.Close()
+	return folder.Sync()
+}
+
+// Close frees the log file.
+func (f *Folder) Close() error {
+	if f.file == nil {
+		return nil
+	}
+	return f.file.Close()
+}
+
+func sorted(generations []uint64) []uint64 {
+	slices.Sort(generations)
+	return generations
+}
--- /dev/null
+++ b/yuccadispatch/admit.go
@@ -0,0 +1,127 @@
+package yuccadispatch
+
+import (
+	"bytes"
+	"time"
+
+	"github.com/yuccaturn/yuccaturn/yuccadocument"
+)
+
+// Submit admits a job, joins it to an earlier submission, or rejects it. An
+// admitted job is answered by an [Answer] action, by its deadline at the
+// latest.
+func (d *Dispatcher) Submit(now time.Time, s Submission) Admission {
+	if earlier := d.jobs[s.Key]; earlier != nil {
+		return d.resubmit(earlier, s)
+	}
+	admission := d.check(now, s)
+	if admission.Rejection == NoLease {
+		d.metrics.Add("jobs_rejected", 1)
+		return admission
+	}
+	d.nonce++
+	j := newJob(now, s, d.nonce)
+	d.jobs[s.Key] = j
+	d.unsettle[j] = struct{}{}
+	if admission.Rejection != NotRejected {
+		d.refuse(now, j, admission)
+		return Admission{}
+	}
+	j.state = claiming
+	d.metrics.Add("jobs_admitted", 1)
+	d.sendClaim(now, j)
+	return Admission{}
+}
+
+// refuse rejects the job once control has told that no earlier submission of
+// it was claimed; only then is it true that the job was not run.
+func (d *Dispatcher) refuse(now time.Time, j *job, admission Admission) {
+	j.state = looking
+	j.refusal = admission
+	if earliest := now.Add(lookupTimeout); j.Deadline.Before(earliest) {
+		j.Deadline = earliest
+	}
+	d.sendClaim(now, j)
+}
+
+// resubmit joins a submission of the same tasks to the job it repeats.
+func (d *Dispatcher) resubmit(earlier *job, s Submission) Admission {
+	if !bytes.Equal(earlier.Digest, s.Digest) {
+		d.metrics.Add("jobs_conflicting", 1)
+		return Admission{Rejection: Conflict}
+	}
+	d.metrics.Add("jobs_resubmitted", 1)
+	if earlier.state != settled {
+		return Admission{}
+	}
+	return Admission{Ended: earlier.answer()}
+}
+
+func (j *job) answer() *Answer {
+	return &Answer{Key: j.Key, Outcome: j.outcome, Rejection: j.rejection}
+}
+
+// check returns the first reason to reject the submission before anything is
+// spent on it.
+func (d *Dispatcher) check(now time.Time, s Submission) Admission {
+	if d.draining {
+		return Admission{Rejection: Draining, RetryAfter: minRetryAfter}
+	}
+	if !d.lease.Valid(now) {
+		return Admission{Rejection: NoLease, RetryAfter: minRetryAfter}
+	}
+	quota, known := d.view.Team(s.Key.Team)
+	if !known {
+		return Admission{Rejection: UnknownTeam}
+	}
+	settings, known := d.view.Service(s.Service)
+	if !known {
+		return Admission{Rejection: UnknownService}
+	}
+	if !quota.MayCall(s.Service) {
+		return Admission{Rejection: NotAllowed}
+	}
+	if !now.Before(s.Deadline) {
+		return Admission{Rejection: Late}
+	}
+	if d.tooOld(now, s) {
+		return Admission{Rejection: TooOld}
+	}
+	return d.checkRoom(now, s, quota, settings)
+}
+
+func (d *Dispatcher) checkRoom(now time.Time, s Submission, quota yuccadocument.Team, settings yuccadocument.Service) Admission {
+	sv := d.service(s.Service)
+	if sv.slots == 0 && settings.RecoveryWait == 0 {
+		return Admission{Rejection: NoTarget, RetryAfter: minRetryAfter}
+	}
+	if sv.queue.FlowLen(s.Key.Team)+len(s.Tasks) > quota.QueueBound() {
+		return Admission{Rejection: QueueFull, RetryAfter: max(d.expectedWait(sv), minRetryAfter)}
+	}
+	if wait := d.expectedWait(sv); wait > 0 && now.Add(wait+sv.runs).After(s.Deadline) {
+		return Admission{Rejection: Late, RetryAfter: max(wait, minRetryAfter)}
+	}
+	return Admission{}
+}
+
+// expectedWait is the time that the tasks in the queue take on all slots.
+func (d *Dispatcher) expectedWait(sv *service) time.Duration {
+	if sv.slots == 0 {
+		return 0
+	}
+	return sv.runs * time.Duration(sv.queue.Len()) / time.Duration(sv.slots)
+}
+
+// learn takes the run time of one task into the service's estimate.
+func (sv *service) learn(run time.Duration) {
+	if sv.runs == 0 {
+		sv.runs = run
+		return
+	}
+	sv.runs += time.Duration(runTimeSmoothing * float64(run-sv.runs))
+}
+
+func (d *Dispatcher) tooOld(now time.Time, s Submission) bool {
+	limits := d.view.Document().Limits
+	return !s.SubmittedAt.IsZero() && now.Sub(s.SubmittedAt) > limits.ResubmitWithin()
+}
--- /dev/null
+++ b/yuccadispatch/claim.go
@@ -0,0 +1,187 @@
+package yuccadispatch
+
+import (
+	"slices"
+	"time"
+
+	"github.com/yuccaturn/yuccaturn/yuccawire"
+)
+
+func (d *Dispatcher) claimOf(j *job) *yuccawire.Claim {
+	return &yuccawire.Claim{
+		Job:         j.Key.Wire(),
+		Digest:      j.Digest,
+		Owner:       d.options.Self.GetName(),
+		Incarnation: d.options.Self.GetIncarnation(),
+		Nonce:       j.nonce,
+	}
+}
+
+// sendClaim asks control for the job. Asking again is harmless.
+func (d *Dispatcher) sendClaim(now time.Time, j *job) {
+	j.claimSent = now
+	c := d.claimOf(j)
+	c.Lookup = j.state == looking
+	c.TakeOver = j.state == claiming && j.owner.name != ""
+	if j.state == confirming {
+		c.Finished = true
+		c.Complete = j.outcome.GetComplete()
+	}
+	d.claims = append(d.claims, c)
+	d.metrics.Add("claims_sent", 1)
+}
+
+// resendClaims asks a new leader for what the old one may not have answered.
+func (d *Dispatcher) resendClaims(now time.Time) {
+	for j := range d.unsettle {
+		if j.state == looking || j.state == claiming || j.state == confirming {
+			d.sendClaim(now, j)
+		}
+	}
+}
+
+// sendFinished records the outcome, so that a later submission isn't run.
+func (d *Dispatcher) sendFinished(j *job) {
+	c := d.claimOf(j)
+	c.Finished = true
+	c.Complete = j.outcome.GetComplete()
+	d.claims = append(d.claims, c)
+}
+
+func (d *Dispatcher) claimAnswered(now time.Time, reply *yuccawire.ClaimReply) {
+	d.watchAnswered(reply)
+	j := d.jobs[KeyOf(reply.GetJob())]
+	if j == nil {
+		return
+	}
+	switch j.state {
+	case looking:
+		d.lookedUp(now, j, reply)
+	case claiming:
+		d.claimed(now, j, reply)
+	case confirming:
+		d.confirm(now, j, reply)
+	case joined, gathering, open, settled:
+	}
+}
+
+// lookedUp carries out a refusal, unless the job was claimed before.
+func (d *Dispatcher) lookedUp(now time.Time, j *job, reply *yuccawire.ClaimReply) {
+	switch reply.GetResult() {
+	case yuccawire.ClaimResult_CLAIM_ABSENT:
+		d.metrics.Add("jobs_rejected", 1)
+		d.reject(j, j.refusal.Rejection)
+	case yuccawire.ClaimResult_CLAIM_HELD:
+		j.state = claiming
+		d.claimed(now, j, reply)
+	case yuccawire.ClaimResult_CLAIM_CONFLICT, yuccawire.ClaimResult_CLAIM_EXPIRED:
+		d.claimed(now, j, reply)
+	case yuccawire.ClaimResult_CLAIM_UNSPECIFIED, yuccawire.ClaimResult_CLAIM_GRANTED,
+		yuccawire.ClaimResult_CLAIM_REFUSED, yuccawire.ClaimResult_CLAIM_TAKEN:
+	}
+}
+
+func (d *Dispatcher) claimed(now time.Time, j *job, reply *yuccawire.ClaimReply) {
+	switch reply.GetResult() {
+	case yuccawire.ClaimResult_CLAIM_GRANTED:
+		d.openJob(now, j)
+	case yuccawire.ClaimResult_CLAIM_TAKEN:
+		d.beginGathering(now, j, reply)
+	case yuccawire.ClaimResult_CLAIM_HELD:
+		d.held(now, j, owner{name: reply.GetOwner(), incarnation: reply.GetIncarnation()})
+	case yuccawire.ClaimResult_CLAIM_CONFLICT:
+		d.reject(j, Conflict)
+	case yuccawire.ClaimResult_CLAIM_EXPIRED:
+		d.reject(j, Expired)
+	case yuccawire.ClaimResult_CLAIM_REFUSED:
+		d.reject(j, NoLease)
+	case yuccawire.ClaimResult_CLAIM_UNSPECIFIED, yuccawire.ClaimResult_CLAIM_ABSENT:
+	}
+}
+
+// held asks the owner of the job for its outcome. An owner that is gone loses
+// the job: the next claim takes it over.
+func (d *Dispatcher) held(now time.Time, j *job, o owner) {
+	j.owner = o
+	e := d.entries[o.name]
+	if e == nil || e.node.GetIncarnation() != o.incarnation {
+		j.claimSent = now // the next claim leaves with the next tick that is due
+		return
+	}
+	j.state = joined
+	d.metrics.Add("jobs_joined", 1)
+	if e.linked {
+		d.sendJoin(now, j)
+	}
+}
+
+func (d *Dispatcher) sendJoin(now time.Time, j *job) {
+	join := &yuccawire.Join{Job: j.Key.Wire(), DeadlineMs: uint32(j.Deadline.Sub(now).Milliseconds()), Cancel: j.cancelled}
+	j.claimSent = now
+	d.send(j.owner.name, &yuccawire.Envelope{Body: &yuccawire.Envelope_Join{Join: join}})
+}
+
+// Join is another entry's question for the outcome of a job.
+func (d *Dispatcher) Join(now time.Time, name string, m *yuccawire.Join) {
+	j := d.jobs[KeyOf(m.GetJob())]
+	if m.GetWatch() {
+		d.answerWatch(now, name, m, j)
+		return
+	}
+	switch {
+	case j == nil || j.rejection != NotRejected:
+		d.sendJoined(name, &yuccawire.Joined{Job: m.GetJob()})
+	case j.state == settled:
+		d.sendJoined(name, &yuccawire.Joined{Job: m.GetJob(), Known: true, Outcome: j.outcome})
+	default:
+		if !slices.Contains(j.joiners, name) {
+			j.joiners = append(j.joiners, name)
+		}
+		if m.GetCancel() {
+			d.cancelJob(now, j)
+		}
+	}
+}
+
+func (d *Dispatcher) sendJoined(name string, m *yuccawire.Joined) {
+	d.send(name, &yuccawire.Envelope{Body: &yuccawire.Envelope_Joined{Joined: m}})
+}
+
+// Joined is the owner's answer to a question for the outcome.
+func (d *Dispatcher) Joined(now time.Time, m *yuccawire.Joined) {
+	if m.GetWatch() {
+		d.found(KeyOf(m.GetJob()), m.GetKnown(), m.GetOutcome())
+		return
+	}
+	j := d.jobs[KeyOf(m.GetJob())]
+	if j == nil || j.state != joined {
+		return
+	}
+	if !m.GetKnown() {
+		d.reject(j, Expired)
+		return
+	}
+	j.outcome = m.GetOutcome()
+	d.settle(now, j)
+}
+
+// openJob queues the tasks of a job that this entry owns.
+func (d *Dispatcher) openJob(now time.Time, j *job) {
+	j.state = open
+	d.metrics.Add("jobs_claimed", 1)
+	if j.cancelled {
+		d.doom(now, j, "cancelled by the caller")
+		return
+	}
+	sv := d.service(j.Service)
+	if settings, _ := d.view.Service(j.Service); sv.slots == 0 {
+		j.holdUntil = now.Add(settings.RecoveryWait)
+		d.metrics.Add("jobs_held", 1)
+	}
+	for _, t := range j.tasks {
+		if t.state == waiting {
+			d.enqueue(sv, t)
+		}
+	}
+	d.placeService(now, sv)
+}
--- /dev/null
+++ b/yuccadispatch/collect.go
@@ -0,0 +1,134 @@
+package yuccadispatch
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/yuccaturn/yuccaturn/yuccawire"
+)
+
+const (
+	firstErrorStatus = 400
+	firstServerError = 500
+)
+
+// find returns the task whose current attempt the key names. Answers to other
+// attempts are late or crossed: they are counted and dropped.
+func (d *Dispatcher) find(name string, key *yuccawire.TaskKey) *task {
+	j := d.jobs[KeyOf(key.GetJob())]
+	if j == nil || j.state == settled {
+		d.metrics.Add("answers_late", 1)
+		return nil
+	}
+	t := j.index[key.GetTask()]
+	if t == nil || t.state != sent || t.attempt != key.GetAttempt() || t.side != name {
+		d.metrics.Add("answers_crossed", 1)
+		return nil
+	}
+	return t
+}
+
+// TaskFinished takes in a side's answer to an attempt.
+func (d *Dispatcher) TaskFinished(now time.Time, name string, f *yuccawire.Finished) {
+	if s := d.sides[name]; s != nil {
+		d.setFree(s, f.GetService(), f.GetFreeSlots(), f.GetStartsSeen())
+	}
+	if t := d.find(name, f.GetKey()); t != nil {
+		d.finishTask(now, t, f)
+	}
+	d.placeService(now, d.service(f.GetService()))
+}
+
+func (d *Dispatcher) finishTask(now time.Time, t *task, f *yuccawire.Finished) {
+	if f.GetState() != yuccawire.TaskState_TASK_FINISHED {
+		d.taskUnknown(now, t, f.GetFailure())
+		return
+	}
+	d.release(t)
+	d.metrics.Add("tasks_finished", 1)
+	d.takeResult(t, f)
+	d.progress(now, t.job)
+}
+
+// takeResult settles the task by the target's answer, or queues another try.
+func (d *Dispatcher) takeResult(t *task, f *yuccawire.Finished) {
+	j := t.job
+	d.service(j.Service).learn(time.Duration(f.GetRunUs()) * time.Microsecond)
+	t.result = f
+	switch {
+	case j.Passthrough && (f.GetStatus() < firstServerError || !d.mayRepeat(j, t)):
+		t.settle(succeeded)
+	case f.GetStatus() < firstErrorStatus:
+		t.settle(succeeded)
+	case d.mayRepeat(j, t):
+		d.repeat(t)
+	default:
+		t.settle(failed)
+		t.failure = fmt.Sprintf("the target answered %d", f.GetStatus())
+		j.doomed = fmt.Sprintf("task %q: %s", t.id, t.failure)
+	}
+}
+
+// mayRepeat allows another attempt at a task that was started.
+func (d *Dispatcher) mayRepeat(j *job, t *task) bool {
+	return j.Repeatable && j.state == open && j.doomed == "" && t.tries+1 < maxTries
+}
+
+func (d *Dispatcher) repeat(t *task) {
+	t.tries++
+	d.metrics.Add("tasks_repeated", 1)
+	d.requeue(t)
+}
+
+// taskUnknown ends a task that was started, or may have been, and whose answer
+// is lost.
+func (d *Dispatcher) taskUnknown(now time.Time, t *task, failure string) {
+	d.release(t)
+	j := t.job
+	if d.mayRepeat(j, t) {
+		d.repeat(t)
+		return
+	}
+	t.settle(unknown)
+	t.failure = failure
+	if j.doomed == "" {
+		j.doomed = fmt.Sprintf("task %q: may have been started, and its answer is lost: %s", t.id, failure)
+	}
+	d.progress(now, j)
+}
+
+// TaskRefused takes in that an attempt was not run and never will be.
+func (d *Dispatcher) TaskRefused(now time.Time, name string, r *yuccawire.Refused) {
+	s := d.sides[name]
+	if s != nil {
+		d.setFree(s, r.GetService(), r.GetFreeSlots(), r.GetStartsSeen())
+	}
+	t := d.find(name, r.GetKey())
+	if t == nil {
+		return
+	}
+	d.metrics.Add("starts_refused", 1)
+	d.release(t)
+	j := t.job
+	switch r.GetReason() {
+	case yuccawire.Refusal_REFUSAL_NO_SLOT, yuccawire.Refusal_REFUSAL_NEVER_ARRIVED:
+	case yuccawire.Refusal_REFUSAL_SEEN_BEFORE:
+		d.taskUnknown(now, t, "the side started it before")
+		return
+	case yuccawire.Refusal_REFUSAL_PAST_DEADLINE, yuccawire.Refusal_REFUSAL_CANCELLED, yuccawire.Refusal_REFUSAL_FENCED:
+		t.state = waiting
+		d.progress(now, j)
+		return
+	default:
+		if s != nil {
+			s.blockedUntil = now.Add(blockedPause)
+		}
+	}
+	if j.doomed != "" || j.state != open {
+		t.state = waiting
+		d.progress(now, j)
+		return
+	}
+	d.requeue(t)
+	d.placeService(now, d.service(j.Service))
+}
--- /dev/null
+++ b/yuccadispatch/dispatcher.go
@@ -0,0 +1,242 @@
+package yuccadispatch
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/yuccaturn/yuccaturn/yuccadocument"
+	"github.com/yuccaturn/yuccaturn/yuccalease"
+	"github.com/yuccaturn/yuccaturn/yuccametric"
+	"github.com/yuccaturn/yuccaturn/yuccaplace"
+	"github.com/yuccaturn/yuccaturn/yuccaqueue"
+	"github.com/yuccaturn/yuccaturn/yuccawire"
+)
+
+const (
+	claimResend      = time.Second
+	outcomeKept      = time.Minute
+	maxKeptBytes     = 256 << 20
+	maxTries         = 3
+	gatherTimeout    = 2 * time.Second
+	blockedPause     = 500 * time.Millisecond
+	minRetryAfter    = time.Second
+	runTimeSmoothing = 0.1
+	sweepInterval    = time.Second
+	maxAnswerMargin  = 100 * time.Millisecond
+	lookupTimeout    = 2 * time.Second
+)
+
+// Options holds what a dispatcher needs.
+type Options struct {
+	// Self names the entry; its incarnation is new for each run.
+	Self    *yuccawire.Node
+	Random  *rand.Rand
+	Metrics *yuccametric.Set
+}
+
+// Dispatcher decides for one entry. It is not safe for concurrent use.
+type Dispatcher struct {
+	options  Options
+	metrics  *yuccametric.Set
+	lease    yuccalease.Lease
+	view     *yuccadocument.View
+	draining bool
+	jobs     map[Key]*job
+	unsettle map[*job]struct{}
+	kept     []*job
+	keptSize int
+	nonce    uint64
+	claims   []*yuccawire.Claim
+	forget   map[string][]*yuccawire.JobKey
+	cancels  map[string][]*yuccawire.JobKey
+	watches  map[Key]*watch
+	services map[string]*service
+	teams    map[string]*team
+	sides    map[string]*side
+	entries  map[string]*entry
+	since    time.Time
+	policy   *yuccaplace.Policy[*place]
+	actions  []Action
+	sweepAt  time.Time
+}
+
+// service is what the dispatcher knows of one service.
+type service struct {
+	name   string
+	queue  *yuccaqueue.Fair[string, *task]
+	tiers  [][]*place
+	slots  int
+	runs   time.Duration
+	lostAt time.Time
+}
+
+// team counts the tasks of one team that run.
+type team struct{ running int }
+
+// entry is another entry.
+type entry struct {
+	node   *yuccawire.Node
+	linked bool
+}
+
+// New returns a dispatcher without a lease, which admits nothing.
+func New(options Options) *Dispatcher {
+	return &Dispatcher{
+		options:  options,
+		metrics:  options.Metrics,
+		view:     yuccadocument.NewView(),
+		jobs:     make(map[Key]*job),
+		unsettle: make(map[*job]struct{}),
+		forget:   make(map[string][]*yuccawire.JobKey),
+		cancels:  make(map[string][]*yuccawire.JobKey),
+		watches:  make(map[Key]*watch),
+		services: make(map[string]*service),
+		teams:    make(map[string]*team),
+		sides:    make(map[string]*side),
+		entries:  make(map[string]*entry),
+		policy:   yuccaplace.New(options.Random, betterPlace),
+	}
+}
+
+// Actions returns what has to be carried out and forgets it.
+func (d *Dispatcher) Actions() []Action {
+	d.flush()
+	actions := d.actions
+	d.actions = nil
+	return actions
+}
+
+// flush sends what is batched: claims, cancellations and what sides may forget.
+func (d *Dispatcher) flush() {
+	if len(d.claims) > 0 {
+		batch := &yuccawire.ClaimBatch{Claims: d.claims}
+		d.claims = nil
+		d.do(SendControl{Message: &yuccawire.Envelope{Body: &yuccawire.Envelope_ClaimBatch{ClaimBatch: batch}}})
+	}
+	for name, jobs := range d.cancels {
+		delete(d.cancels, name)
+		d.metrics.Add("cancel_messages", 1)
+		d.send(name, &yuccawire.Envelope{Body: &yuccawire.Envelope_Cancel{Cancel: &yuccawire.Cancel{Jobs: jobs}}})
+	}
+}
+
+func (d *Dispatcher) do(a Action) { d.actions = append(d.actions, a) }
+
+func (d *Dispatcher) send(name string, m *yuccawire.Envelope) {
+	d.do(SendSide{Name: name, Message: m})
+}
+
+// Control takes in what control grants and spreads.
+func (d *Dispatcher) Control(now time.Time, u yuccalease.Update) {
+	d.lease = u.Lease
+	if u.View != d.view {
+		d.view = u.View
+		d.rebuildTiers()
+	}
+	if u.Members != nil {
+		d.updateMembers(now, u.Members)
+	}
+	if u.Connected {
+		d.resendClaims(now)
+	}
+	for _, reply := range u.Claims {
+		d.claimAnswered(now, reply)
+	}
+	d.placeAll(now)
+}
+
+// Drain makes the dispatcher refuse new jobs.
+func (d *Dispatcher) Drain() { d.draining = true }
+
+// Unsettled is the number of jobs without an answer.
+func (d *Dispatcher) Unsettled() int { return len(d.unsettle) }
+
+// Lease is the lease under which this entry owns jobs.
+func (d *Dispatcher) Lease() yuccalease.Lease { return d.lease }
+
+// View is the configuration in force.
+func (d *Dispatcher) View() *yuccadocument.View { return d.view }
+
+// Queued is the number of tasks that wait for a slot.
+func (d *Dispatcher) Queued() int {
+	queued := 0
+	for _, s := range d.services {
+		queued += s.queue.Len()
+	}
+	return queued
+}
+
+// Sides is the number of sides with a link.
+func (d *Dispatcher) Sides() int {
+	linked := 0
+	for _, s := range d.sides {
+		if s.linked {
+			linked++
+		}
+	}
+	return linked
+}
+
+func (d *Dispatcher) service(name string) *service {
+	s := d.services[name]
+	if s == nil {
+		s = &service{name: name, queue: yuccaqueue.New[string, *task]()}
+		d.services[name] = s
+	}
+	return s
+}
+
+func (d *Dispatcher) team(name string) *team {
+	t := d.teams[name]
+	if t == nil {
+		t = &team{}
+		d.teams[name] = t
+	}
+	return t
+}
+
+// Tick lets the time pass. The owner calls it every few milliseconds.
+func (d *Dispatcher) Tick(now time.Time) {
+	for j := range d.unsettle {
+		d.tickJob(now, j)
+	}
+	d.tickWatches(now)
+	d.placeAll(now)
+	if now.Before(d.sweepAt) {
+		return
+	}
+	d.sweepAt = now.Add(sweepInterval)
+	d.sweepKept(now)
+	d.sendForgets()
+	d.metrics.Gauge("jobs_unsettled", int64(len(d.unsettle)))
+	d.metrics.Gauge("jobs_kept", int64(len(d.kept)))
+	d.metrics.Gauge("kept_bytes", int64(d.keptSize))
+	d.metrics.Gauge("tasks_queued", int64(d.Queued()))
+	d.metrics.Gauge("sides_linked", int64(d.Sides()))
+}
+
+func (d *Dispatcher) tickJob(now time.Time, j *job) {
+	switch {
+	case !now.Before(j.Deadline):
+		d.giveUp(j)
+	case !now.Before(j.expireAt) && (j.state == open || j.state == gathering):
+		d.doom(now, j, "the deadline has passed")
+	case j.state == looking || j.state == claiming || j.state == confirming:
+		if now.Sub(j.claimSent) >= claimResend {
+			d.sendClaim(now, j)
+		}
+	case j.state == joined && now.Sub(j.claimSent) >= claimResend:
+		d.sendJoin(now, j)
+	case j.state == gathering && !now.Before(j.takeover.until):
+		d.endGathering(now, j)
+	case j.state == open && !j.holdUntil.IsZero() && !now.Before(j.holdUntil):
+		d.endHold(now, j)
+	}
+}
+
+func (d *Dispatcher) sendForgets() {
+	for name, jobs := range d.forget {
+		delete(d.forget, name)
+		d.send(name, &yuccawire.Envelope{Body: &yuccawire.Envelope_Forget{Forget: &yuccawire.Forget{Jobs: jobs}}})
+	}
+}
--- /dev/null
+++ b/yuccadispatch/sides.go
@@ -0,0 +1,286 @@
+package yuccadispatch
+
+import (
+	"time"
+
+	"github.com/yuccaturn/yuccaturn/yuccawire"
+)
+
+// side is what the dispatcher knows of one side.
+type side struct {
+	node    *yuccawire.Node
+	leaving bool
+	linked  bool
+	// blockedUntil keeps starts away after a refusal that says that the side
+	// can't start anything now.
+	blockedUntil time.Time
+	startsSent   uint32
+	places       map[string]*place
+	outstanding  map[*task]struct{}
+}
+
+// place is one service at one side.
+type place struct {
+	side    *side
+	service *service
+	slots   int
+	free    int
+	leaving bool
+}
+
+// room tells whether a task may be sent there now.
+func (p *place) room(now time.Time) bool {
+	return p.free > 0 && p.side.linked && !p.leaving && !p.side.leaving && !now.Before(p.side.blockedUntil)
+}
+
+// betterPlace prefers the place with the larger free share.
+func betterPlace(a, b *place) bool {
+	return a.free*b.slots > b.free*a.slots
+}
+
+// updateMembers takes in what changed among the processes.
+func (d *Dispatcher) updateMembers(now time.Time, delta *yuccawire.MembersDelta) {
+	if d.since.IsZero() {
+		d.since = now
+	}
+	if delta.GetFull() {
+		d.removeMissing(now, delta.GetChanged())
+	}
+	for _, name := range delta.GetRemoved() {
+		d.removeMember(now, name)
+	}
+	for _, m := range delta.GetChanged() {
+		switch m.GetNode().GetRole() {
+		case yuccawire.Role_ROLE_SIDE:
+			d.updateSide(now, m)
+		case yuccawire.Role_ROLE_ENTRY:
+			d.updateEntry(now, m)
+		case yuccawire.Role_ROLE_CONTROL, yuccawire.Role_ROLE_UNSPECIFIED:
+		}
+	}
+	d.rebuildTiers()
+}
+
+func (d *Dispatcher) removeMissing(now time.Time, present []*yuccawire.Member) {
+	names := make(map[string]bool, len(present))
+	for _, m := range present {
+		names[m.GetNode().GetName()] = true
+	}
+	for name := range d.sides {
+		if !names[name] {
+			d.removeMember(now, name)
+		}
+	}
+	for name := range d.entries {
+		if !names[name] {
+			d.removeMember(now, name)
+		}
+	}
+}
+
+func (d *Dispatcher) removeMember(now time.Time, name string) {
+	if s := d.sides[name]; s != nil {
+		delete(d.sides, name)
+		d.loseSide(now, s)
+		d.do(CloseLink{Name: name})
+	}
+	if d.entries[name] != nil {
+		delete(d.entries, name)
+		d.do(CloseLink{Name: name})
+		d.loseOwner(now, name)
+	}
+}
+
+func (d *Dispatcher) updateSide(now time.Time, m *yuccawire.Member) {
+	name := m.GetNode().GetName()
+	s := d.sides[name]
+	if s != nil && s.node.GetIncarnation() != m.GetNode().GetIncarnation() {
+		d.removeMember(now, name)
+		s = nil
+	}
+	if s == nil {
+		s = &side{places: make(map[string]*place), outstanding: make(map[*task]struct{})}
+		d.sides[name] = s
+		d.do(OpenLink{Node: m.GetNode()})
+	}
+	s.node = m.GetNode()
+	s.leaving = m.GetLeaving()
+	s.updatePlaces(d, m.GetTargets())
+}
+
+func (s *side) updatePlaces(d *Dispatcher, targets []*yuccawire.Target) {
+	announced := make(map[string]bool, len(targets))
+	for _, t := range targets {
+		announced[t.GetService()] = true
+		p := s.places[t.GetService()]
+		if p == nil {
+			p = &place{side: s, service: d.service(t.GetService()), free: int(t.GetSlots())}
+			s.places[t.GetService()] = p
+		}
+		p.slots = int(t.GetSlots())
+		p.leaving = t.GetLeaving()
+	}
+	for name, p := range s.places {
+		if !announced[name] {
+			p.leaving = true
+		}
+	}
+}
+
+func (d *Dispatcher) updateEntry(now time.Time, m *yuccawire.Member) {
+	name := m.GetNode().GetName()
+	if name == d.options.Self.GetName() {
+		return
+	}
+	e := d.entries[name]
+	if e != nil && e.node.GetIncarnation() != m.GetNode().GetIncarnation() {
+		d.removeMember(now, name)
+		e = nil
+	}
+	if e == nil {
+		d.entries[name] = &entry{node: m.GetNode()}
+		d.do(OpenLink{Node: m.GetNode()})
+	}
+}
+
+// rebuildTiers sorts the places of each service by nearness: the same data
+// centre, the same region, then the others. Data centres that are out have no
+// places.
+func (d *Dispatcher) rebuildTiers() {
+	for _, sv := range d.services {
+		sv.tiers = make([][]*place, 3)
+		sv.slots = 0
+	}
+	for _, s := range d.sides {
+		if d.view.IsOut(s.node.GetDataCentre()) {
+			continue
+		}
+		for name, p := range s.places {
+			settings, known := d.view.Service(name)
+			if !known || p.leaving || s.leaving || !settings.Allows(s.node.GetDataCentre()) {
+				continue
+			}
+			tier := d.tier(s.node.GetDataCentre())
+			p.service.tiers[tier] = append(p.service.tiers[tier], p)
+			p.service.slots += p.slots
+		}
+	}
+}
+
+func (d *Dispatcher) tier(dataCentre string) int {
+	own := d.options.Self.GetDataCentre()
+	centres := d.view.Document().DataCentres
+	switch {
+	case dataCentre == own:
+		return 0
+	case centres[dataCentre].Region == centres[own].Region:
+		return 1
+	}
+	return 2
+}
+
+// loseSide gives up what was sent to a side whose lease is lost.
+func (d *Dispatcher) loseSide(now time.Time, s *side) {
+	for name := range s.places {
+		d.service(name).lostAt = now
+	}
+	for t := range s.outstanding {
+		d.metrics.Add("tasks_lost", 1)
+		d.taskUnknown(now, t, "the side was lost")
+	}
+	for j := range d.unsettle {
+		if j.state == gathering {
+			d.gatherLost(now, j, s.node.GetName())
+		}
+	}
+}
+
+// loseOwner makes the jobs of an entry that is gone be claimed again.
+func (d *Dispatcher) loseOwner(now time.Time, name string) {
+	for j := range d.unsettle {
+		if j.state == joined && j.owner.name == name {
+			j.state = claiming
+			d.sendClaim(now, j)
+		}
+	}
+}
+
+// LinkUp tells that a link to the process is open. Attempts that an earlier
+// link carried are asked after.
+func (d *Dispatcher) LinkUp(now time.Time, name string) {
+	if e := d.entries[name]; e != nil {
+		e.linked = true
+		d.rejoin(now, name)
+		return
+	}
+	s := d.sides[name]
+	if s == nil {
+		return
+	}
+	s.linked = true
+	s.startsSent = 0
+	if len(s.outstanding) > 0 {
+		query := &yuccawire.Query{}
+		for t := range s.outstanding {
+			query.Keys = append(query.Keys, t.key())
+		}
+		d.metrics.Add("attempts_queried", int64(len(query.GetKeys())))
+		d.send(name, &yuccawire.Envelope{Body: &yuccawire.Envelope_Query{Query: query}})
+	}
+	for j := range d.unsettle {
+		if j.state == gathering {
+			d.sendGather(j, name)
+		}
+	}
+	d.placeAll(now)
+}
+
+// rejoin asks an entry again after a new link to it.
+func (d *Dispatcher) rejoin(now time.Time, name string) {
+	for j := range d.unsettle {
+		if j.state == joined && j.owner.name == name {
+			d.sendJoin(now, j)
+		}
+	}
+}
+
+// LinkDown tells that the link to the process has ended.
+func (d *Dispatcher) LinkDown(name string) {
+	if e := d.entries[name]; e != nil {
+		e.linked = false
+	}
+	if s := d.sides[name]; s != nil {
+		s.linked = false
+	}
+}
+
+// SideLeaving tells that a side has said goodbye: it runs nothing any more.
+func (d *Dispatcher) SideLeaving(name string) {
+	if s := d.sides[name]; s != nil {
+		s.leaving = true
+		d.rebuildTiers()
+	}
+}
+
+// Load takes in the free slots that a side reports.
+func (d *Dispatcher) Load(now time.Time, name string, m *yuccawire.Load) {
+	s := d.sides[name]
+	if s == nil {
+		return
+	}
+	if m.GetLeaving() != s.leaving {
+		s.leaving = m.GetLeaving()
+		d.rebuildTiers()
+	}
+	for _, load := range m.GetServices() {
+		d.setFree(s, load.GetService(), load.GetFreeSlots(), m.GetStartsSeen())
+	}
+	d.placeAll(now)
+}
+
+// setFree corrects the free slots by the starts that the side had not seen.
+func (d *Dispatcher) setFree(s *side, service string, free, startsSeen uint32) {
+	if p := s.places[service]; p != nil {
+		p.free = int(free) - int(s.startsSent-startsSeen)
+	}
+}
--- /dev/null
+++ b/yuccadocument/datacentres.go
@@ -0,0 +1,30 @@
+package yuccadocument
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/yuccaturn/yuccaturn/yuccajsonc"
+)
+
+// DataCentres maps the name of a data centre to its settings.
+type DataCentres map[string]DataCentre
+
+// DataCentre is one data centre of the platform.
+type DataCentre struct {
+	// Region groups data centres that are near each other.
+	Region string `json:"region"`
+}
+
+func (c DataCentres) check(d *yuccajsonc.Document, prefix string) {
+	for _, name := range slices.Sorted(maps.Keys(c)) {
+		if c[name].Region == "" {
+			d.Report(prefix+"."+name+".region", "is missing", "the name of a region")
+		}
+	}
+}
+
+// outSection is the body of the section data_centres_out.
+type outSection struct {
+	Out []string `json:"out"`
+}
--- /dev/null
+++ b/yuccadocument/doc.go
@@ -0,0 +1,28 @@
+// Package yuccadocument holds the operators' document: its sections, their
+// fields and checks, and the view of it that a process has in force.
+//
+// A document has the sections services, data_centres and limits, each owned by
+// a team and replaced as a whole. The section data_centres_out belongs to the
+// system: taking a data centre out or bringing it back changes it.
+//
+// # Usage
+//
+//	document, findings := yuccadocument.Parse("document.jsonc", text)
+//	view := yuccadocument.NewView()
+//	view, err := view.With(section) // a *yuccawire.Section from control
+//	if view.IsOut("cusco") { ... }
+package yuccadocument
+
+// Names of the sections, in the order in which a new document is applied.
+const (
+	SectionDataCentres    = "data_centres"
+	SectionLimits         = "limits"
+	SectionServices       = "services"
+	SectionDataCentresOut = "data_centres_out"
+)
+
+// OperatorSections are the sections that operators may replace.
+var OperatorSections = []string{SectionDataCentres, SectionLimits, SectionServices}
+
+// AllSections are all sections, including the system's own.
+var AllSections = []string{SectionDataCentres, SectionLimits, SectionServices, SectionDataCentresOut}
--- /dev/null
+++ b/yuccadocument/limits.go
@@ -0,0 +1,101 @@
+package yuccadocument
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/yuccaturn/yuccaturn/yuccajsonc"
+)
+
+const (
+	defaultMaxQueuedTasks = 20_000
+	defaultWeight         = 1
+	defaultClaimsKept     = time.Hour
+	minClaimsKept         = time.Minute
+	maxClaimsKept         = 7 * 24 * time.Hour
+)
+
+// Limits bounds what callers may ask for.
+type Limits struct {
+	// Teams maps the name of a team to its quota.
+	Teams map[string]Team `json:"teams"`
+	// ClaimsKept is how long the claim of a job is kept; zero means the default.
+	// A job is submitted again within half of it.
+	ClaimsKept time.Duration `json:"claims_kept"`
+}
+
+// KeepClaims is how long the claim of a job is kept.
+func (l Limits) KeepClaims() time.Duration {
+	if l.ClaimsKept == 0 {
+		return defaultClaimsKept
+	}
+	return l.ClaimsKept
+}
+
+// ResubmitWithin is how long after its first submission a job may be submitted
+// again. It leaves room for clocks that differ.
+func (l Limits) ResubmitWithin() time.Duration { return l.KeepClaims() / 2 }
+
+// MaxSkew is how far ahead a caller's clock may be.
+func (l Limits) MaxSkew() time.Duration { return l.KeepClaims() / 4 }
+
+// Team is the quota of one team at each entry.
+type Team struct {
+	// MaxRunning bounds the team's tasks that run at once; zero means no bound.
+	MaxRunning int `json:"max_running"`
+	// MaxQueued bounds the team's tasks that wait; zero means the default.
+	MaxQueued int `json:"max_queued"`
+	// Weight is the team's share where slots are short; zero means one.
+	Weight int `json:"weight"`
+	// Services lists what the team may call; empty means every service.
+	Services []string `json:"services"`
+}
+
+func (l Limits) check(d *yuccajsonc.Document, prefix string, services Services) {
+	if l.ClaimsKept != 0 && (l.ClaimsKept < minClaimsKept || l.ClaimsKept > maxClaimsKept) {
+		d.Report(prefix+".claims_kept", fmt.Sprintf("is %s", l.ClaimsKept), fmt.Sprintf("%s to %s", minClaimsKept, maxClaimsKept))
+	}
+	for _, name := range slices.Sorted(maps.Keys(l.Teams)) {
+		l.Teams[name].check(d, prefix+".teams."+name, services)
+	}
+}
+
+func (t Team) check(d *yuccajsonc.Document, path string, services Services) {
+	if t.MaxRunning < 0 {
+		d.Report(path+".max_running", fmt.Sprintf("is %d", t.MaxRunning), "zero or more")
+	}
+	if t.MaxQueued < 0 {
+		d.Report(path+".max_queued", fmt.Sprintf("is %d", t.MaxQueued), "zero or more")
+	}
+	if t.Weight < 0 {
+		d.Report(path+".weight", fmt.Sprintf("is %d", t.Weight), "zero or more")
+	}
+	for i, name := range t.Services {
+		if _, ok := services[name]; !ok {
+			d.Report(fmt.Sprintf("%s.services[%d]", path, i), fmt.Sprintf("names the unknown service %q", name), "one of section services")
+		}
+	}
+}
+
+// QueueBound is the number of the team's tasks that may wait.
+func (t Team) QueueBound() int {
+	if t.MaxQueued == 0 {
+		return defaultMaxQueuedTasks
+	}
+	return t.MaxQueued
+}
+
+// Share is the team's weight in the fair sharing of slots.
+func (t Team) Share() int {
+	if t.Weight == 0 {
+		return defaultWeight
+	}
+	return t.Weight
+}
+
+// MayCall tells whether the team may call the service.
+func (t Team) MayCall(service string) bool {
+	return len(t.Services) == 0 || slices.Contains(t.Services, service)
+}
--- /dev/null
+++ b/yuccadocument/view.go
@@ -0,0 +1,97 @@
+package yuccadocument
+
+import (
+	"encoding/json"
+	"slices"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/yuccaturn/yuccaturn/yuccajsonc"
+	"github.com/yuccaturn/yuccaturn/yuccawire"
+)
+
+// View is the configuration that a process has in force: the document and the
+// data centres that are out, with the version of each section. Views are
+// immutable.
+type View struct {
+	document Document
+	out      []string
+	versions map[string]uint64
+}
+
+// NewView returns a view without sections.
+func NewView() *View {
+	return &View{versions: make(map[string]uint64)}
+}
+
+// With returns the view with the section in it. A section that is not newer
+// than the one in force changes nothing.
+func (v *View) With(section *yuccawire.Section) (*View, error) {
+	if section.GetVersion() <= v.versions[section.GetName()] {
+		return v, nil
+	}
+	next := &View{document: v.document, out: v.out, versions: make(map[string]uint64, len(v.versions)+1)}
+	for name, version := range v.versions {
+		next.versions[name] = version
+	}
+	if err := next.decode(section); err != nil {
+		return v, merry.Prependf(err, "section %s version %d", section.GetName(), section.GetVersion())
+	}
+	next.versions[section.GetName()] = section.GetVersion()
+	return next, nil
+}
+
+func (v *View) decode(section *yuccawire.Section) error {
+	if section.GetName() != SectionDataCentresOut {
+		return v.document.replace(section.GetName(), section.GetBody()).Err()
+	}
+	var body outSection
+	d := yuccajsonc.Decode(section.GetName(), section.GetBody(), &body)
+	v.out = body.Out
+	return d.Err()
+}
+
+// Document returns the operators' sections.
+func (v *View) Document() Document { return v.document }
+
+// Version returns the version of the section in force, zero for none.
+func (v *View) Version(section string) uint64 { return v.versions[section] }
+
+// Versions lists the versions in force of the named sections.
+func (v *View) Versions(names []string) []*yuccawire.SectionVersion {
+	versions := make([]*yuccawire.SectionVersion, len(names))
+	for i, name := range names {
+		versions[i] = &yuccawire.SectionVersion{Name: name, Version: v.versions[name]}
+	}
+	return versions
+}
+
+// IsOut tells whether operators have taken the data centre out.
+func (v *View) IsOut(dataCentre string) bool {
+	return slices.Contains(v.out, dataCentre)
+}
+
+// Out lists the data centres that are out, in order of name.
+func (v *View) Out() []string { return v.out }
+
+// Service returns the settings of the service.
+func (v *View) Service(name string) (Service, bool) {
+	s, ok := v.document.Services[name]
+	return s, ok
+}
+
+// Team returns the quota of the team.
+func (v *View) Team(name string) (Team, bool) {
+	t, ok := v.document.Limits.Teams[name]
+	return t, ok
+}
+
+// OutBody encodes the body of the section data_centres_out.
+func OutBody(out []string) []byte {
+	sorted := slices.Sorted(slices.Values(out))
+	body, err := json.Marshal(outSection{Out: sorted})
+	if err != nil {
+		panic(err) // strings always encode
+	}
+	return body
+}
--- /dev/null
+++ b/yuccaentry/entry.go
@@ -0,0 +1,301 @@
+package yuccaentry
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/thejerf/suture/v4"
+
+	"github.com/yuccaturn/yuccaturn/yuccadispatch"
+	"github.com/yuccaturn/yuccaturn/yuccadocument"
+	"github.com/yuccaturn/yuccaturn/yuccalease"
+	"github.com/yuccaturn/yuccaturn/yuccametric"
+	"github.com/yuccaturn/yuccaturn/yuccawire"
+)
+
+const (
+	eventsCapacity   = 8192
+	tickInterval     = 10 * time.Millisecond
+	maxBatchedEvents = 256
+	flushPause       = 100 * time.Millisecond
+)
+
+// Options holds what an entry needs. All fields but Logger are required.
+type Options struct {
+	Network yuccawire.Network
+	// Self names the process; its incarnation is new for each run.
+	Self     *yuccawire.Node
+	Controls []string
+	Random   *rand.Rand
+	Metrics  *yuccametric.Set
+	Logger   *slog.Logger
+}
+
+// Entry is one entry host. It is a suture service; its lease client is served
+// beside it.
+type Entry struct {
+	options Options
+	metrics *yuccametric.Set
+	lease   *yuccalease.Client
+	events  chan event
+	ready   atomic.Bool
+	leaving atomic.Bool
+
+	// Owned by the loop.
+	dispatcher *yuccadispatch.Dispatcher
+	links      map[string]*dialer
+	waiters    map[yuccadispatch.Key][]chan<- yuccadispatch.Answer
+	watchers   map[yuccadispatch.Key][]chan<- yuccadispatch.Found
+	drained    chan<- int
+}
+
+// New returns an entry without a lease.
+func New(options Options) *Entry {
+	if options.Logger == nil {
+		options.Logger = slog.New(slog.DiscardHandler)
+	}
+	e := &Entry{
+		options:  options,
+		metrics:  options.Metrics,
+		events:   make(chan event, eventsCapacity),
+		links:    make(map[string]*dialer),
+		waiters:  make(map[yuccadispatch.Key][]chan<- yuccadispatch.Answer),
+		watchers: make(map[yuccadispatch.Key][]chan<- yuccadispatch.Found),
+	}
+	e.dispatcher = yuccadispatch.New(yuccadispatch.Options{Self: options.Self, Random: options.Random, Metrics: options.Metrics})
+	e.lease = yuccalease.New(yuccalease.Options{
+		Network: options.Network, Self: options.Self, Controls: options.Controls,
+		Sections: yuccadocument.AllSections, Random: options.Random, Logger: options.Logger,
+	})
+	return e
+}
+
+// Lease returns the client that keeps the entry's lease.
+func (e *Entry) Lease() *yuccalease.Client { return e.lease }
+
+// Ready tells whether callers should be sent here.
+func (e *Entry) Ready() bool { return e.ready.Load() && !e.leaving.Load() }
+
+// Serve runs the entry until the context ends.
+func (e *Entry) Serve(ctx context.Context) error {
+	listener, err := e.options.Network.Listen(e.options.Self.GetAddress())
+	if err != nil {
+		return errors.Join(suture.ErrTerminateSupervisorTree, err)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer listener.Close()
+	a := &acceptor{entry: e, listener: listener}
+	go a.run(ctx)
+	return e.loop(ctx)
+}
+
+func (e *Entry) loop(ctx context.Context) error {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+			e.tick(time.Now())
+		case update := <-e.lease.Events():
+			e.dispatcher.Control(time.Now(), update)
+		case ev := <-e.events:
+			e.handleAll(ev)
+		}
+		for _, action := range e.dispatcher.Actions() {
+			e.carryOut(ctx, action)
+		}
+	}
+}
+
+func (e *Entry) tick(now time.Time) {
+	e.dispatcher.Tick(now)
+	ready := e.dispatcher.Lease().Valid(now)
+	if e.ready.Swap(ready) != ready {
+		e.options.Logger.Info("readiness changed", "ready", ready)
+	}
+	if e.drained != nil && e.dispatcher.Unsettled() == 0 {
+		e.drained <- 0
+		e.drained = nil
+	}
+}
+
+// handleAll handles the event and those that wait behind it, so that their
+// claims share one message.
+func (e *Entry) handleAll(ev event) {
+	now := time.Now()
+	e.handle(now, ev)
+	for range min(len(e.events), maxBatchedEvents) {
+		e.handle(now, <-e.events)
+	}
+}
+
+func (e *Entry) handle(now time.Time, ev event) {
+	switch ev := ev.(type) {
+	case submitted:
+		e.submit(now, ev)
+	case watched:
+		e.watchers[ev.key] = append(e.watchers[ev.key], ev.found)
+		e.dispatcher.Watch(now, ev.key, ev.cancel)
+	case linked:
+		e.link(now, ev)
+	case unlinked:
+		e.unlink(ev)
+	case received:
+		e.receive(now, ev.name, ev.message)
+	case drain:
+		e.dispatcher.Drain()
+		e.drained = ev.done
+	case inspection:
+		ev.question(e)
+		close(ev.done)
+	}
+}
+
+func (e *Entry) submit(now time.Time, s submitted) {
+	admission := e.dispatcher.Submit(now, s.submission)
+	switch {
+	case admission.Ended != nil:
+		s.answer <- *admission.Ended
+	case admission.Rejection != yuccadispatch.NotRejected:
+		s.answer <- yuccadispatch.Answer{Key: s.submission.Key, Rejection: admission.Rejection, RetryAfter: admission.RetryAfter}
+	default:
+		e.waiters[s.submission.Key] = append(e.waiters[s.submission.Key], s.answer)
+	}
+}
+
+func (e *Entry) receive(now time.Time, name string, m *yuccawire.Envelope) {
+	switch body := m.GetBody().(type) {
+	case *yuccawire.Envelope_Finished:
+		e.dispatcher.TaskFinished(now, name, body.Finished)
+	case *yuccawire.Envelope_Refused:
+		e.dispatcher.TaskRefused(now, name, body.Refused)
+	case *yuccawire.Envelope_Load:
+		e.dispatcher.Load(now, name, body.Load)
+	case *yuccawire.Envelope_Gathered:
+		e.dispatcher.Gathered(now, name, body.Gathered)
+	case *yuccawire.Envelope_Join:
+		e.dispatcher.Join(now, name, body.Join)
+	case *yuccawire.Envelope_Joined:
+		e.dispatcher.Joined(now, body.Joined)
+	case *yuccawire.Envelope_Goodbye:
+		e.dispatcher.SideLeaving(name)
+		if d := e.links[name]; d != nil {
+			d.hangUp()
+		}
+	}
+}
+
+func (e *Entry) carryOut(ctx context.Context, action yuccadispatch.Action) {
+	switch a := action.(type) {
+	case yuccadispatch.SendControl:
+		if !e.lease.Send(a.Message) {
+			e.metrics.Add("control_messages_dropped", 1)
+		}
+	case yuccadispatch.SendSide:
+		if d := e.links[a.Name]; d != nil {
+			d.send(a.Message)
+		}
+	case yuccadispatch.SendStart:
+		if d := e.links[a.Name]; d != nil {
+			d.sendStart(a)
+		}
+	case yuccadispatch.OpenLink:
+		e.openLink(ctx, a.Node)
+	case yuccadispatch.CloseLink:
+		e.closeLink(a.Name)
+	case yuccadispatch.Answer:
+		e.answer(a)
+	case yuccadispatch.Found:
+		for _, found := range e.watchers[a.Key] {
+			found <- a
+		}
+		delete(e.watchers, a.Key)
+	}
+}
+
+func (e *Entry) answer(a yuccadispatch.Answer) {
+	for _, waiter := range e.waiters[a.Key] {
+		waiter <- a
+	}
+	delete(e.waiters, a.Key)
+}
+
+// Submit hands a job to the dispatcher and waits for its answer. When the
+// context ends first, the job goes on, and a later submission finds it.
+func (e *Entry) Submit(ctx context.Context, s yuccadispatch.Submission) (yuccadispatch.Answer, error) {
+	answer := make(chan yuccadispatch.Answer, 1)
+	if err := e.post(ctx, submitted{submission: s, answer: answer}); err != nil {
+		return yuccadispatch.Answer{}, err
+	}
+	select {
+	case a := <-answer:
+		return a, nil
+	case <-ctx.Done():
+		return yuccadispatch.Answer{}, ctx.Err()
+	}
+}
+
+// Watch asks for the state of a job, and with cancel for its end.
+func (e *Entry) Watch(ctx context.Context, key yuccadispatch.Key, cancel bool) (yuccadispatch.Found, error) {
+	found := make(chan yuccadispatch.Found, 1)
+	if err := e.post(ctx, watched{key: key, cancel: cancel, found: found}); err != nil {
+		return yuccadispatch.Found{}, err
+	}
+	select {
+	case f := <-found:
+		return f, nil
+	case <-ctx.Done():
+		return yuccadispatch.Found{}, ctx.Err()
+	}
+}
+
+// Drain refuses new jobs and waits until all others are answered. It returns
+// the number of jobs that were cut because the context ended first.
+func (e *Entry) Drain(ctx context.Context) int {
+	e.leaving.Store(true)
+	e.lease.Announce(nil, true)
+	done := make(chan int, 1)
+	if e.post(ctx, drain{done: done}) != nil {
+		return 0
+	}
+	select {
+	case <-done:
+		e.settleDown(ctx)
+		return 0
+	case <-ctx.Done():
+		return e.unsettled()
+	}
+}
+
+// settleDown lets the last messages leave: recorded outcomes and what sides may
+// forget.
+func (e *Entry) settleDown(ctx context.Context) {
+	timer := time.NewTimer(flushPause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+func (e *Entry) unsettled() int {
+	ctx, cancel := context.WithTimeout(context.Background(), flushPause)
+	defer cancel()
+	count := 0
+	_ = e.inspect(ctx, func(e *Entry) { count = e.dispatcher.Unsettled() })
+	return count
+}
+
+// FreeSlots is the number of tasks of the service that could be started now.
+func (e *Entry) FreeSlots(ctx context.Context, service string) int {
+	free := 0
+	_ = e.inspect(ctx, func(e *Entry) { free = e.dispatcher.FreeSlots(time.Now(), service) })
+	return free
+}
--- /dev/null
+++ b/yuccaentry/events.go
@@ -0,0 +1,76 @@
+package yuccaentry
+
+import (
+	"context"
+	"time"
+
+	"github.com/yuccaturn/yuccaturn/yuccadispatch"
+	"github.com/yuccaturn/yuccaturn/yuccawire"
+)
+
+// event is one thing that the entry's loop reacts to.
+type event interface{}
+
+// submitted is a caller's job, and where its answer goes.
+type submitted struct {
+	submission yuccadispatch.Submission
+	answer     chan<- yuccadispatch.Answer
+}
+
+// watched is a question for the state of a job.
+type watched struct {
+	key    yuccadispatch.Key
+	cancel bool
+	found  chan<- yuccadispatch.Found
+}
+
+// linked tells that a dialled link is open, and when its hello was sent.
+type linked struct {
+	dialer *dialer
+	link   yuccawire.Link
+	opened time.Time
+}
+
+// unlinked tells that a dialled link has ended.
+type unlinked struct {
+	dialer *dialer
+	link   yuccawire.Link
+}
+
+// received is a message of a side or another entry.
+type received struct {
+	name    string
+	message *yuccawire.Envelope
+}
+
+// drain begins a graceful shutdown.
+type drain struct{ done chan<- int }
+
+// inspection runs a question on the loop, where the state may be read.
+type inspection struct {
+	question func(e *Entry)
+	done     chan<- struct{}
+}
+
+// post hands an event to the loop.
+func (e *Entry) post(ctx context.Context, ev event) error {
+	select {
+	case e.events <- ev:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (e *Entry) inspect(ctx context.Context, question func(e *Entry)) error {
+	done := make(chan struct{})
+	if err := e.post(ctx, inspection{question: question, done: done}); err != nil {
+		return err
+	}
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/yuccaentry/handler.go
@@ -0,0 +1,151 @@
+package yuccaentry
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/yuccaturn/yuccaturn/yuccadispatch"
+	"github.com/yuccaturn/yuccaturn/yuccaproblem"
+)
+
+// Bounds of callers' requests.
+const (
+	// MaxTasks bounds the tasks of one job.
+	MaxTasks = 10_000
+	// MaxJobBytes bounds the body of a job.
+	MaxJobBytes = 16 << 20
+	// MaxRequestBytes bounds the body of a single request.
+	MaxRequestBytes = 8 << 20
+	// MaxHeaderBytes bounds the headers of any request.
+	MaxHeaderBytes = 64 << 10
+	// MaxDeadline bounds the time that a caller may give a job.
+	MaxDeadline = 10 * time.Minute
+
+	defaultDeadline = 30 * time.Second
+	maxNameBytes    = 200
+	answerGrace     = 5 * time.Second
+	watchGrace      = 5 * time.Second
+)
+
+// Handler serves callers and the balancer.
+func (e *Entry) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/jobs", e.postJob)
+	mux.HandleFunc("GET /v1/jobs/{team}/{id}", e.getJob)
+	mux.HandleFunc("DELETE /v1/jobs/{team}/{id}", e.deleteJob)
+	mux.HandleFunc("/v1/services/{service}/{path...}", e.single)
+	mux.HandleFunc("GET /healthz", e.health)
+	mux.HandleFunc("GET /readyz", e.readiness)
+	return mux
+}
+
+func (e *Entry) health(w http.ResponseWriter, _ *http.Request) {
+	_, _ = w.Write([]byte("ok\n"))
+}
+
+func (e *Entry) readiness(w http.ResponseWriter, _ *http.Request) {
+	if e.Ready() {
+		_, _ = w.Write([]byte("ready\n"))
+		return
+	}
+	p := yuccaproblem.New(http.StatusServiceUnavailable, yuccaproblem.NoControl, "this entry holds no lease")
+	if e.leaving.Load() {
+		p = yuccaproblem.New(http.StatusServiceUnavailable, yuccaproblem.Draining, "this entry is shutting down")
+	}
+	yuccaproblem.Write(w, p)
+}
+
+// answerContext outlives the caller's connection, so that a job whose caller
+// went away is still answered to a later submission, but not for ever.
+func answerContext(r *http.Request, deadline time.Time) (context.Context, context.CancelFunc) {
+	return context.WithDeadline(r.Context(), deadline.Add(answerGrace))
+}
+
+// rejected returns the problem that a rejection is to its caller.
+func rejected(a yuccadispatch.Answer) *yuccaproblem.Problem {
+	p := rejectionProblem(a.Rejection)
+	p.NotRun = a.Rejection.NotRun()
+	p.RetryAfter = a.RetryAfter
+	return p
+}
+
+func rejectionProblem(r yuccadispatch.Rejection) *yuccaproblem.Problem {
+	switch r {
+	case yuccadispatch.UnknownTeam:
+		return yuccaproblem.New(http.StatusForbidden, yuccaproblem.UnknownTeam, "team: is not in section limits")
+	case yuccadispatch.UnknownService:
+		return yuccaproblem.New(http.StatusNotFound, yuccaproblem.UnknownService, "service: is not in section services")
+	case yuccadispatch.NotAllowed:
+		return yuccaproblem.New(http.StatusForbidden, yuccaproblem.NotAllowed, "service: the team's quota does not list it")
+	case yuccadispatch.QueueFull:
+		return yuccaproblem.New(http.StatusTooManyRequests, yuccaproblem.QueueFull, "the team has too many tasks waiting")
+	case yuccadispatch.Late:
+		return yuccaproblem.New(http.StatusServiceUnavailable, yuccaproblem.PastDeadline, "deadline: can't be met")
+	case yuccadispatch.NoTarget:
+		return yuccaproblem.New(http.StatusServiceUnavailable, yuccaproblem.NoTarget, "service: has no target now")
+	case yuccadispatch.NoLease:
+		return yuccaproblem.New(http.StatusServiceUnavailable, yuccaproblem.NoControl,
+			"this entry holds no lease; this request was not run, an earlier one of the same id may have been")
+	case yuccadispatch.Draining:
+		return yuccaproblem.New(http.StatusServiceUnavailable, yuccaproblem.Draining, "this entry is shutting down")
+	case yuccadispatch.Conflict:
+		return yuccaproblem.New(http.StatusConflict, yuccaproblem.JobConflict, "id: belongs to a job with other tasks")
+	case yuccadispatch.Expired:
+		return yuccaproblem.New(http.StatusGone, yuccaproblem.JobExpired, "id: the job was run before, and its answer is no longer kept")
+	case yuccadispatch.TooOld:
+		return yuccaproblem.New(http.StatusGone, yuccaproblem.JobExpired, "submitted_at: is too long ago to tell whether the job was run")
+	case yuccadispatch.OutcomeUnknown, yuccadispatch.NotRejected:
+	}
+	return yuccaproblem.New(http.StatusGatewayTimeout, yuccaproblem.OutcomeUnknown,
+		"the outcome is not known; submit the same job again to learn it")
+}
+
+func writeJSON(w http.ResponseWriter, status int, value any) {
+	text, err := json.Marshal(value)
+	if err != nil {
+		yuccaproblem.Write(w, yuccaproblem.Newf(http.StatusInternalServerError, yuccaproblem.OutcomeUnknown, "encoding the answer: %v", err))
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = w.Write(append(text, '\n'))
+}
+
+// Status is what a person on call asks an entry first.
+type Status struct {
+	Name      string `json:"name"`
+	Ready     bool   `json:"ready"`
+	Draining  bool   `json:"draining"`
+	LeaseMs   int64  `json:"lease_ms"`
+	Sides     int    `json:"sides_linked"`
+	Unsettled int    `json:"jobs_unsettled"`
+	Queued    int    `json:"tasks_queued"`
+}
+
+// OperatorHandler serves operators.
+func (e *Entry) OperatorHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/status", e.getStatus)
+	mux.HandleFunc("GET /healthz", e.health)
+	mux.HandleFunc("GET /readyz", e.readiness)
+	return mux
+}
+
+func (e *Entry) getStatus(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), watchGrace)
+	defer cancel()
+	status := Status{Name: e.options.Self.GetName(), Ready: e.Ready(), Draining: e.leaving.Load()}
+	err := e.inspect(ctx, func(e *Entry) {
+		status.LeaseMs = max(time.Until(e.dispatcher.Lease().Expires()), 0).Milliseconds()
+		status.Sides = e.dispatcher.Sides()
+		status.Unsettled = e.dispatcher.Unsettled()
+		status.Queued = e.dispatcher.Queued()
+	})
+	if err != nil {
+		yuccaproblem.Write(w, rejectionProblem(yuccadispatch.OutcomeUnknown))
+		return
+	}
+	writeJSON(w, http.StatusOK, status)
+}
--- /dev/null
+++ b/yuccaentry/jobs.go
@@ -0,0 +1,209 @@
+package yuccaentry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+	"unicode/utf8"
+
+	"github.com/yuccaturn/yuccaturn/yuccadispatch"
+	"github.com/yuccaturn/yuccaturn/yuccajsonc"
+	"github.com/yuccaturn/yuccaturn/yuccaproblem"
+	"github.com/yuccaturn/yuccaturn/yuccatrace"
+	"github.com/yuccaturn/yuccaturn/yuccawire"
+)
+
+// jobAnswer is the body of an answered job.
+type jobAnswer struct {
+	Team      string       `json:"team"`
+	ID        string       `json:"id"`
+	State     string       `json:"state"`
+	Reason    string       `json:"reason,omitempty"`
+	NotRun    bool         `json:"not_run"`
+	Cancelled bool         `json:"cancelled,omitempty"`
+	Tasks     []taskAnswer `json:"tasks,omitempty"`
+}
+
+// taskAnswer is one task of an answered job. One of the results is set in a
+// complete answer.
+type taskAnswer struct {
+	ID           string          `json:"id"`
+	State        string          `json:"state"`
+	Status       uint32          `json:"status,omitempty"`
+	Failure      string          `json:"failure,omitempty"`
+	RunMs        float64         `json:"run_ms,omitempty"`
+	Side         string          `json:"side,omitempty"`
+	Result       json.RawMessage `json:"result,omitempty"`
+	ResultText   string          `json:"result_text,omitempty"`
+	ResultBase64 []byte          `json:"result_base64,omitempty"`
+}
+
+// failedJob is the problem of a job that failed, with what is known of each
+// task.
+type failedJob struct {
+	*yuccaproblem.Problem
+	Job jobAnswer `json:"job"`
+}
+
+const (
+	stateComplete = "complete"
+	stateFailed   = "failed"
+	stateRunning  = "running"
+	microsPerMs   = 1000
+)
+
+func (e *Entry) postJob(w http.ResponseWriter, r *http.Request) {
+	text, problem := readBody(w, r, MaxJobBytes)
+	if problem != nil {
+		e.refuse(w, problem)
+		return
+	}
+	now := time.Now()
+	submission, err := decodeJob(now, text)
+	if err != nil {
+		e.refuse(w, badDocument(err))
+		return
+	}
+	ctx, span := yuccatrace.Start(yuccatrace.Extract(r.Context(), r.Header), "entry.job")
+	defer span.End()
+	submission.Traceparent = yuccatrace.Parent(ctx)
+	ctx, cancel := answerContext(r.WithContext(ctx), submission.Deadline)
+	defer cancel()
+	answer, err := e.Submit(ctx, submission)
+	switch {
+	case err != nil:
+		yuccaproblem.Write(w, rejectionProblem(yuccadispatch.OutcomeUnknown))
+	case answer.Rejection != yuccadispatch.NotRejected:
+		yuccaproblem.Write(w, rejected(answer))
+	default:
+		writeOutcome(w, answer.Key, answer.Outcome)
+	}
+}
+
+// refuse answers a request that was not understood, and so not run.
+func (e *Entry) refuse(w http.ResponseWriter, p *yuccaproblem.Problem) {
+	e.metrics.Add("requests_refused", 1)
+	p.NotRun = true
+	yuccaproblem.Write(w, p)
+}
+
+func badDocument(err error) *yuccaproblem.Problem {
+	p := yuccaproblem.New(http.StatusBadRequest, yuccaproblem.BadRequest, "the job can't be read")
+	var findings yuccajsonc.Findings
+	if errors.As(err, &findings) {
+		for _, f := range findings {
+			p.Findings = append(p.Findings, f.String())
+		}
+	}
+	return p
+}
+
+// readBody reads a whole body within its bound.
+func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *yuccaproblem.Problem) {
+	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, yuccaproblem.Newf(http.StatusRequestEntityTooLarge, yuccaproblem.TooLarge, "body: has more than %d bytes", limit)
+	case err != nil:
+		return nil, yuccaproblem.Newf(http.StatusBadRequest, yuccaproblem.BadRequest, "body: was cut off after %d bytes", len(text))
+	}
+	return text, nil
+}
+
+func writeOutcome(w http.ResponseWriter, key yuccadispatch.Key, o *yuccawire.Outcome) {
+	body := answerBody(key, o)
+	if o.GetComplete() {
+		writeJSON(w, http.StatusOK, body)
+		return
+	}
+	p := outcomeProblem(o)
+	w.Header().Set("Content-Type", yuccaproblem.ContentType)
+	text, err := json.Marshal(failedJob{Problem: p, Job: body})
+	if err != nil {
+		yuccaproblem.Write(w, p)
+		return
+	}
+	w.WriteHeader(p.Status)
+	_, _ = w.Write(append(text, '\n'))
+}
+
+// outcomeProblem returns the problem that a failed job is to its caller.
+func outcomeProblem(o *yuccawire.Outcome) *yuccaproblem.Problem {
+	p := yuccaproblem.New(http.StatusBadGateway, yuccaproblem.TaskFailed, o.GetReason())
+	if o.GetCancelled() {
+		p = yuccaproblem.New(http.StatusConflict, yuccaproblem.Cancelled, o.GetReason())
+	}
+	p.NotRun = o.GetNotRun()
+	return p
+}
+
+func answerBody(key yuccadispatch.Key, o *yuccawire.Outcome) jobAnswer {
+	body := jobAnswer{
+		Team: key.Team, ID: key.ID, State: stateFailed, Reason: o.GetReason(),
+		NotRun: o.GetNotRun(), Cancelled: o.GetCancelled(), Tasks: make([]taskAnswer, len(o.GetTasks())),
+	}
+	if o.GetComplete() {
+		body.State = stateComplete
+	}
+	for i, t := range o.GetTasks() {
+		body.Tasks[i] = answerTask(t)
+	}
+	return body
+}
+
+func answerTask(t *yuccawire.TaskOutcome) taskAnswer {
+	a := taskAnswer{
+		ID: t.GetId(), State: taskStateName(t.GetState()), Status: t.GetStatus(), Failure: t.GetFailure(),
+		RunMs: float64(t.GetRunUs()) / microsPerMs, Side: t.GetSide(),
+	}
+	switch body := t.GetBody(); {
+	case len(body) == 0:
+	case json.Valid(body):
+		a.Result = body
+	case utf8.Valid(body):
+		a.ResultText = string(body)
+	default:
+		a.ResultBase64 = body
+	}
+	return a
+}
+
+func taskStateName(s yuccawire.TaskState) string {
+	switch s {
+	case yuccawire.TaskState_TASK_NOT_STARTED:
+		return "not_started"
+	case yuccawire.TaskState_TASK_FINISHED:
+		return "finished"
+	case yuccawire.TaskState_TASK_RUNNING:
+		return "running"
+	case yuccawire.TaskState_TASK_UNKNOWN, yuccawire.TaskState_TASK_UNSPECIFIED:
+	}
+	return "unknown"
+}
+
+func (e *Entry) getJob(w http.ResponseWriter, r *http.Request) { e.watchJob(w, r, false) }
+
+func (e *Entry) deleteJob(w http.ResponseWriter, r *http.Request) { e.watchJob(w, r, true) }
+
+// watchJob answers with the state of a job, after asking for its end where the
+// caller wishes it.
+func (e *Entry) watchJob(w http.ResponseWriter, r *http.Request, stop bool) {
+	key := yuccadispatch.Key{Team: r.PathValue("team"), ID: r.PathValue("id")}
+	ctx, cancel := context.WithTimeout(r.Context(), watchGrace)
+	defer cancel()
+	found, err := e.Watch(ctx, key, stop)
+	switch {
+	case err != nil:
+		yuccaproblem.Write(w, rejectionProblem(yuccadispatch.OutcomeUnknown))
+	case !found.Known:
+		yuccaproblem.Write(w, yuccaproblem.New(http.StatusNotFound, yuccaproblem.JobUnknown, "no entry that can be reached has the job"))
+	case found.Outcome == nil:
+		writeJSON(w, http.StatusAccepted, jobAnswer{Team: key.Team, ID: key.ID, State: stateRunning})
+	default:
+		writeJSON(w, http.StatusOK, answerBody(key, found.Outcome))
+	}
+}
--- /dev/null
+++ b/yuccaentry/single.go
@@ -0,0 +1,148 @@
+package yuccaentry
+
+import (
+	"crypto/rand"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/yuccaturn/yuccaturn/yuccadispatch"
+	"github.com/yuccaturn/yuccaturn/yuccaheader"
+	"github.com/yuccaturn/yuccaturn/yuccajsonc"
+	"github.com/yuccaturn/yuccaturn/yuccaproblem"
+	"github.com/yuccaturn/yuccaturn/yuccatrace"
+	"github.com/yuccaturn/yuccaturn/yuccawire"
+)
+
+// Headers of a single request that are meant for the system.
+const (
+	headerTeam           = "Yucca-Team"
+	headerTimeout        = "Yucca-Timeout"
+	headerRepeatable     = "Yucca-Repeatable"
+	headerSubmittedAt    = "Yucca-Submitted-At"
+	headerIdempotencyKey = "Idempotency-Key"
+)
+
+const singleTask = "request"
+
+// single serves a request as a job of one task, and passes method, headers,
+// body and answer through unchanged.
+func (e *Entry) single(w http.ResponseWriter, r *http.Request) {
+	body, problem := readBody(w, r, MaxRequestBytes)
+	if problem != nil {
+		e.refuse(w, problem)
+		return
+	}
+	submission, problem := decodeSingle(time.Now(), r, body)
+	if problem != nil {
+		e.refuse(w, problem)
+		return
+	}
+	ctx, span := yuccatrace.Start(yuccatrace.Extract(r.Context(), r.Header), "entry.request")
+	defer span.End()
+	submission.Traceparent = yuccatrace.Parent(ctx)
+	ctx, cancel := answerContext(r.WithContext(ctx), submission.Deadline)
+	defer cancel()
+	answer, err := e.Submit(ctx, submission)
+	switch {
+	case err != nil:
+		yuccaproblem.Write(w, rejectionProblem(yuccadispatch.OutcomeUnknown))
+	case answer.Rejection != yuccadispatch.NotRejected:
+		yuccaproblem.Write(w, rejected(answer))
+	case !answer.Outcome.GetComplete():
+		yuccaproblem.Write(w, outcomeProblem(answer.Outcome))
+	default:
+		writePassthrough(w, answer.Outcome.GetTasks()[0])
+	}
+}
+
+func writePassthrough(w http.ResponseWriter, t *yuccawire.TaskOutcome) {
+	yuccaheader.Apply(t.GetHeaders(), w.Header())
+	w.WriteHeader(int(t.GetStatus()))
+	_, _ = w.Write(t.GetBody())
+}
+
+func decodeSingle(now time.Time, r *http.Request, body []byte) (yuccadispatch.Submission, *yuccaproblem.Problem) {
+	timeout, err := timeoutOf(r)
+	if err != nil {
+		return yuccadispatch.Submission{}, badHeader(headerTimeout, "is "+r.Header.Get(headerTimeout)+", expected a duration such as 500ms, at most "+MaxDeadline.String())
+	}
+	submittedAt, err := submittedAtOf(r)
+	if err != nil {
+		return yuccadispatch.Submission{}, badHeader(headerSubmittedAt, "is "+r.Header.Get(headerSubmittedAt)+", expected a time such as 2026-03-02T09:30:00Z")
+	}
+	id := r.Header.Get(headerIdempotencyKey)
+	if id == "" {
+		id = rand.Text()
+	}
+	var names yuccajsonc.Document
+	checkName(&names, headerTeam, r.Header.Get(headerTeam))
+	checkName(&names, headerIdempotencyKey, id)
+	if findings := names.Findings(); len(findings) > 0 {
+		return yuccadispatch.Submission{}, badHeader(findings[0].Field, findings[0].Wrong+", expected "+findings[0].Expected)
+	}
+	s := yuccadispatch.Submission{
+		Key:         yuccadispatch.Key{Team: r.Header.Get(headerTeam), ID: id},
+		Service:     r.PathValue("service"),
+		SubmittedAt: submittedAt,
+		Deadline:    now.Add(timeout),
+		Repeatable:  repeatable(r),
+		Passthrough: true,
+		Tasks:       []yuccadispatch.TaskRequest{{ID: singleTask, Request: wireRequest(r, body)}},
+	}
+	s.Digest = digest(s)
+	return s, nil
+}
+
+func badHeader(name, detail string) *yuccaproblem.Problem {
+	return yuccaproblem.Newf(http.StatusBadRequest, yuccaproblem.BadRequest, "header %s: %s", name, detail)
+}
+
+func timeoutOf(r *http.Request) (time.Duration, error) {
+	text := r.Header.Get(headerTimeout)
+	if text == "" {
+		return defaultDeadline, nil
+	}
+	timeout, err := time.ParseDuration(text)
+	if err == nil && (timeout <= 0 || timeout > MaxDeadline) {
+		err = http.ErrNotSupported
+	}
+	return timeout, err
+}
+
+func submittedAtOf(r *http.Request) (time.Time, error) {
+	text := r.Header.Get(headerSubmittedAt)
+	if text == "" {
+		return time.Time{}, nil
+	}
+	return time.Parse(time.RFC3339, text)
+}
+
+// repeatable tells whether the request may be sent to a target again: safe
+// methods may, others only if the caller says so.
+func repeatable(r *http.Request) bool {
+	switch r.Header.Get(headerRepeatable) {
+	case "true":
+		return true
+	case "false":
+		return false
+	}
+	return r.Method == http.MethodGet || r.Method == http.MethodHead || r.Method == http.MethodOptions
+}
+
+func wireRequest(r *http.Request, body []byte) *yuccawire.Request {
+	return &yuccawire.Request{
+		Method:  r.Method,
+		Path:    targetPath(r.URL.EscapedPath()),
+		Query:   r.URL.RawQuery,
+		Headers: yuccaheader.ToWire(r.Header),
+		Body:    body,
+	}
+}
+
+// targetPath returns what follows /v1/services/NAME, still escaped.
+func targetPath(path string) string {
+	const segments = 5
+	parts := strings.SplitN(path, "/", segments)
+	return "/" + parts[segments-1]
+}
--- /dev/null
+++ b/yuccagate/gate.go
@@ -0,0 +1,127 @@
+package yuccagate
+
+import (
+	"time"
+
+	"github.com/yuccaturn/yuccaturn/yuccadocument"
+	"github.com/yuccaturn/yuccaturn/yuccalease"
+)
+
+const (
+	defaultRetention      = 5 * time.Minute
+	defaultMaxResultBytes = 16 << 20
+)
+
+// Options sets what does not change while the side runs. Zero fields get
+// defaults.
+type Options struct {
+	// Incarnation names this run of the side.
+	Incarnation uint64
+	// DataCentre is where the side runs.
+	DataCentre string
+	// Retention is how long records outlive the deadline of their job.
+	Retention time.Duration
+	// MaxResultBytes bounds the bodies of kept results, in bytes.
+	MaxResultBytes int
+}
+
+// Gate admits or refuses starts. It is not safe for concurrent use.
+type Gate struct {
+	options   Options
+	lease     yuccalease.Lease
+	view      *yuccadocument.View
+	fences    map[string]uint64
+	services  map[string]*service
+	jobs      map[jobID]*jobRecord
+	keptOrder []*attempt
+	keptBytes int
+	leaving   bool
+}
+
+// service is one announced target.
+type service struct {
+	slots   int
+	busy    int
+	leaving bool
+	gone    bool
+}
+
+// New returns a gate without a lease, which refuses everything.
+func New(options Options) *Gate {
+	if options.Retention == 0 {
+		options.Retention = defaultRetention
+	}
+	if options.MaxResultBytes == 0 {
+		options.MaxResultBytes = defaultMaxResultBytes
+	}
+	return &Gate{
+		options:  options,
+		view:     yuccadocument.NewView(),
+		fences:   make(map[string]uint64),
+		services: make(map[string]*service),
+		jobs:     make(map[jobID]*jobRecord),
+	}
+}
+
+// SetLease replaces the lease under which tasks start.
+func (g *Gate) SetLease(lease yuccalease.Lease) { g.lease = lease }
+
+// SetView replaces the configuration in force.
+func (g *Gate) SetView(view *yuccadocument.View) { g.view = view }
+
+// Leave makes the gate refuse all further starts.
+func (g *Gate) Leave() { g.leaving = true }
+
+// Fence refuses the owner's incarnations up to this one from now on.
+func (g *Gate) Fence(name string, incarnation uint64) {
+	g.fences[name] = max(g.fences[name], incarnation)
+}
+
+// Announce adds a target or changes its slots.
+func (g *Gate) Announce(name string, slots int, leaving bool) {
+	s := g.services[name]
+	if s == nil {
+		s = &service{}
+		g.services[name] = s
+	}
+	s.slots = slots
+	s.leaving = leaving
+	s.gone = false
+}
+
+// Withdraw removes a target. Its running attempts still finish.
+func (g *Gate) Withdraw(name string) {
+	if s := g.services[name]; s != nil {
+		s.gone = true
+	}
+}
+
+// FreeSlots is the number of attempts at tasks of the service that could start.
+func (g *Gate) FreeSlots(name string) int {
+	s := g.services[name]
+	if s == nil || s.gone || s.leaving || g.leaving {
+		return 0
+	}
+	return max(s.slots-s.busy, 0)
+}
+
+// Running is the number of attempts that run.
+func (g *Gate) Running() int {
+	running := 0
+	for _, s := range g.services {
+		running += s.busy
+	}
+	return running
+}
+
+// Records is the number of jobs that the gate remembers.
+func (g *Gate) Records() int { return len(g.jobs) }
+
+// KeptBytes is the size of the kept results.
+func (g *Gate) KeptBytes() int { return g.keptBytes }
+
+// Lease returns the lease under which tasks start.
+func (g *Gate) Lease() yuccalease.Lease { return g.lease }
+
+// View returns the configuration in force.
+func (g *Gate) View() *yuccadocument.View { return g.view }
--- /dev/null
+++ b/yuccagate/records.go
@@ -0,0 +1,115 @@
+package yuccagate
+
+import (
+	"time"
+
+	"github.com/yuccaturn/yuccaturn/yuccawire"
+)
+
+// jobID identifies a job within all teams.
+type jobID struct{ team, id string }
+
+func idOf(key *yuccawire.JobKey) jobID {
+	return jobID{team: key.GetTeam(), id: key.GetId()}
+}
+
+// jobRecord is what the gate knows of one job.
+type jobRecord struct {
+	key       *yuccawire.JobKey
+	tasks     map[string][]*attempt
+	cancelled bool
+	keepUntil time.Time
+}
+
+// attempt is one start that reached the gate.
+type attempt struct {
+	key     *yuccawire.TaskKey
+	service string
+	owner   owner
+	refusal yuccawire.Refusal
+	running bool
+	result  *yuccawire.Finished
+}
+
+// owner is one run of an entry.
+type owner struct {
+	name        string
+	incarnation uint64
+}
+
+func (a *attempt) ran() bool { return a.refusal == yuccawire.Refusal_REFUSAL_UNSPECIFIED }
+
+func (r *jobRecord) find(key *yuccawire.TaskKey) *attempt {
+	for _, a := range r.tasks[key.GetTask()] {
+		if a.key.GetAttempt() == key.GetAttempt() {
+			return a
+		}
+	}
+	return nil
+}
+
+// anyRan tells whether any attempt at the task was started.
+func (r *jobRecord) anyRan(task string) bool {
+	for _, a := range r.tasks[task] {
+		if a.ran() {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *jobRecord) add(a *attempt) {
+	task := a.key.GetTask()
+	r.tasks[task] = append(r.tasks[task], a)
+}
+
+func (r *jobRecord) busy() bool {
+	for _, attempts := range r.tasks {
+		for _, a := range attempts {
+			if a.running {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// record returns the record of the job, kept at least until the given time.
+func (g *Gate) record(key *yuccawire.JobKey, keepUntil time.Time) *jobRecord {
+	id := idOf(key)
+	r := g.jobs[id]
+	if r == nil {
+		r = &jobRecord{key: key, tasks: make(map[string][]*attempt, 1)}
+		g.jobs[id] = r
+	}
+	if r.keepUntil.Before(keepUntil) {
+		r.keepUntil = keepUntil
+	}
+	return r
+}
+
+// keep stores the result of an attempt and drops the oldest results while they
+// take more than their bound.
+func (g *Gate) keep(a *attempt, result *yuccawire.Finished) {
+	a.result = result
+	g.keptBytes += len(result.GetBody())
+	g.keptOrder = append(g.keptOrder, a)
+	for g.keptBytes > g.options.MaxResultBytes && len(g.keptOrder) > 0 {
+		g.drop(g.keptOrder[0])
+		g.keptOrder[0] = nil
+		g.keptOrder = g.keptOrder[1:]
+	}
+}
+
+// drop replaces a kept result by a note that it is gone.
+func (g *Gate) drop(a *attempt) {
+	if a.result == nil || len(a.result.GetBody()) == 0 {
+		return
+	}
+	g.keptBytes -= len(a.result.GetBody())
+	a.result = lostResult(a.key, "the result is no longer kept")
+}
+
+func lostResult(key *yuccawire.TaskKey, failure string) *yuccawire.Finished {
+	return &yuccawire.Finished{Key: key, State: yuccawire.TaskState_TASK_UNKNOWN, Failure: failure}
+}
--- /dev/null
+++ b/yuccagate/results.go
@@ -0,0 +1,119 @@
+package yuccagate
+
+import (
+	"time"
+
+	"github.com/yuccaturn/yuccaturn/yuccawire"
+)
+
+// Finish records the answer of a running attempt and frees its slot. It
+// returns false for an attempt that does not run.
+func (g *Gate) Finish(result *yuccawire.Finished) bool {
+	r := g.jobs[idOf(result.GetKey().GetJob())]
+	if r == nil {
+		return false
+	}
+	a := r.find(result.GetKey())
+	if a == nil || !a.running {
+		return false
+	}
+	a.running = false
+	if s := g.services[a.service]; s != nil {
+		s.busy--
+	}
+	g.keep(a, result)
+	return true
+}
+
+// Cancel refuses all further starts of the job and returns the attempts that
+// run. The refusal is kept until the given time at least.
+func (g *Gate) Cancel(job *yuccawire.JobKey, keepUntil time.Time) []*yuccawire.TaskKey {
+	r := g.record(job, keepUntil)
+	r.cancelled = true
+	return r.runningKeys()
+}
+
+func (r *jobRecord) runningKeys() []*yuccawire.TaskKey {
+	var running []*yuccawire.TaskKey
+	for _, attempts := range r.tasks {
+		for _, a := range attempts {
+			if a.running {
+				running = append(running, a.key)
+			}
+		}
+	}
+	return running
+}
+
+// Answer is what the gate knows of one attempt: a result, a refusal, or
+// neither while it runs.
+type Answer struct {
+	Result  *yuccawire.Finished
+	Refused *yuccawire.Refused
+}
+
+// Query answers an owner that reconnected. An attempt that never arrived is
+// refused from now on, until the given time at least.
+func (g *Gate) Query(key *yuccawire.TaskKey, keepUntil time.Time) Answer {
+	r := g.record(key.GetJob(), keepUntil)
+	a := r.find(key)
+	if a == nil {
+		a = &attempt{key: key, refusal: yuccawire.Refusal_REFUSAL_NEVER_ARRIVED}
+		r.add(a)
+	}
+	if !a.ran() {
+		return Answer{Refused: &yuccawire.Refused{Key: key, Reason: a.refusal}}
+	}
+	return Answer{Result: a.result}
+}
+
+// Gather returns all that the gate knows of a job's started attempts.
+func (g *Gate) Gather(job *yuccawire.JobKey) *yuccawire.Gathered {
+	gathered := &yuccawire.Gathered{Job: job}
+	r := g.jobs[idOf(job)]
+	if r == nil {
+		return gathered
+	}
+	gathered.Running = r.runningKeys()
+	for _, attempts := range r.tasks {
+		for _, a := range attempts {
+			if a.result != nil {
+				gathered.Finished = append(gathered.Finished, a.result)
+			}
+		}
+	}
+	return gathered
+}
+
+// Forget frees the kept results of the job. The attempts stay recorded.
+func (g *Gate) Forget(job *yuccawire.JobKey) {
+	r := g.jobs[idOf(job)]
+	if r == nil {
+		return
+	}
+	for _, attempts := range r.tasks {
+		for _, a := range attempts {
+			g.drop(a)
+		}
+	}
+}
+
+// Sweep drops the records that are past their time. The owner calls it every
+// few seconds.
+func (g *Gate) Sweep(now time.Time) {
+	for id, r := range g.jobs {
+		if now.Before(r.keepUntil) || r.busy() {
+			continue
+		}
+		g.Forget(r.key)
+		delete(g.jobs, id)
+	}
+	kept := g.keptOrder[:0]
+	for _, a := range g.keptOrder {
+		if a.result != nil && len(a.result.GetBody()) > 0 {
+			kept = append(kept, a)
+		}
+	}
+	clear(g.keptOrder[len(kept):])
+	g.keptOrder = kept
+}
--- /dev/null
+++ b/yuccaheader/header.go
@@ -0,0 +1,60 @@
+// Package yuccaheader carries the headers of requests and answers through the
+// system, without those that belong to one connection.
+//
+// # Usage
+//
+//	wire := yuccaheader.ToWire(request.Header)
+//	yuccaheader.Apply(wire, response.Header())
+package yuccaheader
+
+import (
+	"maps"
+	"net/http"
+	"net/textproto"
+	"slices"
+	"strings"
+
+	"github.com/yuccaturn/yuccaturn/yuccawire"
+)
+
+// Headers that tell a target which attempt it is asked to run.
+const (
+	Job     = "Yucca-Job"
+	Task    = "Yucca-Task"
+	Attempt = "Yucca-Attempt"
+)
+
+var hopByHop = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
+}
+
+// ToWire returns the end-to-end headers, in the order of their names.
+func ToWire(header http.Header) []*yuccawire.Header {
+	dropped := connectionHeaders(header)
+	var wire []*yuccawire.Header
+	for _, name := range slices.Sorted(maps.Keys(header)) {
+		if !slices.Contains(hopByHop, name) && !slices.Contains(dropped, name) {
+			wire = append(wire, &yuccawire.Header{Name: name, Values: header[name]})
+		}
+	}
+	return wire
+}
+
+// connectionHeaders lists the headers that the sender bound to its connection.
+func connectionHeaders(header http.Header) []string {
+	var names []string
+	for _, value := range header.Values("Connection") {
+		for name := range strings.SplitSeq(value, ",") {
+			names = append(names, textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name)))
+		}
+	}
+	return names
+}
+
+// Apply sets the headers.
+func Apply(wire []*yuccawire.Header, header http.Header) {
+	for _, h := range wire {
+		header[textproto.CanonicalMIMEHeaderKey(h.GetName())] = slices.Clone(h.GetValues())
+	}
+}
--- /dev/null
+++ b/yuccajsonc/document.go
@@ -0,0 +1,120 @@
+// Package yuccajsonc decodes JSON with comments strictly, and reports all the
+// faults of a file together, each with its file, line and column.
+//
+// Unknown and doubled fields, wrong types and durations without a unit are
+// found by the decoder. Callers add what only they can know, by the path of the
+// field.
+//
+// # Usage
+//
+//	var settings struct {
+//		Listen string        `json:"listen"`
+//		Wait   time.Duration `json:"wait"`
+//	}
+//	doc := yuccajsonc.Decode("entry.jsonc", text, &settings)
+//	if settings.Listen == "" {
+//		doc.Report("listen", "is missing", "an address such as 127.0.0.1:7000")
+//	}
+//	err := doc.Err()
+package yuccajsonc
+
+import (
+	"bytes"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/tailscale/hujson"
+)
+
+// Document is a decoded file, with the places of its fields.
+type Document struct {
+	file     string
+	text     []byte
+	places   map[string]int
+	findings Findings
+}
+
+// Decode parses the text and stores it into the struct that into points to.
+// Faults are kept in the document; into holds what could be decoded.
+func Decode(file string, text []byte, into any) *Document {
+	d := &Document{file: file, text: text, places: make(map[string]int)}
+	value, err := hujson.Parse(text)
+	if err != nil {
+		d.reportSyntax(err)
+		return d
+	}
+	d.decode(value, into)
+	return d
+}
+
+// Has tells whether the file gives the field with that path.
+func (d *Document) Has(path string) bool {
+	_, ok := d.places[path]
+	return ok
+}
+
+// Report adds a finding at the field with that path, or at the nearest field
+// above it that the file has.
+func (d *Document) Report(path, wrong, expected string) {
+	d.reportAt(d.offset(path), path, wrong, expected)
+}
+
+// Findings returns the findings in the order of the file.
+func (d *Document) Findings() Findings {
+	slices.SortStableFunc(d.findings, func(a, b Finding) int {
+		if a.Line != b.Line {
+			return a.Line - b.Line
+		}
+		return a.Column - b.Column
+	})
+	return d.findings
+}
+
+// Err returns the findings as an error, or nil where there are none.
+func (d *Document) Err() error {
+	if len(d.findings) == 0 {
+		return nil
+	}
+	return d.Findings()
+}
+
+func (d *Document) offset(path string) int {
+	for {
+		if at, ok := d.places[path]; ok {
+			return at
+		}
+		cut := strings.LastIndexByte(path, '.')
+		if cut < 0 {
+			return d.places[""]
+		}
+		path = path[:cut]
+	}
+}
+
+func (d *Document) reportAt(offset int, path, wrong, expected string) {
+	line, column := position(d.text, offset)
+	d.findings = append(d.findings, Finding{
+		File: d.file, Line: line, Column: column, Field: path, Wrong: wrong, Expected: expected,
+	})
+}
+
+var syntaxError = regexp.MustCompile(`^hujson: line (\d+), column (\d+): (.*)$`)
+
+func (d *Document) reportSyntax(err error) {
+	finding := Finding{File: d.file, Line: 1, Column: 1, Wrong: err.Error(), Expected: "JSON, comments allowed"}
+	if m := syntaxError.FindStringSubmatch(err.Error()); m != nil {
+		finding.Line, _ = strconv.Atoi(m[1])
+		finding.Column, _ = strconv.Atoi(m[2])
+		finding.Wrong = m[3]
+	}
+	d.findings = append(d.findings, finding)
+}
+
+func position(text []byte, offset int) (line, column int) {
+	before := text[:min(offset, len(text))]
+	line = 1 + bytes.Count(before, []byte("\n"))
+	column = len(before) - bytes.LastIndexByte(before, '\n')
+	return line, column
+}
--- /dev/null
+++ b/yuccalease/client.go
@@ -0,0 +1,172 @@
+package yuccalease
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/yuccaturn/yuccaturn/yuccadocument"
+	"github.com/yuccaturn/yuccaturn/yuccawire"
+)
+
+const (
+	dialTimeout     = time.Second
+	silenceTimeout  = 2 * time.Second
+	minRedialWait   = 20 * time.Millisecond
+	maxRedialWait   = 400 * time.Millisecond
+	eventsCapacity  = 1024
+	outboxCapacity  = 1024
+	minKickInterval = 20 * time.Millisecond
+)
+
+// Options holds what a client needs. All fields but Logger are required.
+type Options struct {
+	Network yuccawire.Network
+	// Self names the process; its incarnation is new for each run.
+	Self *yuccawire.Node
+	// Controls are the addresses of the control group.
+	Controls []string
+	// Sections are the sections that the process wants.
+	Sections []string
+	// Random draws the jitter.
+	Random *rand.Rand
+	Logger *slog.Logger
+}
+
+// Update is one step of what control grants and spreads. A lease in it holds
+// together with the view, members and fences of the same update.
+type Update struct {
+	// Lease is the lease in force.
+	Lease Lease
+	// View is the configuration in force.
+	View *yuccadocument.View
+	// Members is what changed among the members, or nil.
+	Members *yuccawire.MembersDelta
+	// Fences are the fences that are new, if any.
+	Fences []*yuccawire.Fence
+	// Claims are answers to claims, if any.
+	Claims []*yuccawire.ClaimReply
+	// Connected is set in the first update after a connection to the leader.
+	Connected bool
+}
+
+// Client keeps the lease of one process. It is a suture service.
+type Client struct {
+	options Options
+	events  chan Update
+	outbox  chan *yuccawire.Envelope
+	kick    chan struct{}
+
+	mu      sync.Mutex
+	targets []*yuccawire.Target
+	leaving bool
+
+	// Owned by Serve.
+	next           int
+	hint           string
+	lease          Lease
+	view           *yuccadocument.View
+	membersEpoch   uint64
+	membersVersion uint64
+	fencesVersion  uint64
+	sequence       uint64
+}
+
+// New returns a client that holds no lease until it is served.
+func New(options Options) *Client {
+	if options.Logger == nil {
+		options.Logger = slog.New(slog.DiscardHandler)
+	}
+	return &Client{
+		options: options,
+		events:  make(chan Update, eventsCapacity),
+		outbox:  make(chan *yuccawire.Envelope, outboxCapacity),
+		kick:    make(chan struct{}, 1),
+		view:    yuccadocument.NewView(),
+	}
+}
+
+// Events returns the updates, in order.
+func (c *Client) Events() <-chan Update { return c.events }
+
+// Announce replaces the targets that the process makes known, and renews soon.
+func (c *Client) Announce(targets []*yuccawire.Target, leaving bool) {
+	c.mu.Lock()
+	c.targets = slices.Clone(targets)
+	c.leaving = leaving
+	c.mu.Unlock()
+	select {
+	case c.kick <- struct{}{}:
+	default:
+	}
+}
+
+// Send passes a message to the leader. It returns false when the message was
+// dropped because no leader takes it.
+func (c *Client) Send(m *yuccawire.Envelope) bool {
+	select {
+	case c.outbox <- m:
+		return true
+	default:
+		return false
+	}
+}
+
+// Serve keeps the lease until the context ends.
+func (c *Client) Serve(ctx context.Context) error {
+	wait := minRedialWait
+	for ctx.Err() == nil {
+		began := time.Now()
+		err := c.connect(ctx)
+		if time.Since(began) > silenceTimeout {
+			wait = minRedialWait
+		}
+		c.options.Logger.Debug("control session ended", "error", err)
+		c.pause(ctx, wait)
+		wait = min(2*wait, maxRedialWait)
+	}
+	return ctx.Err()
+}
+
+// pause waits between half and the whole of the duration.
+func (c *Client) pause(ctx context.Context, d time.Duration) {
+	jitter := time.Duration(c.options.Random.Int64N(int64(d/2) + 1))
+	timer := time.NewTimer(d/2 + jitter)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// address picks the leader if it is known, else the next control.
+func (c *Client) address() string {
+	if c.hint != "" {
+		address := c.hint
+		c.hint = ""
+		return address
+	}
+	c.next++
+	return c.options.Controls[c.next%len(c.options.Controls)]
+}
+
+func (c *Client) connect(ctx context.Context) error {
+	address := c.address()
+	dialling, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	link, err := c.options.Network.Dial(dialling, address)
+	if err != nil {
+		return err
+	}
+	defer link.Close()
+	if _, err := yuccawire.SayHello(ctx, link, c.options.Self); err != nil {
+		return merry.Prependf(err, "opening a session with control at %s", address)
+	}
+	s := newSession(c, link)
+	return s.serve(ctx)
+}
--- /dev/null
+++ b/yuccalease/session.go
@@ -0,0 +1,236 @@
+package yuccalease
+
+import (
+	"context"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/yuccaturn/yuccaturn/yuccawire"
+)
+
+var (
+	errSilent    = merry.Sentinel("control is silent")
+	errNotLeader = merry.Sentinel("this control does not lead")
+	errFenced    = merry.Sentinel("this incarnation is fenced and may never hold a lease again")
+)
+
+const inboxCapacity = 256
+
+// session is one link to a control.
+type session struct {
+	client    *Client
+	link      yuccawire.Link
+	inbox     chan *yuccawire.Envelope
+	sent      map[uint64]time.Time
+	answered  time.Time
+	renewed   time.Time
+	connected bool
+}
+
+func newSession(c *Client, link yuccawire.Link) *session {
+	return &session{
+		client:   c,
+		link:     link,
+		inbox:    make(chan *yuccawire.Envelope, inboxCapacity),
+		sent:     make(map[uint64]time.Time),
+		answered: time.Now(),
+	}
+}
+
+// run reads the link until it ends.
+func (s *session) run() {
+	defer close(s.inbox)
+	for {
+		m, err := s.link.Receive()
+		if err != nil {
+			return
+		}
+		s.inbox <- m
+	}
+}
+
+// drain unblocks run after the session has ended.
+func (s *session) drain() {
+	_ = s.link.Close()
+	for range s.inbox {
+	}
+}
+
+func (s *session) serve(ctx context.Context) error {
+	go s.run()
+	defer s.drain()
+	if err := s.renew(); err != nil {
+		return err
+	}
+	timer := time.NewTimer(s.interval())
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-timer.C:
+			if time.Since(s.answered) > silenceTimeout {
+				return errSilent
+			}
+			if err := s.renew(); err != nil {
+				return err
+			}
+			timer.Reset(s.interval())
+		case <-s.client.kick:
+			if err := s.renewSoon(ctx); err != nil {
+				return err
+			}
+		case m := <-s.client.outbox:
+			if err := s.link.Send(m); err != nil {
+				return err
+			}
+		case m, open := <-s.inbox:
+			if !open {
+				return yuccawire.ErrLinkClosed
+			}
+			if err := s.receive(ctx, m); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+// interval spreads the renewals of many processes.
+func (s *session) interval() time.Duration {
+	jitter := s.client.options.Random.Int64N(int64(RenewInterval / 10))
+	return RenewInterval - time.Duration(jitter)
+}
+
+// renewSoon renews at once, but not in a burst.
+func (s *session) renewSoon(ctx context.Context) error {
+	if wait := minKickInterval - time.Since(s.renewed); wait > 0 {
+		s.client.pause(ctx, wait)
+	}
+	return s.renew()
+}
+
+func (s *session) renew() error {
+	c := s.client
+	c.mu.Lock()
+	targets, leaving := c.targets, c.leaving
+	c.mu.Unlock()
+	c.sequence++
+	now := time.Now()
+	s.sent[c.sequence] = now
+	s.renewed = now
+	renew := &yuccawire.Renew{
+		Sequence:       c.sequence,
+		Node:           c.options.Self,
+		Targets:        targets,
+		Sections:       c.view.Versions(c.options.Sections),
+		MembersEpoch:   c.membersEpoch,
+		MembersVersion: c.membersVersion,
+		FencesVersion:  c.fencesVersion,
+		Leaving:        leaving,
+	}
+	return s.link.Send(&yuccawire.Envelope{Body: &yuccawire.Envelope_Renew{Renew: renew}})
+}
+
+func (s *session) receive(ctx context.Context, m *yuccawire.Envelope) error {
+	switch body := m.GetBody().(type) {
+	case *yuccawire.Envelope_Renewed:
+		return s.receiveRenewed(ctx, body.Renewed)
+	case *yuccawire.Envelope_ClaimReplies:
+		return s.emit(ctx, Update{Claims: body.ClaimReplies.GetReplies()})
+	case *yuccawire.Envelope_Goodbye:
+		return errNotLeader
+	}
+	return nil
+}
+
+func (s *session) receiveRenewed(ctx context.Context, r *yuccawire.Renewed) error {
+	c := s.client
+	if r.GetNotLeader() {
+		c.hint = r.GetLeaderAddress()
+		return errNotLeader
+	}
+	if r.GetFenced() {
+		c.lease = Lease{}
+		if err := s.emit(ctx, Update{}); err != nil {
+			return err
+		}
+		c.options.Logger.Error("this incarnation is fenced: restart the process", "incarnation", c.options.Self.GetIncarnation())
+		return errFenced
+	}
+	s.answered = time.Now()
+	s.applySections(r.GetSections())
+	s.extend(r)
+	update := Update{Members: s.applyMembers(r.GetMembers()), Fences: r.GetFences(), Connected: !s.connected}
+	c.fencesVersion = max(c.fencesVersion, r.GetFencesVersion())
+	s.connected = true
+	if len(r.GetSections()) > 0 {
+		s.acknowledgeSoon()
+	}
+	return s.emit(ctx, update)
+}
+
+// acknowledgeSoon lets control learn without delay that new sections are in
+// force.
+func (s *session) acknowledgeSoon() {
+	select {
+	case s.client.kick <- struct{}{}:
+	default:
+	}
+}
+
+// extend takes the lease that was granted to one renewal. Sequence zero marks
+// an unasked push, which grants nothing.
+func (s *session) extend(r *yuccawire.Renewed) {
+	requested, known := s.sent[r.GetSequence()]
+	if !known {
+		return
+	}
+	for sequence := range s.sent {
+		if sequence <= r.GetSequence() {
+			delete(s.sent, sequence)
+		}
+	}
+	duration := time.Duration(r.GetLeaseMs()) * time.Millisecond
+	s.client.lease = s.client.lease.Extend(requested, min(duration, Duration))
+}
+
+func (s *session) applySections(sections []*yuccawire.Section) {
+	c := s.client
+	for _, section := range sections {
+		next, err := c.view.With(section)
+		if err != nil {
+			c.options.Logger.Error("section can't be read", "section", section.GetName(), "error", err)
+			continue
+		}
+		c.view = next
+	}
+}
+
+// applyMembers returns the delta if it follows what the process has.
+func (s *session) applyMembers(delta *yuccawire.MembersDelta) *yuccawire.MembersDelta {
+	c := s.client
+	if delta == nil {
+		return nil
+	}
+	stale := delta.GetEpoch() < c.membersEpoch ||
+		delta.GetEpoch() == c.membersEpoch && delta.GetVersion() <= c.membersVersion
+	if stale || (!delta.GetFull() && delta.GetEpoch() != c.membersEpoch) {
+		return nil
+	}
+	c.membersEpoch = delta.GetEpoch()
+	c.membersVersion = delta.GetVersion()
+	return proto.CloneOf(delta)
+}
+
+func (s *session) emit(ctx context.Context, update Update) error {
+	update.Lease = s.client.lease
+	update.View = s.client.view
+	select {
+	case s.client.events <- update:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/yuccalocal/local.go
@@ -0,0 +1,283 @@
+// Package yuccalocal runs a whole system in one process, over real loopback
+// TCP: one control, entries, and sides with stand-in targets.
+//
+// # Usage
+//
+//	system, err := yuccalocal.New(yuccalocal.Options{...})
+//	supervisor.Add(system.Supervisor())
+//	err = system.Ready(ctx)
+//	callers := system.Callers() // addresses of the entries
+//	system.Drain(ctx)
+package yuccalocal
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/thejerf/suture/v4"
+
+	"github.com/yuccaturn/yuccaturn/yuccacontrol"
+	"github.com/yuccaturn/yuccaturn/yuccadisk"
+	"github.com/yuccaturn/yuccaturn/yuccaentry"
+	"github.com/yuccaturn/yuccaturn/yuccametric"
+	"github.com/yuccaturn/yuccaturn/yuccamux"
+	"github.com/yuccaturn/yuccaturn/yuccaserver"
+	"github.com/yuccaturn/yuccaturn/yuccaside"
+	"github.com/yuccaturn/yuccaturn/yuccatarget"
+	"github.com/yuccaturn/yuccaturn/yuccawire"
+)
+
+const (
+	anyPort     = "127.0.0.1:0"
+	readyPoll   = 20 * time.Millisecond
+	connections = 64
+)
+
+// Options says what the system consists of.
+type Options struct {
+	// Folder holds the control's data.
+	Folder string
+	// Service is the service of the targets.
+	Service string
+	// DataCentres are where the sides run.
+	DataCentres []string
+	// Entries is the number of entries.
+	Entries int
+	// SidesPerDataCentre is the number of sides in each data centre.
+	SidesPerDataCentre int
+	// Slots is the number of slots of each target.
+	Slots int
+	// Sleep is the time that a task takes where its payload says nothing.
+	Sleep  time.Duration
+	Logger *slog.Logger
+}
+
+// System is a whole system in one process.
+type System struct {
+	options    Options
+	network    *network
+	supervisor *suture.Supervisor
+	control    *yuccacontrol.Control
+	operators  *yuccaserver.Server
+	entries    []*yuccaentry.Entry
+	callers    []*yuccaserver.Server
+	sides      []*yuccaside.Side
+	targets    []*yuccatarget.Target
+	folder     *yuccadisk.Folder
+}
+
+// New returns a system that does not run yet.
+func New(options Options) (*System, error) {
+	s := &System{
+		options:    options,
+		network:    &network{Network: yuccamux.New(yuccamux.Options{}), bound: make(map[string]yuccawire.Listener)},
+		supervisor: suture.New("local", suture.Spec{PassThroughPanics: true}),
+	}
+	if err := s.addControl(); err != nil {
+		return nil, err
+	}
+	for i := range options.Entries {
+		if err := s.addEntry(i); err != nil {
+			return nil, err
+		}
+	}
+	for _, name := range options.DataCentres {
+		for i := range options.SidesPerDataCentre {
+			if err := s.addSide(name, i); err != nil {
+				return nil, err
+			}
+		}
+	}
+	return s, nil
+}
+
+// Supervisor holds all parts of the system.
+func (s *System) Supervisor() *suture.Supervisor { return s.supervisor }
+
+func random() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
+func (s *System) metrics(name string) *yuccametric.Set {
+	set := yuccametric.New(name)
+	set.Publish()
+	return set
+}
+
+func (s *System) addControl() error {
+	folder, err := yuccadisk.Open(s.options.Folder)
+	if err != nil {
+		return err
+	}
+	s.folder = folder
+	address, err := s.network.reserve()
+	if err != nil {
+		return err
+	}
+	self := &yuccawire.ReplicaAddress{Name: "control-1", Address: address}
+	s.control, err = yuccacontrol.New(yuccacontrol.Options{
+		Network: s.network, Storage: folder, Self: self, DataCentre: s.options.DataCentres[0],
+		Listed: []*yuccawire.ReplicaAddress{self}, Random: random(),
+		Metrics: s.metrics("control-1"), Logger: s.options.Logger.With("process", "control-1"),
+	})
+	if err != nil {
+		return err
+	}
+	s.operators = yuccaserver.New(anyPort, yuccaserver.WithVars(s.control.Handler()))
+	s.supervisor.Add(s.control)
+	s.supervisor.Add(s.operators)
+	return nil
+}
+
+func (s *System) node(name string, role yuccawire.Role, dataCentre string) (*yuccawire.Node, error) {
+	address, err := s.network.reserve()
+	return &yuccawire.Node{
+		Name: name, Role: role, DataCentre: dataCentre, Address: address, Incarnation: uint64(time.Now().UnixNano()),
+	}, err
+}
+
+func (s *System) controls() []string { return []string{s.control.Address()} }
+
+func (s *System) addEntry(i int) error {
+	name := fmt.Sprintf("entry-%d", i+1)
+	node, err := s.node(name, yuccawire.Role_ROLE_ENTRY, s.options.DataCentres[i%len(s.options.DataCentres)])
+	if err != nil {
+		return err
+	}
+	e := yuccaentry.New(yuccaentry.Options{
+		Network: s.network, Self: node, Controls: s.controls(), Random: random(),
+		Metrics: s.metrics(name), Logger: s.options.Logger.With("process", name),
+	})
+	server := yuccaserver.New(anyPort, e.Handler())
+	s.entries = append(s.entries, e)
+	s.callers = append(s.callers, server)
+	s.supervisor.Add(e)
+	s.supervisor.Add(e.Lease())
+	s.supervisor.Add(server)
+	return nil
+}
+
+func (s *System) addSide(dataCentre string, i int) error {
+	name := fmt.Sprintf("side-%s-%d", dataCentre, i+1)
+	node, err := s.node(name, yuccawire.Role_ROLE_SIDE, dataCentre)
+	if err != nil {
+		return err
+	}
+	side := yuccaside.New(yuccaside.Options{
+		Network: s.network, Self: node, Controls: s.controls(), Runner: yuccaside.NewHTTPRunner(), Random: random(),
+		Metrics: s.metrics(name), Logger: s.options.Logger.With("process", name),
+	})
+	server := yuccaserver.New(anyPort, side.Handler())
+	s.sides = append(s.sides, side)
+	s.supervisor.Add(side)
+	s.supervisor.Add(side.Lease())
+	s.supervisor.Add(server)
+	s.supervisor.Add(&targetStarter{system: s, server: server})
+	return nil
+}
+
+// targetStarter runs the target of a side once the side listens for it.
+type targetStarter struct {
+	system *System
+	server *yuccaserver.Server
+}
+
+// Serve runs the target until the context ends.
+func (t *targetStarter) Serve(ctx context.Context) error {
+	address, err := t.server.Address(ctx)
+	if err != nil {
+		return err
+	}
+	o := t.system.options
+	target := yuccatarget.New(yuccatarget.Options{
+		Service: o.Service, Listen: anyPort, Side: "http://" + address, Slots: o.Slots, Connections: connections,
+		Behaviour: yuccatarget.Behaviour{Sleep: o.Sleep}, Logger: o.Logger,
+	})
+	return target.Serve(ctx)
+}
+
+// Operators waits for the control's address for operators.
+func (s *System) Operators(ctx context.Context) (string, error) {
+	return s.operators.Address(ctx)
+}
+
+// Callers waits for the addresses of the entries.
+func (s *System) Callers(ctx context.Context) ([]string, error) {
+	addresses := make([]string, len(s.callers))
+	for i, server := range s.callers {
+		address, err := server.Address(ctx)
+		if err != nil {
+			return nil, err
+		}
+		addresses[i] = address
+	}
+	return addresses, nil
+}
+
+// Ready waits until all entries hold a lease and are linked to all sides.
+func (s *System) Ready(ctx context.Context) error {
+	ticker := time.NewTicker(readyPoll)
+	defer ticker.Stop()
+	for !s.ready(ctx) {
+		select {
+		case <-ctx.Done():
+			return merry.Prepend(ctx.Err(), "waiting for the system")
+		case <-ticker.C:
+		}
+	}
+	return nil
+}
+
+func (s *System) ready(ctx context.Context) bool {
+	for _, e := range s.entries {
+		if !e.Ready() || e.FreeSlots(ctx, s.options.Service) < len(s.sides)*s.options.Slots {
+			return false
+		}
+	}
+	return true
+}
+
+// Drain shuts the entries down first, then the sides. It returns what was cut.
+func (s *System) Drain(ctx context.Context) int {
+	cut := 0
+	for _, e := range s.entries {
+		cut += e.Drain(ctx)
+	}
+	for _, side := range s.sides {
+		cut += side.Drain(ctx)
+	}
+	return cut
+}
+
+// Close frees the data folder after the supervisor has ended.
+func (s *System) Close() error {
+	s.network.Close()
+	return s.folder.Close()
+}
+
+// network hands out listeners that were bound before their owner was made, so
+// that every address is known from the start.
+type network struct {
+	*yuccamux.Network
+	bound map[string]yuccawire.Listener
+}
+
+func (n *network) reserve() (string, error) {
+	l, err := n.Network.Listen(anyPort)
+	if err != nil {
+		return "", err
+	}
+	n.bound[l.Address()] = l
+	return l.Address(), nil
+}
+
+// Listen returns the listener that was bound to the address.
+func (n *network) Listen(address string) (yuccawire.Listener, error) {
+	l := n.bound[address]
+	if l == nil {
+		return nil, merry.Errorf("address %q was not reserved", address)
+	}
+	return l, nil
+}
--- /dev/null
+++ b/yuccalocal/local_test.go
@@ -0,0 +1,101 @@
+package yuccalocal_test
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/yuccaturn/yuccaturn/yuccaclient"
+	"github.com/yuccaturn/yuccaturn/yuccadocument"
+	"github.com/yuccaturn/yuccaturn/yuccalocal"
+	"github.com/yuccaturn/yuccaturn/yuccaproblem"
+)
+
+const exampleDocument = "../examples/document.jsonc"
+
+// startSystem runs a small system over loopback TCP until the test ends.
+func startSystem(t testing.TB, entries, sides int) (*yuccalocal.System, []string) {
+	t.Helper()
+	system, err := yuccalocal.New(yuccalocal.Options{
+		Folder: t.TempDir(), Service: "regulation", DataCentres: []string{"cusco", "puno"}, Entries: entries,
+		SidesPerDataCentre: sides, Slots: 8, Logger: slog.New(slog.DiscardHandler),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := system.Supervisor().ServeBackground(ctx)
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+		_ = system.Close()
+	})
+	applyDocument(ctx, t, system)
+	if err := system.Ready(ctx); err != nil {
+		t.Fatal(err)
+	}
+	callers, err := system.Callers(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return system, callers
+}
+
+func applyDocument(ctx context.Context, t testing.TB, system *yuccalocal.System) {
+	t.Helper()
+	address, err := system.Operators(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	text, err := os.ReadFile(exampleDocument)
+	if err != nil {
+		t.Fatal(err)
+	}
+	client := yuccaclient.New(address, "test")
+	for _, section := range []string{yuccadocument.SectionDataCentres, yuccadocument.SectionServices, yuccadocument.SectionLimits} {
+		body, err := yuccadocument.SectionOf(exampleDocument, text, section)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for {
+			if _, err = client.ApplySection(ctx, section, 0, section, body); err == nil {
+				break
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+}
+
+// submit submits the job until it has an outcome: on a loaded machine a lease
+// may run out, and then a resubmission joins the job.
+func submit(t testing.TB, caller string, body []byte) yuccaclient.Job {
+	t.Helper()
+	for {
+		job, _, err := yuccaclient.New(caller, "").Submit(context.Background(), body)
+		var problem *yuccaproblem.Problem
+		if errors.As(err, &problem) && (problem.Type == yuccaproblem.NoControl || problem.Type == yuccaproblem.OutcomeUnknown) {
+			time.Sleep(10 * time.Millisecond)
+			continue
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		return job
+	}
+}
+
+func TestJobIsAnsweredWhole(t *testing.T) {
+	_, callers := startSystem(t, 2, 2)
+	body := []byte(`{"team": "parishes", "service": "regulation", "id": "j1", "submitted_at": "` +
+		time.Now().UTC().Format(time.RFC3339) + `", "deadline": "20s",
+		"tasks": [{"id": "a", "payload": {"result": 1}}, {"id": "b", "payload": {"result": 2}}]}`)
+	for _, caller := range callers {
+		job := submit(t, caller, body)
+		if !job.Complete() || len(job.Tasks) != 2 || string(job.Tasks[0].Result) != "1" || string(job.Tasks[1].Result) != "2" {
+			t.Errorf("entry %s answered %+v", caller, job)
+		}
+	}
+}
--- /dev/null
+++ b/yuccamux/acceptor.go
@@ -0,0 +1,114 @@
+package yuccamux
+
+import (
+	"net"
+	"sync"
+
+	"github.com/hashicorp/yamux"
+
+	"github.com/yuccaturn/yuccaturn/yuccawire"
+)
+
+// acceptor accepts TCP connections and hands out the streams of their sessions.
+type acceptor struct {
+	listener net.Listener
+	options  Options
+	links    chan yuccawire.Link
+	closed   chan struct{}
+	once     sync.Once
+
+	mu       sync.Mutex
+	sessions map[*yamux.Session]struct{}
+}
+
+// Accept waits for the next link of any session.
+func (a *acceptor) Accept() (yuccawire.Link, error) {
+	select {
+	case link := <-a.links:
+		return link, nil
+	case <-a.closed:
+		return nil, yuccawire.ErrLinkClosed
+	}
+}
+
+// Address is the address that the acceptor listens on.
+func (a *acceptor) Address() string { return a.listener.Addr().String() }
+
+// Close stops accepting and ends the sessions.
+func (a *acceptor) Close() error {
+	var err error
+	a.once.Do(func() {
+		close(a.closed)
+		err = a.listener.Close()
+		a.closeSessions()
+	})
+	return err
+}
+
+func (a *acceptor) closeSessions() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for s := range a.sessions {
+		_ = s.Close()
+	}
+}
+
+func (a *acceptor) run() {
+	for {
+		conn, err := a.listener.Accept()
+		if err != nil {
+			_ = a.Close()
+			return
+		}
+		session, err := yamux.Server(conn, muxConfig())
+		if err != nil {
+			_ = conn.Close()
+			continue
+		}
+		served := &servedSession{acceptor: a, session: session}
+		go served.run()
+	}
+}
+
+func (a *acceptor) add(s *yamux.Session) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	select {
+	case <-a.closed:
+		return false
+	default:
+	}
+	a.sessions[s] = struct{}{}
+	return true
+}
+
+func (a *acceptor) remove(s *yamux.Session) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.sessions, s)
+}
+
+// servedSession hands out the streams of one accepted connection.
+type servedSession struct {
+	acceptor *acceptor
+	session  *yamux.Session
+}
+
+func (s *servedSession) run() {
+	defer s.session.Close()
+	if !s.acceptor.add(s.session) {
+		return
+	}
+	defer s.acceptor.remove(s.session)
+	for {
+		stream, err := s.session.AcceptStream()
+		if err != nil {
+			return
+		}
+		select {
+		case s.acceptor.links <- newLink(stream, s.acceptor.options):
+		case <-s.acceptor.closed:
+			return
+		}
+	}
+}
--- /dev/null
+++ b/yuccamux/network.go
@@ -0,0 +1,150 @@
+// Package yuccamux carries envelopes between processes over TCP, with one yamux
+// session for each pair of processes and one stream for each link.
+//
+// # Usage
+//
+//	network := yuccamux.New(yuccamux.Options{})
+//	defer network.Close()
+//	listener, err := network.Listen("127.0.0.1:7000")
+//	link, err := network.Dial(ctx, "127.0.0.1:7000")
+package yuccamux
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/hashicorp/yamux"
+
+	"github.com/yuccaturn/yuccaturn/yuccawire"
+)
+
+const (
+	defaultMaxMessageBytes = 32 << 20
+	defaultMaxPendingBytes = 64 << 20
+	keepAliveInterval      = 2 * time.Second
+	writeTimeout           = 3 * time.Second
+	streamWindowBytes      = 1 << 20
+	acceptBacklog          = 64
+)
+
+// Options bounds the memory that one link may take. Zero fields get defaults.
+type Options struct {
+	// MaxMessageBytes bounds one envelope, in bytes.
+	MaxMessageBytes int64
+	// MaxPendingBytes bounds what waits to be sent on one link, in bytes.
+	MaxPendingBytes int64
+}
+
+// Network opens links over TCP. Its methods may be called concurrently.
+type Network struct {
+	options  Options
+	mu       sync.Mutex
+	sessions map[string]*yamux.Session
+}
+
+// New returns a network with no sessions.
+func New(options Options) *Network {
+	if options.MaxMessageBytes == 0 {
+		options.MaxMessageBytes = defaultMaxMessageBytes
+	}
+	if options.MaxPendingBytes == 0 {
+		options.MaxPendingBytes = defaultMaxPendingBytes
+	}
+	return &Network{options: options, sessions: make(map[string]*yamux.Session)}
+}
+
+// Dial opens a link to the process at the address, over a session that the
+// links to that address share.
+func (n *Network) Dial(ctx context.Context, address string) (yuccawire.Link, error) {
+	session, err := n.session(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	stream, err := session.OpenStream()
+	if err != nil {
+		_ = session.Close()
+		return nil, merry.Prependf(err, "opening a stream to %s", address)
+	}
+	return newLink(stream, n.options), nil
+}
+
+func (n *Network) session(ctx context.Context, address string) (*yamux.Session, error) {
+	if s := n.cached(address); s != nil {
+		return s, nil
+	}
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, merry.Prependf(err, "dialling %s", address)
+	}
+	session, err := yamux.Client(conn, muxConfig())
+	if err != nil {
+		_ = conn.Close()
+		return nil, merry.Prependf(err, "opening a session to %s", address)
+	}
+	return n.keep(address, session), nil
+}
+
+func (n *Network) cached(address string) *yamux.Session {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	s := n.sessions[address]
+	if s == nil || s.IsClosed() {
+		delete(n.sessions, address)
+		return nil
+	}
+	return s
+}
+
+// keep stores the session unless a concurrent dial was first, whose session it
+// then returns.
+func (n *Network) keep(address string, session *yamux.Session) *yamux.Session {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if first := n.sessions[address]; first != nil && !first.IsClosed() {
+		_ = session.Close()
+		return first
+	}
+	n.sessions[address] = session
+	return session
+}
+
+// Close ends all sessions that Dial opened.
+func (n *Network) Close() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for address, s := range n.sessions {
+		_ = s.Close()
+		delete(n.sessions, address)
+	}
+}
+
+// Listen accepts links at the TCP address.
+func (n *Network) Listen(address string) (yuccawire.Listener, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, merry.Prependf(err, "listening on %s", address)
+	}
+	a := &acceptor{
+		listener: l,
+		options:  n.options,
+		links:    make(chan yuccawire.Link, acceptBacklog),
+		closed:   make(chan struct{}),
+		sessions: make(map[*yamux.Session]struct{}),
+	}
+	go a.run()
+	return a, nil
+}
+
+func muxConfig() *yamux.Config {
+	config := yamux.DefaultConfig()
+	config.KeepAliveInterval = keepAliveInterval
+	config.ConnectionWriteTimeout = writeTimeout
+	config.MaxStreamWindowSize = streamWindowBytes
+	config.LogOutput = io.Discard
+	return config
+}
--- /dev/null
+++ b/yuccaproblem/problem.go
@@ -0,0 +1,126 @@
+// Package yuccaproblem writes and reads errors as application/problem+json
+// (RFC 9457).
+//
+// # Usage
+//
+//	yuccaproblem.Write(w, yuccaproblem.New(http.StatusConflict, yuccaproblem.JobConflict, detail))
+//	problem := yuccaproblem.Read(response)
+package yuccaproblem
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// ContentType is the media type of a problem.
+const ContentType = "application/problem+json"
+
+const maxProblemBytes = 1 << 20
+
+// Type is the stable name of a kind of problem.
+type Type string
+
+// Types of problems. A type keeps its meaning; new kinds get new types.
+const (
+	BadRequest         Type = "bad-request"
+	TooLarge           Type = "too-large"
+	UnknownTeam        Type = "unknown-team"
+	UnknownService     Type = "unknown-service"
+	NotAllowed         Type = "not-allowed"
+	PastDeadline       Type = "past-deadline"
+	JobConflict        Type = "job-conflict"
+	JobExpired         Type = "job-expired"
+	JobUnknown         Type = "job-unknown"
+	QueueFull          Type = "queue-full"
+	NoTarget           Type = "no-target"
+	Draining           Type = "draining"
+	NoControl          Type = "no-control"
+	OutcomeUnknown     Type = "outcome-unknown"
+	TaskFailed         Type = "task-failed"
+	Cancelled          Type = "cancelled"
+	VersionConflict    Type = "version-conflict"
+	RequestReused      Type = "request-reused"
+	InvalidDocument    Type = "invalid-document"
+	UnknownSection     Type = "unknown-section"
+	UnknownDataCentre  Type = "unknown-data-centre"
+	UnknownReplica     Type = "unknown-replica"
+	MembershipChanging Type = "membership-changing"
+)
+
+// Problem is one error as a caller or operator sees it.
+type Problem struct {
+	Type   Type   `json:"type"`
+	Title  string `json:"title"`
+	Status int    `json:"status"`
+	Detail string `json:"detail,omitempty"`
+	// NotRun is true only if nothing of the request was run or will be.
+	NotRun bool `json:"not_run"`
+	// Findings lists the faults of a document, each with its place.
+	Findings []string `json:"findings,omitempty"`
+	// RetryAfter is when another try may help, sent as a header.
+	RetryAfter time.Duration `json:"-"`
+}
+
+// New returns a problem whose request may have been run.
+func New(status int, kind Type, detail string) *Problem {
+	title := strings.ReplaceAll(string(kind), "-", " ")
+	return &Problem{Type: kind, Title: title, Status: status, Detail: detail}
+}
+
+// Newf is New with a formatted detail.
+func Newf(status int, kind Type, format string, args ...any) *Problem {
+	return New(status, kind, fmt.Sprintf(format, args...))
+}
+
+// NotRunf returns a problem whose request was not run and never will be.
+func NotRunf(status int, kind Type, format string, args ...any) *Problem {
+	p := Newf(status, kind, format, args...)
+	p.NotRun = true
+	return p
+}
+
+// After sets when another try may help.
+func (p *Problem) After(d time.Duration) *Problem {
+	p.RetryAfter = d
+	return p
+}
+
+// Error renders the type and the detail.
+func (p *Problem) Error() string {
+	if len(p.Findings) > 0 {
+		return fmt.Sprintf("%s: %s\n%s", p.Type, p.Detail, strings.Join(p.Findings, "\n"))
+	}
+	return fmt.Sprintf("%s: %s", p.Type, p.Detail)
+}
+
+// Write sends the problem.
+func Write(w http.ResponseWriter, p *Problem) {
+	text, err := json.Marshal(p)
+	if err != nil {
+		panic(err) // strings and numbers always encode
+	}
+	w.Header().Set("Content-Type", ContentType)
+	w.Header().Set("X-Content-Type-Options", "nosniff")
+	if p.RetryAfter > 0 {
+		seconds := int(math.Ceil(p.RetryAfter.Seconds()))
+		w.Header().Set("Retry-After", strconv.Itoa(seconds))
+	}
+	w.WriteHeader(p.Status)
+	_, _ = w.Write(append(text, '\n'))
+}
+
+// Read returns the problem that a response with an error status carries.
+func Read(response *http.Response) *Problem {
+	text, err := io.ReadAll(io.LimitReader(response.Body, maxProblemBytes))
+	problem := new(Problem)
+	if err != nil || json.Unmarshal(text, problem) != nil || problem.Type == "" {
+		return Newf(response.StatusCode, BadRequest, "the server answered %s: %s", response.Status, strings.TrimSpace(string(text)))
+	}
+	return problem
+}
--- /dev/null
+++ b/yuccaqueue/fair.go
@@ -0,0 +1,108 @@
+// Package yuccaqueue shares what is scarce among weighted flows.
+//
+// [Fair] is a start-time fair queue: each flow keeps the order of its items,
+// and over time the flows that wait are served in proportion to their weights.
+//
+// # Usage
+//
+//	queue := yuccaqueue.New[string, *task]()
+//	queue.Push("parishes", 2, first)
+//	item, ok := queue.Pop(func(flow string) bool { return underQuota(flow) })
+package yuccaqueue
+
+import "container/list"
+
+// scale is the virtual time that one item takes in a flow of weight one.
+const scale = 1 << 20
+
+// Fair is a queue of flows. It is not safe for concurrent use.
+type Fair[K comparable, T any] struct {
+	flows   map[K]*flow[K, T]
+	order   []*flow[K, T]
+	virtual uint64
+	length  int
+}
+
+type flow[K comparable, T any] struct {
+	key    K
+	weight uint64
+	start  uint64
+	items  *list.List
+}
+
+// New returns an empty queue.
+func New[K comparable, T any]() *Fair[K, T] {
+	return &Fair[K, T]{flows: make(map[K]*flow[K, T])}
+}
+
+// Len is the number of items that wait.
+func (f *Fair[K, T]) Len() int { return f.length }
+
+// FlowLen is the number of items that wait in the flow.
+func (f *Fair[K, T]) FlowLen(key K) int {
+	if fl := f.flows[key]; fl != nil {
+		return fl.items.Len()
+	}
+	return 0
+}
+
+// Push adds an item at the end of its flow. The weight counts from now on.
+func (f *Fair[K, T]) Push(key K, weight int, item T) {
+	f.flow(key, weight).items.PushBack(item)
+	f.length++
+}
+
+// PushFront adds an item that comes back, ahead of its flow.
+func (f *Fair[K, T]) PushFront(key K, weight int, item T) {
+	f.flow(key, weight).items.PushFront(item)
+	f.length++
+}
+
+func (f *Fair[K, T]) flow(key K, weight int) *flow[K, T] {
+	fl := f.flows[key]
+	if fl == nil {
+		fl = &flow[K, T]{key: key, items: list.New()}
+		f.flows[key] = fl
+		f.order = append(f.order, fl)
+	}
+	if fl.items.Len() == 0 {
+		fl.start = max(fl.start, f.virtual)
+	}
+	fl.weight = uint64(max(weight, 1))
+	return fl
+}
+
+// Pop removes the next item of the flow whose turn it is, among the flows that
+// are allowed.
+func (f *Fair[K, T]) Pop(allowed func(key K) bool) (item T, ok bool) {
+	var next *flow[K, T]
+	for _, fl := range f.order {
+		if fl.items.Len() == 0 || next != nil && fl.start >= next.start || !allowed(fl.key) {
+			continue
+		}
+		next = fl
+	}
+	if next == nil {
+		return item, false
+	}
+	f.virtual = max(f.virtual, next.start)
+	next.start += scale / next.weight
+	f.length--
+	return next.items.Remove(next.items.Front()).(T), true
+}
+
+// RemoveAll drops the items that match, of one flow.
+func (f *Fair[K, T]) RemoveAll(key K, match func(item T) bool) {
+	fl := f.flows[key]
+	if fl == nil {
+		return
+	}
+	for e := fl.items.Front(); e != nil; {
+		following := e.Next()
+		if match(e.Value.(T)) {
+			fl.items.Remove(e)
+			f.length--
+		}
+		e = following
+	}
+}
--- /dev/null
+++ b/yuccareplica/doc.go
@@ -0,0 +1,45 @@
+// Package yuccareplica is the decision core of the replicated log: elections
+// with pre-vote, quorum appends, snapshots, a leader lease, and membership
+// changes one replica at a time.
+//
+// The core does no I/O and reads no clock. Its owner feeds it messages, ticks
+// and the progress of its disk, and then carries out what [Core.Ready] returns:
+// entries and the hard state go to disk, some messages leave at once, others
+// only after the sync, and committed entries are applied.
+//
+// A replica is known by the id of its data folder. One that lost its disk comes
+// back with another id, is no voter, and becomes one only by a membership
+// change after it has caught up.
+//
+// # Usage
+//
+//	core := yuccareplica.New(options, stored, now)
+//	core.Step(now, message)
+//	core.Tick(now)
+//	ready := core.Ready(now)
+//	// write ready.HardState and ready.Entries, sync, then:
+//	core.Synced(now, ready.SyncMark())
+package yuccareplica
+
+import "time"
+
+// Timing of elections. The leader's lease is shorter than the time for which
+// followers refuse to vote, by more than the clocks may drift.
+const (
+	// HeartbeatInterval is the time between two appends to an idle follower.
+	HeartbeatInterval = 150 * time.Millisecond
+	// MinElectionTimeout is how long a follower trusts a silent leader.
+	MinElectionTimeout = 750 * time.Millisecond
+	// MaxElectionTimeout is the latest start of an election.
+	MaxElectionTimeout = 1500 * time.Millisecond
+	// LeaderLease is how long a leader acts on the last word of a quorum.
+	LeaderLease = 600 * time.Millisecond
+)
+
+const (
+	maxAppendBytes   = 1 << 20
+	maxAppendEntries = 1024
+	maxInflight      = 32
+	snapshotTimeout  = 5 * time.Second
+	learnerTimeout   = 10 * time.Second
+)
--- /dev/null
+++ b/yuccareplica/election.go
@@ -0,0 +1,174 @@
+package yuccareplica
+
+import (
+	"time"
+
+	"github.com/yuccaturn/yuccaturn/yuccawire"
+)
+
+// Tick lets the time pass. The owner calls it every few tens of milliseconds.
+func (c *Core) Tick(now time.Time) {
+	if c.role == leader {
+		c.tickLeader(now)
+		return
+	}
+	if now.Before(c.electionAt) {
+		return
+	}
+	c.resetElection(now)
+	if c.isVoter(c.options.ID) {
+		c.campaign(now, true)
+	}
+}
+
+func (c *Core) resetElection(now time.Time) {
+	spread := int64(MaxElectionTimeout - MinElectionTimeout)
+	jitter := time.Duration(c.options.Random.Int64N(spread))
+	c.electionAt = now.Add(MinElectionTimeout + jitter)
+}
+
+// campaign asks for votes. A pre-vote asks whether votes would be given, and
+// changes nothing.
+func (c *Core) campaign(now time.Time, pre bool) {
+	c.leader = 0
+	c.ballots = map[uint64]bool{c.options.ID: true}
+	if pre {
+		c.role = preCandidate
+	} else {
+		c.role = candidate
+		c.term++
+		c.vote = c.options.ID
+		c.saveHardState()
+	}
+	for _, r := range c.replicas.GetVoters() {
+		if r.GetId() != c.options.ID {
+			c.askVote(r.GetId(), pre)
+		}
+	}
+	c.countBallots(now)
+}
+
+func (c *Core) askVote(to uint64, pre bool) {
+	m := c.message(to)
+	vote := &yuccawire.Vote{Pre: pre, LastIndex: c.log.last(), LastTerm: c.log.lastTerm()}
+	m.Body = &yuccawire.Replica_Vote{Vote: vote}
+	if pre {
+		m.Term = c.term + 1
+		c.ready.Immediate = append(c.ready.Immediate, m)
+		return
+	}
+	c.ready.AfterSync = append(c.ready.AfterSync, m)
+}
+
+func (c *Core) countBallots(now time.Time) {
+	granted := 0
+	for id, yes := range c.ballots {
+		if yes && c.isVoter(id) {
+			granted++
+		}
+	}
+	if granted < c.quorum() {
+		return
+	}
+	switch c.role {
+	case preCandidate:
+		c.campaign(now, false)
+	case candidate:
+		c.lead(now)
+	case follower, leader:
+	}
+}
+
+// trusts tells whether the replica still has to believe in its leader.
+func (c *Core) trusts(now time.Time) bool {
+	if c.role == leader {
+		return c.LeaseValid(now)
+	}
+	return now.Sub(c.leaderSeen) < MinElectionTimeout
+}
+
+func (c *Core) stepVote(now time.Time, m *yuccawire.Replica) {
+	vote := m.GetVote()
+	if c.trusts(now) {
+		return
+	}
+	if vote.GetPre() {
+		granted := m.GetTerm() > c.term && c.upToDate(vote)
+		c.ready.Immediate = append(c.ready.Immediate, c.voteReply(m, granted))
+		return
+	}
+	if m.GetTerm() > c.term {
+		c.follow(now, m.GetTerm(), 0)
+	}
+	granted := m.GetTerm() == c.term && (c.vote == 0 || c.vote == m.GetFrom()) && c.upToDate(vote)
+	if granted {
+		c.vote = m.GetFrom()
+		c.saveHardState()
+		c.resetElection(now)
+	}
+	c.ready.AfterSync = append(c.ready.AfterSync, c.voteReply(m, granted))
+}
+
+func (c *Core) upToDate(vote *yuccawire.Vote) bool {
+	if vote.GetLastTerm() != c.log.lastTerm() {
+		return vote.GetLastTerm() > c.log.lastTerm()
+	}
+	return vote.GetLastIndex() >= c.log.last()
+}
+
+func (c *Core) voteReply(m *yuccawire.Replica, granted bool) *yuccawire.Replica {
+	pre := m.GetVote().GetPre()
+	reply := c.message(m.GetFrom())
+	if pre && granted {
+		reply.Term = m.GetTerm()
+	}
+	reply.Body = &yuccawire.Replica_VoteReply{VoteReply: &yuccawire.VoteReply{Pre: pre, Granted: granted}}
+	return reply
+}
+
+func (c *Core) stepVoteReply(now time.Time, m *yuccawire.Replica) {
+	reply := m.GetVoteReply()
+	switch {
+	case reply.GetPre() && c.role == preCandidate && reply.GetGranted() && m.GetTerm() == c.term+1:
+	case !reply.GetPre() && c.role == candidate && m.GetTerm() == c.term:
+	case m.GetTerm() > c.term && !reply.GetGranted():
+		c.follow(now, m.GetTerm(), 0)
+		return
+	default:
+		return
+	}
+	c.ballots[m.GetFrom()] = reply.GetGranted()
+	c.countBallots(now)
+}
+
+// follow takes up a term as a follower.
+func (c *Core) follow(now time.Time, term, leaderID uint64) {
+	if term > c.term {
+		c.term = term
+		c.vote = 0
+		c.saveHardState()
+	}
+	c.role = follower
+	c.leader = leaderID
+	c.progress = nil
+	c.resetElection(now)
+}
+
+// Step takes in a message of another replica.
+func (c *Core) Step(now time.Time, m *yuccawire.Replica) {
+	if m.GetTo() != c.options.ID {
+		return
+	}
+	switch m.GetBody().(type) {
+	case *yuccawire.Replica_Vote:
+		c.stepVote(now, m)
+	case *yuccawire.Replica_VoteReply:
+		c.stepVoteReply(now, m)
+	case *yuccawire.Replica_Append:
+		c.stepAppend(now, m)
+	case *yuccawire.Replica_AppendReply:
+		c.stepAppendReply(now, m)
+	case *yuccawire.Replica_InstallSnapshot:
+		c.stepSnapshot(now, m)
+	}
+}
--- /dev/null
+++ b/yuccareplica/formation.go
@@ -0,0 +1,60 @@
+package yuccareplica
+
+import (
+	"google.golang.org/protobuf/proto"
+
+	"github.com/yuccaturn/yuccaturn/yuccawire"
+)
+
+// Formation brings a replica with an empty disk into a group. It probes the
+// replicas of the settings. When all of them answer and none belongs to a
+// group, the first of them forms one; a group that exists admits the replica
+// instead.
+type Formation struct {
+	self    *yuccawire.ReplicaAddress
+	listed  []*yuccawire.ReplicaAddress
+	answers map[string]*yuccawire.ProbeReply
+}
+
+// NewFormation returns the formation of a replica among those of the settings,
+// whose ids are not known yet.
+func NewFormation(self *yuccawire.ReplicaAddress, listed []*yuccawire.ReplicaAddress) *Formation {
+	return &Formation{self: self, listed: listed, answers: make(map[string]*yuccawire.ProbeReply)}
+}
+
+// Answered takes in the answer to a probe.
+func (f *Formation) Answered(reply *yuccawire.ProbeReply) {
+	f.answers[reply.GetFrom().GetName()] = reply
+}
+
+// Decide returns the first configuration of a new group, or nil while there is
+// none or another replica has to form it.
+func (f *Formation) Decide() *yuccawire.Replicas {
+	if len(f.listed) == 0 || f.listed[0].GetName() != f.self.GetName() {
+		return nil
+	}
+	first := &yuccawire.Replicas{}
+	for _, r := range f.listed {
+		voter := f.knownAs(r)
+		if voter == nil {
+			return nil
+		}
+		first.Voters = append(first.Voters, voter)
+	}
+	return first
+}
+
+// knownAs returns the listed replica with its id, or nil if it has not
+// answered or belongs to a group.
+func (f *Formation) knownAs(r *yuccawire.ReplicaAddress) *yuccawire.ReplicaAddress {
+	if r.GetName() == f.self.GetName() {
+		return f.self
+	}
+	reply := f.answers[r.GetName()]
+	if reply == nil || reply.GetFormed() {
+		return nil
+	}
+	voter := proto.CloneOf(r)
+	voter.Id = reply.GetFrom().GetId()
+	return voter
+}
--- /dev/null
+++ b/yuccareplica/membership.go
@@ -0,0 +1,116 @@
+package yuccareplica
+
+import (
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/yuccaturn/yuccaturn/yuccawire"
+)
+
+// Errors of a membership change that can't begin.
+var (
+	ErrNotLeader   = merry.Sentinel("this replica does not lead")
+	ErrChanging    = merry.Sentinel("another membership change is under way")
+	ErrLastReplica = merry.Sentinel("the last voter can't be removed")
+	ErrUnknown     = merry.Sentinel("no such replica")
+)
+
+// Admit begins to make room for a replica that asks to join. A replica of the
+// same name with another id has lost its disk and is removed first. The joining
+// one starts as a learner and is promoted by [Core.Promote].
+func (c *Core) Admit(now time.Time, joining *yuccawire.ReplicaAddress) error {
+	if c.Address(joining.GetId()) != nil {
+		return nil
+	}
+	if err := c.mayChange(); err != nil {
+		return err
+	}
+	for _, old := range c.replicas.GetVoters() {
+		if old.GetName() == joining.GetName() {
+			return c.Remove(now, old.GetId())
+		}
+	}
+	next := &yuccawire.Replicas{Voters: c.replicas.GetVoters()}
+	for _, learner := range c.replicas.GetLearners() {
+		if learner.GetName() != joining.GetName() {
+			next.Learners = append(next.Learners, learner)
+		}
+	}
+	next.Learners = append(next.Learners, joining)
+	c.change(now, next)
+	return nil
+}
+
+// Promote makes a voter of a learner that has caught up, if there is one.
+func (c *Core) Promote(now time.Time) bool {
+	if c.mayChange() != nil {
+		return false
+	}
+	for _, learner := range c.replicas.GetLearners() {
+		if !c.caughtUp(now, learner.GetId()) {
+			continue
+		}
+		next := &yuccawire.Replicas{Voters: append(clone(c.replicas.GetVoters()), learner)}
+		next.Learners = without(c.replicas.GetLearners(), learner.GetId())
+		c.change(now, next)
+		return true
+	}
+	return false
+}
+
+// caughtUp tells whether the learner holds all that is committed and answered
+// lately.
+func (c *Core) caughtUp(now time.Time, id uint64) bool {
+	p := c.progress[id]
+	return p != nil && p.match >= c.commit && now.Sub(p.ackedSent) < learnerTimeout
+}
+
+// Remove takes a replica out of the group.
+func (c *Core) Remove(now time.Time, id uint64) error {
+	if err := c.mayChange(); err != nil {
+		return err
+	}
+	if c.Address(id) == nil {
+		return ErrUnknown
+	}
+	next := &yuccawire.Replicas{
+		Voters:   without(c.replicas.GetVoters(), id),
+		Learners: without(c.replicas.GetLearners(), id),
+	}
+	if len(next.GetVoters()) == 0 {
+		return ErrLastReplica
+	}
+	c.change(now, next)
+	return nil
+}
+
+// mayChange allows one change at a time, and only after an entry of the
+// leader's own term is committed.
+func (c *Core) mayChange() error {
+	if c.role != leader {
+		return ErrNotLeader
+	}
+	if c.commit < c.replicasIndex || c.commit < c.firstOwn {
+		return ErrChanging
+	}
+	return nil
+}
+
+func (c *Core) change(now time.Time, next *yuccawire.Replicas) {
+	c.append(now, &yuccawire.Entry{Replicas: next})
+}
+
+func clone(list []*yuccawire.ReplicaAddress) []*yuccawire.ReplicaAddress {
+	return append([]*yuccawire.ReplicaAddress(nil), list...)
+}
+
+func without(list []*yuccawire.ReplicaAddress, id uint64) []*yuccawire.ReplicaAddress {
+	var rest []*yuccawire.ReplicaAddress
+	for _, r := range list {
+		if r.GetId() != id {
+			rest = append(rest, r)
+		}
+	}
+	return rest
+}
--- /dev/null
+++ b/yuccaserver/server.go
@@ -0,0 +1,105 @@
+// Package yuccaserver runs HTTP listeners as suture services that shut down
+// gracefully.
+//
+// # Usage
+//
+//	server := yuccaserver.New("127.0.0.1:7000", handler)
+//	supervisor.Add(server)
+//	url := "http://" + server.Address() // once it listens
+package yuccaserver
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/thejerf/suture/v4"
+)
+
+const (
+	shutdownTimeout   = 5 * time.Second
+	readHeaderTimeout = 10 * time.Second
+	idleTimeout       = 2 * time.Minute
+	maxHeaderBytes    = 64 << 10
+)
+
+// Server is one HTTP listener.
+type Server struct {
+	listen  string
+	handler http.Handler
+	bound   chan string
+}
+
+// New returns a server that does not listen yet.
+func New(listen string, handler http.Handler) *Server {
+	return &Server{listen: listen, handler: handler, bound: make(chan string, 1)}
+}
+
+// Address waits for the server to listen and returns its address.
+func (s *Server) Address(ctx context.Context) (string, error) {
+	select {
+	case address := <-s.bound:
+		s.bound <- address
+		return address, nil
+	case <-ctx.Done():
+		return "", ctx.Err()
+	}
+}
+
+// Serve serves until the context ends, and then finishes what is in progress.
+func (s *Server) Serve(ctx context.Context) error {
+	listener, err := net.Listen("tcp", s.listen)
+	if err != nil {
+		return errors.Join(suture.ErrTerminateSupervisorTree, merry.Prependf(err, "listening on %s", s.listen))
+	}
+	s.tellBound(listener.Addr().String())
+	server := &http.Server{
+		Handler:           s.handler,
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+	closer := &closer{server: server, done: make(chan struct{})}
+	go closer.run(ctx)
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	<-closer.done
+	return ctx.Err()
+}
+
+func (s *Server) tellBound(address string) {
+	select {
+	case <-s.bound:
+	default:
+	}
+	s.bound <- address
+}
+
+// closer shuts the server down when the context ends.
+type closer struct {
+	server *http.Server
+	done   chan struct{}
+}
+
+func (c *closer) run(ctx context.Context) {
+	defer close(c.done)
+	<-ctx.Done()
+	bounded, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	if c.server.Shutdown(bounded) != nil {
+		_ = c.server.Close()
+	}
+}
+
+// WithVars adds /debug/vars to a handler.
+func WithVars(handler http.Handler) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /debug/vars", expvar.Handler())
+	mux.Handle("/", handler)
+	return mux
+}
--- /dev/null
+++ b/yuccasettings/local.go
@@ -0,0 +1,43 @@
+package yuccasettings
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/yuccaturn/yuccaturn/yuccajsonc"
+)
+
+// Local is the section of a system in one process.
+type Local struct {
+	// Document is the operators' document that is applied at the start.
+	Document string `json:"document"`
+	// Job is the job that --demo submits.
+	Job string `json:"job"`
+	// Service is the service of the stand-in targets.
+	Service string `json:"service"`
+	// DataCentres are where the sides run; entries are spread over them.
+	DataCentres []string `json:"data_centres"`
+	// Entries is the number of entries.
+	Entries int `json:"entries"`
+	// SidesPerDataCentre is the number of sides in each data centre.
+	SidesPerDataCentre int `json:"sides_per_data_centre"`
+	// Slots is the number of slots of each target.
+	Slots int `json:"slots"`
+	// Sleep is the time that a task takes where its payload says nothing.
+	Sleep time.Duration `json:"sleep"`
+}
+
+func (l *Local) check(d *yuccajsonc.Document) {
+	checkPresent(d, "local.document", l.Document, "the operators' document")
+	checkPresent(d, "local.service", l.Service, "the name of a service")
+	if len(l.DataCentres) == 0 {
+		d.Report("local.data_centres", "is missing", "one data centre at least")
+	}
+	for field, n := range map[string]int{
+		"local.entries": l.Entries, "local.sides_per_data_centre": l.SidesPerDataCentre, "local.slots": l.Slots,
+	} {
+		if n < 1 {
+			d.Report(field, fmt.Sprintf("is %d", n), "1 or more")
+		}
+	}
+}
--- /dev/null
+++ b/yuccasettings/process.go
@@ -0,0 +1,27 @@
+package yuccasettings
+
+import (
+	"time"
+
+	"github.com/yuccaturn/yuccaturn/yuccajsonc"
+)
+
+const defaultDrainTimeout = 30 * time.Second
+
+// Process is the section process.
+type Process struct {
+	// Name is unique among all processes.
+	Name string `json:"name"`
+	// DataCentre is where the process runs.
+	DataCentre string `json:"data_centre"`
+	// DrainTimeout bounds the graceful shutdown; zero means 30s.
+	DrainTimeout time.Duration `json:"drain_timeout"`
+}
+
+func (p *Process) check(d *yuccajsonc.Document) {
+	checkPresent(d, "process.name", p.Name, "a name that no other process has")
+	checkPresent(d, "process.data_centre", p.DataCentre, "the name of a data centre")
+	if p.DrainTimeout == 0 {
+		p.DrainTimeout = defaultDrainTimeout
+	}
+}
--- /dev/null
+++ b/yuccasettings/settings.go
@@ -0,0 +1,151 @@
+// Package yuccasettings reads the settings of one process: JSON with comments,
+// with a section for each concern and one for the role.
+//
+// All faults of a file are reported together, each with its line and column.
+// Relative paths are taken from the folder of the file.
+//
+// # Usage
+//
+//	settings, err := yuccasettings.Load(yuccasettings.RoleEntry, "entry.jsonc")
+//	settings.Process.Name, settings.Entry.Callers, ...
+package yuccasettings
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"path/filepath"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/yuccaturn/yuccaturn/yuccajsonc"
+)
+
+// Role names a kind of process.
+type Role string
+
+// Roles, as subcommands and settings name them.
+const (
+	RoleControl Role = "control"
+	RoleEntry   Role = "entry"
+	RoleSide    Role = "side"
+	RoleTarget  Role = "target"
+	RoleLocal   Role = "local"
+)
+
+// Settings is the settings file of one process. Of the sections that are named
+// after roles it holds only its own.
+type Settings struct {
+	Process Process  `json:"process"`
+	Log     Log      `json:"log"`
+	Trace   Trace    `json:"trace"`
+	Control *Control `json:"control"`
+	Entry   *Entry   `json:"entry"`
+	Side    *Side    `json:"side"`
+	Target  *Target  `json:"target"`
+	Local   *Local   `json:"local"`
+}
+
+// Load reads and checks the settings of a process with the role.
+func Load(role Role, file string) (*Settings, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, merry.Prepend(err, "reading the settings")
+	}
+	settings, err := Parse(role, file, text)
+	if err != nil {
+		return nil, err
+	}
+	settings.resolvePaths(filepath.Dir(file))
+	return settings, nil
+}
+
+// Parse decodes and checks settings. The error holds all findings.
+func Parse(role Role, file string, text []byte) (*Settings, error) {
+	settings := new(Settings)
+	d := yuccajsonc.Decode(file, text, settings)
+	settings.check(role, d)
+	return settings, d.Err()
+}
+
+func (s *Settings) check(role Role, d *yuccajsonc.Document) {
+	s.Process.check(d)
+	s.Log.check(d)
+	s.Trace.check(d)
+	s.checkRole(role, d)
+	switch {
+	case s.Control != nil:
+		s.Control.check(d, s.Process.Name)
+	case s.Entry != nil:
+		s.Entry.check(d)
+	case s.Side != nil:
+		s.Side.check(d)
+	case s.Target != nil:
+		s.Target.check(d)
+	case s.Local != nil:
+		s.Local.check(d)
+	}
+}
+
+// checkRole wants the section of the role, and no other role's.
+func (s *Settings) checkRole(role Role, d *yuccajsonc.Document) {
+	given := map[Role]bool{
+		RoleControl: s.Control != nil, RoleEntry: s.Entry != nil, RoleSide: s.Side != nil,
+		RoleTarget: s.Target != nil, RoleLocal: s.Local != nil,
+	}
+	for _, other := range []Role{RoleControl, RoleEntry, RoleSide, RoleTarget, RoleLocal} {
+		switch {
+		case other == role && !given[other]:
+			d.Report(string(other), "is missing", fmt.Sprintf("the section of a process with the role %s", role))
+		case other != role && given[other]:
+			d.Report(string(other), "belongs to another role", fmt.Sprintf("the section %s only", role))
+		}
+	}
+}
+
+func (s *Settings) resolvePaths(folder string) {
+	resolve(folder, &s.Trace.File)
+	if s.Control != nil {
+		resolve(folder, &s.Control.DataFolder)
+	}
+	if s.Target != nil {
+		resolve(folder, &s.Target.Journal)
+	}
+	if s.Local != nil {
+		resolve(folder, &s.Local.Document)
+		resolve(folder, &s.Local.Job)
+	}
+}
+
+func resolve(folder string, path *string) {
+	if *path != "" && !filepath.IsAbs(*path) {
+		*path = filepath.Join(folder, *path)
+	}
+}
+
+// checkAddress wants an IP number and a port.
+func checkAddress(d *yuccajsonc.Document, field, address string) {
+	const expected = "an IP number and a port such as 127.0.0.1:7000"
+	if address == "" {
+		d.Report(field, "is missing", expected)
+		return
+	}
+	if _, err := netip.ParseAddrPort(address); err != nil {
+		d.Report(field, fmt.Sprintf("is %q", address), expected)
+	}
+}
+
+func checkAddresses(d *yuccajsonc.Document, field string, addresses []string) {
+	if len(addresses) == 0 {
+		d.Report(field, "is missing", "the addresses of the control group")
+	}
+	for i, address := range addresses {
+		checkAddress(d, fmt.Sprintf("%s[%d]", field, i), address)
+	}
+}
+
+func checkPresent(d *yuccajsonc.Document, field, value, expected string) {
+	if value == "" {
+		d.Report(field, "is missing", expected)
+	}
+}
