--- /dev/null
+++ b/yuccasettings/target.go
@@ -0,0 +1,50 @@
+package yuccasettings
+
+import (
+	"fmt"
+	"net/url"
+	"time"
+
+	"github.com/yuccaturn/yuccaturn/yuccajsonc"
+)
+
+// Target is the section of the stand-in target.
+type Target struct {
+	// Service is the name of the service.
+	Service string `json:"service"`
+	// Listen is the loopback address of the target.
+	Listen string `json:"listen"`
+	// Side is the URL of the side's listener for targets.
+	Side string `json:"side"`
+	// Slots is the number of tasks at once.
+	Slots int `json:"slots"`
+	// Connections is the number of connections that are accepted.
+	Connections int `json:"connections"`
+	// Journal takes a JSON line for each start; empty means none.
+	Journal string `json:"journal"`
+	// Sleep is the time that a task takes.
+	Sleep time.Duration `json:"sleep"`
+	// Status is the status of the answers; zero means 200.
+	Status int `json:"status"`
+	// Hang makes tasks never answer.
+	Hang bool `json:"hang"`
+	// Drop makes tasks close their connection without an answer.
+	Drop bool `json:"drop"`
+}
+
+func (t *Target) check(d *yuccajsonc.Document) {
+	checkPresent(d, "target.service", t.Service, "the name of a service")
+	checkAddress(d, "target.listen", t.Listen)
+	if u, err := url.Parse(t.Side); err != nil || u.Scheme != "http" || u.Host == "" {
+		d.Report("target.side", fmt.Sprintf("is %q", t.Side), "a URL such as http://127.0.0.1:7200")
+	}
+	if t.Slots < 1 {
+		d.Report("target.slots", fmt.Sprintf("is %d", t.Slots), "1 or more")
+	}
+	if t.Connections < 1 {
+		d.Report("target.connections", fmt.Sprintf("is %d", t.Connections), "1 or more")
+	}
+	if t.Status != 0 && (t.Status < 200 || t.Status > 599) {
+		d.Report("target.status", fmt.Sprintf("is %d", t.Status), "200 to 599")
+	}
+}
--- /dev/null
+++ b/yuccaside/drain.go
@@ -0,0 +1,59 @@
+package yuccaside
+
+import (
+	"context"
+	"time"
+
+	"github.com/yuccaturn/yuccaturn/yuccawire"
+)
+
+// drain is a graceful shutdown under way.
+type drain struct {
+	done    chan<- int
+	until   time.Time
+	goodbye time.Time
+}
+
+// Drain refuses new starts, waits for the running ones, and ends the links in
+// order. It returns the number of attempts that were cut because the context
+// ended first.
+func (s *Side) Drain(ctx context.Context) int {
+	done := make(chan int, 1)
+	until, _ := ctx.Deadline()
+	if s.post(ctx, drain{done: done, until: until}) != nil {
+		return 0
+	}
+	return <-done
+}
+
+func (s *Side) beginDrain(d drain) {
+	s.options.Logger.Info("draining", "running", len(s.running))
+	s.draining = &d
+	s.gate.Leave()
+	s.makeKnown()
+}
+
+// continueDrain says goodbye once nothing runs, and ends when all owners have
+// closed their links, which they do after reading everything.
+func (s *Side) continueDrain(now time.Time) {
+	d := s.draining
+	if d.done == nil {
+		return
+	}
+	expired := !d.until.IsZero() && !now.Before(d.until)
+	switch {
+	case expired:
+	case len(s.running) > 0:
+		return
+	case d.goodbye.IsZero():
+		d.goodbye = now
+		for _, o := range s.owners {
+			o.send(&yuccawire.Envelope{Body: &yuccawire.Envelope_Goodbye{Goodbye: &yuccawire.Goodbye{}}})
+		}
+		return
+	case len(s.owners) > 0 && now.Sub(d.goodbye) < goodbyeTimeout:
+		return
+	}
+	d.done <- len(s.running)
+	d.done = nil
+}
--- /dev/null
+++ b/yuccaside/events.go
@@ -0,0 +1,56 @@
+package yuccaside
+
+import (
+	"context"
+
+	"github.com/yuccaturn/yuccaturn/yuccawire"
+)
+
+// event is one thing that the side's loop reacts to.
+type event interface{}
+
+// linked tells that an owner has opened a link.
+type linked struct{ owner *ownerLink }
+
+// unlinked tells that an owner's link has ended.
+type unlinked struct{ owner *ownerLink }
+
+// received is a message of an owner.
+type received struct {
+	from    *ownerLink
+	message *yuccawire.Envelope
+}
+
+// finished is the end of an attempt.
+type finished struct {
+	run    *run
+	result *yuccawire.Finished
+}
+
+// announced is a target's announcement, and where its error goes.
+type announced struct {
+	announcement Announcement
+	done         chan<- error
+}
+
+// withdrawn tells that a target has left.
+type withdrawn struct {
+	service string
+	done    chan<- struct{}
+}
+
+// inspection runs a question on the loop, where the state may be read.
+type inspection struct {
+	question func(s *Side)
+	done     chan<- struct{}
+}
+
+// post hands an event to the loop.
+func (s *Side) post(ctx context.Context, e event) error {
+	select {
+	case s.events <- e:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/yuccaside/handler.go
@@ -0,0 +1,147 @@
+package yuccaside
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/yuccaturn/yuccaturn/yuccajsonc"
+	"github.com/yuccaturn/yuccaturn/yuccaproblem"
+)
+
+const (
+	maxAnnouncementBytes = 64 << 10
+	statusTimeout        = 2 * time.Second
+)
+
+// announcementBody is what a target says of itself.
+type announcementBody struct {
+	Address     string `json:"address"`
+	Slots       int    `json:"slots"`
+	Connections int    `json:"connections"`
+	Leaving     bool   `json:"leaving"`
+}
+
+// Handler serves targets on the loopback.
+func (s *Side) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("PUT /v1/targets/{service}", s.putTarget)
+	mux.HandleFunc("DELETE /v1/targets/{service}", s.deleteTarget)
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
+	return mux
+}
+
+func (s *Side) putTarget(w http.ResponseWriter, r *http.Request) {
+	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxAnnouncementBytes))
+	if err != nil {
+		yuccaproblem.Write(w, yuccaproblem.NotRunf(http.StatusBadRequest, yuccaproblem.BadRequest, "body: %v", err))
+		return
+	}
+	var body announcementBody
+	if err := yuccajsonc.Decode("announcement", text, &body).Err(); err != nil {
+		yuccaproblem.Write(w, yuccaproblem.NotRunf(http.StatusBadRequest, yuccaproblem.BadRequest, "%v", err))
+		return
+	}
+	err = s.Announce(r.Context(), Announcement{
+		Service: r.PathValue("service"), Address: body.Address,
+		Slots: body.Slots, Connections: body.Connections, Leaving: body.Leaving,
+	})
+	switch {
+	case errors.Is(err, ErrAnnouncement):
+		yuccaproblem.Write(w, yuccaproblem.NotRunf(http.StatusBadRequest, yuccaproblem.BadRequest, "%v", err))
+	case err != nil:
+		yuccaproblem.Write(w, yuccaproblem.NotRunf(http.StatusServiceUnavailable, yuccaproblem.Draining, "%v", err))
+	default:
+		w.WriteHeader(http.StatusNoContent)
+	}
+}
+
+func (s *Side) deleteTarget(w http.ResponseWriter, r *http.Request) {
+	if err := s.Withdraw(r.Context(), r.PathValue("service")); err != nil {
+		yuccaproblem.Write(w, yuccaproblem.NotRunf(http.StatusServiceUnavailable, yuccaproblem.Draining, "%v", err))
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// Status is what a person on call asks a side first.
+type Status struct {
+	Name          string         `json:"name"`
+	LeaseMs       int64          `json:"lease_ms"`
+	DataCentreOut bool           `json:"data_centre_out"`
+	Draining      bool           `json:"draining"`
+	Running       int            `json:"running"`
+	Owners        int            `json:"entries_linked"`
+	Records       int            `json:"records"`
+	KeptBytes     int            `json:"kept_bytes"`
+	Targets       []TargetStatus `json:"targets"`
+}
+
+// TargetStatus is one announced target.
+type TargetStatus struct {
+	Service string `json:"service"`
+	Address string `json:"address"`
+	Slots   int    `json:"slots"`
+	Free    int    `json:"free"`
+	Leaving bool   `json:"leaving"`
+}
+
+// OperatorHandler serves operators.
+func (s *Side) OperatorHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/status", s.getStatus)
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
+	return mux
+}
+
+func (s *Side) getStatus(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), statusTimeout)
+	defer cancel()
+	var status Status
+	if err := s.inspect(ctx, func(s *Side) { status = s.status(time.Now()) }); err != nil {
+		yuccaproblem.Write(w, yuccaproblem.New(http.StatusServiceUnavailable, yuccaproblem.Draining, err.Error()))
+		return
+	}
+	text, err := json.Marshal(status)
+	if err != nil {
+		yuccaproblem.Write(w, yuccaproblem.New(http.StatusInternalServerError, yuccaproblem.OutcomeUnknown, err.Error()))
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(append(text, '\n'))
+}
+
+func (s *Side) status(now time.Time) Status {
+	status := Status{
+		Name:          s.options.Self.GetName(),
+		LeaseMs:       max(s.gate.Lease().Expires().Sub(now), 0).Milliseconds(),
+		DataCentreOut: s.gate.View().IsOut(s.options.Self.GetDataCentre()),
+		Draining:      s.draining != nil,
+		Running:       len(s.running),
+		Owners:        len(s.owners),
+		Records:       s.gate.Records(),
+		KeptBytes:     s.gate.KeptBytes(),
+	}
+	for name, t := range s.targets {
+		status.Targets = append(status.Targets, TargetStatus{
+			Service: name, Address: t.Address, Slots: t.Slots, Free: s.gate.FreeSlots(name), Leaving: t.Leaving,
+		})
+	}
+	return status
+}
+
+func (s *Side) inspect(ctx context.Context, question func(s *Side)) error {
+	done := make(chan struct{})
+	if err := s.post(ctx, inspection{question: question, done: done}); err != nil {
+		return err
+	}
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/yuccaside/httprunner.go
@@ -0,0 +1,112 @@
+package yuccaside
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/yuccaturn/yuccaturn/yuccaheader"
+	"github.com/yuccaturn/yuccaturn/yuccatrace"
+	"github.com/yuccaturn/yuccaturn/yuccawire"
+)
+
+// MaxAnswerBytes bounds the body of a target's answer.
+const MaxAnswerBytes = 8 << 20
+
+const (
+	idleConnections = 64
+	idleTimeout     = 30 * time.Second
+)
+
+// HTTPRunner passes attempts to targets over HTTP. It sends each request once:
+// nothing that net/http or a redirect might repeat is left to them.
+type HTTPRunner struct {
+	client *http.Client
+}
+
+// NewHTTPRunner returns a runner with connections of its own.
+func NewHTTPRunner() *HTTPRunner {
+	transport := &http.Transport{
+		MaxIdleConnsPerHost: idleConnections,
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
+	}
+	return &HTTPRunner{client: &http.Client{Transport: transport, CheckRedirect: keepRedirect}}
+}
+
+func keepRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
+// onceBody is a body that can't be rewound. The Transport sends a request again
+// on another connection only when it has no body or can get the body again.
+type onceBody struct{ io.Reader }
+
+// Close does nothing.
+func (onceBody) Close() error { return nil }
+
+// Run implements [Runner].
+func (h *HTTPRunner) Run(ctx context.Context, address string, start *yuccawire.Start) *yuccawire.Finished {
+	request, err := newRequest(ctx, address, start)
+	if err != nil {
+		return lost(err)
+	}
+	response, err := h.client.Do(request)
+	if err != nil {
+		return lost(err)
+	}
+	defer response.Body.Close()
+	body, err := readAnswer(response.Body)
+	if err != nil {
+		return lost(err)
+	}
+	return &yuccawire.Finished{
+		State:   yuccawire.TaskState_TASK_FINISHED,
+		Status:  uint32(response.StatusCode),
+		Headers: yuccaheader.ToWire(response.Header),
+		Body:    body,
+	}
+}
+
+func newRequest(ctx context.Context, address string, start *yuccawire.Start) (*http.Request, error) {
+	r := start.GetRequest()
+	to, err := url.Parse(address + r.GetPath())
+	if err != nil {
+		return nil, merry.Prepend(err, "building the target's URL")
+	}
+	to.RawQuery = r.GetQuery()
+	request, err := http.NewRequestWithContext(ctx, r.GetMethod(), to.String(), http.NoBody)
+	if err != nil {
+		return nil, merry.Prepend(err, "building the target's request")
+	}
+	yuccaheader.Apply(r.GetHeaders(), request.Header)
+	request.Body = onceBody{bytes.NewReader(r.GetBody())}
+	request.ContentLength = int64(len(r.GetBody()))
+	request.GetBody = nil
+	key := start.GetKey()
+	request.Header.Set(yuccaheader.Job, key.GetJob().GetTeam()+"/"+key.GetJob().GetId())
+	request.Header.Set(yuccaheader.Task, key.GetTask())
+	request.Header.Set(yuccaheader.Attempt, strconv.FormatUint(uint64(key.GetAttempt()), 10))
+	yuccatrace.Inject(ctx, request.Header)
+	return request, nil
+}
+
+func readAnswer(body io.Reader) ([]byte, error) {
+	text, err := io.ReadAll(io.LimitReader(body, MaxAnswerBytes+1))
+	if err != nil {
+		return nil, merry.Prepend(err, "reading the target's answer")
+	}
+	if len(text) > MaxAnswerBytes {
+		return nil, fmt.Errorf("the target's answer is larger than %d bytes", MaxAnswerBytes)
+	}
+	return text, nil
+}
+
+func lost(err error) *yuccawire.Finished {
+	return &yuccawire.Finished{State: yuccawire.TaskState_TASK_UNKNOWN, Failure: err.Error()}
+}
--- /dev/null
+++ b/yuccastate/claims.go
@@ -0,0 +1,123 @@
+package yuccastate
+
+import (
+	"bytes"
+
+	"github.com/yuccaturn/yuccaturn/yuccawire"
+)
+
+func (s *State) applyClaims(batch *yuccawire.ClaimBatch) []*yuccawire.ClaimReply {
+	s.clock = max(s.clock, batch.GetAtUnixMs())
+	replies := make([]*yuccawire.ClaimReply, len(batch.GetClaims()))
+	for i, claim := range batch.GetClaims() {
+		replies[i] = s.claim(claim)
+	}
+	return replies
+}
+
+func (s *State) claim(c *yuccawire.Claim) *yuccawire.ClaimReply {
+	id := jobID{team: c.GetJob().GetTeam(), id: c.GetJob().GetId()}
+	record := s.jobs[id]
+	if record == nil {
+		return s.firstClaim(id, c)
+	}
+	if !bytes.Equal(record.GetDigest(), c.GetDigest()) {
+		return s.reply(record, yuccawire.ClaimResult_CLAIM_CONFLICT)
+	}
+	if record.GetOwner() == c.GetOwner() && record.GetIncarnation() == c.GetIncarnation() {
+		return s.ownClaim(record, c)
+	}
+	if c.GetTakeOver() && s.mayTakeOver(record, c) {
+		record.Owner = c.GetOwner()
+		record.Incarnation = c.GetIncarnation()
+		record.Nonce = c.GetNonce()
+		return s.reply(record, yuccawire.ClaimResult_CLAIM_TAKEN)
+	}
+	return s.reply(record, yuccawire.ClaimResult_CLAIM_HELD)
+}
+
+func (s *State) firstClaim(id jobID, c *yuccawire.Claim) *yuccawire.ClaimReply {
+	record := &yuccawire.JobRecord{
+		Job: c.GetJob(), Digest: c.GetDigest(), Owner: c.GetOwner(), Incarnation: c.GetIncarnation(), Nonce: c.GetNonce(),
+	}
+	if c.GetFinished() {
+		return s.reply(record, yuccawire.ClaimResult_CLAIM_EXPIRED)
+	}
+	if s.Fenced(c.GetOwner(), c.GetIncarnation()) {
+		return s.reply(record, yuccawire.ClaimResult_CLAIM_REFUSED)
+	}
+	record.AtUnixMs = s.clock
+	s.jobs[id] = record
+	s.jobOrder = append(s.jobOrder, record)
+	return s.reply(record, yuccawire.ClaimResult_CLAIM_GRANTED)
+}
+
+// ownClaim answers the owner. Another nonce is a later submission of a job
+// whose outcome the owner no longer has.
+func (s *State) ownClaim(record *yuccawire.JobRecord, c *yuccawire.Claim) *yuccawire.ClaimReply {
+	if record.GetNonce() != c.GetNonce() {
+		return s.reply(record, yuccawire.ClaimResult_CLAIM_EXPIRED)
+	}
+	if s.Fenced(c.GetOwner(), c.GetIncarnation()) {
+		return s.reply(record, yuccawire.ClaimResult_CLAIM_REFUSED)
+	}
+	if c.GetFinished() && !record.GetFinished() {
+		record.Finished = true
+		record.Complete = c.GetComplete()
+	}
+	return s.reply(record, yuccawire.ClaimResult_CLAIM_GRANTED)
+}
+
+// mayTakeOver requires that the old owner can't act and the new one can.
+func (s *State) mayTakeOver(record *yuccawire.JobRecord, c *yuccawire.Claim) bool {
+	return s.Fenced(record.GetOwner(), record.GetIncarnation()) && !s.Fenced(c.GetOwner(), c.GetIncarnation())
+}
+
+func (s *State) reply(record *yuccawire.JobRecord, result yuccawire.ClaimResult) *yuccawire.ClaimReply {
+	return &yuccawire.ClaimReply{
+		Job:         record.GetJob(),
+		Result:      result,
+		Owner:       record.GetOwner(),
+		Incarnation: record.GetIncarnation(),
+		Finished:    record.GetFinished(),
+		Complete:    record.GetComplete(),
+		AgeMs:       s.clock - record.GetAtUnixMs(),
+	}
+}
+
+// Lookup answers what is recorded of a job, and records nothing. Without a
+// digest it asks for any tasks.
+func (s *State) Lookup(c *yuccawire.Claim) *yuccawire.ClaimReply {
+	record := s.Job(c.GetJob())
+	switch {
+	case record == nil:
+		return &yuccawire.ClaimReply{Job: c.GetJob(), Result: yuccawire.ClaimResult_CLAIM_ABSENT}
+	case len(c.GetDigest()) > 0 && !bytes.Equal(record.GetDigest(), c.GetDigest()):
+		return s.reply(record, yuccawire.ClaimResult_CLAIM_CONFLICT)
+	case record.GetOwner() == c.GetOwner() && record.GetIncarnation() == c.GetIncarnation():
+		return s.reply(record, yuccawire.ClaimResult_CLAIM_EXPIRED)
+	}
+	return s.reply(record, yuccawire.ClaimResult_CLAIM_HELD)
+}
+
+// expire drops the claims that are older than the time they are kept, and
+// returns their number. The records stand in the order of their times.
+func (s *State) expire(e *yuccawire.ExpireJobs) int {
+	s.clock = max(s.clock, e.GetNowUnixMs())
+	oldest := s.clock - e.GetKeptMs()
+	expired := 0
+	for _, record := range s.jobOrder {
+		if record.GetAtUnixMs() >= oldest {
+			break
+		}
+		delete(s.jobs, jobID{team: record.GetJob().GetTeam(), id: record.GetJob().GetId()})
+		expired++
+	}
+	s.jobOrder = append([]*yuccawire.JobRecord(nil), s.jobOrder[expired:]...)
+	return expired
+}
+
+// Job returns the claim of the job, or nil. It must not be changed.
+func (s *State) Job(key *yuccawire.JobKey) *yuccawire.JobRecord {
+	return s.jobs[jobID{team: key.GetTeam(), id: key.GetId()}]
+}
--- /dev/null
+++ b/yuccastate/snapshot.go
@@ -0,0 +1,57 @@
+package yuccastate
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/ansel1/merry/v2"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/yuccaturn/yuccaturn/yuccawire"
+)
+
+// Encode returns the whole state as a snapshot. Equal states give equal text.
+func (s *State) Encode() ([]byte, error) {
+	snapshot := &yuccawire.Snapshot{
+		Changes:       s.changes,
+		Jobs:          s.jobOrder,
+		FencesVersion: s.fencesVersion,
+		ClockUnixMs:   s.clock,
+	}
+	for _, name := range slices.Sorted(maps.Keys(s.sections)) {
+		snapshot.Sections = append(snapshot.Sections, s.sections[name])
+	}
+	for _, owner := range slices.Sorted(maps.Keys(s.fences)) {
+		f := s.fences[owner]
+		snapshot.Fences = append(snapshot.Fences, &yuccawire.Fence{Owner: owner, Incarnation: f.incarnation, Version: f.version})
+	}
+	text, err := proto.MarshalOptions{Deterministic: true}.Marshal(snapshot)
+	return text, merry.Prepend(err, "encoding a snapshot")
+}
+
+// Decode returns the state that Encode wrote. Empty text is the state of a new
+// group.
+func Decode(text []byte) (*State, error) {
+	snapshot := new(yuccawire.Snapshot)
+	if err := proto.Unmarshal(text, snapshot); err != nil {
+		return nil, merry.Prepend(err, "reading a snapshot")
+	}
+	s := New()
+	s.clock = snapshot.GetClockUnixMs()
+	s.fencesVersion = snapshot.GetFencesVersion()
+	for _, f := range snapshot.GetFences() {
+		s.fences[f.GetOwner()] = fence{incarnation: f.GetIncarnation(), version: f.GetVersion()}
+	}
+	for _, change := range snapshot.GetChanges() {
+		s.changes = append(s.changes, change)
+		s.requests[change.GetRequestId()] = change
+	}
+	for _, record := range snapshot.GetJobs() {
+		s.jobOrder = append(s.jobOrder, record)
+		s.jobs[jobID{team: record.GetJob().GetTeam(), id: record.GetJob().GetId()}] = record
+	}
+	for _, section := range snapshot.GetSections() {
+		s.adopt(section)
+	}
+	return s, nil
+}
--- /dev/null
+++ b/yuccawire/generate.go
@@ -0,0 +1,3 @@
+package yuccawire
+
+//go:generate protoc --go_out=. --go_opt=paths=source_relative wire.proto
