--- /dev/null
+++ b/yuccacommand/history.go
@@ -0,0 +1,98 @@
+package yuccacommand
+
+import (
+	"context"
+	"encoding/json"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/yuccaturn/yuccaturn/yuccaclient"
+	"github.com/yuccaturn/yuccaturn/yuccadocument"
+	"github.com/yuccaturn/yuccaturn/yuccahistory"
+)
+
+type historyCommands struct {
+	Check historyCheck `cmd:"" help:"Check the journals of a run against what must always hold."`
+}
+
+type historyCheck struct {
+	Address  string   `help:"Operators' address of a control, to check starts against data centres that were out." placeholder:"HOST:PORT"`
+	Files    []string `arg:"" help:"Journals, JSON lines of events." placeholder:"FILES"`
+	Operator string   `hidden:""`
+}
+
+// Help shows an example.
+func (historyCheck) Help() string {
+	return "Example: yuccaturn history check examples/loopback/data/journal-*.jsonl"
+}
+
+// Run reads the journals together and prints what they violate.
+func (c *historyCheck) Run(o *output) error {
+	var events []yuccahistory.Event
+	for _, name := range c.Files {
+		read, err := readJournal(name)
+		if err != nil {
+			return err
+		}
+		events = append(events, read...)
+	}
+	if c.Address != "" {
+		changes, err := yuccaclient.New(c.Address, c.Operator).Changes(context.Background(), yuccadocument.SectionDataCentresOut, diffHistory)
+		if err != nil {
+			return err
+		}
+		events = append(events, outEvents(changes)...)
+	}
+	violations := yuccahistory.Check(events, yuccahistory.Bounds{})
+	for _, v := range violations {
+		o.printf("%s\n", v)
+	}
+	o.printf("%d events, %d violations\n", len(events), len(violations))
+	if len(violations) > 0 {
+		return errSilent
+	}
+	return nil
+}
+
+func readJournal(name string) ([]yuccahistory.Event, error) {
+	file, err := os.Open(name)
+	if err != nil {
+		return nil, merry.Prepend(err, "opening a journal")
+	}
+	defer file.Close()
+	return yuccahistory.Read(name, file)
+}
+
+// outEvents reads from the history of changes when data centres were taken out
+// and brought back.
+func outEvents(changes []yuccaclient.Change) []yuccahistory.Event {
+	var events []yuccahistory.Event
+	var before []string
+	for _, change := range slices.Backward(changes) {
+		var body struct {
+			Out []string `json:"out"`
+		}
+		at, err := time.Parse(time.RFC3339Nano, change.At)
+		if err != nil || json.Unmarshal(change.Body, &body) != nil {
+			continue
+		}
+		events = append(events, differences(at, before, body.Out, yuccahistory.DataCentreOut)...)
+		events = append(events, differences(at, body.Out, before, yuccahistory.DataCentreIn)...)
+		before = body.Out
+	}
+	return events
+}
+
+// differences returns an event for each name that only the second list has.
+func differences(at time.Time, before, after []string, kind yuccahistory.Kind) []yuccahistory.Event {
+	var events []yuccahistory.Event
+	for _, name := range after {
+		if !slices.Contains(before, name) {
+			events = append(events, yuccahistory.Event{At: at, Kind: kind, DataCentre: name})
+		}
+	}
+	return events
+}
--- a/yuccacommand/target.go
+++ b/yuccacommand/target.go
@@ -44,6 +44,8 @@
 		Slots:       t.Slots,
 		Connections: t.Connections,
 		Behaviour:   yuccatarget.Behaviour{Sleep: t.Sleep, Status: t.Status, Hang: t.Hang, Drop: t.Drop},
+		Node:        settings.Process.Name,
+		DataCentre:  settings.Process.DataCentre,
 		Journal:     writerOf(journal),
 		Logger:      p.logger,
 	})
--- a/yuccacontrol/control.go
+++ b/yuccacontrol/control.go
@@ -10,6 +10,7 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/thejerf/suture/v4"
 
+	"github.com/yuccaturn/yuccaturn/yuccaask"
 	"github.com/yuccaturn/yuccaturn/yuccametric"
 	"github.com/yuccaturn/yuccaturn/yuccaregistry"
 	"github.com/yuccaturn/yuccaturn/yuccareplica"
@@ -180,16 +181,9 @@
 	}
 }
 
-// inspect runs the question on the loop.
-func (c *Control) inspect(ctx context.Context, question func(c *Control)) error {
-	done := make(chan struct{})
+func (c *Control) postQuestion(ctx context.Context, q yuccaask.Question[*Control]) error {
 	select {
-	case c.events <- inspection{question: question, done: done}:
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-	select {
-	case <-done:
+	case c.events <- q:
 		return nil
 	case <-ctx.Done():
 		return ctx.Err()
--- a/yuccacontrol/events.go
+++ b/yuccacontrol/events.go
@@ -27,9 +27,3 @@
 	result *yuccastate.ChangeResult
 	err    error
 }
-
-// inspection runs a question on the loop, where the state may be read.
-type inspection struct {
-	question func(c *Control)
-	done     chan<- struct{}
-}
--- a/yuccacontrol/loop.go
+++ b/yuccacontrol/loop.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/yuccaturn/yuccaturn/yuccaask"
 	"github.com/yuccaturn/yuccaturn/yuccaregistry"
 	"github.com/yuccaturn/yuccaturn/yuccareplica"
 	"github.com/yuccaturn/yuccaturn/yuccastate"
@@ -49,9 +50,8 @@
 		c.dropSession(e.from.session)
 	case change:
 		c.propose(now, e)
-	case inspection:
-		e.question(c)
-		close(e.done)
+	case yuccaask.Question[*Control]:
+		e.Answer(c)
 	}
 }
 
--- a/yuccacontrol/sessions.go
+++ b/yuccacontrol/sessions.go
@@ -23,8 +23,10 @@
 	return s.conn.node.GetRole() == yuccawire.Role_ROLE_ENTRY
 }
 
-func (s *session) send(r *yuccawire.Renewed) {
-	_ = s.conn.link.Send(&yuccawire.Envelope{Body: &yuccawire.Envelope_Renewed{Renewed: r}})
+func (s *session) send(r *yuccawire.Renewed) { s.conn.sendRenewed(r) }
+
+func (c *conn) sendRenewed(r *yuccawire.Renewed) {
+	_ = c.link.Send(&yuccawire.Envelope{Body: &yuccawire.Envelope_Renewed{Renewed: r}})
 }
 
 func (s *session) sendGoodbye() {
@@ -45,9 +47,14 @@
 		return
 	}
 	node := r.GetNode()
-	if c.state.Fenced(node.GetName(), node.GetIncarnation()) || !c.registry.Renew(now, r) {
+	if c.state.Fenced(node.GetName(), node.GetIncarnation()) {
 		c.metrics.Add("renewals_fenced", 1)
-		_ = from.link.Send(&yuccawire.Envelope{Body: &yuccawire.Envelope_Renewed{Renewed: &yuccawire.Renewed{Sequence: r.GetSequence(), Fenced: true}}})
+		from.sendRenewed(&yuccawire.Renewed{Sequence: r.GetSequence(), Fenced: true})
+		return
+	}
+	if !c.registry.Renew(now, r) {
+		c.metrics.Add("renewals_replaced", 1)
+		from.sendRenewed(&yuccawire.Renewed{Sequence: r.GetSequence(), Replaced: true})
 		return
 	}
 	if from.session == nil {
@@ -71,7 +78,7 @@
 		refusal.LeaderAddress = c.core.Address(c.core.Leader()).GetAddress()
 	}
 	c.metrics.Add("renewals_refused", 1)
-	_ = from.link.Send(&yuccawire.Envelope{Body: &yuccawire.Envelope_Renewed{Renewed: refusal}})
+	from.sendRenewed(refusal)
 }
 
 // lacking returns what the process lacks, and notes that it was sent.
--- a/yuccacontrol/status.go
+++ b/yuccacontrol/status.go
@@ -5,6 +5,9 @@
 	"slices"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
+	"github.com/yuccaturn/yuccaturn/yuccaask"
 	"github.com/yuccaturn/yuccaturn/yuccadocument"
 	"github.com/yuccaturn/yuccaturn/yuccaregistry"
 	"github.com/yuccaturn/yuccaturn/yuccawire"
@@ -65,9 +68,7 @@
 // Status answers from this control's own state; only the leader's lists
 // members.
 func (c *Control) Status(ctx context.Context) (Status, error) {
-	var status Status
-	err := c.inspect(ctx, func(c *Control) { status = c.status(time.Now()) })
-	return status, err
+	return yuccaask.Ask(ctx, c.postQuestion, func(c *Control) Status { return c.status(time.Now()) })
 }
 
 func (c *Control) status(now time.Time) Status {
@@ -157,9 +158,7 @@
 
 // DataCentres lists the data centres of the document. Only the leader answers.
 func (c *Control) DataCentres(ctx context.Context) ([]DataCentreStatus, error) {
-	var all []DataCentreStatus
-	err := c.inspectLeader(ctx, func(c *Control, now time.Time) { all = c.dataCentres(now) })
-	return all, err
+	return askLeader(ctx, c, (*Control).dataCentres)
 }
 
 func (c *Control) dataCentres(now time.Time) []DataCentreStatus {
@@ -179,54 +178,51 @@
 	return all
 }
 
-// inspectLeader asks a question that only the leader may answer.
-func (c *Control) inspectLeader(ctx context.Context, question func(c *Control, now time.Time)) error {
-	led := false
-	err := c.inspect(ctx, func(c *Control) {
+// leaderAnswer is an answer that only the leader may give.
+type leaderAnswer[T any] struct {
+	value T
+	led   bool
+}
+
+// askLeader asks a question that only the leader may answer.
+func askLeader[T any](ctx context.Context, c *Control, question func(c *Control, now time.Time) T) (T, error) {
+	answer, err := yuccaask.Ask(ctx, c.postQuestion, func(c *Control) leaderAnswer[T] {
 		now := time.Now()
-		if led = c.leads(now); led {
-			question(c, now)
+		if !c.leads(now) {
+			return leaderAnswer[T]{}
 		}
+		return leaderAnswer[T]{value: question(c, now), led: true}
 	})
-	if err == nil && !led {
-		return ErrNotLeader
+	if err == nil && !answer.led {
+		err = ErrNotLeader
 	}
-	return err
+	return answer.value, err
 }
 
 // Section returns a section as it is accepted. Only the leader answers.
 func (c *Control) Section(ctx context.Context, name string) (*yuccawire.Section, error) {
-	var section *yuccawire.Section
-	err := c.inspectLeader(ctx, func(c *Control, _ time.Time) { section = c.state.Section(name) })
-	return section, err
+	return askLeader(ctx, c, func(c *Control, _ time.Time) *yuccawire.Section { return c.state.Section(name) })
 }
 
 // History returns the accepted changes, the newest first. Only the leader
 // answers.
 func (c *Control) History(ctx context.Context, section string, limit int) ([]*yuccawire.Change, error) {
-	var changes []*yuccawire.Change
-	err := c.inspectLeader(ctx, func(c *Control, _ time.Time) { changes = c.state.History(section, limit) })
-	return changes, err
+	return askLeader(ctx, c, func(c *Control, _ time.Time) []*yuccawire.Change { return c.state.History(section, limit) })
 }
 
 // Job returns the claim of a job, or nil. Only the leader answers.
 func (c *Control) Job(ctx context.Context, key *yuccawire.JobKey) (*yuccawire.JobRecord, error) {
-	var record *yuccawire.JobRecord
-	err := c.inspectLeader(ctx, func(c *Control, _ time.Time) {
+	return askLeader(ctx, c, func(c *Control, _ time.Time) *yuccawire.JobRecord {
 		if held := c.state.Job(key); held != nil {
-			record = &yuccawire.JobRecord{
-				Job: held.GetJob(), Owner: held.GetOwner(), Incarnation: held.GetIncarnation(),
-				Finished: held.GetFinished(), Complete: held.GetComplete(), AtUnixMs: held.GetAtUnixMs(),
-			}
+			return proto.CloneOf(held)
 		}
+		return nil
 	})
-	return record, err
 }
 
 // RemoveReplica begins to take a replica out of the group. Only the leader can.
 func (c *Control) RemoveReplica(ctx context.Context, name string) error {
-	var removal error
-	err := c.inspectLeader(ctx, func(c *Control, now time.Time) { removal = c.removeReplica(now, name) })
+	removal, err := askLeader(ctx, c, func(c *Control, now time.Time) error { return c.removeReplica(now, name) })
 	if err != nil {
 		return err
 	}
--- a/yuccadisk/folder.go
+++ b/yuccadisk/folder.go
@@ -146,7 +146,7 @@
 		if frame == nil {
 			break
 		}
-		replay(&f.stored, frame)
+		Replay(&f.stored, frame)
 		sound += size
 	}
 	if sound == 0 || soundFrameIn(text[min(sound+1, len(text)):]) {
@@ -174,8 +174,8 @@
 	return nil
 }
 
-// replay brings what the disk holds from one frame to the next.
-func replay(stored *yuccareplica.Stored, frame *yuccawire.DiskFrame) {
+// Replay brings what the disk holds from one frame to the next.
+func Replay(stored *yuccareplica.Stored, frame *yuccawire.DiskFrame) {
 	if s := frame.GetSnapshot(); s != nil {
 		stored.Snapshot = s
 		stored.Entries = nil
--- a/yuccadispatch/answer.go
+++ b/yuccadispatch/answer.go
@@ -27,6 +27,10 @@
 		j.doomed = reason
 	}
 	d.unqueue(j)
+	if j.state == gathering {
+		j.takeover.lost = true
+		d.settleUnasked(j)
+	}
 	if j.ongoing() {
 		d.cancelSides(j)
 		if now.Before(j.expireAt) {
@@ -88,6 +92,7 @@
 func (j *job) makeOutcome() *yuccawire.Outcome {
 	o := &yuccawire.Outcome{Complete: j.doomed == "", Reason: j.doomed, Cancelled: j.cancelled}
 	o.NotRun = !o.GetComplete() && j.neverStarted()
+	o.Undetermined = !o.GetComplete() && j.maybeAnswered()
 	o.Tasks = make([]*yuccawire.TaskOutcome, len(j.tasks))
 	for i, t := range j.tasks {
 		o.Tasks[i] = t.outcome(o.GetComplete())
@@ -95,6 +100,20 @@
 	return o
 }
 
+// maybeAnswered tells whether a former owner may have answered the job complete:
+// it was taken over, no task is known not to have been started, and none failed.
+func (j *job) maybeAnswered() bool {
+	if j.takeover == nil {
+		return false
+	}
+	for _, t := range j.tasks {
+		if t.state == waiting && !t.ran || t.state == failed || t.ownStart {
+			return false
+		}
+	}
+	return true
+}
+
 // outcome tells the truth about one task. Results are given only in a complete
 // answer.
 func (t *task) outcome(complete bool) *yuccawire.TaskOutcome {
@@ -102,6 +121,9 @@
 	switch t.state {
 	case waiting:
 		o.State = yuccawire.TaskState_TASK_NOT_STARTED
+		if t.ran {
+			o.State = yuccawire.TaskState_TASK_UNKNOWN
+		}
 	case sent, unknown:
 		o.State = yuccawire.TaskState_TASK_UNKNOWN
 	case succeeded, failed:
@@ -138,6 +160,8 @@
 	switch {
 	case j.outcome.GetComplete():
 		d.metrics.Add("jobs_complete", 1)
+	case j.outcome.GetUndetermined():
+		d.metrics.Add("jobs_undetermined", 1)
 	case j.outcome.GetCancelled():
 		d.metrics.Add("jobs_cancelled", 1)
 	default:
--- a/yuccadispatch/collect.go
+++ b/yuccadispatch/collect.go
@@ -76,6 +76,7 @@
 
 func (d *Dispatcher) repeat(t *task) {
 	t.tries++
+	t.ran = true
 	d.metrics.Add("tasks_repeated", 1)
 	d.requeue(t)
 }
--- a/yuccadispatch/dispatcher.go
+++ b/yuccadispatch/dispatcher.go
@@ -29,7 +29,9 @@
 // Options holds what a dispatcher needs.
 type Options struct {
 	// Self names the entry; its incarnation is new for each run.
-	Self    *yuccawire.Node
+	Self *yuccawire.Node
+	// View is the configuration that is in force already.
+	View    *yuccadocument.View
 	Random  *rand.Rand
 	Metrics *yuccametric.Set
 }
@@ -84,7 +86,7 @@
 	return &Dispatcher{
 		options:  options,
 		metrics:  options.Metrics,
-		view:     yuccadocument.NewView(),
+		view:     options.View,
 		jobs:     make(map[Key]*job),
 		unsettle: make(map[*job]struct{}),
 		forget:   make(map[string][]*yuccawire.JobKey),
--- a/yuccadispatch/job.go
+++ b/yuccadispatch/job.go
@@ -116,8 +116,12 @@
 	tries   int
 	place   *place
 	side    string
-	result  *yuccawire.Finished
-	failure string
+	// ran is set once an attempt was started, or may have been.
+	ran bool
+	// ownStart is set once this entry has started the task itself.
+	ownStart bool
+	result   *yuccawire.Finished
+	failure  string
 }
 
 func newJob(now time.Time, s Submission, nonce uint64) *job {
@@ -150,7 +154,7 @@
 // neverStarted tells whether no attempt at any task was started.
 func (j *job) neverStarted() bool {
 	for _, t := range j.tasks {
-		if t.state != waiting {
+		if t.state != waiting || t.ran {
 			return false
 		}
 	}
--- a/yuccadispatch/place.go
+++ b/yuccadispatch/place.go
@@ -64,6 +64,7 @@
 func (d *Dispatcher) start(now time.Time, t *task, p *place) {
 	j := t.job
 	t.state = sent
+	t.ownStart = true
 	t.attempt++
 	t.place = p
 	t.side = p.side.node.GetName()
--- a/yuccadispatch/takeover.go
+++ b/yuccadispatch/takeover.go
@@ -129,18 +129,27 @@
 // endGathering goes on with the job. Tasks that no side knows are started only
 // if every side that may have had them was asked.
 func (d *Dispatcher) endGathering(now time.Time, j *job) {
-	j.state = open
 	sure := d.askedAll(j)
+	j.state = open
 	sv := d.service(j.Service)
+	if !sure {
+		d.settleUnasked(j)
+	}
 	for _, t := range j.tasks {
-		if t.state != waiting {
-			continue
-		}
-		if sure {
+		if t.state == waiting && j.doomed == "" {
 			t.attempt = max(t.attempt, uint32(j.nonce)*attemptsPerOwner)
-			if j.doomed == "" {
-				d.enqueue(sv, t)
-			}
+			d.enqueue(sv, t)
+		}
+	}
+	d.progress(now, j)
+	d.placeService(now, sv)
+}
+
+// settleUnasked ends the tasks that the former owner may have started at a side
+// that could not be asked.
+func (d *Dispatcher) settleUnasked(j *job) {
+	for _, t := range j.tasks {
+		if t.state != waiting {
 			continue
 		}
 		t.settle(unknown)
@@ -149,8 +158,6 @@
 			j.doomed = t.failure
 		}
 	}
-	d.progress(now, j)
-	d.placeService(now, sv)
 }
 
 // askedAll tells whether every side that may have started tasks of the job has
--- a/yuccadocument/view.go
+++ b/yuccadocument/view.go
@@ -88,7 +88,7 @@
 
 // OutBody encodes the body of the section data_centres_out.
 func OutBody(out []string) []byte {
-	sorted := slices.Sorted(slices.Values(out))
+	sorted := append([]string{}, slices.Sorted(slices.Values(out))...)
 	body, err := json.Marshal(outSection{Out: sorted})
 	if err != nil {
 		panic(err) // strings always encode
--- a/yuccaentry/entry.go
+++ b/yuccaentry/entry.go
@@ -10,6 +10,9 @@
 
 	"github.com/thejerf/suture/v4"
 
+	"google.golang.org/protobuf/proto"
+
+	"github.com/yuccaturn/yuccaturn/yuccaask"
 	"github.com/yuccaturn/yuccaturn/yuccadispatch"
 	"github.com/yuccaturn/yuccaturn/yuccadocument"
 	"github.com/yuccaturn/yuccaturn/yuccalease"
@@ -44,6 +47,7 @@
 	events  chan event
 	ready   atomic.Bool
 	leaving atomic.Bool
+	self    atomic.Pointer[yuccawire.Node]
 
 	// Owned by the loop.
 	dispatcher *yuccadispatch.Dispatcher
@@ -66,14 +70,20 @@
 		waiters:  make(map[yuccadispatch.Key][]chan<- yuccadispatch.Answer),
 		watchers: make(map[yuccadispatch.Key][]chan<- yuccadispatch.Found),
 	}
-	e.dispatcher = yuccadispatch.New(yuccadispatch.Options{Self: options.Self, Random: options.Random, Metrics: options.Metrics})
+	e.self.Store(options.Self)
+	e.dispatcher = e.newDispatcher(yuccadocument.NewView())
 	e.lease = yuccalease.New(yuccalease.Options{
 		Network: options.Network, Self: options.Self, Controls: options.Controls,
-		Sections: yuccadocument.AllSections, Random: options.Random, Logger: options.Logger,
+		Sections: yuccadocument.AllSections, Random: fork(options.Random), Logger: options.Logger,
 	})
 	return e
 }
 
+// fork returns a source of random numbers for another goroutine.
+func fork(random *rand.Rand) *rand.Rand {
+	return rand.New(rand.NewPCG(random.Uint64(), random.Uint64()))
+}
+
 // Lease returns the client that keeps the entry's lease.
 func (e *Entry) Lease() *yuccalease.Client { return e.lease }
 
@@ -104,7 +114,7 @@
 		case <-ticker.C:
 			e.tick(time.Now())
 		case update := <-e.lease.Events():
-			e.dispatcher.Control(time.Now(), update)
+			e.update(update)
 		case ev := <-e.events:
 			e.handleAll(ev)
 		}
@@ -114,6 +124,53 @@
 	}
 }
 
+func (e *Entry) update(u yuccalease.Update) {
+	if u.Incarnation != e.self.Load().GetIncarnation() {
+		return
+	}
+	if u.Fenced {
+		e.restart()
+		return
+	}
+	e.dispatcher.Control(time.Now(), u)
+}
+
+// restart takes up a new incarnation after another entry may have taken over
+// the jobs of the old one. Their callers are told to ask again.
+func (e *Entry) restart() {
+	old := e.self.Load()
+	e.options.Logger.Warn("fenced: starting again under a new incarnation", "jobs", e.dispatcher.Unsettled())
+	e.metrics.Add("restarts_fenced", 1)
+	for key, waiters := range e.waiters {
+		for _, waiter := range waiters {
+			waiter <- yuccadispatch.Answer{Key: key, Rejection: yuccadispatch.OutcomeUnknown}
+		}
+		delete(e.waiters, key)
+	}
+	for key, watchers := range e.watchers {
+		for _, watcher := range watchers {
+			watcher <- yuccadispatch.Found{Key: key}
+		}
+		delete(e.watchers, key)
+	}
+	for name := range e.links {
+		e.closeLink(name)
+	}
+	next := proto.CloneOf(old)
+	next.Incarnation++
+	e.self.Store(next)
+	e.lease.Restart(next)
+	e.dispatcher = e.newDispatcher(e.dispatcher.View())
+}
+
+func (e *Entry) newDispatcher(view *yuccadocument.View) *yuccadispatch.Dispatcher {
+	d := yuccadispatch.New(yuccadispatch.Options{Self: e.self.Load(), View: view, Random: e.options.Random, Metrics: e.metrics})
+	if e.leaving.Load() {
+		d.Drain()
+	}
+	return d
+}
+
 func (e *Entry) tick(now time.Time) {
 	e.dispatcher.Tick(now)
 	ready := e.dispatcher.Lease().Valid(now)
@@ -152,9 +209,8 @@
 	case drain:
 		e.dispatcher.Drain()
 		e.drained = ev.done
-	case inspection:
-		ev.question(e)
-		close(ev.done)
+	case yuccaask.Question[*Entry]:
+		ev.Answer(e)
 	}
 }
 
@@ -288,14 +344,23 @@
 func (e *Entry) unsettled() int {
 	ctx, cancel := context.WithTimeout(context.Background(), flushPause)
 	defer cancel()
-	count := 0
-	_ = e.inspect(ctx, func(e *Entry) { count = e.dispatcher.Unsettled() })
+	count, err := yuccaask.Ask(ctx, e.postQuestion, func(e *Entry) int { return e.dispatcher.Unsettled() })
+	if err != nil {
+		return 0
+	}
 	return count
 }
 
 // FreeSlots is the number of tasks of the service that could be started now.
 func (e *Entry) FreeSlots(ctx context.Context, service string) int {
-	free := 0
-	_ = e.inspect(ctx, func(e *Entry) { free = e.dispatcher.FreeSlots(time.Now(), service) })
+	free, err := yuccaask.Ask(ctx, e.postQuestion, func(e *Entry) int { return e.dispatcher.FreeSlots(time.Now(), service) })
+	if err != nil {
+		return 0
+	}
 	return free
 }
+
+// View returns the configuration that the entry has in force.
+func (e *Entry) View(ctx context.Context) (*yuccadocument.View, error) {
+	return yuccaask.Ask(ctx, e.postQuestion, func(e *Entry) *yuccadocument.View { return e.dispatcher.View() })
+}
--- a/yuccaentry/events.go
+++ b/yuccaentry/events.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/yuccaturn/yuccaturn/yuccaask"
 	"github.com/yuccaturn/yuccaturn/yuccadispatch"
 	"github.com/yuccaturn/yuccaturn/yuccawire"
 )
@@ -46,12 +47,6 @@
 // drain begins a graceful shutdown.
 type drain struct{ done chan<- int }
 
-// inspection runs a question on the loop, where the state may be read.
-type inspection struct {
-	question func(e *Entry)
-	done     chan<- struct{}
-}
-
 // post hands an event to the loop.
 func (e *Entry) post(ctx context.Context, ev event) error {
 	select {
@@ -62,15 +57,6 @@
 	}
 }
 
-func (e *Entry) inspect(ctx context.Context, question func(e *Entry)) error {
-	done := make(chan struct{})
-	if err := e.post(ctx, inspection{question: question, done: done}); err != nil {
-		return err
-	}
-	select {
-	case <-done:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+func (e *Entry) postQuestion(ctx context.Context, q yuccaask.Question[*Entry]) error {
+	return e.post(ctx, q)
 }
--- a/yuccaentry/handler.go
+++ b/yuccaentry/handler.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/yuccaturn/yuccaturn/yuccaask"
 	"github.com/yuccaturn/yuccaturn/yuccadispatch"
 	"github.com/yuccaturn/yuccaturn/yuccaproblem"
 )
@@ -136,16 +137,22 @@
 func (e *Entry) getStatus(w http.ResponseWriter, r *http.Request) {
 	ctx, cancel := context.WithTimeout(r.Context(), watchGrace)
 	defer cancel()
-	status := Status{Name: e.options.Self.GetName(), Ready: e.Ready(), Draining: e.leaving.Load()}
-	err := e.inspect(ctx, func(e *Entry) {
-		status.LeaseMs = max(time.Until(e.dispatcher.Lease().Expires()), 0).Milliseconds()
-		status.Sides = e.dispatcher.Sides()
-		status.Unsettled = e.dispatcher.Unsettled()
-		status.Queued = e.dispatcher.Queued()
-	})
+	status, err := yuccaask.Ask(ctx, e.postQuestion, (*Entry).status)
 	if err != nil {
 		yuccaproblem.Write(w, rejectionProblem(yuccadispatch.OutcomeUnknown))
 		return
 	}
 	writeJSON(w, http.StatusOK, status)
 }
+
+func (e *Entry) status() Status {
+	return Status{
+		Name:      e.options.Self.GetName(),
+		Ready:     e.Ready(),
+		Draining:  e.leaving.Load(),
+		LeaseMs:   max(time.Until(e.dispatcher.Lease().Expires()), 0).Milliseconds(),
+		Sides:     e.dispatcher.Sides(),
+		Unsettled: e.dispatcher.Unsettled(),
+		Queued:    e.dispatcher.Queued(),
+	}
+}
--- a/yuccaentry/jobs.go
+++ b/yuccaentry/jobs.go
@@ -52,6 +52,7 @@
 	stateComplete = "complete"
 	stateFailed   = "failed"
 	stateRunning  = "running"
+	stateUnknown  = "unknown"
 	microsPerMs   = 1000
 )
 
@@ -134,7 +135,10 @@
 // outcomeProblem returns the problem that a failed job is to its caller.
 func outcomeProblem(o *yuccawire.Outcome) *yuccaproblem.Problem {
 	p := yuccaproblem.New(http.StatusBadGateway, yuccaproblem.TaskFailed, o.GetReason())
-	if o.GetCancelled() {
+	switch {
+	case o.GetUndetermined():
+		p = yuccaproblem.New(http.StatusGatewayTimeout, yuccaproblem.OutcomeUnknown, o.GetReason())
+	case o.GetCancelled():
 		p = yuccaproblem.New(http.StatusConflict, yuccaproblem.Cancelled, o.GetReason())
 	}
 	p.NotRun = o.GetNotRun()
@@ -146,8 +150,11 @@
 		Team: key.Team, ID: key.ID, State: stateFailed, Reason: o.GetReason(),
 		NotRun: o.GetNotRun(), Cancelled: o.GetCancelled(), Tasks: make([]taskAnswer, len(o.GetTasks())),
 	}
-	if o.GetComplete() {
+	switch {
+	case o.GetComplete():
 		body.State = stateComplete
+	case o.GetUndetermined():
+		body.State = stateUnknown
 	}
 	for i, t := range o.GetTasks() {
 		body.Tasks[i] = answerTask(t)
--- a/yuccaentry/links.go
+++ b/yuccaentry/links.go
@@ -19,6 +19,7 @@
 type dialer struct {
 	entry  *Entry
 	node   *yuccawire.Node
+	random *rand.Rand
 	cancel context.CancelFunc
 
 	// Owned by the entry's loop.
@@ -29,7 +30,7 @@
 func (e *Entry) openLink(ctx context.Context, node *yuccawire.Node) {
 	e.closeLink(node.GetName())
 	ctx, cancel := context.WithCancel(ctx)
-	d := &dialer{entry: e, node: node, cancel: cancel}
+	d := &dialer{entry: e, node: node, random: fork(e.options.Random), cancel: cancel}
 	e.links[node.GetName()] = d
 	go d.run(ctx)
 }
@@ -92,7 +93,7 @@
 		if d.connect(ctx) {
 			wait = minRedialWait
 		}
-		pause(ctx, wait/2+rand.N(wait/2))
+		pause(ctx, wait/2+time.Duration(d.random.Int64N(int64(wait/2))))
 		wait = min(2*wait, maxRedialWait)
 	}
 }
@@ -110,7 +111,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = link.Close() })
 	defer stop()
 	opened := time.Now()
-	peer, err := yuccawire.SayHello(ctx, link, d.entry.options.Self)
+	peer, err := yuccawire.SayHello(ctx, link, d.entry.self.Load())
 	if err != nil || peer.GetName() != d.node.GetName() || peer.GetIncarnation() != d.node.GetIncarnation() {
 		return false
 	}
@@ -169,7 +170,7 @@
 
 func (r *reader) run(ctx context.Context) {
 	defer r.link.Close()
-	node, err := yuccawire.AcceptHello(ctx, r.link, r.entry.options.Self)
+	node, err := yuccawire.AcceptHello(ctx, r.link, r.entry.self.Load())
 	if err != nil {
 		r.entry.metrics.Add("links_rejected", 1)
 		return
--- a/yuccagate/results.go
+++ b/yuccagate/results.go
@@ -26,9 +26,9 @@
 }
 
 // Cancel refuses all further starts of the job and returns the attempts that
-// run. The refusal is kept until the given time at least.
-func (g *Gate) Cancel(job *yuccawire.JobKey, keepUntil time.Time) []*yuccawire.TaskKey {
-	r := g.record(job, keepUntil)
+// run.
+func (g *Gate) Cancel(now time.Time, job *yuccawire.JobKey) []*yuccawire.TaskKey {
+	r := g.record(job, now.Add(g.options.Retention))
 	r.cancelled = true
 	return r.runningKeys()
 }
@@ -53,9 +53,9 @@
 }
 
 // Query answers an owner that reconnected. An attempt that never arrived is
-// refused from now on, until the given time at least.
-func (g *Gate) Query(key *yuccawire.TaskKey, keepUntil time.Time) Answer {
-	r := g.record(key.GetJob(), keepUntil)
+// refused from now on.
+func (g *Gate) Query(now time.Time, key *yuccawire.TaskKey) Answer {
+	r := g.record(key.GetJob(), now.Add(g.options.Retention))
 	a := r.find(key)
 	if a == nil {
 		a = &attempt{key: key, refusal: yuccawire.Refusal_REFUSAL_NEVER_ARRIVED}
--- /dev/null
+++ b/yuccahistory/check.go
@@ -0,0 +1,248 @@
+package yuccahistory
+
+import (
+	"fmt"
+	"slices"
+	"time"
+)
+
+// Rules that a history is checked against.
+const (
+	RuleStartOnce     = "each task of a submission starts at most once"
+	RuleWhole         = "an answer is complete or failed, never partial"
+	RuleOwnResult     = "a caller gets the answer to its own request"
+	RuleOneOutcome    = "two callers of one job never hear different outcomes"
+	RuleAnsweredOnce  = "a request is answered once, and in time"
+	RuleNotRun        = "a refusal that says not run is true"
+	RuleDataCentreOut = "no task starts in a data centre that was taken out"
+	RuleTargetLeaving = "a target that is leaving gets no new work"
+	RuleGracefulStop  = "a planned stop cuts no request in progress"
+	RuleNeverReverts  = "a configuration in force never reverts"
+)
+
+// Default bounds, from the users' targets.
+const (
+	DefaultOutBound     = 4 * time.Second
+	DefaultLeavingBound = 2 * time.Second
+	DefaultAnswerGrace  = time.Second
+)
+
+// Bounds are the times that the rules allow. Zero fields get defaults.
+type Bounds struct {
+	// Out is the latest start after a data centre was taken out.
+	Out time.Duration
+	// Leaving is the latest start after a target said that it leaves.
+	Leaving time.Duration
+	// AnswerGrace is how late an answer may be.
+	AnswerGrace time.Duration
+}
+
+func (b Bounds) withDefaults() Bounds {
+	if b.Out == 0 {
+		b.Out = DefaultOutBound
+	}
+	if b.Leaving == 0 {
+		b.Leaving = DefaultLeavingBound
+	}
+	if b.AnswerGrace == 0 {
+		b.AnswerGrace = DefaultAnswerGrace
+	}
+	return b
+}
+
+type taskID struct{ job, task string }
+
+// checker goes through a history in the order of time.
+type checker struct {
+	bounds     Bounds
+	violations []Violation
+	repeatable map[string]bool
+	started    map[taskID][]Event
+	jobStarts  map[string][]Event
+	finished   map[taskID][]Event
+	submitted  map[string]Event
+	answered   map[string]Event
+	outcomes   map[string]Event
+	notRun     map[string][]Event
+	out        map[string]Event
+	leaving    map[string]Event
+	stopping   map[string]Event
+	inForce    map[string]Event
+}
+
+// Check returns all violations of a history.
+func Check(events []Event, bounds Bounds) []Violation {
+	c := &checker{
+		bounds:     bounds.withDefaults(),
+		repeatable: make(map[string]bool),
+		started:    make(map[taskID][]Event),
+		jobStarts:  make(map[string][]Event),
+		finished:   make(map[taskID][]Event),
+		submitted:  make(map[string]Event),
+		answered:   make(map[string]Event),
+		outcomes:   make(map[string]Event),
+		notRun:     make(map[string][]Event),
+		out:        make(map[string]Event),
+		leaving:    make(map[string]Event),
+		stopping:   make(map[string]Event),
+		inForce:    make(map[string]Event),
+	}
+	events = slices.Clone(events)
+	sortByTime(events)
+	for _, e := range events {
+		c.step(e)
+	}
+	c.checkUnanswered()
+	c.checkRefusedJobs()
+	return c.violations
+}
+
+func (c *checker) report(rule, detail string, events ...Event) {
+	c.violations = append(c.violations, Violation{Rule: rule, Detail: detail, Events: events})
+}
+
+func (c *checker) step(e Event) {
+	switch e.Kind {
+	case Submitted:
+		c.repeatable[e.Job] = e.Repeatable
+		c.submitted[e.Request] = e
+	case Answered:
+		c.checkAnswer(e)
+	case Started:
+		c.checkStart(e)
+	case Finished:
+		id := taskID{e.Job, e.Task}
+		c.finished[id] = append(c.finished[id], e)
+	case Cut:
+		c.checkCut(e)
+	case DataCentreOut:
+		if _, already := c.out[e.DataCentre]; !already {
+			c.out[e.DataCentre] = e
+		}
+	case DataCentreIn:
+		delete(c.out, e.DataCentre)
+	case TargetLeaving:
+		c.leaving[e.Node] = e
+	case TargetBack:
+		delete(c.leaving, e.Node)
+	case StopBegun:
+		c.stopping[e.Node] = e
+	case StopEnded:
+		delete(c.stopping, e.Node)
+	case InForce:
+		c.checkInForce(e)
+	case Accepted:
+	}
+}
+
+func (c *checker) checkStart(e Event) {
+	id := taskID{e.Job, e.Task}
+	if earlier := c.started[id]; len(earlier) > 0 && !c.repeatable[e.Job] {
+		c.report(RuleStartOnce, fmt.Sprintf("%s task %s started at %s and at %s", e.Job, e.Task, earlier[0].Node, e.Node), earlier[0], e)
+	}
+	c.started[id] = append(c.started[id], e)
+	c.jobStarts[e.Job] = append(c.jobStarts[e.Job], e)
+	if out, isOut := c.out[e.DataCentre]; isOut && e.At.Sub(out.At) > c.bounds.Out {
+		c.report(RuleDataCentreOut, fmt.Sprintf("%s started in %s %s after it was taken out", e.Job, e.DataCentre, e.At.Sub(out.At)), out, e)
+	}
+	if left, isLeaving := c.leaving[e.Node]; isLeaving && e.At.Sub(left.At) > c.bounds.Leaving {
+		c.report(RuleTargetLeaving, fmt.Sprintf("%s started at %s %s after it said that it leaves", e.Job, e.Node, e.At.Sub(left.At)), left, e)
+	}
+}
+
+func (c *checker) checkCut(e Event) {
+	if stop, planned := c.stopping[e.Node]; planned {
+		c.report(RuleGracefulStop, fmt.Sprintf("%s task %s was cut at %s", e.Job, e.Task, e.Node), stop, e)
+	}
+}
+
+func (c *checker) checkAnswer(e Event) {
+	if earlier, twice := c.answered[e.Request]; twice {
+		c.report(RuleAnsweredOnce, fmt.Sprintf("request %s was answered twice", e.Request), earlier, e)
+	}
+	c.answered[e.Request] = e
+	request, known := c.submitted[e.Request]
+	if known && !request.Deadline.IsZero() && e.At.After(request.Deadline.Add(c.bounds.AnswerGrace)) {
+		c.report(RuleAnsweredOnce, fmt.Sprintf("request %s was answered %s after its deadline", e.Request, e.At.Sub(request.Deadline)), request, e)
+	}
+	if e.NotRun {
+		c.checkNotRun(e)
+	}
+	switch e.Outcome {
+	case OutcomeComplete:
+		c.checkComplete(request, e)
+		c.checkOutcome(e)
+	case OutcomeFailed:
+		c.checkOutcome(e)
+	}
+}
+
+// checkNotRun wants no start of the job before the refusal. Starts after it
+// belong to other submissions, see [checker.checkRefusedJobs].
+func (c *checker) checkNotRun(e Event) {
+	c.notRun[e.Job] = append(c.notRun[e.Job], e)
+	if starts := c.jobStarts[e.Job]; len(starts) > 0 {
+		c.report(RuleNotRun, fmt.Sprintf("%s was said not to be run, but task %s was started", e.Job, starts[0].Task), starts[0], e)
+	}
+}
+
+func (c *checker) checkOutcome(e Event) {
+	first, known := c.outcomes[e.Job]
+	if !known {
+		c.outcomes[e.Job] = e
+		return
+	}
+	if first.Outcome != e.Outcome {
+		c.report(RuleOneOutcome, fmt.Sprintf("%s was answered %s and %s", e.Job, first.Outcome, e.Outcome), first, e)
+	}
+}
+
+func (c *checker) checkComplete(request, e Event) {
+	if len(e.Results) != len(request.Tasks) {
+		c.report(RuleWhole, fmt.Sprintf("%s has %d tasks and %d results", e.Job, len(request.Tasks), len(e.Results)), request, e)
+		return
+	}
+	for i, task := range request.Tasks {
+		r := e.Results[i]
+		if r.Task != task {
+			c.report(RuleWhole, fmt.Sprintf("%s result %d is of task %s, expected %s", e.Job, i, r.Task, task), request, e)
+			continue
+		}
+		finished := c.finished[taskID{e.Job, task}]
+		if !slices.ContainsFunc(finished, func(f Event) bool { return f.Result == r.Result }) {
+			c.report(RuleOwnResult, fmt.Sprintf("%s task %s was answered %q, which no target gave", e.Job, task, r.Result), request, e)
+		}
+	}
+}
+
+func (c *checker) checkInForce(e Event) {
+	key := fmt.Sprintf("%s/%d/%s", e.Node, e.Incarnation, e.Section)
+	if earlier, known := c.inForce[key]; known && earlier.Version > e.Version {
+		c.report(RuleNeverReverts, fmt.Sprintf("section %s fell from %d to %d at %s", e.Section, earlier.Version, e.Version, e.Node), earlier, e)
+	}
+	c.inForce[key] = e
+}
+
+// checkUnanswered wants an answer to every request that has a deadline.
+func (c *checker) checkUnanswered() {
+	for id, request := range c.submitted {
+		if _, ok := c.answered[id]; !ok && !request.Deadline.IsZero() {
+			c.report(RuleAnsweredOnce, fmt.Sprintf("request %s was never answered", id), request)
+		}
+	}
+}
+
+// checkRefusedJobs wants no start of a job all of whose submissions were said
+// not to be run.
+func (c *checker) checkRefusedJobs() {
+	submissions := make(map[string]int)
+	for _, request := range c.submitted {
+		submissions[request.Job]++
+	}
+	for job, refusals := range c.notRun {
+		starts := c.jobStarts[job]
+		if len(starts) > 0 && len(refusals) == submissions[job] {
+			c.report(RuleNotRun, fmt.Sprintf("%s task %s started, and every submission was said not to be run", job, starts[0].Task), refusals[0], starts[0])
+		}
+	}
+}
--- a/yuccalease/client.go
+++ b/yuccalease/client.go
@@ -41,6 +41,8 @@
 // Update is one step of what control grants and spreads. A lease in it holds
 // together with the view, members and fences of the same update.
 type Update struct {
+	// Incarnation is that of the process when it asked.
+	Incarnation uint64
 	// Lease is the lease in force.
 	Lease Lease
 	// View is the configuration in force.
@@ -51,6 +53,9 @@
 	Fences []*yuccawire.Fence
 	// Claims are answers to claims, if any.
 	Claims []*yuccawire.ClaimReply
+	// Fenced is set when this incarnation may never hold a lease again. The
+	// process gives up all that it owned and calls [Client.Restart].
+	Fenced bool
 	// Connected is set in the first update after a connection to the leader.
 	Connected bool
 }
@@ -63,12 +68,14 @@
 	kick    chan struct{}
 
 	mu      sync.Mutex
+	self    *yuccawire.Node
 	targets []*yuccawire.Target
 	leaving bool
 
 	// Owned by Serve.
 	next           int
 	hint           string
+	served         *yuccawire.Node
 	lease          Lease
 	view           *yuccadocument.View
 	membersEpoch   uint64
@@ -84,6 +91,7 @@
 	}
 	return &Client{
 		options: options,
+		self:    options.Self,
 		events:  make(chan Update, eventsCapacity),
 		outbox:  make(chan *yuccawire.Envelope, outboxCapacity),
 		kick:    make(chan struct{}, 1),
@@ -106,6 +114,19 @@
 	}
 }
 
+// Restart takes up a new incarnation of the process.
+func (c *Client) Restart(self *yuccawire.Node) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.self = self
+}
+
+func (c *Client) node() *yuccawire.Node {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.self
+}
+
 // Send passes a message to the leader. It returns false when the message was
 // dropped because no leader takes it.
 func (c *Client) Send(m *yuccawire.Envelope) bool {
@@ -164,9 +185,9 @@
 		return err
 	}
 	defer link.Close()
-	if _, err := yuccawire.SayHello(ctx, link, c.options.Self); err != nil {
+	s := newSession(c, link)
+	if _, err := yuccawire.SayHello(ctx, link, s.self); err != nil {
 		return merry.Prependf(err, "opening a session with control at %s", address)
 	}
-	s := newSession(c, link)
 	return s.serve(ctx)
 }
--- a/yuccalease/session.go
+++ b/yuccalease/session.go
@@ -13,6 +13,7 @@
 var (
 	errSilent    = merry.Sentinel("control is silent")
 	errNotLeader = merry.Sentinel("this control does not lead")
+	errReplaced  = merry.Sentinel("a newer process of this name holds the lease")
 	errFenced    = merry.Sentinel("this incarnation is fenced and may never hold a lease again")
 )
 
@@ -21,6 +22,7 @@
 // session is one link to a control.
 type session struct {
 	client    *Client
+	self      *yuccawire.Node
 	link      yuccawire.Link
 	inbox     chan *yuccawire.Envelope
 	sent      map[uint64]time.Time
@@ -29,9 +31,17 @@
 	connected bool
 }
 
+// newSession begins a session. A new incarnation of the process knows no
+// members yet.
 func newSession(c *Client, link yuccawire.Link) *session {
+	self := c.node()
+	if self != c.served {
+		c.served = self
+		c.membersEpoch, c.membersVersion = 0, 0
+	}
 	return &session{
 		client:   c,
+		self:     self,
 		link:     link,
 		inbox:    make(chan *yuccawire.Envelope, inboxCapacity),
 		sent:     make(map[uint64]time.Time),
@@ -122,7 +132,7 @@
 	s.renewed = now
 	renew := &yuccawire.Renew{
 		Sequence:       c.sequence,
-		Node:           c.options.Self,
+		Node:           s.self,
 		Targets:        targets,
 		Sections:       c.view.Versions(c.options.Sections),
 		MembersEpoch:   c.membersEpoch,
@@ -151,13 +161,8 @@
 		c.hint = r.GetLeaderAddress()
 		return errNotLeader
 	}
-	if r.GetFenced() {
-		c.lease = Lease{}
-		if err := s.emit(ctx, Update{}); err != nil {
-			return err
-		}
-		c.options.Logger.Error("this incarnation is fenced: restart the process", "incarnation", c.options.Self.GetIncarnation())
-		return errFenced
+	if r.GetFenced() || r.GetReplaced() {
+		return s.lose(ctx, r)
 	}
 	s.answered = time.Now()
 	s.applySections(r.GetSections())
@@ -171,6 +176,19 @@
 	return s.emit(ctx, update)
 }
 
+// lose gives the lease up for good.
+func (s *session) lose(ctx context.Context, r *yuccawire.Renewed) error {
+	s.client.lease = Lease{}
+	if err := s.emit(ctx, Update{Fenced: r.GetFenced()}); err != nil {
+		return err
+	}
+	if r.GetReplaced() {
+		s.client.options.Logger.Error("a newer process of this name holds the lease", "incarnation", s.self.GetIncarnation())
+		return errReplaced
+	}
+	return errFenced
+}
+
 // acknowledgeSoon lets control learn without delay that new sections are in
 // force.
 func (s *session) acknowledgeSoon() {
@@ -225,6 +243,7 @@
 }
 
 func (s *session) emit(ctx context.Context, update Update) error {
+	update.Incarnation = s.self.GetIncarnation()
 	update.Lease = s.client.lease
 	update.View = s.client.view
 	select {
--- /dev/null
+++ b/yuccaproof/cluster_test.go
@@ -0,0 +1,380 @@
+package yuccaproof
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/yuccaturn/yuccaturn/yuccacontrol"
+	"github.com/yuccaturn/yuccaturn/yuccadocument"
+	"github.com/yuccaturn/yuccaturn/yuccaentry"
+	"github.com/yuccaturn/yuccaturn/yuccahistory"
+	"github.com/yuccaturn/yuccaturn/yuccamem"
+	"github.com/yuccaturn/yuccaturn/yuccametric"
+	"github.com/yuccaturn/yuccaturn/yuccaside"
+	"github.com/yuccaturn/yuccaturn/yuccastate"
+	"github.com/yuccaturn/yuccaturn/yuccawire"
+)
+
+const (
+	// incarnationShift leaves room for the incarnations that an entry takes up
+	// within one run.
+	incarnationShift = 20
+
+	testService = "regulation"
+	testTeam    = "parishes"
+	testSlots   = 4
+	announceGap = time.Second
+)
+
+var testCentres = []string{"cusco", "puno"}
+
+// node is one process of a cluster. A restart is a new run of it.
+type node struct {
+	name       string
+	dataCentre string
+	ctx        context.Context
+	cancel     context.CancelFunc
+	running    sync.WaitGroup
+	control    *yuccacontrol.Control
+	disk       *memoryDisk
+	entry      *yuccaentry.Entry
+	side       *yuccaside.Side
+	stopping   atomic.Bool
+	run        uint64
+}
+
+func (n *node) up() bool { return n.ctx != nil && n.ctx.Err() == nil }
+
+// cluster is a whole system over a network in memory.
+type cluster struct {
+	t        *testing.T
+	fabric   *yuccamem.Fabric
+	random   *rand.Rand
+	recorder *yuccahistory.Recorder
+	controls []*node
+	entries  []*node
+	sides    []*node
+	callers  sync.WaitGroup
+	requests atomic.Int64
+}
+
+// newCluster starts a system and waits until it can serve callers.
+func newCluster(t *testing.T, seed uint64, controls, entries, sidesPerCentre int) *cluster {
+	c := &cluster{
+		t:        t,
+		fabric:   yuccamem.New(yuccamem.Options{Delay: 500 * time.Microsecond, Jitter: 2 * time.Millisecond, Seed: seed}),
+		random:   rand.New(rand.NewPCG(seed, 1)),
+		recorder: yuccahistory.New(),
+	}
+	for i := range controls {
+		n := &node{name: fmt.Sprintf("control-%d", i+1), dataCentre: testCentres[i%len(testCentres)]}
+		n.disk = &memoryDisk{id: c.random.Uint64() | 1, delay: 3 * time.Millisecond}
+		c.controls = append(c.controls, n)
+	}
+	for i := range entries {
+		c.entries = append(c.entries, &node{name: fmt.Sprintf("entry-%d", i+1), dataCentre: testCentres[i%len(testCentres)]})
+	}
+	for _, centre := range testCentres {
+		for i := range sidesPerCentre {
+			c.sides = append(c.sides, &node{name: fmt.Sprintf("side-%s-%d", centre, i+1), dataCentre: centre})
+		}
+	}
+	for _, n := range c.all() {
+		c.start(n)
+	}
+	c.configure()
+	c.awaitReady(c.entries...)
+	return c
+}
+
+func (c *cluster) all() []*node { return slices.Concat(c.controls, c.entries, c.sides) }
+
+func (c *cluster) names() []string {
+	var names []string
+	for _, n := range c.all() {
+		names = append(names, n.name)
+	}
+	return names
+}
+
+func (n *node) address() string { return n.name + ":1" }
+
+func (c *cluster) controlAddresses() []string {
+	var addresses []string
+	for _, n := range c.controls {
+		addresses = append(addresses, n.address())
+	}
+	return addresses
+}
+
+func (c *cluster) fork() *rand.Rand {
+	return rand.New(rand.NewPCG(c.random.Uint64(), c.random.Uint64()))
+}
+
+// start begins a new run of the node.
+func (c *cluster) start(n *node) {
+	n.ctx, n.cancel = context.WithCancel(context.Background())
+	n.stopping.Store(false)
+	n.run++
+	switch {
+	case n.disk != nil:
+		c.startControl(n)
+	case n.name[0] == 'e':
+		c.startEntry(n)
+	default:
+		c.startSide(n)
+	}
+}
+
+// serve runs a service until the node's run ends.
+func (n *node) serve(service func(ctx context.Context) error) {
+	ctx := n.ctx
+	n.running.Go(func() { _ = service(ctx) })
+}
+
+func (c *cluster) startControl(n *node) {
+	var listed []*yuccawire.ReplicaAddress
+	for _, other := range c.controls {
+		listed = append(listed, &yuccawire.ReplicaAddress{Name: other.name, Address: other.address()})
+	}
+	control, err := yuccacontrol.New(yuccacontrol.Options{
+		Network: c.fabric.Host(n.name), Storage: n.disk, DataCentre: n.dataCentre,
+		Self:   &yuccawire.ReplicaAddress{Name: n.name, Address: n.address()},
+		Listed: listed, Random: c.fork(), Metrics: yuccametric.New(n.name),
+	})
+	if err != nil {
+		c.t.Errorf("control %s: %v", n.name, err)
+		return
+	}
+	n.control = control
+	n.serve(control.Serve)
+}
+
+func (c *cluster) wireNode(n *node, role yuccawire.Role) *yuccawire.Node {
+	return &yuccawire.Node{Name: n.name, Role: role, DataCentre: n.dataCentre, Address: n.address(), Incarnation: n.run << incarnationShift}
+}
+
+func (c *cluster) startEntry(n *node) {
+	n.entry = yuccaentry.New(yuccaentry.Options{
+		Network: c.fabric.Host(n.name), Self: c.wireNode(n, yuccawire.Role_ROLE_ENTRY),
+		Controls: c.controlAddresses(), Random: c.fork(), Metrics: yuccametric.New(n.name),
+	})
+	n.serve(n.entry.Serve)
+	n.serve(n.entry.Lease().Serve)
+	c.watchView(n, n.entry.View, yuccadocument.AllSections)
+}
+
+func (c *cluster) startSide(n *node) {
+	n.side = yuccaside.New(yuccaside.Options{
+		Network: c.fabric.Host(n.name), Self: c.wireNode(n, yuccawire.Role_ROLE_SIDE),
+		Controls: c.controlAddresses(), Random: c.fork(), Metrics: yuccametric.New(n.name),
+		Runner: &recordingRunner{cluster: c, node: n, ctx: n.ctx},
+	})
+	n.serve(n.side.Serve)
+	n.serve(n.side.Lease().Serve)
+	side, ctx := n.side, n.ctx
+	n.serve(func(context.Context) error {
+		for ctx.Err() == nil && !n.stopping.Load() {
+			_ = side.Announce(ctx, yuccaside.Announcement{Service: testService, Address: "http://127.0.0.1:1", Slots: testSlots, Connections: 64})
+			sleep(ctx, announceGap)
+		}
+		return nil
+	})
+	c.watchView(n, n.side.View, []string{yuccadocument.SectionDataCentresOut})
+}
+
+// watchView records what the node has in force.
+func (c *cluster) watchView(n *node, view func(context.Context) (*yuccadocument.View, error), sections []string) {
+	run := n.run
+	n.serve(func(ctx context.Context) error {
+		last := make(map[string]uint64)
+		for ctx.Err() == nil {
+			v, err := view(ctx)
+			if err != nil {
+				return err
+			}
+			for _, section := range sections {
+				if version := v.Version(section); version != last[section] {
+					last[section] = version
+					c.recorder.Add(yuccahistory.Event{Kind: yuccahistory.InForce, Node: n.name, Incarnation: run, Section: section, Version: version})
+				}
+			}
+			sleep(ctx, 50*time.Millisecond)
+		}
+		return nil
+	})
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// crash ends the node's run without any notice.
+func (c *cluster) crash(n *node) {
+	if n.cancel == nil {
+		return
+	}
+	n.cancel()
+	c.fabric.Crash(n.name)
+	n.running.Wait()
+}
+
+// wipe makes a crashed control come back with an empty disk.
+func (c *cluster) wipe(n *node) {
+	n.disk = &memoryDisk{id: c.random.Uint64() | 1, delay: 3 * time.Millisecond}
+}
+
+// stop drains the node and then ends its run.
+func (c *cluster) stop(n *node) {
+	n.stopping.Store(true)
+	c.recorder.Add(yuccahistory.Event{Kind: yuccahistory.StopBegun, Node: n.name})
+	ctx, cancel := context.WithTimeout(n.ctx, 30*time.Second)
+	defer cancel()
+	switch {
+	case n.entry != nil:
+		n.entry.Drain(ctx)
+	case n.side != nil:
+		n.side.Drain(ctx)
+	}
+	c.crash(n)
+	c.recorder.Add(yuccahistory.Event{Kind: yuccahistory.StopEnded, Node: n.name})
+}
+
+// close ends all runs.
+func (c *cluster) close() {
+	c.callers.Wait()
+	for _, n := range c.all() {
+		c.crash(n)
+	}
+}
+
+// recordingRunner stands for the target of a side. Its tasks take the time that
+// their body gives.
+type recordingRunner struct {
+	cluster *cluster
+	node    *node
+	ctx     context.Context
+}
+
+func (r *recordingRunner) Run(ctx context.Context, _ string, s *yuccawire.Start) *yuccawire.Finished {
+	key := s.GetKey()
+	event := yuccahistory.Event{
+		Kind: yuccahistory.Started, Node: r.node.name, DataCentre: r.node.dataCentre,
+		Job: key.GetJob().GetTeam() + "/" + key.GetJob().GetId(), Task: key.GetTask(), Attempt: key.GetAttempt(),
+	}
+	r.cluster.recorder.Add(event)
+	duration, err := time.ParseDuration(string(s.GetRequest().GetBody()))
+	if err != nil {
+		duration = 50 * time.Millisecond
+	}
+	sleep(ctx, duration)
+	if ctx.Err() != nil {
+		if r.ctx.Err() != nil {
+			event.Kind = yuccahistory.Cut
+			r.cluster.recorder.Add(event)
+		}
+		return &yuccawire.Finished{State: yuccawire.TaskState_TASK_UNKNOWN, Failure: "stopped"}
+	}
+	event.Kind = yuccahistory.Finished
+	event.Result = fmt.Sprintf("%s/%s at %s", event.Job, event.Task, event.Node)
+	r.cluster.recorder.Add(event)
+	return &yuccawire.Finished{State: yuccawire.TaskState_TASK_FINISHED, Status: 200, Body: []byte(event.Result)}
+}
+
+// leader returns the control that leads, or nil.
+func (c *cluster) leader() *node {
+	for _, n := range c.controls {
+		if !n.up() {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(n.ctx, time.Second)
+		status, err := n.control.Status(ctx)
+		cancel()
+		if err == nil && status.Leads {
+			return n
+		}
+	}
+	return nil
+}
+
+// apply sends an operator's change to whichever control leads, until it has an
+// answer.
+func (c *cluster) apply(command *yuccawire.Command) *yuccastate.ChangeResult {
+	for range 200 {
+		for _, n := range c.controls {
+			if !n.up() {
+				continue
+			}
+			ctx, cancel := context.WithTimeout(n.ctx, time.Second)
+			result, err := n.control.Apply(ctx, command)
+			cancel()
+			if err == nil {
+				return result
+			}
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return nil
+}
+
+func sectionCommand(section string, base uint64, request, body string) *yuccawire.Command {
+	apply := &yuccawire.ApplySection{Section: section, BaseVersion: base, RequestId: request, Body: []byte(body), Operator: "test"}
+	return &yuccawire.Command{Body: &yuccawire.Command_ApplySection{ApplySection: apply}}
+}
+
+const (
+	centresBody  = `{"cusco": {"region": "sierra"}, "puno": {"region": "sierra"}}`
+	servicesBody = `{"regulation": {"objective": "work_done", "max_run": "10s", "recovery_wait": "5s"}}`
+	limitsBody   = `{"teams": {"parishes": {"weight": 2}, "councils": {}}}`
+)
+
+func (c *cluster) configure() {
+	for _, s := range []struct{ name, body string }{
+		{yuccadocument.SectionDataCentres, centresBody},
+		{yuccadocument.SectionServices, servicesBody},
+		{yuccadocument.SectionLimits, limitsBody},
+	} {
+		result := c.apply(sectionCommand(s.name, 0, "first-"+s.name, s.body))
+		if result == nil || result.Outcome > yuccastate.Repeated {
+			c.t.Fatalf("section %s was not accepted: %+v", s.name, result)
+		}
+	}
+}
+
+// setDataCentre takes a data centre out or brings it back, and records it.
+func (c *cluster) setDataCentre(name string, out bool) {
+	if !out {
+		c.recorder.Add(yuccahistory.Event{Kind: yuccahistory.DataCentreIn, DataCentre: name})
+	}
+	set := &yuccawire.SetDataCentre{DataCentre: name, Out: out, RequestId: fmt.Sprintf("dc-%d", c.requests.Add(1)), Operator: "test"}
+	result := c.apply(&yuccawire.Command{Body: &yuccawire.Command_SetDataCentre{SetDataCentre: set}})
+	if result != nil && out {
+		c.recorder.Add(yuccahistory.Event{Kind: yuccahistory.DataCentreOut, DataCentre: name})
+	}
+}
+
+// awaitReady waits until the entries hold a lease and see all sides.
+func (c *cluster) awaitReady(entries ...*node) {
+	for range 600 {
+		ready := true
+		for _, n := range entries {
+			ready = ready && n.entry.Ready() && n.entry.FreeSlots(n.ctx, testService) == len(c.sides)*testSlots
+		}
+		if ready {
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	c.t.Fatal("the cluster did not become ready")
+}
--- /dev/null
+++ b/yuccaproof/disk_test.go
@@ -0,0 +1,69 @@
+package yuccaproof
+
+import (
+	"errors"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/yuccaturn/yuccaturn/yuccadisk"
+	"github.com/yuccaturn/yuccaturn/yuccareplica"
+	"github.com/yuccaturn/yuccaturn/yuccawire"
+)
+
+var errDisk = errors.New("input/output error")
+
+// memoryDisk is a data folder in memory. What is written is synced after its
+// delay, and survives a crash of its control.
+type memoryDisk struct {
+	mu     sync.Mutex
+	id     uint64
+	frames []*yuccawire.DiskFrame
+	delay  time.Duration
+	broken bool
+	// forgetful is a planted fault: writes are acknowledged and not kept.
+	forgetful bool
+}
+
+func (m *memoryDisk) ID() uint64 { return m.id }
+
+func (m *memoryDisk) Stored() yuccareplica.Stored {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var stored yuccareplica.Stored
+	for _, frame := range m.frames {
+		yuccadisk.Replay(&stored, proto.CloneOf(frame))
+	}
+	return stored
+}
+
+func (m *memoryDisk) Write(frame *yuccawire.DiskFrame) error { return m.keep(frame, false) }
+
+func (m *memoryDisk) Replace(frame *yuccawire.DiskFrame) error { return m.keep(frame, true) }
+
+func (m *memoryDisk) keep(frame *yuccawire.DiskFrame, replace bool) error {
+	m.mu.Lock()
+	delay := m.delay
+	m.mu.Unlock()
+	time.Sleep(delay)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.broken {
+		return errDisk
+	}
+	if m.forgetful && len(m.frames) > 0 {
+		return nil
+	}
+	if replace {
+		m.frames = nil
+	}
+	m.frames = append(m.frames, proto.CloneOf(frame))
+	return nil
+}
+
+func (m *memoryDisk) set(change func(m *memoryDisk)) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	change(m)
+}
--- a/yuccaside/events.go
+++ b/yuccaside/events.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/yuccaturn/yuccaturn/yuccaask"
 	"github.com/yuccaturn/yuccaturn/yuccawire"
 )
 
@@ -39,12 +40,6 @@
 	done    chan<- struct{}
 }
 
-// inspection runs a question on the loop, where the state may be read.
-type inspection struct {
-	question func(s *Side)
-	done     chan<- struct{}
-}
-
 // post hands an event to the loop.
 func (s *Side) post(ctx context.Context, e event) error {
 	select {
@@ -54,3 +49,7 @@
 		return ctx.Err()
 	}
 }
+
+func (s *Side) postQuestion(ctx context.Context, q yuccaask.Question[*Side]) error {
+	return s.post(ctx, q)
+}
--- a/yuccaside/handler.go
+++ b/yuccaside/handler.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"github.com/yuccaturn/yuccaturn/yuccaask"
 	"github.com/yuccaturn/yuccaturn/yuccajsonc"
 	"github.com/yuccaturn/yuccaturn/yuccaproblem"
 )
@@ -100,8 +101,8 @@
 func (s *Side) getStatus(w http.ResponseWriter, r *http.Request) {
 	ctx, cancel := context.WithTimeout(r.Context(), statusTimeout)
 	defer cancel()
-	var status Status
-	if err := s.inspect(ctx, func(s *Side) { status = s.status(time.Now()) }); err != nil {
+	status, err := yuccaask.Ask(ctx, s.postQuestion, func(s *Side) Status { return s.status(time.Now()) })
+	if err != nil {
 		yuccaproblem.Write(w, yuccaproblem.New(http.StatusServiceUnavailable, yuccaproblem.Draining, err.Error()))
 		return
 	}
@@ -132,16 +133,3 @@
 	}
 	return status
 }
-
-func (s *Side) inspect(ctx context.Context, question func(s *Side)) error {
-	done := make(chan struct{})
-	if err := s.post(ctx, inspection{question: question, done: done}); err != nil {
-		return err
-	}
-	select {
-	case <-done:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/yuccaside/owners.go
+++ b/yuccaside/owners.go
@@ -116,9 +116,8 @@
 // query answers an owner that reconnected: results, refusals of what never
 // arrived, and nothing for what still runs.
 func (s *Side) query(now time.Time, from *ownerLink, q *yuccawire.Query) {
-	keepUntil := now.Add(s.options.Retention)
 	for _, key := range q.GetKeys() {
-		answer := s.gate.Query(key, keepUntil)
+		answer := s.gate.Query(now, key)
 		switch {
 		case answer.Refused != nil:
 			s.sendRefused(from, answer.Refused)
--- a/yuccaside/side.go
+++ b/yuccaside/side.go
@@ -9,6 +9,7 @@
 
 	"github.com/thejerf/suture/v4"
 
+	"github.com/yuccaturn/yuccaturn/yuccaask"
 	"github.com/yuccaturn/yuccaturn/yuccadocument"
 	"github.com/yuccaturn/yuccaturn/yuccagate"
 	"github.com/yuccaturn/yuccaturn/yuccalease"
@@ -156,9 +157,8 @@
 		close(e.done)
 	case drain:
 		s.beginDrain(e)
-	case inspection:
-		e.question(s)
-		close(e.done)
+	case yuccaask.Question[*Side]:
+		e.Answer(s)
 	}
 }
 
@@ -227,3 +227,8 @@
 	}
 	return load
 }
+
+// View returns the configuration that the side has in force.
+func (s *Side) View(ctx context.Context) (*yuccadocument.View, error) {
+	return yuccaask.Ask(ctx, s.postQuestion, func(s *Side) *yuccadocument.View { return s.gate.View() })
+}
--- a/yuccaside/tasks.go
+++ b/yuccaside/tasks.go
@@ -81,7 +81,7 @@
 // what runs.
 func (s *Side) cancel(now time.Time, c *yuccawire.Cancel) {
 	for _, job := range c.GetJobs() {
-		for _, key := range s.gate.Cancel(job, now.Add(s.options.Retention)) {
+		for _, key := range s.gate.Cancel(now, job) {
 			if r := s.running[keyOf(key)]; r != nil {
 				s.metrics.Add("tasks_cancelled", 1)
 				r.cancel()
--- a/yuccastate/claims.go
+++ b/yuccastate/claims.go
@@ -28,6 +28,9 @@
 		return s.ownClaim(record, c)
 	}
 	if c.GetTakeOver() && s.mayTakeOver(record, c) {
+		if record.GetFinished() && !record.GetComplete() {
+			return s.reply(record, yuccawire.ClaimResult_CLAIM_EXPIRED)
+		}
 		record.Owner = c.GetOwner()
 		record.Incarnation = c.GetIncarnation()
 		record.Nonce = c.GetNonce()
--- a/yuccatarget/target.go
+++ b/yuccatarget/target.go
@@ -2,7 +2,8 @@
 // sleep, fail, hang or answer late, as its settings or the task's payload say.
 //
 // It announces itself to its side, renews, and leaves when it stops. Each start
-// is appended to a journal, a JSON line each, so that anyone can count starts.
+// and its end are appended to a journal, a JSON line each, so that anyone can
+// count starts.
 //
 // # Usage
 //
@@ -21,6 +22,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -29,6 +31,7 @@
 	"github.com/thejerf/suture/v4"
 
 	"github.com/yuccaturn/yuccaturn/yuccaheader"
+	"github.com/yuccaturn/yuccaturn/yuccahistory"
 	"github.com/yuccaturn/yuccaturn/yuccatrace"
 )
 
@@ -53,7 +56,10 @@
 	Connections int
 	// Behaviour is what a task does where its payload says nothing.
 	Behaviour Behaviour
-	// Journal takes a JSON line for each start, or is nil.
+	// Node and DataCentre name the target in its journal.
+	Node       string
+	DataCentre string
+	// Journal takes a JSON line for each event, or is nil.
 	Journal io.Writer
 	Logger  *slog.Logger
 }
@@ -79,14 +85,6 @@
 	Result json.RawMessage `json:"result"`
 }
 
-// JournalEntry is one start as the journal holds it.
-type JournalEntry struct {
-	Job     string    `json:"job"`
-	Task    string    `json:"task"`
-	Attempt string    `json:"attempt"`
-	At      time.Time `json:"at"`
-}
-
 // announcement is what the side's listener for targets takes.
 type announcement struct {
 	Address     string `json:"address"`
@@ -189,6 +187,7 @@
 // the announcement back.
 func (t *Target) Leave(ctx context.Context) {
 	t.leaving.Store(true)
+	t.record(yuccahistory.TargetLeaving, nil)
 	_ = t.announce(ctx)
 	ticker := time.NewTicker(leavePoll)
 	defer ticker.Stop()
@@ -211,7 +210,7 @@
 	t.starts.Add(1)
 	t.running.Add(1)
 	defer t.running.Add(-1)
-	t.record(r.Header)
+	t.record(yuccahistory.Started, r.Header)
 	text, err := io.ReadAll(io.LimitReader(r.Body, maxPayloadBytes))
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
@@ -219,8 +218,10 @@
 	}
 	b, result := t.behaviour(text)
 	if !b.wait(ctx) {
+		t.record(yuccahistory.Cut, r.Header)
 		return
 	}
+	t.record(yuccahistory.Finished, r.Header)
 	if b.Drop {
 		panic(http.ErrAbortHandler)
 	}
@@ -269,13 +270,15 @@
 	return b, p.Result
 }
 
-func (t *Target) record(header http.Header) {
+// record appends an event to the journal.
+func (t *Target) record(kind yuccahistory.Kind, header http.Header) {
 	if t.options.Journal == nil {
 		return
 	}
-	line, err := json.Marshal(JournalEntry{
-		Job: header.Get(yuccaheader.Job), Task: header.Get(yuccaheader.Task),
-		Attempt: header.Get(yuccaheader.Attempt), At: time.Now().UTC(),
+	attempt, _ := strconv.ParseUint(header.Get(yuccaheader.Attempt), 10, 32)
+	line, err := json.Marshal(yuccahistory.Event{
+		At: time.Now().UTC(), Kind: kind, Node: t.options.Node, DataCentre: t.options.DataCentre,
+		Job: header.Get(yuccaheader.Job), Task: header.Get(yuccaheader.Task), Attempt: uint32(attempt),
 	})
 	if err != nil {
 		return
