yuccaproof: race operators against a group of controls under faults

Cause: configuration and leadership were proved by no history yet.

What it does: concurrent operators read, change and resend under crashes, restarts, one-sided and silent cuts and slow disks; porcupine checks the history against a register of compare and set, and every process has the last version in force 4 s later. Disks that acknowledge what they don't keep are seen by it. Wiped controls rejoin one after the other as new replicas.

Also: a single request without an id needs no claim, since nobody can submit it again.

Found: net/http sends an empty PUT chunked when its body can't be rewound; such requests now take a fresh connection.

--- a/yuccacontrol/status.go
+++ b/yuccacontrol/status.go
@@ -33,6 +33,7 @@
 
 // ReplicaStatus is one control of the group.
 type ReplicaStatus struct {
+	ID      uint64 `json:"id"`
 	Name    string `json:"name"`
 	Address string `json:"address"`
 	Voter   bool   `json:"voter"`
@@ -101,7 +102,7 @@
 		if p := c.peers[r.GetAddress()]; p != nil {
 			linked = p.up.Load()
 		}
-		all = append(all, ReplicaStatus{Name: r.GetName(), Address: r.GetAddress(), Voter: voter, Linked: linked})
+		all = append(all, ReplicaStatus{ID: r.GetId(), Name: r.GetName(), Address: r.GetAddress(), Voter: voter, Linked: linked})
 	}
 	return all
 }
--- a/yuccadispatch/admit.go
+++ b/yuccadispatch/admit.go
@@ -15,7 +15,7 @@
 		return d.resubmit(earlier, s)
 	}
 	admission := d.check(now, s)
-	if admission.Rejection == NoLease {
+	if admission.Rejection == NoLease || admission.Rejection != NotRejected && s.Unnamed {
 		d.metrics.Add("jobs_rejected", 1)
 		return admission
 	}
@@ -29,6 +29,10 @@
 	}
 	j.state = claiming
 	d.metrics.Add("jobs_admitted", 1)
+	if s.Unnamed {
+		d.openJob(now, j)
+		return Admission{}
+	}
 	d.sendClaim(now, j)
 	return Admission{}
 }
--- a/yuccadispatch/answer.go
+++ b/yuccadispatch/answer.go
@@ -63,6 +63,10 @@
 	for _, t := range j.tasks {
 		d.release(t)
 	}
+	if j.Unnamed {
+		d.settle(now, j)
+		return
+	}
 	if j.outcome.GetComplete() && d.lease.Valid(now) {
 		d.sendFinished(j)
 		d.settle(now, j)
@@ -145,13 +149,17 @@
 	for _, name := range j.joiners {
 		d.sendJoined(name, &yuccawire.Joined{Job: j.Key.Wire(), Known: true, Outcome: j.outcome})
 	}
+	d.forgetAtSides(j)
+	if j.Unnamed {
+		delete(d.jobs, j.Key)
+		return
+	}
 	j.keepUntil = now.Add(outcomeKept)
 	for _, t := range j.outcome.GetTasks() {
 		j.bytes += len(t.GetBody())
 	}
 	d.keptSize += j.bytes
 	d.kept = append(d.kept, j)
-	d.forgetAtSides(j)
 	j.tasks, j.index = nil, nil
 	j.Tasks = nil
 }
--- a/yuccadispatch/claim.go
+++ b/yuccadispatch/claim.go
@@ -168,7 +168,7 @@
 // openJob queues the tasks of a job that this entry owns.
 func (d *Dispatcher) openJob(now time.Time, j *job) {
 	j.state = open
-	d.metrics.Add("jobs_claimed", 1)
+	d.metrics.Add("jobs_opened", 1)
 	if j.cancelled {
 		d.doom(now, j, "cancelled by the caller")
 		return
--- a/yuccadispatch/dispatcher.go
+++ b/yuccadispatch/dispatcher.go
@@ -64,10 +64,14 @@
 
 // service is what the dispatcher knows of one service.
 type service struct {
-	name   string
-	queue  *yuccaqueue.Fair[string, *task]
-	tiers  [][]*place
-	slots  int
+	name  string
+	queue *yuccaqueue.Fair[string, *task]
+	tiers [][]*place
+	slots int
+	// full is set when no place had room; until the next tick only the freed
+	// places are tried.
+	full   bool
+	freed  []*place
 	runs   time.Duration
 	lostAt time.Time
 }
@@ -203,6 +207,9 @@
 		d.tickJob(now, j)
 	}
 	d.tickWatches(now)
+	for _, sv := range d.services {
+		sv.full = false
+	}
 	d.placeAll(now)
 	if now.Before(d.sweepAt) {
 		return
--- a/yuccadispatch/job.go
+++ b/yuccadispatch/job.go
@@ -31,6 +31,9 @@
 	// Repeatable allows a task to be started again when its answer was lost or
 	// an error.
 	Repeatable bool
+	// Unnamed tells that the caller gave no id, so that nobody can submit the job
+	// again: it needs no claim.
+	Unnamed bool
 	// Passthrough takes every answer of the target as the task's success.
 	Passthrough bool
 	Tasks       []TaskRequest
--- a/yuccadispatch/place.go
+++ b/yuccadispatch/place.go
@@ -40,9 +40,8 @@
 	if sv.queue.Len() == 0 || !d.lease.Valid(now) {
 		return
 	}
-	hasRoom := func(p *place) bool { return p.room(now) }
 	for sv.queue.Len() > 0 {
-		p, ok := d.policy.Choose(sv.tiers, hasRoom)
+		p, ok := d.choose(now, sv)
 		if !ok {
 			return
 		}
@@ -54,6 +53,24 @@
 	}
 }
 
+// choose returns a place with room. While the service is full it looks only at
+// the places that were freed since.
+func (d *Dispatcher) choose(now time.Time, sv *service) (*place, bool) {
+	if !sv.full {
+		p, ok := d.policy.Choose(sv.tiers, func(p *place) bool { return p.room(now) })
+		sv.full = !ok
+		sv.freed = sv.freed[:0]
+		return p, ok
+	}
+	for n := len(sv.freed); n > 0; n-- {
+		if p := sv.freed[n-1]; p.room(now) && d.placeable(sv, p) {
+			return p, true
+		}
+		sv.freed = sv.freed[:n-1]
+	}
+	return nil, false
+}
+
 func (d *Dispatcher) underQuota(name string) bool {
 	quota, known := d.view.Team(name)
 	return !known || quota.MaxRunning == 0 || d.team(name).running < quota.MaxRunning
--- a/yuccadispatch/sides.go
+++ b/yuccadispatch/sides.go
@@ -150,14 +150,11 @@
 	for _, sv := range d.services {
 		sv.tiers = make([][]*place, 3)
 		sv.slots = 0
+		sv.full = false
 	}
 	for _, s := range d.sides {
-		if d.view.IsOut(s.node.GetDataCentre()) {
-			continue
-		}
-		for name, p := range s.places {
-			settings, known := d.view.Service(name)
-			if !known || p.leaving || s.leaving || !settings.Allows(s.node.GetDataCentre()) {
+		for _, p := range s.places {
+			if !d.placeable(p.service, p) {
 				continue
 			}
 			tier := d.tier(s.node.GetDataCentre())
@@ -167,6 +164,14 @@
 	}
 }
 
+// placeable tells whether the configuration and the side allow the service
+// there at all.
+func (d *Dispatcher) placeable(sv *service, p *place) bool {
+	dataCentre := p.side.node.GetDataCentre()
+	settings, known := d.view.Service(sv.name)
+	return known && !p.leaving && !p.side.leaving && !d.view.IsOut(dataCentre) && settings.Allows(dataCentre)
+}
+
 func (d *Dispatcher) tier(dataCentre string) int {
 	own := d.options.Self.GetDataCentre()
 	centres := d.view.Document().DataCentres
@@ -219,6 +224,9 @@
 	}
 	s.linked = true
 	s.startsSent = 0
+	for _, p := range s.places {
+		p.service.full = false
+	}
 	if len(s.outstanding) > 0 {
 		query := &yuccawire.Query{}
 		for t := range s.outstanding {
@@ -282,5 +290,8 @@
 func (d *Dispatcher) setFree(s *side, service string, free, startsSeen uint32) {
 	if p := s.places[service]; p != nil {
 		p.free = int(free) - int(s.startsSent-startsSeen)
+		if p.service.full && p.free > 0 {
+			p.service.freed = append(p.service.freed, p)
+		}
 	}
 }
--- /dev/null
+++ b/yuccaentry/bad_input_test.go
@@ -0,0 +1,149 @@
+package yuccaentry_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/yuccaturn/yuccaturn/yuccaentry"
+	"github.com/yuccaturn/yuccaturn/yuccametric"
+	"github.com/yuccaturn/yuccaturn/yuccamux"
+	"github.com/yuccaturn/yuccaturn/yuccaproblem"
+	"github.com/yuccaturn/yuccaturn/yuccawire"
+)
+
+// idleEntry is an entry whose loop does not run: what reaches it stays
+// unanswered, so a refusal must come before.
+func idleEntry(t *testing.T) *httptest.Server {
+	t.Helper()
+	e := yuccaentry.New(yuccaentry.Options{
+		Network: yuccamux.New(yuccamux.Options{}), Self: &yuccawire.Node{Name: "entry-1", Incarnation: 1},
+		Controls: []string{"127.0.0.1:1"}, Random: rand.New(rand.NewPCG(1, 1)), Metrics: yuccametric.New("entry-1"),
+	})
+	server := httptest.NewServer(e.Handler())
+	t.Cleanup(server.Close)
+	return server
+}
+
+func job(fields string) string {
+	return fmt.Sprintf(`{"team": "parishes", "service": "regulation", "id": "j", "submitted_at": %q, %s}`,
+		time.Now().UTC().Format(time.RFC3339), fields)
+}
+
+const oneTask = `"tasks": [{"id": "a"}]`
+
+var badJobs = []struct {
+	name, body, finding string
+}{
+	{"not JSON", `hello`, "job:1:1"},
+	{"cut off", `{"team": "parishes", "tasks": [`, "job:1:"},
+	{"no tasks", job(`"deadline": "1s", "tasks": []`), "tasks: has no tasks"},
+	{"doubled task", job(`"deadline": "1s", "tasks": [{"id": "a"}, {"id": "a"}]`), `tasks[1].id: "a" is the id of tasks[0] too`},
+	{"doubled field", job(`"deadline": "1s", "deadline": "2s", ` + oneTask), "deadline: is given twice"},
+	{"unknown field", job(`"deadline": "1s", "colour": 1, ` + oneTask), "colour: is not a known field"},
+	{"no unit", job(`"deadline": "10", ` + oneTask), `deadline: is "10", expected a duration with a unit`},
+	{"past its deadline", job(`"deadline": "0s", ` + oneTask), "deadline: is 0s"},
+	{"deadline too far", job(`"deadline": "24h", ` + oneTask), "deadline: is 24h0m0s"},
+	{"bad path", job(`"deadline": "1s", "tasks": [{"id": "a", "path": "x"}]`), `tasks[0].path: is "x"`},
+	{"no id", `{"team": "p", "service": "s", "deadline": "1s", ` + oneTask + `}`, "id: is missing"},
+	{"no submitted_at", `{"team": "p", "service": "s", "id": "j", "deadline": "1s", ` + oneTask + `}`, "submitted_at: is missing"},
+}
+
+func TestBadJobsAreRefusedWithTheirPlace(t *testing.T) {
+	server := idleEntry(t)
+	for _, bad := range badJobs {
+		t.Run(bad.name, func(t *testing.T) {
+			response, err := http.Post(server.URL+"/v1/jobs", "application/json", strings.NewReader(bad.body))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer response.Body.Close()
+			problem := yuccaproblem.Read(response)
+			if response.StatusCode != http.StatusBadRequest || !problem.NotRun || problem.Type != yuccaproblem.BadRequest {
+				t.Errorf("answered %s, %+v", response.Status, problem)
+			}
+			if !strings.Contains(strings.Join(problem.Findings, "\n"), bad.finding) {
+				t.Errorf("findings are %q, expected %q", problem.Findings, bad.finding)
+			}
+		})
+	}
+}
+
+func TestAllFaultsOfAJobAreReportedTogether(t *testing.T) {
+	server := idleEntry(t)
+	body := "{\n\"team\": 7,\n\"service\": \"s\",\n\"deadline\": \"1\",\n\"wrong\": 1,\n\"tasks\": [{}]}"
+	response, err := http.Post(server.URL+"/v1/jobs", "application/json", strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	problem := yuccaproblem.Read(response)
+	for _, place := range []string{"job:2:9: team", "job:4:13: deadline", "job:5:1: wrong", "job:6:11: tasks[0].id"} {
+		if !strings.Contains(strings.Join(problem.Findings, "\n"), place) {
+			t.Errorf("findings lack %q: %q", place, problem.Findings)
+		}
+	}
+}
+
+func TestOversizedBodiesAreRefused(t *testing.T) {
+	server := idleEntry(t)
+	for path, size := range map[string]int{"/v1/jobs": yuccaentry.MaxJobBytes, "/v1/services/regulation/x": yuccaentry.MaxRequestBytes} {
+		response, err := http.Post(server.URL+path, "application/json", strings.NewReader(strings.Repeat(" ", size+1)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		problem := yuccaproblem.Read(response)
+		response.Body.Close()
+		if problem.Type != yuccaproblem.TooLarge || !problem.NotRun {
+			t.Errorf("%s answered %+v", path, problem)
+		}
+	}
+}
+
+// A body that its caller cuts off half way is refused, and nothing of it runs.
+func TestBodyCutOffHalfWay(t *testing.T) {
+	server := idleEntry(t)
+	conn, err := net.Dial("tcp", strings.TrimPrefix(server.URL, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	fmt.Fprintf(conn, "POST /v1/jobs HTTP/1.1\r\nHost: x\r\nContent-Length: 1000\r\n\r\n{\"team\":")
+	if err := conn.(*net.TCPConn).CloseWrite(); err != nil {
+		t.Fatal(err)
+	}
+	text, _ := io.ReadAll(conn)
+	_, body, _ := strings.Cut(string(text), "\r\n\r\n")
+	var problem yuccaproblem.Problem
+	if err := json.Unmarshal([]byte(body), &problem); err != nil || !problem.NotRun || !strings.Contains(problem.Detail, "cut off after 8 bytes") {
+		t.Errorf("answered %q: %v", text, err)
+	}
+}
+
+func TestBadHeadersOfASingleRequest(t *testing.T) {
+	server := idleEntry(t)
+	for name, value := range map[string]string{"Yucca-Timeout": "soon", "Yucca-Submitted-At": "yesterday", "Yucca-Team": ""} {
+		request, err := http.NewRequest(http.MethodPost, server.URL+"/v1/services/regulation/x", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		request.Header.Set("Yucca-Team", "parishes")
+		request.Header.Set(name, value)
+		response, err := http.DefaultClient.Do(request)
+		if err != nil {
+			t.Fatal(err)
+		}
+		problem := yuccaproblem.Read(response)
+		response.Body.Close()
+		if problem.Type != yuccaproblem.BadRequest || !strings.Contains(problem.Detail, name) {
+			t.Errorf("header %s: answered %+v", name, problem)
+		}
+	}
+}
--- a/yuccaentry/single.go
+++ b/yuccaentry/single.go
@@ -87,6 +87,7 @@
 		SubmittedAt: submittedAt,
 		Deadline:    now.Add(timeout),
 		Repeatable:  repeatable(r),
+		Unnamed:     r.Header.Get(headerIdempotencyKey) == "",
 		Passthrough: true,
 		Tasks:       []yuccadispatch.TaskRequest{{ID: singleTask, Request: wireRequest(r, body)}},
 	}
--- /dev/null
+++ b/yuccagate/gate_test.go
@@ -0,0 +1,181 @@
+package yuccagate_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"github.com/yuccaturn/yuccaturn/yuccadocument"
+	"github.com/yuccaturn/yuccaturn/yuccagate"
+	"github.com/yuccaturn/yuccaturn/yuccalease"
+	"github.com/yuccaturn/yuccaturn/yuccawire"
+)
+
+var (
+	began = time.Date(2026, 3, 2, 9, 30, 0, 0, time.UTC)
+	later = began.Add(time.Minute)
+)
+
+func openGate() *yuccagate.Gate {
+	g := yuccagate.New(yuccagate.Options{Incarnation: 7, DataCentre: "cusco", Retention: time.Minute})
+	g.SetLease(yuccalease.Lease{}.Extend(began, 3*time.Second))
+	g.Announce("regulation", 2, false)
+	return g
+}
+
+func key(task string, attempt uint32) *yuccawire.TaskKey {
+	return &yuccawire.TaskKey{Job: &yuccawire.JobKey{Team: "parishes", Id: "j"}, Task: task, Attempt: attempt}
+}
+
+func startOf(task string, attempt uint32) *yuccawire.Start {
+	return &yuccawire.Start{
+		Key: key(task, attempt), Owner: "entry-1", OwnerIncarnation: 5, SideIncarnation: 7, Service: "regulation",
+	}
+}
+
+func outView(t *testing.T, version uint64, out ...string) *yuccadocument.View {
+	t.Helper()
+	view, err := yuccadocument.NewView().With(&yuccawire.Section{
+		Name: yuccadocument.SectionDataCentresOut, Version: version, Body: yuccadocument.OutBody(out),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return view
+}
+
+func TestEachReasonRefusesAndStaysRefused(t *testing.T) {
+	for _, c := range []struct {
+		reason  yuccawire.Refusal
+		prepare func(g *yuccagate.Gate, s *yuccawire.Start)
+	}{
+		{yuccawire.Refusal_REFUSAL_NO_LEASE, func(g *yuccagate.Gate, _ *yuccawire.Start) { g.SetLease(yuccalease.Lease{}) }},
+		{yuccawire.Refusal_REFUSAL_DATA_CENTRE_OUT, func(g *yuccagate.Gate, _ *yuccawire.Start) { g.SetView(outView(t, 1, "cusco")) }},
+		{yuccawire.Refusal_REFUSAL_STALE_CONFIGURATION, func(_ *yuccagate.Gate, s *yuccawire.Start) { s.DataCentresVersion = 9 }},
+		{yuccawire.Refusal_REFUSAL_FENCED, func(g *yuccagate.Gate, _ *yuccawire.Start) { g.Fence("entry-1", 5) }},
+		{yuccawire.Refusal_REFUSAL_LEAVING, func(g *yuccagate.Gate, _ *yuccawire.Start) { g.Announce("regulation", 2, true) }},
+		{yuccawire.Refusal_REFUSAL_NO_SLOT, func(g *yuccagate.Gate, _ *yuccawire.Start) { g.Announce("regulation", 0, false) }},
+		{yuccawire.Refusal_REFUSAL_SEEN_BEFORE, func(g *yuccagate.Gate, _ *yuccawire.Start) { g.Start(began, later, startOf("t", 1)) }},
+		{yuccawire.Refusal_REFUSAL_PAST_DEADLINE, nil},
+		{yuccawire.Refusal_REFUSAL_OTHER_INCARNATION, func(_ *yuccagate.Gate, s *yuccawire.Start) { s.SideIncarnation = 6 }},
+		{yuccawire.Refusal_REFUSAL_NO_TARGET, func(g *yuccagate.Gate, _ *yuccawire.Start) { g.Withdraw("regulation") }},
+		{yuccawire.Refusal_REFUSAL_CANCELLED, func(g *yuccagate.Gate, s *yuccawire.Start) { g.Cancel(began, s.GetKey().GetJob()) }},
+		{yuccawire.Refusal_REFUSAL_NEVER_ARRIVED, func(g *yuccagate.Gate, s *yuccawire.Start) { g.Query(began, s.GetKey()) }},
+	} {
+		t.Run(c.reason.String(), func(t *testing.T) {
+			g, s, deadline := openGate(), startOf("t", 2), later
+			if c.prepare != nil {
+				c.prepare(g, s)
+			} else {
+				deadline = began
+			}
+			if v := g.Start(began, deadline, s); v.Refusal() != c.reason {
+				t.Fatalf("refusal is %s, expected %s", v.Refusal(), c.reason)
+			}
+			again := openGateFrom(g)
+			if v := again.Start(began, later, s); v.Admitted() {
+				t.Errorf("the same start was admitted later")
+			}
+		})
+	}
+}
+
+// openGateFrom takes all reasons to refuse away from the gate.
+func openGateFrom(g *yuccagate.Gate) *yuccagate.Gate {
+	g.SetLease(yuccalease.Lease{}.Extend(began, 3*time.Second))
+	g.SetView(yuccadocument.NewView())
+	g.Announce("regulation", 100, false)
+	return g
+}
+
+func TestRepeatedStartIsNotRefusedButAnsweredAgain(t *testing.T) {
+	g := openGate()
+	if !g.Start(began, later, startOf("t", 1)).Admitted() {
+		t.Fatal("first start was not admitted")
+	}
+	if v := g.Start(began, later, startOf("t", 1)); !v.Duplicate() || v.Result() != nil {
+		t.Errorf("a running start came again: %+v", v)
+	}
+	g.Finish(&yuccawire.Finished{Key: key("t", 1), State: yuccawire.TaskState_TASK_FINISHED, Status: 200})
+	if v := g.Start(began, later, startOf("t", 1)); !v.Duplicate() || v.Result().GetStatus() != 200 {
+		t.Errorf("a finished start came again: %+v", v)
+	}
+}
+
+func TestRepeatableTaskStartsAgainUnderAnotherAttempt(t *testing.T) {
+	g := openGate()
+	g.Start(began, later, startOf("t", 1))
+	g.Finish(&yuccawire.Finished{Key: key("t", 1), State: yuccawire.TaskState_TASK_UNKNOWN})
+	s := startOf("t", 2)
+	s.Repeatable = true
+	if !g.Start(began, later, s).Admitted() {
+		t.Error("the second attempt was not admitted")
+	}
+}
+
+func TestKeptResultsAreBounded(t *testing.T) {
+	g := yuccagate.New(yuccagate.Options{Incarnation: 7, DataCentre: "cusco", MaxResultBytes: 100})
+	g.SetLease(yuccalease.Lease{}.Extend(began, 3*time.Second))
+	g.Announce("regulation", 100, false)
+	for _, task := range []string{"a", "b", "c"} {
+		g.Start(began, later, startOf(task, 1))
+		g.Finish(&yuccawire.Finished{Key: key(task, 1), State: yuccawire.TaskState_TASK_FINISHED, Body: make([]byte, 40)})
+	}
+	if g.KeptBytes() > 100 {
+		t.Errorf("%d bytes are kept, expected 100 at most", g.KeptBytes())
+	}
+	gathered := g.Gather(key("", 0).GetJob())
+	states := make(map[string]yuccawire.TaskState)
+	for _, f := range gathered.GetFinished() {
+		states[f.GetKey().GetTask()] = f.GetState()
+	}
+	if states["a"] != yuccawire.TaskState_TASK_UNKNOWN || states["c"] != yuccawire.TaskState_TASK_FINISHED {
+		t.Errorf("gathered states are %v", states)
+	}
+}
+
+func TestRecordsOutliveTheDeadlineByTheRetention(t *testing.T) {
+	g := openGate()
+	g.Announce("regulation", 0, false)
+	g.Start(began, later, startOf("t", 1))
+	g.Sweep(later.Add(59 * time.Second))
+	if g.Records() != 1 {
+		t.Error("the record went before its time")
+	}
+	g.Sweep(later.Add(time.Minute))
+	if g.Records() != 0 {
+		t.Error("the record is kept for ever")
+	}
+}
+
+// In any order of starts, ends, cancellations and queries, each task that may
+// not be repeated starts at most once, and no more tasks run than there are
+// slots.
+func TestAnyOrderStartsOnce(t *testing.T) {
+	properties := gopter.NewProperties(&gopter.TestParameters{MinSuccessfulTests: 300, MaxSize: 80, Workers: 1, Rng: seededRandom()})
+	properties.Property("starts once", prop.ForAll(func(steps []uint8) bool {
+		g := openGate()
+		starts := make(map[string]int)
+		for _, step := range steps {
+			task, attempt := string('a'+rune(step%3)), uint32(step/3%4)+1
+			switch step / 12 % 5 {
+			case 0, 1, 2:
+				if g.Start(began, later, startOf(task, attempt)).Admitted() {
+					starts[task]++
+				}
+			case 3:
+				g.Finish(&yuccawire.Finished{Key: key(task, attempt), State: yuccawire.TaskState_TASK_FINISHED})
+			case 4:
+				g.Query(began, key(task, attempt))
+			}
+			if starts[task] > 1 || g.Running() > 2 {
+				return false
+			}
+		}
+		return true
+	}, gen.SliceOf(gen.UInt8())))
+	properties.TestingRun(t)
+}
--- /dev/null
+++ b/yuccalocal/bench_test.go
@@ -0,0 +1,145 @@
+package yuccalocal_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/yuccaturn/yuccaturn/yuccaclient"
+)
+
+// BenchmarkSingleRequest measures one request at a time through an entry, a
+// side and a target that answers at once. direct-ns is the median of the same
+// request sent to a bare HTTP server, added-ns what the system adds to it.
+func BenchmarkSingleRequest(b *testing.B) {
+	benchmarkSingle(b, func(int) string { return "" })
+}
+
+// BenchmarkNamedRequest measures the same with an id that the caller gives, so
+// that the request is claimed.
+func BenchmarkNamedRequest(b *testing.B) {
+	benchmarkSingle(b, func(i int) string { return fmt.Sprintf("%d-%d", b.N, i) })
+}
+
+func benchmarkSingle(b *testing.B, id func(i int) string) {
+	_, callers := startSystem(b, 1, 1)
+	direct := directMedian(b)
+	times := make([]time.Duration, 0, b.N)
+	b.ResetTimer()
+	for i := range b.N {
+		began := time.Now()
+		single(b, "http://"+callers[0]+"/v1/services/regulation/check", id(i))
+		times = append(times, time.Since(began))
+	}
+	b.StopTimer()
+	slices.Sort(times)
+	median := times[len(times)/2]
+	b.ReportMetric(float64(median), "median-ns")
+	b.ReportMetric(float64(direct), "direct-ns")
+	b.ReportMetric(float64(median-direct), "added-ns")
+}
+
+func directMedian(b *testing.B) time.Duration {
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(w, r.Body)
+	})}
+	address := serve(b, server)
+	times := make([]time.Duration, 0, 500)
+	for range cap(times) {
+		began := time.Now()
+		single(b, "http://"+address+"/check", "")
+		times = append(times, time.Since(began))
+	}
+	slices.Sort(times)
+	return times[len(times)/2]
+}
+
+func single(b *testing.B, url, id string) {
+	request, err := http.NewRequest(http.MethodPost, url, bytes.NewReader([]byte(`{"sleep": "0s"}`)))
+	if err != nil {
+		b.Fatal(err)
+	}
+	request.Header.Set("Yucca-Team", "parishes")
+	if id != "" {
+		request.Header.Set("Idempotency-Key", id)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer response.Body.Close()
+	text, _ := io.ReadAll(response.Body)
+	if response.StatusCode != http.StatusOK {
+		b.Fatalf("%s: %s", response.Status, text)
+	}
+}
+
+func jobBody(id string, tasks int, payload string) []byte {
+	var body bytes.Buffer
+	fmt.Fprintf(&body, `{"team": "parishes", "service": "regulation", "id": %q, "submitted_at": %q, "deadline": "60s", "tasks": [`,
+		id, time.Now().UTC().Format(time.RFC3339))
+	for i := range tasks {
+		if i > 0 {
+			body.WriteByte(',')
+		}
+		fmt.Fprintf(&body, `{"id": "t%d", "payload": %s}`, i, payload)
+	}
+	body.WriteString("]}")
+	return body.Bytes()
+}
+
+// BenchmarkJob1600 measures a job of 1,600 tasks that take no time.
+func BenchmarkJob1600(b *testing.B) {
+	_, callers := startSystem(b, 1, 3)
+	client := yuccaclient.New(callers[0], "")
+	b.ReportAllocs()
+	b.ResetTimer()
+	used := processorTime(b)
+	for i := range b.N {
+		job, _, err := client.Submit(context.Background(), jobBody(fmt.Sprintf("bench-%d", i), 1600, `{"sleep": "0s"}`))
+		if err != nil || !job.Complete() {
+			b.Fatalf("%v: %+v", err, job)
+		}
+	}
+	b.ReportMetric(float64(b.N*1600)/b.Elapsed().Seconds(), "tasks/s")
+	b.ReportMetric(float64(processorTime(b)-used)/float64(b.N*1600), "cpu-ns/task")
+}
+
+// processorTime is what this process, with all roles and the caller in it, has
+// used so far.
+func processorTime(b *testing.B) time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// BenchmarkParallelRequests measures 64 callers at once.
+func BenchmarkParallelRequests(b *testing.B) {
+	_, callers := startSystem(b, 1, 4)
+	http.DefaultTransport.(*http.Transport).MaxIdleConnsPerHost = 128
+	work := make(chan struct{}, b.N)
+	for range b.N {
+		work <- struct{}{}
+	}
+	close(work)
+	b.ResetTimer()
+	var group sync.WaitGroup
+	for range 64 {
+		group.Go(func() {
+			for range work {
+				single(b, "http://"+callers[0]+"/v1/services/regulation/check", "")
+			}
+		})
+	}
+	group.Wait()
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "requests/s")
+}
--- a/yuccalocal/local_test.go
+++ b/yuccalocal/local_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"log/slog"
+	"net"
+	"net/http"
 	"os"
 	"testing"
 	"time"
@@ -99,3 +101,15 @@
 		}
 	}
 }
+
+// serve runs an HTTP server on the loopback until the test ends.
+func serve(t testing.TB, server *http.Server) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return listener.Addr().String()
+}
--- a/yuccaproof/cluster_test.go
+++ b/yuccaproof/cluster_test.go
@@ -38,6 +38,7 @@
 type node struct {
 	name       string
 	dataCentre string
+	mu         sync.Mutex
 	ctx        context.Context
 	cancel     context.CancelFunc
 	running    sync.WaitGroup
@@ -49,7 +50,21 @@
 	run        uint64
 }
 
-func (n *node) up() bool { return n.ctx != nil && n.ctx.Err() == nil }
+func (n *node) up() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.ctx != nil && n.ctx.Err() == nil
+}
+
+// currentControl returns the control of the node's run, or nil while it is down.
+func (n *node) currentControl() (context.Context, *yuccacontrol.Control) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.ctx == nil || n.ctx.Err() != nil {
+		return nil, nil
+	}
+	return n.ctx, n.control
+}
 
 // cluster is a whole system over a network in memory.
 type cluster struct {
@@ -119,7 +134,10 @@
 
 // start begins a new run of the node.
 func (c *cluster) start(n *node) {
+	n.mu.Lock()
 	n.ctx, n.cancel = context.WithCancel(context.Background())
+	n.control = nil
+	n.mu.Unlock()
 	n.stopping.Store(false)
 	n.run++
 	switch {
@@ -152,7 +170,9 @@
 		c.t.Errorf("control %s: %v", n.name, err)
 		return
 	}
+	n.mu.Lock()
 	n.control = control
+	n.mu.Unlock()
 	n.serve(control.Serve)
 }
 
@@ -295,11 +315,12 @@
 // leader returns the control that leads, or nil.
 func (c *cluster) leader() *node {
 	for _, n := range c.controls {
-		if !n.up() {
+		run, control := n.currentControl()
+		if control == nil {
 			continue
 		}
-		ctx, cancel := context.WithTimeout(n.ctx, time.Second)
-		status, err := n.control.Status(ctx)
+		ctx, cancel := context.WithTimeout(run, time.Second)
+		status, err := control.Status(ctx)
 		cancel()
 		if err == nil && status.Leads {
 			return n
@@ -313,11 +334,12 @@
 func (c *cluster) apply(command *yuccawire.Command) *yuccastate.ChangeResult {
 	for range 200 {
 		for _, n := range c.controls {
-			if !n.up() {
+			run, control := n.currentControl()
+			if control == nil {
 				continue
 			}
-			ctx, cancel := context.WithTimeout(n.ctx, time.Second)
-			result, err := n.control.Apply(ctx, command)
+			ctx, cancel := context.WithTimeout(run, time.Second)
+			result, err := control.Apply(ctx, command)
 			cancel()
 			if err == nil {
 				return result
--- /dev/null
+++ b/yuccaproof/operators_test.go
@@ -0,0 +1,334 @@
+package yuccaproof
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"github.com/yuccaturn/yuccaturn/yuccacontrol"
+	"github.com/yuccaturn/yuccaturn/yuccadocument"
+	"github.com/yuccaturn/yuccaturn/yuccastate"
+)
+
+// sectionInput is an operator's change with its base version, or a read.
+type sectionInput struct {
+	read bool
+	base uint64
+}
+
+// sectionOutput is the version that was accepted, in force, or read.
+type sectionOutput struct {
+	accepted bool
+	version  uint64
+}
+
+// sectionModel is a register of compare and set: a version.
+var sectionModel = porcupine.Model{
+	Init: func() any { return uint64(1) },
+	Step: func(held, input, output any) (bool, any) {
+		state, in, out := held.(uint64), input.(sectionInput), output.(sectionOutput)
+		switch {
+		case in.read:
+			return out.version == state, state
+		case out.accepted:
+			return in.base == state && out.version == state+1, state + 1
+		}
+		return in.base != state && out.version == state, state
+	},
+}
+
+// operatorHistory collects the operations of concurrent operators.
+type operatorHistory struct {
+	mu         sync.Mutex
+	began      time.Time
+	operations []porcupine.Operation
+}
+
+func (h *operatorHistory) add(client int, call, end time.Time, in sectionInput, out sectionOutput) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.operations = append(h.operations, porcupine.Operation{
+		ClientId: client, Input: in, Output: out, Call: call.Sub(h.began).Nanoseconds(), Return: end.Sub(h.began).Nanoseconds(),
+	})
+}
+
+func (h *operatorHistory) linearizable() bool {
+	return porcupine.CheckOperations(sectionModel, h.operations)
+}
+
+// operate races one operator against the others: it reads a version, changes
+// it, and sends the same request again until it has an answer.
+func (c *cluster) operate(h *operatorHistory, client int, random *rand.Rand, until time.Time) {
+	for n := 0; time.Now().Before(until); n++ {
+		call := time.Now()
+		version := c.readVersion()
+		h.add(client, call, time.Now(), sectionInput{read: true}, sectionOutput{version: version})
+		if random.IntN(3) == 0 {
+			version-- // a stale base must lose
+		}
+		call = time.Now()
+		body := fmt.Sprintf(`{"teams": {"parishes": {"weight": %d}}}`, 1+random.IntN(9))
+		result := c.apply(sectionCommand(yuccadocument.SectionLimits, version, fmt.Sprintf("op-%d-%d", client, n), body))
+		if result == nil {
+			c.t.Errorf("operator %d got no answer", client)
+			return
+		}
+		accepted := result.Outcome == yuccastate.Accepted || result.Outcome == yuccastate.Repeated
+		h.add(client, call, time.Now(), sectionInput{base: version}, sectionOutput{accepted: accepted, version: result.Version})
+		time.Sleep(time.Duration(random.IntN(300)) * time.Millisecond)
+	}
+}
+
+// readVersion asks the controls until the leader answers.
+func (c *cluster) readVersion() uint64 {
+	for range 600 {
+		for _, n := range c.controls {
+			run, control := n.currentControl()
+			if control == nil {
+				continue
+			}
+			ctx, cancel := context.WithTimeout(run, time.Second)
+			section, err := control.Section(ctx, yuccadocument.SectionLimits)
+			cancel()
+			if err == nil {
+				return section.GetVersion()
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	c.t.Error("no leader answered a read")
+	return 0
+}
+
+// TestOperatorsRace checks concurrent changes and reads under faults of the
+// controls against a register of compare and set.
+func TestOperatorsRace(t *testing.T) {
+	for i := range *seedCount {
+		seed := *firstSeed + uint64(i)
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { raceOperators(t, seed) })
+		})
+	}
+}
+
+func raceOperators(t *testing.T, seed uint64) {
+	c := newCluster(t, seed, 3+2*int(seed%2), 1, 1)
+	defer c.close()
+	h := &operatorHistory{began: time.Now()}
+	until := time.Now().Add(30 * time.Second)
+	for client := range 4 {
+		random := c.fork()
+		c.callers.Go(func() { c.operate(h, client, random, until) })
+	}
+	for time.Now().Before(until) {
+		c.harmControls()
+		time.Sleep(time.Duration(100+c.random.IntN(1500)) * time.Millisecond)
+	}
+	c.repairControls()
+	c.callers.Wait()
+	if !h.linearizable() {
+		t.Errorf("the history of %d operations is not linearizable", len(h.operations))
+	}
+	c.awaitConverged(t)
+	c.check(t)
+}
+
+// harmControls does one harmful thing to the control group, and leaves a
+// majority of disks.
+func (c *cluster) harmControls() {
+	victim := c.controls[c.random.IntN(len(c.controls))]
+	other := c.controls[c.random.IntN(len(c.controls))]
+	switch c.random.IntN(9) {
+	case 0, 1:
+		if victim.up() && c.down() < len(c.controls)/2 {
+			c.crash(victim)
+		}
+	case 2, 3:
+		for _, n := range c.controls {
+			if !n.up() {
+				c.start(n)
+				break
+			}
+		}
+	case 4:
+		c.fabric.Cut(victim.name, other.name)
+	case 5:
+		c.fabric.Isolate(victim.name, c.names()...)
+	case 6:
+		c.healAll()
+	case 7:
+		victim.disk.set(func(m *memoryDisk) { m.delay = time.Duration(1+c.random.IntN(400)) * time.Millisecond })
+	case 8:
+		c.fabric.Break(victim.name, other.name)
+	}
+}
+
+func (c *cluster) down() int {
+	down := 0
+	for _, n := range c.controls {
+		if !n.up() {
+			down++
+		}
+	}
+	return down
+}
+
+func (c *cluster) healAll() {
+	names := c.names()
+	for _, name := range names {
+		c.fabric.Rejoin(name, names...)
+	}
+}
+
+func (c *cluster) repairControls() {
+	c.healAll()
+	for _, n := range c.controls {
+		n.disk.set(func(m *memoryDisk) { m.delay = 3 * time.Millisecond })
+		if !n.up() {
+			c.start(n)
+		}
+	}
+}
+
+// awaitConverged wants the last accepted version in force at every process
+// within the users' bound.
+func (c *cluster) awaitConverged(t *testing.T) {
+	t.Helper()
+	time.Sleep(4 * time.Second)
+	version := c.readVersion()
+	for _, n := range c.entries {
+		view, err := n.entry.View(n.ctx)
+		if err != nil || view.Version(yuccadocument.SectionLimits) != version {
+			t.Errorf("%s has version %d in force, %d is accepted: %v", n.name, view.Version(yuccadocument.SectionLimits), version, err)
+		}
+	}
+}
+
+// A group whose disks acknowledge what they don't keep loses an accepted
+// change, and the check of the history sees it.
+func TestForgetfulDisksAreSeen(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3, 3, 1, 1)
+		defer c.close()
+		for _, n := range c.controls {
+			n.disk.set(func(m *memoryDisk) { m.forgetful = true })
+		}
+		h := &operatorHistory{began: time.Now()}
+		call := time.Now()
+		result := c.apply(sectionCommand(yuccadocument.SectionLimits, 1, "lost", limitsBody))
+		h.add(0, call, time.Now(), sectionInput{base: 1}, sectionOutput{accepted: true, version: result.Version})
+		for _, n := range c.controls {
+			c.crash(n)
+		}
+		for _, n := range c.controls {
+			c.start(n)
+		}
+		time.Sleep(time.Millisecond)
+		call = time.Now()
+		version := c.readVersion()
+		h.add(0, call, time.Now(), sectionInput{read: true}, sectionOutput{version: version})
+		if h.linearizable() {
+			t.Errorf("the lost change was not seen: accepted %+v, then read version %d", result, version)
+		}
+	})
+}
+
+// A leader that is silently cut off neither answers reads nor accepts changes
+// once a new leader may exist.
+func TestCutOffLeaderAnswersNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 4, 3, 1, 1)
+		defer c.close()
+		old := c.leader()
+		c.fabric.Isolate(old.name, c.names()...)
+		time.Sleep(700 * time.Millisecond)
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		defer cancel()
+		if _, err := old.control.Section(ctx, yuccadocument.SectionLimits); !errors.Is(err, yuccacontrol.ErrNotLeader) {
+			t.Errorf("a cut-off leader answered a read: %v", err)
+		}
+		if _, err := old.control.Apply(ctx, sectionCommand(yuccadocument.SectionLimits, 1, "x", limitsBody)); err == nil {
+			t.Error("a cut-off leader accepted a change")
+		}
+		time.Sleep(3 * time.Second)
+		if n := c.leader(); n == nil || n == old {
+			t.Error("the others chose no leader")
+		}
+	})
+}
+
+// A control that lost its disk comes back as a new replica, is no voter before
+// it has caught up, and another host may then be lost.
+func TestWipedControlRejoins(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 5, 3, 1, 1)
+		defer c.close()
+		for round, n := range c.controls {
+			result := c.apply(sectionCommand(yuccadocument.SectionLimits, uint64(round+1), fmt.Sprintf("r%d", round), limitsBody))
+			if result == nil || result.Outcome != yuccastate.Accepted {
+				t.Fatalf("round %d: %+v", round, result)
+			}
+			c.crash(n)
+			c.wipe(n)
+			c.start(n)
+			c.awaitVoters(3)
+		}
+		if version := c.readVersion(); version != 4 {
+			t.Errorf("after all disks were replaced in turn the version is %d, expected 4", version)
+		}
+	})
+}
+
+// awaitVoters waits until the leader counts that many voters, all with the
+// disks that they have now.
+func (c *cluster) awaitVoters(n int) {
+	for range 300 {
+		if leader := c.leader(); leader != nil {
+			status, err := leader.control.Status(leader.ctx)
+			voters := 0
+			for _, r := range status.Replicas {
+				if r.Voter && r.Linked && c.hasDisk(r.ID) {
+					voters++
+				}
+			}
+			if err == nil && voters == n {
+				return
+			}
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	c.t.Fatalf("the group did not come to %d voters", n)
+}
+
+func (c *cluster) hasDisk(id uint64) bool {
+	for _, n := range c.controls {
+		if n.disk.ID() == id {
+			return true
+		}
+	}
+	return false
+}
+
+// A control whose disk fails stops, and the others go on.
+func TestDiskErrorStopsItsControl(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 6, 3, 1, 1)
+		defer c.close()
+		victim := c.leader()
+		victim.disk.set(func(m *memoryDisk) { m.broken = true })
+		result := c.apply(sectionCommand(yuccadocument.SectionLimits, 1, "x", limitsBody))
+		if result == nil || result.Version != 2 {
+			t.Errorf("the change was not accepted: %+v", result)
+		}
+		if n := c.leader(); n == nil || n == victim {
+			t.Error("the control with the broken disk still leads")
+		}
+	})
+}
--- a/yuccaside/httprunner.go
+++ b/yuccaside/httprunner.go
@@ -29,6 +29,8 @@
 // nothing that net/http or a redirect might repeat is left to them.
 type HTTPRunner struct {
 	client *http.Client
+	// fresh opens a connection for each request.
+	fresh *http.Client
 }
 
 // NewHTTPRunner returns a runner with connections of its own.
@@ -38,7 +40,13 @@
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
 	}
-	return &HTTPRunner{client: &http.Client{Transport: transport, CheckRedirect: keepRedirect}}
+	return &HTTPRunner{
+		client: &http.Client{Transport: transport, CheckRedirect: keepRedirect},
+		fresh: &http.Client{
+			Transport:     &http.Transport{DisableKeepAlives: true, DisableCompression: true},
+			CheckRedirect: keepRedirect,
+		},
+	}
 }
 
 func keepRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
@@ -56,7 +64,7 @@
 	if err != nil {
 		return lost(err)
 	}
-	response, err := h.client.Do(request)
+	response, err := h.clientFor(request).Do(request)
 	if err != nil {
 		return lost(err)
 	}
@@ -73,6 +81,21 @@
 	}
 }
 
+// clientFor returns the client that can't send the request twice. With an empty
+// body and a method that has one, net/http would either see that the request
+// can be repeated or send it chunked; a fresh connection avoids both.
+func (h *HTTPRunner) clientFor(request *http.Request) *http.Client {
+	if request.ContentLength > 0 {
+		return h.client
+	}
+	switch request.Method {
+	case http.MethodPost, http.MethodPut, http.MethodPatch:
+		request.Body = http.NoBody
+		return h.fresh
+	}
+	return h.client
+}
+
 func newRequest(ctx context.Context, address string, start *yuccawire.Start) (*http.Request, error) {
 	r := start.GetRequest()
 	to, err := url.Parse(address + r.GetPath())
--- /dev/null
+++ b/yuccaside/httprunner_test.go
@@ -0,0 +1,151 @@
+package yuccaside_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+
+	"github.com/yuccaturn/yuccaturn/yuccaside"
+	"github.com/yuccaturn/yuccaturn/yuccawire"
+)
+
+// droppingServer answers the first request of each connection and drops the
+// connection after reading the second, as a target does that dies at work.
+type droppingServer struct {
+	address  string
+	requests atomic.Int64
+}
+
+func newDroppingServer(t *testing.T) *droppingServer {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &droppingServer{address: "http://" + listener.Addr().String()}
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(conn)
+		}
+	}()
+	return s
+}
+
+func (s *droppingServer) serve(conn net.Conn) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for n := 0; ; n++ {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		s.requests.Add(1)
+		if n == 1 {
+			return
+		}
+		_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
+	}
+}
+
+func start(method string, body string, headers ...*yuccawire.Header) *yuccawire.Start {
+	return &yuccawire.Start{
+		Key:     &yuccawire.TaskKey{Job: &yuccawire.JobKey{Team: "parishes", Id: "toll"}, Task: "t", Attempt: 1},
+		Request: &yuccawire.Request{Method: method, Path: "/toll", Headers: headers, Body: []byte(body)},
+	}
+}
+
+// net/http sends a request again by itself when a kept connection drops, if it
+// takes the request for idempotent. A start must never be sent twice.
+func TestDroppedConnectionDoesNotSendAStartTwice(t *testing.T) {
+	key := &yuccawire.Header{Name: "Idempotency-Key", Values: []string{"toll-1"}}
+	for _, c := range []struct {
+		name   string
+		start  *yuccawire.Start
+		second yuccawire.TaskState
+	}{
+		{"POST", start("POST", "{}"), yuccawire.TaskState_TASK_UNKNOWN},
+		{"POST with an Idempotency-Key", start("POST", "{}", key), yuccawire.TaskState_TASK_UNKNOWN},
+		{"GET", start("GET", ""), yuccawire.TaskState_TASK_UNKNOWN},
+		{"GET with an Idempotency-Key", start("GET", "", key), yuccawire.TaskState_TASK_UNKNOWN},
+		// A fresh connection each, so that the second one isn't dropped.
+		{"PUT without a body", start("PUT", "", key), yuccawire.TaskState_TASK_FINISHED},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			server := newDroppingServer(t)
+			runner := yuccaside.NewHTTPRunner()
+			first := runner.Run(context.Background(), server.address, c.start)
+			second := runner.Run(context.Background(), server.address, c.start)
+			if first.GetState() != yuccawire.TaskState_TASK_FINISHED || second.GetState() != c.second {
+				t.Errorf("states are %s and %s, expected finished and %s", first.GetState(), second.GetState(), c.second)
+			}
+			if n := server.requests.Load(); n != 2 {
+				t.Errorf("the target got %d requests, expected 2", n)
+			}
+		})
+	}
+}
+
+// The same requests through a plain http.Client show that the test can fail.
+func TestPlainClientSendsAgain(t *testing.T) {
+	server := newDroppingServer(t)
+	for range 2 {
+		response, err := http.Get(server.address)
+		if err == nil {
+			response.Body.Close()
+		}
+	}
+	if n := server.requests.Load(); n != 3 {
+		t.Errorf("the target got %d requests, expected 3 since http.Get repeats", n)
+	}
+}
+
+func TestRedirectIsPassedThrough(t *testing.T) {
+	var hits atomic.Int64
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		hits.Add(1)
+		http.Redirect(w, r, "/elsewhere", http.StatusTemporaryRedirect)
+	})}
+	go func() { _ = server.Serve(listener) }()
+	defer server.Close()
+	result := yuccaside.NewHTTPRunner().Run(context.Background(), "http://"+listener.Addr().String(), start("POST", "{}"))
+	if result.GetStatus() != http.StatusTemporaryRedirect || hits.Load() != 1 {
+		t.Errorf("status %d after %d requests, expected 307 after 1", result.GetStatus(), hits.Load())
+	}
+}
+
+// An empty body reaches the target as it was sent, not as a chunked one.
+func TestEmptyBodyIsPassedThroughUnchanged(t *testing.T) {
+	var encodings []string
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		encodings = append(encodings, r.TransferEncoding...)
+	})}
+	go func() { _ = server.Serve(listener) }()
+	defer server.Close()
+	for _, method := range []string{"POST", "PUT", "PATCH", "GET", "DELETE"} {
+		result := yuccaside.NewHTTPRunner().Run(context.Background(), "http://"+listener.Addr().String(), start(method, ""))
+		if result.GetStatus() != http.StatusOK {
+			t.Errorf("%s: %+v", method, result)
+		}
+	}
+	if len(encodings) > 0 {
+		t.Errorf("requests came with the transfer encodings %v", encodings)
+	}
+}
