--- /dev/null
+++ b/yuccadisk/folder_test.go
@@ -0,0 +1,200 @@
+package yuccadisk_test
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/yuccaturn/yuccaturn/yuccadisk"
+	"github.com/yuccaturn/yuccaturn/yuccareplica"
+	"github.com/yuccaturn/yuccaturn/yuccawire"
+)
+
+func entry(index, term uint64, command string) *yuccawire.Entry {
+	return &yuccawire.Entry{Index: index, Term: term, Command: []byte(command)}
+}
+
+func open(t *testing.T, path string) *yuccadisk.Folder {
+	t.Helper()
+	f, err := yuccadisk.Open(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = f.Close() })
+	return f
+}
+
+func write(t *testing.T, f *yuccadisk.Folder, frames ...*yuccawire.DiskFrame) {
+	t.Helper()
+	for _, frame := range frames {
+		if err := f.Write(frame); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// threeFrames forms a group and appends two entries, one frame each.
+func threeFrames(t *testing.T, path string) {
+	t.Helper()
+	f := open(t, path)
+	write(t, f,
+		&yuccawire.DiskFrame{Snapshot: &yuccawire.InstallSnapshot{Index: 1, IndexTerm: 1}, HardState: &yuccawire.HardState{Term: 1}},
+		&yuccawire.DiskFrame{Entries: []*yuccawire.Entry{entry(2, 2, "a")}, HardState: &yuccawire.HardState{Term: 2, Vote: 9}},
+		&yuccawire.DiskFrame{Entries: []*yuccawire.Entry{entry(3, 2, "b")}},
+	)
+	_ = f.Close()
+}
+
+func logFile(t *testing.T, path string) string {
+	t.Helper()
+	logs, err := filepath.Glob(filepath.Join(path, "log-*"))
+	if err != nil || len(logs) != 1 {
+		t.Fatalf("logs are %v: %v", logs, err)
+	}
+	return logs[0]
+}
+
+func commands(s yuccareplica.Stored) string {
+	text := ""
+	for _, e := range s.Entries {
+		text += string(e.GetCommand())
+	}
+	return text
+}
+
+func TestWhatWasWrittenIsReadAgain(t *testing.T) {
+	path := t.TempDir()
+	threeFrames(t, path)
+	f := open(t, path)
+	stored := f.Stored()
+	if commands(stored) != "ab" || stored.HardState.GetVote() != 9 || stored.Snapshot.GetIndex() != 1 {
+		t.Errorf("stored is %+v", stored)
+	}
+	write(t, f, &yuccawire.DiskFrame{Entries: []*yuccawire.Entry{entry(3, 3, "c")}})
+	id := f.ID()
+	_ = f.Close()
+	again := open(t, path)
+	if commands(again.Stored()) != "ac" || again.ID() != id {
+		t.Errorf("after an entry was replaced stored is %q", commands(again.Stored()))
+	}
+}
+
+func TestSnapshotReplacesTheLog(t *testing.T) {
+	path := t.TempDir()
+	threeFrames(t, path)
+	f := open(t, path)
+	frame := &yuccawire.DiskFrame{
+		Snapshot:  &yuccawire.InstallSnapshot{Index: 2, IndexTerm: 2, State: []byte("state")},
+		HardState: &yuccawire.HardState{Term: 2},
+		Entries:   []*yuccawire.Entry{entry(3, 2, "b")},
+	}
+	if err := f.Replace(frame); err != nil {
+		t.Fatal(err)
+	}
+	write(t, f, &yuccawire.DiskFrame{Entries: []*yuccawire.Entry{entry(4, 2, "c")}})
+	_ = f.Close()
+	stored := open(t, path).Stored()
+	if commands(stored) != "bc" || string(stored.Snapshot.GetState()) != "state" {
+		t.Errorf("stored is %q with state %q", commands(stored), stored.Snapshot.GetState())
+	}
+	logFile(t, path)
+}
+
+// Whatever length a crash leaves of the last frame, the ones before it are read
+// and the rest is cut.
+func TestTornTailIsCut(t *testing.T) {
+	whole := t.TempDir()
+	threeFrames(t, whole)
+	text, err := os.ReadFile(logFile(t, whole))
+	if err != nil {
+		t.Fatal(err)
+	}
+	last := &yuccawire.DiskFrame{Entries: []*yuccawire.Entry{entry(3, 2, "b")}}
+	frameBytes := 16 + proto.Size(last)
+	for cut := 1; cut < frameBytes; cut++ {
+		path := t.TempDir()
+		threeFrames(t, path)
+		if err := os.Truncate(logFile(t, path), int64(len(text)-cut)); err != nil {
+			t.Fatal(err)
+		}
+		f := open(t, path)
+		if commands(f.Stored()) != "a" || f.CutBytes() != frameBytes-cut {
+			t.Fatalf("with %d bytes cut stored is %q, cut off were %d", cut, commands(f.Stored()), f.CutBytes())
+		}
+		write(t, f, &yuccawire.DiskFrame{Entries: []*yuccawire.Entry{entry(3, 3, "c")}})
+		_ = f.Close()
+		if got := commands(open(t, path).Stored()); got != "ac" {
+			t.Fatalf("with %d bytes cut and an entry written stored is %q", cut, got)
+		}
+	}
+}
+
+// A damaged byte before the last frame loses synced data: opening refuses.
+func TestCorruptMiddleRefuses(t *testing.T) {
+	whole := t.TempDir()
+	threeFrames(t, whole)
+	text, err := os.ReadFile(logFile(t, whole))
+	if err != nil {
+		t.Fatal(err)
+	}
+	lastFrame := len(text) - 16 - proto.Size(&yuccawire.DiskFrame{Entries: []*yuccawire.Entry{entry(3, 2, "b")}})
+	for at := range lastFrame {
+		path := t.TempDir()
+		threeFrames(t, path)
+		damaged := append([]byte(nil), text...)
+		damaged[at] ^= 0x40
+		if err := os.WriteFile(logFile(t, path), damaged, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := yuccadisk.Open(path); !errors.Is(err, yuccadisk.ErrCorrupt) {
+			t.Fatalf("with byte %d damaged: %v", at, err)
+		}
+	}
+}
+
+func TestInterruptedReplacementLeavesTheOldLog(t *testing.T) {
+	path := t.TempDir()
+	threeFrames(t, path)
+	if err := os.WriteFile(filepath.Join(path, "log-000000000002.part"), []byte("half"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if got := commands(open(t, path).Stored()); got != "ab" {
+		t.Errorf("stored is %q", got)
+	}
+}
+
+// FuzzOpen opens damaged logs: it may refuse, but must not panic or read what
+// was not written.
+func FuzzOpen(f *testing.F) {
+	f.Add(0, byte(1), 0)
+	f.Add(20, byte(0xff), 3)
+	f.Add(60, byte(0x10), 40)
+	f.Fuzz(func(t *testing.T, at int, flip byte, cut int) {
+		path := t.TempDir()
+		threeFrames(t, path)
+		text, err := os.ReadFile(logFile(t, path))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if at >= 0 && at < len(text) {
+			text[at] ^= flip
+		}
+		if cut > 0 && cut < len(text) {
+			text = text[:len(text)-cut]
+		}
+		if err := os.WriteFile(logFile(t, path), text, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		folder, err := yuccadisk.Open(path)
+		if err != nil {
+			return
+		}
+		defer folder.Close()
+		if got := commands(folder.Stored()); got != "" && got != "a" && got != "ab" {
+			t.Errorf("read %q", got)
+		}
+	})
+}
--- a/yuccadispatch/answer.go
+++ b/yuccadispatch/answer.go
@@ -188,6 +188,7 @@
 // anew.
 func (d *Dispatcher) reject(j *job, r Rejection) {
 	j.rejection = r
+	j.outcome = nil
 	for _, t := range j.tasks {
 		d.release(t)
 	}
--- /dev/null
+++ b/yuccamux/export_test.go
@@ -0,0 +1,20 @@
+package yuccamux
+
+import (
+	"bufio"
+	"bytes"
+
+	"google.golang.org/protobuf/encoding/protodelim"
+
+	"github.com/yuccaturn/yuccaturn/yuccawire"
+)
+
+// DecodeAll reads envelopes from the text until it ends or is wrong.
+func DecodeAll(text []byte) int {
+	l := &link{reader: bufio.NewReader(bytes.NewReader(text)), decoder: protodelim.UnmarshalOptions{MaxSize: defaultMaxMessageBytes}}
+	n := 0
+	for l.decoder.UnmarshalFrom(l.reader, new(yuccawire.Envelope)) == nil {
+		n++
+	}
+	return n
+}
--- /dev/null
+++ b/yuccamux/network_test.go
@@ -0,0 +1,132 @@
+package yuccamux_test
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/yuccaturn/yuccaturn/yuccamux"
+	"github.com/yuccaturn/yuccaturn/yuccawire"
+)
+
+func listen(t *testing.T, options yuccamux.Options) (*yuccamux.Network, yuccawire.Listener) {
+	t.Helper()
+	network := yuccamux.New(options)
+	listener, err := network.Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		_ = listener.Close()
+		network.Close()
+	})
+	return network, listener
+}
+
+// pair returns both ends of a link.
+func pair(t *testing.T, options yuccamux.Options) (near, far yuccawire.Link) {
+	t.Helper()
+	network, listener := listen(t, options)
+	near, err := network.Dial(context.Background(), listener.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	// A stream becomes known to the peer with its first bytes.
+	if err := near.Send(claims(0)); err != nil {
+		t.Fatal(err)
+	}
+	if far, err = listener.Accept(); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := far.Receive(); err != nil {
+		t.Fatal(err)
+	}
+	return near, far
+}
+
+func claims(sequence uint64) *yuccawire.Envelope {
+	return &yuccawire.Envelope{Body: &yuccawire.Envelope_ClaimBatch{ClaimBatch: &yuccawire.ClaimBatch{Sequence: sequence}}}
+}
+
+func TestMessagesArriveInOrder(t *testing.T) {
+	near, far := pair(t, yuccamux.Options{})
+	for i := range 1000 {
+		if err := near.Send(claims(uint64(i))); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for i := range 1000 {
+		m, err := far.Receive()
+		if err != nil || m.GetClaimBatch().GetSequence() != uint64(i) {
+			t.Fatalf("message %d is %v: %v", i, m, err)
+		}
+	}
+}
+
+func TestClosedLinkEndsBothEnds(t *testing.T) {
+	near, far := pair(t, yuccamux.Options{})
+	_ = near.Close()
+	if _, err := far.Receive(); err == nil {
+		t.Error("the far end received from a closed link")
+	}
+	if err := near.Send(claims(1)); !errors.Is(err, yuccawire.ErrLinkClosed) {
+		t.Errorf("sending on a closed link: %v", err)
+	}
+}
+
+// A peer that does not read costs a bounded amount of memory, then its link.
+func TestSlowPeerLosesItsLink(t *testing.T) {
+	near, _ := pair(t, yuccamux.Options{MaxPendingBytes: 1 << 20})
+	big := &yuccawire.Envelope{Body: &yuccawire.Envelope_Finished{Finished: &yuccawire.Finished{Body: make([]byte, 100<<10)}}}
+	var err error
+	for range 10_000 {
+		if err = near.Send(big); err != nil {
+			break
+		}
+	}
+	if !errors.Is(err, yuccawire.ErrLinkFull) && !errors.Is(err, yuccawire.ErrLinkClosed) {
+		t.Errorf("1 GB was queued for a peer that does not read: %v", err)
+	}
+}
+
+func TestOversizedMessageEndsTheLink(t *testing.T) {
+	near, far := pair(t, yuccamux.Options{MaxMessageBytes: 1000})
+	big := &yuccawire.Envelope{Body: &yuccawire.Envelope_Finished{Finished: &yuccawire.Finished{Body: make([]byte, 2000)}}}
+	if err := near.Send(big); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := far.Receive(); err == nil {
+		t.Error("a message over the bound was received")
+	}
+}
+
+// A process of another protocol version is told so, and gets no link.
+func TestOtherVersionIsRejected(t *testing.T) {
+	near, far := pair(t, yuccamux.Options{})
+	hello := &yuccawire.Hello{ProtocolVersion: yuccawire.ProtocolVersion + 1, Node: &yuccawire.Node{Name: "side-1", Role: yuccawire.Role_ROLE_SIDE}}
+	if err := near.Send(&yuccawire.Envelope{Body: &yuccawire.Envelope_Hello{Hello: hello}}); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	_, err := yuccawire.AcceptHello(ctx, far, &yuccawire.Node{Name: "entry-1"})
+	if !errors.Is(err, yuccawire.ErrVersion) || !strings.Contains(err.Error(), `"side-1" has version 2, expected 1`) {
+		t.Errorf("the error is %v", err)
+	}
+	m, err := near.Receive()
+	if err != nil || !strings.Contains(m.GetRejected().GetReason(), "version") {
+		t.Errorf("the other process was told %v: %v", m, err)
+	}
+}
+
+// FuzzReceive feeds a link arbitrary bytes in place of messages.
+func FuzzReceive(f *testing.F) {
+	f.Add([]byte{0})
+	f.Add([]byte{5, 1, 2, 3, 4, 5})
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 0x7f})
+	f.Fuzz(func(_ *testing.T, text []byte) {
+		yuccamux.DecodeAll(text)
+	})
+}
