yuccaload: drive a deployment with an open-loop load

Cause: nothing measured response over ideal, wasted messages, or work done while a data centre leaves and returns.

--- a/yuccacontrol/operators.go
+++ b/yuccacontrol/operators.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -266,7 +267,8 @@
 		c.respond(w, r, acceptedBody{Section: result.Section, Version: result.Version, Repeated: result.Outcome == yuccastate.Repeated}, nil)
 	case yuccastate.Conflict:
 		c.metrics.Add("changes_conflicting", 1)
-		p := yuccaproblem.NotRunf(http.StatusConflict, yuccaproblem.VersionConflict, "section %s is at version %d, the change was based on %d", result.Section, result.Version, yours.Version)
+		p := yuccaproblem.NotRunf(http.StatusConflict, yuccaproblem.VersionConflict, "section %s is at version %d%s; request %s by %s was based on version %d",
+			result.Section, result.Version, winnerNote(result.Current), yours.RequestID, yours.Operator, yours.Version)
 		writeConflict(w, conflictBody{Problem: p, Yours: yours, Winner: bodyOf(result.Current)})
 	case yuccastate.Reused:
 		c.metrics.Add("changes_conflicting", 1)
@@ -278,6 +280,15 @@
 	}
 }
 
+// winnerNote says whose change won.
+func winnerNote(winner *yuccawire.Change) string {
+	if winner == nil {
+		return ""
+	}
+	at := time.UnixMilli(winner.GetAtUnixMs()).UTC().Format(time.RFC3339)
+	return fmt.Sprintf(" (request %s by %s at %s)", winner.GetRequestId(), winner.GetOperator(), at)
+}
+
 func invalid(result *yuccastate.ChangeResult) *yuccaproblem.Problem {
 	p := yuccaproblem.NotRunf(http.StatusUnprocessableEntity, yuccaproblem.InvalidDocument, "section %s would make the document wrong", result.Section)
 	var findings yuccajsonc.Findings
--- a/yuccaentry/entry.go
+++ b/yuccaentry/entry.go
@@ -242,9 +242,8 @@
 		e.dispatcher.Joined(now, body.Joined)
 	case *yuccawire.Envelope_Goodbye:
 		e.dispatcher.SideLeaving(name)
-		if d := e.links[name]; d != nil {
-			d.hangUp()
-		}
+		e.dispatcher.LinkDown(name)
+		e.closeLink(name)
 	}
 }
 
--- /dev/null
+++ b/yuccaload/report.go
@@ -0,0 +1,253 @@
+package yuccaload
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/ansel1/merry/v2"
+
+	"github.com/yuccaturn/yuccaturn/yuccaclient"
+	"github.com/yuccaturn/yuccaturn/yuccahistory"
+)
+
+const (
+	maxMicros     = int64(time.Hour / time.Microsecond)
+	maxRatio      = 1_000_000
+	ratioScale    = 1000
+	figures       = 3
+	changeWindow  = 10 * time.Second
+	varsTimeout   = 5 * time.Second
+	wastedRefused = "starts_refused"
+)
+
+// counters are the counters of all entries, added up.
+type counters map[string]int64
+
+// wasted names the counters of messages that did not help a job.
+var wasted = []string{wastedRefused, "answers_late", "answers_crossed", "jobs_resubmitted", "attempts_queried"}
+
+// sent names the counters of messages that entries sent or got for tasks.
+var sent = []string{"starts_sent", "tasks_finished", wastedRefused, "answers_late", "answers_crossed", "claims_sent", "cancel_messages", "attempts_queried"}
+
+// Percentiles of one figure.
+type Percentiles struct {
+	P50 float64 `json:"p50"`
+	P90 float64 `json:"p90"`
+	P99 float64 `json:"p99"`
+	Max float64 `json:"max"`
+}
+
+// Report is what a run measured.
+type Report struct {
+	Jobs       int            `json:"jobs"`
+	Complete   int            `json:"complete"`
+	Tasks      int            `json:"tasks_finished"`
+	Outcomes   map[string]int `json:"outcomes"`
+	NotRun     int            `json:"refused_not_run"`
+	Late       int            `json:"answered_late"`
+	Partial    int            `json:"partial_answers"`
+	StartTwice int            `json:"starts_twice"`
+	// Journals tells whether journals were read, so that StartTwice counts.
+	Journals bool `json:"journals_read"`
+	// Response is the response time of complete jobs, in milliseconds.
+	Response Percentiles `json:"response_ms"`
+	// Ratio is the response time over the ideal.
+	Ratio Percentiles `json:"response_over_ideal"`
+	// MessagesPerTask counts the messages between entries, sides and control.
+	MessagesPerTask float64          `json:"messages_per_task"`
+	WastedShare     float64          `json:"wasted_share"`
+	Wasted          map[string]int64 `json:"wasted"`
+	Changes         []ChangeReport   `json:"data_centre_changes"`
+}
+
+// ChangeReport is the work done in the ten seconds around a change of a data
+// centre.
+type ChangeReport struct {
+	DataCentre string `json:"data_centre"`
+	Out        bool   `json:"out"`
+	// Offered and Done count the tasks that arrived, and that were in complete
+	// jobs which arrived, within the window.
+	Offered int     `json:"tasks_offered"`
+	Done    int     `json:"tasks_done"`
+	Share   float64 `json:"share"`
+}
+
+func (r *Run) counters(ctx context.Context) (counters, error) {
+	total := make(counters)
+	for _, address := range r.settings.EntryOperators {
+		one, err := fetchCounters(ctx, address)
+		if err != nil {
+			return nil, merry.Prependf(err, "reading the counters of %s", address)
+		}
+		for name, value := range one {
+			total[name] += value
+		}
+	}
+	return total, nil
+}
+
+func fetchCounters(ctx context.Context, address string) (counters, error) {
+	ctx, cancel := context.WithTimeout(ctx, varsTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/debug/vars", nil)
+	if err != nil {
+		return nil, err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, merry.Prependf(yuccaclient.ErrUnreachable, "%v", err)
+	}
+	defer response.Body.Close()
+	var vars struct {
+		Yuccaturn counters `json:"yuccaturn"`
+	}
+	err = json.NewDecoder(response.Body).Decode(&vars)
+	return vars.Yuccaturn, merry.Prepend(err, "reading the counters")
+}
+
+func (r *Run) report(before, after counters) (*Report, error) {
+	p := &Report{Jobs: len(r.results), Outcomes: make(map[string]int), Wasted: make(map[string]int64)}
+	response := hdrhistogram.New(1, maxMicros, figures)
+	ratio := hdrhistogram.New(1, maxRatio, figures)
+	for _, res := range r.results {
+		p.count(res)
+		if res.complete {
+			_ = response.RecordValue(res.took.Microseconds())
+			_ = ratio.RecordValue(int64(ratioScale * float64(res.took) / float64(res.ideal)))
+		}
+	}
+	p.Response = percentiles(response, 1000)
+	p.Ratio = percentiles(ratio, ratioScale)
+	p.countMessages(before, after)
+	for _, change := range r.settings.DataCentres {
+		p.Changes = append(p.Changes, r.around(change.Name, change.Out, change.At))
+	}
+	return p, p.countStarts(r.settings.Journals)
+}
+
+func (p *Report) count(res result) {
+	p.Outcomes[res.outcome]++
+	if res.complete {
+		p.Complete++
+		p.Tasks += res.tasks
+	}
+	if res.partial {
+		p.Partial++
+	}
+	if res.notRun {
+		p.NotRun++
+	}
+	if !res.inTime {
+		p.Late++
+	}
+}
+
+func percentiles(h *hdrhistogram.Histogram, scale float64) Percentiles {
+	return Percentiles{
+		P50: float64(h.ValueAtQuantile(50)) / scale,
+		P90: float64(h.ValueAtQuantile(90)) / scale,
+		P99: float64(h.ValueAtQuantile(99)) / scale,
+		Max: float64(h.Max()) / scale,
+	}
+}
+
+func (p *Report) countMessages(before, after counters) {
+	all, lost := int64(0), int64(0)
+	for _, name := range sent {
+		all += after[name] - before[name]
+	}
+	for _, name := range wasted {
+		if n := after[name] - before[name]; n > 0 {
+			p.Wasted[name] = n
+			lost += n
+		}
+	}
+	if finished := after["tasks_finished"] - before["tasks_finished"]; finished > 0 {
+		p.MessagesPerTask = float64(all) / float64(finished)
+	}
+	if all > 0 {
+		p.WastedShare = float64(lost) / float64(all)
+	}
+}
+
+// around counts the work of the jobs that arrived in the window of a change.
+func (r *Run) around(name string, out bool, at time.Duration) ChangeReport {
+	c := ChangeReport{DataCentre: name, Out: out}
+	from := r.began.Add(at - changeWindow/2)
+	until := r.began.Add(at + changeWindow/2)
+	for _, res := range r.results {
+		if res.due.Before(from) || !res.due.Before(until) {
+			continue
+		}
+		c.Offered += res.tasks
+		if res.complete && res.inTime {
+			c.Done += res.tasks
+		}
+	}
+	if c.Offered > 0 {
+		c.Share = float64(c.Done) / float64(c.Offered)
+	}
+	return c
+}
+
+// countStarts counts tasks that the journals show started twice.
+func (p *Report) countStarts(journals []string) error {
+	var events []yuccahistory.Event
+	for _, name := range journals {
+		file, err := os.Open(name)
+		if err != nil {
+			return merry.Prepend(err, "opening a journal")
+		}
+		read, err := yuccahistory.Read(name, file)
+		_ = file.Close()
+		if err != nil {
+			return err
+		}
+		events = append(events, read...)
+	}
+	p.Journals = len(journals) > 0
+	for _, v := range yuccahistory.Check(events, yuccahistory.Bounds{}) {
+		if v.Rule == yuccahistory.RuleStartOnce {
+			p.StartTwice++
+		}
+	}
+	return nil
+}
+
+// Print writes the report as a table.
+func (p *Report) Print(w io.Writer) {
+	fmt.Fprintf(w, "jobs              %d, complete %d (%d tasks)\n", p.Jobs, p.Complete, p.Tasks)
+	for _, outcome := range slices.Sorted(maps.Keys(p.Outcomes)) {
+		fmt.Fprintf(w, "  %-20s %d\n", outcome, p.Outcomes[outcome])
+	}
+	fmt.Fprintf(w, "refused, not run  %d\n", p.NotRun)
+	fmt.Fprintf(w, "answered late     %d\n", p.Late)
+	fmt.Fprintf(w, "partial answers   %d\n", p.Partial)
+	if p.Journals {
+		fmt.Fprintf(w, "started twice     %d\n", p.StartTwice)
+	}
+	fmt.Fprintf(w, "response, ms      p50 %.1f  p90 %.1f  p99 %.1f  max %.1f\n", p.Response.P50, p.Response.P90, p.Response.P99, p.Response.Max)
+	fmt.Fprintf(w, "response / ideal  p50 %.3f  p90 %.3f  p99 %.3f  max %.3f\n", p.Ratio.P50, p.Ratio.P90, p.Ratio.P99, p.Ratio.Max)
+	fmt.Fprintf(w, "messages          %.2f for each task, %.2f%% wasted\n", p.MessagesPerTask, 100*p.WastedShare)
+	for _, name := range slices.Sorted(maps.Keys(p.Wasted)) {
+		fmt.Fprintf(w, "  %-20s %d\n", name, p.Wasted[name])
+	}
+	for _, c := range p.Changes {
+		fmt.Fprintf(w, "%-17s %s: %d of %d tasks done around it (%.1f%%)\n", c.DataCentre, direction(c.Out), c.Done, c.Offered, 100*c.Share)
+	}
+}
+
+func direction(out bool) string {
+	if out {
+		return "out"
+	}
+	return "in"
+}
--- /dev/null
+++ b/yuccaload/schedule.go
@@ -0,0 +1,109 @@
+package yuccaload
+
+import (
+	"cmp"
+	"context"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/yuccaturn/yuccaturn/yuccaclient"
+	"github.com/yuccaturn/yuccaturn/yuccasettings"
+)
+
+// arrival is one job of the schedule: when it comes, and how long each of its
+// tasks runs.
+type arrival struct {
+	at    time.Duration
+	tasks []time.Duration
+}
+
+// newSchedule draws all arrivals of a run: a Poisson stream and the bursts.
+func newSchedule(s *yuccasettings.Workload, random *rand.Rand) []arrival {
+	var schedule []arrival
+	mean := float64(time.Second) / s.JobsPerSecond
+	for at := time.Duration(0); ; {
+		at += time.Duration(random.ExpFloat64() * mean)
+		if at >= s.Duration {
+			break
+		}
+		schedule = append(schedule, arrival{at: at, tasks: drawTasks(s, random)})
+	}
+	for _, burst := range s.Bursts {
+		for range burst.Jobs {
+			schedule = append(schedule, arrival{at: burst.At, tasks: drawTasks(s, random)})
+		}
+	}
+	slices.SortStableFunc(schedule, func(a, b arrival) int { return cmp.Compare(a.at, b.at) })
+	return schedule
+}
+
+func drawTasks(s *yuccasettings.Workload, random *rand.Rand) []time.Duration {
+	tasks := make([]time.Duration, s.MinTasks+random.IntN(s.MaxTasks-s.MinTasks+1))
+	for i := range tasks {
+		run := float64(s.MedianRun) * math.Exp(s.RunSpread*random.NormFloat64())
+		tasks[i] = min(time.Duration(run), s.MaxRun).Round(time.Microsecond)
+	}
+	return tasks
+}
+
+// change is something that the run does to the system at a set time.
+type change struct {
+	at time.Duration
+	do func(ctx context.Context)
+}
+
+// startChanges begins the waves of cancellations and the changes of data
+// centres, and returns what waits for them.
+func (r *Run) startChanges(ctx context.Context) *sync.WaitGroup {
+	control := yuccaclient.New(r.settings.Control, "load")
+	var changes []change
+	for _, dc := range r.settings.DataCentres {
+		changes = append(changes, change{at: dc.At, do: func(ctx context.Context) {
+			_, _ = control.SetDataCentre(ctx, dc.Name, dc.Out, "")
+		}})
+	}
+	for _, wave := range r.settings.Cancellations {
+		changes = append(changes, change{at: wave.At, do: func(ctx context.Context) { r.cancel(ctx, wave.Share) }})
+	}
+	group := new(sync.WaitGroup)
+	for _, c := range changes {
+		t := &timedChange{change: c, began: r.began, group: group}
+		group.Add(1)
+		go t.run(ctx)
+	}
+	return group
+}
+
+// timedChange waits for the time of a change.
+type timedChange struct {
+	change
+	began time.Time
+	group *sync.WaitGroup
+}
+
+func (t *timedChange) run(ctx context.Context) {
+	defer t.group.Done()
+	if sleepUntil(ctx, t.began.Add(t.at)) {
+		t.do(ctx)
+	}
+}
+
+// cancel ends a share of the jobs in progress, all at once.
+func (r *Run) cancel(ctx context.Context, share float64) {
+	r.mu.Lock()
+	var jobs []*job
+	for _, j := range r.open {
+		if len(jobs) < int(share*float64(len(r.open))) {
+			jobs = append(jobs, j)
+		}
+	}
+	r.mu.Unlock()
+	var group sync.WaitGroup
+	for _, j := range jobs {
+		group.Go(func() { _, _, _ = j.client.Cancel(ctx, j.team, j.id) })
+	}
+	group.Wait()
+}
--- /dev/null
+++ b/yuccalocal/trace_test.go
@@ -0,0 +1,61 @@
+package yuccalocal_test
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"go.opentelemetry.io/otel"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/sdk/trace/tracetest"
+)
+
+// A request has a span for each hop, each below the one before, in the trace
+// that the caller began.
+func TestEachHopHasASpan(t *testing.T) {
+	exporter := tracetest.NewInMemoryExporter()
+	provider := sdktrace.NewTracerProvider(sdktrace.WithSyncer(exporter))
+	before := otel.GetTracerProvider()
+	otel.SetTracerProvider(provider)
+	defer otel.SetTracerProvider(before)
+	_, callers := startSystem(t, 1, 1)
+	const trace, caller = "0af7651916cd43dd8448eb211c80319c", "b7ad6b7169203331"
+	request, err := http.NewRequest(http.MethodPost, "http://"+callers[0]+"/v1/services/regulation/check", strings.NewReader(`{}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set("Yucca-Team", "parishes")
+	request.Header.Set("traceparent", "00-"+trace+"-"+caller+"-01")
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	response.Body.Close()
+	spans := make(map[string]tracetest.SpanStub)
+	for _, span := range awaitSpans(exporter, 3) {
+		spans[span.Name] = span
+	}
+	parent := caller
+	for _, hop := range []string{"entry.request", "side.run", "target.task"} {
+		span, ok := spans[hop]
+		if !ok {
+			t.Fatalf("hop %s has no span; there are %v", hop, spans)
+		}
+		if span.SpanContext.TraceID().String() != trace || span.Parent.SpanID().String() != parent {
+			t.Errorf("span %s is in trace %s below %s, expected %s below %s",
+				hop, span.SpanContext.TraceID(), span.Parent.SpanID(), trace, parent)
+		}
+		parent = span.SpanContext.SpanID().String()
+	}
+}
+
+// awaitSpans waits for the spans of servers, which end after their answers.
+func awaitSpans(exporter *tracetest.InMemoryExporter, n int) tracetest.SpanStubs {
+	for {
+		if spans := exporter.GetSpans(); len(spans) >= n {
+			return spans
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
--- a/yuccasettings/settings.go
+++ b/yuccasettings/settings.go
@@ -31,19 +31,21 @@
 	RoleSide    Role = "side"
 	RoleTarget  Role = "target"
 	RoleLocal   Role = "local"
+	RoleLoad    Role = "load"
 )
 
 // Settings is the settings file of one process. Of the sections that are named
 // after roles it holds only its own.
 type Settings struct {
-	Process Process  `json:"process"`
-	Log     Log      `json:"log"`
-	Trace   Trace    `json:"trace"`
-	Control *Control `json:"control"`
-	Entry   *Entry   `json:"entry"`
-	Side    *Side    `json:"side"`
-	Target  *Target  `json:"target"`
-	Local   *Local   `json:"local"`
+	Process Process   `json:"process"`
+	Log     Log       `json:"log"`
+	Trace   Trace     `json:"trace"`
+	Control *Control  `json:"control"`
+	Entry   *Entry    `json:"entry"`
+	Side    *Side     `json:"side"`
+	Target  *Target   `json:"target"`
+	Local   *Local    `json:"local"`
+	Load    *Workload `json:"load"`
 }
 
 // Load reads and checks the settings of a process with the role.
@@ -84,6 +86,8 @@
 		s.Target.check(d)
 	case s.Local != nil:
 		s.Local.check(d)
+	case s.Load != nil:
+		s.Load.check(d)
 	}
 }
 
@@ -91,9 +95,9 @@
 func (s *Settings) checkRole(role Role, d *yuccajsonc.Document) {
 	given := map[Role]bool{
 		RoleControl: s.Control != nil, RoleEntry: s.Entry != nil, RoleSide: s.Side != nil,
-		RoleTarget: s.Target != nil, RoleLocal: s.Local != nil,
+		RoleTarget: s.Target != nil, RoleLocal: s.Local != nil, RoleLoad: s.Load != nil,
 	}
-	for _, other := range []Role{RoleControl, RoleEntry, RoleSide, RoleTarget, RoleLocal} {
+	for _, other := range []Role{RoleControl, RoleEntry, RoleSide, RoleTarget, RoleLocal, RoleLoad} {
 		switch {
 		case other == role && !given[other]:
 			d.Report(string(other), "is missing", fmt.Sprintf("the section of a process with the role %s", role))
@@ -111,6 +115,11 @@
 	if s.Target != nil {
 		resolve(folder, &s.Target.Journal)
 	}
+	if s.Load != nil {
+		for i := range s.Load.Journals {
+			resolve(folder, &s.Load.Journals[i])
+		}
+	}
 	if s.Local != nil {
 		resolve(folder, &s.Local.Document)
 		resolve(folder, &s.Local.Job)
