--- a/yuccacontrol/control.go
+++ b/yuccacontrol/control.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -143,7 +144,11 @@
 	defer listener.Close()
 	a := &acceptor{control: c, listener: listener}
 	go a.run(ctx)
-	go c.disk.run(ctx)
+	// A write in progress must end before the disk may be opened again.
+	var writing sync.WaitGroup
+	writing.Go(func() { c.disk.run(ctx) })
+	defer writing.Wait()
+	defer cancel()
 	return c.loop(ctx)
 }
 
