--- a/yuccacontrol/control.go
+++ b/yuccacontrol/control.go
@@ -36,7 +36,8 @@
 	ErrUnknownOutcome = merry.Sentinel("the leadership ended before the outcome was known; send the same request again")
 )
 
-// Options holds what a control needs. All fields but Logger are required.
+// Options holds what a control needs. All fields but CompactEntries and Logger
+// are required.
 type Options struct {
 	Network yuccawire.Network
 	Storage Storage
@@ -45,10 +46,13 @@
 	// DataCentre is where the control runs.
 	DataCentre string
 	// Listed are the replicas of the settings, whose ids aren't known.
-	Listed  []*yuccawire.ReplicaAddress
-	Random  *rand.Rand
-	Metrics *yuccametric.Set
-	Logger  *slog.Logger
+	Listed []*yuccawire.ReplicaAddress
+	// CompactEntries is the length of the log at which a snapshot replaces it;
+	// zero means the default.
+	CompactEntries int
+	Random         *rand.Rand
+	Metrics        *yuccametric.Set
+	Logger         *slog.Logger
 }
 
 // Control is one replica. It is a suture service.
@@ -92,6 +96,9 @@
 	if options.Logger == nil {
 		options.Logger = slog.New(slog.DiscardHandler)
 	}
+	if options.CompactEntries == 0 {
+		options.CompactEntries = compactEntries
+	}
 	self := &yuccawire.ReplicaAddress{
 		Name: options.Self.GetName(), Address: options.Self.GetAddress(),
 		OperatorAddress: options.Self.GetOperatorAddress(), Id: options.Storage.ID(),
--- a/yuccacontrol/loop.go
+++ b/yuccacontrol/loop.go
@@ -212,7 +212,7 @@
 
 // compact replaces a long log by a snapshot of the state.
 func (c *Control) compact() {
-	if c.core.LogEntries() < compactEntries {
+	if c.core.LogEntries() < c.options.CompactEntries {
 		return
 	}
 	text, err := c.state.Encode()
--- /dev/null
+++ b/yuccadispatch/bench_test.go
@@ -0,0 +1,121 @@
+package yuccadispatch_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/yuccaturn/yuccaturn/yuccadispatch"
+	"github.com/yuccaturn/yuccaturn/yuccadocument"
+	"github.com/yuccaturn/yuccaturn/yuccalease"
+	"github.com/yuccaturn/yuccaturn/yuccametric"
+	"github.com/yuccaturn/yuccaturn/yuccawire"
+)
+
+const (
+	workers        = 1100
+	slotsPerWorker = 8
+)
+
+// newDispatcher returns a dispatcher that sees every worker of the letter's
+// size.
+func newDispatcher(tb testing.TB, now time.Time) *yuccadispatch.Dispatcher {
+	tb.Helper()
+	view := yuccadocument.NewView()
+	for _, s := range []struct{ name, body string }{
+		{yuccadocument.SectionDataCentres, `{"cusco": {"region": "sierra"}}`},
+		{yuccadocument.SectionServices, `{"regulation": {"objective": "work_done", "max_run": "10s"}}`},
+		{yuccadocument.SectionLimits, `{"teams": {"parishes": {"max_queued": 1000000}}}`},
+	} {
+		next, err := view.With(&yuccawire.Section{Name: s.name, Version: 1, Body: []byte(s.body)})
+		if err != nil {
+			tb.Fatal(err)
+		}
+		view = next
+	}
+	d := yuccadispatch.New(yuccadispatch.Options{
+		Self: &yuccawire.Node{Name: "entry-1", DataCentre: "cusco", Incarnation: 1}, View: view,
+		Random: rand.New(rand.NewPCG(1, 1)), Metrics: yuccametric.New("entry-1"),
+	})
+	delta := &yuccawire.MembersDelta{Epoch: 1, Version: 1, Full: true}
+	for i := range workers {
+		delta.Changed = append(delta.Changed, &yuccawire.Member{
+			Node:    &yuccawire.Node{Name: fmt.Sprintf("side-%d", i), Role: yuccawire.Role_ROLE_SIDE, DataCentre: "cusco", Incarnation: 1},
+			Targets: []*yuccawire.Target{{Service: "regulation", Slots: slotsPerWorker, Connections: 64}},
+		})
+	}
+	lease := yuccalease.Lease{}.Extend(now, time.Hour)
+	d.Control(now, yuccalease.Update{Lease: lease, View: view, Members: delta})
+	for i := range workers {
+		d.LinkUp(now, fmt.Sprintf("side-%d", i))
+	}
+	d.Actions()
+	return d
+}
+
+func submission(now time.Time, n, tasks int) yuccadispatch.Submission {
+	s := yuccadispatch.Submission{
+		Key: yuccadispatch.Key{Team: "parishes", ID: fmt.Sprint(n)}, Service: "regulation",
+		Digest: []byte{1}, Deadline: now.Add(time.Minute), Unnamed: true,
+	}
+	for i := range tasks {
+		s.Tasks = append(s.Tasks, yuccadispatch.TaskRequest{ID: fmt.Sprint(i), Request: &yuccawire.Request{Method: "POST", Path: "/"}})
+	}
+	return s
+}
+
+// answerAll answers every start that was sent, as sides do whose tasks end at
+// once.
+func answerAll(now time.Time, d *yuccadispatch.Dispatcher, seen map[string]uint32) int {
+	answered := 0
+	for _, action := range d.Actions() {
+		start, ok := action.(yuccadispatch.SendStart)
+		if !ok {
+			continue
+		}
+		answered++
+		seen[start.Name]++
+		d.TaskFinished(now, start.Name, &yuccawire.Finished{
+			Key: start.Start.GetKey(), State: yuccawire.TaskState_TASK_FINISHED, Status: 200,
+			Service: "regulation", FreeSlots: slotsPerWorker, StartsSeen: seen[start.Name],
+		})
+	}
+	return answered
+}
+
+// BenchmarkDecisions measures everything that the dispatcher decides for one
+// task among 1,100 workers, in jobs of 100 tasks.
+func BenchmarkDecisions(b *testing.B) {
+	now := time.Now()
+	d := newDispatcher(b, now)
+	seen := make(map[string]uint32)
+	tasks, n := 0, 0
+	for b.Loop() {
+		n++
+		d.Submit(now, submission(now, n, 100))
+		for answered := answerAll(now, d, seen); answered > 0; answered = answerAll(now, d, seen) {
+			tasks += answered
+		}
+	}
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(tasks), "ns/task")
+	runtime.KeepAlive(d)
+}
+
+// BenchmarkTickFull measures a tick with 20,000 waiting tasks and no free slot.
+func BenchmarkTickFull(b *testing.B) {
+	now := time.Now()
+	d := newDispatcher(b, now)
+	for n := range 200 {
+		d.Submit(now, submission(now, n, (workers*slotsPerWorker+20_000)/200))
+	}
+	d.Actions()
+	if d.Queued() == 0 {
+		b.Fatal("nothing waits")
+	}
+	for b.Loop() {
+		d.Tick(now)
+		d.Actions()
+	}
+}
--- /dev/null
+++ b/yuccagate/bench_test.go
@@ -0,0 +1,36 @@
+package yuccagate_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"github.com/yuccaturn/yuccaturn/yuccawire"
+)
+
+// BenchmarkStartFinish measures one attempt at the gate, and the memory of its
+// record without a result.
+func BenchmarkStartFinish(b *testing.B) {
+	g := openGate()
+	before := heapBytes()
+	n := 0
+	for b.Loop() {
+		n++
+		s := startOf("t", 1)
+		s.Key.Job = &yuccawire.JobKey{Team: "parishes", Id: fmt.Sprintf("job-%d", n)}
+		if !g.Start(began, later, s).Admitted() {
+			b.Fatal("refused")
+		}
+		g.Finish(&yuccawire.Finished{Key: s.Key, State: yuccawire.TaskState_TASK_FINISHED, Status: 200})
+	}
+	b.ReportMetric(float64(heapBytes()-before)/float64(n), "heap-B/record")
+	runtime.KeepAlive(g)
+}
+
+// heapBytes is what lives on the heap after a collection.
+func heapBytes() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
--- a/yuccalocal/bench_test.go
+++ b/yuccalocal/bench_test.go
@@ -143,3 +143,30 @@
 	group.Wait()
 	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "requests/s")
 }
+
+// BenchmarkSmallJobs measures 32 callers with jobs of three tasks.
+func BenchmarkSmallJobs(b *testing.B) {
+	_, callers := startSystem(b, 1, 4)
+	client := yuccaclient.New(callers[0], "")
+	work := make(chan int, b.N)
+	for i := range b.N {
+		work <- i
+	}
+	close(work)
+	used := processorTime(b)
+	b.ResetTimer()
+	var group sync.WaitGroup
+	for range 32 {
+		group.Go(func() {
+			for i := range work {
+				body := jobBody(fmt.Sprintf("small-%d-%d", b.N, i), 3, `{"sleep": "0s"}`)
+				if job, _, err := client.Submit(context.Background(), body); err != nil || !job.Complete() {
+					b.Errorf("%v: %+v", err, job)
+				}
+			}
+		})
+	}
+	group.Wait()
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "jobs/s")
+	b.ReportMetric(float64(processorTime(b)-used)/float64(b.N), "cpu-ns/job")
+}
--- a/yuccastate/state_test.go
+++ b/yuccastate/state_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"runtime"
 	"testing"
 
 	"google.golang.org/protobuf/proto"
@@ -205,6 +206,7 @@
 func BenchmarkClaims(b *testing.B) {
 	s := yuccastate.New()
 	const perBatch = 100
+	before := heapBytes()
 	n := 0
 	for b.Loop() {
 		batch := &yuccawire.ClaimBatch{AtUnixMs: int64(n)}
@@ -219,7 +221,42 @@
 			b.Fatal(err)
 		}
 	}
+	b.ReportMetric(float64(heapBytes()-before)/float64(n), "heap-B/claim")
 	text, _ := s.Encode()
 	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(n), "ns/claim")
 	b.ReportMetric(float64(len(text))/float64(n), "snapshot-B/claim")
 }
+
+// heapBytes is what lives on the heap after a collection.
+func heapBytes() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
+// BenchmarkSnapshot encodes the state with the claims of five minutes at 1,200
+// jobs a second.
+func BenchmarkSnapshot(b *testing.B) {
+	const claims = 300 * 1200
+	s := yuccastate.New()
+	batch := &yuccawire.ClaimBatch{}
+	for i := range claims {
+		batch.Claims = append(batch.Claims, &yuccawire.Claim{
+			Job: &yuccawire.JobKey{Team: "parishes", Id: fmt.Sprintf("job-%d", i)}, Digest: make([]byte, 32), Owner: "entry-1", Incarnation: 1, Nonce: uint64(i),
+		})
+	}
+	text, _ := proto.Marshal(&yuccawire.Command{Body: &yuccawire.Command_Claims{Claims: batch}})
+	if _, err := s.Apply(text); err != nil {
+		b.Fatal(err)
+	}
+	size := 0
+	for b.Loop() {
+		text, err := s.Encode()
+		if err != nil {
+			b.Fatal(err)
+		}
+		size = len(text)
+	}
+	b.ReportMetric(float64(size), "B")
+}
