entry: one way to serve callers, retry budget, bounded reading of bodies

Cause: reading the change once more: the two handlers of callers and the three acceptors stood twice, a retry was bounded only for each task, and a body could be sent for ever.

TestOldSubmissionIsNotRun shows the refusal of a resubmission that is too old.

--- /dev/null
+++ b/yuccacommand/command_test.go
@@ -0,0 +1,68 @@
+package yuccacommand_test
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/yuccaturn/yuccaturn/yuccacommand"
+)
+
+// run runs a command line and returns its exit code and all that it printed.
+func run(args ...string) (int, string) {
+	var out bytes.Buffer
+	code := yuccacommand.Main(args, &out, &out)
+	return code, out.String()
+}
+
+func file(t *testing.T, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "file.jsonc")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+func TestExitCodes(t *testing.T) {
+	wrong := file(t, `{"services": {"regulation": {"objective": "fast", "max_run": "1s"}}, "colours": {}}`)
+	twice := file(t, `{"kind": "started", "job": "p/j", "task": "t", "node": "a"}`+"\n"+`{"kind": "started", "job": "p/j", "task": "t", "node": "b"}`)
+	for _, c := range []struct {
+		args   []string
+		code   int
+		prints string
+	}{
+		{[]string{"version"}, yuccacommand.ExitOK, "protocol 1"},
+		{[]string{"config", "check", "../examples/document.jsonc"}, yuccacommand.ExitOK, "no findings"},
+		{[]string{"config", "check", wrong}, yuccacommand.ExitUsage, "objective: is \"fast\""},
+		{[]string{"config", "check", wrong}, yuccacommand.ExitUsage, "colours: is not a known field"},
+		{[]string{"config", "check", "no-such-file"}, yuccacommand.ExitUsage, "no-such-file"},
+		{[]string{"entry", "--settings", wrong}, yuccacommand.ExitUsage, "entry: is missing"},
+		{[]string{"fly"}, yuccacommand.ExitUsage, "unexpected argument fly"},
+		{[]string{"status", "--address", "127.0.0.1:1"}, yuccacommand.ExitUnreachable, "no answer"},
+		{[]string{"history", "check", twice}, yuccacommand.ExitFailed, "p/j task t started at a and at b"},
+		{[]string{"job", "submit", wrong, "--address", "127.0.0.1:1"}, yuccacommand.ExitUnreachable, "no answer"},
+		{[]string{"--help"}, yuccacommand.ExitOK, "data-centre"},
+	} {
+		code, printed := run(c.args...)
+		if code != c.code || !strings.Contains(printed, c.prints) {
+			t.Errorf("%v: exit code %d, expected %d with %q; printed\n%s", c.args, code, c.code, c.prints, printed)
+		}
+	}
+}
+
+// Each command's help shows an example.
+func TestHelpShowsExamples(t *testing.T) {
+	for _, command := range []string{
+		"control", "entry", "side", "target", "local", "config check", "config show", "config apply", "config log", "config diff",
+		"data-centre list", "data-centre out", "data-centre in", "job submit", "job show", "job cancel", "replica remove",
+		"load jobs", "load nodes", "history check", "status", "version",
+	} {
+		args := append(strings.Fields(command), "--help")
+		if code, printed := run(args...); code != 0 || !strings.Contains(printed, "Example: yuccaturn "+command) {
+			t.Errorf("%s: exit code %d, printed\n%s", command, code, printed)
+		}
+	}
+}
--- a/yuccacontrol/control.go
+++ b/yuccacontrol/control.go
@@ -166,15 +166,10 @@
 }
 
 func (a *acceptor) run(ctx context.Context) {
-	for {
-		link, err := a.listener.Accept()
-		if err != nil {
-			return
-		}
-		context.AfterFunc(ctx, func() { _ = link.Close() })
+	yuccawire.AcceptAll(ctx, a.listener, func(link yuccawire.Link) {
 		g := &greeting{control: a.control, link: link}
 		go g.run(ctx)
-	}
+	})
 }
 
 // Apply commits an operator's change and returns its result.
--- a/yuccadispatch/collect.go
+++ b/yuccadispatch/collect.go
@@ -57,13 +57,17 @@
 	j := t.job
 	d.service(j.Service).learn(time.Duration(f.GetRunUs()) * time.Microsecond)
 	t.result = f
+	bound := uint32(firstErrorStatus)
+	if j.Passthrough {
+		bound = firstServerError
+	}
 	switch {
-	case j.Passthrough && (f.GetStatus() < firstServerError || !d.mayRepeat(j, t)):
-		t.settle(succeeded)
-	case f.GetStatus() < firstErrorStatus:
+	case f.GetStatus() < bound:
 		t.settle(succeeded)
 	case d.mayRepeat(j, t):
 		d.repeat(t)
+	case j.Passthrough:
+		t.settle(succeeded)
 	default:
 		t.settle(failed)
 		t.failure = fmt.Sprintf("the target answered %d", f.GetStatus())
@@ -73,7 +77,14 @@
 
 // mayRepeat allows another attempt at a task that was started.
 func (d *Dispatcher) mayRepeat(j *job, t *task) bool {
-	return j.Repeatable && j.state == open && j.doomed == "" && t.tries+1 < maxTries
+	if !j.Repeatable || j.state != open || j.doomed != "" || t.tries+1 >= maxTries {
+		return false
+	}
+	if !d.retries.spend() {
+		d.metrics.Add("retries_denied", 1)
+		return false
+	}
+	return true
 }
 
 func (d *Dispatcher) repeat(t *task) {
--- a/yuccadispatch/dispatcher.go
+++ b/yuccadispatch/dispatcher.go
@@ -50,6 +50,7 @@
 	kept     []*job
 	keptSize int
 	nonce    uint64
+	retries  retryBudget
 	claims   []*yuccawire.Claim
 	forget   map[string][]*yuccawire.JobKey
 	cancels  map[string][]*yuccawire.JobKey
@@ -104,6 +105,7 @@
 		teams:    make(map[string]*team),
 		sides:    make(map[string]*side),
 		entries:  make(map[string]*entry),
+		retries:  newRetryBudget(),
 		nonce:    options.Random.Uint64() >> nonceShift,
 		policy:   yuccaplace.New(options.Random, betterPlace),
 	}
--- a/yuccadispatch/place.go
+++ b/yuccadispatch/place.go
@@ -93,6 +93,9 @@
 // says otherwise.
 func (d *Dispatcher) start(now time.Time, t *task, p *place) {
 	j := t.job
+	if t.tries == 0 {
+		d.retries.earn()
+	}
 	t.state = sent
 	t.ownStart = true
 	t.attempt++
--- a/yuccaentry/handler.go
+++ b/yuccaentry/handler.go
@@ -58,12 +58,6 @@
 	yuccaproblem.Write(w, p)
 }
 
-// answerContext outlives the caller's connection, so that a job whose caller
-// went away is still answered to a later submission, but not for ever.
-func answerContext(r *http.Request, deadline time.Time) (context.Context, context.CancelFunc) {
-	return context.WithDeadline(r.Context(), deadline.Add(answerGrace))
-}
-
 // rejected returns the problem that a rejection is to its caller.
 func rejected(a yuccadispatch.Answer) *yuccaproblem.Problem {
 	p := rejectionProblem(a.Rejection)
--- a/yuccaentry/jobs.go
+++ b/yuccaentry/jobs.go
@@ -68,19 +68,25 @@
 		e.refuse(w, badDocument(err))
 		return
 	}
-	ctx, span := yuccatrace.Start(yuccatrace.Extract(r.Context(), r.Header), "entry.job")
+	e.serve(w, r, "entry.job", submission, func(o *yuccawire.Outcome) { writeOutcome(w, submission.Key, o) })
+}
+
+// serve submits what a caller sent, under a span, and writes its outcome or why
+// there is none.
+func (e *Entry) serve(w http.ResponseWriter, r *http.Request, hop string, s yuccadispatch.Submission, write func(o *yuccawire.Outcome)) {
+	ctx, span := yuccatrace.Start(yuccatrace.Extract(r.Context(), r.Header), hop)
 	defer span.End()
-	submission.Traceparent = yuccatrace.Parent(ctx)
-	ctx, cancel := answerContext(r.WithContext(ctx), submission.Deadline)
+	s.Traceparent = yuccatrace.Parent(ctx)
+	ctx, cancel := context.WithDeadline(ctx, s.Deadline.Add(answerGrace))
 	defer cancel()
-	answer, err := e.Submit(ctx, submission)
+	answer, err := e.Submit(ctx, s)
 	switch {
 	case err != nil:
 		yuccaproblem.Write(w, rejectionProblem(yuccadispatch.OutcomeUnknown))
 	case answer.Rejection != yuccadispatch.NotRejected:
 		yuccaproblem.Write(w, rejected(answer))
 	default:
-		writeOutcome(w, answer.Key, answer.Outcome)
+		write(answer.Outcome)
 	}
 }
 
--- a/yuccaentry/links.go
+++ b/yuccaentry/links.go
@@ -151,15 +151,10 @@
 }
 
 func (a *acceptor) run(ctx context.Context) {
-	for {
-		link, err := a.listener.Accept()
-		if err != nil {
-			return
-		}
-		context.AfterFunc(ctx, func() { _ = link.Close() })
+	yuccawire.AcceptAll(ctx, a.listener, func(link yuccawire.Link) {
 		r := &reader{entry: a.entry, link: link}
 		go r.run(ctx)
-	}
+	})
 }
 
 // reader reads the questions of another entry.
--- a/yuccaentry/single.go
+++ b/yuccaentry/single.go
@@ -10,7 +10,6 @@
 	"github.com/yuccaturn/yuccaturn/yuccaheader"
 	"github.com/yuccaturn/yuccaturn/yuccajsonc"
 	"github.com/yuccaturn/yuccaturn/yuccaproblem"
-	"github.com/yuccaturn/yuccaturn/yuccatrace"
 	"github.com/yuccaturn/yuccaturn/yuccawire"
 )
 
@@ -38,22 +37,13 @@
 		e.refuse(w, problem)
 		return
 	}
-	ctx, span := yuccatrace.Start(yuccatrace.Extract(r.Context(), r.Header), "entry.request")
-	defer span.End()
-	submission.Traceparent = yuccatrace.Parent(ctx)
-	ctx, cancel := answerContext(r.WithContext(ctx), submission.Deadline)
-	defer cancel()
-	answer, err := e.Submit(ctx, submission)
-	switch {
-	case err != nil:
-		yuccaproblem.Write(w, rejectionProblem(yuccadispatch.OutcomeUnknown))
-	case answer.Rejection != yuccadispatch.NotRejected:
-		yuccaproblem.Write(w, rejected(answer))
-	case !answer.Outcome.GetComplete():
-		yuccaproblem.Write(w, outcomeProblem(answer.Outcome))
-	default:
-		writePassthrough(w, answer.Outcome.GetTasks()[0])
-	}
+	e.serve(w, r, "entry.request", submission, func(o *yuccawire.Outcome) {
+		if !o.GetComplete() {
+			yuccaproblem.Write(w, outcomeProblem(o))
+			return
+		}
+		writePassthrough(w, o.GetTasks()[0])
+	})
 }
 
 func writePassthrough(w http.ResponseWriter, t *yuccawire.TaskOutcome) {
--- /dev/null
+++ b/yuccaload/load_test.go
@@ -0,0 +1,77 @@
+package yuccaload
+
+import (
+	"math/rand/v2"
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/yuccaturn/yuccaturn/yuccasettings"
+)
+
+func workload() *yuccasettings.Workload {
+	return &yuccasettings.Workload{
+		Duration: 100 * time.Second, JobsPerSecond: 50, MinTasks: 1, MaxTasks: 8,
+		MedianRun: 300 * time.Millisecond, RunSpread: 0.5, MaxRun: 5 * time.Second,
+		Bursts: []yuccasettings.Burst{{At: 50 * time.Second, Jobs: 100}}, Deadline: time.Second,
+	}
+}
+
+func TestScheduleIsRepeatable(t *testing.T) {
+	a := newSchedule(workload(), rand.New(rand.NewPCG(1, 0)))
+	b := newSchedule(workload(), rand.New(rand.NewPCG(1, 0)))
+	if !reflect.DeepEqual(a, b) {
+		t.Error("one seed gave two schedules")
+	}
+	if len(a) < 4800 || len(a) > 5400 {
+		t.Errorf("%d jobs, expected about 5,100", len(a))
+	}
+	burst := 0
+	for i, arrival := range a {
+		if i > 0 && arrival.at < a[i-1].at {
+			t.Fatal("the schedule is not in the order of time")
+		}
+		if arrival.at == 50*time.Second {
+			burst++
+		}
+		for _, run := range arrival.tasks {
+			if run <= 0 || run > 5*time.Second {
+				t.Fatalf("a task runs %s", run)
+			}
+		}
+	}
+	if burst != 100 {
+		t.Errorf("%d jobs in the burst, expected 100", burst)
+	}
+}
+
+func TestReportCounts(t *testing.T) {
+	w := workload()
+	w.DataCentres = []yuccasettings.DataCentreChange{{At: 10 * time.Second, Name: "cusco", Out: true}}
+	r := &Run{settings: w, began: time.Now()}
+	add := func(at time.Duration, res result) {
+		res.due = r.began.Add(at)
+		r.results = append(r.results, res)
+	}
+	add(9*time.Second, result{took: 600 * time.Millisecond, ideal: 300 * time.Millisecond, tasks: 3, outcome: "complete", complete: true, inTime: true})
+	add(12*time.Second, result{took: time.Second, ideal: time.Second, tasks: 1, outcome: "queue-full", notRun: true, inTime: true})
+	add(30*time.Second, result{took: 2 * time.Second, ideal: time.Second, tasks: 1, outcome: "complete", complete: true, partial: true})
+	before := counters{"starts_sent": 10, "tasks_finished": 10}
+	after := counters{"starts_sent": 16, "tasks_finished": 14, "starts_refused": 2}
+	p, err := r.report(before, after)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if p.Jobs != 3 || p.Complete != 2 || p.Partial != 1 || p.NotRun != 1 || p.Late != 1 || p.Tasks != 4 {
+		t.Errorf("counted %+v", p)
+	}
+	if p.Ratio.P50 < 1.99 || p.Ratio.P50 > 2.01 {
+		t.Errorf("the median ratio is %g, expected 2", p.Ratio.P50)
+	}
+	if p.MessagesPerTask != 3 || p.WastedShare != 2.0/12 {
+		t.Errorf("messages %g, wasted %g; expected 3 and 1/6", p.MessagesPerTask, p.WastedShare)
+	}
+	if c := p.Changes[0]; c.Offered != 4 || c.Done != 3 {
+		t.Errorf("around the change %+v, expected 3 of 4", c)
+	}
+}
--- a/yuccaproof/callers_test.go
+++ b/yuccaproof/callers_test.go
@@ -20,6 +20,8 @@
 	run        time.Duration
 	deadline   time.Duration
 	repeatable bool
+	// submittedAgo is the age that the caller gives the job.
+	submittedAgo time.Duration
 }
 
 func (s jobSpec) key() yuccadispatch.Key { return yuccadispatch.Key{Team: testTeam, ID: s.id} }
@@ -37,6 +39,9 @@
 	submission := yuccadispatch.Submission{
 		Key: s.key(), Service: testService, Digest: digest[:], Deadline: now.Add(s.deadline), Repeatable: s.repeatable,
 	}
+	if s.submittedAgo > 0 {
+		submission.SubmittedAt = now.Add(-s.submittedAgo)
+	}
 	for _, id := range s.taskIDs() {
 		submission.Tasks = append(submission.Tasks, yuccadispatch.TaskRequest{
 			ID: id, Request: &yuccawire.Request{Method: "POST", Path: "/", Body: []byte(s.run.String())},
--- a/yuccaproof/promises_test.go
+++ b/yuccaproof/promises_test.go
@@ -386,3 +386,24 @@
 		c.check(t)
 	})
 }
+
+// A job that was first submitted longer ago than claims are surely kept is not
+// run, and its caller is told that nobody knows whether it was.
+func TestOldSubmissionIsNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 24, 1, 1, 1)
+		defer c.close()
+		spec := jobSpec{id: "yesterday", tasks: 1, run: time.Millisecond, deadline: 5 * time.Second, submittedAgo: 31 * time.Minute}
+		answer := c.submit(c.entries[0], spec)
+		if answer.Rejection != yuccadispatch.TooOld || answer.Rejection.NotRun() {
+			t.Errorf("answered %+v", answer)
+		}
+		spec.id, spec.submittedAgo = "today", 29*time.Minute
+		if answer := c.submit(c.entries[0], spec); !answer.Outcome.GetComplete() {
+			t.Errorf("answered %+v", answer)
+		}
+		if starts := c.count(yuccahistory.Started, ""); starts != 1 {
+			t.Errorf("%d starts, expected 1", starts)
+		}
+	})
+}
--- a/yuccaserver/server.go
+++ b/yuccaserver/server.go
@@ -23,6 +23,7 @@
 const (
 	shutdownTimeout   = 5 * time.Second
 	readHeaderTimeout = 10 * time.Second
+	readTimeout       = 30 * time.Second
 	idleTimeout       = 2 * time.Minute
 	maxHeaderBytes    = 64 << 10
 )
@@ -60,6 +61,7 @@
 	server := &http.Server{
 		Handler:           s.handler,
 		ReadHeaderTimeout: readHeaderTimeout,
+		ReadTimeout:       readTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
--- a/yuccaside/owners.go
+++ b/yuccaside/owners.go
@@ -26,15 +26,10 @@
 }
 
 func (a *acceptor) run(ctx context.Context) {
-	for {
-		link, err := a.listener.Accept()
-		if err != nil {
-			return
-		}
-		context.AfterFunc(ctx, func() { _ = link.Close() })
+	yuccawire.AcceptAll(ctx, a.listener, func(link yuccawire.Link) {
 		r := &reader{side: a.side, link: link}
 		go r.run(ctx)
-	}
+	})
 }
 
 // reader greets one owner and reads its link until it ends.
--- a/yuccawire/link.go
+++ b/yuccawire/link.go
@@ -37,3 +37,16 @@
 	Dial(ctx context.Context, address string) (Link, error)
 	Listen(address string) (Listener, error)
 }
+
+// AcceptAll hands each link that the listener accepts to greet, and closes the
+// links when the context ends. It returns when the listener is closed.
+func AcceptAll(ctx context.Context, listener Listener, greet func(link Link)) {
+	for {
+		link, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		context.AfterFunc(ctx, func() { _ = link.Close() })
+		greet(link)
+	}
+}
