dispatch: shed by the rate at which this entry's tasks finish

Cause: at twice the capacity 1,361 of 3,485 jobs failed at their deadline. Each entry worked out the wait from all slots, which it shares with the other entry.

What it does: the wait is the queue over the rate at which tasks finished here while others waited; a job needs four mean run times beyond it, since its last task has a heavy tail.

--- a/yuccacontrol/events.go
+++ b/yuccacontrol/events.go
@@ -6,7 +6,7 @@
 )
 
 // event is one thing that the control's loop reacts to.
-type event interface{}
+type event any
 
 // received is a message of a link that was accepted or dialled.
 type received struct {
--- a/yuccacontrol/loop.go
+++ b/yuccacontrol/loop.go
@@ -67,7 +67,7 @@
 }
 
 func (c *Control) tick(now time.Time) {
-	if c.formation != nil || c.core.Leader() == 0 && len(c.core.Replicas().GetVoters()) == 0 {
+	if c.alone() {
 		c.probe(now)
 	}
 	if c.core == nil {
@@ -86,6 +86,14 @@
 	}
 }
 
+// alone tells whether this replica knows of no group, or of nobody in it yet.
+func (c *Control) alone() bool {
+	if c.core == nil {
+		return true
+	}
+	return c.core.Leader() == 0 && len(c.core.Replicas().GetVoters()) == 0
+}
+
 // advance carries out what the core has decided.
 func (c *Control) advance(ctx context.Context, now time.Time) {
 	if c.core == nil {
--- a/yuccadispatch/actions.go
+++ b/yuccadispatch/actions.go
@@ -7,7 +7,7 @@
 )
 
 // Action is one thing that the owner of a dispatcher has to carry out.
-type Action interface{}
+type Action any
 
 // SendControl passes a message to the leading control.
 type SendControl struct{ Message *yuccawire.Envelope }
--- a/yuccadispatch/admit.go
+++ b/yuccadispatch/admit.go
@@ -100,22 +100,14 @@
 		return Admission{Rejection: NoTarget, RetryAfter: minRetryAfter}
 	}
 	if sv.queue.FlowLen(s.Key.Team)+len(s.Tasks) > quota.QueueBound() {
-		return Admission{Rejection: QueueFull, RetryAfter: max(d.expectedWait(sv), minRetryAfter)}
+		return Admission{Rejection: QueueFull, RetryAfter: max(sv.expectedWait(0), minRetryAfter)}
 	}
-	if wait := d.expectedWait(sv); wait > 0 && now.Add(wait+sv.runs).After(s.Deadline) {
+	if wait := sv.expectedWait(len(s.Tasks)); wait > 0 && now.Add(wait+runMargin*sv.runs).After(s.Deadline) {
 		return Admission{Rejection: Late, RetryAfter: max(wait, minRetryAfter)}
 	}
 	return Admission{}
 }
 
-// expectedWait is the time that the tasks in the queue take on all slots.
-func (d *Dispatcher) expectedWait(sv *service) time.Duration {
-	if sv.slots == 0 {
-		return 0
-	}
-	return sv.runs * time.Duration(sv.queue.Len()) / time.Duration(sv.slots)
-}
-
 // learn takes the run time of one task into the service's estimate.
 func (sv *service) learn(run time.Duration) {
 	if sv.runs == 0 {
--- a/yuccadispatch/collect.go
+++ b/yuccadispatch/collect.go
@@ -55,6 +55,7 @@
 // takeResult settles the task by the target's answer, or queues another try.
 func (d *Dispatcher) takeResult(t *task, f *yuccawire.Finished) {
 	j := t.job
+	d.service(j.Service).rate.finished++
 	d.service(j.Service).learn(time.Duration(f.GetRunUs()) * time.Microsecond)
 	t.result = f
 	bound := uint32(firstErrorStatus)
--- a/yuccadispatch/dispatcher.go
+++ b/yuccadispatch/dispatcher.go
@@ -77,6 +77,7 @@
 	freed  []*place
 	runs   time.Duration
 	lostAt time.Time
+	rate   rate
 	// success is the last task that succeeded.
 	success success
 }
@@ -216,6 +217,7 @@
 	d.tickWatches(now)
 	for _, sv := range d.services {
 		sv.full = false
+		sv.rate.tick(now)
 	}
 	d.placeAll(now)
 	if now.Before(d.sweepAt) {
--- a/yuccadispatch/place.go
+++ b/yuccadispatch/place.go
@@ -37,7 +37,11 @@
 // placeService sends waiting tasks while there is a free slot that is likely to
 // be there still.
 func (d *Dispatcher) placeService(now time.Time, sv *service) {
-	if sv.queue.Len() == 0 || !d.lease.Valid(now) {
+	if sv.queue.Len() == 0 {
+		sv.rate.idle = true
+		return
+	}
+	if !d.lease.Valid(now) {
 		return
 	}
 	for sv.queue.Len() > 0 {
--- a/yuccaentry/events.go
+++ b/yuccaentry/events.go
@@ -10,7 +10,7 @@
 )
 
 // event is one thing that the entry's loop reacts to.
-type event interface{}
+type event any
 
 // submitted is a caller's job, and where its answer goes.
 type submitted struct {
--- a/yuccaside/events.go
+++ b/yuccaside/events.go
@@ -8,7 +8,7 @@
 )
 
 // event is one thing that the side's loop reacts to.
-type event interface{}
+type event any
 
 // linked tells that an owner has opened a link.
 type linked struct{ owner *ownerLink }
