side: report few free slots, and be quiet while the data centre is out

Cause: entries share sides and know of each other's starts only from reports.

What it does: each change of two or fewer free slots is reported with the next tick of 20 ms, instead of only the last slot taken or freed.

Found: while its data centre was out a side with free slots reported them every 20 ms (TestDataCentreThatIsOutIsQuiet: 3,010 messages in 10 s against 200). Found by reading: a refusal after a look-up lost its Retry-After (TestRefusalsSayWhenToTryAgain, seen to fail).

--- a/yuccadispatch/admit.go
+++ b/yuccadispatch/admit.go
@@ -62,7 +62,11 @@
 }
 
 func (j *job) answer() *Answer {
-	return &Answer{Key: j.Key, Outcome: j.outcome, Rejection: j.rejection}
+	a := &Answer{Key: j.Key, Outcome: j.outcome, Rejection: j.rejection}
+	if j.rejection == j.refusal.Rejection {
+		a.RetryAfter = j.refusal.RetryAfter
+	}
+	return a
 }
 
 // check returns the first reason to reject the submission before anything is
--- a/yuccaproof/promises_test.go
+++ b/yuccaproof/promises_test.go
@@ -407,3 +407,41 @@
 		}
 	})
 }
+
+// A refusal says when another try may help.
+func TestRefusalsSayWhenToTryAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 25, 1, 2, 1)
+		defer c.close()
+		draining := c.entries[0]
+		c.submitLater(draining, jobSpec{id: "long", tasks: 1, run: 5 * time.Second, deadline: 20 * time.Second})
+		time.Sleep(time.Second)
+		c.callers.Go(func() { draining.entry.Drain(draining.ctx) })
+		time.Sleep(100 * time.Millisecond)
+		answer := c.submit(draining, jobSpec{id: "new", tasks: 1, run: time.Millisecond, deadline: 5 * time.Second})
+		if answer.Rejection != yuccadispatch.Draining || answer.RetryAfter < time.Second {
+			t.Errorf("answered %+v", answer)
+		}
+		c.callers.Wait()
+		c.check(t)
+	})
+}
+
+// A data centre that is out costs no more messages than one that is in.
+func TestDataCentreThatIsOutIsQuiet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 26, 1, 2, 2)
+		defer c.close()
+		idle := func() int {
+			time.Sleep(2 * time.Second)
+			before := c.fabric.Messages()
+			time.Sleep(10 * time.Second)
+			return c.fabric.Messages() - before
+		}
+		in := idle()
+		c.setDataCentre(testCentres[0], true)
+		if out := idle(); out > in+in/10 {
+			t.Errorf("%d messages in 10 s while a data centre is out, %d while all are in", out, in)
+		}
+	})
+}
--- a/yuccaside/owners.go
+++ b/yuccaside/owners.go
@@ -138,7 +138,7 @@
 func (s *Side) sendRefused(o *ownerLink, r *yuccawire.Refused) {
 	out := &yuccawire.Refused{
 		Key: r.GetKey(), Reason: r.GetReason(), Service: r.GetService(),
-		FreeSlots: uint32(s.gate.FreeSlots(r.GetService())), StartsSeen: o.startsSeen,
+		FreeSlots: uint32(s.freeSlots(r.GetService())), StartsSeen: o.startsSeen,
 	}
 	o.send(&yuccawire.Envelope{Body: &yuccawire.Envelope_Refused{Refused: out}})
 }
@@ -147,7 +147,7 @@
 	out := &yuccawire.Finished{
 		Key: f.GetKey(), State: f.GetState(), Status: f.GetStatus(), Headers: f.GetHeaders(), Body: f.GetBody(),
 		Failure: f.GetFailure(), RunUs: f.GetRunUs(), Service: f.GetService(),
-		FreeSlots: uint32(s.gate.FreeSlots(f.GetService())), StartsSeen: o.startsSeen,
+		FreeSlots: uint32(s.freeSlots(f.GetService())), StartsSeen: o.startsSeen,
 	}
 	o.send(&yuccawire.Envelope{Body: &yuccawire.Envelope_Finished{Finished: out}})
 }
--- a/yuccaside/side.go
+++ b/yuccaside/side.go
@@ -23,6 +23,8 @@
 	loadInterval   = time.Second
 	sweepInterval  = 5 * time.Second
 	goodbyeTimeout = 2 * time.Second
+	// fewSlots is the number of free slots from which owners hear of each change.
+	fewSlots = 2
 )
 
 // Runner passes an attempt to a target and waits for its answer.
@@ -193,11 +195,12 @@
 	s.metrics.Gauge("running", int64(len(s.running)))
 }
 
-// turned tells whether a service went from no free slots to some, or back,
+// turned tells whether the free slots of a service that has few of them changed
 // since the owners were told.
 func (s *Side) turned() bool {
 	for name := range s.targets {
-		if (s.gate.FreeSlots(name) == 0) != (s.told[name] == 0) {
+		free, told := s.freeSlots(name), s.told[name]
+		if free != told && min(free, told) <= fewSlots {
 			return true
 		}
 	}
@@ -215,13 +218,19 @@
 	}
 }
 
+// freeSlots is the number of tasks that could start now, none while the data
+// centre is out.
+func (s *Side) freeSlots(name string) int {
+	if s.gate.View().IsOut(s.options.Self.GetDataCentre()) {
+		return 0
+	}
+	return s.gate.FreeSlots(name)
+}
+
 func (s *Side) load() []*yuccawire.ServiceLoad {
 	var load []*yuccawire.ServiceLoad
 	for name := range s.targets {
-		free := s.gate.FreeSlots(name)
-		if s.gate.View().IsOut(s.options.Self.GetDataCentre()) {
-			free = 0
-		}
+		free := s.freeSlots(name)
 		s.told[name] = free
 		load = append(load, &yuccawire.ServiceLoad{Service: name, FreeSlots: uint32(free)})
 	}
