--- a/yuccacommand/datacentre.go
+++ b/yuccacommand/datacentre.go
@@ -62,6 +62,7 @@
 	controlAddress
 	RequestID string        `help:"Resend a request under the same id to get its first answer." placeholder:"ID"`
 	Wait      time.Duration `help:"Wait at most this long until nothing there can start a task." placeholder:"DURATION"`
+	JSON      bool          `name:"json" help:"Print JSON."`
 	Name      string        `arg:"" help:"The data centre."`
 }
 
@@ -73,7 +74,7 @@
 // Run takes the data centre out.
 func (c *dataCentreOut) Run(o *output) error {
 	client := c.client()
-	if err := setDataCentre(o, client, c.Name, true, c.RequestID); err != nil {
+	if err := setDataCentre(o, client, c.Name, true, c.RequestID, c.JSON); err != nil {
 		return err
 	}
 	if c.Wait == 0 {
@@ -81,10 +82,10 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), c.Wait)
 	defer cancel()
-	return waitStopped(ctx, o, client, c.Name)
+	return waitStopped(ctx, o, client, c.Name, c.JSON)
 }
 
-func setDataCentre(o *output, client *yuccaclient.Client, name string, out bool, id string) error {
+func setDataCentre(o *output, client *yuccaclient.Client, name string, out bool, id string, asJSON bool) error {
 	if id == "" {
 		id = rand.Text()
 	}
@@ -92,10 +93,10 @@
 	if err != nil {
 		return merry.Prependf(err, "request %s", id)
 	}
-	return printAccepted(o, accepted, false)
+	return printAccepted(o, accepted, asJSON)
 }
 
-func waitStopped(ctx context.Context, o *output, client *yuccaclient.Client, name string) error {
+func waitStopped(ctx context.Context, o *output, client *yuccaclient.Client, name string, quiet bool) error {
 	ticker := time.NewTicker(waitPoll)
 	defer ticker.Stop()
 	state := ""
@@ -105,7 +106,7 @@
 			if dc.Name != name {
 				continue
 			}
-			if now := dataCentreState(dc); now != state {
+			if now := dataCentreState(dc); now != state && !quiet {
 				state = now
 				o.printf("%s: %s\n", name, state)
 			}
@@ -124,6 +125,7 @@
 type dataCentreIn struct {
 	controlAddress
 	RequestID string `help:"Resend a request under the same id to get its first answer." placeholder:"ID"`
+	JSON      bool   `name:"json" help:"Print JSON."`
 	Name      string `arg:"" help:"The data centre."`
 }
 
@@ -134,5 +136,5 @@
 
 // Run brings the data centre back.
 func (c *dataCentreIn) Run(o *output) error {
-	return setDataCentre(o, c.client(), c.Name, false, c.RequestID)
+	return setDataCentre(o, c.client(), c.Name, false, c.RequestID, c.JSON)
 }
--- a/yuccaproof/promises_test.go
+++ b/yuccaproof/promises_test.go
@@ -445,3 +445,38 @@
 		}
 	})
 }
+
+// A drain that is ended early returns at once, and says what is cut.
+func TestDrainEndsWithItsContext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 27, 1, 1, 1)
+		defer c.close()
+		c.submitLater(c.entries[0], jobSpec{id: "long", tasks: 2, run: 20 * time.Second, deadline: 30 * time.Second})
+		time.Sleep(time.Second)
+		for _, n := range c.sides {
+			ctx, cancel := context.WithCancel(n.ctx)
+			time.AfterFunc(time.Second, cancel)
+			began := time.Now()
+			running := len(c.runningAt(n))
+			if cut := n.side.Drain(ctx); cut != running || time.Since(began) > 2*time.Second {
+				t.Errorf("%s: %d of %d cut after %s", n.name, cut, running, time.Since(began))
+			}
+		}
+		ctx, cancel := context.WithTimeout(c.entries[0].ctx, time.Second)
+		defer cancel()
+		if cut := c.entries[0].entry.Drain(ctx); cut != 1 {
+			t.Errorf("the entry says that %d jobs are cut, expected 1", cut)
+		}
+	})
+}
+
+// runningAt lists the tasks that were started at the node and have not finished.
+func (c *cluster) runningAt(n *node) []string {
+	var running []string
+	for _, e := range c.recorder.Events() {
+		if e.Node == n.name && e.Kind == yuccahistory.Started {
+			running = append(running, e.Task)
+		}
+	}
+	return running
+}
--- a/yuccaside/drain.go
+++ b/yuccaside/drain.go
@@ -4,9 +4,12 @@
 	"context"
 	"time"
 
+	"github.com/yuccaturn/yuccaturn/yuccaask"
 	"github.com/yuccaturn/yuccaturn/yuccawire"
 )
 
+const countTimeout = 100 * time.Millisecond
+
 // drain is a graceful shutdown under way.
 type drain struct {
 	done    chan<- int
@@ -23,7 +26,23 @@
 	if s.post(ctx, drain{done: done, until: until}) != nil {
 		return 0
 	}
-	return <-done
+	select {
+	case cut := <-done:
+		return cut
+	case <-ctx.Done():
+		return s.runningNow()
+	}
+}
+
+// runningNow is the number of attempts that run.
+func (s *Side) runningNow() int {
+	ctx, cancel := context.WithTimeout(context.Background(), countTimeout)
+	defer cancel()
+	running, err := yuccaask.Ask(ctx, s.postQuestion, func(s *Side) int { return len(s.running) })
+	if err != nil {
+		return 0
+	}
+	return running
 }
 
 func (s *Side) beginDrain(d drain) {
--- a/yuccaside/side.go
+++ b/yuccaside/side.go
@@ -138,6 +138,9 @@
 			s.update(update)
 		case e := <-s.events:
 			s.handle(ctx, time.Now(), e)
+			if s.taken() {
+				s.tellLoad()
+			}
 		}
 	}
 }
@@ -207,6 +210,17 @@
 	return false
 }
 
+// taken tells whether a service has few free slots, and fewer than the owners
+// were told.
+func (s *Side) taken() bool {
+	for name := range s.targets {
+		if free := s.freeSlots(name); free < s.told[name] && free <= fewSlots {
+			return true
+		}
+	}
+	return false
+}
+
 // tellLoad reports the free slots to all owners.
 func (s *Side) tellLoad() {
 	s.loadAt = time.Now().Add(loadInterval)
