--- a/yuccaload/schedule.go
+++ b/yuccaload/schedule.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -13,6 +14,11 @@
 	"github.com/yuccaturn/yuccaturn/yuccasettings"
 )
 
+const (
+	changePatience = 5 * time.Second
+	changePause    = 200 * time.Millisecond
+)
+
 // arrival is one job of the schedule: when it comes, and how long each of its
 // tasks runs.
 type arrival struct {
@@ -61,8 +67,11 @@
 	control := yuccaclient.New(r.settings.Control, "load")
 	var changes []change
 	for _, dc := range r.settings.DataCentres {
+		id := fmt.Sprintf("load-%s-%s", r.name, dc.At)
 		changes = append(changes, change{at: dc.At, do: func(ctx context.Context) {
-			_, _ = control.SetDataCentre(ctx, dc.Name, dc.Out, "")
+			if err := setDataCentre(ctx, control, dc, id); err != nil {
+				fmt.Fprintf(r.progress, "data centre %s was not changed: %v\n", dc.Name, err)
+			}
 		}})
 	}
 	for _, wave := range r.settings.Cancellations {
@@ -77,6 +86,17 @@
 	return group
 }
 
+// setDataCentre sends the same request until it is answered, for a while.
+func setDataCentre(ctx context.Context, control *yuccaclient.Client, dc yuccasettings.DataCentreChange, id string) error {
+	until := time.Now().Add(changePatience)
+	for {
+		_, err := control.SetDataCentre(ctx, dc.Name, dc.Out, id)
+		if err == nil || time.Now().After(until) || !sleepUntil(ctx, time.Now().Add(changePause)) {
+			return err
+		}
+	}
+}
+
 // timedChange waits for the time of a change.
 type timedChange struct {
 	change
