dispatch: shed by a team's own share of the queue

While one team's burst waited, another team's single tasks were refused as too late, since the expected wait counted the whole queue, though fair sharing would have served them next.

What it does: the wait counts the team's own tasks and the share of the others that are served meanwhile.

--- a/yuccadispatch/admit.go
+++ b/yuccadispatch/admit.go
@@ -104,9 +104,9 @@
 		return Admission{Rejection: NoTarget, RetryAfter: minRetryAfter}
 	}
 	if sv.queue.FlowLen(s.Key.Team)+len(s.Tasks) > quota.QueueBound() {
-		return Admission{Rejection: QueueFull, RetryAfter: max(sv.expectedWait(0), minRetryAfter)}
+		return Admission{Rejection: QueueFull, RetryAfter: max(sv.expectedWait(s.Key.Team, quota.Share(), 0), minRetryAfter)}
 	}
-	if wait := sv.expectedWait(len(s.Tasks)); wait > 0 && now.Add(wait+runMargin*sv.runs).After(s.Deadline) {
+	if wait := sv.expectedWait(s.Key.Team, quota.Share(), len(s.Tasks)); wait > 0 && now.Add(wait+runMargin*sv.runs).After(s.Deadline) {
 		return Admission{Rejection: Late, RetryAfter: max(wait, minRetryAfter)}
 	}
 	return Admission{}
--- a/yuccadispatch/rate.go
+++ b/yuccadispatch/rate.go
@@ -38,13 +38,13 @@
 	*r = rate{perSecond: r.perSecond, since: now}
 }
 
-// expectedWait is the time until that many more tasks could start.
-func (sv *service) expectedWait(more int) time.Duration {
-	waiting := sv.queue.Len() + more
-	switch {
-	case sv.queue.Len() == 0 || sv.slots == 0:
+// expectedWait is the time until that many more tasks of the team could start.
+func (sv *service) expectedWait(team string, weight, more int) time.Duration {
+	if sv.queue.Len() == 0 || sv.slots == 0 {
 		return 0
-	case sv.rate.perSecond > 0:
+	}
+	waiting := sv.queue.Ahead(team, weight, more)
+	if sv.rate.perSecond > 0 {
 		return time.Duration(float64(waiting) / sv.rate.perSecond * float64(time.Second))
 	}
 	return sv.runs * time.Duration(waiting) / time.Duration(sv.slots)
--- a/yuccadispatch/rate_test.go
+++ b/yuccadispatch/rate_test.go
@@ -15,7 +15,7 @@
 	for range 400 {
 		sv.queue.Push("parishes", 1, &task{})
 	}
-	if wait := sv.expectedWait(0); wait != 5*time.Second {
+	if wait := sv.expectedWait("parishes", 1, 0); wait != 5*time.Second {
 		t.Errorf("before any rate is known the wait is %s, expected 5s", wait)
 	}
 	for range 20 {
@@ -23,7 +23,7 @@
 		now = now.Add(rateInterval)
 		sv.rate.finished += 20
 	}
-	if wait := sv.expectedWait(0); wait < 9500*time.Millisecond || wait > 10500*time.Millisecond {
+	if wait := sv.expectedWait("parishes", 1, 0); wait < 9500*time.Millisecond || wait > 10500*time.Millisecond {
 		t.Errorf("at 40 tasks a second the wait for 400 is %s, expected 10s", wait)
 	}
 }
--- a/yuccaproof/callers_test.go
+++ b/yuccaproof/callers_test.go
@@ -15,6 +15,8 @@
 
 // jobSpec describes a job of the tests.
 type jobSpec struct {
+	// team is the default team where it is empty.
+	team       string
 	id         string
 	tasks      int
 	run        time.Duration
@@ -24,7 +26,12 @@
 	submittedAgo time.Duration
 }
 
-func (s jobSpec) key() yuccadispatch.Key { return yuccadispatch.Key{Team: testTeam, ID: s.id} }
+func (s jobSpec) key() yuccadispatch.Key {
+	if s.team == "" {
+		return yuccadispatch.Key{Team: testTeam, ID: s.id}
+	}
+	return yuccadispatch.Key{Team: s.team, ID: s.id}
+}
 
 func (s jobSpec) taskIDs() []string {
 	ids := make([]string, s.tasks)
@@ -58,7 +65,7 @@
 
 func (c *cluster) submitTo(run context.Context, name string, entry *yuccaentry.Entry, s jobSpec) yuccadispatch.Answer {
 	request := fmt.Sprintf("%s#%d", s.id, c.requests.Add(1))
-	job := testTeam + "/" + s.id
+	job := s.key().Team + "/" + s.id
 	now := time.Now()
 	c.recorder.Add(yuccahistory.Event{
 		Kind: yuccahistory.Submitted, Node: name, Job: job, Request: request,
--- a/yuccaqueue/fair.go
+++ b/yuccaqueue/fair.go
@@ -46,6 +46,19 @@
 	return 0
 }
 
+// Ahead is the number of items that will have been served when that many more
+// of the flow have: its own, and the share of the other flows that wait.
+func (f *Fair[K, T]) Ahead(key K, weight, more int) int {
+	own := f.FlowLen(key) + more
+	ahead := own
+	for _, fl := range f.order {
+		if fl.key != key {
+			ahead += min(fl.items.Len(), own*int(fl.weight)/max(weight, 1))
+		}
+	}
+	return ahead
+}
+
 // Push adds an item at the end of its flow. The weight counts from now on.
 func (f *Fair[K, T]) Push(key K, weight int, item T) {
 	f.flow(key, weight).items.PushBack(item)
--- a/yuccaqueue/fair_test.go
+++ b/yuccaqueue/fair_test.go
@@ -91,6 +91,29 @@
 	properties.TestingRun(t)
 }
 
+func TestAheadCountsTheShareOfOthers(t *testing.T) {
+	q := yuccaqueue.New[string, int]()
+	for i := range 1000 {
+		q.Push("burst", 2, i)
+	}
+	for i := range 4 {
+		q.Push("short", 1, i)
+	}
+	for _, c := range []struct {
+		flow                  string
+		weight, more, expects int
+	}{
+		{"other", 1, 1, 1 + 2 + 1},
+		{"other", 4, 2, 2 + 1 + 0},
+		{"short", 1, 6, 10 + 20},
+		{"burst", 2, 0, 1000 + 4},
+	} {
+		if got := q.Ahead(c.flow, c.weight, c.more); got != c.expects {
+			t.Errorf("%+v: %d are ahead", c, got)
+		}
+	}
+}
+
 func TestRemoveAll(t *testing.T) {
 	q := yuccaqueue.New[string, int]()
 	for i := range 10 {
