mend what reading showed: clocks, full links, unused fields

Cause and what it does: - The age of a claim decides whether a new owner has seen every side since. It came from one wall clock, with a margin of 1 s. The margin is now 10 s, and a leader whose clock is behind the group's gives no age. - A link was full after 512 messages, however small. TestMessagesArriveInOrder, which sends 1,000, failed in 1 of 2 runs by timing; what waits is now bounded by its bytes alone (20 of 20 runs pass). - Fields of messages that nothing read are gone.

--- a/yuccacontrol/claims.go
+++ b/yuccacontrol/claims.go
@@ -7,6 +7,10 @@
 	"github.com/yuccaturn/yuccaturn/yuccawire"
 )
 
+// maxClockBehind is how far a leader's wall clock may be behind the latest that
+// the group has seen.
+const maxClockBehind = time.Second
+
 // pendingClaims are the claims of one message, which wait for the next
 // proposal.
 type pendingClaims struct {
@@ -20,8 +24,8 @@
 
 // answerLookups answers the questions of a batch and returns its claims.
 func (c *Control) answerLookups(p pendingClaims) pendingClaims {
-	claims := &yuccawire.ClaimBatch{Sequence: p.batch.GetSequence()}
-	answer := &yuccawire.ClaimReplies{Sequence: p.batch.GetSequence()}
+	claims := &yuccawire.ClaimBatch{}
+	answer := &yuccawire.ClaimReplies{}
 	for _, claim := range p.batch.GetClaims() {
 		if claim.GetLookup() {
 			answer.Replies = append(answer.Replies, c.state.Lookup(claim))
@@ -67,17 +71,30 @@
 	command := &yuccawire.Command{Body: &yuccawire.Command_Claims{Claims: merged}}
 	c.proposeCommand(now, command, func(result yuccastate.Result, err error) {
 		if err == nil {
+			c.distrustClock(result.Claims)
 			answerClaims(pending, result.Claims)
 		}
 	})
 }
 
+// distrustClock takes the ages out of the replies while this leader's wall clock
+// is behind one that the group has seen.
+func (c *Control) distrustClock(replies []*yuccawire.ClaimReply) {
+	if c.state.Clock().Sub(time.Now()) < maxClockBehind {
+		return
+	}
+	c.metrics.Add("clock_behind", 1)
+	for _, reply := range replies {
+		reply.AgeMs = -1
+	}
+}
+
 // answerClaims hands each link its share of the replies.
 func answerClaims(pending []pendingClaims, replies []*yuccawire.ClaimReply) {
 	for _, p := range pending {
 		n := len(p.batch.GetClaims())
 		if n > 0 {
-			sendReplies(p.from, &yuccawire.ClaimReplies{Sequence: p.batch.GetSequence(), Replies: replies[:n:n]})
+			sendReplies(p.from, &yuccawire.ClaimReplies{Replies: replies[:n:n]})
 		}
 		replies = replies[n:]
 	}
--- a/yuccadispatch/takeover.go
+++ b/yuccadispatch/takeover.go
@@ -9,14 +9,16 @@
 const (
 	// attemptsPerOwner keeps the attempts of successive owners apart.
 	attemptsPerOwner = 1000
-	// claimAgeMargin covers what the age of a claim may be off.
-	claimAgeMargin = time.Second
+	// claimAgeMargin covers how far the wall clocks of two controls may differ.
+	claimAgeMargin = 10 * time.Second
 )
 
 // takeover is the gathering of what the sides know of a job whose old owner is
 // fenced.
 type takeover struct {
-	from      owner
+	from owner
+	// claimedAt is the earliest time at which the job may have been claimed, or
+	// zero where nobody knows.
 	claimedAt time.Time
 	until     time.Time
 	pending   map[string]bool
@@ -28,12 +30,10 @@
 // old owner before it answers.
 func (d *Dispatcher) beginGathering(now time.Time, j *job, reply *yuccawire.ClaimReply) {
 	j.state = gathering
-	age := time.Duration(reply.GetAgeMs()) * time.Millisecond
-	j.takeover = &takeover{
-		from:      j.owner,
-		claimedAt: now.Add(-age - claimAgeMargin),
-		until:     now.Add(gatherTimeout),
-		pending:   make(map[string]bool),
+	j.takeover = &takeover{from: j.owner, until: now.Add(gatherTimeout), pending: make(map[string]bool)}
+	if reply.GetAgeMs() >= 0 {
+		age := time.Duration(reply.GetAgeMs()) * time.Millisecond
+		j.takeover.claimedAt = now.Add(-age - claimAgeMargin)
 	}
 	j.owner = owner{}
 	d.metrics.Add("jobs_taken_over", 1)
@@ -55,7 +55,6 @@
 	}
 	gather := &yuccawire.Gather{
 		Job:   j.Key.Wire(),
-		Owner: d.options.Self.GetName(),
 		Fence: &yuccawire.Fence{Owner: j.takeover.from.name, Incarnation: j.takeover.from.incarnation},
 	}
 	d.send(name, &yuccawire.Envelope{Body: &yuccawire.Envelope_Gather{Gather: gather}})
--- a/yuccamux/link.go
+++ b/yuccamux/link.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"net"
 	"sync"
-	"sync/atomic"
 
 	"google.golang.org/protobuf/encoding/protodelim"
 	"google.golang.org/protobuf/proto"
@@ -12,21 +11,22 @@
 	"github.com/yuccaturn/yuccaturn/yuccawire"
 )
 
-const (
-	outboxMessages = 512
-	bufferBytes    = 4 << 10
-)
+const bufferBytes = 4 << 10
 
-// link frames envelopes on one stream with their length as a varint.
+// link frames envelopes on one stream with their length as a varint. What waits
+// to be sent is bounded by its bytes.
 type link struct {
 	stream  net.Conn
 	reader  *bufio.Reader
 	decoder protodelim.UnmarshalOptions
-	outbox  chan *yuccawire.Envelope
-	pending atomic.Int64
 	limit   int64
+	wake    chan struct{}
 	closed  chan struct{}
 	once    sync.Once
+
+	mu      sync.Mutex
+	waiting []*yuccawire.Envelope
+	pending int64
 }
 
 func newLink(stream net.Conn, options Options) *link {
@@ -34,8 +34,8 @@
 		stream:  stream,
 		reader:  bufio.NewReaderSize(stream, bufferBytes),
 		decoder: protodelim.UnmarshalOptions{MaxSize: options.MaxMessageBytes},
-		outbox:  make(chan *yuccawire.Envelope, outboxMessages),
 		limit:   options.MaxPendingBytes,
+		wake:    make(chan struct{}, 1),
 		closed:  make(chan struct{}),
 	}
 	go l.run()
@@ -49,18 +49,36 @@
 		return yuccawire.ErrLinkClosed
 	default:
 	}
-	size := int64(proto.Size(m))
-	if l.pending.Add(size) > l.limit {
+	if !l.enqueue(m) {
 		_ = l.Close()
 		return yuccawire.ErrLinkFull
 	}
 	select {
-	case l.outbox <- m:
-		return nil
+	case l.wake <- struct{}{}:
 	default:
-		_ = l.Close()
-		return yuccawire.ErrLinkFull
 	}
+	return nil
+}
+
+func (l *link) enqueue(m *yuccawire.Envelope) bool {
+	size := int64(proto.Size(m))
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.pending+size > l.limit {
+		return false
+	}
+	l.pending += size
+	l.waiting = append(l.waiting, m)
+	return true
+}
+
+// take empties the queue.
+func (l *link) take() []*yuccawire.Envelope {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	taken := l.waiting
+	l.waiting = nil
+	return taken
 }
 
 // Receive reads the next envelope of the peer.
@@ -91,21 +109,29 @@
 		select {
 		case <-l.closed:
 			return
-		case m := <-l.outbox:
-			if err := l.write(w, m); err != nil {
+		case <-l.wake:
+		}
+		for taken := l.take(); len(taken) > 0; taken = l.take() {
+			if l.write(w, taken) != nil {
 				return
 			}
 		}
+		if w.Flush() != nil {
+			return
+		}
 	}
 }
 
-func (l *link) write(w *bufio.Writer, m *yuccawire.Envelope) error {
-	if _, err := protodelim.MarshalTo(w, m); err != nil {
-		return err
-	}
-	l.pending.Add(-int64(proto.Size(m)))
-	if len(l.outbox) > 0 {
-		return nil
+func (l *link) write(w *bufio.Writer, envelopes []*yuccawire.Envelope) error {
+	written := int64(0)
+	for _, m := range envelopes {
+		if _, err := protodelim.MarshalTo(w, m); err != nil {
+			return err
+		}
+		written += int64(proto.Size(m))
 	}
-	return w.Flush()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.pending -= written
+	return nil
 }
