--- a/yuccacontrol/claims.go
+++ b/yuccacontrol/claims.go
@@ -71,15 +71,15 @@
 	command := &yuccawire.Command{Body: &yuccawire.Command_Claims{Claims: merged}}
 	c.proposeCommand(now, command, func(result yuccastate.Result, err error) {
 		if err == nil {
-			c.distrustClock(result.Claims)
+			c.omitUntrustedAges(result.Claims)
 			answerClaims(pending, result.Claims)
 		}
 	})
 }
 
-// distrustClock takes the ages out of the replies while this leader's wall clock
+// omitUntrustedAges takes the ages out of the replies while this leader's wall clock
 // is behind one that the group has seen.
-func (c *Control) distrustClock(replies []*yuccawire.ClaimReply) {
+func (c *Control) omitUntrustedAges(replies []*yuccawire.ClaimReply) {
 	if c.state.Clock().Sub(time.Now()) < maxClockBehind {
 		return
 	}
--- a/yuccacontrol/loop.go
+++ b/yuccacontrol/loop.go
@@ -67,7 +67,7 @@
 }
 
 func (c *Control) tick(now time.Time) {
-	if c.alone() {
+	if c.ungrouped() {
 		c.probe(now)
 	}
 	if c.core == nil {
@@ -86,8 +86,8 @@
 	}
 }
 
-// alone tells whether this replica knows of no group, or of nobody in it yet.
-func (c *Control) alone() bool {
+// ungrouped tells whether this replica knows of no group, or of nobody in it yet.
+func (c *Control) ungrouped() bool {
 	if c.core == nil {
 		return true
 	}
--- a/yuccacontrol/storage.go
+++ b/yuccacontrol/storage.go
@@ -75,7 +75,7 @@
 
 func (q *writeQueue) add(b batch) { q.waiting = append(q.waiting, b) }
 
-// next returns the group to sync now, or nil. A replacement stands alone.
+// next returns the group to sync now, or nil. A replacement stands ungrouped.
 func (q *writeQueue) next() []batch {
 	if q.writing || len(q.waiting) == 0 {
 		return nil
--- a/yuccadispatch/admit.go
+++ b/yuccadispatch/admit.go
@@ -22,7 +22,7 @@
 	d.nonce++
 	j := newJob(now, s, d.nonce)
 	d.jobs[s.Key] = j
-	d.unsettle[j] = struct{}{}
+	d.unsettled[j] = struct{}{}
 	if admission.Rejection != NotRejected {
 		d.refuse(now, j, admission)
 		return Admission{}
--- a/yuccadispatch/answer.go
+++ b/yuccadispatch/answer.go
@@ -11,8 +11,8 @@
 	if j.state != open && j.state != gathering {
 		return
 	}
-	if j.doomed != "" {
-		d.doom(now, j, j.doomed)
+	if j.failReason != "" {
+		d.failJob(now, j, j.failReason)
 		return
 	}
 	if j.state == open && j.left == 0 {
@@ -20,11 +20,11 @@
 	}
 }
 
-// doom ends a job that can't complete: nothing more of it is started, what
+// failJob ends a job that can't complete: nothing more of it is started, what
 // runs is asked to stop, and it is answered when the last attempt has ended.
-func (d *Dispatcher) doom(now time.Time, j *job, reason string) {
-	if j.doomed == "" {
-		j.doomed = reason
+func (d *Dispatcher) failJob(now time.Time, j *job, reason string) {
+	if j.failReason == "" {
+		j.failReason = reason
 	}
 	d.unqueue(j)
 	if j.state == gathering {
@@ -94,7 +94,7 @@
 }
 
 func (j *job) makeOutcome() *yuccawire.Outcome {
-	o := &yuccawire.Outcome{Complete: j.doomed == "", Reason: j.doomed, Cancelled: j.cancelled}
+	o := &yuccawire.Outcome{Complete: j.failReason == "", Reason: j.failReason, Cancelled: j.cancelled}
 	o.NotRun = !o.GetComplete() && j.neverStarted()
 	o.Undetermined = !o.GetComplete() && j.maybeAnswered()
 	o.Tasks = make([]*yuccawire.TaskOutcome, len(j.tasks))
@@ -180,7 +180,7 @@
 // end takes the job out of work and answers its callers.
 func (d *Dispatcher) end(j *job) {
 	j.state = settled
-	delete(d.unsettle, j)
+	delete(d.unsettled, j)
 	d.do(*j.answer())
 }
 
@@ -240,7 +240,7 @@
 func (d *Dispatcher) endHold(now time.Time, j *job) {
 	j.holdUntil = time.Time{}
 	if d.service(j.Service).slots == 0 && j.neverStarted() {
-		d.doom(now, j, "no target of the service came in time")
+		d.failJob(now, j, "no target of the service came in time")
 	}
 }
 
@@ -262,7 +262,7 @@
 	j.cancelled = true
 	switch j.state {
 	case open, gathering:
-		d.doom(now, j, "cancelled by the caller")
+		d.failJob(now, j, "cancelled by the caller")
 	case joined:
 		d.sendJoin(now, j)
 	case looking, claiming, confirming, settled:
--- a/yuccadispatch/claim.go
+++ b/yuccadispatch/claim.go
@@ -33,7 +33,7 @@
 
 // resendClaims asks a new leader for what the old one may not have answered.
 func (d *Dispatcher) resendClaims(now time.Time) {
-	for j := range d.unsettle {
+	for j := range d.unsettled {
 		if j.state == looking || j.state == claiming || j.state == confirming {
 			d.sendClaim(now, j)
 		}
@@ -174,7 +174,7 @@
 	j.state = open
 	d.metrics.Add("jobs_opened", 1)
 	if j.cancelled {
-		d.doom(now, j, "cancelled by the caller")
+		d.failJob(now, j, "cancelled by the caller")
 		return
 	}
 	sv := d.service(j.Service)
--- a/yuccadispatch/collect.go
+++ b/yuccadispatch/collect.go
@@ -40,7 +40,7 @@
 }
 
 func (d *Dispatcher) finishTask(now time.Time, t *task, f *yuccawire.Finished) {
-	d.judge(now, t, f)
+	d.recordHealth(now, t, f)
 	t.failedAt = t.place
 	if f.GetState() != yuccawire.TaskState_TASK_FINISHED {
 		d.taskUnknown(now, t, f.GetFailure())
@@ -72,13 +72,13 @@
 	default:
 		t.settle(failed)
 		t.failure = fmt.Sprintf("the target answered %d", f.GetStatus())
-		j.doomed = fmt.Sprintf("task %q: %s", t.id, t.failure)
+		j.failReason = fmt.Sprintf("task %q: %s", t.id, t.failure)
 	}
 }
 
 // mayRepeat allows another attempt at a task that was started.
 func (d *Dispatcher) mayRepeat(j *job, t *task) bool {
-	if !j.Repeatable || j.state != open || j.doomed != "" || t.tries+1 >= maxTries {
+	if !j.Repeatable || j.state != open || j.failReason != "" || t.tries+1 >= maxTries {
 		return false
 	}
 	if !d.retries.spend() {
@@ -106,8 +106,8 @@
 	}
 	t.settle(unknown)
 	t.failure = failure
-	if j.doomed == "" {
-		j.doomed = fmt.Sprintf("task %q: may have been started, and its answer is lost: %s", t.id, failure)
+	if j.failReason == "" {
+		j.failReason = fmt.Sprintf("task %q: may have been started, and its answer is lost: %s", t.id, failure)
 	}
 	d.progress(now, j)
 }
@@ -139,7 +139,7 @@
 			s.blockedUntil = now.Add(blockedPause)
 		}
 	}
-	if j.doomed != "" || j.state != open {
+	if j.failReason != "" || j.state != open {
 		t.state = waiting
 		d.progress(now, j)
 		return
--- a/yuccadispatch/dispatcher.go
+++ b/yuccadispatch/dispatcher.go
@@ -40,29 +40,29 @@
 
 // Dispatcher decides for one entry. It is not safe for concurrent use.
 type Dispatcher struct {
-	options  Options
-	metrics  *yuccametric.Set
-	lease    yuccalease.Lease
-	view     *yuccadocument.View
-	draining bool
-	jobs     map[Key]*job
-	unsettle map[*job]struct{}
-	kept     []*job
-	keptSize int
-	nonce    uint64
-	retries  retryBudget
-	claims   []*yuccawire.Claim
-	forget   map[string][]*yuccawire.JobKey
-	cancels  map[string][]*yuccawire.JobKey
-	watches  map[Key]*watch
-	services map[string]*service
-	teams    map[string]*team
-	sides    map[string]*side
-	entries  map[string]*entry
-	since    time.Time
-	policy   *yuccaplace.Policy[*place]
-	actions  []Action
-	sweepAt  time.Time
+	options   Options
+	metrics   *yuccametric.Set
+	lease     yuccalease.Lease
+	view      *yuccadocument.View
+	draining  bool
+	jobs      map[Key]*job
+	unsettled map[*job]struct{}
+	kept      []*job
+	keptSize  int
+	nonce     uint64
+	retries   retryBudget
+	claims    []*yuccawire.Claim
+	forget    map[string][]*yuccawire.JobKey
+	cancels   map[string][]*yuccawire.JobKey
+	watches   map[Key]*watch
+	services  map[string]*service
+	teams     map[string]*team
+	sides     map[string]*side
+	entries   map[string]*entry
+	since     time.Time
+	policy    *yuccaplace.Policy[*place]
+	actions   []Action
+	sweepAt   time.Time
 }
 
 // service is what the dispatcher knows of one service.
@@ -94,21 +94,21 @@
 // New returns a dispatcher without a lease, which admits nothing.
 func New(options Options) *Dispatcher {
 	return &Dispatcher{
-		options:  options,
-		metrics:  options.Metrics,
-		view:     options.View,
-		jobs:     make(map[Key]*job),
-		unsettle: make(map[*job]struct{}),
-		forget:   make(map[string][]*yuccawire.JobKey),
-		cancels:  make(map[string][]*yuccawire.JobKey),
-		watches:  make(map[Key]*watch),
-		services: make(map[string]*service),
-		teams:    make(map[string]*team),
-		sides:    make(map[string]*side),
-		entries:  make(map[string]*entry),
-		retries:  newRetryBudget(),
-		nonce:    options.Random.Uint64() >> nonceShift,
-		policy:   yuccaplace.New(options.Random, betterPlace),
+		options:   options,
+		metrics:   options.Metrics,
+		view:      options.View,
+		jobs:      make(map[Key]*job),
+		unsettled: make(map[*job]struct{}),
+		forget:    make(map[string][]*yuccawire.JobKey),
+		cancels:   make(map[string][]*yuccawire.JobKey),
+		watches:   make(map[Key]*watch),
+		services:  make(map[string]*service),
+		teams:     make(map[string]*team),
+		sides:     make(map[string]*side),
+		entries:   make(map[string]*entry),
+		retries:   newRetryBudget(),
+		nonce:     options.Random.Uint64() >> nonceShift,
+		policy:    yuccaplace.New(options.Random, betterPlace),
 	}
 }
 
@@ -168,7 +168,7 @@
 func (d *Dispatcher) Drain() { d.draining = true }
 
 // Unsettled is the number of jobs without an answer.
-func (d *Dispatcher) Unsettled() int { return len(d.unsettle) }
+func (d *Dispatcher) Unsettled() int { return len(d.unsettled) }
 
 // Lease is the lease under which this entry owns jobs.
 func (d *Dispatcher) Lease() yuccalease.Lease { return d.lease }
@@ -216,7 +216,7 @@
 
 // Tick lets the time pass. The owner calls it every few milliseconds.
 func (d *Dispatcher) Tick(now time.Time) {
-	for j := range d.unsettle {
+	for j := range d.unsettled {
 		d.tickJob(now, j)
 	}
 	d.flushCancels()
@@ -232,7 +232,7 @@
 	d.sweepAt = now.Add(sweepInterval)
 	d.sweepKept(now)
 	d.sendForgets()
-	d.metrics.Gauge("jobs_unsettled", int64(len(d.unsettle)))
+	d.metrics.Gauge("jobs_unsettled", int64(len(d.unsettled)))
 	d.metrics.Gauge("jobs_kept", int64(len(d.kept)))
 	d.metrics.Gauge("kept_bytes", int64(d.keptSize))
 	d.metrics.Gauge("tasks_queued", int64(d.Queued()))
@@ -244,7 +244,7 @@
 	case !now.Before(j.Deadline):
 		d.giveUp(j)
 	case !now.Before(j.expireAt) && (j.state == open || j.state == gathering):
-		d.doom(now, j, "the deadline has passed")
+		d.failJob(now, j, "the deadline has passed")
 	case j.state == looking || j.state == claiming || j.state == confirming:
 		if now.Sub(j.claimSent) >= claimResend {
 			d.sendClaim(now, j)
--- a/yuccadispatch/eject.go
+++ b/yuccadispatch/eject.go
@@ -32,9 +32,9 @@
 	place *place
 }
 
-// judge takes in how an attempt at the place ended. A place that fails what
+// recordHealth takes in how an attempt at the place ended. A place that fails what
 // others run is ejected for a while; one job that fails everywhere counts once.
-func (d *Dispatcher) judge(now time.Time, t *task, f *yuccawire.Finished) {
+func (d *Dispatcher) recordHealth(now time.Time, t *task, f *yuccawire.Finished) {
 	p := t.place
 	if p == nil {
 		return
--- a/yuccadispatch/job.go
+++ b/yuccadispatch/job.go
@@ -79,13 +79,13 @@
 // job is a submission that this entry answers.
 type job struct {
 	Submission
-	state     jobState
-	nonce     uint64
-	tasks     []*task
-	index     map[string]*task
-	left      int
-	doomed    string
-	cancelled bool
+	state      jobState
+	nonce      uint64
+	tasks      []*task
+	index      map[string]*task
+	left       int
+	failReason string
+	cancelled  bool
 	// cancelSent tells that the sides were asked to stop the job.
 	cancelSent bool
 	outcome    *yuccawire.Outcome
--- a/yuccadispatch/sides.go
+++ b/yuccadispatch/sides.go
@@ -194,7 +194,7 @@
 		d.metrics.Add("tasks_lost", 1)
 		d.taskUnknown(now, t, "the side was lost")
 	}
-	for j := range d.unsettle {
+	for j := range d.unsettled {
 		if j.state == gathering {
 			d.gatherLost(now, j, s.node.GetName())
 		}
@@ -203,7 +203,7 @@
 
 // loseOwner makes the jobs of an entry that is gone be claimed again.
 func (d *Dispatcher) loseOwner(now time.Time, name string) {
-	for j := range d.unsettle {
+	for j := range d.unsettled {
 		if j.state == joined && j.owner.name == name {
 			j.state = claiming
 			d.sendClaim(now, j)
@@ -236,7 +236,7 @@
 		d.metrics.Add("attempts_queried", int64(len(query.GetKeys())))
 		d.send(name, &yuccawire.Envelope{Body: &yuccawire.Envelope_Query{Query: query}})
 	}
-	for j := range d.unsettle {
+	for j := range d.unsettled {
 		if j.state == gathering {
 			d.sendGather(j, name)
 		}
@@ -246,7 +246,7 @@
 
 // rejoin asks an entry again after a new link to it.
 func (d *Dispatcher) rejoin(now time.Time, name string) {
-	for j := range d.unsettle {
+	for j := range d.unsettled {
 		if j.state == joined && j.owner.name == name {
 			d.sendJoin(now, j)
 		}
--- a/yuccadispatch/takeover.go
+++ b/yuccadispatch/takeover.go
@@ -89,8 +89,8 @@
 	}
 	t.settle(unknown)
 	t.failure = f.GetFailure()
-	if j.doomed == "" {
-		j.doomed = "a task of the former owner was started, and its answer is lost"
+	if j.failReason == "" {
+		j.failReason = "a task of the former owner was started, and its answer is lost"
 	}
 }
 
@@ -135,7 +135,7 @@
 		d.settleUnasked(j)
 	}
 	for _, t := range j.tasks {
-		if t.state == waiting && j.doomed == "" {
+		if t.state == waiting && j.failReason == "" {
 			t.attempt = max(t.attempt, uint32(j.nonce)*attemptsPerOwner)
 			d.enqueue(sv, t)
 		}
@@ -153,8 +153,8 @@
 		}
 		t.settle(unknown)
 		t.failure = "the former owner may have started it at a side that is gone"
-		if j.doomed == "" {
-			j.doomed = t.failure
+		if j.failReason == "" {
+			j.failReason = t.failure
 		}
 	}
 }
--- a/yuccaentry/entry.go
+++ b/yuccaentry/entry.go
@@ -322,16 +322,16 @@
 	}
 	select {
 	case <-done:
-		e.settleDown(ctx)
+		e.flushLast(ctx)
 		return 0
 	case <-ctx.Done():
 		return e.unsettled()
 	}
 }
 
-// settleDown lets the last messages leave: recorded outcomes and what sides may
+// flushLast lets the last messages leave: recorded outcomes and what sides may
 // forget.
-func (e *Entry) settleDown(ctx context.Context) {
+func (e *Entry) flushLast(ctx context.Context) {
 	timer := time.NewTimer(flushPause)
 	defer timer.Stop()
 	select {
--- a/yuccaproof/faults_test.go
+++ b/yuccaproof/faults_test.go
@@ -44,14 +44,14 @@
 	c := newCluster(t, seed, 3, 3, 2)
 	defer c.close()
 	until := time.Now().Add(faultTime)
-	var chaos monkey
-	chaos.cluster = c
+	var injector faultInjector
+	injector.cluster = c
 	for time.Now().Before(until) {
-		chaos.submitSome()
-		chaos.fault()
+		injector.submitSome()
+		injector.fault()
 		time.Sleep(time.Duration(50+c.random.IntN(900)) * time.Millisecond)
 	}
-	chaos.repair()
+	injector.repair()
 	time.Sleep(recoverTime)
 	c.callers.Wait()
 	c.recoverJobs()
@@ -71,15 +71,15 @@
 	}
 }
 
-// monkey does one harmful thing at a time.
-type monkey struct {
+// faultInjector does one harmful thing at a time.
+type faultInjector struct {
 	cluster *cluster
 	jobs    []jobSpec
 	down    []*node
 	out     map[string]bool
 }
 
-func (m *monkey) submitSome() {
+func (m *faultInjector) submitSome() {
 	c := m.cluster
 	for range 1 + c.random.IntN(4) {
 		n := c.entries[c.random.IntN(len(c.entries))]
@@ -91,7 +91,7 @@
 }
 
 // nextJob is a new job, or one that was submitted before.
-func (m *monkey) nextJob() jobSpec {
+func (m *faultInjector) nextJob() jobSpec {
 	r := m.cluster.random
 	if len(m.jobs) > 0 && r.IntN(3) == 0 {
 		return m.jobs[len(m.jobs)-1-r.IntN(min(len(m.jobs), 10))]
@@ -107,7 +107,7 @@
 	return spec
 }
 
-func (m *monkey) fault() {
+func (m *faultInjector) fault() {
 	c := m.cluster
 	all := c.all()
 	victim := all[c.random.IntN(len(all))]
@@ -134,7 +134,7 @@
 	}
 }
 
-func (m *monkey) crash(n *node) {
+func (m *faultInjector) crash(n *node) {
 	if !n.up() || len(m.down) > 3 {
 		return
 	}
@@ -142,7 +142,7 @@
 	m.down = append(m.down, n)
 }
 
-func (m *monkey) stop(n *node) {
+func (m *faultInjector) stop(n *node) {
 	if !n.up() || n.disk != nil || len(m.down) > 3 {
 		return
 	}
@@ -150,7 +150,7 @@
 	m.down = append(m.down, n)
 }
 
-func (m *monkey) restart() {
+func (m *faultInjector) restart() {
 	if len(m.down) == 0 {
 		return
 	}
@@ -158,14 +158,14 @@
 	m.down = m.down[1:]
 }
 
-func (m *monkey) heal() {
+func (m *faultInjector) heal() {
 	names := m.cluster.names()
 	for _, name := range names {
 		m.cluster.fabric.Rejoin(name, names...)
 	}
 }
 
-func (m *monkey) toggleDataCentre() {
+func (m *faultInjector) toggleDataCentre() {
 	if m.out == nil {
 		m.out = make(map[string]bool)
 	}
@@ -177,7 +177,7 @@
 	m.cluster.setDataCentre(name, m.out[name])
 }
 
-func (m *monkey) cancel() {
+func (m *faultInjector) cancel() {
 	if len(m.jobs) == 0 {
 		return
 	}
@@ -193,7 +193,7 @@
 }
 
 // repair ends all faults.
-func (m *monkey) repair() {
+func (m *faultInjector) repair() {
 	m.heal()
 	for len(m.down) > 0 {
 		m.restart()
--- a/yuccaproof/operators_test.go
+++ b/yuccaproof/operators_test.go
@@ -128,7 +128,7 @@
 		c.callers.Go(func() { c.operate(h, client, random, until) })
 	}
 	for time.Now().Before(until) {
-		c.harmControls()
+		c.injectControlFault()
 		time.Sleep(time.Duration(100+c.random.IntN(1500)) * time.Millisecond)
 	}
 	c.repairControls()
@@ -140,9 +140,9 @@
 	c.check(t)
 }
 
-// harmControls does one harmful thing to the control group, and leaves a
+// injectControlFault does one harmful thing to the control group, and leaves a
 // majority of disks.
-func (c *cluster) harmControls() {
+func (c *cluster) injectControlFault() {
 	victim := c.controls[c.random.IntN(len(c.controls))]
 	other := c.controls[c.random.IntN(len(c.controls))]
 	switch c.random.IntN(10) {
--- a/yuccareplica/doc.go
+++ b/yuccareplica/doc.go
@@ -28,7 +28,7 @@
 const (
 	// HeartbeatInterval is the time between two appends to an idle follower.
 	HeartbeatInterval = 150 * time.Millisecond
-	// MinElectionTimeout is how long a follower trusts a silent leader.
+	// MinElectionTimeout is how long a follower hearsLeader a silent leader.
 	MinElectionTimeout = 750 * time.Millisecond
 	// MaxElectionTimeout is the latest start of an election.
 	MaxElectionTimeout = 1500 * time.Millisecond
--- a/yuccareplica/election.go
+++ b/yuccareplica/election.go
@@ -79,8 +79,8 @@
 	}
 }
 
-// trusts tells whether the replica still has to believe in its leader.
-func (c *Core) trusts(now time.Time) bool {
+// hearsLeader tells whether the replica still has to believe in its leader.
+func (c *Core) hearsLeader(now time.Time) bool {
 	if c.role == leader {
 		return c.LeaseValid(now)
 	}
@@ -89,7 +89,7 @@
 
 func (c *Core) stepVote(now time.Time, m *yuccawire.Replica) {
 	vote := m.GetVote()
-	if c.trusts(now) {
+	if c.hearsLeader(now) {
 		return
 	}
 	if vote.GetPre() {
--- a/yuccareplica/follower.go
+++ b/yuccareplica/follower.go
@@ -6,8 +6,8 @@
 	"github.com/yuccaturn/yuccaturn/yuccawire"
 )
 
-// heed accepts a message of a leader, or refuses it if its term is old.
-func (c *Core) heed(now time.Time, m *yuccawire.Replica) bool {
+// acceptLeader accepts a message of a leader, or refuses it if its term is old.
+func (c *Core) acceptLeader(now time.Time, m *yuccawire.Replica) bool {
 	if m.GetTerm() < c.term {
 		c.ready.Immediate = append(c.ready.Immediate, c.appendReply(m, &yuccawire.AppendReply{}))
 		return false
@@ -24,7 +24,7 @@
 }
 
 func (c *Core) stepAppend(now time.Time, m *yuccawire.Replica) {
-	if !c.heed(now, m) {
+	if !c.acceptLeader(now, m) {
 		return
 	}
 	a := m.GetAppend()
@@ -93,7 +93,7 @@
 }
 
 func (c *Core) stepSnapshot(now time.Time, m *yuccawire.Replica) {
-	if !c.heed(now, m) {
+	if !c.acceptLeader(now, m) {
 		return
 	}
 	s := m.GetInstallSnapshot()
--- a/yuccaside/drain.go
+++ b/yuccaside/drain.go
@@ -49,7 +49,7 @@
 	s.options.Logger.Info("draining", "running", len(s.running))
 	s.draining = &d
 	s.gate.Leave()
-	s.makeKnown()
+	s.publishTargets()
 }
 
 // continueDrain says goodbye once nothing runs, and ends when all owners have
--- a/yuccaside/owners.go
+++ b/yuccaside/owners.go
@@ -74,7 +74,7 @@
 		_ = old.link.Close()
 	}
 	s.owners[o.node.GetName()] = o
-	s.tellLoad()
+	s.reportLoad()
 }
 
 func (s *Side) unlink(o *ownerLink) {
--- a/yuccaside/side.go
+++ b/yuccaside/side.go
@@ -66,7 +66,7 @@
 	draining *drain
 	loadAt   time.Time
 	sweepAt  time.Time
-	told     map[string]int
+	reported map[string]int
 }
 
 // runKey names one attempt that runs.
@@ -85,13 +85,13 @@
 		options.Logger = slog.New(slog.DiscardHandler)
 	}
 	s := &Side{
-		options: options,
-		metrics: options.Metrics,
-		events:  make(chan event, eventsCapacity),
-		owners:  make(map[string]*ownerLink),
-		targets: make(map[string]*target),
-		running: make(map[runKey]*run),
-		told:    make(map[string]int),
+		options:  options,
+		metrics:  options.Metrics,
+		events:   make(chan event, eventsCapacity),
+		owners:   make(map[string]*ownerLink),
+		targets:  make(map[string]*target),
+		running:  make(map[runKey]*run),
+		reported: make(map[string]int),
 	}
 	s.gate = yuccagate.New(yuccagate.Options{
 		Incarnation:    options.Self.GetIncarnation(),
@@ -138,8 +138,8 @@
 			s.update(update)
 		case e := <-s.events:
 			s.handle(ctx, time.Now(), e)
-			if s.taken() {
-				s.tellLoad()
+			if s.fewSlotsTaken() {
+				s.reportLoad()
 			}
 		}
 	}
@@ -177,7 +177,7 @@
 	isOut := u.View.IsOut(s.options.Self.GetDataCentre())
 	if isOut != wasOut {
 		s.options.Logger.Info("data centre changed", "out", isOut)
-		s.tellLoad()
+		s.reportLoad()
 	}
 }
 
@@ -192,37 +192,37 @@
 	if s.draining != nil {
 		s.continueDrain(now)
 	}
-	if !now.Before(s.loadAt) || s.turned() {
-		s.tellLoad()
+	if !now.Before(s.loadAt) || s.fewSlotsChanged() {
+		s.reportLoad()
 	}
 	s.metrics.Gauge("running", int64(len(s.running)))
 }
 
-// turned tells whether the free slots of a service that has few of them changed
-// since the owners were told.
-func (s *Side) turned() bool {
+// fewSlotsChanged tells whether the free slots of a service that has few of them
+// changed since the last report.
+func (s *Side) fewSlotsChanged() bool {
 	for name := range s.targets {
-		free, told := s.freeSlots(name), s.told[name]
-		if free != told && min(free, told) <= fewSlots {
+		free, reported := s.freeSlots(name), s.reported[name]
+		if free != reported && min(free, reported) <= fewSlots {
 			return true
 		}
 	}
 	return false
 }
 
-// taken tells whether a service has few free slots, and fewer than the owners
-// were told.
-func (s *Side) taken() bool {
+// fewSlotsTaken tells whether a service has few free slots, and fewer than in the
+// last report.
+func (s *Side) fewSlotsTaken() bool {
 	for name := range s.targets {
-		if free := s.freeSlots(name); free < s.told[name] && free <= fewSlots {
+		if free := s.freeSlots(name); free < s.reported[name] && free <= fewSlots {
 			return true
 		}
 	}
 	return false
 }
 
-// tellLoad reports the free slots to all owners.
-func (s *Side) tellLoad() {
+// reportLoad reports the free slots to all owners.
+func (s *Side) reportLoad() {
 	s.loadAt = time.Now().Add(loadInterval)
 	load := s.load()
 	for _, o := range s.owners {
@@ -245,7 +245,7 @@
 	var load []*yuccawire.ServiceLoad
 	for name := range s.targets {
 		free := s.freeSlots(name)
-		s.told[name] = free
+		s.reported[name] = free
 		load = append(load, &yuccawire.ServiceLoad{Service: name, FreeSlots: uint32(free)})
 	}
 	return load
--- a/yuccaside/targets.go
+++ b/yuccaside/targets.go
@@ -20,7 +20,7 @@
 	maxConnections = 65536
 )
 
-// ErrAnnouncement is returned for an announcement that can't be taken.
+// ErrAnnouncement is returned for an announcement that can't be accepted.
 var ErrAnnouncement = merry.Sentinel("the announcement is wrong")
 
 // Announcement is what a target says of itself.
@@ -111,7 +111,7 @@
 	s.gate.Announce(a.Service, min(a.Slots, a.Connections), a.Leaving)
 	if old == nil || old.Announcement != a {
 		s.options.Logger.Info("target announced", "service", a.Service, "slots", a.Slots, "leaving", a.Leaving)
-		s.makeKnown()
+		s.publishTargets()
 	}
 	return nil
 }
@@ -121,10 +121,10 @@
 		return
 	}
 	delete(s.targets, service)
-	delete(s.told, service)
+	delete(s.reported, service)
 	s.gate.Withdraw(service)
 	s.options.Logger.Info("target gone", "service", service)
-	s.makeKnown()
+	s.publishTargets()
 }
 
 // expireTargets withdraws the targets that did not renew.
@@ -137,8 +137,8 @@
 	}
 }
 
-// makeKnown tells control and the owners which targets there are.
-func (s *Side) makeKnown() {
+// publishTargets tells control and the owners which targets there are.
+func (s *Side) publishTargets() {
 	var targets []*yuccawire.Target
 	for _, t := range s.targets {
 		targets = append(targets, &yuccawire.Target{
@@ -147,7 +147,7 @@
 		})
 	}
 	s.lease.Announce(targets, s.draining != nil)
-	s.tellLoad()
+	s.reportLoad()
 }
 
 func lowerName(name, prefix string) string {
