--- a/yuccadispatch/bench_test.go
+++ b/yuccadispatch/bench_test.go
@@ -79,7 +79,7 @@
 		seen[start.Name]++
 		d.TaskFinished(now, start.Name, &yuccawire.Finished{
 			Key: start.Start.GetKey(), State: yuccawire.TaskState_TASK_FINISHED, Status: 200,
-			Service: "regulation", FreeSlots: slotsPerWorker, StartsSeen: seen[start.Name],
+			Service: "regulation", FreeSlots: slotsPerWorker, StartsSeen: seen[start.Name], Body: make([]byte, 100),
 		})
 	}
 	return answered
@@ -119,3 +119,47 @@
 		d.Actions()
 	}
 }
+
+// BenchmarkKeptOutcome measures the memory of an answered job of three tasks,
+// each with a result of 100 bytes, that is kept for later submissions.
+func BenchmarkKeptOutcome(b *testing.B) {
+	now := time.Now()
+	d := newDispatcher(b, now)
+	seen := make(map[string]uint32)
+	before := heapBytes()
+	n := 0
+	for b.Loop() {
+		n++
+		s := submission(now, n, 3)
+		s.Unnamed = false
+		d.Submit(now, s)
+		grantClaims(now, d)
+		answerAll(now, d, seen)
+		d.Actions()
+	}
+	b.ReportMetric(float64(heapBytes()-before)/float64(n), "heap-B/job")
+	runtime.KeepAlive(d)
+}
+
+// grantClaims answers the claims that were sent.
+func grantClaims(now time.Time, d *yuccadispatch.Dispatcher) {
+	u := yuccalease.Update{Lease: d.Lease(), View: d.View()}
+	for _, action := range d.Actions() {
+		send, ok := action.(yuccadispatch.SendControl)
+		if !ok {
+			continue
+		}
+		for _, c := range send.Message.GetClaimBatch().GetClaims() {
+			u.Claims = append(u.Claims, &yuccawire.ClaimReply{Job: c.GetJob(), Nonce: c.GetNonce(), Result: yuccawire.ClaimResult_CLAIM_GRANTED})
+		}
+	}
+	d.Control(now, u)
+}
+
+// heapBytes is what lives on the heap after a collection.
+func heapBytes() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
--- a/yuccalocal/bench_test.go
+++ b/yuccalocal/bench_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
+	"expvar"
 	"fmt"
 	"io"
 	"net/http"
@@ -101,7 +103,7 @@
 	client := yuccaclient.New(callers[0], "")
 	b.ReportAllocs()
 	b.ResetTimer()
-	used := processorTime(b)
+	used, messages := processorTime(b), taskMessages(b)
 	for i := range b.N {
 		job, _, err := client.Submit(context.Background(), jobBody(fmt.Sprintf("bench-%d", i), 1600, `{"sleep": "0s"}`))
 		if err != nil || !job.Complete() {
@@ -110,6 +112,21 @@
 	}
 	b.ReportMetric(float64(b.N*1600)/b.Elapsed().Seconds(), "tasks/s")
 	b.ReportMetric(float64(processorTime(b)-used)/float64(b.N*1600), "cpu-ns/task")
+	b.ReportMetric(float64(taskMessages(b)-messages)/float64(b.N*1600), "messages/task")
+}
+
+// taskMessages counts what the first entry has sent to sides and heard of them
+// for tasks.
+func taskMessages(b *testing.B) int64 {
+	var counters struct {
+		Sent     int64 `json:"starts_sent"`
+		Finished int64 `json:"tasks_finished"`
+		Refused  int64 `json:"starts_refused"`
+	}
+	if err := json.Unmarshal([]byte(expvar.Get("entry-1").String()), &counters); err != nil {
+		b.Fatal(err)
+	}
+	return counters.Sent + counters.Finished + counters.Refused
 }
 
 // processorTime is what this process, with all roles and the caller in it, has
