dispatch: forget an own outcome when another took the job over; unqueue once

Cause: found by reading. An owner whose outcome control doesn't record, since the job was taken over, kept its task states; after a third owner it could have answered from them. And a failing job scanned the queue of its team again with each of its ending tasks.

--- a/yuccadispatch/answer.go
+++ b/yuccadispatch/answer.go
@@ -84,8 +84,7 @@
 		}
 	case yuccawire.ClaimResult_CLAIM_HELD:
 		d.metrics.Add("jobs_lost_to_owner", 1)
-		j.outcome = nil
-		j.state = claiming
+		j.yield()
 		d.held(now, j, owner{name: reply.GetOwner(), incarnation: reply.GetIncarnation()})
 	case yuccawire.ClaimResult_CLAIM_UNSPECIFIED, yuccawire.ClaimResult_CLAIM_CONFLICT, yuccawire.ClaimResult_CLAIM_REFUSED,
 		yuccawire.ClaimResult_CLAIM_TAKEN, yuccawire.ClaimResult_CLAIM_EXPIRED, yuccawire.ClaimResult_CLAIM_ABSENT:
--- a/yuccadispatch/job.go
+++ b/yuccadispatch/job.go
@@ -88,10 +88,12 @@
 	cancelled  bool
 	// cancelSent tells that the sides were asked to stop the job.
 	cancelSent bool
-	outcome    *yuccawire.Outcome
-	rejection  Rejection
-	joiners    []string
-	claimSent  time.Time
+	// unqueued tells that no task of the job waits any more.
+	unqueued  bool
+	outcome   *yuccawire.Outcome
+	rejection Rejection
+	joiners   []string
+	claimSent time.Time
 	// expireAt is when an unfinished job is given up, early enough to be
 	// answered by its deadline.
 	expireAt  time.Time
@@ -131,15 +133,32 @@
 
 func newJob(now time.Time, s Submission, nonce uint64) *job {
 	margin := min(s.Deadline.Sub(now)/10, maxAnswerMargin)
-	j := &job{Submission: s, nonce: nonce, left: len(s.Tasks), expireAt: s.Deadline.Add(-margin)}
-	j.tasks = make([]*task, len(s.Tasks))
-	j.index = make(map[string]*task, len(s.Tasks))
-	for i, request := range s.Tasks {
+	j := &job{Submission: s, nonce: nonce, expireAt: s.Deadline.Add(-margin)}
+	j.makeTasks()
+	return j
+}
+
+// makeTasks makes the tasks of the submission, none of which was started here.
+func (j *job) makeTasks() {
+	j.left = len(j.Tasks)
+	j.tasks = make([]*task, len(j.Tasks))
+	j.index = make(map[string]*task, len(j.Tasks))
+	for i, request := range j.Tasks {
 		t := &task{job: j, id: request.ID, request: request.Request}
 		j.tasks[i] = t
 		j.index[t.id] = t
 	}
-	return j
+}
+
+// yield forgets what this entry did as the owner, after another took over.
+func (j *job) yield() {
+	j.makeTasks()
+	j.state = claiming
+	j.outcome = nil
+	j.takeover = nil
+	j.failReason = ""
+	j.cancelSent = false
+	j.unqueued = false
 }
 
 func (t *task) key() *yuccawire.TaskKey {
--- a/yuccadispatch/place.go
+++ b/yuccadispatch/place.go
@@ -25,6 +25,10 @@
 
 // unqueue drops the waiting tasks of the job from its queue.
 func (d *Dispatcher) unqueue(j *job) {
+	if j.unqueued {
+		return
+	}
+	j.unqueued = true
 	d.service(j.Service).queue.RemoveAll(j.Key.Team, func(t *task) bool { return t.job == j })
 }
 
