--- a/yuccagate/gate_test.go
+++ b/yuccagate/gate_test.go
@@ -179,3 +179,19 @@
 	}, gen.SliceOf(gen.UInt8())))
 	properties.TestingRun(t)
 }
+
+// Without a retention in its options the gate still keeps its records.
+func TestRecordsAreKeptByDefault(t *testing.T) {
+	g := yuccagate.New(yuccagate.Options{Incarnation: 7, DataCentre: "cusco"})
+	g.Announce("regulation", 2, false)
+	g.Cancel(began, key("t", 1).GetJob())
+	g.Query(began, key("u", 1))
+	g.Sweep(began.Add(4 * time.Minute))
+	late := began.Add(4 * time.Minute)
+	g.SetLease(yuccalease.Lease{}.Extend(late, 3*time.Second))
+	for _, task := range []string{"t", "u"} {
+		if v := g.Start(late, late.Add(time.Minute), startOf(task, 1)); v.Admitted() {
+			t.Errorf("task %s was admitted four minutes later", task)
+		}
+	}
+}
--- a/yuccaproof/promises_test.go
+++ b/yuccaproof/promises_test.go
@@ -450,3 +450,47 @@
 	}
 	return running
 }
+
+// An entry whose jobs were taken over while it was cut off serves callers again
+// once it is back, with the configuration that it had.
+func TestFencedEntryServesAgain(t *testing.T) {
+	inCluster(t, 28, 3, 2, 1, func(t *testing.T, c *cluster) {
+		cut := c.entries[0]
+		spec := jobSpec{id: "fenced", tasks: 1, run: time.Second, deadline: 15 * time.Second}
+		c.submitLater(cut, spec)
+		time.Sleep(200 * time.Millisecond)
+		c.fabric.Isolate(cut.name, c.names()...)
+		c.submit(c.entries[1], spec)
+		if cut.entry.Ready() {
+			t.Fatal("the cut-off entry still has a lease")
+		}
+		c.healAll()
+		time.Sleep(5 * time.Second)
+		if answer := c.submit(cut, jobSpec{id: "again", tasks: 1, run: time.Millisecond, deadline: 5 * time.Second}); !answer.Outcome.GetComplete() {
+			t.Errorf("after the cut the entry answered %+v", answer)
+		}
+		if restarts := cut.metrics.Value("restarts_fenced"); restarts != 1 {
+			t.Errorf("the entry took up %d new incarnations, expected 1", restarts)
+		}
+		c.callers.Wait()
+		c.check(t)
+	})
+}
+
+// A task that was started once and waits to be started again was not "not run".
+func TestRepeatedTaskIsNotSaidNotToBeRun(t *testing.T) {
+	inCluster(t, 29, 1, 1, 1, func(t *testing.T, c *cluster) {
+		c.callers.Go(func() {
+			time.Sleep(500 * time.Millisecond)
+			for _, n := range c.sides {
+				c.crash(n)
+			}
+		})
+		answer := c.submit(c.entries[0], jobSpec{id: "again", tasks: 1, run: 2 * time.Second, deadline: 8 * time.Second, repeatable: true})
+		c.callers.Wait()
+		if answer.Outcome == nil || answer.Outcome.GetNotRun() {
+			t.Errorf("answered %+v", answer)
+		}
+		c.check(t)
+	})
+}
