mux: reckon the size of a message once

Cause: found by reading the change once more. Each message was sized when it was queued and again when it was written, on the path of every task.

What it does: the queue hands out its bytes together with its messages. The bound on what waits is as it was: go test -race -count=5 ./yuccamux passes.

--- a/yuccamux/link.go
+++ b/yuccamux/link.go
@@ -72,13 +72,21 @@
 	return true
 }
 
-// take empties the queue.
-func (l *link) take() []*yuccawire.Envelope {
+// take empties the queue and returns its envelopes and their size in bytes,
+// which counts as pending until it is written.
+func (l *link) take() ([]*yuccawire.Envelope, int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	taken := l.waiting
 	l.waiting = nil
-	return taken
+	return taken, l.pending
+}
+
+// written takes what was written off the pending bytes.
+func (l *link) written(bytes int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.pending -= bytes
 }
 
 // Receive reads the next envelope of the peer.
@@ -111,10 +119,11 @@
 			return
 		case <-l.wake:
 		}
-		for taken := l.take(); len(taken) > 0; taken = l.take() {
+		for taken, bytes := l.take(); len(taken) > 0; taken, bytes = l.take() {
 			if l.write(w, taken) != nil {
 				return
 			}
+			l.written(bytes)
 		}
 		if w.Flush() != nil {
 			return
@@ -123,15 +132,10 @@
 }
 
 func (l *link) write(w *bufio.Writer, envelopes []*yuccawire.Envelope) error {
-	written := int64(0)
 	for _, m := range envelopes {
 		if _, err := protodelim.MarshalTo(w, m); err != nil {
 			return err
 		}
-		written += int64(proto.Size(m))
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.pending -= written
 	return nil
 }
