--- /dev/null
+++ b/yuccabroker/doc.go
@@ -0,0 +1,57 @@
+// Package yuccabroker is the decision core of an entry for jobs whose tasks have
+// sizes and may be tried again: it queues their tasks, places them on workers,
+// and answers each job once.
+//
+// The entry that a caller has reached owns the job; no record of it is stored
+// and nobody else is needed. At most one run of a task is alive at any time. A
+// run is alive until its side has said how it ended, or until the leases that
+// keep it alive have surely run out: that of this entry at the side, and that of
+// the side at the worker.
+//
+// The core does no I/O and reads no clock. Its owner calls it from one
+// goroutine with what happened, and carries out the actions that it returns.
+//
+// # Usage
+//
+//	broker := yuccabroker.New(yuccabroker.Options{...})
+//	broker.Submit(now, job, waiter)
+//	broker.Ends(now, "side-1", ends)
+//	broker.Tick(now)
+//	for _, action := range broker.Actions() { ... }
+package yuccabroker
+
+import "time"
+
+const (
+	// beatInterval is the time between two renewals of the lease at a side that
+	// runs something; five fit into one lease.
+	beatInterval = 100 * time.Millisecond
+	// stampMaxAge is how old the stamp of a side's clock may be for new orders.
+	stampMaxAge = 350 * time.Millisecond
+	// lossSlack is added to the leases before a silent run counts as over: the
+	// stop of a run (50 ms), a tick at either end, and rounding.
+	lossSlack = 120 * time.Millisecond
+	// stateIntervalPerSide bounds what an entry receives to 500 reports a second.
+	stateIntervalPerSide = 2 * time.Millisecond
+	minStateInterval     = 15 * time.Millisecond
+	maxStateInterval     = 250 * time.Millisecond
+	// queuedShare is how much of a worker's processors may wait at its side.
+	queuedShare = 0.18
+	// choices is the number of random workers that are compared for a task.
+	choices = 4
+	// answerMargin is how long before a caller's deadline it is answered.
+	answerMargin = 40 * time.Millisecond
+	// outcomeKept is how long an outcome answers a late resend of its job.
+	outcomeKept = 10 * time.Second
+	// lateFactor times the objective is when an answer is worth nothing any more.
+	lateFactor = 3
+	// priorityStep is how much later the objective of a job counts for each step
+	// of its queue's priority.
+	priorityStep = 150 * time.Millisecond
+	// pauseAfterRefusal keeps tasks from a side that has just refused one, until
+	// it has reported again.
+	pauseAfterRefusal = 20 * time.Millisecond
+	// overdueAfter is how much a task's own worker counts in the rank of tasks
+	// that can't reach their objective any more.
+	lateRank = 5 * time.Second
+)
--- /dev/null
+++ b/yuccabroker/job.go
@@ -0,0 +1,316 @@
+package yuccabroker
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/yuccaturn/yuccaturn/yuccawire"
+)
+
+type taskState int
+
+const (
+	// blocked: steps that it depends on are not done.
+	blocked taskState = iota
+	// waiting: it is in the queue.
+	waiting
+	// sent: a run of it is alive, as far as is known.
+	sent
+	// done: it has ended well.
+	done
+)
+
+// job is a submission that this entry answers.
+type job struct {
+	Job
+	arrived time.Time
+	// objective is the response time that is promised, lateAt when an answer is
+	// worth nothing any more, giveUpAt when the caller has to be answered.
+	objective time.Time
+	lateAt    time.Time
+	giveUpAt  time.Time
+	waiters   []uint64
+	steps     []*step
+	left      int
+	begun     bool
+	// sentRuns counts the orders that were sent.
+	sentRuns int
+	// lastRun is the highest number of a run of any of its tasks. A job that is
+	// handed in again goes on from there.
+	lastRun uint64
+	// ended is set once the job has its outcome.
+	ended bool
+}
+
+// step is one step of a job.
+type step struct {
+	Step
+	tasks []*task
+	left  int
+}
+
+// task is one task of a job.
+type task struct {
+	job      *job
+	step     *step
+	name     string
+	state    taskState
+	run      uint64
+	failures uint32
+	side     *side
+	rank     time.Time
+	at       int
+	sentAt   time.Time
+	// avoid is where it has last failed or stood still.
+	avoid *side
+	tries int
+}
+
+// Submit takes in a job. A job that is known is joined.
+func (b *Broker) Submit(now time.Time, submitted Job, waiter uint64) {
+	b.metrics.Add("jobs_submitted", 1)
+	if k, ok := b.kept[submitted.ID]; ok && k.queue == submitted.Queue.Name && k.outcome.State != GivenUp && k.outcome.State != Rejected {
+		b.metrics.Add("jobs_answered_again", 1)
+		b.options.Logger.Info("answers a resend with the outcome that is kept", "job", submitted.ID, "state", k.outcome.State.String())
+		b.do(Answer{Waiter: waiter, Outcome: k.outcome})
+		return
+	}
+	if j := b.jobs[submitted.ID]; j != nil {
+		b.metrics.Add("jobs_joined", 1)
+		b.options.Logger.Info("a resend joins the job", "job", j.ID, "waiters", len(j.waiters)+1)
+		j.waiters = append(j.waiters, waiter)
+		j.giveUpAt = submitted.Deadline.Add(-answerMargin)
+		return
+	}
+	j := newJob(now, submitted, waiter)
+	j.lastRun = b.kept[submitted.ID].lastRun
+	for _, st := range j.steps {
+		for _, t := range st.tasks {
+			t.run = j.lastRun
+		}
+	}
+	if refusal := b.refusal(now, j); refusal != nil {
+		b.metrics.Add("jobs_refused", 1)
+		b.options.Logger.Info("refuses a job", "job", j.ID, "queue", j.Queue.Name, "reason", refusal.Reason,
+			"retry_after_ms", refusal.RetryAfter.Milliseconds(), "waiting_tasks", b.waiting.Len(), "sides", len(b.list))
+		b.do(Answer{Waiter: waiter, Outcome: *refusal})
+		return
+	}
+	b.jobs[j.ID] = j
+	b.release(now, j)
+	b.stale = true
+}
+
+func newJob(now time.Time, submitted Job, waiter uint64) *job {
+	j := &job{Job: submitted, arrived: now, waiters: []uint64{waiter}}
+	for s, given := range submitted.Steps {
+		st := &step{Step: given, left: given.Count}
+		for i := range given.Count {
+			st.tasks = append(st.tasks, &task{job: j, step: st, name: fmt.Sprintf("%s.0.%d.%d", j.ID, s, i), at: -1})
+		}
+		j.left += given.Count
+		j.steps = append(j.steps, st)
+	}
+	objective := time.Duration(j.Queue.Stretch*float64(j.chain())) + j.Queue.TargetLatency
+	j.objective = now.Add(objective)
+	j.lateAt = now.Add(lateFactor * objective)
+	j.giveUpAt = submitted.Deadline.Add(-answerMargin)
+	return j
+}
+
+// chain is the longest chain of estimates.
+func (j *job) chain() time.Duration {
+	longest := time.Duration(0)
+	ends := make([]time.Duration, len(j.steps))
+	for s, st := range j.steps {
+		for _, before := range st.After {
+			ends[s] = max(ends[s], ends[before])
+		}
+		ends[s] += st.Estimate
+		longest = max(longest, ends[s])
+	}
+	return longest
+}
+
+// refusal tells why a job can't be taken, or returns nil.
+func (b *Broker) refusal(now time.Time, j *job) *Outcome {
+	workers := 0
+	for _, st := range j.steps {
+		workers = 0
+		fits := false
+		for _, s := range b.list {
+			if s.service != j.Queue.Service || s.total == (room{}) {
+				continue
+			}
+			workers++
+			fits = fits || need(st.Step).fits(s.total) && s.has(st.Label)
+		}
+		if workers > 0 && !fits && workers == len(b.list) {
+			return &Outcome{State: Failed, Reason: "no worker is large enough, or has the label, for a task of it"}
+		}
+	}
+	if workers == 0 {
+		return &Outcome{State: Rejected, Reason: "no worker of the service is known", RetryAfter: time.Second}
+	}
+	if !now.Before(j.giveUpAt) {
+		return &Outcome{State: Rejected, Reason: "the deadline has passed", RetryAfter: time.Second}
+	}
+	return nil
+}
+
+// release queues the tasks of the steps whose turn has come.
+func (b *Broker) release(now time.Time, j *job) {
+	for _, st := range j.steps {
+		if st.left == 0 || !j.mayBegin(st) {
+			continue
+		}
+		for _, t := range st.tasks {
+			if t.state == blocked {
+				b.enqueue(now, t)
+			}
+		}
+	}
+}
+
+func (j *job) mayBegin(st *step) bool {
+	for _, before := range st.After {
+		if j.steps[before].left > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// enqueue makes a task wait for a place. It ranks by the latest start that
+// reaches the job's objective; those that can't any more come after the others.
+func (b *Broker) enqueue(now time.Time, t *task) {
+	t.state = waiting
+	t.side = nil
+	t.rank = t.job.objective.Add(-t.step.Estimate).Add(time.Duration(t.job.Queue.Priority) * priorityStep)
+	if now.After(t.job.lateAt.Add(-t.step.Estimate)) {
+		t.rank = t.rank.Add(lateRank)
+	}
+	b.waiting.add(t)
+	b.stale = true
+}
+
+// Left tells that a caller has gone. Without another one the job is cancelled.
+func (b *Broker) Left(now time.Time, id string, waiter uint64) {
+	j := b.jobs[id]
+	if j == nil {
+		return
+	}
+	for i, w := range j.waiters {
+		if w == waiter {
+			j.waiters = append(j.waiters[:i], j.waiters[i+1:]...)
+			break
+		}
+	}
+	if len(j.waiters) > 0 {
+		return
+	}
+	b.metrics.Add("jobs_abandoned", 1)
+	b.options.Logger.Info("caller has gone, cancelling the job", "job", id, "queue", j.Queue.Name,
+		"age_ms", now.Sub(j.arrived).Milliseconds(), "left", j.left, "begun", j.begun)
+	b.end(now, j, Outcome{State: GivenUp, Reason: "the caller has gone"})
+}
+
+// Cancel ends a job on its caller's word. It returns false for a job that isn't
+// known here.
+func (b *Broker) Cancel(now time.Time, queue, id string) bool {
+	j := b.jobs[id]
+	if j == nil || j.Queue.Name != queue {
+		return false
+	}
+	b.metrics.Add("jobs_cancelled", 1)
+	b.options.Logger.Info("cancels a job", "job", id, "age_ms", now.Sub(j.arrived).Milliseconds(), "left", j.left)
+	b.answer(now, j, Outcome{State: Failed, Reason: "cancelled"})
+	return true
+}
+
+// end keeps the outcome of a job and stops what is left of it.
+func (b *Broker) end(now time.Time, j *job, o Outcome) {
+	j.ended = true
+	delete(b.jobs, j.ID)
+	b.kept[j.ID] = keptOutcome{outcome: o, queue: j.Queue.Name, lastRun: j.lastRun}
+	b.keptIDs = append(b.keptIDs, keptID{id: j.ID, at: now})
+	stops := make(map[*side]*yuccawire.Withdraw)
+	for _, st := range j.steps {
+		for _, t := range st.tasks {
+			switch t.state {
+			case waiting:
+				b.waiting.remove(t)
+			case sent:
+				if stops[t.side] == nil {
+					stops[t.side] = &yuccawire.Withdraw{}
+				}
+				stops[t.side].Runs = append(stops[t.side].Runs, &yuccawire.RunKey{Task: t.name, Run: t.run})
+			case blocked, done:
+			}
+		}
+	}
+	for s, withdraw := range stops {
+		b.metrics.Add("runs_withdrawn", int64(len(withdraw.GetRuns())))
+		b.send(s.name, &yuccawire.Envelope{Body: &yuccawire.Envelope_Withdraw{Withdraw: withdraw}})
+	}
+	b.stale = true
+}
+
+// answer ends the job with its one outcome.
+func (b *Broker) answer(now time.Time, j *job, o Outcome) {
+	for _, w := range j.waiters {
+		b.do(Answer{Waiter: w, Outcome: o})
+	}
+	j.waiters = nil
+	b.metrics.Add("jobs_"+o.State.String(), 1)
+	if o.State != Completed {
+		b.options.Logger.Info("ends a job", "job", j.ID, "queue", j.Queue.Name, "state", o.State.String(), "reason", o.Reason,
+			"age_ms", now.Sub(j.arrived).Milliseconds(), "left", j.left, "orders", j.sentRuns)
+	}
+	b.end(now, j, o)
+}
+
+// giveUp ends a job that can't be completed. Only one that never left this
+// entry is rejected, since nothing of it has run or will.
+func (b *Broker) giveUp(now time.Time, j *job, reason string) {
+	if j.sentRuns == 0 {
+		b.answer(now, j, Outcome{State: Rejected, Reason: reason, RetryAfter: time.Second})
+		return
+	}
+	b.answer(now, j, Outcome{State: GivenUp, Reason: reason})
+}
+
+func (b *Broker) expireJobs(now time.Time) {
+	for _, j := range b.jobs {
+		if !now.Before(j.giveUpAt) {
+			b.giveUp(now, j, "the deadline has passed")
+		}
+	}
+}
+
+// taskDone takes in that a task has ended well.
+func (b *Broker) taskDone(now time.Time, t *task) {
+	j := t.job
+	t.state = done
+	t.step.left--
+	j.left--
+	b.rate.add(now, float64(t.step.CPUMilli)*t.step.Estimate.Seconds())
+	if j.left == 0 {
+		b.answer(now, j, Outcome{State: Completed})
+		return
+	}
+	if t.step.left == 0 {
+		b.release(now, j)
+	}
+}
+
+// taskFailed takes in that a run failed by itself.
+func (b *Broker) taskFailed(now time.Time, t *task) {
+	t.failures++
+	b.metrics.Add("runs_failed", 1)
+	if int(t.failures) >= max(t.job.Queue.MaxAttempts, 1) {
+		b.answer(now, t.job, Outcome{State: Failed, Reason: fmt.Sprintf("task %s failed %d times", t.name, t.failures)})
+		return
+	}
+	b.enqueue(now, t)
+}
--- /dev/null
+++ b/yuccacatalog/catalog.go
@@ -0,0 +1,122 @@
+// Package yuccacatalog is a whole document of configuration as the entries use
+// it: the queues with their addresses, the services, and the limits.
+//
+// A catalog is immutable. Its text is the operators' own; an adapter decodes it
+// into a [Draft], and [New] checks it and reports all faults together.
+//
+// # Usage
+//
+//	catalog, err := yuccacatalog.New(draft)
+//	queue, rest, ok := catalog.Match("shop.example", "/orders/5c0e7a21d94b36f8")
+package yuccacatalog
+
+import (
+	"fmt"
+	"net"
+	"strings"
+	"time"
+
+	"github.com/yuccaturn/yuccaturn/yuccabroker"
+	"github.com/yuccaturn/yuccaturn/yuccajsonc"
+)
+
+// Draft is a decoded document that was not checked.
+type Draft struct {
+	Version  uint64
+	Routes   []Route
+	Services []string
+	Limits   Limits
+}
+
+// Route is the address of a queue.
+type Route struct {
+	Queue yuccabroker.Queue
+	// Host and Prefix are matched against a request; the longest prefix wins.
+	Host   string
+	Prefix string
+	// Timeout bounds the time of a request, whatever its caller allows.
+	Timeout time.Duration
+	// Unsupported names what the route asks for and this version has not, empty
+	// if there is nothing.
+	Unsupported string
+}
+
+// Limits bound what callers may send. Zero leaves a limit out.
+type Limits struct {
+	MaxHeaderBytes int
+	MaxBodyBytes   int64
+	HeaderTimeout  time.Duration
+	IdleTimeout    time.Duration
+}
+
+// Catalog is a checked document.
+type Catalog struct {
+	version uint64
+	limits  Limits
+	hosts   map[string][]Route
+}
+
+// New checks a draft. The error holds all findings.
+func New(draft Draft) (*Catalog, error) {
+	c := &Catalog{version: draft.Version, limits: draft.Limits, hosts: make(map[string][]Route)}
+	var findings yuccajsonc.Findings
+	report := func(field, wrong, expected string) {
+		findings = append(findings, yuccajsonc.Finding{File: "document", Line: 1, Column: 1, Field: field, Wrong: wrong, Expected: expected})
+	}
+	if draft.Version == 0 {
+		report("version", "is 0", "a version above zero")
+	}
+	services := make(map[string]bool, len(draft.Services))
+	for i, name := range draft.Services {
+		if name == "" {
+			report(fmt.Sprintf("services[%d].name", i), "is missing", "the name of a service")
+		}
+		services[name] = true
+	}
+	seen := make(map[string]int, len(draft.Routes))
+	for i, r := range draft.Routes {
+		field := fmt.Sprintf("routes[%d]", i)
+		place := r.Host + " " + r.Prefix
+		if first, again := seen[place]; again {
+			report(field, fmt.Sprintf("has the host and prefix of routes[%d]", first), "a place of its own")
+		}
+		seen[place] = i
+		if !services[r.Queue.Service] {
+			report(field+".service", fmt.Sprintf("%q is not known", r.Queue.Service), "the name of a service of the document")
+		}
+		if r.Timeout <= 0 {
+			report(field+".timeout", "is 0", "a time above zero")
+		}
+		if !strings.HasPrefix(r.Prefix, "/") {
+			report(field+".prefix", fmt.Sprintf("is %q", r.Prefix), "a path that begins with /")
+		}
+		c.hosts[r.Host] = append(c.hosts[r.Host], r)
+	}
+	if len(findings) > 0 {
+		return nil, findings
+	}
+	return c, nil
+}
+
+// Version is the operators' number of the document.
+func (c *Catalog) Version() uint64 { return c.version }
+
+// Limits are those of the document.
+func (c *Catalog) Limits() Limits { return c.limits }
+
+// Match returns the route with the longest prefix of the path, and what follows
+// it. A port in the host is ignored.
+func (c *Catalog) Match(host, path string) (route Route, rest string, ok bool) {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	for _, r := range c.hosts[host] {
+		if strings.HasPrefix(path, r.Prefix) && (!ok || len(r.Prefix) > len(route.Prefix)) {
+			route, ok = r, true
+		}
+	}
+	if !ok {
+		return Route{}, "", false
+	}
+	return route, strings.TrimPrefix(path[len(route.Prefix):], "/"), true
+}
--- a/yuccacommand/command.go
+++ b/yuccacommand/command.go
@@ -41,11 +41,12 @@
 var errSilent = merry.Sentinel("failed")
 
 type commandLine struct {
-	Control controlCommand `cmd:"" help:"Run a control: a replica of the system's own state."`
-	Entry   entryCommand   `cmd:"" help:"Run an entry host for callers."`
-	Side    sideCommand    `cmd:"" help:"Run the process beside a target."`
-	Target  targetCommand  `cmd:"" help:"Run a stand-in target."`
-	Local   localCommand   `cmd:"" help:"Run a whole system in one process."`
+	Control  controlCommand   `cmd:"" help:"Run a control: a replica of the system's own state."`
+	Entry    entryCommand     `cmd:"" help:"Run an entry host for callers."`
+	Side     sideCommand      `cmd:"" help:"Run the process beside a target."`
+	Deployed deployedCommands `cmd:"" help:"Run a process on the users' platform."`
+	Target   targetCommand    `cmd:"" help:"Run a stand-in target."`
+	Local    localCommand     `cmd:"" help:"Run a whole system in one process."`
 
 	Config     configCommands     `cmd:"" help:"Check, show and apply the operators' document."`
 	DataCentre dataCentreCommands `cmd:"" name:"data-centre" help:"List data centres, take them out, bring them back."`
--- a/yuccacontrol/control.go
+++ b/yuccacontrol/control.go
@@ -16,6 +16,7 @@
 	"github.com/yuccaturn/yuccaturn/yuccaregistry"
 	"github.com/yuccaturn/yuccaturn/yuccareplica"
 	"github.com/yuccaturn/yuccaturn/yuccastate"
+	"github.com/yuccaturn/yuccaturn/yuccasuspend"
 	"github.com/yuccaturn/yuccaturn/yuccawire"
 )
 
@@ -47,6 +48,16 @@
 	DataCentre string
 	// Listed are the replicas of the settings, whose ids aren't known.
 	Listed []*yuccawire.ReplicaAddress
+	// Discover, if set, returns the other replicas that are known now, for
+	// deployments that list none. Any of them may join the group.
+	Discover func() []*yuccawire.ReplicaAddress
+	// MayForm, if set, tells whether this replica has the licence to form a new
+	// group now, and whether that group may be smaller than Voters.
+	MayForm func() (may, fewer bool)
+	// Voters is the number of voters that the group keeps, zero for all.
+	Voters int
+	// Watch notices that the machine stood still; nil notices nothing.
+	Watch *yuccasuspend.Watch
 	// CompactEntries is the length of the log at which a snapshot replaces it;
 	// zero means the default.
 	CompactEntries int
@@ -83,6 +94,8 @@
 	expireAt  time.Time
 	promoteAt time.Time
 	diskErr   error
+	// leaderSeen is when a leader was last known.
+	leaderSeen time.Time
 }
 
 // waiter learns the result of the entry that it proposed.
@@ -134,7 +147,7 @@
 		return err
 	}
 	c.state = state
-	options := yuccareplica.Options{ID: c.self.GetId(), Random: c.options.Random}
+	options := yuccareplica.Options{ID: c.self.GetId(), Random: c.options.Random, Voters: c.options.Voters}
 	c.core = yuccareplica.New(options, stored, time.Now())
 	c.formation = nil
 	return nil
--- a/yuccacontrol/loop.go
+++ b/yuccacontrol/loop.go
@@ -20,8 +20,10 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-ticker.C:
+			c.watch()
 			c.tick(time.Now())
 		case e := <-c.events:
+			c.watch()
 			c.handleAll(e)
 		case s := <-c.disk.done:
 			c.finishSync(time.Now(), s)
@@ -33,6 +35,18 @@
 	}
 }
 
+// watch gives the leadership up after the machine has stood still: others may
+// lead by now, and the clock of the leader's lease did not count.
+func (c *Control) watch() {
+	if c.options.Watch == nil {
+		return
+	}
+	if stood := c.options.Watch.Stood(); stood > 0 && c.core != nil {
+		c.options.Logger.Warn("the machine was suspended, giving up any leadership", "stood_ms", stood.Milliseconds())
+		c.core.StepDown(time.Now())
+	}
+}
+
 // handleAll handles the event and those that wait behind it, so that they
 // share one sync.
 func (c *Control) handleAll(e event) {
@@ -91,7 +105,14 @@
 	if c.core == nil {
 		return true
 	}
-	return c.core.Leader() == 0 && len(c.core.Replicas().GetVoters()) == 0
+	if c.core.Leader() != 0 {
+		c.leaderSeen = time.Now()
+		return false
+	}
+	if c.options.Discover != nil && time.Since(c.leaderSeen) > lonelyTimeout {
+		return true
+	}
+	return len(c.core.Replicas().GetVoters()) == 0
 }
 
 // advance carries out what the core has decided.
--- a/yuccacontrol/replicas.go
+++ b/yuccacontrol/replicas.go
@@ -11,6 +11,9 @@
 const (
 	probeInterval   = 300 * time.Millisecond
 	promoteInterval = 200 * time.Millisecond
+	// lonelyTimeout is how long a replica knows no leader before it asks around
+	// whether the group has gone on without it.
+	lonelyTimeout = 2 * time.Second
 )
 
 func (c *Control) receiveReplica(now time.Time, from *conn, m *yuccawire.Replica) {
@@ -32,7 +35,7 @@
 // connectPeers keeps a peer for each replica of the settings and of the group.
 func (c *Control) connectPeers(ctx context.Context) {
 	wanted := make(map[string]bool)
-	for _, r := range c.options.Listed {
+	for _, r := range c.listed() {
 		wanted[r.GetAddress()] = true
 	}
 	if c.core != nil {
@@ -57,6 +60,14 @@
 	}
 }
 
+// listed returns the replicas that the settings list or discovery has found.
+func (c *Control) listed() []*yuccawire.ReplicaAddress {
+	if c.options.Discover == nil {
+		return c.options.Listed
+	}
+	return c.options.Discover()
+}
+
 func (c *Control) connectPeer(ctx context.Context, address string) {
 	ctx, cancel := context.WithCancel(ctx)
 	p := &peer{control: c, address: address, outbox: make(chan *yuccawire.Envelope, peerCapacity), cancel: cancel}
@@ -93,11 +104,25 @@
 	if c.formation == nil {
 		return
 	}
-	if first := c.formation.Decide(); first != nil {
+	if first := c.firstReplicas(); first != nil {
 		c.form(first)
 	}
 }
 
+func (c *Control) firstReplicas() *yuccawire.Replicas {
+	if c.options.Discover == nil {
+		return c.formation.Decide()
+	}
+	if c.options.MayForm == nil {
+		return nil
+	}
+	may, fewer := c.options.MayForm()
+	if !may {
+		return nil
+	}
+	return c.formation.DecideOpen(max(c.options.Voters, 1), fewer)
+}
+
 // form makes this replica part of a group. Without a first configuration it
 // starts with an empty log, which the leader fills.
 func (c *Control) form(first *yuccawire.Replicas) {
@@ -148,6 +173,9 @@
 // isListed tells whether the settings or the group name the replica at this
 // address.
 func (c *Control) isListed(joining *yuccawire.ReplicaAddress) bool {
+	if c.options.Discover != nil {
+		return true
+	}
 	for _, list := range [][]*yuccawire.ReplicaAddress{c.options.Listed, c.core.Replicas().GetVoters()} {
 		for _, r := range list {
 			if r.GetName() == joining.GetName() && r.GetAddress() == joining.GetAddress() {
--- a/yuccadocument/doc.go
+++ b/yuccadocument/doc.go
@@ -19,10 +19,16 @@
 	SectionLimits         = "limits"
 	SectionServices       = "services"
 	SectionDataCentresOut = "data_centres_out"
+	// SectionWhole holds a whole document under the operators' own version, for
+	// deployments that replace it as one text. Its format is theirs.
+	SectionWhole = "whole_document"
 )
 
 // OperatorSections are the sections that operators may replace.
 var OperatorSections = []string{SectionDataCentres, SectionLimits, SectionServices}
 
+// WholeSections are the sections of a deployment with a whole document.
+var WholeSections = []string{SectionWhole, SectionDataCentresOut}
+
 // AllSections are all sections, including the system's own.
 var AllSections = []string{SectionDataCentres, SectionLimits, SectionServices, SectionDataCentresOut}
--- a/yuccadocument/view.go
+++ b/yuccadocument/view.go
@@ -15,6 +15,7 @@
 // immutable.
 type View struct {
 	document Document
+	whole    []byte
 	out      []string
 	versions map[string]uint64
 }
@@ -30,7 +31,7 @@
 	if section.GetVersion() <= v.versions[section.GetName()] {
 		return v, nil
 	}
-	next := &View{document: v.document, out: v.out, versions: make(map[string]uint64, len(v.versions)+1)}
+	next := &View{document: v.document, whole: v.whole, out: v.out, versions: make(map[string]uint64, len(v.versions)+1)}
 	for name, version := range v.versions {
 		next.versions[name] = version
 	}
@@ -42,6 +43,10 @@
 }
 
 func (v *View) decode(section *yuccawire.Section) error {
+	if section.GetName() == SectionWhole {
+		v.whole = section.GetBody()
+		return nil
+	}
 	if section.GetName() != SectionDataCentresOut {
 		return v.document.replace(section.GetName(), section.GetBody()).Err()
 	}
@@ -54,6 +59,10 @@
 // Document returns the operators' sections.
 func (v *View) Document() Document { return v.document }
 
+// Whole returns the text of the whole document, nil before there is one. It must
+// not be changed.
+func (v *View) Whole() []byte { return v.whole }
+
 // Version returns the version of the section in force, zero for none.
 func (v *View) Version(section string) uint64 { return v.versions[section] }
 
--- a/yuccalease/client.go
+++ b/yuccalease/client.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -29,8 +30,11 @@
 	Network yuccawire.Network
 	// Self names the process; its incarnation is new for each run.
 	Self *yuccawire.Node
-	// Controls are the addresses of the control group.
+	// Controls are the addresses of the control group. They may be left out
+	// where Discover is given.
 	Controls []string
+	// Discover, if set, returns the addresses of the controls that are known now.
+	Discover func() []string
 	// Sections are the sections that the process wants.
 	Sections []string
 	// Random draws the jitter.
@@ -82,6 +86,8 @@
 	membersVersion uint64
 	fencesVersion  uint64
 	sequence       uint64
+
+	leader atomic.Pointer[string]
 }
 
 // New returns a client that holds no lease until it is served.
@@ -172,12 +178,32 @@
 		c.hint = ""
 		return address
 	}
+	controls := c.options.Controls
+	if c.options.Discover != nil {
+		controls = c.options.Discover()
+	}
+	if len(controls) == 0 {
+		return ""
+	}
 	c.next++
-	return c.options.Controls[c.next%len(c.options.Controls)]
+	return controls[c.next%len(controls)]
+}
+
+// Leader returns the address of the control that granted the last renewal, or
+// nothing while no session is open.
+func (c *Client) Leader() string {
+	if address := c.leader.Load(); address != nil {
+		return *address
+	}
+	return ""
 }
 
 func (c *Client) connect(ctx context.Context) error {
 	address := c.address()
+	if address == "" {
+		return errNoControl
+	}
+	defer c.leader.Store(nil)
 	dialling, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	link, err := c.options.Network.Dial(dialling, address)
@@ -186,6 +212,7 @@
 	}
 	defer link.Close()
 	s := newSession(c, link)
+	s.address = address
 	if _, err := yuccawire.SayHello(ctx, link, s.self); err != nil {
 		return merry.Prependf(err, "opening a session with control at %s", address)
 	}
--- a/yuccalease/session.go
+++ b/yuccalease/session.go
@@ -14,6 +14,7 @@
 	errSilent    = merry.Sentinel("control is silent")
 	errNotLeader = merry.Sentinel("this control does not lead")
 	errReplaced  = merry.Sentinel("a newer process of this name holds the lease")
+	errNoControl = merry.Sentinel("no control is known yet")
 	errFenced    = merry.Sentinel("this incarnation is fenced and may never hold a lease again")
 )
 
@@ -24,6 +25,7 @@
 	client    *Client
 	self      *yuccawire.Node
 	link      yuccawire.Link
+	address   string
 	inbox     chan *yuccawire.Envelope
 	sent      map[uint64]time.Time
 	answered  time.Time
@@ -165,6 +167,7 @@
 		return s.lose(ctx, r)
 	}
 	s.answered = time.Now()
+	s.client.leader.Store(&s.address)
 	s.applySections(r.GetSections())
 	s.extend(r)
 	update := Update{Members: s.applyMembers(r.GetMembers()), Fences: r.GetFences(), Connected: !s.connected}
--- /dev/null
+++ b/yuccalog/writer.go
@@ -0,0 +1,136 @@
+// Package yuccalog writes log lines without ever blocking their writers.
+//
+// Lines pass a bounded queue to one goroutine. When the reader of the log is
+// slow, or more lines come than a second may have, lines are dropped and
+// counted; the next line that is written says how many.
+//
+// # Usage
+//
+//	writer := yuccalog.New(os.Stdout, metrics)
+//	supervisor.Add(writer)
+//	logger := slog.New(slog.NewJSONHandler(writer, nil))
+package yuccalog
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/yuccaturn/yuccaturn/yuccametric"
+)
+
+const (
+	// queueLines bounds the lines in memory; with lines of 300 bytes, 600 KB.
+	queueLines = 2048
+	// MaxLinesPerSecond bounds what one process writes. At the plain rate of the
+	// first deployments an entry writes about 40 lines a second.
+	MaxLinesPerSecond = 400
+	// flushPause gathers lines, so that they share a write.
+	flushPause = 50 * time.Millisecond
+)
+
+// Writer is an io.Writer that never blocks. It is also a suture service.
+type Writer struct {
+	out     io.Writer
+	metrics *yuccametric.Set
+	lines   chan []byte
+
+	mu      sync.Mutex
+	second  time.Time
+	count   int
+	dropped int64
+}
+
+// New returns a writer that keeps lines until it is served.
+func New(out io.Writer, metrics *yuccametric.Set) *Writer {
+	return &Writer{out: out, metrics: metrics, lines: make(chan []byte, queueLines)}
+}
+
+// Write queues one line.
+func (w *Writer) Write(line []byte) (int, error) {
+	if !w.admit(time.Now()) {
+		return len(line), nil
+	}
+	select {
+	case w.lines <- bytes.Clone(line):
+	default:
+		w.drop()
+	}
+	return len(line), nil
+}
+
+func (w *Writer) admit(now time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if now.Sub(w.second) >= time.Second {
+		w.second, w.count = now, 0
+	}
+	w.count++
+	if w.count > MaxLinesPerSecond {
+		w.dropped++
+		w.metrics.Add("log_lines_dropped", 1)
+		return false
+	}
+	return true
+}
+
+func (w *Writer) drop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.dropped++
+	w.metrics.Add("log_lines_dropped", 1)
+}
+
+// takeDropped returns the number of lines dropped since the last call.
+func (w *Writer) takeDropped() int64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n := w.dropped
+	w.dropped = 0
+	return n
+}
+
+// Serve writes the lines until the context ends, and then those that are left.
+func (w *Writer) Serve(ctx context.Context) error {
+	for {
+		select {
+		case line := <-w.lines:
+			if err := w.write(line); err != nil {
+				w.metrics.Add("log_writes_failed", 1)
+			}
+			w.pause(ctx)
+		case <-ctx.Done():
+			_ = w.write(nil)
+			return ctx.Err()
+		}
+	}
+}
+
+// write writes the line and those that wait behind it.
+func (w *Writer) write(line []byte) error {
+	var b bytes.Buffer
+	b.Write(line)
+	for range len(w.lines) {
+		b.Write(<-w.lines)
+	}
+	if n := w.takeDropped(); n > 0 {
+		fmt.Fprintf(&b, "{\"level\":\"WARN\",\"msg\":\"log lines were dropped\",\"count\":%d}\n", n)
+	}
+	if b.Len() == 0 {
+		return nil
+	}
+	_, err := w.out.Write(b.Bytes())
+	return err
+}
+
+func (w *Writer) pause(ctx context.Context) {
+	timer := time.NewTimer(flushPause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/yuccamesh/mesh.go
@@ -0,0 +1,277 @@
+package yuccamesh
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/thejerf/suture/v4"
+
+	"github.com/yuccaturn/yuccaturn/yuccametric"
+	"github.com/yuccaturn/yuccaturn/yuccaroster"
+	"github.com/yuccaturn/yuccaturn/yuccawire"
+)
+
+// Options holds what a mesh needs. Replica, Sections and Listen may be left
+// out.
+type Options struct {
+	Network yuccawire.Network
+	Self    *yuccawire.Node
+	// Listen accepts links at the address of Self.
+	Listen bool
+	// Replica is that of a process with a disk.
+	Replica *yuccawire.ReplicaAddress
+	// Seeds returns the addresses of the entries that the settings name now.
+	Seeds func() []string
+	// Sections returns what a new peer may go on with.
+	Sections func() []*yuccawire.Section
+	Metrics  *yuccametric.Set
+	Logger   *slog.Logger
+}
+
+// dropper is a network that can forget a connection which went silent.
+type dropper interface{ Drop(address string) }
+
+// Peer is one link with the process at its other end.
+type Peer struct {
+	link yuccawire.Link
+	node *yuccawire.Node
+	// address is what was dialled, empty for an accepted link.
+	address string
+	// heard is when the peer was last heard, in nanoseconds since the mesh began.
+	heard atomic.Int64
+}
+
+// Node is the process at the other end.
+func (p *Peer) Node() *yuccawire.Node { return p.node }
+
+// Send queues a message. A link that can't take it is closed and reported as
+// down.
+func (p *Peer) Send(m *yuccawire.Envelope) { _ = p.link.Send(m) }
+
+// Close ends the link.
+func (p *Peer) Close() { _ = p.link.Close() }
+
+// Up tells that a link is open.
+type Up struct{ Peer *Peer }
+
+// Down tells that a link has ended.
+type Down struct{ Peer *Peer }
+
+// Received is a message that isn't the mesh's own.
+type Received struct {
+	Peer    *Peer
+	Message *yuccawire.Envelope
+}
+
+// Sections is what a peer has in force.
+type Sections struct{ Sections []*yuccawire.Section }
+
+// Event is one of Up, Down, Received and Sections.
+type Event any
+
+// Mesh keeps the links of one process. It is a suture service.
+type Mesh struct {
+	options Options
+	events  chan Event
+	wake    chan struct{}
+	began   time.Time
+
+	mu       sync.Mutex
+	roster   *yuccaroster.Roster
+	peers    map[*Peer]struct{}
+	dialling map[string]context.CancelFunc
+}
+
+// New returns a mesh without links.
+func New(options Options) *Mesh {
+	return &Mesh{
+		options:  options,
+		events:   make(chan Event, eventsCapacity),
+		wake:     make(chan struct{}, 1),
+		began:    time.Now(),
+		roster:   yuccaroster.New(options.Self, options.Replica),
+		peers:    make(map[*Peer]struct{}),
+		dialling: make(map[string]context.CancelFunc),
+	}
+}
+
+// Events returns what happens on the links, in order for each link.
+func (m *Mesh) Events() <-chan Event { return m.events }
+
+// Replicas returns the replicas of the other entries.
+func (m *Mesh) Replicas() []*yuccawire.ReplicaAddress {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.roster.Replicas(time.Now())
+}
+
+// Nodes returns the other entries.
+func (m *Mesh) Nodes() []*yuccawire.Node {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.roster.Nodes(time.Now())
+}
+
+// Serve keeps the links until the context ends.
+func (m *Mesh) Serve(ctx context.Context) error {
+	if m.options.Listen {
+		listener, err := m.options.Network.Listen(m.options.Self.GetAddress())
+		if err != nil {
+			return errors.Join(suture.ErrTerminateSupervisorTree, err)
+		}
+		defer listener.Close()
+		a := &acceptor{mesh: m, listener: listener}
+		go a.run(ctx)
+	}
+	return m.loop(ctx)
+}
+
+func (m *Mesh) loop(ctx context.Context) error {
+	ticker := time.NewTicker(rosterInterval)
+	defer ticker.Stop()
+	for {
+		m.dialAll(ctx)
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-m.wake:
+		case <-ticker.C:
+			m.spread()
+		}
+	}
+}
+
+// dialAll keeps one dialler for each address that is wanted.
+func (m *Mesh) dialAll(ctx context.Context) {
+	wanted := make(map[string]bool)
+	for _, address := range m.options.Seeds() {
+		wanted[address] = true
+	}
+	for _, node := range m.Nodes() {
+		wanted[node.GetAddress()] = true
+	}
+	delete(wanted, m.options.Self.GetAddress())
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for address := range wanted {
+		if m.dialling[address] != nil {
+			continue
+		}
+		dialling, cancel := context.WithCancel(ctx)
+		m.dialling[address] = cancel
+		d := &dialler{mesh: m, address: address}
+		go d.run(dialling)
+	}
+	for address, cancel := range m.dialling {
+		if !wanted[address] {
+			cancel()
+			delete(m.dialling, address)
+		}
+	}
+}
+
+// spread sends the roster to every peer and closes the links that are silent.
+func (m *Mesh) spread() {
+	now := time.Now()
+	m.mu.Lock()
+	roster := m.roster.Wire(now)
+	peers := slices.Collect(maps.Keys(m.peers))
+	m.mu.Unlock()
+	envelope := &yuccawire.Envelope{Body: &yuccawire.Envelope_Roster{Roster: roster}}
+	for _, p := range peers {
+		if silent := now.Sub(m.began) - time.Duration(p.heard.Load()); silent > silenceTimeout {
+			m.options.Metrics.Add("mesh_links_silent", 1)
+			m.options.Logger.Warn("link is silent, closing it", "peer", p.node.GetName(), "silent_ms", silent.Milliseconds())
+			m.cut(p)
+			continue
+		}
+		p.Send(envelope)
+	}
+}
+
+// cut closes a link and the connection under it.
+func (m *Mesh) cut(p *Peer) {
+	p.Close()
+	if d, ok := m.options.Network.(dropper); ok && p.address != "" {
+		d.Drop(p.address)
+	}
+}
+
+func (m *Mesh) greet(now time.Time) *yuccawire.Envelope {
+	m.mu.Lock()
+	roster := m.roster.Wire(now)
+	m.mu.Unlock()
+	if m.options.Sections != nil {
+		roster.Sections = m.options.Sections()
+	}
+	return &yuccawire.Envelope{Body: &yuccawire.Envelope_Roster{Roster: roster}}
+}
+
+// attach reads the link until it ends.
+func (m *Mesh) attach(ctx context.Context, p *Peer) {
+	stop := context.AfterFunc(ctx, p.Close)
+	defer stop()
+	defer m.cut(p)
+	now := time.Now()
+	p.heard.Store(int64(now.Sub(m.began)))
+	m.mu.Lock()
+	m.peers[p] = struct{}{}
+	m.roster.Heard(now, p.node)
+	m.mu.Unlock()
+	m.options.Metrics.Add("mesh_links_opened", 1)
+	p.Send(m.greet(now))
+	m.emit(ctx, Up{Peer: p})
+	for {
+		message, err := p.link.Receive()
+		if err != nil {
+			break
+		}
+		m.receive(ctx, p, message)
+	}
+	m.mu.Lock()
+	delete(m.peers, p)
+	m.mu.Unlock()
+	m.emit(ctx, Down{Peer: p})
+}
+
+func (m *Mesh) receive(ctx context.Context, p *Peer, message *yuccawire.Envelope) {
+	now := time.Now()
+	p.heard.Store(int64(now.Sub(m.began)))
+	roster := message.GetRoster()
+	if roster == nil {
+		m.emit(ctx, Received{Peer: p, Message: message})
+		return
+	}
+	m.mu.Lock()
+	known := len(m.roster.Nodes(now))
+	m.roster.Heard(now, p.node)
+	m.roster.Merge(now, roster)
+	grown := len(m.roster.Nodes(now)) != known
+	m.mu.Unlock()
+	if grown {
+		m.wakeUp()
+	}
+	if len(roster.GetSections()) > 0 {
+		m.emit(ctx, Sections{Sections: roster.GetSections()})
+	}
+}
+
+func (m *Mesh) wakeUp() {
+	select {
+	case m.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (m *Mesh) emit(ctx context.Context, e Event) {
+	select {
+	case m.events <- e:
+	case <-ctx.Done():
+	}
+}
--- a/yuccamux/acceptor.go
+++ b/yuccamux/acceptor.go
@@ -61,7 +61,7 @@
 			_ = a.Close()
 			return
 		}
-		session, err := yamux.Server(&countingConn{Conn: conn, traffic: a.traffic}, muxConfig())
+		session, err := yamux.Server(&countingConn{Conn: conn, traffic: a.traffic}, muxConfig(a.options))
 		if err != nil {
 			_ = conn.Close()
 			continue
--- a/yuccamux/network.go
+++ b/yuccamux/network.go
@@ -37,6 +37,11 @@
 	MaxMessageBytes int64
 	// MaxPendingBytes bounds what waits to be sent on one link, in bytes.
 	MaxPendingBytes int64
+	// KeepAlive is the time between two pings of a session; negative sends none,
+	// for owners that watch their links themselves.
+	KeepAlive time.Duration
+	// WriteTimeout is how long a ping or a write may wait for the peer.
+	WriteTimeout time.Duration
 }
 
 // Network opens links over TCP. Its methods may be called concurrently.
@@ -55,6 +60,12 @@
 	if options.MaxPendingBytes == 0 {
 		options.MaxPendingBytes = defaultMaxPendingBytes
 	}
+	if options.KeepAlive == 0 {
+		options.KeepAlive = keepAliveInterval
+	}
+	if options.WriteTimeout == 0 {
+		options.WriteTimeout = writeTimeout
+	}
 	return &Network{options: options, traffic: new(Traffic), sessions: make(map[string]*yamux.Session)}
 }
 
@@ -85,7 +96,7 @@
 	if err != nil {
 		return nil, merry.Prependf(err, "dialling %s", address)
 	}
-	session, err := yamux.Client(&countingConn{Conn: conn, traffic: n.traffic}, muxConfig())
+	session, err := yamux.Client(&countingConn{Conn: conn, traffic: n.traffic}, muxConfig(n.options))
 	if err != nil {
 		_ = conn.Close()
 		return nil, merry.Prependf(err, "opening a session to %s", address)
@@ -117,6 +128,18 @@
 	return session
 }
 
+// Drop ends the session to the address, whose peer has gone silent, so that the
+// next Dial opens a new connection.
+func (n *Network) Drop(address string) {
+	n.mu.Lock()
+	s := n.sessions[address]
+	delete(n.sessions, address)
+	n.mu.Unlock()
+	if s != nil {
+		_ = s.Close()
+	}
+}
+
 // Close ends all sessions that Dial opened.
 func (n *Network) Close() {
 	n.mu.Lock()
@@ -145,10 +168,11 @@
 	return a, nil
 }
 
-func muxConfig() *yamux.Config {
+func muxConfig(options Options) *yamux.Config {
 	config := yamux.DefaultConfig()
-	config.KeepAliveInterval = keepAliveInterval
-	config.ConnectionWriteTimeout = writeTimeout
+	config.EnableKeepAlive = options.KeepAlive > 0
+	config.KeepAliveInterval = max(options.KeepAlive, time.Millisecond)
+	config.ConnectionWriteTimeout = options.WriteTimeout
 	config.MaxStreamWindowSize = streamWindowBytes
 	config.LogOutput = io.Discard
 	return config
--- a/yuccareplica/core.go
+++ b/yuccareplica/core.go
@@ -22,6 +22,10 @@
 	ID uint64
 	// Random draws the election timeouts.
 	Random *rand.Rand
+	// Voters is the number of voters that the group keeps; other replicas stay
+	// learners and take the place of a voter that is lost. Zero lets every
+	// replica vote.
+	Voters int
 }
 
 // Stored is what the disk holds at the start.
@@ -59,6 +63,7 @@
 	rounds      map[uint64]time.Time
 	heartbeatAt time.Time
 	firstOwn    uint64
+	ledSince    time.Time
 
 	ready Ready
 }
--- a/yuccareplica/doc.go
+++ b/yuccareplica/doc.go
@@ -42,4 +42,7 @@
 	maxInflight      = 32
 	snapshotTimeout  = 5 * time.Second
 	learnerTimeout   = 10 * time.Second
+	// voterTimeout is how long a voter may be silent before a learner takes its
+	// place; longer than an election and a restart.
+	voterTimeout = 2500 * time.Millisecond
 )
--- a/yuccareplica/formation.go
+++ b/yuccareplica/formation.go
@@ -1,6 +1,9 @@
 package yuccareplica
 
 import (
+	"maps"
+	"slices"
+
 	"google.golang.org/protobuf/proto"
 
 	"github.com/yuccaturn/yuccaturn/yuccawire"
@@ -44,6 +47,25 @@
 	return first
 }
 
+// DecideOpen returns the first configuration of a group whose replicas aren't
+// listed: this replica and those that answered, wanted of them in all. Unless
+// it may settle for fewer, it waits until so many have answered. It returns nil
+// as soon as one of them belongs to a group.
+func (f *Formation) DecideOpen(wanted int, fewer bool) *yuccawire.Replicas {
+	voters := []*yuccawire.ReplicaAddress{f.self}
+	for _, name := range slices.Sorted(maps.Keys(f.answers)) {
+		if f.answers[name].GetFormed() {
+			return nil
+		}
+		voters = append(voters, f.answers[name].GetFrom())
+	}
+	if len(voters) < wanted && !fewer {
+		return nil
+	}
+	n := min(wanted, len(voters))
+	return &yuccawire.Replicas{Voters: voters[:n-(n+1)%2]}
+}
+
 // knownAs returns the listed replica with its id, or nil if it has not
 // answered or belongs to a group.
 func (f *Formation) knownAs(r *yuccawire.ReplicaAddress) *yuccawire.ReplicaAddress {
--- a/yuccareplica/leader.go
+++ b/yuccareplica/leader.go
@@ -16,6 +16,7 @@
 // lead takes up the leadership of the current term.
 func (c *Core) lead(now time.Time) {
 	c.role = leader
+	c.ledSince = now
 	c.leader = c.options.ID
 	c.progress = make(map[uint64]*progress)
 	c.rounds = make(map[uint64]time.Time)
@@ -26,6 +27,14 @@
 	c.tickLeader(now)
 }
 
+// StepDown gives the leadership up, as after a time in which the clock did not
+// count.
+func (c *Core) StepDown(now time.Time) {
+	if c.role == leader {
+		c.follow(now, c.term, 0)
+	}
+}
+
 // trackReplicas keeps a progress for each replica of the configuration.
 func (c *Core) trackReplicas() {
 	for id := range c.progress {
--- a/yuccareplica/membership.go
+++ b/yuccareplica/membership.go
@@ -42,11 +42,63 @@
 	return nil
 }
 
-// Promote makes a voter of a learner that has caught up, if there is one.
+// Promote makes a voter of a learner that has caught up, if there is one and
+// the group wants one more voter.
 func (c *Core) Promote(now time.Time) bool {
 	if c.mayChange() != nil {
 		return false
 	}
+	if c.options.Voters > 0 {
+		return c.balance(now)
+	}
+	return c.promoteAny(now)
+}
+
+// balance keeps the wanted number of voters. A voter that is lost is replaced:
+// first a learner becomes a voter, then the lost one becomes a learner.
+func (c *Core) balance(now time.Time) bool {
+	voters := len(c.replicas.GetVoters())
+	lost := c.lostVoter(now)
+	switch {
+	case voters < c.options.Voters, voters == c.options.Voters && lost != nil:
+		return c.promoteAny(now)
+	case voters <= c.options.Voters:
+		return false
+	case lost == nil:
+		lost = c.spareVoter()
+	}
+	next := &yuccawire.Replicas{Voters: without(c.replicas.GetVoters(), lost.GetId())}
+	next.Learners = append(clone(c.replicas.GetLearners()), lost)
+	c.change(now, next)
+	return true
+}
+
+// lostVoter returns a voter that has not answered for voterTimeout, or nil.
+func (c *Core) lostVoter(now time.Time) *yuccawire.ReplicaAddress {
+	for _, r := range c.replicas.GetVoters() {
+		p := c.progress[r.GetId()]
+		if r.GetId() == c.options.ID || p == nil {
+			continue
+		}
+		if now.Sub(p.ackedSent) > voterTimeout && now.Sub(c.ledSince) > voterTimeout {
+			return r
+		}
+	}
+	return nil
+}
+
+// spareVoter returns the last voter other than the leader.
+func (c *Core) spareVoter() *yuccawire.ReplicaAddress {
+	var spare *yuccawire.ReplicaAddress
+	for _, r := range c.replicas.GetVoters() {
+		if r.GetId() != c.options.ID {
+			spare = r
+		}
+	}
+	return spare
+}
+
+func (c *Core) promoteAny(now time.Time) bool {
 	for _, learner := range c.replicas.GetLearners() {
 		if !c.caughtUp(now, learner.GetId()) {
 			continue
@@ -63,7 +115,16 @@
 // lately.
 func (c *Core) caughtUp(now time.Time, id uint64) bool {
 	p := c.progress[id]
-	return p != nil && p.match >= c.commit && now.Sub(p.ackedSent) < learnerTimeout
+	return p != nil && p.match >= c.commit && now.Sub(p.ackedSent) < c.learnerTimeout()
+}
+
+// learnerTimeout is how lately a learner must have answered. It is short where
+// it replaces a lost voter.
+func (c *Core) learnerTimeout() time.Duration {
+	if c.options.Voters > 0 {
+		return voterTimeout / 2
+	}
+	return learnerTimeout
 }
 
 // Remove takes a replica out of the group.
--- a/yuccastate/change.go
+++ b/yuccastate/change.go
@@ -66,9 +66,12 @@
 	if first := s.firstAnswer(d.GetRequestId(), digest); first != nil {
 		return first
 	}
-	if _, known := s.document.DataCentres[d.GetDataCentre()]; !known {
+	if _, known := s.document.DataCentres[d.GetDataCentre()]; !known && !d.GetKnown() {
 		return &ChangeResult{Outcome: Invalid, Section: section, Findings: unknownDataCentre(d.GetDataCentre())}
 	}
+	if d.GetRequestId() == "" && s.IsOut(d.GetDataCentre()) == d.GetOut() {
+		return &ChangeResult{Outcome: Repeated, Section: section, Version: s.sections[section].GetVersion()}
+	}
 	out := slices.DeleteFunc(s.Out(), func(name string) bool { return name == d.GetDataCentre() })
 	if d.GetOut() {
 		out = append(out, d.GetDataCentre())
@@ -79,6 +82,19 @@
 	})
 }
 
+// replaceDocument puts the highest version in force. A version that is not higher
+// changes nothing and counts as repeated. The history does not keep these
+// changes: each is the whole document.
+func (s *State) replaceDocument(r *yuccawire.ReplaceDocument) *ChangeResult {
+	const section = yuccadocument.SectionWhole
+	current := s.sections[section].GetVersion()
+	if r.GetVersion() <= current {
+		return &ChangeResult{Outcome: Repeated, Section: section, Version: current}
+	}
+	s.sections[section] = &yuccawire.Section{Name: section, Version: r.GetVersion(), Body: r.GetBody()}
+	return &ChangeResult{Outcome: Accepted, Section: section, Version: r.GetVersion()}
+}
+
 func unknownDataCentre(name string) error {
 	return yuccajsonc.Findings{{
 		File: yuccadocument.SectionDataCentresOut, Line: 1, Column: 1,
--- a/yuccastate/state.go
+++ b/yuccastate/state.go
@@ -68,6 +68,8 @@
 		return Result{Claims: s.applyClaims(body.Claims)}, nil
 	case *yuccawire.Command_FenceOwner:
 		s.fence(body.FenceOwner)
+	case *yuccawire.Command_ReplaceDocument:
+		return Result{Change: s.replaceDocument(body.ReplaceDocument)}, nil
 	case *yuccawire.Command_ExpireJobs:
 		return Result{Expired: s.expire(body.ExpireJobs)}, nil
 	}
--- /dev/null
+++ b/yuccaworker/types.go
@@ -0,0 +1,128 @@
+package yuccaworker
+
+import (
+	"time"
+
+	"github.com/yuccaturn/yuccaturn/yuccawire"
+)
+
+// Report is what a worker says of itself.
+type Report struct {
+	// ID names the worker and Born one life of it, in milliseconds since 1970.
+	ID   string
+	Born int64
+	// Service is what it runs.
+	Service string
+	// CPUMilli, MemoryMB and Accelerators are its size.
+	CPUMilli     int
+	MemoryMB     int
+	Accelerators int
+	Labels       []string
+	// Leaving tells that it takes no new work.
+	Leaving bool
+	// ClockMS is its steady clock.
+	ClockMS int64
+	// Sequence grows with each report of one life.
+	Sequence int64
+}
+
+// Key names one run of a task.
+type Key struct {
+	Task string
+	Run  uint64
+}
+
+// Owner is one incarnation of an entry.
+type Owner struct {
+	Name        string
+	Incarnation uint64
+}
+
+// Life names one life of a worker.
+type Life struct {
+	ID   string
+	Born int64
+}
+
+// StartResult tells what became of a start.
+type StartResult int
+
+// Results of a start.
+const (
+	// StartUnknown: no answer came; it may have been carried out, or may be yet.
+	StartUnknown StartResult = iota
+	// Started: the run is there.
+	Started
+	// StartNoRoom, StartLate, StartOld and StartUnhealthy: it was not started.
+	StartNoRoom
+	StartLate
+	StartOld
+	StartUnhealthy
+	// StartFenced: a later holder has used a higher token.
+	StartFenced
+	// OtherLife: the worker there is another one.
+	OtherLife
+	// StartInvalid: the worker can't read the start.
+	StartInvalid
+)
+
+// HoldResult is the answer to a renewal of the hold.
+type HoldResult struct {
+	Life Life
+	// Result is Started where the worker has answered, StartUnknown, StartFenced
+	// or OtherLife.
+	Result StartResult
+	// SentAt is when the renewal left.
+	SentAt  time.Time
+	ClockMS int64
+	Running []Key
+	Ends    []RunEnd
+}
+
+// RunEnd is one entry of the worker's list of ends.
+type RunEnd struct {
+	Number int64
+	Key    Key
+	// End is how it ended.
+	End yuccawire.RunEnd
+}
+
+// Action is what the owner of a core has to carry out: one of CallStart,
+// CallStop, CallHold and Send.
+type Action any
+
+// CallStart starts a run at the worker.
+type CallStart struct {
+	Life       Life
+	Key        Key
+	Payload    []byte
+	DeadlineMS int64
+	Token      int64
+}
+
+// CallStop stops a run at the worker.
+type CallStop struct {
+	Life  Life
+	Key   Key
+	Token int64
+}
+
+// CallHold renews the hold and asks for what runs and what has ended.
+type CallHold struct {
+	Life       Life
+	DeadlineMS int64
+	Token      int64
+	// Cursor is the number up to which ends were taken note of.
+	Cursor int64
+	Wait   time.Duration
+	// Timeout is when the renewal counts as lost.
+	Timeout time.Duration
+	// SentAt names the renewal; it is part of the answer.
+	SentAt time.Time
+}
+
+// Send passes a message to an owner.
+type Send struct {
+	Owner   Owner
+	Message *yuccawire.Envelope
+}
--- /dev/null
+++ b/yuccaworker/worker.go
@@ -0,0 +1,247 @@
+package yuccaworker
+
+import (
+	"log/slog"
+	"time"
+
+	"github.com/yuccaturn/yuccaturn/yuccametric"
+	"github.com/yuccaturn/yuccaturn/yuccawire"
+)
+
+// Options holds what a core needs.
+type Options struct {
+	Metrics *yuccametric.Set
+	Logger  *slog.Logger
+}
+
+// Worker drives one worker. It is not safe for concurrent use.
+type Worker struct {
+	options Options
+	metrics *yuccametric.Set
+	began   time.Time
+	actions []Action
+
+	report   *Report
+	heardAt  time.Time
+	gone     bool
+	stopping bool
+	token    int64
+	clock    workerClock
+	// taken is set once nothing that an earlier side began runs any more.
+	taken     bool
+	takeAt    time.Time
+	holdUntil int64
+	holding   bool
+	holdSent  time.Time
+	cursor    int64
+	acked     int64
+
+	runs   map[Key]*run
+	queue  []*run
+	owners map[Owner]*owner
+	used   size
+	queued size
+	health health
+}
+
+// size is what a task or a worker has of each resource.
+type size struct{ cpu, memory, accelerators int }
+
+func (s size) plus(t size) size {
+	return size{cpu: s.cpu + t.cpu, memory: s.memory + t.memory, accelerators: s.accelerators + t.accelerators}
+}
+
+func (s size) minus(t size) size {
+	return size{cpu: s.cpu - t.cpu, memory: s.memory - t.memory, accelerators: s.accelerators - t.accelerators}
+}
+
+func (s size) fits(room size) bool {
+	return s.cpu <= room.cpu && s.memory <= room.memory && s.accelerators <= room.accelerators
+}
+
+// owner is what the side keeps of one incarnation of an entry.
+type owner struct {
+	id       Owner
+	linked   bool
+	until    time.Time
+	seen     uint64
+	stateAt  time.Time
+	interval time.Duration
+	dirty    bool
+	ends     []*yuccawire.Ended
+	kept     []keptEnd
+	runs     int
+}
+
+// keptEnd is an end that is sent again if the owner's link breaks.
+type keptEnd struct {
+	ended *yuccawire.Ended
+	at    time.Time
+}
+
+// workerClock estimates the worker's clock from below.
+type workerClock struct {
+	ms int64
+	at time.Time
+}
+
+func (c *workerClock) note(ms int64, at time.Time) {
+	if c.at.IsZero() || ms > c.least(at) {
+		c.ms, c.at = ms, at
+	}
+}
+
+// least is a time that the worker's clock has surely reached.
+func (c *workerClock) least(now time.Time) int64 {
+	return c.ms + int64(float64(now.Sub(c.at).Milliseconds())*(1-ClockDrift))
+}
+
+// New returns a core that knows no worker yet.
+func New(options Options, now time.Time) *Worker {
+	w := &Worker{
+		options: options,
+		metrics: options.Metrics,
+		began:   now,
+		runs:    make(map[Key]*run),
+		owners:  make(map[Owner]*owner),
+	}
+	w.health.reset()
+	return w
+}
+
+// Actions returns what has to be carried out, and forgets it.
+func (w *Worker) Actions() []Action {
+	taken := w.actions
+	w.actions = nil
+	return taken
+}
+
+func (w *Worker) do(a Action) { w.actions = append(w.actions, a) }
+
+// Clock is the side's clock in milliseconds.
+func (w *Worker) Clock(now time.Time) uint64 { return uint64(now.Sub(w.began).Milliseconds()) }
+
+// at is the local time of a time on the side's clock.
+func (w *Worker) at(clock uint64) time.Time {
+	return w.began.Add(time.Duration(clock) * time.Millisecond)
+}
+
+func (w *Worker) life() Life {
+	if w.report == nil {
+		return Life{}
+	}
+	return Life{ID: w.report.ID, Born: w.report.Born}
+}
+
+// Report takes in what the worker says of itself. It returns false for a report
+// that was overtaken by a later one.
+func (w *Worker) Report(now time.Time, r Report) bool {
+	if w.report != nil && w.overtaken(r) {
+		w.metrics.Add("reports_overtaken", 1)
+		w.options.Logger.Warn("ignores a report that was overtaken", "worker", r.ID, "born", r.Born, "sequence", r.Sequence)
+		return false
+	}
+	known := w.report != nil && !w.gone && w.life() == Life{ID: r.ID, Born: r.Born}
+	leaving := known && !w.report.Leaving && r.Leaving
+	w.heardAt = now
+	w.report = &r
+	w.clock.note(r.ClockMS, now)
+	if known {
+		if leaving {
+			w.options.Logger.Info("worker leaves", "worker", r.ID)
+			w.refuseQueue(now, yuccawire.RunRefusal_RUN_REFUSAL_LEAVING)
+			w.touchAll()
+		}
+		return true
+	}
+	w.begin(now, r)
+	return true
+}
+
+// overtaken tells whether the report is of an earlier life, or an earlier one
+// of this life.
+func (w *Worker) overtaken(r Report) bool {
+	if r.Born != w.report.Born {
+		return r.Born < w.report.Born
+	}
+	return r.ID == w.report.ID && r.Sequence < w.report.Sequence
+}
+
+// begin takes up a new life of the worker, which runs nothing of the old one.
+func (w *Worker) begin(now time.Time, r Report) {
+	w.options.Logger.Info("takes a worker over", "worker", r.ID, "born", r.Born, "service", r.Service,
+		"cpu_milli", r.CPUMilli, "memory_mb", r.MemoryMB, "clock_ms", r.ClockMS)
+	w.metrics.Add("workers_taken", 1)
+	w.loseAll(now, "another life of the worker began")
+	w.gone = false
+	w.clock = workerClock{ms: r.ClockMS, at: now}
+	w.token = max(r.ClockMS, 1)
+	w.taken = false
+	w.takeAt = now
+	w.holding = false
+	w.holdUntil = 0
+	w.cursor, w.acked = 0, 0
+	w.health.reset()
+	w.touchAll()
+	w.renewHold(now)
+}
+
+// Gone tells that the worker has said goodbye.
+func (w *Worker) Gone(now time.Time, id string) {
+	if w.report == nil || w.report.ID != id || w.gone {
+		return
+	}
+	w.options.Logger.Info("worker is gone", "worker", id)
+	w.gone = true
+	w.loseAll(now, "the worker is gone")
+	w.refuseQueue(now, yuccawire.RunRefusal_RUN_REFUSAL_NO_WORKER)
+	w.touchAll()
+}
+
+// Stop tells that this side is about to end: it takes no more orders.
+func (w *Worker) Stop(now time.Time) {
+	w.stopping = true
+	w.refuseQueue(now, yuccawire.RunRefusal_RUN_REFUSAL_LEAVING)
+	w.touchAll()
+}
+
+// Idle tells whether nothing runs or waits here.
+func (w *Worker) Idle() bool { return len(w.runs) == 0 && len(w.queue) == 0 }
+
+// Suspended tells that the machine stood still while its clock did not count:
+// every lease of an owner may have run out meanwhile.
+func (w *Worker) Suspended(now time.Time, stood time.Duration) {
+	w.options.Logger.Warn("the machine was suspended", "stood_ms", stood.Milliseconds())
+	w.metrics.Add("suspensions", 1)
+	for _, o := range w.owners {
+		o.until = now
+	}
+	w.clock.at = w.clock.at.Add(-stood)
+	w.expireOwners(now)
+}
+
+// ready tells whether orders are taken.
+func (w *Worker) ready() bool {
+	return w.report != nil && w.taken && !w.gone && !w.stopping && !w.report.Leaving
+}
+
+func (w *Worker) total() size {
+	if w.report == nil {
+		return size{}
+	}
+	return size{cpu: w.report.CPUMilli, memory: w.report.MemoryMB, accelerators: w.report.Accelerators}
+}
+
+// Tick lets the time pass.
+func (w *Worker) Tick(now time.Time) {
+	w.expireOwners(now)
+	w.expireQueue(now)
+	w.retryStops(now)
+	w.checkLapse(now)
+	w.checkHealth(now)
+	if !w.holding || now.Sub(w.holdSent) > holdTimeout {
+		w.renewHold(now)
+	}
+	w.pump(now)
+	w.sendStates(now)
+}
