control: connect to discovered replicas before there is a group; SIGHUP; close the callers' listener in a drain

A smaller group now needs the answers of all replicas that are known. SIGHUP ended the process (exit 129).

--- a/yuccacommand/deployed.go
+++ b/yuccacommand/deployed.go
@@ -7,9 +7,11 @@
 	"log/slog"
 	"net/http"
 	"os"
+	"os/signal"
 	"runtime/debug"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/yuccaturn/yuccaturn/platform"
@@ -146,10 +148,17 @@
 func (c *currentSettings) Serve(ctx context.Context) error {
 	ticker := time.NewTicker(settingsInterval)
 	defer ticker.Stop()
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
+		case <-hangups:
+			c.logger.Info("reloads the settings", "signal", "hangup")
+			c.changed = time.Time{}
+			c.reload()
 		case <-ticker.C:
 			c.reload()
 		}
@@ -257,9 +266,9 @@
 		Broker: yuccabroker.New(yuccabroker.Options{Name: settings.Name, Random: random(), Metrics: d.metrics, Logger: d.logger}),
 		Watch:  yuccasuspend.New(), Metrics: d.metrics, Logger: d.logger,
 	})
-	d.process.drain = edge.Drain
-	d.process.add(mesh, lease, edge,
-		yuccaserver.New(settings.Callers, yuccaplatform.NewFrontend(edge, d.metrics, d.logger)),
+	callers := yuccaserver.New(settings.Callers, yuccaplatform.NewFrontend(edge, d.metrics, d.logger))
+	d.process.drain = func(ctx context.Context) int { return edge.Drain(ctx, callers.CloseListener) }
+	d.process.add(mesh, lease, edge, callers,
 		yuccaserver.New(settings.Readiness, yuccaplatform.Readiness(edge.Ready)),
 		yuccaserver.New(settings.Operators, yuccaplatform.NewOperators(edge, settings, d.logger)))
 	return d.process.run()
--- a/yuccacontrol/loop.go
+++ b/yuccacontrol/loop.go
@@ -21,6 +21,7 @@
 			return ctx.Err()
 		case <-ticker.C:
 			c.watch()
+			c.connectPeers(ctx)
 			c.tick(time.Now())
 		case e := <-c.events:
 			c.watch()
@@ -28,7 +29,7 @@
 		case s := <-c.disk.done:
 			c.finishSync(time.Now(), s)
 		}
-		c.advance(ctx, time.Now())
+		c.advance(time.Now())
 		if c.diskErr != nil {
 			return c.fatal(c.diskErr)
 		}
@@ -116,7 +117,7 @@
 }
 
 // advance carries out what the core has decided.
-func (c *Control) advance(ctx context.Context, now time.Time) {
+func (c *Control) advance(now time.Time) {
 	if c.core == nil {
 		return
 	}
@@ -126,7 +127,6 @@
 		c.carryOut(now, ready)
 	}
 	c.noticeLeadership(now)
-	c.connectPeers(ctx)
 	c.compact()
 	if group := c.writes.next(); group != nil {
 		c.disk.groups <- group
--- a/yuccacontrol/replicas.go
+++ b/yuccacontrol/replicas.go
@@ -120,7 +120,7 @@
 	if !may {
 		return nil
 	}
-	return c.formation.DecideOpen(max(c.options.Voters, 1), fewer)
+	return c.formation.DecideOpen(max(c.options.Voters, 1), fewer && c.formation.Answers() >= len(c.listed()))
 }
 
 // form makes this replica part of a group. Without a first configuration it
--- a/yuccaedge/edge.go
+++ b/yuccaedge/edge.go
@@ -284,17 +284,24 @@
 	return !e.draining.Load() && e.Catalog() != nil && e.sides.Load() > 0
 }
 
-// Drain stops asking for jobs, and returns when those that came are answered
-// and the balancer has noticed. It returns the number of jobs that are cut.
-func (e *Edge) Drain(ctx context.Context) int {
+// Drain stops asking for jobs, closes the callers' listener once the balancer
+// has noticed, and returns when the jobs that came are answered. It returns the
+// number of jobs that are cut.
+func (e *Edge) Drain(ctx context.Context, closeListener func()) int {
 	e.draining.Store(true)
 	e.options.Logger.Info("draining")
 	earliest := time.Now().Add(drainGrace)
 	for {
 		open, err := yuccaask.Ask(ctx, e.postQuestion, func(e *Edge) int { return e.broker.Jobs() })
-		if err != nil || open == 0 && time.Now().After(earliest) {
+		if err != nil {
 			return open
 		}
+		if time.Now().After(earliest) {
+			closeListener()
+			if open == 0 {
+				return 0
+			}
+		}
 		timer := time.NewTimer(drainPoll)
 		select {
 		case <-timer.C:
--- a/yuccareplica/formation.go
+++ b/yuccareplica/formation.go
@@ -30,6 +30,9 @@
 	f.answers[reply.GetFrom().GetName()] = reply
 }
 
+// Answers is the number of replicas that have answered.
+func (f *Formation) Answers() int { return len(f.answers) }
+
 // Decide returns the first configuration of a new group, or nil while there is
 // none or another replica has to form it.
 func (f *Formation) Decide() *yuccawire.Replicas {
