--- a/yuccabroker/broker.go
+++ b/yuccabroker/broker.go
@@ -35,6 +35,8 @@
 	runs map[runKey]*task
 	// drained: a queue is looked at again only after something has changed.
 	stale bool
+	// stopAt is when this entry ends, zero while that is not known.
+	stopAt time.Time
 
 	beatAt time.Time
 	rate   rate
@@ -91,6 +93,24 @@
 	b.stale = true
 }
 
+// StopAt tells that this entry ends at the time: every job is answered before
+// it, and none is taken that is likely not to end before it.
+func (b *Broker) StopAt(now time.Time, at time.Time) {
+	b.stopAt = at
+	for _, j := range b.jobs {
+		j.giveUpAt = earlier(j.giveUpAt, at)
+	}
+	b.options.Logger.Info("takes jobs until it stops", "jobs", len(b.jobs), "stop_in_ms", at.Sub(now).Milliseconds())
+}
+
+// earlier returns the earlier of two times, of which the second may be unset.
+func earlier(a, b time.Time) time.Time {
+	if !b.IsZero() && b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // Jobs is the number of jobs that are not answered yet.
 func (b *Broker) Jobs() int { return len(b.jobs) }
 
--- a/yuccabroker/job.go
+++ b/yuccabroker/job.go
@@ -83,6 +83,7 @@
 		return
 	}
 	j := newJob(now, submitted, waiter)
+	j.giveUpAt = earlier(j.giveUpAt, b.stopAt)
 	j.lastRun = b.kept[submitted.ID].lastRun
 	for _, st := range j.steps {
 		for _, t := range st.tasks {
@@ -152,6 +153,9 @@
 	if workers == 0 {
 		return &Outcome{State: Rejected, Reason: "no worker of the service is known", RetryAfter: time.Second}
 	}
+	if !b.stopAt.IsZero() && b.stopAt.Sub(now) < 2*j.chain() {
+		return &Outcome{State: Rejected, Reason: "this entry is about to stop", RetryAfter: time.Second}
+	}
 	if !now.Before(j.giveUpAt) {
 		return &Outcome{State: Rejected, Reason: "the deadline has passed", RetryAfter: time.Second}
 	}
--- a/yuccacommand/deployed.go
+++ b/yuccacommand/deployed.go
@@ -266,9 +266,9 @@
 		Broker: yuccabroker.New(yuccabroker.Options{Name: settings.Name, Random: random(), Metrics: d.metrics, Logger: d.logger}),
 		Watch:  yuccasuspend.New(), Metrics: d.metrics, Logger: d.logger,
 	})
-	callers := yuccaserver.New(settings.Callers, yuccaplatform.NewFrontend(edge, d.metrics, d.logger))
-	d.process.drain = func(ctx context.Context) int { return edge.Drain(ctx, callers.CloseListener) }
-	d.process.add(mesh, lease, edge, callers,
+	d.process.drain = edge.Drain
+	d.process.add(mesh, lease, edge,
+		yuccaserver.New(settings.Callers, yuccaplatform.NewFrontend(edge, d.metrics, d.logger)),
 		yuccaserver.New(settings.Readiness, yuccaplatform.Readiness(edge.Ready)),
 		yuccaserver.New(settings.Operators, yuccaplatform.NewOperators(edge, settings, d.logger)))
 	return d.process.run()
--- a/yuccaedge/doc.go
+++ b/yuccaedge/doc.go
@@ -26,6 +26,8 @@
 	// drainGrace is how long a stopping entry still takes jobs: the balancer
 	// needs two misses of its probe, a second apart, and some more.
 	drainGrace = 2600 * time.Millisecond
+	// drainMargin is kept between the last answer and the end of a drain.
+	drainMargin = 300 * time.Millisecond
 	// drainPoll is the pause between looks at what is left.
 	drainPoll = 20 * time.Millisecond
 )
--- a/yuccaedge/edge.go
+++ b/yuccaedge/edge.go
@@ -284,24 +284,27 @@
 	return !e.draining.Load() && e.Catalog() != nil && e.sides.Load() > 0
 }
 
-// Drain stops asking for jobs, closes the callers' listener once the balancer
-// has noticed, and returns when the jobs that came are answered. It returns the
-// number of jobs that are cut.
-func (e *Edge) Drain(ctx context.Context, closeListener func()) int {
+// Drain tells the balancer to send no more jobs, and returns once it has
+// noticed and the jobs that came are answered. Jobs are still taken meanwhile,
+// since the balancer may have nobody else; all are answered before the context
+// ends. It returns the number of jobs that are cut.
+func (e *Edge) Drain(ctx context.Context) int {
 	e.draining.Store(true)
-	e.options.Logger.Info("draining")
-	earliest := time.Now().Add(drainGrace)
+	now := time.Now()
+	earliest := now.Add(drainGrace)
+	if deadline, ok := ctx.Deadline(); ok {
+		stop := deadline.Add(-drainMargin)
+		e.options.Logger.Info("draining", "stop_in_ms", stop.Sub(now).Milliseconds())
+		_, _ = yuccaask.Ask(ctx, e.postQuestion, func(e *Edge) bool {
+			e.broker.StopAt(time.Now(), stop)
+			return true
+		})
+	}
 	for {
 		open, err := yuccaask.Ask(ctx, e.postQuestion, func(e *Edge) int { return e.broker.Jobs() })
-		if err != nil {
+		if err != nil || open == 0 && time.Now().After(earliest) {
 			return open
 		}
-		if time.Now().After(earliest) {
-			closeListener()
-			if open == 0 {
-				return 0
-			}
-		}
 		timer := time.NewTimer(drainPoll)
 		select {
 		case <-timer.C:
--- a/yuccaserver/server.go
+++ b/yuccaserver/server.go
@@ -14,7 +14,6 @@
 	"expvar"
 	"net"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -34,10 +33,6 @@
 	listen  string
 	handler http.Handler
 	bound   chan string
-
-	mu       sync.Mutex
-	listener net.Listener
-	closed   bool
 }
 
 // New returns a server that does not listen yet.
@@ -63,9 +58,6 @@
 		return errors.Join(suture.ErrTerminateSupervisorTree, merry.Prependf(err, "listening on %s", s.listen))
 	}
 	s.tellBound(listener.Addr().String())
-	s.mu.Lock()
-	s.listener = listener
-	s.mu.Unlock()
 	server := &http.Server{
 		Handler:           s.handler,
 		ReadHeaderTimeout: readHeaderTimeout,
@@ -75,29 +67,13 @@
 	}
 	closer := &closer{server: server, done: make(chan struct{})}
 	go closer.run(ctx)
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) && !s.refuses() {
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
 	<-closer.done
 	return ctx.Err()
 }
 
-// CloseListener refuses new connections; requests in progress go on.
-func (s *Server) CloseListener() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.closed = true
-	if s.listener != nil {
-		_ = s.listener.Close()
-	}
-}
-
-func (s *Server) refuses() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.closed
-}
-
 func (s *Server) tellBound(address string) {
 	select {
 	case <-s.bound:
