broker: feasible tasks first, the rest by their callers' deadlines; shorter elections

Now tasks that can still reach their objective come first, those of the most urgent queue before the others; late ones wait by deadline. A job that can't end in time is given up at once, and rejected only if nothing of it has run. Elections take 0.5 to 1.0 s (was 0.75 to 1.5).

--- a/yuccabroker/broker.go
+++ b/yuccabroker/broker.go
@@ -38,8 +38,10 @@
 	// stopAt is when this entry ends, zero while that is not known.
 	stopAt time.Time
 
-	beatAt time.Time
-	rate   rate
+	// busySince is when tasks began to wait for room.
+	busySince time.Time
+	beatAt    time.Time
+	rate      rate
 }
 
 type runKey struct {
@@ -140,11 +142,18 @@
 // Tick lets the time pass. The owner calls it every few tens of milliseconds.
 func (b *Broker) Tick(now time.Time) {
 	b.expireJobs(now)
+	b.rerank(now)
 	b.loseRuns(now)
 	b.sendBeats(now)
 	b.forgetOutcomes(now)
 	b.stale = true
 	b.Place(now)
+	switch {
+	case b.waiting.Len() == 0:
+		b.busySince = time.Time{}
+	case b.busySince.IsZero():
+		b.busySince = now
+	}
 }
 
 func (b *Broker) forgetOutcomes(now time.Time) {
--- a/yuccabroker/doc.go
+++ b/yuccabroker/doc.go
@@ -23,6 +23,8 @@
 import "time"
 
 const (
+	// milli is the number of thousandths in one.
+	milli = 1000
 	// beatInterval is the time between two renewals of the lease at a side that
 	// runs something; five fit into one lease.
 	beatInterval = 100 * time.Millisecond
@@ -41,17 +43,24 @@
 	choices = 4
 	// answerMargin is how long before a caller's deadline it is answered.
 	answerMargin = 40 * time.Millisecond
+	// withdrawMargin is how long before that the runs of a job that won't end are
+	// withdrawn, so that their sides can say whether any has started: a round
+	// trip, a tick at either end, and a stop.
+	withdrawMargin = 80 * time.Millisecond
+	// hopelessShare of a task's estimate must be left before its caller's
+	// deadline; estimates are off by 40%, and workers up to a quarter faster.
+	hopelessShare = 0.5
 	// outcomeKept is how long an outcome answers a late resend of its job.
 	outcomeKept = 10 * time.Second
-	// lateFactor times the objective is when an answer is worth nothing any more.
-	lateFactor = 3
 	// priorityStep is how much later the objective of a job counts for each step
 	// of its queue's priority.
 	priorityStep = 150 * time.Millisecond
 	// pauseAfterRefusal keeps tasks from a side that has just refused one, until
 	// it has reported again.
 	pauseAfterRefusal = 20 * time.Millisecond
-	// overdueAfter is how much a task's own worker counts in the rank of tasks
-	// that can't reach their objective any more.
-	lateRank = 5 * time.Second
+	// lateRank puts the tasks that can't reach their objective any more behind all
+	// that can, and urgentRank those of the most urgent queues before them: both
+	// are longer than any caller waits.
+	lateRank   = time.Minute
+	urgentRank = time.Minute
 )
--- a/yuccabroker/job.go
+++ b/yuccabroker/job.go
@@ -24,17 +24,21 @@
 type job struct {
 	Job
 	arrived time.Time
-	// objective is the response time that is promised, lateAt when an answer is
-	// worth nothing any more, giveUpAt when the caller has to be answered.
+	// objective is when the job should be answered, giveUpAt when its caller has to
+	// be.
 	objective time.Time
-	lateAt    time.Time
 	giveUpAt  time.Time
 	waiters   []uint64
 	steps     []*step
 	left      int
 	begun     bool
-	// sentRuns counts the orders that were sent.
+	// sentRuns counts the orders that were sent, openRuns those whose runs may be
+	// alive. ran is set once one has started, as far as is known.
 	sentRuns int
+	openRuns int
+	ran      bool
+	// withdrawn is set once the job was given up and its runs were withdrawn.
+	withdrawn string
 	// lastRun is the highest number of a run of any of its tasks. A job that is
 	// handed in again goes on from there.
 	lastRun uint64
@@ -114,7 +118,6 @@
 	}
 	objective := time.Duration(j.Queue.Stretch*float64(j.chain())) + j.Queue.TargetLatency
 	j.objective = now.Add(objective)
-	j.lateAt = now.Add(lateFactor * objective)
 	j.giveUpAt = submitted.Deadline.Add(-answerMargin)
 	return j
 }
@@ -159,6 +162,9 @@
 	if !now.Before(j.giveUpAt) {
 		return &Outcome{State: Rejected, Reason: "the deadline has passed", RetryAfter: time.Second}
 	}
+	if wait := b.backlog(now); now.Add(wait + j.chain()).After(j.giveUpAt) {
+		return &Outcome{State: Rejected, Reason: "what waits here takes longer than the caller waits", RetryAfter: max(wait, time.Second)}
+	}
 	return nil
 }
 
@@ -188,16 +194,52 @@
 // enqueue makes a task wait for a place. It ranks by the latest start that
 // reaches the job's objective; those that can't any more come after the others.
 func (b *Broker) enqueue(now time.Time, t *task) {
-	t.state = waiting
 	t.side = nil
-	t.rank = t.job.objective.Add(-t.step.Estimate).Add(time.Duration(t.job.Queue.Priority) * priorityStep)
-	if now.After(t.job.lateAt.Add(-t.step.Estimate)) {
-		t.rank = t.rank.Add(lateRank)
+	if t.job.withdrawn != "" {
+		t.state = blocked
+		return
 	}
+	t.state = waiting
+	t.rank = t.rankAt(now)
 	b.waiting.add(t)
 	b.stale = true
 }
 
+// rankAt orders a task among those that wait. Tasks that can reach their
+// objective come first, those of the most urgent queues before the others, and
+// then by the latest start that reaches it. The rest are ordered by what their
+// callers still wait for: late answers are worth little, and none is worth less.
+func (t *task) rankAt(now time.Time) time.Time {
+	j := t.job
+	latest := j.objective.Add(-t.step.Estimate)
+	switch {
+	case now.After(latest):
+		return j.giveUpAt.Add(-t.step.Estimate).Add(lateRank)
+	case j.Queue.Priority == 0:
+		return latest.Add(-urgentRank)
+	}
+	return latest.Add(time.Duration(j.Queue.Priority) * priorityStep)
+}
+
+// rerank orders the waiting tasks anew, some of which have become late.
+func (b *Broker) rerank(now time.Time) {
+	changed := false
+	for _, t := range b.waiting.tasks {
+		if rank := t.rankAt(now); !rank.Equal(t.rank) {
+			t.rank = rank
+			changed = true
+		}
+	}
+	if changed {
+		b.waiting.rerank()
+	}
+}
+
+// work is what the task takes, in core-seconds by estimate.
+func (t *task) work() float64 {
+	return float64(t.step.CPUMilli) / milli * t.step.Estimate.Seconds()
+}
+
 // Left tells that a caller has gone. Without another one the job is cancelled.
 func (b *Broker) Left(now time.Time, id string, waiter uint64) {
 	j := b.jobs[id]
@@ -238,6 +280,12 @@
 	delete(b.jobs, j.ID)
 	b.kept[j.ID] = keptOutcome{outcome: o, queue: j.Queue.Name, lastRun: j.lastRun}
 	b.keptIDs = append(b.keptIDs, keptID{id: j.ID, at: now})
+	b.stopRuns(j)
+	b.stale = true
+}
+
+// stopRuns takes the waiting tasks of a job from the queue and withdraws its runs.
+func (b *Broker) stopRuns(j *job) {
 	stops := make(map[*side]*yuccawire.Withdraw)
 	for _, st := range j.steps {
 		for _, t := range st.tasks {
@@ -257,7 +305,6 @@
 		b.metrics.Add("runs_withdrawn", int64(len(withdraw.GetRuns())))
 		b.send(s.name, &yuccawire.Envelope{Body: &yuccawire.Envelope_Withdraw{Withdraw: withdraw}})
 	}
-	b.stale = true
 }
 
 // answer ends the job with its one outcome.
@@ -277,7 +324,10 @@
 // giveUp ends a job that can't be completed. Only one that never left this
 // entry is rejected, since nothing of it has run or will.
 func (b *Broker) giveUp(now time.Time, j *job, reason string) {
-	if j.sentRuns == 0 {
+	if j.withdrawn != "" {
+		reason = j.withdrawn
+	}
+	if !j.ran && j.openRuns == 0 {
 		b.answer(now, j, Outcome{State: Rejected, Reason: reason, RetryAfter: time.Second})
 		return
 	}
@@ -286,10 +336,49 @@
 
 func (b *Broker) expireJobs(now time.Time) {
 	for _, j := range b.jobs {
-		if !now.Before(j.giveUpAt) {
+		switch {
+		case !now.Before(j.giveUpAt), j.withdrawn != "" && j.openRuns == 0:
 			b.giveUp(now, j, "the deadline has passed")
+		case j.withdrawn == "" && !now.Before(j.giveUpAt.Add(-withdrawMargin)):
+			b.withdraw(j, "the deadline is near")
+		case j.withdrawn == "" && j.hopeless(now):
+			b.withdraw(j, "a task of it can't end before the deadline")
+		}
+	}
+}
+
+// hopeless tells whether a task that waits can't end before the job has to be
+// answered.
+func (j *job) hopeless(now time.Time) bool {
+	left := j.giveUpAt.Sub(now)
+	for _, st := range j.steps {
+		if st.left == 0 || left > time.Duration(hopelessShare*float64(st.Estimate)) {
+			continue
 		}
+		for _, t := range st.tasks {
+			if t.state == waiting {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// withdraw stops what is left of a job before it is given up, so that its
+// caller hears whether anything has run.
+func (b *Broker) withdraw(j *job, reason string) {
+	j.withdrawn = reason
+	b.stopRuns(j)
+}
+
+// backlog is the time until what waits here is done, at the rate at which
+// this entry's tasks end. That rate tells what callers can have only while tasks
+// have waited for some time.
+func (b *Broker) backlog(now time.Time) time.Duration {
+	if b.rate.mean == 0 || b.busySince.IsZero() || now.Sub(b.busySince) < backlogWindow {
+		return 0
 	}
+	return time.Duration(b.waiting.work / b.rate.mean * float64(time.Second))
 }
 
 // taskDone takes in that a task has ended well.
@@ -298,7 +387,7 @@
 	t.state = done
 	t.step.left--
 	j.left--
-	b.rate.add(now, float64(t.step.CPUMilli)*t.step.Estimate.Seconds())
+	b.rate.add(now, t.work())
 	if j.left == 0 {
 		b.answer(now, j, Outcome{State: Completed})
 		return
--- a/yuccabroker/place.go
+++ b/yuccabroker/place.go
@@ -42,6 +42,7 @@
 	t.sentAt = now
 	j.begun = true
 	j.sentRuns++
+	j.openRuns++
 	s.runs[t] = struct{}{}
 	b.runs[runKey{task: t.name, run: t.run}] = t
 	b.metrics.Add("orders_sent", 1)
--- a/yuccabroker/queue.go
+++ b/yuccabroker/queue.go
@@ -9,6 +9,8 @@
 type queue struct {
 	tasks []*task
 	cpu   int
+	// work is what waits, in core-seconds by estimate.
+	work float64
 }
 
 // Len, Less, Swap, Push and Pop implement heap.Interface.
@@ -35,6 +37,7 @@
 	t.at = len(q.tasks)
 	q.tasks = append(q.tasks, t)
 	q.cpu += t.step.CPUMilli
+	q.work += t.work()
 }
 
 // Pop removes the last task.
@@ -45,6 +48,7 @@
 	q.tasks = q.tasks[:last]
 	t.at = -1
 	q.cpu -= t.step.CPUMilli
+	q.work -= t.work()
 	return t
 }
 
@@ -56,10 +60,12 @@
 	}
 }
 
+// rerank orders the tasks anew after their ranks have changed.
+func (q *queue) rerank() { heap.Init(q) }
+
 func (q *queue) first() *task { return q.tasks[0] }
 
-// rate measures the work that this entry's tasks finish, in core-milliseconds
-// a second.
+// rate measures the work that this entry's tasks finish, in cores.
 type rate struct {
 	done  float64
 	since time.Time
@@ -67,8 +73,11 @@
 }
 
 const (
-	rateWindow = 500 * time.Millisecond
-	rateWeight = 0.3
+	// backlogWindow is how long tasks must have waited before the rate counts as
+	// all that is to be had; three windows of the rate.
+	backlogWindow = 1500 * time.Millisecond
+	rateWindow    = 500 * time.Millisecond
+	rateWeight    = 0.3
 )
 
 func (r *rate) add(now time.Time, work float64) {
--- a/yuccabroker/side.go
+++ b/yuccabroker/side.go
@@ -166,6 +166,9 @@
 		return
 	}
 	b.forgetRun(t)
+	if e.GetEnd() != yuccawire.RunEnd_RUN_END_REFUSED {
+		t.job.ran = true
+	}
 	if t.job.ended {
 		return
 	}
@@ -220,6 +223,7 @@
 func (b *Broker) forgetRun(t *task) {
 	delete(b.runs, runKey{task: t.name, run: t.run})
 	delete(t.side.runs, t)
+	t.job.openRuns--
 }
 
 // overAt is when the runs that were sent to a silent side are surely over: its
@@ -237,6 +241,7 @@
 			continue
 		}
 		for t := range s.runs {
+			t.job.ran = true
 			b.runOver(now, t, "the side is silent and its leases have run out")
 		}
 	}
--- a/yuccareplica/doc.go
+++ b/yuccareplica/doc.go
@@ -27,13 +27,13 @@
 // followers refuse to vote, by more than the clocks may drift.
 const (
 	// HeartbeatInterval is the time between two appends to an idle follower.
-	HeartbeatInterval = 150 * time.Millisecond
+	HeartbeatInterval = 100 * time.Millisecond
 	// MinElectionTimeout is how long a follower hearsLeader a silent leader.
-	MinElectionTimeout = 750 * time.Millisecond
+	MinElectionTimeout = 500 * time.Millisecond
 	// MaxElectionTimeout is the latest start of an election.
-	MaxElectionTimeout = 1500 * time.Millisecond
+	MaxElectionTimeout = 1000 * time.Millisecond
 	// LeaderLease is how long a leader acts on the last word of a quorum.
-	LeaderLease = 600 * time.Millisecond
+	LeaderLease = 400 * time.Millisecond
 )
 
 const (
