--- a/yuccabroker/broker.go
+++ b/yuccabroker/broker.go
@@ -113,6 +113,17 @@
 	return a
 }
 
+// ReadySides is the number of linked sides that take orders.
+func (b *Broker) ReadySides() int {
+	n := 0
+	for _, s := range b.list {
+		if s.linked && s.ready {
+			n++
+		}
+	}
+	return n
+}
+
 // Jobs is the number of jobs that are not answered yet.
 func (b *Broker) Jobs() int { return len(b.jobs) }
 
--- a/yuccacommand/deployed.go
+++ b/yuccacommand/deployed.go
@@ -268,7 +268,7 @@
 	})
 	d.process.drain = edge.Drain
 	d.process.add(mesh, lease, edge,
-		yuccaserver.New(settings.Callers, yuccaplatform.NewFrontend(edge, d.metrics, d.logger)),
+		yuccaserver.New(settings.Callers, yuccaplatform.NewFrontend(edge, d.metrics, d.logger)).ListenAfter(edge.AwaitReady),
 		yuccaserver.New(settings.Readiness, yuccaplatform.Readiness(edge.Ready)),
 		yuccaserver.New(settings.Operators, yuccaplatform.NewOperators(edge, settings, d.logger)))
 	return d.process.run()
--- a/yuccaedge/doc.go
+++ b/yuccaedge/doc.go
@@ -26,6 +26,9 @@
 	// drainGrace is how long a stopping entry still takes jobs: the balancer
 	// needs two misses of its probe, a second apart, and some more.
 	drainGrace = 2600 * time.Millisecond
+	// startPatience is how long a new entry keeps its callers' port closed while it
+	// can't serve; after that it refuses them with a reason.
+	startPatience = 6 * time.Second
 	// drainMargin is kept between the last answer and the end of a drain.
 	drainMargin = 300 * time.Millisecond
 	// drainPoll is the pause between looks at what is left.
--- a/yuccaedge/edge.go
+++ b/yuccaedge/edge.go
@@ -203,7 +203,6 @@
 		e.broker.LinkDown(now, node.GetName())
 	}
 	e.peers[node.GetName()] = p
-	e.sides.Store(int64(len(e.peers)))
 	e.broker.LinkUp(now, yuccabroker.Side{
 		Name: node.GetName(), Incarnation: node.GetIncarnation(), DataCentre: node.GetDataCentre(),
 	})
@@ -226,7 +225,7 @@
 		}
 	}
 	e.metrics.Gauge("jobs_open", int64(e.broker.Jobs()))
-	e.sides.Store(int64(len(e.peers)))
+	e.sides.Store(int64(e.broker.ReadySides()))
 }
 
 // Submit hands a job in and waits for its outcome. When the context ends, the
@@ -284,6 +283,22 @@
 	return !e.draining.Load() && e.Catalog() != nil && e.sides.Load() > 0
 }
 
+// AwaitReady returns once the entry can serve jobs, or after a bounded time in
+// which it could not.
+func (e *Edge) AwaitReady(ctx context.Context) {
+	began := time.Now()
+	ticker := time.NewTicker(drainPoll)
+	defer ticker.Stop()
+	for !e.Ready() && time.Since(began) < startPatience {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+	e.options.Logger.Info("takes jobs", "ready", e.Ready(), "since_start_ms", time.Since(began).Milliseconds())
+}
+
 // Drain tells the balancer to send no more jobs, and returns once it has
 // noticed and the jobs that came are answered. Jobs are still taken meanwhile,
 // since the balancer may have nobody else; all are answered before the context
--- a/yuccalease/client.go
+++ b/yuccalease/client.go
@@ -19,7 +19,7 @@
 	dialTimeout     = time.Second
 	silenceTimeout  = 2 * time.Second
 	minRedialWait   = 20 * time.Millisecond
-	maxRedialWait   = 400 * time.Millisecond
+	maxRedialWait   = 200 * time.Millisecond
 	eventsCapacity  = 1024
 	outboxCapacity  = 1024
 	minKickInterval = 20 * time.Millisecond
--- a/yuccareplica/doc.go
+++ b/yuccareplica/doc.go
@@ -31,7 +31,7 @@
 	// MinElectionTimeout is how long a follower hearsLeader a silent leader.
 	MinElectionTimeout = 500 * time.Millisecond
 	// MaxElectionTimeout is the latest start of an election.
-	MaxElectionTimeout = 1000 * time.Millisecond
+	MaxElectionTimeout = 850 * time.Millisecond
 	// LeaderLease is how long a leader acts on the last word of a quorum.
 	LeaderLease = 400 * time.Millisecond
 )
--- a/yuccaserver/server.go
+++ b/yuccaserver/server.go
@@ -33,6 +33,7 @@
 	listen  string
 	handler http.Handler
 	bound   chan string
+	await   func(ctx context.Context)
 }
 
 // New returns a server that does not listen yet.
@@ -40,6 +41,13 @@
 	return &Server{listen: listen, handler: handler, bound: make(chan string, 1)}
 }
 
+// ListenAfter makes the server listen only once await has returned, so that
+// callers of a process that has just started try another one meanwhile.
+func (s *Server) ListenAfter(await func(ctx context.Context)) *Server {
+	s.await = await
+	return s
+}
+
 // Address waits for the server to listen and returns its address.
 func (s *Server) Address(ctx context.Context) (string, error) {
 	select {
@@ -53,6 +61,12 @@
 
 // Serve serves until the context ends, and then finishes what is in progress.
 func (s *Server) Serve(ctx context.Context) error {
+	if s.await != nil {
+		s.await(ctx)
+	}
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
 	listener, err := net.Listen("tcp", s.listen)
 	if err != nil {
 		return errors.Join(suture.ErrTerminateSupervisorTree, merry.Prependf(err, "listening on %s", s.listen))
