control: serve at once after a restart with what the disk holds as committed

Replicas now write the committed index down a little later, apply up to it when they start, and tell the other entries; operators are still shown only what control confirms.

--- a/yuccacommand/deployed.go
+++ b/yuccacommand/deployed.go
@@ -256,7 +256,7 @@
 		replica = yuccaedge.NewReplica(folder, func() (*yuccadisk.Folder, error) { return yuccadisk.Open(settings.DataFolder) },
 			yuccacontrol.Options{
 				Network: control, Self: address, DataCentre: settings.DataCentre, Discover: mesh.Replicas, MayForm: f.mayForm,
-				Voters: 2*settings.LossesBorne + 1, CompactEntries: deployedCompactEntries, Random: random(),
+				Recovered: func(sections []*yuccawire.Section) { edge.Recovered(sections) }, Voters: 2*settings.LossesBorne + 1, CompactEntries: deployedCompactEntries, Random: random(),
 				Watch: yuccasuspend.New(), Metrics: d.metrics, Logger: d.logger,
 			})
 		d.process.add(replica)
--- a/yuccacontrol/control.go
+++ b/yuccacontrol/control.go
@@ -56,6 +56,9 @@
 	MayForm func() (may, fewer bool)
 	// Voters is the number of voters that the group keeps, zero for all.
 	Voters int
+	// Recovered, if set, is given the sections that the disk holds as committed,
+	// before a leader is known.
+	Recovered func(sections []*yuccawire.Section)
 	// Watch notices that the machine stood still; nil notices nothing.
 	Watch *yuccasuspend.Watch
 	// CompactEntries is the length of the log at which a snapshot replaces it;
--- a/yuccacontrol/loop.go
+++ b/yuccacontrol/loop.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/yuccaturn/yuccaturn/yuccaask"
+	"github.com/yuccaturn/yuccaturn/yuccadocument"
 	"github.com/yuccaturn/yuccaturn/yuccaregistry"
 	"github.com/yuccaturn/yuccaturn/yuccareplica"
 	"github.com/yuccaturn/yuccaturn/yuccastate"
@@ -15,6 +16,8 @@
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	c.connectPeers(ctx)
+	c.advance(time.Now())
+	c.tellRecovered()
 	for {
 		select {
 		case <-ctx.Done():
@@ -36,6 +39,20 @@
 	}
 }
 
+// tellRecovered shows what the disk holds as committed.
+func (c *Control) tellRecovered() {
+	if c.options.Recovered == nil {
+		return
+	}
+	var all []*yuccawire.SectionVersion
+	for _, name := range yuccadocument.WholeSections {
+		all = append(all, &yuccawire.SectionVersion{Name: name})
+	}
+	if sections := c.state.Newer(all); len(sections) > 0 {
+		c.options.Recovered(sections)
+	}
+}
+
 // watch gives the leadership up after the machine has stood still: others may
 // lead by now, and the clock of the leader's lease did not count.
 func (c *Control) watch() {
--- a/yuccaedge/config.go
+++ b/yuccaedge/config.go
@@ -99,6 +99,10 @@
 	e.config.Store(&next)
 }
 
+// Recovered puts in force what the disk of this process holds as committed. It
+// may be older than what control has, and is shown to no operator.
+func (e *Edge) Recovered(sections []*yuccawire.Section) { e.events <- recovered{sections: sections} }
+
 // Catalog returns the document in force, nil before there is one.
 func (e *Edge) Catalog() *yuccacatalog.Catalog { return e.config.Load().catalog }
 
--- a/yuccaedge/edge.go
+++ b/yuccaedge/edge.go
@@ -77,6 +77,9 @@
 	id   chan uint64
 }
 
+// recovered brings what the disk of this process holds as committed.
+type recovered struct{ sections []*yuccawire.Section }
+
 type left struct {
 	job    string
 	waiter uint64
@@ -157,6 +160,9 @@
 		e.waiters[e.next] = ev.done
 		ev.id <- e.next
 		e.broker.Submit(now, ev.job, e.next)
+	case recovered:
+		e.takeSections(ev.sections, time.Time{}, "the data folder")
+		e.options.Mesh.Spread(e.Sections())
 	case left:
 		delete(e.waiters, ev.waiter)
 		e.broker.Left(now, ev.job, ev.waiter)
--- a/yuccamesh/mesh.go
+++ b/yuccamesh/mesh.go
@@ -203,6 +203,18 @@
 	}
 }
 
+// Spread sends sections to the other entries, some of which may have none.
+func (m *Mesh) Spread(sections []*yuccawire.Section) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	envelope := &yuccawire.Envelope{Body: &yuccawire.Envelope_Roster{Roster: &yuccawire.Roster{Sections: sections}}}
+	for p := range m.peers {
+		if p.node.GetRole() == yuccawire.Role_ROLE_ENTRY {
+			p.Send(envelope)
+		}
+	}
+}
+
 func (m *Mesh) greet(now time.Time) *yuccawire.Envelope {
 	m.mu.Lock()
 	roster := m.roster.Wire(now)
--- /dev/null
+++ b/yuccamodel/model_test.go
@@ -0,0 +1,165 @@
+package yuccamodel_test
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+)
+
+var (
+	seeds     = flag.Int("seeds", 12, "number of seeds of the random tests")
+	firstSeed = flag.Uint64("first-seed", 1, "first seed of the random tests")
+)
+
+const warmUp = time.Second
+
+// A plain day: every job is answered in its objective.
+func TestCalm(t *testing.T) {
+	w := newWorld(t, 1, 9, 11)
+	w.run(warmUp)
+	w.offer(0.7, 8*time.Second)
+	w.run(12 * time.Second)
+	r := w.result()
+	t.Logf("%+v", r)
+	if r.worth < 0.985 || r.failed+r.refused > 0 {
+		t.Errorf("a calm day is worth %.3f, with %d failed and %d refused", r.worth, r.failed, r.refused)
+	}
+}
+
+// Bursts over the capacity: what can be done in time is, and no more is lost
+// than there is too much of.
+func TestBurst(t *testing.T) {
+	w := newWorld(t, 2, 9, 11)
+	w.run(warmUp)
+	w.offer(0.9, 12*time.Second)
+	w.run(3 * time.Second)
+	w.offer(0.5, 4*time.Second)
+	w.run(15 * time.Second)
+	r := w.result()
+	t.Logf("%+v", r)
+	if r.worth < 0.75 {
+		t.Errorf("worth %.3f, want 0.75 at least", r.worth)
+	}
+	if share := float64(r.failed+r.refused) / float64(r.jobs); share > 0.03 {
+		t.Errorf("%.3f of the jobs are not served", share)
+	}
+	if r.kinds["trim"] < 0.9 {
+		t.Errorf("the most urgent kind is worth %.3f, want 0.9", r.kinds["trim"])
+	}
+}
+
+// Workers that stand still, fail everything, or are slow: the others take over.
+func TestWorkersGoneWrong(t *testing.T) {
+	for name, harm := range map[string]func(n *node){
+		"stands still": func(n *node) { n.hangs = true },
+		"fails":        func(n *node) { n.fails = true },
+		"slow":         func(n *node) { n.slow = 6.5 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 3, 9, 11)
+			w.run(warmUp)
+			w.offer(0.7, 10*time.Second)
+			w.run(2 * time.Second)
+			harm(w.sides[4].node)
+			w.run(6 * time.Second)
+			n := w.sides[4].node
+			n.hangs, n.fails, n.slow = false, false, 0
+			w.run(6 * time.Second)
+			r := w.result()
+			t.Logf("%+v", r)
+			if r.worth < 0.93 {
+				t.Errorf("worth %.3f, want 0.93", r.worth)
+			}
+		})
+	}
+}
+
+// A killed entry costs no more than the jobs that it had in hand.
+func TestKilledEntry(t *testing.T) {
+	w := newWorld(t, 4, 9, 11)
+	w.run(warmUp)
+	w.offer(0.7, 8*time.Second)
+	w.run(2 * time.Second)
+	w.killEntry(w.entries[3], false, 600*time.Millisecond)
+	w.run(10 * time.Second)
+	r := w.result()
+	t.Logf("%+v", r)
+	if r.worth < 0.95 {
+		t.Errorf("worth %.3f, want 0.95", r.worth)
+	}
+}
+
+// foundSeeds are seeds that have shown a fault.
+var foundSeeds = []uint64{}
+
+// TestFaults lets entries, sides, workers and links fail at random. Whatever
+// happens, no task runs twice at the same time, no worker is over its capacity,
+// and a refusal that says not run is true: the model checks each start.
+func TestFaults(t *testing.T) {
+	all := append([]uint64{}, foundSeeds...)
+	for i := range *seeds {
+		all = append(all, *firstSeed+uint64(i))
+	}
+	for _, seed := range all {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			w := newWorld(t, seed, 4, 5)
+			w.run(warmUp)
+			w.offer(0.35, 10*time.Second)
+			for range 14 {
+				w.after(time.Duration(w.draw.IntN(9000))*time.Millisecond, w.fault)
+			}
+			w.run(18 * time.Second)
+			if w.starts == 0 {
+				t.Error("nothing has run")
+			}
+		})
+	}
+}
+
+// fault lets one thing go wrong for a while.
+func (w *world) fault() {
+	e := w.entries[w.draw.IntN(len(w.entries))]
+	s := w.sides[w.draw.IntN(len(w.sides))]
+	d := time.Duration(100+w.draw.IntN(4000)) * time.Millisecond
+	switch w.draw.IntN(12) {
+	case 0:
+		w.killEntry(e, false, d)
+	case 1:
+		w.killEntry(e, true, d)
+	case 2:
+		w.freezeEntry(e, d)
+	case 3:
+		w.killSide(s, d/4)
+	case 4:
+		w.freezeSide(s, d)
+	case 5:
+		for _, s := range w.sides {
+			w.cutLink(e, s, d)
+		}
+	case 6:
+		for _, e := range w.entries {
+			w.cutLink(e, s, d)
+		}
+	case 7:
+		if !s.node.down {
+			s.node.crash()
+			w.after(d, s.node.rise)
+		}
+	case 8:
+		s.node.hangs = true
+		w.after(d, func() { s.node.hangs = false })
+	case 9:
+		s.node.lateOrders = 0.06
+		w.after(d, func() { s.node.lateOrders = 0 })
+	case 10:
+		s.node.lostAnswer = 0.2
+		w.after(d, func() { s.node.lostAnswer = 0 })
+	case 11:
+		for _, j := range w.callers {
+			if !j.ended && w.draw.IntN(2) == 0 {
+				j.leave()
+			}
+		}
+	}
+}
--- a/yuccareplica/core.go
+++ b/yuccareplica/core.go
@@ -39,16 +39,19 @@
 // Core is one replica's share of the group's decisions. It is not safe for
 // concurrent use.
 type Core struct {
-	options  Options
-	role     role
-	term     uint64
-	vote     uint64
-	leader   uint64
-	log      memoryLog
-	commit   uint64
-	applied  uint64
-	synced   uint64
-	replicas *yuccawire.Replicas
+	options Options
+	role    role
+	term    uint64
+	vote    uint64
+	leader  uint64
+	log     memoryLog
+	commit  uint64
+	applied uint64
+	// savedCommit is the commit that the disk was given last, at savedAt.
+	savedCommit uint64
+	savedAt     time.Time
+	synced      uint64
+	replicas    *yuccawire.Replicas
 	// replicasIndex is the index of the entry that set replicas.
 	replicasIndex uint64
 
@@ -132,6 +135,8 @@
 		applied:    stored.Snapshot.GetIndex(),
 		leaderSeen: now,
 	}
+	c.commit = max(c.commit, min(stored.HardState.GetCommit(), c.log.last()))
+	c.savedCommit = c.commit
 	c.synced = c.log.last()
 	c.term = max(c.term, c.log.lastTerm())
 	c.adoptReplicas()
@@ -251,7 +256,16 @@
 func (c *Core) quorum() int { return len(c.replicas.GetVoters())/2 + 1 }
 
 func (c *Core) saveHardState() {
-	c.ready.HardState = &yuccawire.HardState{Term: c.term, Vote: c.vote}
+	c.ready.HardState = c.HardState()
+	c.savedCommit = c.commit
+}
+
+// saveCommit lets the disk know, some time after the fact, what was committed.
+func (c *Core) saveCommit(now time.Time) {
+	if c.commit > c.savedCommit && now.Sub(c.savedAt) > commitSaveInterval {
+		c.savedAt = now
+		c.saveHardState()
+	}
 }
 
 func (c *Core) message(to uint64) *yuccawire.Replica {
@@ -260,7 +274,7 @@
 
 // HardState returns what a new log on disk must begin with.
 func (c *Core) HardState() *yuccawire.HardState {
-	return &yuccawire.HardState{Term: c.term, Vote: c.vote}
+	return &yuccawire.HardState{Term: c.term, Vote: c.vote, Commit: c.commit}
 }
 
 // Entries returns the entries after the last snapshot. They must not be
--- a/yuccareplica/doc.go
+++ b/yuccareplica/doc.go
@@ -42,6 +42,8 @@
 	maxInflight      = 32
 	snapshotTimeout  = 5 * time.Second
 	learnerTimeout   = 10 * time.Second
+	// commitSaveInterval spaces the syncs that only bring the commit to disk.
+	commitSaveInterval = 200 * time.Millisecond
 	// voterTimeout is how long a voter may be silent before a learner takes its
 	// place; longer than an election and a restart.
 	voterTimeout = 2500 * time.Millisecond
--- a/yuccareplica/election.go
+++ b/yuccareplica/election.go
@@ -8,6 +8,7 @@
 
 // Tick lets the time pass. The owner calls it every few tens of milliseconds.
 func (c *Core) Tick(now time.Time) {
+	c.saveCommit(now)
 	if c.role == leader {
 		c.tickLeader(now)
 		return
--- a/yuccaworker/doc.go
+++ b/yuccaworker/doc.go
@@ -42,6 +42,9 @@
 	holdTimeout = holdWait + 150*time.Millisecond
 	// takeOverRetry is the pause between attempts to take a worker over.
 	takeOverRetry = 150 * time.Millisecond
+	// silentAfter is how long a worker with runs may leave all calls unanswered;
+	// two renewals fit into it.
+	silentAfter = 300 * time.Millisecond
 	// stopRetry is the pause between stops that are not answered.
 	stopRetry = 100 * time.Millisecond
 	// maxStartTries bounds how often an unanswered start is sent again; a start
--- a/yuccaworker/hold.go
+++ b/yuccaworker/hold.go
@@ -27,6 +27,11 @@
 		wait = 0
 	}
 	deadline := w.clock.least(now) + Hold.Milliseconds()
+	if w.silent(now) {
+		// A worker that does not answer may still hear: what keeps its runs alive
+		// must not go on for ever, or nobody ever knows that they are over.
+		deadline = 0
+	}
 	w.holdUntil = max(w.holdUntil, deadline)
 	w.holding = true
 	w.holdSent = now
@@ -35,6 +40,12 @@
 	})
 }
 
+// silent tells whether the worker has left its calls unanswered for so long that
+// its runs are given up.
+func (w *Worker) silent(now time.Time) bool {
+	return len(w.runs) > 0 && now.Sub(w.answeredAt) > silentAfter
+}
+
 // unsettled tells whether a stop was answered whose end is not listed yet.
 func (w *Worker) unsettled() bool {
 	for _, r := range w.runs {
@@ -56,8 +67,7 @@
 	}
 	switch h.Result {
 	case Started:
-		w.heardAt = now
-		w.clock.note(h.ClockMS, now)
+		w.answered(now, h.ClockMS)
 		w.takeEnds(now, h)
 		w.takeRunning(now, h)
 	case StartFenced:
@@ -150,7 +160,7 @@
 // checkLapse gives up the runs of a worker that does not answer, once its hold
 // has surely run out.
 func (w *Worker) checkLapse(now time.Time) {
-	if w.report == nil || w.gone || now.Sub(w.heardAt) < Hold {
+	if w.report == nil || w.gone || now.Sub(w.answeredAt) < Hold {
 		return
 	}
 	if len(w.runs) > 0 && w.clock.least(now) > w.holdUntil+stopRetry.Milliseconds() {
--- a/yuccaworker/run.go
+++ b/yuccaworker/run.go
@@ -125,7 +125,7 @@
 
 // pump starts the waiting tasks that fit, the lowest rank first.
 func (w *Worker) pump(now time.Time) {
-	if !w.ready() {
+	if !w.ready() || w.silent(now) {
 		return
 	}
 	for i := 0; i < len(w.queue) && i < backfill; {
@@ -148,6 +148,9 @@
 func (w *Worker) begun(now time.Time, r *run) {
 	r.state = starting
 	r.startAt = now
+	if len(w.runs) == 0 {
+		w.answeredAt = now
+	}
 	w.runs[r.key] = r
 	w.used = w.used.plus(r.size)
 	w.metrics.Add("starts", 1)
@@ -167,8 +170,7 @@
 // StartReply takes in the answer to a start.
 func (w *Worker) StartReply(now time.Time, life Life, key Key, result StartResult, clock int64) {
 	if result != StartUnknown && life == w.life() {
-		w.heardAt = now
-		w.clock.note(clock, now)
+		w.answered(now, clock)
 	}
 	r := w.runs[key]
 	if r == nil || life != w.life() || r.state != starting {
@@ -240,8 +242,7 @@
 		return
 	}
 	if answered {
-		w.heardAt = now
-		w.clock.note(clock, now)
+		w.answered(now, clock)
 	}
 	r := w.runs[key]
 	if r == nil || !answered || r.stopAt.IsZero() || !r.stopAcked.IsZero() {
--- a/yuccaworker/worker.go
+++ b/yuccaworker/worker.go
@@ -21,12 +21,14 @@
 	began   time.Time
 	actions []Action
 
-	report   *Report
-	heardAt  time.Time
-	gone     bool
-	stopping bool
-	token    int64
-	clock    workerClock
+	report  *Report
+	heardAt time.Time
+	// answeredAt is when the worker last answered a call.
+	answeredAt time.Time
+	gone       bool
+	stopping   bool
+	token      int64
+	clock      workerClock
 	// taken is set once nothing that an earlier side began runs any more.
 	taken     bool
 	takeAt    time.Time
@@ -178,6 +180,7 @@
 	w.token = max(r.ClockMS, 1)
 	w.taken = false
 	w.takeAt = now
+	w.answeredAt = now
 	w.holding = false
 	w.holdUntil = 0
 	w.cursor, w.acked = 0, 0
@@ -220,6 +223,12 @@
 	w.expireOwners(now)
 }
 
+// answered takes in that the worker has answered a call.
+func (w *Worker) answered(now time.Time, clock int64) {
+	w.heardAt, w.answeredAt = now, now
+	w.clock.note(clock, now)
+}
+
 // ready tells whether orders are taken.
 func (w *Worker) ready() bool {
 	return w.report != nil && w.taken && !w.gone && !w.stopping && !w.report.Leaving
