--- a/yuccabroker/broker.go
+++ b/yuccabroker/broker.go
@@ -3,6 +3,7 @@
 import (
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/yuccaturn/yuccaturn/yuccametric"
@@ -25,7 +26,9 @@
 	actions []Action
 	out     map[string]bool
 
-	jobs    map[string]*job
+	jobs map[string]*job
+	// open lists the jobs in the order in which they came; some have ended.
+	open    []*job
 	kept    map[string]keptOutcome
 	keptIDs []keptID
 	sides   map[string]*side
@@ -99,7 +102,7 @@
 // it, and none is taken that is likely not to end before it.
 func (b *Broker) StopAt(now time.Time, at time.Time) {
 	b.stopAt = at
-	for _, j := range b.jobs {
+	for _, j := range b.open {
 		j.giveUpAt = earlier(j.giveUpAt, at)
 	}
 	b.options.Logger.Info("takes jobs until it stops", "jobs", len(b.jobs), "stop_in_ms", at.Sub(now).Milliseconds())
@@ -183,7 +186,10 @@
 	for _, s := range b.sides {
 		s.stampAt = time.Time{}
 	}
-	for _, j := range b.jobs {
+	for _, j := range slices.Clone(b.open) {
+		if j.ended {
+			continue
+		}
 		b.giveUp(now, j, "the entry stood still")
 	}
 }
--- a/yuccabroker/job.go
+++ b/yuccabroker/job.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/yuccaturn/yuccaturn/yuccawire"
@@ -62,9 +63,11 @@
 	run      uint64
 	failures uint32
 	side     *side
-	rank     time.Time
-	at       int
-	sentAt   time.Time
+	// sentTo is the incarnation of the side that the run was sent to.
+	sentTo uint64
+	rank   time.Time
+	at     int
+	sentAt time.Time
 	// avoid is where it has last failed or stood still.
 	avoid *side
 	tries int
@@ -102,6 +105,7 @@
 		return
 	}
 	b.jobs[j.ID] = j
+	b.open = append(b.open, j)
 	b.release(now, j)
 	b.stale = true
 }
@@ -287,6 +291,7 @@
 // stopRuns takes the waiting tasks of a job from the queue and withdraws its runs.
 func (b *Broker) stopRuns(j *job) {
 	stops := make(map[*side]*yuccawire.Withdraw)
+	var sides []*side
 	for _, st := range j.steps {
 		for _, t := range st.tasks {
 			switch t.state {
@@ -295,13 +300,15 @@
 			case sent:
 				if stops[t.side] == nil {
 					stops[t.side] = &yuccawire.Withdraw{}
+					sides = append(sides, t.side)
 				}
 				stops[t.side].Runs = append(stops[t.side].Runs, &yuccawire.RunKey{Task: t.name, Run: t.run})
 			case blocked, done:
 			}
 		}
 	}
-	for s, withdraw := range stops {
+	for _, s := range sides {
+		withdraw := stops[s]
 		b.metrics.Add("runs_withdrawn", int64(len(withdraw.GetRuns())))
 		b.send(s.name, &yuccawire.Envelope{Body: &yuccawire.Envelope_Withdraw{Withdraw: withdraw}})
 	}
@@ -335,8 +342,10 @@
 }
 
 func (b *Broker) expireJobs(now time.Time) {
-	for _, j := range b.jobs {
+	b.open = slices.DeleteFunc(b.open, func(j *job) bool { return j.ended })
+	for _, j := range b.open {
 		switch {
+		case j.ended:
 		case !now.Before(j.giveUpAt), j.withdrawn != "" && j.openRuns == 0:
 			b.giveUp(now, j, "the deadline has passed")
 		case j.withdrawn == "" && !now.Before(j.giveUpAt.Add(-withdrawMargin)):
--- a/yuccabroker/place.go
+++ b/yuccabroker/place.go
@@ -14,6 +14,7 @@
 	}
 	b.stale = false
 	orders := make(map[*side]*yuccawire.Orders)
+	var sides []*side
 	for b.waiting.Len() > 0 {
 		t := b.waiting.first()
 		s := b.choose(now, t)
@@ -21,9 +22,13 @@
 			break
 		}
 		b.waiting.remove(t)
+		if orders[s] == nil {
+			sides = append(sides, s)
+		}
 		b.order(now, t, s, orders)
 	}
-	for s, m := range orders {
+	for _, s := range sides {
+		m := orders[s]
 		s.number++
 		m.Number = s.number
 		m.UntilMs = s.until()
@@ -39,6 +44,7 @@
 	j.lastRun = max(j.lastRun, t.run)
 	t.tries++
 	t.side = s
+	t.sentTo = s.Incarnation
 	t.sentAt = now
 	j.begun = true
 	j.sentRuns++
--- a/yuccabroker/side.go
+++ b/yuccabroker/side.go
@@ -1,6 +1,8 @@
 package yuccabroker
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -51,6 +53,9 @@
 	unseen    []unseenOrder
 	runs      map[*task]struct{}
 	pausedTo  time.Time
+	// orphans is set while runs that an earlier process of the side was sent may
+	// be alive.
+	orphans bool
 }
 
 // unseenOrder is room that was used by orders which the last report did not
@@ -62,6 +67,11 @@
 
 func (s *side) has(label string) bool { return label == "" || slices.Contains(s.labels, label) }
 
+// sorted lists the tasks that the side has, by name.
+func (s *side) sorted() []*task {
+	return slices.SortedFunc(maps.Keys(s.runs), func(a, b *task) int { return cmp.Compare(a.name, b.name) })
+}
+
 // left is the room for another task, with what is on its way there.
 func (s *side) left() room {
 	left := s.free
@@ -78,6 +88,7 @@
 	if s != nil && s.Incarnation != given.Incarnation {
 		b.options.Logger.Info("a side has started again", "side", given.Name, "runs", len(s.runs))
 		s.ready = false
+		s.orphans = len(s.runs) > 0
 	}
 	if s == nil {
 		s = &side{name: given.Name, runs: make(map[*task]struct{}), pace: 1}
@@ -119,9 +130,27 @@
 	s.labels = m.GetLabels()
 	s.pace = max(float64(m.GetPacePercent())/100, 0.1)
 	s.unseen = slices.DeleteFunc(s.unseen, func(u unseenOrder) bool { return u.number <= m.GetOrdersSeen() })
+	if m.GetTaken() {
+		b.endOrphans(now, s)
+	}
 	b.stale = true
 }
 
+// endOrphans gives up what was sent to an earlier process of a side, once the
+// present one has made sure that nothing of it runs. Until then it may.
+func (b *Broker) endOrphans(now time.Time, s *side) {
+	if !s.orphans {
+		return
+	}
+	s.orphans = false
+	for _, t := range s.sorted() {
+		if t.sentTo != s.Incarnation {
+			t.job.ran = true
+			b.runOver(now, t, "the side has started again")
+		}
+	}
+}
+
 // Ends takes in what became of runs at a side.
 func (b *Broker) Ends(now time.Time, name string, m *yuccawire.Ends) {
 	b.State(now, name, m.GetState())
@@ -151,8 +180,8 @@
 	if len(withdraw.GetRuns()) > 0 {
 		b.send(s.name, &yuccawire.Envelope{Body: &yuccawire.Envelope_Withdraw{Withdraw: withdraw}})
 	}
-	for t := range s.runs {
-		if !present[runKey{task: t.name, run: t.run}] {
+	for _, t := range s.sorted() {
+		if t.sentTo == s.Incarnation && !present[runKey{task: t.name, run: t.run}] {
 			b.metrics.Add("runs_never_arrived", 1)
 			b.runOver(now, t, "it never reached the side")
 		}
@@ -162,7 +191,7 @@
 func (b *Broker) ended(now time.Time, s *side, e *yuccawire.Ended) {
 	key := runKey{task: e.GetRun().GetTask(), run: e.GetRun().GetRun()}
 	t := b.runs[key]
-	if t == nil || t.side != s {
+	if t == nil || t.side != s || t.sentTo != s.Incarnation {
 		return
 	}
 	b.forgetRun(t)
@@ -240,7 +269,7 @@
 		if len(s.runs) == 0 || now.Before(s.overAt()) {
 			continue
 		}
-		for t := range s.runs {
+		for _, t := range s.sorted() {
 			t.job.ran = true
 			b.runOver(now, t, "the side is silent and its leases have run out")
 		}
--- a/yuccamodel/caller_test.go
+++ b/yuccamodel/caller_test.go
@@ -29,8 +29,8 @@
 	targetLatency = 60 * time.Millisecond
 	stretch       = 1.6
 	// patience beyond the objective is how long a caller waits.
-	patience      = 1500 * time.Millisecond
-	estimateOff   = 0.4
+	patience    = 1500 * time.Millisecond
+	estimateOff = 0.4
 )
 
 type taskSize struct {
@@ -87,6 +87,7 @@
 		Steps: []yuccabroker.Step{{Count: count, CPUMilli: cpu, MemoryMB: 64, Estimate: time.Duration(estimate) * time.Millisecond}},
 	}
 	w.callers[id] = j
+	w.jobs = append(w.jobs, j)
 	j.send()
 	return j
 }
@@ -106,6 +107,7 @@
 	j.waiter = waiter
 	e.waiters[waiter] = j
 	submitted := j.job
+	w.note("caller sends %s to %s, try %d", j.job.ID, e.name, j.tries)
 	w.after(oneWay, func() {
 		e.do(func() { e.broker.Submit(w.now, submitted, waiter) })
 	})
@@ -149,7 +151,7 @@
 	}
 	if o.State == yuccabroker.Rejected && j.tries == 1 {
 		if j.ran {
-			j.w.t.Errorf("seed %d: job %s is refused as not run, and has run", j.w.seed, j.job.ID)
+			j.w.violated(j.job.ID, "job %s is refused as not run, and has run", j.job.ID)
 		}
 		j.refused = true
 	}
@@ -190,7 +192,7 @@
 func (w *world) result() result {
 	r := result{kinds: make(map[string]float64)}
 	earned, owed := make(map[string]float64), make(map[string]float64)
-	for _, j := range w.callers {
+	for _, j := range w.jobs {
 		r.jobs++
 		mean := j.kind.tasks * j.kind.meanMS / 1000 * meanCPU / 1000
 		worth := min(0.3+0.7*j.cores/mean, 4)
--- a/yuccamodel/model_test.go
+++ b/yuccamodel/model_test.go
@@ -91,7 +91,7 @@
 }
 
 // foundSeeds are seeds that have shown a fault.
-var foundSeeds = []uint64{}
+var foundSeeds = []uint64{1139, 1160, 1207, 1210}
 
 // TestFaults lets entries, sides, workers and links fail at random. Whatever
 // happens, no task runs twice at the same time, no worker is over its capacity,
@@ -122,7 +122,9 @@
 	e := w.entries[w.draw.IntN(len(w.entries))]
 	s := w.sides[w.draw.IntN(len(w.sides))]
 	d := time.Duration(100+w.draw.IntN(4000)) * time.Millisecond
-	switch w.draw.IntN(12) {
+	kind := w.draw.IntN(12)
+	w.note("fault %d %s %s for %v", kind, e.name, s.name, d)
+	switch kind {
 	case 0:
 		w.killEntry(e, false, d)
 	case 1:
@@ -156,7 +158,7 @@
 		s.node.lostAnswer = 0.2
 		w.after(d, func() { s.node.lostAnswer = 0 })
 	case 11:
-		for _, j := range w.callers {
+		for _, j := range w.jobs {
 			if !j.ended && w.draw.IntN(2) == 0 {
 				j.leave()
 			}
--- a/yuccamodel/worker_test.go
+++ b/yuccamodel/worker_test.go
@@ -110,6 +110,7 @@
 }
 
 func (n *node) end(key yuccaworker.Key, how yuccawire.RunEnd) {
+	n.w.note("%s ends %v %v", n.name, key, how)
 	r := n.runs[key]
 	delete(n.runs, key)
 	n.w.alive[key.Task]--
@@ -161,6 +162,7 @@
 	job := n.w.callers[string(c.Payload)]
 	size := job.tasks[key.Task]
 	n.runs[key] = &nodeRun{cpu: size.cpu, job: job, leftMS: size.workMS}
+	n.w.note("%s starts %v hold to %d clock %d", n.name, key, n.holdTo, n.clock())
 	n.w.startedAt(n, key.Task, job)
 	used := 0
 	for _, r := range n.runs {
--- a/yuccamodel/world_test.go
+++ b/yuccamodel/world_test.go
@@ -4,7 +4,10 @@
 	"container/heap"
 	"fmt"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -66,11 +69,15 @@
 	sides   []*modelSide
 	links   map[[2]int]*link
 	callers map[string]*callerJob
+	// jobs are the callers' jobs in the order in which they came.
+	jobs []*callerJob
 	// alive counts the runs of each task that are there now.
 	alive    map[string]int
 	workDone float64
 	starts   int
 	nextJob  int
+	// history holds what happened, to explain a violation.
+	history []string
 }
 
 type modelEntry struct {
@@ -186,15 +193,30 @@
 	}
 }
 
+// note remembers what happened.
+func (w *world) note(format string, args ...any) {
+	w.history = append(w.history, fmt.Sprintf("%v ", w.now.Sub(began))+fmt.Sprintf(format, args...))
+}
+
+// violated fails the test with what happened to the job.
+func (w *world) violated(job, format string, args ...any) {
+	for _, line := range w.history {
+		if strings.Contains(line, job) || strings.Contains(line, "fault") {
+			w.t.Log(line)
+		}
+	}
+	w.t.Errorf("seed %d, %v: %s", w.seed, w.now.Sub(began), fmt.Sprintf(format, args...))
+}
+
 // startedAt checks that no other run of the task is there.
 func (w *world) startedAt(n *node, task string, job *callerJob) {
 	w.starts++
 	w.alive[task]++
 	if w.alive[task] > 1 {
-		w.t.Errorf("seed %d, %v: %s starts on %s while another run of it is there", w.seed, w.now.Sub(began), task, n.name)
+		w.violated(job.job.ID, "%s starts on %s while another run of it is there", task, n.name)
 	}
 	if job.refused {
-		w.t.Errorf("seed %d, %v: %s starts after its job was refused as not run", w.seed, w.now.Sub(began), task)
+		w.violated(job.job.ID, "%s starts after its job was refused as not run", task)
 	}
 	job.ran = true
 }
@@ -348,6 +370,7 @@
 
 func (s *modelSide) callStart(a yuccaworker.CallStart) {
 	core := s.core
+	s.w.note("%s calls start %v", s.name, a.Key)
 	unknown := func() { core.StartReply(s.w.now, a.Life, a.Key, yuccaworker.StartUnknown, 0) }
 	s.call(func() {
 		result, clock := s.node.start(a), s.node.clock()
@@ -360,6 +383,7 @@
 	unknown := func() { core.StopReply(s.w.now, a.Life, a.Key, false, 0) }
 	s.call(func() {
 		answered, clock := s.node.stop(a), s.node.clock()
+		s.w.note("%s stop %v carried out %v", s.name, a.Key, answered)
 		s.reply(func() { core.StopReply(s.w.now, a.Life, a.Key, answered, clock) }, unknown, callTimeout)
 	}, unknown, callTimeout)
 }
@@ -462,6 +486,7 @@
 			return
 		}
 		s.do(func() {
+			w.note("%s gets from %s.%d %v", s.name, e.name, e.incarnation, m)
 			switch body := m.GetBody().(type) {
 			case *yuccawire.Envelope_Orders:
 				s.core.Orders(w.now, id, body.Orders)
@@ -485,6 +510,7 @@
 			case *yuccawire.Envelope_WorkerState:
 				e.broker.State(w.now, s.name, body.WorkerState)
 			case *yuccawire.Envelope_Ends:
+				w.note("%s gets ends from %s.%d %v", e.name, s.name, s.incarnation, body.Ends)
 				e.broker.Ends(w.now, s.name, body.Ends)
 			}
 		})
@@ -497,7 +523,8 @@
 	if e.dead {
 		return
 	}
-	waiters := e.waiters
+	waiters := maps.Clone(e.waiters)
+	order := slices.Sorted(maps.Keys(waiters))
 	for _, s := range w.sides {
 		if !dark {
 			w.close(e, s)
@@ -509,14 +536,14 @@
 	e.dead = true
 	e.frozen = false
 	e.held = nil
-	for waiter, j := range waiters {
-		if !dark {
+	for _, waiter := range order {
+		if j := waiters[waiter]; !dark {
 			j.broken(e, waiter)
 		}
 	}
 	w.after(back, func() {
-		for waiter, j := range waiters {
-			j.broken(e, waiter)
+		for _, waiter := range order {
+			waiters[waiter].broken(e, waiter)
 		}
 		e.begin()
 	})
--- a/yuccaworker/health.go
+++ b/yuccaworker/health.go
@@ -92,7 +92,7 @@
 // those that are overdue, so that they can run elsewhere.
 func (w *Worker) checkHealth(now time.Time) {
 	var overdue []*run
-	for _, r := range w.runs {
+	for _, r := range w.sorted() {
 		if r.stopAt.IsZero() && w.health.overdue(now, r) && r.startAt.After(w.health.doneAt.Add(-overdueSlack)) {
 			overdue = append(overdue, r)
 		}
--- a/yuccaworker/hold.go
+++ b/yuccaworker/hold.go
@@ -48,7 +48,7 @@
 
 // unsettled tells whether a stop was answered whose end is not listed yet.
 func (w *Worker) unsettled() bool {
-	for _, r := range w.runs {
+	for _, r := range w.sorted() {
 		if !r.stopAcked.IsZero() {
 			return true
 		}
@@ -137,8 +137,8 @@
 			w.confirmStart(now, r)
 		}
 	}
-	for key, r := range w.runs {
-		if running[key] {
+	for _, r := range w.sorted() {
+		if running[r.key] {
 			continue
 		}
 		switch {
--- a/yuccaworker/owner.go
+++ b/yuccaworker/owner.go
@@ -12,6 +12,7 @@
 	if o == nil {
 		o = &owner{id: id, interval: idleStateInterval}
 		w.owners[id] = o
+		w.ownerList = append(w.ownerList, o)
 	}
 	return o
 }
@@ -42,7 +43,7 @@
 // LinkUp tells that an owner is linked. It is told all that is known of its
 // runs. What earlier incarnations of it began is stopped.
 func (w *Worker) LinkUp(now time.Time, id Owner) {
-	for _, other := range w.owners {
+	for _, other := range w.ownerList {
 		if other.id.Name == id.Name && other.id != id {
 			other.until = now
 			other.linked = false
@@ -57,7 +58,7 @@
 	for _, k := range o.kept {
 		full.Ends = append(full.Ends, k.ended)
 	}
-	for _, r := range w.runs {
+	for _, r := range w.sorted() {
 		if r.owner == o {
 			full.Present = append(full.Present, &yuccawire.RunKey{Task: r.key.Task, Run: r.key.Run})
 		}
@@ -81,7 +82,7 @@
 
 // expireOwners stops what belongs to owners whose lease has run out.
 func (w *Worker) expireOwners(now time.Time) {
-	for id, o := range w.owners {
+	for _, o := range slices.Clone(w.ownerList) {
 		if now.Before(o.until) {
 			continue
 		}
@@ -90,14 +91,15 @@
 			continue
 		}
 		if !o.linked && now.Sub(o.until) > endsKept {
-			delete(w.owners, id)
+			delete(w.owners, o.id)
+			w.ownerList = slices.DeleteFunc(w.ownerList, func(other *owner) bool { return other == o })
 		}
 	}
 }
 
 func (w *Worker) stopOwner(now time.Time, o *owner) {
 	stopped := 0
-	for _, r := range w.runs {
+	for _, r := range w.sorted() {
 		if r.owner == o && r.stopAt.IsZero() {
 			stopped++
 			w.stop(now, r)
@@ -122,7 +124,7 @@
 
 // touchAll lets every owner hear soon that the worker has changed.
 func (w *Worker) touchAll() {
-	for _, o := range w.owners {
+	for _, o := range w.ownerList {
 		o.dirty = true
 	}
 }
@@ -130,7 +132,7 @@
 // sendStates sends what ended at once, and the state of the worker as often as
 // each owner wants it.
 func (w *Worker) sendStates(now time.Time) {
-	for _, o := range w.owners {
+	for _, o := range w.ownerList {
 		if !o.linked {
 			continue
 		}
@@ -178,6 +180,7 @@
 		OrdersSeen:       o.seen,
 		PacePercent:      w.health.pacePercent(),
 		Suspect:          w.health.suspect(),
+		Taken:            w.taken,
 	}
 	if w.report != nil {
 		state.Worker = w.report.ID
--- a/yuccaworker/run.go
+++ b/yuccaworker/run.go
@@ -1,6 +1,8 @@
 package yuccaworker
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -112,6 +114,13 @@
 	return size{cpu: int(float64(t.cpu) * queuedShare), memory: int(float64(t.memory) * queuedShare), accelerators: 0}
 }
 
+// sorted lists the runs by name, so that equal histories give equal actions.
+func (w *Worker) sorted() []*run {
+	return slices.SortedFunc(maps.Values(w.runs), func(a, b *run) int {
+		return cmp.Or(cmp.Compare(a.key.Task, b.key.Task), cmp.Compare(a.key.Run, b.key.Run))
+	})
+}
+
 // present tells whether another run of the task is here: two must never run at
 // the same time.
 func (w *Worker) present(task string) bool {
@@ -253,7 +262,7 @@
 }
 
 func (w *Worker) retryStops(now time.Time) {
-	for _, r := range w.runs {
+	for _, r := range w.sorted() {
 		if !r.stopAt.IsZero() && r.stopAcked.IsZero() && now.Sub(r.stopAt) > stopRetry {
 			w.stop(now, r)
 		}
@@ -361,7 +370,7 @@
 	if len(w.runs) > 0 {
 		w.options.Logger.Warn("runs are lost", "count", len(w.runs), "why", why)
 	}
-	for _, r := range w.runs {
+	for _, r := range w.sorted() {
 		w.finish(now, r, yuccawire.RunEnd_RUN_END_LOST)
 	}
 }
--- a/yuccaworker/worker.go
+++ b/yuccaworker/worker.go
@@ -41,9 +41,11 @@
 	runs   map[Key]*run
 	queue  []*run
 	owners map[Owner]*owner
-	used   size
-	queued size
-	health health
+	// ownerList has them in the order in which they came.
+	ownerList []*owner
+	used      size
+	queued    size
+	health    health
 }
 
 // size is what a task or a worker has of each resource.
@@ -216,7 +218,7 @@
 func (w *Worker) Suspended(now time.Time, stood time.Duration) {
 	w.options.Logger.Warn("the machine was suspended", "stood_ms", stood.Milliseconds())
 	w.metrics.Add("suspensions", 1)
-	for _, o := range w.owners {
+	for _, o := range w.ownerList {
 		o.until = now
 	}
 	w.clock.at = w.clock.at.Add(-stood)
