--- a/yuccamodel/model_test.go
+++ b/yuccamodel/model_test.go
@@ -91,7 +91,7 @@
 }
 
 // foundSeeds are seeds that have shown a fault.
-var foundSeeds = []uint64{1139, 1160, 1207, 1210}
+var foundSeeds = []uint64{1139, 1160, 1207, 1210, 163, 3114}
 
 // TestFaults lets entries, sides, workers and links fail at random. Whatever
 // happens, no task runs twice at the same time, no worker is over its capacity,
--- a/yuccaworker/run.go
+++ b/yuccaworker/run.go
@@ -89,10 +89,8 @@
 		return yuccawire.RunRefusal_RUN_REFUSAL_NO_WORKER
 	case w.stopping || w.report.Leaving:
 		return yuccawire.RunRefusal_RUN_REFUSAL_LEAVING
-	case !now.Before(r.expires):
-		return yuccawire.RunRefusal_RUN_REFUSAL_EXPIRED
-	case !now.Before(r.owner.until):
-		return yuccawire.RunRefusal_RUN_REFUSAL_NO_LEASE
+	case r.stale(now) != yuccawire.RunRefusal_RUN_REFUSAL_UNSPECIFIED:
+		return r.stale(now)
 	case w.present(r.key.Task):
 		return yuccawire.RunRefusal_RUN_REFUSAL_BUSY
 	case !w.health.admits(now, len(w.runs)+len(w.queue)):
@@ -139,6 +137,12 @@
 	}
 	for i := 0; i < len(w.queue) && i < backfill; {
 		r := w.queue[i]
+		// The process may have stood still since the last tick.
+		if why := r.stale(now); why != yuccawire.RunRefusal_RUN_REFUSAL_UNSPECIFIED {
+			w.dequeue(i)
+			w.dropQueued(now, r, why)
+			continue
+		}
 		if !r.size.fits(w.total().minus(w.used)) {
 			i++
 			continue
@@ -148,6 +152,17 @@
 	}
 }
 
+// stale tells why a run may not be started any more, if it may not.
+func (r *run) stale(now time.Time) yuccawire.RunRefusal {
+	switch {
+	case !now.Before(r.expires):
+		return yuccawire.RunRefusal_RUN_REFUSAL_EXPIRED
+	case !now.Before(r.owner.until):
+		return yuccawire.RunRefusal_RUN_REFUSAL_NO_LEASE
+	}
+	return yuccawire.RunRefusal_RUN_REFUSAL_UNSPECIFIED
+}
+
 func (w *Worker) dequeue(i int) {
 	w.queued = w.queued.minus(w.queue[i].size)
 	w.queue = slices.Delete(w.queue, i, i+1)
@@ -229,7 +244,7 @@
 // starts.
 func (w *Worker) startUnknown(now time.Time, r *run) {
 	w.metrics.Add("starts_unanswered", 1)
-	if r.tries < maxStartTries && now.Before(r.expires) && r.stopAt.IsZero() {
+	if r.tries < maxStartTries && r.stale(now) == yuccawire.RunRefusal_RUN_REFUSAL_UNSPECIFIED && r.stopAt.IsZero() {
 		w.sendStart(now, r)
 		return
 	}
