broker: three tiers, late jobs by the work that is left, nearly done ones first

Room is now reckoned by tier (urgent, in time, late), late jobs go by the work that is left, and those with a third of their tasks left go before new ones.

--- a/yuccabroker/doc.go
+++ b/yuccabroker/doc.go
@@ -23,6 +23,12 @@
 import "time"
 
 const (
+	// tierUrgent holds the tasks of the most urgent queues that can reach their
+	// objective, tierInTime the others that can, tierLate the rest.
+	tierUrgent = 0
+	tierInTime = 1
+	tierLate   = 2
+	tiers      = 3
 	// milli is the number of thousandths in one.
 	milli = 1000
 	// beatInterval is the time between two renewals of the lease at a side that
@@ -54,13 +60,15 @@
 	outcomeKept = 10 * time.Second
 	// priorityStep is how much later the objective of a job counts for each step
 	// of its queue's priority.
-	priorityStep = 150 * time.Millisecond
+	priorityStep = 50 * time.Millisecond
+	// lateRankPerWork orders late jobs by the work that is left, in seconds of rank
+	// for a core-second: jobs that are nearly done go first, so that as many as
+	// possible are served and little is thrown away.
+	lateRankPerWork = 10
+	// nearlyDone is the part of a late job's tasks that may be left for the job to
+	// be finished before new ones are begun: little work, and none thrown away.
+	nearlyDone = 3
 	// pauseAfterRefusal keeps tasks from a side that has just refused one, until
 	// it has reported again.
 	pauseAfterRefusal = 20 * time.Millisecond
-	// lateRank puts the tasks that can't reach their objective any more behind all
-	// that can, and urgentRank those of the most urgent queues before them: both
-	// are longer than any caller waits.
-	lateRank   = time.Minute
-	urgentRank = time.Minute
 )
--- a/yuccabroker/job.go
+++ b/yuccabroker/job.go
@@ -31,8 +31,10 @@
 	giveUpAt  time.Time
 	waiters   []uint64
 	steps     []*step
-	left      int
-	begun     bool
+	// count is the number of tasks, left those that are not done.
+	count int
+	left  int
+	begun bool
 	// sentRuns counts the orders that were sent, openRuns those whose runs may be
 	// alive. ran is set once one has started, as far as is known.
 	sentRuns int
@@ -65,6 +67,7 @@
 	side     *side
 	// sentTo is the incarnation of the side that the run was sent to.
 	sentTo uint64
+	tier   int
 	rank   time.Time
 	at     int
 	sentAt time.Time
@@ -117,6 +120,7 @@
 		for i := range given.Count {
 			st.tasks = append(st.tasks, &task{job: j, step: st, name: fmt.Sprintf("%s.0.%d.%d", j.ID, s, i), at: -1})
 		}
+		j.count += given.Count
 		j.left += given.Count
 		j.steps = append(j.steps, st)
 	}
@@ -204,7 +208,7 @@
 		return
 	}
 	t.state = waiting
-	t.rank = t.rankAt(now)
+	t.tier, t.rank = t.rankAt(now)
 	b.waiting.add(t)
 	b.stale = true
 }
@@ -213,24 +217,26 @@
 // objective come first, those of the most urgent queues before the others, and
 // then by the latest start that reaches it. The rest are ordered by what their
 // callers still wait for: late answers are worth little, and none is worth less.
-func (t *task) rankAt(now time.Time) time.Time {
+func (t *task) rankAt(now time.Time) (tier int, rank time.Time) {
 	j := t.job
 	latest := j.objective.Add(-t.step.Estimate)
 	switch {
+	case now.After(latest) && j.begun && j.left*nearlyDone <= j.count:
+		return tierInTime, j.objective
 	case now.After(latest):
-		return j.giveUpAt.Add(-t.step.Estimate).Add(lateRank)
+		return tierLate, j.arrived.Add(time.Duration(j.workLeft() * lateRankPerWork * float64(time.Second)))
 	case j.Queue.Priority == 0:
-		return latest.Add(-urgentRank)
+		return tierUrgent, latest
 	}
-	return latest.Add(time.Duration(j.Queue.Priority) * priorityStep)
+	return tierInTime, latest.Add(time.Duration(j.Queue.Priority) * priorityStep)
 }
 
 // rerank orders the waiting tasks anew, some of which have become late.
 func (b *Broker) rerank(now time.Time) {
 	changed := false
 	for _, t := range b.waiting.tasks {
-		if rank := t.rankAt(now); !rank.Equal(t.rank) {
-			t.rank = rank
+		if tier, rank := t.rankAt(now); tier != t.tier || !rank.Equal(t.rank) {
+			t.tier, t.rank = tier, rank
 			changed = true
 		}
 	}
@@ -239,6 +245,16 @@
 	}
 }
 
+// workLeft is what the tasks that are not done take, in core-seconds by
+// estimate.
+func (j *job) workLeft() float64 {
+	left := 0.0
+	for _, st := range j.steps {
+		left += float64(st.left) * float64(st.CPUMilli) / milli * st.Estimate.Seconds()
+	}
+	return left
+}
+
 // work is what the task takes, in core-seconds by estimate.
 func (t *task) work() float64 {
 	return float64(t.step.CPUMilli) / milli * t.step.Estimate.Seconds()
--- a/yuccabroker/place.go
+++ b/yuccabroker/place.go
@@ -58,9 +58,10 @@
 		orders[s] = m
 	}
 	n := len(m.GetJobs())
-	if n == 0 || m.GetJobs()[n-1].GetJob() != j.ID {
+	if n == 0 || m.GetJobs()[n-1].GetJob() != j.ID || m.GetJobs()[n-1].GetTier() != uint32(t.tier) {
 		m.Jobs = append(m.Jobs, &yuccawire.JobOrder{
 			Job: j.ID, Service: j.Queue.Service, Payload: j.Payload,
+			Tier:      uint32(t.tier),
 			RankMs:    s.clockOf(t.rank),
 			ExpiresMs: uint64(max(s.clockOf(j.giveUpAt), 0)),
 		})
@@ -71,7 +72,7 @@
 		Accelerators: uint32(t.step.Accelerators), EstimateMs: uint32(t.step.Estimate.Milliseconds()), Failures: t.failures,
 	}
 	m.Jobs[n-1].Tasks = append(m.Jobs[n-1].Tasks, order)
-	s.unseen = append(s.unseen, unseenOrder{number: s.number + 1, size: need(t.step.Step)})
+	s.unseen = append(s.unseen, unseenOrder{number: s.number + 1, tier: t.tier, size: need(t.step.Step)})
 }
 
 // clockOf is the side's clock at a local time, as far as its last stamp tells.
@@ -110,7 +111,7 @@
 	if !b.usable(now, t, s) {
 		return 0, false
 	}
-	left := s.left()
+	left := s.left(t.tier)
 	size := need(t.step.Step)
 	if !size.fits(left.plus(room{cpu: int(queuedShare * float64(s.total.cpu)), memory: s.total.memory / 8})) {
 		return 0, false
--- a/yuccabroker/queue.go
+++ b/yuccabroker/queue.go
@@ -19,6 +19,9 @@
 // Less orders by rank, and by number where ranks are equal.
 func (q *queue) Less(i, j int) bool {
 	a, b := q.tasks[i], q.tasks[j]
+	if a.tier != b.tier {
+		return a.tier < b.tier
+	}
 	if !a.rank.Equal(b.rank) {
 		return a.rank.Before(b.rank)
 	}
--- a/yuccabroker/side.go
+++ b/yuccabroker/side.go
@@ -40,7 +40,7 @@
 	suspect bool
 	total   room
 	free    room
-	queued  int
+	queued  [tiers]int
 	pace    float64
 	labels  []string
 	// stamp is the side's clock, stampAt when it came.
@@ -62,6 +62,7 @@
 // count.
 type unseenOrder struct {
 	number uint64
+	tier   int
 	size   room
 }
 
@@ -72,12 +73,17 @@
 	return slices.SortedFunc(maps.Keys(s.runs), func(a, b *task) int { return cmp.Compare(a.name, b.name) })
 }
 
-// left is the room for another task, with what is on its way there.
-func (s *side) left() room {
+// left is the room for another task of the tier, with what is on its way there.
+// What is less urgent gives way.
+func (s *side) left(tier int) room {
 	left := s.free
-	left.cpu -= s.queued
+	for _, queued := range s.queued[:tier+1] {
+		left.cpu -= queued
+	}
 	for _, u := range s.unseen {
-		left = left.minus(u.size)
+		if u.tier <= tier {
+			left = left.minus(u.size)
+		}
 	}
 	return left
 }
@@ -126,7 +132,10 @@
 	s.ready, s.suspect = m.GetReady(), m.GetSuspect()
 	s.total = room{cpu: int(m.GetCpuMilli()), memory: int(m.GetMemoryMb()), accelerators: int(m.GetAccelerators())}
 	s.free = room{cpu: int(m.GetFreeCpuMilli()), memory: int(m.GetFreeMemoryMb()), accelerators: int(m.GetFreeAccelerators())}
-	s.queued = int(m.GetQueuedCpuMilli())
+	s.queued = [tiers]int{}
+	for tier, cpu := range m.GetQueuedCpuMilli() {
+		s.queued[min(tier, tiers-1)] += int(cpu)
+	}
 	s.labels = m.GetLabels()
 	s.pace = max(float64(m.GetPacePercent())/100, 0.1)
 	s.unseen = slices.DeleteFunc(s.unseen, func(u unseenOrder) bool { return u.number <= m.GetOrdersSeen() })
--- a/yuccamodel/model_test.go
+++ b/yuccamodel/model_test.go
@@ -165,3 +165,19 @@
 		}
 	}
 }
+
+// A quarter of the workers is gone for good, and more is asked for than the rest
+// can do: what is served stays whole, and little of it is thrown away.
+func TestOverload(t *testing.T) {
+	w := newWorld(t, 5, 9, 11)
+	w.run(warmUp)
+	w.offer(overloadFactor, 16*time.Second)
+	w.run(time.Second)
+	w.sides[1].node.crash()
+	w.sides[2].node.crash()
+	w.run(19 * time.Second)
+	r := w.result()
+	t.Logf("%+v served %.3f", r, 1-float64(r.failed+r.refused)/float64(r.jobs))
+}
+
+var overloadFactor = 1.2
--- a/yuccaworker/doc.go
+++ b/yuccaworker/doc.go
@@ -53,6 +53,10 @@
 	// queuedShare is the share of the worker's processors that may wait here, so
 	// that a place which becomes free is filled without a round trip.
 	queuedShare = 0.2
+	// tiers is the number of classes of urgency.
+	tiers = 3
+	// maxQueuedRuns bounds what waits here in all tiers.
+	maxQueuedRuns = 64
 	// backfill is the number of waiting tasks that are tried when the first does
 	// not fit.
 	backfill = 6
--- a/yuccaworker/owner.go
+++ b/yuccaworker/owner.go
@@ -176,12 +176,14 @@
 		FreeCpuMilli:     int32(free.cpu),
 		FreeMemoryMb:     int32(free.memory),
 		FreeAccelerators: int32(free.accelerators),
-		QueuedCpuMilli:   int32(w.queued.cpu),
 		OrdersSeen:       o.seen,
 		PacePercent:      w.health.pacePercent(),
 		Suspect:          w.health.suspect(),
 		Taken:            w.taken,
 	}
+	for _, queued := range w.queued {
+		state.QueuedCpuMilli = append(state.QueuedCpuMilli, int32(queued.cpu))
+	}
 	if w.report != nil {
 		state.Worker = w.report.ID
 		state.Service = w.report.Service
--- a/yuccaworker/run.go
+++ b/yuccaworker/run.go
@@ -29,6 +29,7 @@
 	service   string
 	payload   []byte
 	size      size
+	tier      int
 	rank      int64
 	expires   time.Time
 	estimate  time.Duration
@@ -64,6 +65,7 @@
 	r := &run{
 		key: Key{Task: t.GetTask(), Run: t.GetRun()}, owner: o, service: job.GetService(), payload: job.GetPayload(),
 		size:     size{cpu: int(t.GetCpuMilli()), memory: int(t.GetMemoryMb()), accelerators: int(t.GetAccelerators())},
+		tier:     min(int(job.GetTier()), tiers-1),
 		rank:     job.GetRankMs(),
 		expires:  w.at(job.GetExpiresMs()),
 		estimate: time.Duration(t.GetEstimateMs()) * time.Millisecond, failures: t.GetFailures(), orderedAt: now,
@@ -73,12 +75,12 @@
 		return
 	}
 	o.runs++
-	w.queued = w.queued.plus(r.size)
-	at, _ := slices.BinarySearchFunc(w.queue, r.rank, func(q *run, rank int64) int {
-		if q.rank <= rank {
-			return -1
+	w.queued[r.tier] = w.queued[r.tier].plus(r.size)
+	at, _ := slices.BinarySearchFunc(w.queue, r, func(q, r *run) int {
+		if c := cmp.Or(cmp.Compare(q.tier, r.tier), cmp.Compare(q.rank, r.rank)); c != 0 {
+			return c
 		}
-		return 1
+		return -1
 	})
 	w.queue = slices.Insert(w.queue, at, r)
 }
@@ -97,14 +99,21 @@
 		return yuccawire.RunRefusal_RUN_REFUSAL_UNHEALTHY
 	case !r.size.fits(w.total()):
 		return yuccawire.RunRefusal_RUN_REFUSAL_NO_ROOM
-	case !r.size.fits(w.room().plus(w.maxQueued())):
+	case !r.size.fits(w.room(r.tier).plus(w.maxQueued())), len(w.queue) >= maxQueuedRuns:
 		return yuccawire.RunRefusal_RUN_REFUSAL_NO_ROOM
 	}
 	return yuccawire.RunRefusal_RUN_REFUSAL_UNSPECIFIED
 }
 
-// room is what is left when all that runs and waits here has its share.
-func (w *Worker) room() size { return w.total().minus(w.used).minus(w.queued) }
+// room is what is left for a task of the tier, when all that runs and all that
+// waits before it has its share. What is less urgent keeps nothing out.
+func (w *Worker) room(tier int) size {
+	room := w.total().minus(w.used)
+	for _, queued := range w.queued[:tier+1] {
+		room = room.minus(queued)
+	}
+	return room
+}
 
 // maxQueued is how much may wait here beyond what fits.
 func (w *Worker) maxQueued() size {
@@ -164,7 +173,8 @@
 }
 
 func (w *Worker) dequeue(i int) {
-	w.queued = w.queued.minus(w.queue[i].size)
+	r := w.queue[i]
+	w.queued[r.tier] = w.queued[r.tier].minus(r.size)
 	w.queue = slices.Delete(w.queue, i, i+1)
 }
 
--- a/yuccaworker/worker.go
+++ b/yuccaworker/worker.go
@@ -44,8 +44,9 @@
 	// ownerList has them in the order in which they came.
 	ownerList []*owner
 	used      size
-	queued    size
-	health    health
+	// queued is what waits, by tier.
+	queued [tiers]size
+	health health
 }
 
 // size is what a task or a worker has of each resource.
