--- /dev/null
+++ b/yuccalog/writer_test.go
@@ -0,0 +1,68 @@
+package yuccalog_test
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/yuccaturn/yuccaturn/yuccalog"
+	"github.com/yuccaturn/yuccaturn/yuccametric"
+)
+
+// slowReader takes nothing until it is released.
+type slowReader struct {
+	mu      sync.Mutex
+	text    bytes.Buffer
+	release chan struct{}
+}
+
+func (r *slowReader) Write(p []byte) (int, error) {
+	<-r.release
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.text.Write(p)
+}
+
+type service struct {
+	writer *yuccalog.Writer
+	done   chan struct{}
+}
+
+func (s *service) run(ctx context.Context) {
+	defer close(s.done)
+	_ = s.writer.Serve(ctx)
+}
+
+// Writers never wait for the reader of the log; what is dropped is counted.
+func TestNeverBlocks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		metrics := yuccametric.New("log")
+		out := &slowReader{release: make(chan struct{})}
+		writer := yuccalog.New(out, metrics)
+		ctx, cancel := context.WithCancel(t.Context())
+		s := &service{writer: writer, done: make(chan struct{})}
+		go s.run(ctx)
+		for range 2 * yuccalog.MaxLinesPerSecond {
+			if _, err := writer.Write([]byte("line\n")); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if got := metrics.Value("log_lines_dropped"); got != yuccalog.MaxLinesPerSecond {
+			t.Errorf("dropped %d lines, want %d", got, yuccalog.MaxLinesPerSecond)
+		}
+		close(out.release)
+		time.Sleep(time.Second)
+		cancel()
+		<-s.done
+		if got := strings.Count(out.text.String(), "line\n"); got != yuccalog.MaxLinesPerSecond {
+			t.Errorf("wrote %d lines, want %d", got, yuccalog.MaxLinesPerSecond)
+		}
+		if !strings.Contains(out.text.String(), `"count":400`) {
+			t.Errorf("the log does not say how many lines it lacks: %q", out.text.String()[max(0, out.text.Len()-200):])
+		}
+	})
+}
--- a/yuccareplica/core_test.go
+++ b/yuccareplica/core_test.go
@@ -230,3 +230,107 @@
 		t.Error("a learner that has caught up with nothing was promoted")
 	}
 }
+
+// A replica that starts again applies at once what its disk says was committed.
+func TestCommitIsSaved(t *testing.T) {
+	g := newGroup(1, 2, 3)
+	g.pass(3 * time.Second)
+	leader := g.leader()
+	var saved *yuccawire.HardState
+	if _, _, ok := leader.Propose(g.now, []byte("x")); !ok {
+		t.Fatal("the leader can't propose")
+	}
+	g.settle()
+	g.now = g.now.Add(time.Second)
+	leader.Tick(g.now)
+	if ready := leader.Ready(g.now); ready.HardState != nil {
+		saved = ready.HardState
+	}
+	if saved.GetCommit() != leader.Commit() {
+		t.Fatalf("saved commit %d, want %d", saved.GetCommit(), leader.Commit())
+	}
+	stored := yuccareplica.Stored{Snapshot: yuccareplica.FirstSnapshot(replicas(1, 2, 3)), Entries: leader.Entries(), HardState: saved}
+	again := yuccareplica.New(yuccareplica.Options{ID: 9, Random: rand.New(rand.NewPCG(9, 1))}, stored, g.now)
+	committed := again.Ready(g.now).Committed
+	if n := len(committed); n == 0 || string(committed[n-1].GetCommand()) != "x" {
+		t.Errorf("applies %d entries after the start, want the last one to be x", n)
+	}
+	stored.Entries = stored.Entries[:1]
+	short := yuccareplica.New(yuccareplica.Options{ID: 9, Random: rand.New(rand.NewPCG(9, 1))}, stored, g.now)
+	if n := len(short.Ready(g.now).Committed); n != 1 {
+		t.Errorf("applies %d entries of a log that was cut to one", n)
+	}
+}
+
+// A group that wants three voters keeps a fourth replica as a learner, and lets
+// it take the place of a voter that is lost.
+func TestLearnerReplacesLostVoter(t *testing.T) {
+	g := newGroup()
+	for _, id := range []uint64{1, 2, 3, 4} {
+		stored := yuccareplica.Stored{Snapshot: yuccareplica.FirstSnapshot(replicas(1, 2, 3))}
+		if id == 4 {
+			stored = yuccareplica.Stored{Snapshot: &yuccawire.InstallSnapshot{}}
+		}
+		options := yuccareplica.Options{ID: id, Random: rand.New(rand.NewPCG(id, 1)), Voters: 3}
+		g.cores[id] = yuccareplica.New(options, stored, began)
+	}
+	g.pass(3 * time.Second)
+	leader := g.leader()
+	if err := leader.Admit(g.now, &yuccawire.ReplicaAddress{Name: "e", Id: 4}); err != nil {
+		t.Fatal(err)
+	}
+	g.pass(time.Second)
+	if leader.Promote(g.now) {
+		t.Fatal("a fourth voter is made while three are there")
+	}
+	for id, c := range g.cores {
+		if c != leader && id != 4 {
+			g.cut[id] = true
+			break
+		}
+	}
+	for range 40 {
+		g.pass(200 * time.Millisecond)
+		if leader := g.leader(); leader != nil {
+			leader.Promote(g.now)
+		}
+	}
+	voters, learners := g.leader().Replicas().GetVoters(), g.leader().Replicas().GetLearners()
+	if len(voters) != 3 || len(learners) != 1 || g.cut[voters[0].GetId()] || g.cut[voters[1].GetId()] || g.cut[voters[2].GetId()] || !g.cut[learners[0].GetId()] {
+		t.Errorf("voters %v, learners %v, want the lost voter as the learner", voters, learners)
+	}
+}
+
+func TestFormationOfUnlistedReplicas(t *testing.T) {
+	reply := func(name string, id uint64, formed bool) *yuccawire.ProbeReply {
+		return &yuccawire.ProbeReply{From: &yuccawire.ReplicaAddress{Name: name, Id: id}, Formed: formed}
+	}
+	f := yuccareplica.NewFormation(&yuccawire.ReplicaAddress{Name: "a", Id: 1}, nil)
+	f.Answered(reply("b", 2, false))
+	if got := f.DecideOpen(3, false); got != nil {
+		t.Errorf("formed with %d of three", len(got.GetVoters()))
+	}
+	if got := f.DecideOpen(3, true); len(got.GetVoters()) != 1 {
+		t.Errorf("a smaller group has %d voters, want an odd number", len(got.GetVoters()))
+	}
+	f.Answered(reply("c", 3, false))
+	f.Answered(reply("d", 4, false))
+	if got := f.DecideOpen(3, false); len(got.GetVoters()) != 3 {
+		t.Errorf("the group has %d voters, want 3", len(got.GetVoters()))
+	}
+	f.Answered(reply("d", 4, true))
+	if f.DecideOpen(3, true) != nil {
+		t.Error("a second group is formed beside one that exists")
+	}
+}
+
+// A leader that stood still gives its leadership up.
+func TestStepDown(t *testing.T) {
+	g := newGroup(1, 2, 3)
+	g.pass(3 * time.Second)
+	leader := g.leader()
+	leader.StepDown(g.now)
+	if leader.IsLeader() || leader.LeaseValid(g.now) {
+		t.Error("still leads")
+	}
+}
