--- a/yuccabroker/doc.go
+++ b/yuccabroker/doc.go
@@ -39,9 +39,9 @@
 	// lossSlack is added to the leases before a silent run counts as over: the
 	// stop of a run (50 ms), a tick at either end, and rounding.
 	lossSlack = 120 * time.Millisecond
-	// stateIntervalPerSide bounds what an entry receives to 500 reports a second.
-	stateIntervalPerSide = 2 * time.Millisecond
-	minStateInterval     = 15 * time.Millisecond
+	// stateIntervalPerSide bounds what an entry receives to 330 reports a second.
+	stateIntervalPerSide = 3 * time.Millisecond
+	minStateInterval     = 25 * time.Millisecond
 	maxStateInterval     = 250 * time.Millisecond
 	// queuedShare is how much of a worker's processors may wait at its side.
 	queuedShare = 0.18
--- a/yuccabroker/job.go
+++ b/yuccabroker/job.go
@@ -109,6 +109,8 @@
 	}
 	b.jobs[j.ID] = j
 	b.open = append(b.open, j)
+	b.options.Logger.Info("takes a job", "job", j.ID, "queue", j.Queue.Name, "tasks", j.count, "chain_ms", j.chain().Milliseconds(),
+		"deadline_ms", j.giveUpAt.Sub(now).Milliseconds(), "waiting_tasks", b.waiting.Len())
 	b.release(now, j)
 	b.stale = true
 }
@@ -337,7 +339,10 @@
 	}
 	j.waiters = nil
 	b.metrics.Add("jobs_"+o.State.String(), 1)
-	if o.State != Completed {
+	if o.State == Completed {
+		b.options.Logger.Info("completes a job", "job", j.ID, "queue", j.Queue.Name, "age_ms", now.Sub(j.arrived).Milliseconds(),
+			"orders", j.sentRuns, "late_ms", now.Sub(j.objective).Milliseconds())
+	} else {
 		b.options.Logger.Info("ends a job", "job", j.ID, "queue", j.Queue.Name, "state", o.State.String(), "reason", o.Reason,
 			"age_ms", now.Sub(j.arrived).Milliseconds(), "left", j.left, "orders", j.sentRuns)
 	}
--- a/yuccabroker/place.go
+++ b/yuccabroker/place.go
@@ -29,6 +29,7 @@
 	}
 	for _, s := range sides {
 		m := orders[s]
+		b.logOrders(now, s, m)
 		s.number++
 		m.Number = s.number
 		m.UntilMs = s.until()
@@ -36,6 +37,15 @@
 	}
 }
 
+// logOrders writes a line for each job that a side is sent tasks of.
+func (b *Broker) logOrders(now time.Time, s *side, m *yuccawire.Orders) {
+	for _, j := range m.GetJobs() {
+		first := j.GetTasks()[0]
+		b.options.Logger.Info("orders tasks", "job", j.GetJob(), "side", s.name, "tasks", len(j.GetTasks()), "first", first.GetTask(),
+			"run", first.GetRun(), "tier", j.GetTier(), "report_age_ms", now.Sub(s.stampAt).Milliseconds(), "left_cpu_milli", s.left(int(j.GetTier())).cpu)
+	}
+}
+
 // order adds a task to the orders for a side.
 func (b *Broker) order(now time.Time, t *task, s *side, orders map[*side]*yuccawire.Orders) {
 	j := t.job
@@ -123,7 +133,7 @@
 		score *= s.pace
 	}
 	if s == t.avoid {
-		score -= 1
+		score--
 	}
 	return score, true
 }
--- a/yuccabroker/side.go
+++ b/yuccabroker/side.go
@@ -89,7 +89,7 @@
 }
 
 // LinkUp tells that a side is linked.
-func (b *Broker) LinkUp(now time.Time, given Side) {
+func (b *Broker) LinkUp(_ time.Time, given Side) {
 	s := b.sides[given.Name]
 	if s != nil && s.Incarnation != given.Incarnation {
 		b.options.Logger.Info("a side has started again", "side", given.Name, "runs", len(s.runs))
@@ -128,15 +128,16 @@
 		b.options.Logger.Info("a worker has changed", "side", name, "worker", m.GetWorker(), "ready", m.GetReady(), "suspect", m.GetSuspect(), "pace_percent", m.GetPacePercent())
 	}
 	s.stamp, s.stampAt = m.GetClockMs(), now
-	s.worker, s.service = m.GetWorker(), m.GetService()
 	s.ready, s.suspect = m.GetReady(), m.GetSuspect()
-	s.total = room{cpu: int(m.GetCpuMilli()), memory: int(m.GetMemoryMb()), accelerators: int(m.GetAccelerators())}
+	if m.GetWorker() != "" {
+		s.worker, s.service, s.labels = m.GetWorker(), m.GetService(), m.GetLabels()
+		s.total = room{cpu: int(m.GetCpuMilli()), memory: int(m.GetMemoryMb()), accelerators: int(m.GetAccelerators())}
+	}
 	s.free = room{cpu: int(m.GetFreeCpuMilli()), memory: int(m.GetFreeMemoryMb()), accelerators: int(m.GetFreeAccelerators())}
 	s.queued = [tiers]int{}
 	for tier, cpu := range m.GetQueuedCpuMilli() {
 		s.queued[min(tier, tiers-1)] += int(cpu)
 	}
-	s.labels = m.GetLabels()
 	s.pace = max(float64(m.GetPacePercent())/100, 0.1)
 	s.unseen = slices.DeleteFunc(s.unseen, func(u unseenOrder) bool { return u.number <= m.GetOrdersSeen() })
 	if m.GetTaken() {
--- a/yuccacommand/deployed.go
+++ b/yuccacommand/deployed.go
@@ -36,6 +36,9 @@
 	// memoryShare is the part of the memory limit at which the collector works
 	// harder; the rest is for stacks, buffers of the kernel and the runtime.
 	memoryShare = 0.6
+	// collectPercent keeps the heap small, which is a few megabytes here, for some
+	// more work of the collector.
+	collectPercent = 50
 	// settingsInterval is how often the settings file is looked at: it may change
 	// without a signal.
 	settingsInterval = time.Second
@@ -103,6 +106,7 @@
 	if err != nil {
 		return nil, err
 	}
+	debug.SetGCPercent(collectPercent)
 	if settings.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(float64(settings.MemoryMB) * memoryShare * (1 << 20)))
 	}
--- a/yuccamesh/doc.go
+++ b/yuccamesh/doc.go
@@ -25,6 +25,9 @@
 	// rosterInterval is the time between two rosters on a link; it also keeps an
 	// idle link from being taken for silent.
 	rosterInterval = 400 * time.Millisecond
+	// fullInterval is the time between two whole rosters on a link where nothing
+	// changes; short against the time for which a roster remembers.
+	fullInterval = 4 * time.Second
 	// silenceTimeout is three lost rosters.
 	silenceTimeout = 1300 * time.Millisecond
 	eventsCapacity = 4096
--- a/yuccamesh/mesh.go
+++ b/yuccamesh/mesh.go
@@ -82,9 +82,12 @@
 	wake    chan struct{}
 	began   time.Time
 
-	mu       sync.Mutex
-	roster   *yuccaroster.Roster
-	peers    map[*Peer]struct{}
+	mu     sync.Mutex
+	roster *yuccaroster.Roster
+	peers  map[*Peer]struct{}
+	// mark is that of the roster that was spread last, at fullAt.
+	mark     uint64
+	fullAt   time.Time
 	dialling map[string]context.CancelFunc
 }
 
@@ -176,11 +179,22 @@
 	}
 }
 
-// spread sends the roster to every peer and closes the links that are silent.
+// news is what peers have to hear: the roster if it has changed or was not spread
+// for a while, else nothing but that this process is there.
+func (m *Mesh) news(now time.Time) *yuccawire.Roster {
+	mark := m.roster.Mark()
+	if mark == m.mark && now.Sub(m.fullAt) < fullInterval {
+		return &yuccawire.Roster{}
+	}
+	m.mark, m.fullAt = mark, now
+	return m.roster.Wire(now)
+}
+
+// spread sends the news to every peer and closes the links that are silent.
 func (m *Mesh) spread() {
 	now := time.Now()
 	m.mu.Lock()
-	roster := m.roster.Wire(now)
+	roster := m.news(now)
 	peers := slices.Collect(maps.Keys(m.peers))
 	m.mu.Unlock()
 	envelope := &yuccawire.Envelope{Body: &yuccawire.Envelope_Roster{Roster: roster}}
--- a/yuccaroster/roster.go
+++ b/yuccaroster/roster.go
@@ -15,6 +15,8 @@
 
 import (
 	"cmp"
+	"fmt"
+	"hash/fnv"
 	"maps"
 	"slices"
 	"time"
@@ -131,6 +133,16 @@
 	return list
 }
 
+// Mark tells rosters with different processes apart, whatever their ages.
+func (r *Roster) Mark() uint64 {
+	h := fnv.New64a()
+	for _, name := range slices.Sorted(maps.Keys(r.members)) {
+		m := r.members[name]
+		_, _ = fmt.Fprintf(h, "%s %d %s %d;", name, m.node.GetIncarnation(), m.node.GetAddress(), m.replica.GetId())
+	}
+	return h.Sum64()
+}
+
 // Nodes returns the other entries, in order of name.
 func (r *Roster) Nodes(now time.Time) []*yuccawire.Node {
 	var nodes []*yuccawire.Node
--- a/yuccaworker/owner.go
+++ b/yuccaworker/owner.go
@@ -53,6 +53,7 @@
 	o := w.owner(id)
 	o.linked = true
 	o.seen = 0
+	o.told = 0
 	o.ends = nil
 	full := &yuccawire.Ends{Full: true, State: w.state(now, o)}
 	for _, k := range o.kept {
@@ -159,20 +160,18 @@
 		return minStateInterval
 	case o.runs > 0:
 		return min(o.interval, busyStateInterval)
-	case len(w.runs) > 0:
+	case o.free != w.total().minus(w.used):
 		return o.interval
 	}
 	return max(o.interval, idleStateInterval)
 }
 
 func (w *Worker) state(now time.Time, o *owner) *yuccawire.WorkerState {
-	total, free := w.total(), w.total().minus(w.used)
+	free := w.total().minus(w.used)
+	o.free = free
 	state := &yuccawire.WorkerState{
 		ClockMs:          w.Clock(now),
 		Ready:            w.ready() && w.health.admits(now, len(w.runs)+len(w.queue)),
-		CpuMilli:         uint32(total.cpu),
-		MemoryMb:         uint32(total.memory),
-		Accelerators:     uint32(total.accelerators),
 		FreeCpuMilli:     int32(free.cpu),
 		FreeMemoryMb:     int32(free.memory),
 		FreeAccelerators: int32(free.accelerators),
@@ -184,7 +183,10 @@
 	for _, queued := range w.queued {
 		state.QueuedCpuMilli = append(state.QueuedCpuMilli, int32(queued.cpu))
 	}
-	if w.report != nil {
+	if w.report != nil && o.told != w.reports {
+		o.told = w.reports
+		total := w.total()
+		state.CpuMilli, state.MemoryMb, state.Accelerators = uint32(total.cpu), uint32(total.memory), uint32(total.accelerators)
 		state.Worker = w.report.ID
 		state.Service = w.report.Service
 		state.Labels = w.report.Labels
--- a/yuccaworker/run.go
+++ b/yuccaworker/run.go
@@ -188,6 +188,8 @@
 	w.runs[r.key] = r
 	w.used = w.used.plus(r.size)
 	w.metrics.Add("starts", 1)
+	w.options.Logger.Info("starts a run", "task", r.key.Task, "run", r.key.Run, "owner", r.owner.id.Name,
+		"waited_ms", now.Sub(r.orderedAt).Milliseconds(), "used_cpu_milli", w.used.cpu, "lease_ms", r.owner.until.Sub(now).Milliseconds())
 	w.sendStart(now, r)
 	if !w.holding {
 		w.renewHold(now)
--- a/yuccaworker/types.go
+++ b/yuccaworker/types.go
@@ -1,6 +1,7 @@
 package yuccaworker
 
 import (
+	"slices"
 	"time"
 
 	"github.com/yuccaturn/yuccaturn/yuccawire"
@@ -26,6 +27,12 @@
 	Sequence int64
 }
 
+// sameShape tells whether what seldom changes is equal.
+func (r Report) sameShape(other Report) bool {
+	return r.ID == other.ID && r.Service == other.Service && r.CPUMilli == other.CPUMilli && r.MemoryMB == other.MemoryMB &&
+		r.Accelerators == other.Accelerators && slices.Equal(r.Labels, other.Labels)
+}
+
 // Key names one run of a task.
 type Key struct {
 	Task string
--- a/yuccaworker/worker.go
+++ b/yuccaworker/worker.go
@@ -21,7 +21,9 @@
 	began   time.Time
 	actions []Action
 
-	report  *Report
+	report *Report
+	// reports counts the changes of what is fixed in a report.
+	reports uint64
 	heardAt time.Time
 	// answeredAt is when the worker last answered a call.
 	answeredAt time.Time
@@ -73,9 +75,12 @@
 	stateAt  time.Time
 	interval time.Duration
 	dirty    bool
-	ends     []*yuccawire.Ended
-	kept     []keptEnd
-	runs     int
+	// told is the report whose fixed parts the owner has, as counted by reports.
+	told uint64
+	free size
+	ends []*yuccawire.Ended
+	kept []keptEnd
+	runs int
 }
 
 // keptEnd is an end that is sent again if the owner's link breaks.
@@ -149,6 +154,9 @@
 	known := w.report != nil && !w.gone && w.life() == Life{ID: r.ID, Born: r.Born}
 	leaving := known && !w.report.Leaving && r.Leaving
 	w.heardAt = now
+	if w.report == nil || !w.report.sameShape(r) {
+		w.reports++
+	}
 	w.report = &r
 	w.clock.note(r.ClockMS, now)
 	if known {
