mux: closing a link ends its reader

The mesh now has keep-alives each 5 s for what lost peers leave. Test seen to fail first (the reader still waits after 5 s).

--- a/yuccacommand/deployed.go
+++ b/yuccacommand/deployed.go
@@ -51,6 +51,9 @@
 	// controls within an election timeout or two.
 	controlKeepAlive    = 500 * time.Millisecond
 	controlWriteTimeout = time.Second
+	// meshKeepAlive ends the connections that a lost peer has left; the mesh itself
+	// notices silent links sooner.
+	meshKeepAlive = 5 * time.Second
 	// replicaPendingBytes bounds what waits for a slow replica.
 	replicaPendingBytes = 16 << 20
 	// meshPendingBytes bounds what waits for a slow peer: some seconds of orders.
@@ -197,7 +200,7 @@
 }
 
 func (d *deployed) mesh(options yuccamesh.Options) *yuccamesh.Mesh {
-	options.Network = yuccamux.New(yuccamux.Options{KeepAlive: -1, MaxPendingBytes: meshPendingBytes})
+	options.Network = yuccamux.New(yuccamux.Options{KeepAlive: meshKeepAlive, WriteTimeout: meshKeepAlive, MaxPendingBytes: meshPendingBytes})
 	options.Seeds = func() []string { return d.settings.get().MeshSeeds() }
 	options.Metrics = d.metrics
 	options.Logger = d.logger
--- a/yuccamux/link.go
+++ b/yuccamux/link.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"net"
 	"sync"
+	"time"
 
 	"google.golang.org/protobuf/encoding/protodelim"
 	"google.golang.org/protobuf/proto"
@@ -105,6 +106,9 @@
 	l.once.Do(func() {
 		close(l.closed)
 		err = l.stream.Close()
+		// Closing a stream of yamux leaves its reader waiting for the peer, which
+		// may never answer.
+		_ = l.stream.SetReadDeadline(time.Now())
 	})
 	return err
 }
--- a/yuccamux/network_test.go
+++ b/yuccamux/network_test.go
@@ -130,3 +130,37 @@
 		yuccamux.DecodeAll(text)
 	})
 }
+
+// Closing a link ends its reader, also when the peer never answers.
+func TestCloseEndsReader(t *testing.T) {
+	network := yuccamux.New(yuccamux.Options{})
+	defer network.Close()
+	listener, err := network.Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	if _, err := network.Dial(t.Context(), listener.Address()); err != nil {
+		t.Fatal(err)
+	}
+	accepted, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan error, 1)
+	go func() {
+		_, err := accepted.Receive()
+		ended <- err
+	}()
+	if err := accepted.Close(); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case err := <-ended:
+		if err == nil {
+			t.Error("the reader got a message")
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("the reader still waits")
+	}
+}
