--- a/yuccaworker/doc.go
+++ b/yuccaworker/doc.go
@@ -39,12 +39,15 @@
 	// one hold.
 	holdWait = 120 * time.Millisecond
 	// holdTimeout counts a renewal as lost, with room for a slow processor.
-	holdTimeout = holdWait + 150*time.Millisecond
+	holdTimeout = holdWait + 80*time.Millisecond
 	// takeOverRetry is the pause between attempts to take a worker over.
 	takeOverRetry = 150 * time.Millisecond
 	// silentAfter is how long a worker with runs may leave all calls unanswered;
 	// two renewals fit into it.
 	silentAfter = 300 * time.Millisecond
+	// listMaxAge is how old the worker's lists may be for a judgement of its runs:
+	// where answers are lost, ends are seen late.
+	listMaxAge = holdWait + 30*time.Millisecond
 	// stopRetry is the pause between stops that are not answered.
 	stopRetry = 100 * time.Millisecond
 	// maxStartTries bounds how often an unanswered start is sent again; a start
--- a/yuccaworker/health.go
+++ b/yuccaworker/health.go
@@ -91,6 +91,9 @@
 // checkHealth suspects a worker on which several runs stand still, and stops
 // those that are overdue, so that they can run elsewhere.
 func (w *Worker) checkHealth(now time.Time) {
+	if now.Sub(w.listedAt) > listMaxAge {
+		return
+	}
 	var overdue []*run
 	for _, r := range w.sorted() {
 		if r.stopAt.IsZero() && w.health.overdue(now, r) && r.startAt.After(w.health.doneAt.Add(-overdueSlack)) {
--- a/yuccaworker/hold.go
+++ b/yuccaworker/hold.go
@@ -68,6 +68,7 @@
 	switch h.Result {
 	case Started:
 		w.answered(now, h.ClockMS)
+		w.listedAt = now
 		w.takeEnds(now, h)
 		w.takeRunning(now, h)
 	case StartFenced:
--- a/yuccaworker/worker.go
+++ b/yuccaworker/worker.go
@@ -27,10 +27,12 @@
 	heardAt time.Time
 	// answeredAt is when the worker last answered a call.
 	answeredAt time.Time
-	gone       bool
-	stopping   bool
-	token      int64
-	clock      workerClock
+	// listedAt is when its lists last came.
+	listedAt time.Time
+	gone     bool
+	stopping bool
+	token    int64
+	clock    workerClock
 	// taken is set once nothing that an earlier side began runs any more.
 	taken     bool
 	takeAt    time.Time
--- a/yuccaworker/worker_test.go
+++ b/yuccaworker/worker_test.go
@@ -524,3 +524,21 @@
 		t.Errorf("present %v, want b", full.GetPresent())
 	}
 }
+
+// While the worker's lists don't come through, nobody can tell whether its runs
+// stand still.
+func TestNoJudgementWithoutLists(t *testing.T) {
+	w := newWorld(t)
+	for i := range 5 {
+		w.order(entry, lease, task(fmt.Sprint("a", i), 1, 1600))
+	}
+	w.keep(entry, 700*time.Millisecond)
+	for i := range 5 {
+		w.end(yuccaworker.Key{Task: fmt.Sprint("a", i), Run: 1}, yuccawire.RunEnd_RUN_END_DONE)
+	}
+	w.deaf = true
+	w.keep(entry, 200*time.Millisecond)
+	if w.state[entry].GetSuspect() {
+		t.Error("suspect for ends that were not seen")
+	}
+}
