--- a/yuccacommand/deployed.go
+++ b/yuccacommand/deployed.go
@@ -273,9 +273,9 @@
 		Broker: yuccabroker.New(yuccabroker.Options{Name: settings.Name, Random: random(), Metrics: d.metrics, Logger: d.logger}),
 		Watch:  yuccasuspend.New(), Metrics: d.metrics, Logger: d.logger,
 	})
-	d.process.drain = edge.Drain
-	d.process.add(mesh, lease, edge,
-		yuccaserver.New(settings.Callers, yuccaplatform.NewFrontend(edge, d.metrics, d.logger)).ListenAfter(edge.AwaitReady),
+	callers := yuccaserver.New(settings.Callers, yuccaplatform.NewFrontend(edge, d.metrics, d.logger)).ListenAfter(edge.AwaitReady)
+	d.process.drain = func(ctx context.Context) int { return edge.Drain(ctx, callers.Refuse) }
+	d.process.add(mesh, lease, edge, callers,
 		yuccaserver.New(settings.Readiness, yuccaplatform.Readiness(edge.Ready)),
 		yuccaserver.New(settings.Operators, yuccaplatform.NewOperators(edge, settings, d.logger)))
 	return d.process.run()
--- a/yuccaedge/edge.go
+++ b/yuccaedge/edge.go
@@ -305,11 +305,10 @@
 	e.options.Logger.Info("takes jobs", "ready", e.Ready(), "since_start_ms", time.Since(began).Milliseconds())
 }
 
-// Drain tells the balancer to send no more jobs, and returns once it has
-// noticed and the jobs that came are answered. Jobs are still taken meanwhile,
-// since the balancer may have nobody else; all are answered before the context
-// ends. It returns the number of jobs that are cut.
-func (e *Edge) Drain(ctx context.Context) int {
+// Drain tells the balancer to send no more jobs, calls refuse once it has had
+// the time to notice, and returns when the jobs that came are answered, which
+// all are before the context ends. It returns the number of jobs that are cut.
+func (e *Edge) Drain(ctx context.Context, refuse func()) int {
 	e.draining.Store(true)
 	now := time.Now()
 	earliest := now.Add(drainGrace)
@@ -323,9 +322,15 @@
 	}
 	for {
 		open, err := yuccaask.Ask(ctx, e.postQuestion, func(e *Edge) int { return e.broker.Jobs() })
-		if err != nil || open == 0 && time.Now().After(earliest) {
+		if err != nil {
 			return open
 		}
+		if time.Now().After(earliest) {
+			refuse()
+			if open == 0 {
+				return 0
+			}
+		}
 		timer := time.NewTimer(drainPoll)
 		select {
 		case <-timer.C:
--- a/yuccaserver/server.go
+++ b/yuccaserver/server.go
@@ -14,6 +14,7 @@
 	"expvar"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -34,6 +35,7 @@
 	handler http.Handler
 	bound   chan string
 	await   func(ctx context.Context)
+	refuses atomic.Bool
 }
 
 // New returns a server that does not listen yet.
@@ -41,6 +43,27 @@
 	return &Server{listen: listen, handler: handler, bound: make(chan string, 1)}
 }
 
+// Refuse closes every new connection before anything of it is read, so that its
+// caller tries another process. Requests in progress go on.
+func (s *Server) Refuse() { s.refuses.Store(true) }
+
+// refusingListener closes what it accepts once its server refuses.
+type refusingListener struct {
+	net.Listener
+	server *Server
+}
+
+// Accept waits for a connection that is to be served.
+func (l *refusingListener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil || !l.server.refuses.Load() {
+			return conn, err
+		}
+		_ = conn.Close()
+	}
+}
+
 // ListenAfter makes the server listen only once await has returned, so that
 // callers of a process that has just started try another one meanwhile.
 func (s *Server) ListenAfter(await func(ctx context.Context)) *Server {
@@ -81,7 +104,7 @@
 	}
 	closer := &closer{server: server, done: make(chan struct{})}
 	go closer.run(ctx)
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+	if err := server.Serve(&refusingListener{Listener: listener, server: s}); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
 	<-closer.done
--- /dev/null
+++ b/yuccaserver/server_test.go
@@ -0,0 +1,86 @@
+package yuccaserver_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/yuccaturn/yuccaturn/yuccaserver"
+)
+
+// service runs a server for a test.
+type service struct {
+	server *yuccaserver.Server
+	done   chan error
+}
+
+func (s *service) run(ctx context.Context) { s.done <- s.server.Serve(ctx) }
+
+// A server that refuses closes new connections, and the requests in progress
+// are answered whole.
+func TestRefuse(t *testing.T) {
+	entered, release := make(chan struct{}), make(chan struct{})
+	server := yuccaserver.New("127.0.0.1:0", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		close(entered)
+		<-release
+		_, _ = io.WriteString(w, "whole")
+	}))
+	ctx, cancel := context.WithCancel(t.Context())
+	s := &service{server: server, done: make(chan error, 1)}
+	go s.run(ctx)
+	address, err := server.Address(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	answers := make(chan string, 1)
+	go func() {
+		response, err := http.Get("http://" + address)
+		if err != nil {
+			answers <- err.Error()
+			return
+		}
+		defer response.Body.Close()
+		text, _ := io.ReadAll(response.Body)
+		answers <- string(text)
+	}()
+	<-entered
+	server.Refuse()
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 5 * time.Second}
+	if response, err := client.Get("http://" + address); err == nil {
+		response.Body.Close()
+		t.Errorf("a request to a server that refuses is answered %s", response.Status)
+	}
+	close(release)
+	if got := <-answers; got != "whole" {
+		t.Errorf("the request in progress got %q, want the whole answer", got)
+	}
+	cancel()
+	<-s.done
+}
+
+// A server that waits listens only after that.
+func TestListenAfter(t *testing.T) {
+	ready := make(chan struct{})
+	server := yuccaserver.New("127.0.0.1:0", http.NotFoundHandler()).ListenAfter(func(ctx context.Context) {
+		select {
+		case <-ready:
+		case <-ctx.Done():
+		}
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	s := &service{server: server, done: make(chan error, 1)}
+	go s.run(ctx)
+	early, stop := context.WithTimeout(ctx, 50*time.Millisecond)
+	defer stop()
+	if address, err := server.Address(early); err == nil {
+		t.Errorf("listens at %s before it may", address)
+	}
+	close(ready)
+	if _, err := server.Address(ctx); err != nil {
+		t.Error(err)
+	}
+	cancel()
+	<-s.done
+}
