--- a/yuccabroker/broker.go
+++ b/yuccabroker/broker.go
@@ -36,7 +36,7 @@
 	waiting queue
 	// runs finds a run by its task and number.
 	runs map[runKey]*task
-	// drained: a queue is looked at again only after something has changed.
+	// stale is set when something has changed that may let a waiting task be placed.
 	stale bool
 	// stopAt is when this entry ends, zero while that is not known.
 	stopAt time.Time
--- a/yuccabroker/job.go
+++ b/yuccabroker/job.go
@@ -73,7 +73,6 @@
 	sentAt time.Time
 	// avoid is where it has last failed or stood still.
 	avoid *side
-	tries int
 }
 
 // Submit takes in a job. A job that is known is joined.
--- a/yuccabroker/place.go
+++ b/yuccabroker/place.go
@@ -52,7 +52,6 @@
 	t.state = sent
 	t.run++
 	j.lastRun = max(j.lastRun, t.run)
-	t.tries++
 	t.side = s
 	t.sentTo = s.Incarnation
 	t.sentAt = now
--- a/yuccamodel/worker_test.go
+++ b/yuccamodel/worker_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -216,6 +215,3 @@
 		Running: n.keys(), Ends: slices.Clone(n.ends),
 	}
 }
-
-// random draws from the world's seed.
-func (w *world) random() *rand.Rand { return w.draw }
--- a/yuccaroster/roster.go
+++ b/yuccaroster/roster.go
@@ -29,9 +29,6 @@
 // halves find each other again.
 const KeptFor = 60 * time.Second
 
-// FreshFor is how long ago a process may have been heard to count as running.
-const FreshFor = 3 * time.Second
-
 // addressReuse is how long an address stays with the process that last used it.
 const addressReuse = time.Second
 
@@ -155,8 +152,7 @@
 	return nodes
 }
 
-// Replicas returns the replicas of the other entries that were heard lately
-// enough to be running, in order of name.
+// Replicas returns the replicas of the other entries, in order of name.
 func (r *Roster) Replicas(now time.Time) []*yuccawire.ReplicaAddress {
 	var replicas []*yuccawire.ReplicaAddress
 	for _, m := range r.members {
@@ -167,9 +163,3 @@
 	slices.SortFunc(replicas, func(a, b *yuccawire.ReplicaAddress) int { return cmp.Compare(a.GetName(), b.GetName()) })
 	return replicas
 }
-
-// Fresh tells whether the process with the name was heard lately.
-func (r *Roster) Fresh(now time.Time, name string) bool {
-	m := r.members[name]
-	return m != nil && now.Sub(m.heard) < FreshFor
-}
