broker: forget sides that are gone for a minute

Cause: found by reading; an entry kept every side that it had ever been linked with, and judged by the sizes of workers that were gone whether a job fits anywhere. Test seen to fail first.

--- a/yuccabroker/broker.go
+++ b/yuccabroker/broker.go
@@ -158,6 +158,7 @@
 	b.expireJobs(now)
 	b.rerank(now)
 	b.loseRuns(now)
+	b.forgetSides(now)
 	b.sendBeats(now)
 	b.forgetOutcomes(now)
 	b.stale = true
--- a/yuccabroker/broker_test.go
+++ b/yuccabroker/broker_test.go
@@ -383,3 +383,20 @@
 		t.Error("the refusal does not say when to come back")
 	}
 }
+
+// A side that is gone for long is forgotten, and with it the size of its worker.
+func TestForgetsSides(t *testing.T) {
+	f := newFixture(t, "s1")
+	f.broker.LinkDown(f.now, "s1")
+	f.pass(61 * time.Second)
+	j := job("a", 1)
+	j.Deadline = f.now.Add(2 * time.Second)
+	f.submit(j, 1)
+	f.want(1, yuccabroker.Rejected)
+	f.broker.LinkUp(f.now, yuccabroker.Side{Name: "s1", Incarnation: 2})
+	f.state("s1", full)
+	f.submit(j, 2)
+	if f.sent()["a.0.0.0/1"] != "s1" {
+		t.Errorf("sent %v, want the task at the side that is back", f.sent())
+	}
+}
--- a/yuccabroker/doc.go
+++ b/yuccabroker/doc.go
@@ -56,6 +56,9 @@
 	// hopelessShare of a task's estimate must be left before its caller's
 	// deadline; estimates are off by 40%, and workers up to a quarter faster.
 	hopelessShare = 0.5
+	// sideKept is how long a side without a link is remembered, with the size of its
+	// worker; as long as the mesh remembers an entry.
+	sideKept = time.Minute
 	// outcomeKept is how long an outcome answers a late resend of its job.
 	outcomeKept = 10 * time.Second
 	// priorityStep is how much later the objective of a job counts for each step
--- a/yuccabroker/side.go
+++ b/yuccabroker/side.go
@@ -32,8 +32,10 @@
 // side is a worker as this entry sees it.
 type side struct {
 	Side
-	name    string
-	linked  bool
+	name   string
+	linked bool
+	// lostAt is when the link ended.
+	lostAt  time.Time
 	service string
 	worker  string
 	ready   bool
@@ -113,6 +115,7 @@
 func (b *Broker) LinkDown(now time.Time, name string) {
 	if s := b.sides[name]; s != nil && s.linked {
 		s.linked = false
+		s.lostAt = now
 		b.metrics.Add("side_links_lost", 1)
 		b.options.Logger.Info("the link to a side is lost", "side", name, "runs", len(s.runs), "stamp_age_ms", now.Sub(s.stampAt).Milliseconds())
 	}
@@ -286,6 +289,18 @@
 	}
 }
 
+// forgetSides drops the sides that have been gone for long.
+func (b *Broker) forgetSides(now time.Time) {
+	b.list = slices.DeleteFunc(b.list, func(s *side) bool {
+		gone := !s.linked && len(s.runs) == 0 && now.Sub(s.lostAt) > sideKept
+		if gone {
+			b.options.Logger.Info("forgets a side", "side", s.name, "lost_s", now.Sub(s.lostAt).Seconds())
+			delete(b.sides, s.name)
+		}
+		return gone
+	})
+}
+
 // until is the time on the side's clock to which the lease may be renewed.
 func (s *side) until() uint64 {
 	s.leaseFrom = s.stampAt
