--- a/yuccamodel/model_test.go
+++ b/yuccamodel/model_test.go
@@ -177,7 +177,15 @@
 	w.sides[2].node.crash()
 	w.run(19 * time.Second)
 	r := w.result()
-	t.Logf("%+v served %.3f", r, 1-float64(r.failed+r.refused)/float64(r.jobs))
+	served := 1 - float64(r.failed+r.refused)/float64(r.jobs)
+	t.Logf("%+v served %.3f", r, served)
+	if r.kinds["trim"] < 0.75 {
+		t.Errorf("the most urgent kind is worth %.3f, want 0.75", r.kinds["trim"])
+	}
+	if served < 0.93 {
+		t.Errorf("%.3f of the jobs are served, want 0.93", served)
+	}
 }
 
-var overloadFactor = 1.2
+// overloadFactor times the plain rate is what TestOverload offers.
+const overloadFactor = 1.3
