--- a/yuccabroker/place.go
+++ b/yuccabroker/place.go
@@ -69,7 +69,7 @@
 	n := len(m.GetJobs())
 	if n == 0 || m.GetJobs()[n-1].GetJob() != j.ID || m.GetJobs()[n-1].GetTier() != uint32(t.tier) {
 		m.Jobs = append(m.Jobs, &yuccawire.JobOrder{
-			Job: j.ID, Service: j.Queue.Service, Payload: j.Payload,
+			Job: j.ID, Service: j.Queue.Service, Payload: j.Payload, Traceparent: j.Traceparent,
 			Tier:      uint32(t.tier),
 			RankMs:    s.clockOf(t.rank),
 			ExpiresMs: uint64(max(s.clockOf(j.giveUpAt), 0)),
--- a/yuccabroker/types.go
+++ b/yuccabroker/types.go
@@ -29,6 +29,8 @@
 	Steps   []Step
 	// Deadline is when its caller stops waiting.
 	Deadline time.Time
+	// Traceparent is the span of the job, empty where none is traced.
+	Traceparent string
 }
 
 // Step is a number of equal tasks.
--- a/yuccacommand/command.go
+++ b/yuccacommand/command.go
@@ -45,6 +45,7 @@
 	Entry    entryCommand     `cmd:"" help:"Run an entry host for callers."`
 	Side     sideCommand      `cmd:"" help:"Run the process beside a target."`
 	Deployed deployedCommands `cmd:"" help:"Run a process on the users' platform."`
+	Sized    sizedCommands    `cmd:"" help:"Run and use a system for jobs whose tasks have sizes."`
 	Target   targetCommand    `cmd:"" help:"Run a stand-in target."`
 	Local    localCommand     `cmd:"" help:"Run a whole system in one process."`
 
--- a/yuccacommand/command_test.go
+++ b/yuccacommand/command_test.go
@@ -44,6 +44,10 @@
 		{[]string{"status", "--address", "127.0.0.1:1"}, yuccacommand.ExitUnreachable, "no answer"},
 		{[]string{"history", "check", twice}, yuccacommand.ExitFailed, "p/j task t started at a and at b"},
 		{[]string{"job", "submit", wrong, "--address", "127.0.0.1:1"}, yuccacommand.ExitUnreachable, "no answer"},
+		{[]string{"sized", "check", "../examples/sized/document.jsonc"}, yuccacommand.ExitOK, "version 1 can be applied"},
+		{[]string{"sized", "check", wrong}, yuccacommand.ExitUsage, "version: is missing or 0"},
+		{[]string{"sized", "side", "--settings", wrong}, yuccacommand.ExitUsage, "sized_side: is missing"},
+		{[]string{"sized", "submit", "trim", "j1", wrong, "--address", "127.0.0.1:1"}, yuccacommand.ExitUnreachable, "no answer"},
 		{[]string{"--help"}, yuccacommand.ExitOK, "data-centre"},
 	} {
 		code, printed := run(c.args...)
@@ -59,6 +63,8 @@
 		"control", "entry", "side", "target", "local", "config check", "config show", "config apply", "config log", "config diff",
 		"data-centre list", "data-centre out", "data-centre in", "job submit", "job show", "job cancel", "replica remove",
 		"load jobs", "load nodes", "history check", "status", "version",
+		"sized entry", "sized side", "sized worker", "sized submit", "sized show", "sized cancel", "sized pending",
+		"sized check", "sized apply", "sized document", "sized out", "sized back",
 	} {
 		args := append(strings.Fields(command), "--help")
 		if code, printed := run(args...); code != 0 || !strings.Contains(printed, "Example: yuccaturn "+command) {
--- a/yuccacommand/deployed.go
+++ b/yuccacommand/deployed.go
@@ -15,21 +15,10 @@
 	"time"
 
 	"github.com/yuccaturn/yuccaturn/platform"
-	"github.com/yuccaturn/yuccaturn/yuccabroker"
-	"github.com/yuccaturn/yuccaturn/yuccacontrol"
-	"github.com/yuccaturn/yuccaturn/yuccadisk"
-	"github.com/yuccaturn/yuccaturn/yuccadocument"
-	"github.com/yuccaturn/yuccaturn/yuccadriver"
-	"github.com/yuccaturn/yuccaturn/yuccaedge"
-	"github.com/yuccaturn/yuccaturn/yuccalease"
 	"github.com/yuccaturn/yuccaturn/yuccalog"
-	"github.com/yuccaturn/yuccaturn/yuccamesh"
 	"github.com/yuccaturn/yuccaturn/yuccametric"
-	"github.com/yuccaturn/yuccaturn/yuccamux"
 	"github.com/yuccaturn/yuccaturn/yuccaserver"
 	"github.com/yuccaturn/yuccaturn/yuccasettings"
-	"github.com/yuccaturn/yuccaturn/yuccasuspend"
-	"github.com/yuccaturn/yuccaturn/yuccawire"
 )
 
 const (
@@ -44,23 +33,6 @@
 	settingsInterval = time.Second
 	// stopMargin is kept between the end of a drain and the end of the grace.
 	stopMargin = 1200 * time.Millisecond
-	// formPatience is how long a replica waits for the wanted number of voters
-	// before it forms a smaller group.
-	formPatience = 4 * time.Second
-	// controlKeepAlive and controlWriteTimeout notice a silent connection between
-	// controls within an election timeout or two.
-	controlKeepAlive    = 500 * time.Millisecond
-	controlWriteTimeout = time.Second
-	// meshKeepAlive ends the connections that a lost peer has left; the mesh itself
-	// notices silent links sooner.
-	meshKeepAlive = 5 * time.Second
-	// replicaPendingBytes bounds what waits for a slow replica.
-	replicaPendingBytes = 16 << 20
-	// meshPendingBytes bounds what waits for a slow peer: some seconds of orders.
-	meshPendingBytes = 2 << 20
-	// deployedCompactEntries keeps the log short on the small disks: whole
-	// documents of 100 KB make 25 MB.
-	deployedCompactEntries = 250
 )
 
 type deployedCommands struct {
@@ -192,21 +164,16 @@
 	c.mu.Unlock()
 }
 
-func (d *deployed) node(role yuccawire.Role) *yuccawire.Node {
+// place is where this process runs, from the platform's settings.
+func (d *deployed) place() sizedPlace {
 	s := d.settings.get()
-	return &yuccawire.Node{
-		Name: s.Name, Role: role, DataCentre: s.DataCentre, Address: s.MeshAddress(), Incarnation: incarnation(),
+	return sizedPlace{
+		name: s.Name, dataCentre: s.DataCentre, mesh: s.MeshAddress(), control: s.ControlAddress(), operators: s.Operators,
+		seeds: func() []string { return d.settings.get().MeshSeeds() }, bootstrap: s.Bootstrap, dataFolder: s.DataFolder,
+		lossesBorne: s.LossesBorne, configurationBound: s.ConfigurationBound, metrics: d.metrics, logger: d.logger,
 	}
 }
 
-func (d *deployed) mesh(options yuccamesh.Options) *yuccamesh.Mesh {
-	options.Network = yuccamux.New(yuccamux.Options{KeepAlive: meshKeepAlive, WriteTimeout: meshKeepAlive, MaxPendingBytes: meshPendingBytes})
-	options.Seeds = func() []string { return d.settings.get().MeshSeeds() }
-	options.Metrics = d.metrics
-	options.Logger = d.logger
-	return yuccamesh.New(options)
-}
-
 // Run runs the side until a signal.
 func (c *deployedSideCommand) Run(o *output) error {
 	d, err := newDeployed(o)
@@ -217,13 +184,8 @@
 	if !settings.OrdersByCall {
 		return errors.New("the worker takes its orders with its reports, which this version does not support")
 	}
-	mesh := d.mesh(yuccamesh.Options{Self: d.node(yuccawire.Role_ROLE_SIDE)})
-	driver := yuccadriver.New(yuccadriver.Options{
-		Mesh: mesh, Caller: yuccaplatform.NewWorker(settings, d.logger), Watch: yuccasuspend.New(),
-		Metrics: d.metrics, Logger: d.logger,
-	})
-	d.process.drain = driver.Drain
-	d.process.add(mesh, driver, yuccaserver.New(settings.Operators, yuccaplatform.NewRegistry(driver, settings, d.logger)))
+	driver := d.place().addSide(d.process, yuccaplatform.NewWorker(settings, d.logger))
+	d.process.add(yuccaserver.New(settings.Operators, yuccaplatform.NewRegistry(driver, settings, d.logger)))
 	return d.process.run()
 }
 
@@ -234,92 +196,14 @@
 		return err
 	}
 	settings := d.settings.get()
-	node := d.node(yuccawire.Role_ROLE_ENTRY)
-	var folder *yuccadisk.Folder
-	var address *yuccawire.ReplicaAddress
-	if settings.DataFolder != "" {
-		if folder, err = yuccadisk.Open(settings.DataFolder); err != nil {
-			return err
-		}
-		address = &yuccawire.ReplicaAddress{
-			Name: settings.Name, Address: settings.ControlAddress(), OperatorAddress: settings.Operators, Id: folder.ID(),
-		}
-	}
-	var edge *yuccaedge.Edge
-	mesh := d.mesh(yuccamesh.Options{
-		Self: node, Listen: true, Replica: address,
-		Sections: func() []*yuccawire.Section { return edge.Sections() },
-	})
-	control := yuccamux.New(yuccamux.Options{
-		KeepAlive: controlKeepAlive, WriteTimeout: controlWriteTimeout, MaxPendingBytes: replicaPendingBytes,
-	})
-	lease := yuccalease.New(yuccalease.Options{
-		Network: control, Self: node, Sections: yuccadocument.WholeSections, Random: random(), Logger: d.logger,
-		Discover: func() []string { return controlsOf(mesh, address) },
-	})
-	var replica *yuccaedge.Replica
-	if folder != nil {
-		f := &formation{settings: settings, mesh: mesh, self: address, began: time.Now()}
-		replica = yuccaedge.NewReplica(folder, func() (*yuccadisk.Folder, error) { return yuccadisk.Open(settings.DataFolder) },
-			yuccacontrol.Options{
-				Network: control, Self: address, DataCentre: settings.DataCentre, Discover: mesh.Replicas, MayForm: f.mayForm,
-				Recovered: func(sections []*yuccawire.Section) { edge.Recovered(sections) }, Voters: 2*settings.LossesBorne + 1, CompactEntries: deployedCompactEntries, Random: random(),
-				Watch: yuccasuspend.New(), Metrics: d.metrics, Logger: d.logger,
-			})
-		d.process.add(replica)
+	edge, err := d.place().addEntry(d.process, yuccaplatform.DecodeDocument)
+	if err != nil {
+		return err
 	}
-	edge = yuccaedge.New(yuccaedge.Options{
-		Mesh: mesh, Lease: lease, Replica: replica, Decode: yuccaplatform.DecodeDocument, FreshFor: settings.ConfigurationBound,
-		Broker: yuccabroker.New(yuccabroker.Options{Name: settings.Name, Random: random(), Metrics: d.metrics, Logger: d.logger}),
-		Watch:  yuccasuspend.New(), Metrics: d.metrics, Logger: d.logger,
-	})
 	callers := yuccaserver.New(settings.Callers, yuccaplatform.NewFrontend(edge, d.metrics, d.logger)).ListenAfter(edge.AwaitReady)
 	d.process.drain = func(ctx context.Context) int { return edge.Drain(ctx, callers.Refuse) }
-	d.process.add(mesh, lease, edge, callers,
+	d.process.add(callers,
 		yuccaserver.New(settings.Readiness, yuccaplatform.Readiness(edge.Ready)),
 		yuccaserver.New(settings.Operators, yuccaplatform.NewOperators(edge, settings, d.logger)))
 	return d.process.run()
 }
-
-// controlsOf lists the addresses of the controls that are known.
-func controlsOf(mesh *yuccamesh.Mesh, own *yuccawire.ReplicaAddress) []string {
-	var addresses []string
-	if own != nil {
-		addresses = append(addresses, own.GetAddress())
-	}
-	for _, r := range mesh.Replicas() {
-		addresses = append(addresses, r.GetAddress())
-	}
-	return addresses
-}
-
-// formation says which replica may form the group, and when.
-type formation struct {
-	settings *yuccaplatform.Settings
-	mesh     *yuccamesh.Mesh
-	self     *yuccawire.ReplicaAddress
-	began    time.Time
-}
-
-// mayForm gives the licence to the first replica among the seeds, which all
-// processes know when the system starts for the first time. Where no seed has a
-// disk it is the first of all.
-func (f *formation) mayForm() (may, fewer bool) {
-	if !f.settings.Bootstrap {
-		return false, false
-	}
-	known := make(map[string]bool)
-	for _, node := range f.mesh.Nodes() {
-		known[node.GetAddress()] = true
-	}
-	known[f.settings.MeshAddress()] = true
-	for _, seed := range f.settings.MeshSeeds() {
-		if !known[seed] {
-			return false, false
-		}
-	}
-	replicas := append(f.mesh.Replicas(), f.self)
-	first := yuccaedge.FormedBy(replicas, f.settings.Seeds)
-	patient := time.Since(f.began) < formPatience
-	return first.GetName() == f.self.GetName(), !patient
-}
--- /dev/null
+++ b/yuccacommand/sized.go
@@ -0,0 +1,313 @@
+package yuccacommand
+
+import (
+	"context"
+	"net/http"
+	"os"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/yuccaturn/yuccaturn/yuccaclient"
+	"github.com/yuccaturn/yuccaturn/yuccametric"
+	"github.com/yuccaturn/yuccaturn/yuccaserver"
+	"github.com/yuccaturn/yuccaturn/yuccasettings"
+	"github.com/yuccaturn/yuccaturn/yuccasized"
+)
+
+type sizedCommands struct {
+	Entry  sizedEntryCommand  `cmd:"" help:"Run an entry, with a control where there is a data folder."`
+	Side   sizedSideCommand   `cmd:"" help:"Run the process beside a worker that is driven by orders."`
+	Worker sizedWorkerCommand `cmd:"" help:"Run a stand-in for a worker."`
+
+	Submit  sizedSubmit  `cmd:"" help:"Submit a job and wait for its answer."`
+	Show    sizedShow    `cmd:"" help:"Show how far a job is."`
+	Cancel  sizedCancel  `cmd:"" help:"End a job: what has not started never will."`
+	Pending sizedPending `cmd:"" help:"Count the jobs of a queue that have not begun."`
+
+	Check    sizedCheck    `cmd:"" help:"Check a document."`
+	Apply    sizedApply    `cmd:"" help:"Put a document in force."`
+	Document sizedDocument `cmd:"" help:"Print the document in force."`
+	Out      sizedOut      `cmd:"" help:"Take a data centre out."`
+	Back     sizedBack     `cmd:"" help:"Bring a data centre back."`
+}
+
+type sizedEntryCommand struct {
+	Settings string `required:"" help:"Settings file." placeholder:"FILE"`
+}
+
+// Help shows an example.
+func (sizedEntryCommand) Help() string {
+	return "Example: yuccaturn sized entry --settings examples/sized/entry-1.jsonc"
+}
+
+// place is where a process of the product's own settings runs.
+func place(settings *yuccasettings.Settings, mesh string, seeds []string, p *process) sizedPlace {
+	metrics := yuccametric.New("yuccaturn")
+	metrics.Publish()
+	return sizedPlace{
+		name: settings.Process.Name, dataCentre: settings.Process.DataCentre, mesh: mesh,
+		seeds: func() []string { return seeds }, metrics: metrics, logger: p.logger,
+	}
+}
+
+// Run runs the entry until a signal.
+func (c *sizedEntryCommand) Run(o *output) error {
+	settings, err := yuccasettings.Load(yuccasettings.RoleSizedEntry, c.Settings)
+	if err != nil {
+		return err
+	}
+	p := newProcess(settings, o)
+	e := settings.SizedEntry
+	s := place(settings, e.Mesh, e.Seeds, p)
+	s.control, s.operators, s.bootstrap, s.dataFolder = e.Control, e.Operators, e.Bootstrap, e.DataFolder
+	s.lossesBorne, s.configurationBound = e.LossesBorne, e.ConfigurationBound
+	edge, err := s.addEntry(p, yuccasized.DecodeDocument)
+	if err != nil {
+		return err
+	}
+	callers := yuccaserver.New(e.Callers, yuccasized.NewCallers(edge, s.metrics, p.logger))
+	operators := yuccasized.NewOperators(edge, yuccasized.OperatorOptions{Self: e.Operators, DataCentres: e.DataCentres, Logger: p.logger})
+	p.drain = func(ctx context.Context) int { return edge.Drain(ctx, callers.Refuse) }
+	p.add(callers, yuccaserver.New(e.Operators, yuccaserver.WithVars(operators)))
+	return p.run()
+}
+
+type sizedSideCommand struct {
+	Settings string `required:"" help:"Settings file." placeholder:"FILE"`
+}
+
+// Help shows an example.
+func (sizedSideCommand) Help() string {
+	return "Example: yuccaturn sized side --settings examples/sized/side-1.jsonc"
+}
+
+// Run runs the side until a signal.
+func (c *sizedSideCommand) Run(o *output) error {
+	settings, err := yuccasettings.Load(yuccasettings.RoleSizedSide, c.Settings)
+	if err != nil {
+		return err
+	}
+	p := newProcess(settings, o)
+	side := settings.SizedSide
+	driver := place(settings, side.Listen, side.Seeds, p).addSide(p, yuccasized.NewWorker(side.Worker, p.logger))
+	p.add(yuccaserver.New(side.Listen, yuccasized.NewRegistry(driver, p.logger)),
+		yuccaserver.New(side.Operators, yuccaserver.WithVars(http.NotFoundHandler())))
+	return p.run()
+}
+
+type sizedWorkerCommand struct {
+	Settings string `required:"" help:"Settings file." placeholder:"FILE"`
+}
+
+// Help shows an example.
+func (sizedWorkerCommand) Help() string {
+	return "Example: yuccaturn sized worker --settings examples/sized/worker-1.jsonc"
+}
+
+// Run runs the stand-in until a signal.
+func (c *sizedWorkerCommand) Run(o *output) error {
+	settings, err := yuccasettings.Load(yuccasettings.RoleSizedWorker, c.Settings)
+	if err != nil {
+		return err
+	}
+	p := newProcess(settings, o)
+	w := settings.SizedWorker
+	standIn := yuccasized.NewStandIn(yuccasized.StandInOptions{
+		ID: settings.Process.Name, Service: w.Service, CPU: w.CPU, MemoryMB: w.MemoryMB, Side: w.Side, Sleep: w.Sleep, Logger: p.logger,
+	})
+	p.drain = standIn.Drain
+	p.add(standIn, yuccaserver.New(w.Listen, standIn.Handler()))
+	return p.run()
+}
+
+// sizedCallers is the flag of commands that call an entry as a caller does.
+type sizedCallers struct {
+	Address string `help:"Callers' address of any entry." default:"127.0.0.1:7411" placeholder:"HOST:PORT"`
+}
+
+func (a sizedCallers) client() *yuccaclient.Client { return yuccaclient.New(a.Address, "") }
+
+// sizedOperators is the flag of commands that call an entry as an operator does.
+type sizedOperators struct {
+	Address string `help:"Operators' address of any entry." default:"127.0.0.1:7412" placeholder:"HOST:PORT"`
+}
+
+func (a sizedOperators) client() *yuccaclient.Client { return yuccaclient.New(a.Address, systemUser()) }
+
+type sizedSubmit struct {
+	sizedCallers
+	Queue string `arg:"" help:"The queue."`
+	ID    string `arg:"" name:"id" help:"The job's id; the same id again joins the job."`
+	File  string `arg:"" help:"The job, JSON with comments." placeholder:"FILE"`
+}
+
+// Help shows an example.
+func (sizedSubmit) Help() string {
+	return "Example: yuccaturn sized submit trim evening-1 examples/sized/job.jsonc"
+}
+
+// Run submits the job.
+func (c *sizedSubmit) Run(o *output) error {
+	text, err := os.ReadFile(c.File)
+	if err != nil {
+		return merry.Prepend(err, "reading the job")
+	}
+	job, err := c.client().SubmitSized(context.Background(), c.Queue, c.ID, text)
+	return printSized(o, job, err)
+}
+
+func printSized(o *output, job yuccaclient.SizedJob, err error) error {
+	if err != nil {
+		return err
+	}
+	o.printf("job %s of queue %s: %s\n", job.ID, job.Queue, job.State)
+	return nil
+}
+
+type sizedShow struct {
+	sizedCallers
+	Queue string `arg:"" help:"The queue."`
+	ID    string `arg:"" name:"id" help:"The job's id."`
+}
+
+// Help shows an example.
+func (sizedShow) Help() string { return "Example: yuccaturn sized show trim evening-1" }
+
+// Run shows the job.
+func (c *sizedShow) Run(o *output) error {
+	job, err := c.client().SizedJob(context.Background(), c.Queue, c.ID)
+	return printSized(o, job, err)
+}
+
+type sizedCancel struct {
+	sizedCallers
+	Queue string `arg:"" help:"The queue."`
+	ID    string `arg:"" name:"id" help:"The job's id."`
+}
+
+// Help shows an example.
+func (sizedCancel) Help() string { return "Example: yuccaturn sized cancel trim evening-1" }
+
+// Run cancels the job.
+func (c *sizedCancel) Run(o *output) error {
+	job, err := c.client().CancelSized(context.Background(), c.Queue, c.ID)
+	return printSized(o, job, err)
+}
+
+type sizedPending struct {
+	sizedCallers
+	Queue string `arg:"" help:"The queue."`
+}
+
+// Help shows an example.
+func (sizedPending) Help() string { return "Example: yuccaturn sized pending trim" }
+
+// Run prints the number.
+func (c *sizedPending) Run(o *output) error {
+	queue, err := c.client().SizedQueue(context.Background(), c.Queue)
+	if err != nil {
+		return err
+	}
+	o.printf("queue %s: %d jobs have not begun\n", queue.Queue, queue.Pending)
+	return nil
+}
+
+type sizedCheck struct {
+	File string `arg:"" help:"The document, JSON with comments." placeholder:"FILE"`
+}
+
+// Help shows an example.
+func (sizedCheck) Help() string {
+	return "Example: yuccaturn sized check examples/sized/document.jsonc"
+}
+
+// Run checks the document.
+func (c *sizedCheck) Run(o *output) error {
+	text, err := os.ReadFile(c.File)
+	if err != nil {
+		return merry.Prepend(err, "reading the document")
+	}
+	catalog, err := yuccasized.ParseDocument(c.File, text)
+	if err != nil {
+		return err
+	}
+	o.printf("%s: version %d can be applied\n", c.File, catalog.Version())
+	return nil
+}
+
+type sizedApply struct {
+	sizedOperators
+	File string `arg:"" help:"The document, JSON with comments." placeholder:"FILE"`
+}
+
+// Help shows an example.
+func (sizedApply) Help() string {
+	return "The highest version wins.\n\nExample: yuccaturn sized apply examples/sized/document.jsonc"
+}
+
+// Run puts the document in force.
+func (c *sizedApply) Run(o *output) error {
+	text, err := os.ReadFile(c.File)
+	if err != nil {
+		return merry.Prepend(err, "reading the document")
+	}
+	if _, err := yuccasized.ParseDocument(c.File, text); err != nil {
+		return err
+	}
+	accepted, err := c.client().ApplyWhole(context.Background(), text)
+	if err != nil {
+		return err
+	}
+	o.printf("in force: version %d\n", accepted.Version)
+	return nil
+}
+
+type sizedDocument struct{ sizedOperators }
+
+// Help shows an example.
+func (sizedDocument) Help() string { return "Example: yuccaturn sized document" }
+
+// Run prints the document.
+func (c *sizedDocument) Run(o *output) error {
+	text, err := c.client().WholeDocument(context.Background())
+	if err != nil {
+		return err
+	}
+	o.printf("%s", text)
+	return nil
+}
+
+type sizedOut struct {
+	sizedOperators
+	DataCentre string `arg:"" help:"The data centre."`
+}
+
+// Help shows an example.
+func (sizedOut) Help() string { return "Example: yuccaturn sized out puno" }
+
+// Run takes the data centre out.
+func (c *sizedOut) Run(o *output) error { return setOut(o, c.client(), c.DataCentre, true) }
+
+type sizedBack struct {
+	sizedOperators
+	DataCentre string `arg:"" help:"The data centre."`
+}
+
+// Help shows an example.
+func (sizedBack) Help() string { return "Example: yuccaturn sized back puno" }
+
+// Run brings the data centre back.
+func (c *sizedBack) Run(o *output) error { return setOut(o, c.client(), c.DataCentre, false) }
+
+func setOut(o *output, client *yuccaclient.Client, dataCentre string, out bool) error {
+	accepted, err := client.SetOut(context.Background(), dataCentre, out)
+	if err != nil {
+		return err
+	}
+	state := "back"
+	if out {
+		state = "out"
+	}
+	o.printf("data centre %s is %s (version %d)\n", dataCentre, state, accepted.Version)
+	return nil
+}
--- a/yuccadriver/driver.go
+++ b/yuccadriver/driver.go
@@ -13,10 +13,13 @@
 	"log/slog"
 	"time"
 
+	"go.opentelemetry.io/otel/trace"
+
 	"github.com/yuccaturn/yuccaturn/yuccaask"
 	"github.com/yuccaturn/yuccaturn/yuccamesh"
 	"github.com/yuccaturn/yuccaturn/yuccametric"
 	"github.com/yuccaturn/yuccaturn/yuccasuspend"
+	"github.com/yuccaturn/yuccaturn/yuccatrace"
 	"github.com/yuccaturn/yuccaturn/yuccawire"
 	"github.com/yuccaturn/yuccaturn/yuccaworker"
 )
@@ -213,6 +216,8 @@
 }
 
 func (c *startCall) run(ctx context.Context) {
+	ctx, span := yuccatrace.StartRemote(ctx, "side.start", c.call.Traceparent, trace.SpanKindClient)
+	defer span.End()
 	result, clock := c.driver.options.Caller.Start(ctx, c.call)
 	c.driver.post(ctx, startReply{call: c.call, result: result, clock: clock})
 }
--- a/yuccaedge/doc.go
+++ b/yuccaedge/doc.go
@@ -29,6 +29,9 @@
 	// startPatience is how long a new entry keeps its callers' port closed while it
 	// can't serve; after that it refuses them with a reason.
 	startPatience = 6 * time.Second
+	// inquiryTimeout bounds the wait for other entries: a round trip between data
+	// centres and a pause of a collector, well below a caller's patience.
+	inquiryTimeout = 300 * time.Millisecond
 	// drainMargin is kept between the last answer and the end of a drain.
 	drainMargin = 300 * time.Millisecond
 	// drainPoll is the pause between looks at what is left.
--- a/yuccaedge/edge.go
+++ b/yuccaedge/edge.go
@@ -16,6 +16,7 @@
 	"github.com/yuccaturn/yuccaturn/yuccamesh"
 	"github.com/yuccaturn/yuccaturn/yuccametric"
 	"github.com/yuccaturn/yuccaturn/yuccasuspend"
+	"github.com/yuccaturn/yuccaturn/yuccatrace"
 	"github.com/yuccaturn/yuccaturn/yuccawire"
 )
 
@@ -66,6 +67,9 @@
 	peers   map[string]*yuccamesh.Peer
 	waiters map[uint64]chan<- yuccabroker.Outcome
 	next    uint64
+	// entries are the links with other entries, inquiries what was asked on them.
+	entries   map[*yuccamesh.Peer]struct{}
+	inquiries map[uint64]*inquiry
 }
 
 // event is one thing that the loop reacts to.
@@ -94,6 +98,9 @@
 		events:  make(chan event, eventsCapacity),
 		peers:   make(map[string]*yuccamesh.Peer),
 		waiters: make(map[uint64]chan<- yuccabroker.Outcome),
+
+		entries:   make(map[*yuccamesh.Peer]struct{}),
+		inquiries: make(map[uint64]*inquiry),
 	}
 	e.config.Store(&config{view: yuccadocument.NewView()})
 	return e
@@ -110,6 +117,7 @@
 		case now := <-ticker.C:
 			e.watch(now)
 			e.broker.Tick(time.Now())
+			e.expireInquiries(time.Now())
 		case m := <-e.options.Mesh.Events():
 			e.watch(time.Now())
 			e.meshEvent(m)
@@ -166,6 +174,8 @@
 	case left:
 		delete(e.waiters, ev.waiter)
 		e.broker.Left(now, ev.job, ev.waiter)
+	case asked:
+		e.ask(now, ev)
 	case yuccaask.Question[*Edge]:
 		ev.Answer(e)
 	}
@@ -177,11 +187,15 @@
 	case yuccamesh.Up:
 		e.linkUp(now, m.Peer)
 	case yuccamesh.Down:
+		e.entryDown(m.Peer)
 		if e.current(m.Peer) {
 			delete(e.peers, m.Peer.Node().GetName())
 			e.broker.LinkDown(now, m.Peer.Node().GetName())
 		}
 	case yuccamesh.Received:
+		if _, entry := e.entries[m.Peer]; entry {
+			e.entryMessage(now, m.Peer, m.Message)
+		}
 		if !e.current(m.Peer) {
 			return
 		}
@@ -201,6 +215,9 @@
 // ignored.
 func (e *Edge) linkUp(now time.Time, p *yuccamesh.Peer) {
 	node := p.Node()
+	if node.GetRole() == yuccawire.Role_ROLE_ENTRY {
+		e.entries[p] = struct{}{}
+	}
 	if node.GetRole() != yuccawire.Role_ROLE_SIDE {
 		return
 	}
@@ -237,6 +254,9 @@
 // Submit hands a job in and waits for its outcome. When the context ends, the
 // caller has gone.
 func (e *Edge) Submit(ctx context.Context, job yuccabroker.Job) (yuccabroker.Outcome, error) {
+	ctx, span := yuccatrace.Start(ctx, "entry.sized_job")
+	defer span.End()
+	job.Traceparent = yuccatrace.Parent(ctx)
 	s := submitted{job: job, done: make(chan yuccabroker.Outcome, 1), id: make(chan uint64, 1)}
 	select {
 	case e.events <- s:
@@ -261,29 +281,6 @@
 	}
 }
 
-// JobState returns how far a job is, if this entry knows it.
-func (e *Edge) JobState(ctx context.Context, queue, id string) (state yuccabroker.State, known bool, err error) {
-	type answer struct {
-		state yuccabroker.State
-		known bool
-	}
-	a, err := yuccaask.Ask(ctx, e.postQuestion, func(e *Edge) answer {
-		s, ok := e.broker.JobState(queue, id)
-		return answer{state: s, known: ok}
-	})
-	return a.state, a.known, err
-}
-
-// Pending returns the number of jobs of a queue that have not begun.
-func (e *Edge) Pending(ctx context.Context, queue string) (int, error) {
-	return yuccaask.Ask(ctx, e.postQuestion, func(e *Edge) int { return e.broker.Pending(queue) })
-}
-
-// Cancel ends a job. It returns false for a job that this entry doesn't know.
-func (e *Edge) Cancel(ctx context.Context, queue, id string) (bool, error) {
-	return yuccaask.Ask(ctx, e.postQuestion, func(e *Edge) bool { return e.broker.Cancel(time.Now(), queue, id) })
-}
-
 // Ready tells whether the entry should get jobs.
 func (e *Edge) Ready() bool {
 	return !e.draining.Load() && e.Catalog() != nil && e.sides.Load() > 0
--- a/yuccaedge/replica.go
+++ b/yuccaedge/replica.go
@@ -93,13 +93,13 @@
 }
 
 // FormedBy returns the replica that forms a new group: the first by name among
-// those at the operators' addresses that all processes are told, or where none
-// of these has a disk, the first of all. It returns nil for no replicas.
+// the seeds, whose names are given, or where none of these has a disk, the first
+// of all. It returns nil for no replicas.
 func FormedBy(replicas []*yuccawire.ReplicaAddress, seeds []string) *yuccawire.ReplicaAddress {
 	var first *yuccawire.ReplicaAddress
 	seeded := false
 	for _, r := range replicas {
-		isSeed := slices.Contains(seeds, r.GetOperatorAddress())
+		isSeed := slices.Contains(seeds, r.GetName())
 		if first == nil || isSeed && !seeded || isSeed == seeded && r.GetName() < first.GetName() {
 			first, seeded = r, isSeed
 		}
--- a/yuccasettings/settings.go
+++ b/yuccasettings/settings.go
@@ -12,9 +12,11 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/netip"
 	"os"
 	"path/filepath"
+	"slices"
 
 	"github.com/ansel1/merry/v2"
 
@@ -32,6 +34,10 @@
 	RoleTarget  Role = "target"
 	RoleLocal   Role = "local"
 	RoleLoad    Role = "load"
+	// Roles of a system for jobs whose tasks have sizes.
+	RoleSizedEntry  Role = "sized_entry"
+	RoleSizedSide   Role = "sized_side"
+	RoleSizedWorker Role = "sized_worker"
 )
 
 // Settings is the settings file of one process. Of the sections that are named
@@ -46,6 +52,10 @@
 	Target  *Target   `json:"target"`
 	Local   *Local    `json:"local"`
 	Load    *Workload `json:"load"`
+
+	SizedEntry  *SizedEntry  `json:"sized_entry"`
+	SizedSide   *SizedSide   `json:"sized_side"`
+	SizedWorker *SizedWorker `json:"sized_worker"`
 }
 
 // Load reads and checks the settings of a process with the role.
@@ -88,6 +98,12 @@
 		s.Local.check(d)
 	case s.Load != nil:
 		s.Load.check(d)
+	case s.SizedEntry != nil:
+		s.SizedEntry.check(d)
+	case s.SizedSide != nil:
+		s.SizedSide.check(d)
+	case s.SizedWorker != nil:
+		s.SizedWorker.check(d)
 	}
 }
 
@@ -96,8 +112,9 @@
 	given := map[Role]bool{
 		RoleControl: s.Control != nil, RoleEntry: s.Entry != nil, RoleSide: s.Side != nil,
 		RoleTarget: s.Target != nil, RoleLocal: s.Local != nil, RoleLoad: s.Load != nil,
+		RoleSizedEntry: s.SizedEntry != nil, RoleSizedSide: s.SizedSide != nil, RoleSizedWorker: s.SizedWorker != nil,
 	}
-	for _, other := range []Role{RoleControl, RoleEntry, RoleSide, RoleTarget, RoleLocal, RoleLoad} {
+	for _, other := range slices.Sorted(maps.Keys(given)) {
 		switch {
 		case other == role && !given[other]:
 			d.Report(string(other), "is missing", fmt.Sprintf("the section of a process with the role %s", role))
@@ -112,6 +129,9 @@
 	if s.Control != nil {
 		resolve(folder, &s.Control.DataFolder)
 	}
+	if s.SizedEntry != nil {
+		resolve(folder, &s.SizedEntry.DataFolder)
+	}
 	if s.Target != nil {
 		resolve(folder, &s.Target.Journal)
 	}
--- a/yuccasettings/settings_test.go
+++ b/yuccasettings/settings_test.go
@@ -59,6 +59,12 @@
 			t.Errorf("%v", err)
 		}
 	}
+	for _, name := range []string{"entry-1", "entry-2", "entry-3", "side-1", "side-2", "side-3", "worker-1", "worker-2", "worker-3"} {
+		role, _, _ := strings.Cut(name, "-")
+		if _, err := yuccasettings.Load(yuccasettings.Role("sized_"+role), "../examples/sized/"+name+".jsonc"); err != nil {
+			t.Errorf("%v", err)
+		}
+	}
 	if _, err := yuccasettings.Load(yuccasettings.RoleLocal, "../examples/local.jsonc"); err != nil {
 		t.Errorf("%v", err)
 	}
--- /dev/null
+++ b/yuccasettings/sized.go
@@ -0,0 +1,112 @@
+package yuccasettings
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/yuccaturn/yuccaturn/yuccajsonc"
+)
+
+const (
+	defaultConfigurationBound = 2 * time.Second
+	maxLossesBorne            = 3
+)
+
+// SizedEntry is the section of an entry for jobs whose tasks have sizes. It is a
+// control too where it has a data folder.
+type SizedEntry struct {
+	// Callers and Operators are the addresses for their HTTP.
+	Callers   string `json:"callers"`
+	Operators string `json:"operators"`
+	// Mesh is the address for other processes of the system, Control that of the
+	// control group's own links.
+	Mesh    string `json:"mesh"`
+	Control string `json:"control"`
+	// Seeds are the mesh addresses of a few entries; the rest are found.
+	Seeds []string `json:"seeds"`
+	// Bootstrap is the licence to form a new control group.
+	Bootstrap bool `json:"bootstrap"`
+	// DataFolder is where the state is kept; empty means that this is no control.
+	DataFolder string `json:"data_folder"`
+	// LossesBorne is the number of hosts with a disk that may be lost at once.
+	LossesBorne int `json:"losses_borne"`
+	// ConfigurationBound is how old a document may be that is shown as the newest;
+	// zero means 2s.
+	ConfigurationBound time.Duration `json:"configuration_bound"`
+	// DataCentres are all there are.
+	DataCentres []string `json:"data_centres"`
+}
+
+func (e *SizedEntry) check(d *yuccajsonc.Document) {
+	checkAddress(d, "sized_entry.callers", e.Callers)
+	checkAddress(d, "sized_entry.operators", e.Operators)
+	checkAddress(d, "sized_entry.mesh", e.Mesh)
+	checkSeeds(d, "sized_entry.seeds", e.Seeds)
+	if e.DataFolder != "" {
+		checkAddress(d, "sized_entry.control", e.Control)
+	}
+	if e.LossesBorne < 0 || e.LossesBorne > maxLossesBorne {
+		d.Report("sized_entry.losses_borne", fmt.Sprintf("is %d", e.LossesBorne), fmt.Sprintf("0 to %d", maxLossesBorne))
+	}
+	if len(e.DataCentres) == 0 {
+		d.Report("sized_entry.data_centres", "is missing", "the names of all data centres")
+	}
+	if e.ConfigurationBound == 0 {
+		e.ConfigurationBound = defaultConfigurationBound
+	}
+}
+
+// SizedSide is the section of the process beside a worker that is driven by
+// orders.
+type SizedSide struct {
+	// Listen is the address at which the worker reports, Operators that for the
+	// counters.
+	Listen    string `json:"listen"`
+	Operators string `json:"operators"`
+	// Worker is the address at which the worker takes its orders.
+	Worker string `json:"worker"`
+	// Seeds are the mesh addresses of a few entries.
+	Seeds []string `json:"seeds"`
+}
+
+func (s *SizedSide) check(d *yuccajsonc.Document) {
+	checkAddress(d, "sized_side.listen", s.Listen)
+	checkAddress(d, "sized_side.operators", s.Operators)
+	checkAddress(d, "sized_side.worker", s.Worker)
+	checkSeeds(d, "sized_side.seeds", s.Seeds)
+}
+
+// SizedWorker is the section of the stand-in for a worker that is driven by
+// orders.
+type SizedWorker struct {
+	// Listen is where it takes orders, Side where it reports.
+	Listen  string `json:"listen"`
+	Side    string `json:"side"`
+	Service string `json:"service"`
+	// CPU is in cores.
+	CPU      float64 `json:"cpu"`
+	MemoryMB int     `json:"memory_mb"`
+	// Sleep is how long a task takes whose job says nothing.
+	Sleep time.Duration `json:"sleep"`
+}
+
+func (w *SizedWorker) check(d *yuccajsonc.Document) {
+	checkAddress(d, "sized_worker.listen", w.Listen)
+	checkAddress(d, "sized_worker.side", w.Side)
+	checkPresent(d, "sized_worker.service", w.Service, "the name of a service")
+	if w.CPU <= 0 {
+		d.Report("sized_worker.cpu", fmt.Sprintf("is %g", w.CPU), "cores, above zero")
+	}
+	if w.MemoryMB < 0 {
+		d.Report("sized_worker.memory_mb", fmt.Sprintf("is %d", w.MemoryMB), "0 or more")
+	}
+}
+
+func checkSeeds(d *yuccajsonc.Document, field string, seeds []string) {
+	if len(seeds) == 0 {
+		d.Report(field, "is missing", "the mesh addresses of a few entries")
+	}
+	for i, address := range seeds {
+		checkAddress(d, fmt.Sprintf("%s[%d]", field, i), address)
+	}
+}
--- /dev/null
+++ b/yuccasized/callers.go
@@ -0,0 +1,207 @@
+package yuccasized
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"github.com/yuccaturn/yuccaturn/yuccabroker"
+	"github.com/yuccaturn/yuccaturn/yuccacatalog"
+	"github.com/yuccaturn/yuccaturn/yuccaedge"
+	"github.com/yuccaturn/yuccaturn/yuccajsonc"
+	"github.com/yuccaturn/yuccaturn/yuccametric"
+	"github.com/yuccaturn/yuccaturn/yuccaproblem"
+	"github.com/yuccaturn/yuccaturn/yuccatrace"
+)
+
+// Callers serves the callers of an entry.
+type Callers struct {
+	edge    *yuccaedge.Edge
+	metrics *yuccametric.Set
+	logger  *slog.Logger
+}
+
+// NewCallers returns the handler for callers and the balancer.
+func NewCallers(edge *yuccaedge.Edge, metrics *yuccametric.Set, logger *slog.Logger) http.Handler {
+	c := &Callers{edge: edge, metrics: metrics, logger: logger}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/queues/{queue}/jobs/{id}", c.submit)
+	mux.HandleFunc("GET /v1/queues/{queue}/jobs/{id}", c.show)
+	mux.HandleFunc("DELETE /v1/queues/{queue}/jobs/{id}", c.cancel)
+	mux.HandleFunc("GET /v1/queues/{queue}", c.pending)
+	mux.HandleFunc("GET /readyz", c.readiness)
+	return mux
+}
+
+// jobAnswer is a job as its caller sees it.
+type jobAnswer struct {
+	Queue string `json:"queue"`
+	ID    string `json:"id"`
+	State string `json:"state"`
+}
+
+type queueAnswer struct {
+	Queue string `json:"queue"`
+	// Pending is the number of jobs that have not begun.
+	Pending int `json:"pending"`
+}
+
+func (c *Callers) readiness(w http.ResponseWriter, _ *http.Request) {
+	if !c.edge.Ready() {
+		yuccaproblem.Write(w, yuccaproblem.New(http.StatusServiceUnavailable, yuccaproblem.NoTarget, "this entry can't serve jobs now"))
+		return
+	}
+	_, _ = w.Write([]byte("ready\n"))
+}
+
+// route finds the queue of a request, or answers it.
+func (c *Callers) route(w http.ResponseWriter, r *http.Request) (yuccacatalog.Route, bool) {
+	catalog := c.edge.Catalog()
+	if catalog == nil {
+		c.refuse(w, r, yuccaproblem.NotRunf(http.StatusServiceUnavailable, yuccaproblem.NoControl, "%s", yuccaedge.ErrNoConfiguration).After(retryAfter))
+		return yuccacatalog.Route{}, false
+	}
+	route, _, ok := catalog.Match("", queuePrefix(r.PathValue("queue")))
+	if !ok {
+		c.refuse(w, r, yuccaproblem.NotRunf(http.StatusNotFound, yuccaproblem.UnknownService, "queue: %q is not in the document", r.PathValue("queue")))
+	}
+	return route, ok
+}
+
+func (c *Callers) submit(w http.ResponseWriter, r *http.Request) {
+	received := time.Now()
+	route, ok := c.route(w, r)
+	if !ok {
+		return
+	}
+	id := r.PathValue("id")
+	if wrong, expected := wrongName(id); wrong != "" {
+		c.refuse(w, r, yuccaproblem.NotRunf(http.StatusBadRequest, yuccaproblem.BadRequest, "id: %s, expected %s", wrong, expected))
+		return
+	}
+	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxJobBytes))
+	if err != nil {
+		c.refuse(w, r, unreadable(err))
+		return
+	}
+	job, patience, err := decodeJob(text)
+	if err != nil {
+		c.refuse(w, r, invalid(err))
+		return
+	}
+	if patience == 0 {
+		patience = route.Timeout
+	}
+	job.ID, job.Queue, job.Deadline = id, route.Queue, received.Add(patience)
+	outcome, err := c.edge.Submit(yuccatrace.Extract(r.Context(), r.Header), job)
+	if err != nil {
+		return
+	}
+	c.metrics.Observe("response_"+outcome.State.String(), time.Since(received))
+	c.answer(w, job, outcome)
+}
+
+func (c *Callers) answer(w http.ResponseWriter, job yuccabroker.Job, outcome yuccabroker.Outcome) {
+	switch outcome.State {
+	case yuccabroker.Completed:
+		writeJSON(w, jobAnswer{Queue: job.Queue.Name, ID: job.ID, State: outcome.State.String()})
+	case yuccabroker.Failed:
+		yuccaproblem.Write(w, yuccaproblem.New(http.StatusBadGateway, yuccaproblem.TaskFailed, outcome.Reason))
+	case yuccabroker.Rejected:
+		yuccaproblem.Write(w, yuccaproblem.NotRunf(http.StatusServiceUnavailable, yuccaproblem.PastDeadline, "%s", outcome.Reason).After(outcome.RetryAfter))
+	default:
+		yuccaproblem.Write(w, yuccaproblem.New(http.StatusGatewayTimeout, yuccaproblem.OutcomeUnknown, outcome.Reason))
+	}
+}
+
+func (c *Callers) show(w http.ResponseWriter, r *http.Request) {
+	route, ok := c.route(w, r)
+	if !ok {
+		return
+	}
+	state, known, err := c.edge.JobState(r.Context(), route.Queue.Name, r.PathValue("id"))
+	c.found(w, r, route, state.String(), known, err)
+}
+
+func (c *Callers) cancel(w http.ResponseWriter, r *http.Request) {
+	route, ok := c.route(w, r)
+	if !ok {
+		return
+	}
+	known, err := c.edge.Cancel(r.Context(), route.Queue.Name, r.PathValue("id"))
+	c.found(w, r, route, "cancelled", known, err)
+}
+
+func (c *Callers) found(w http.ResponseWriter, r *http.Request, route yuccacatalog.Route, state string, known bool, err error) {
+	id := r.PathValue("id")
+	switch {
+	case err != nil:
+		c.refuse(w, r, yuccaproblem.New(http.StatusServiceUnavailable, yuccaproblem.OutcomeUnknown, err.Error()).After(retryAfter))
+	case !known:
+		c.refuse(w, r, yuccaproblem.Newf(http.StatusNotFound, yuccaproblem.JobUnknown, "id: no entry knows job %q of queue %q", id, route.Queue.Name))
+	default:
+		writeJSON(w, jobAnswer{Queue: route.Queue.Name, ID: id, State: state})
+	}
+}
+
+func (c *Callers) pending(w http.ResponseWriter, r *http.Request) {
+	route, ok := c.route(w, r)
+	if !ok {
+		return
+	}
+	n, err := c.edge.Pending(r.Context(), route.Queue.Name)
+	if err != nil {
+		c.refuse(w, r, yuccaproblem.New(http.StatusServiceUnavailable, yuccaproblem.OutcomeUnknown, err.Error()).After(retryAfter))
+		return
+	}
+	writeJSON(w, queueAnswer{Queue: route.Queue.Name, Pending: n})
+}
+
+func (c *Callers) refuse(w http.ResponseWriter, r *http.Request, p *yuccaproblem.Problem) {
+	c.metrics.Add("requests_refused", 1)
+	c.logger.Info("refuses a request", "method", r.Method, "path", r.URL.Path, "status", p.Status, "reason", p.Error(), "not_run", p.NotRun)
+	yuccaproblem.Write(w, p)
+}
+
+// unreadable is the problem of a body that could not be read.
+func unreadable(err error) *yuccaproblem.Problem {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return yuccaproblem.NotRunf(http.StatusRequestEntityTooLarge, yuccaproblem.TooLarge, "body: is longer than %d bytes", tooLarge.Limit)
+	}
+	return yuccaproblem.NotRunf(http.StatusBadRequest, yuccaproblem.BadRequest, "body: %v", err)
+}
+
+// invalid is the problem of a body with faults, each with its place.
+func invalid(err error) *yuccaproblem.Problem {
+	var findings yuccajsonc.Findings
+	if !errors.As(err, &findings) {
+		return yuccaproblem.NotRunf(http.StatusBadRequest, yuccaproblem.BadRequest, "body: %v", err)
+	}
+	p := yuccaproblem.NotRunf(http.StatusBadRequest, yuccaproblem.BadRequest, "body: %s", plural(len(findings), "fault"))
+	for _, f := range findings {
+		p.Findings = append(p.Findings, f.String())
+	}
+	return p
+}
+
+func plural(n int, noun string) string {
+	if n == 1 {
+		return "one " + noun
+	}
+	return fmt.Sprintf("%d %ss", n, noun)
+}
+
+func writeJSON(w http.ResponseWriter, value any) {
+	text, err := json.Marshal(value)
+	if err != nil {
+		yuccaproblem.Write(w, yuccaproblem.Newf(http.StatusInternalServerError, yuccaproblem.OutcomeUnknown, "encoding the answer: %v", err))
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(append(text, '\n'))
+}
--- /dev/null
+++ b/yuccasized/job.go
@@ -0,0 +1,106 @@
+package yuccasized
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/yuccaturn/yuccaturn/yuccabroker"
+	"github.com/yuccaturn/yuccaturn/yuccajsonc"
+)
+
+// jobBody is a submission. The id and the queue are part of its path.
+type jobBody struct {
+	// Deadline is how long the caller waits; zero means the queue's timeout.
+	Deadline time.Duration `json:"deadline"`
+	// Payload is handed to the worker with each task.
+	Payload json.RawMessage `json:"payload"`
+	Steps   []stepBody      `json:"steps"`
+}
+
+// stepBody is a number of equal tasks.
+type stepBody struct {
+	Tasks int `json:"tasks"`
+	// CPU is in cores.
+	CPU          float64       `json:"cpu"`
+	MemoryMB     int           `json:"memory_mb"`
+	Accelerators int           `json:"accelerators"`
+	Estimate     time.Duration `json:"estimate"`
+	// After lists the steps that must be done first.
+	After []int `json:"after"`
+	// Label is one that the worker must have.
+	Label string `json:"label"`
+	// Spread is how many of the tasks may run on one worker; zero means any.
+	Spread int `json:"spread"`
+}
+
+// decodeJob reads and checks a job. The error holds all findings.
+func decodeJob(text []byte) (yuccabroker.Job, time.Duration, error) {
+	var body jobBody
+	d := yuccajsonc.Decode("job", text, &body)
+	body.check(d)
+	if err := d.Err(); err != nil {
+		return yuccabroker.Job{}, 0, err
+	}
+	job := yuccabroker.Job{Payload: body.Payload}
+	for _, s := range body.Steps {
+		job.Steps = append(job.Steps, yuccabroker.Step{
+			Count: s.Tasks, CPUMilli: int(s.CPU * milli), MemoryMB: s.MemoryMB, Accelerators: s.Accelerators,
+			Estimate: s.Estimate, After: s.After, Label: s.Label, Spread: s.Spread,
+		})
+	}
+	return job, body.Deadline, nil
+}
+
+func (b jobBody) check(d *yuccajsonc.Document) {
+	if b.Deadline > maxDeadline {
+		d.Report("deadline", fmt.Sprintf("is %s", b.Deadline), fmt.Sprintf("%s at most", maxDeadline))
+	}
+	if len(b.Steps) == 0 {
+		d.Report("steps", "has no steps", "one step at least")
+	}
+	tasks := 0
+	for i, s := range b.Steps {
+		tasks += s.Tasks
+		s.check(d, i)
+	}
+	if tasks > maxTasks {
+		d.Report("steps", fmt.Sprintf("has %d tasks", tasks), fmt.Sprintf("%d at most", maxTasks))
+	}
+}
+
+func (s stepBody) check(d *yuccajsonc.Document, i int) {
+	field := fmt.Sprintf("steps[%d]", i)
+	if s.Tasks < 1 || s.Tasks > maxTasks {
+		d.Report(field+".tasks", fmt.Sprintf("is %d", s.Tasks), fmt.Sprintf("1 to %d", maxTasks))
+	}
+	if s.CPU <= 0 {
+		d.Report(field+".cpu", fmt.Sprintf("is %g", s.CPU), "cores, above zero")
+	}
+	if s.Estimate <= 0 {
+		d.Report(field+".estimate", fmt.Sprintf("is %s", s.Estimate), "a duration above zero")
+	}
+	if s.MemoryMB < 0 || s.Accelerators < 0 || s.Spread < 0 {
+		d.Report(field, "has a number below zero", "memory_mb, accelerators and spread of 0 or more")
+	}
+	for _, before := range s.After {
+		if before < 0 || before >= i {
+			d.Report(field+".after", fmt.Sprintf("names step %d", before), "an earlier step, counted from 0")
+		}
+	}
+}
+
+// wrongName says what is wrong with the name of a job or a queue, and what is
+// expected; both are empty for a good one.
+func wrongName(name string) (wrong, expected string) {
+	switch {
+	case name == "":
+		return "is empty", "a name"
+	case len(name) > maxNameBytes:
+		return fmt.Sprintf("has %d bytes", len(name)), fmt.Sprintf("%d at most", maxNameBytes)
+	case strings.ContainsFunc(name, func(r rune) bool { return r <= ' ' || r == 0x7f || r == '/' }):
+		return fmt.Sprintf("is %q", name), "a name without spaces, control characters and /"
+	}
+	return "", ""
+}
--- /dev/null
+++ b/yuccasized/registry.go
@@ -0,0 +1,77 @@
+package yuccasized
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+
+	"github.com/yuccaturn/yuccaturn/yuccadriver"
+	"github.com/yuccaturn/yuccaturn/yuccajsonc"
+	"github.com/yuccaturn/yuccaturn/yuccaproblem"
+	"github.com/yuccaturn/yuccaturn/yuccaworker"
+)
+
+// Registry serves the worker of a side.
+type Registry struct {
+	driver *yuccadriver.Driver
+	logger *slog.Logger
+}
+
+// NewRegistry returns the handler for the worker on this host.
+func NewRegistry(driver *yuccadriver.Driver, logger *slog.Logger) http.Handler {
+	g := &Registry{driver: driver, logger: logger}
+	mux := http.NewServeMux()
+	mux.HandleFunc("PUT /v1/worker", g.report)
+	mux.HandleFunc("DELETE /v1/worker/{id}", g.leave)
+	return mux
+}
+
+func (g *Registry) report(w http.ResponseWriter, r *http.Request) {
+	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxReportBytes))
+	if err != nil {
+		g.refuse(w, unreadable(err))
+		return
+	}
+	report, err := decodeReport(text)
+	if err != nil {
+		g.refuse(w, invalid(err))
+		return
+	}
+	if _, err := g.driver.Report(r.Context(), report); err != nil {
+		return
+	}
+	writeJSON(w, struct{}{})
+}
+
+func decodeReport(text []byte) (yuccaworker.Report, error) {
+	var b reportBody
+	d := yuccajsonc.Decode("report", text, &b)
+	for field, value := range map[string]string{"id": b.ID, "service": b.Service} {
+		if wrong, expected := wrongName(value); wrong != "" {
+			d.Report(field, wrong, expected)
+		}
+	}
+	if b.CPU <= 0 {
+		d.Report("cpu", fmt.Sprintf("is %g", b.CPU), "cores, above zero")
+	}
+	if b.MemoryMB < 0 || b.Accelerators < 0 {
+		d.Report("memory_mb", "or accelerators is below zero", "0 or more")
+	}
+	return yuccaworker.Report{
+		ID: b.ID, Born: b.Born, Service: b.Service, CPUMilli: int(b.CPU * milli), MemoryMB: b.MemoryMB,
+		Accelerators: b.Accelerators, Labels: b.Labels, Leaving: b.Leaving, ClockMS: b.ClockMS, Sequence: b.Sequence,
+	}, d.Err()
+}
+
+func (g *Registry) leave(w http.ResponseWriter, r *http.Request) {
+	if err := g.driver.Gone(r.Context(), r.PathValue("id")); err != nil {
+		return
+	}
+	writeJSON(w, struct{}{})
+}
+
+func (g *Registry) refuse(w http.ResponseWriter, p *yuccaproblem.Problem) {
+	g.logger.Warn("refuses a report of the worker", "status", p.Status, "reason", p.Error())
+	yuccaproblem.Write(w, p)
+}
--- /dev/null
+++ b/yuccasized/system_test.go
@@ -0,0 +1,247 @@
+package yuccasized_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/thejerf/suture/v4"
+
+	"github.com/yuccaturn/yuccaturn/yuccabroker"
+	"github.com/yuccaturn/yuccaturn/yuccadocument"
+	"github.com/yuccaturn/yuccaturn/yuccadriver"
+	"github.com/yuccaturn/yuccaturn/yuccaedge"
+	"github.com/yuccaturn/yuccaturn/yuccalease"
+	"github.com/yuccaturn/yuccaturn/yuccamem"
+	"github.com/yuccaturn/yuccaturn/yuccamesh"
+	"github.com/yuccaturn/yuccaturn/yuccametric"
+	"github.com/yuccaturn/yuccaturn/yuccaproblem"
+	"github.com/yuccaturn/yuccaturn/yuccasized"
+	"github.com/yuccaturn/yuccaturn/yuccawire"
+)
+
+// system is two entries and a side with its worker, in memory.
+type system struct {
+	t       *testing.T
+	fabric  *yuccamem.Fabric
+	callers [2]http.Handler
+	worker  *yuccasized.StandIn
+}
+
+func newSystem(t *testing.T) *system {
+	s := &system{t: t, fabric: yuccamem.New(yuccamem.Options{Delay: time.Millisecond, Seed: 1})}
+	supervisor := suture.NewSimple("system")
+	logger := slog.New(slog.DiscardHandler)
+	for i := range s.callers {
+		name := fmt.Sprintf("e%d", i)
+		metrics := yuccametric.New(name)
+		mesh := yuccamesh.New(yuccamesh.Options{
+			Network: s.fabric.Host(name), Self: node(name, yuccawire.Role_ROLE_ENTRY), Listen: true,
+			Seeds: func() []string { return []string{"e0:1"} }, Metrics: metrics, Logger: logger,
+		})
+		lease := yuccalease.New(yuccalease.Options{
+			Network: s.fabric.Host(name), Self: node(name, yuccawire.Role_ROLE_ENTRY), Random: rand.New(rand.NewPCG(1, uint64(i))), Logger: logger,
+			Discover: func() []string { return nil },
+		})
+		edge := yuccaedge.New(yuccaedge.Options{
+			Mesh: mesh, Lease: lease, Decode: yuccasized.DecodeDocument, FreshFor: time.Second,
+			Broker:  yuccabroker.New(yuccabroker.Options{Name: name, Random: rand.New(rand.NewPCG(2, uint64(i))), Metrics: metrics, Logger: logger}),
+			Metrics: metrics, Logger: logger,
+		})
+		edge.Recovered([]*yuccawire.Section{{Name: yuccadocument.SectionWhole, Version: 3, Body: []byte(document)}})
+		s.callers[i] = yuccasized.NewCallers(edge, metrics, logger)
+		supervisor.Add(mesh)
+		supervisor.Add(edge)
+	}
+	mesh := yuccamesh.New(yuccamesh.Options{
+		Network: s.fabric.Host("s"), Self: node("s", yuccawire.Role_ROLE_SIDE),
+		Seeds: func() []string { return []string{"e1:1"} }, Metrics: yuccametric.New("s"), Logger: logger,
+	})
+	s.worker = yuccasized.NewStandIn(yuccasized.StandInOptions{ID: "w", Service: "belfry", CPU: 4, MemoryMB: 1000, Logger: logger})
+	driver := yuccadriver.New(yuccadriver.Options{Mesh: mesh, Caller: s.worker, Metrics: yuccametric.New("s"), Logger: logger})
+	supervisor.Add(mesh)
+	supervisor.Add(driver)
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := supervisor.ServeBackground(ctx)
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	r := &reporter{driver: driver, worker: s.worker}
+	go r.run(ctx)
+	time.Sleep(3 * time.Second)
+	return s
+}
+
+func node(name string, role yuccawire.Role) *yuccawire.Node {
+	return &yuccawire.Node{Name: name, Role: role, Address: name + ":1", Incarnation: 1}
+}
+
+// reporter says for the worker that it is there.
+type reporter struct {
+	driver *yuccadriver.Driver
+	worker *yuccasized.StandIn
+}
+
+func (r *reporter) run(ctx context.Context) {
+	ticker := time.NewTicker(200 * time.Millisecond)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		_, _ = r.driver.Report(ctx, r.worker.Report())
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+		}
+	}
+}
+
+// call asks an entry, and returns the status and the body of its answer.
+func (s *system) call(entry int, method, path, body string) (int, map[string]any) {
+	w := httptest.NewRecorder()
+	s.callers[entry].ServeHTTP(w, httptest.NewRequestWithContext(s.t.Context(), method, path, strings.NewReader(body)))
+	answer := make(map[string]any)
+	if err := json.Unmarshal(w.Body.Bytes(), &answer); err != nil {
+		s.t.Errorf("%s %s: the answer is no JSON: %s", method, path, w.Body)
+	}
+	return w.Code, answer
+}
+
+// submission hands a job in and keeps its answer.
+type submission struct {
+	system *system
+	id     string
+	body   string
+	status int
+	answer map[string]any
+	done   chan struct{}
+}
+
+func (s *submission) run() {
+	s.status, s.answer = s.system.call(0, http.MethodPost, "/v1/queues/trim/jobs/"+s.id, s.body)
+	close(s.done)
+}
+
+func (s *system) submit(id, body string) *submission {
+	sub := &submission{system: s, id: id, body: body, done: make(chan struct{})}
+	go sub.run()
+	return sub
+}
+
+func steps(sleep string) string {
+	return `{"deadline": "4s", "payload": {"sleep": "` + sleep + `"}, "steps": [
+		{"tasks": 3, "cpu": 1, "estimate": "60ms"}, {"tasks": 1, "cpu": 2, "estimate": "60ms", "after": [0]}]}`
+}
+
+func TestJob(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem(t)
+		sub := s.submit("j1", steps("60ms"))
+		<-sub.done
+		if sub.status != http.StatusOK || sub.answer["state"] != "completed" || s.worker.Starts() != 4 {
+			t.Errorf("answered %d %v after %d starts, want completed after 4", sub.status, sub.answer, s.worker.Starts())
+		}
+		// Any entry knows it.
+		for entry := range s.callers {
+			if status, answer := s.call(entry, http.MethodGet, "/v1/queues/trim/jobs/j1", ""); status != http.StatusOK || answer["state"] != "completed" {
+				t.Errorf("entry %d shows %d %v", entry, status, answer)
+			}
+		}
+		failing := s.submit("j2", `{"payload": {"sleep": "10ms", "fail": true}, "steps": [{"tasks": 1, "cpu": 1, "estimate": "10ms"}]}`)
+		<-failing.done
+		if failing.status != http.StatusBadGateway || s.worker.Starts() != 6 {
+			t.Errorf("a failing job is answered %d after %d starts, want 502 after two more", failing.status, s.worker.Starts()-4)
+		}
+	})
+}
+
+// A job is found, counted and cancelled at an entry that does not own it, and
+// nothing of it starts after that.
+func TestCancelElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem(t)
+		sub := s.submit("long", steps("1s"))
+		time.Sleep(100 * time.Millisecond)
+		waiting := s.submit("waiting", `{"deadline": "4s", "steps": [{"tasks": 1, "cpu": 4, "estimate": "60ms"}]}`)
+		time.Sleep(300 * time.Millisecond)
+		if status, answer := s.call(1, http.MethodGet, "/v1/queues/trim/jobs/long", ""); status != http.StatusOK || answer["state"] != "running" {
+			t.Errorf("the other entry shows %d %v, want running", status, answer)
+		}
+		if status, answer := s.call(1, http.MethodGet, "/v1/queues/trim", ""); status != http.StatusOK || answer["pending"] != 1.0 {
+			t.Errorf("the other entry counts %d %v, want one pending", status, answer)
+		}
+		if status, answer := s.call(1, http.MethodDelete, "/v1/queues/trim/jobs/long", ""); status != http.StatusOK || answer["state"] != "cancelled" {
+			t.Errorf("cancelling at the other entry answers %d %v", status, answer)
+		}
+		<-sub.done
+		if sub.status != http.StatusBadGateway {
+			t.Errorf("the cancelled job is answered %d %v", sub.status, sub.answer)
+		}
+		<-waiting.done
+		if waiting.status != http.StatusOK || s.worker.Starts() != 4 {
+			t.Errorf("the job that waited is answered %d; %d starts, want 4", waiting.status, s.worker.Starts())
+		}
+		if status, _ := s.call(1, http.MethodDelete, "/v1/queues/trim/jobs/nobody", ""); status != http.StatusNotFound {
+			t.Errorf("cancelling an unknown job answers %d, want 404", status)
+		}
+	})
+}
+
+// While an entry that may know a job is silent, nobody says that there is none.
+func TestSilentEntry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem(t)
+		s.fabric.Cut("e0", "e1")
+		began := time.Now()
+		status, answer := s.call(1, http.MethodGet, "/v1/queues/trim/jobs/j1", "")
+		if status != http.StatusServiceUnavailable || answer["not_run"] != false {
+			t.Errorf("answered %d %v, want 503", status, answer)
+		}
+		if took := time.Since(began); took > time.Second {
+			t.Errorf("it took %v", took)
+		}
+	})
+}
+
+// What can't be read or served is refused at once, as not run.
+func TestRefusals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem(t)
+		for _, tc := range []struct {
+			path, body string
+			status     int
+			kind       yuccaproblem.Type
+			finding    string
+		}{
+			{"/v1/queues/nobody/jobs/a", steps("1s"), http.StatusNotFound, yuccaproblem.UnknownService, ""},
+			{"/v1/queues/trim/jobs/" + strings.Repeat("x", 201), steps("1s"), http.StatusBadRequest, yuccaproblem.BadRequest, ""},
+			{"/v1/queues/trim/jobs/a", "{", http.StatusBadRequest, yuccaproblem.BadRequest, "job:1:2"},
+			{"/v1/queues/trim/jobs/a", `{"steps": []}`, http.StatusBadRequest, yuccaproblem.BadRequest, "job:1:11: steps: has no steps"},
+			{"/v1/queues/trim/jobs/a", `{"steps": [{"tasks": 1, "cpu": 1, "estimate": "1ms", "after": [0]}]}`, http.StatusBadRequest, yuccaproblem.BadRequest, "steps[0].after: names step 0"},
+			{"/v1/queues/trim/jobs/a", `{"steps": [{"tasks": 1, "cpu": 1, "estimate": "9s"}]}`, http.StatusServiceUnavailable, yuccaproblem.PastDeadline, ""},
+			{"/v1/queues/trim/jobs/a", strings.Repeat(" ", 2<<20), http.StatusRequestEntityTooLarge, yuccaproblem.TooLarge, ""},
+		} {
+			began := time.Now()
+			status, answer := s.call(0, http.MethodPost, tc.path, tc.body)
+			if status != tc.status || answer["type"] != string(tc.kind) || answer["not_run"] != true {
+				t.Errorf("%.60s is answered %d %v", tc.body, status, answer)
+			}
+			if tc.finding != "" && !strings.Contains(fmt.Sprint(answer["findings"]), tc.finding) {
+				t.Errorf("nothing about %q in %v", tc.finding, answer["findings"])
+			}
+			if took := time.Since(began); took > 50*time.Millisecond {
+				t.Errorf("%.60s was refused after %v", tc.body, took)
+			}
+		}
+		if s.worker.Starts() != 0 {
+			t.Errorf("%d starts, want none", s.worker.Starts())
+		}
+	})
+}
--- /dev/null
+++ b/yuccasized/worker.go
@@ -0,0 +1,121 @@
+package yuccasized
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/yuccaturn/yuccaturn/yuccatrace"
+	"github.com/yuccaturn/yuccaturn/yuccawire"
+	"github.com/yuccaturn/yuccaturn/yuccaworker"
+)
+
+// Worker calls the worker of a side. It is a [yuccadriver.Caller].
+type Worker struct {
+	address string
+	client  *http.Client
+	logger  *slog.Logger
+}
+
+// NewWorker returns the client of the worker at the address, a host and port.
+func NewWorker(address string, logger *slog.Logger) *Worker {
+	return &Worker{
+		address: address, logger: logger,
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleConnections}},
+	}
+}
+
+// call posts a body. An error means that no answer came that can be read.
+func (w *Worker) call(ctx context.Context, path string, timeout time.Duration, body any) (*replyBody, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	text, err := json.Marshal(body)
+	if err != nil {
+		return nil, err
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+w.address+path, bytes.NewReader(text))
+	if err != nil {
+		return nil, err
+	}
+	// Without it the transport can't send the body a second time by itself.
+	request.GetBody = nil
+	request.Header.Set("Content-Type", "application/json")
+	yuccatrace.Inject(ctx, request.Header)
+	response, err := w.client.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer response.Body.Close()
+	answer, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes))
+	if err != nil {
+		return nil, err
+	}
+	reply := new(replyBody)
+	if response.StatusCode != http.StatusOK {
+		err = merry.Errorf("status %d", response.StatusCode)
+	} else {
+		err = json.Unmarshal(answer, reply)
+	}
+	if err != nil {
+		w.logger.Warn("an answer of the worker can't be read", "path", path, "status", response.StatusCode, "error", err)
+		return nil, err
+	}
+	return reply, nil
+}
+
+// Start starts a run.
+func (w *Worker) Start(ctx context.Context, c yuccaworker.CallStart) (yuccaworker.StartResult, int64) {
+	reply, err := w.call(ctx, "/v1/start", callTimeout, startBody{
+		Life: lifeBodyOf(c.Life), Task: c.Key.Task, Run: c.Key.Run, Payload: c.Payload, DeadlineMS: c.DeadlineMS, Token: c.Token,
+	})
+	if err != nil {
+		return yuccaworker.StartUnknown, 0
+	}
+	result := results.byName[reply.Result]
+	if result != yuccaworker.Started {
+		w.logger.Info("the worker has refused a start", "task", c.Key.Task, "run", c.Key.Run, "result", reply.Result,
+			"clock_ms", reply.ClockMS, "deadline_ms", c.DeadlineMS, "token", c.Token)
+	}
+	return result, reply.ClockMS
+}
+
+// Stop stops a run.
+func (w *Worker) Stop(ctx context.Context, c yuccaworker.CallStop) (bool, int64) {
+	reply, err := w.call(ctx, "/v1/stop", callTimeout, stopBody{
+		Life: lifeBodyOf(c.Life), Task: c.Key.Task, Run: c.Key.Run, Token: c.Token,
+	})
+	if err != nil || results.byName[reply.Result] != yuccaworker.Started {
+		return false, 0
+	}
+	return true, reply.ClockMS
+}
+
+// Hold renews the hold and returns the worker's lists.
+func (w *Worker) Hold(ctx context.Context, c yuccaworker.CallHold) yuccaworker.HoldResult {
+	result := yuccaworker.HoldResult{Life: c.Life, SentAt: c.SentAt}
+	reply, err := w.call(ctx, "/v1/hold", c.Timeout, holdBody{
+		Life: lifeBodyOf(c.Life), DeadlineMS: c.DeadlineMS, Token: c.Token, Cursor: c.Cursor, WaitMS: c.Wait.Milliseconds(),
+	})
+	if err != nil {
+		return result
+	}
+	result.Result, result.ClockMS = results.byName[reply.Result], reply.ClockMS
+	for _, r := range reply.Running {
+		result.Running = append(result.Running, yuccaworker.Key{Task: r.Task, Run: r.Run})
+	}
+	for _, e := range reply.Ends {
+		end, known := ends.byName[e.End]
+		if !known {
+			w.logger.Warn("the worker lists an unknown kind of end", "end", e.End, "task", e.Task)
+			end = yuccawire.RunEnd_RUN_END_LOST
+		}
+		result.Ends = append(result.Ends, yuccaworker.RunEnd{Number: e.Number, Key: yuccaworker.Key{Task: e.Task, Run: e.Run}, End: end})
+	}
+	return result
+}
--- a/yuccaworker/run.go
+++ b/yuccaworker/run.go
@@ -28,6 +28,7 @@
 	owner     *owner
 	service   string
 	payload   []byte
+	trace     string
 	size      size
 	tier      int
 	rank      int64
@@ -63,7 +64,7 @@
 
 func (w *Worker) admit(now time.Time, o *owner, job *yuccawire.JobOrder, t *yuccawire.TaskOrder) {
 	r := &run{
-		key: Key{Task: t.GetTask(), Run: t.GetRun()}, owner: o, service: job.GetService(), payload: job.GetPayload(),
+		key: Key{Task: t.GetTask(), Run: t.GetRun()}, owner: o, service: job.GetService(), payload: job.GetPayload(), trace: job.GetTraceparent(),
 		size:     size{cpu: int(t.GetCpuMilli()), memory: int(t.GetMemoryMb()), accelerators: int(t.GetAccelerators())},
 		tier:     min(int(job.GetTier()), tiers-1),
 		rank:     job.GetRankMs(),
@@ -200,7 +201,7 @@
 	r.tries++
 	deadline := w.clock.least(now) + Hold.Milliseconds()
 	w.holdUntil = max(w.holdUntil, deadline)
-	w.do(CallStart{Life: w.life(), Key: r.key, Payload: r.payload, DeadlineMS: deadline, Token: w.token})
+	w.do(CallStart{Life: w.life(), Key: r.key, Payload: r.payload, DeadlineMS: deadline, Token: w.token, Traceparent: r.trace})
 }
 
 // StartReply takes in the answer to a start.
@@ -298,6 +299,9 @@
 
 // Withdraw stops runs that their owner does not want any more.
 func (w *Worker) Withdraw(now time.Time, from Owner, keys []*yuccawire.RunKey) {
+	if len(keys) > 0 {
+		w.options.Logger.Info("an owner withdraws runs", "owner", from.Name, "runs", len(keys), "first", keys[0].GetTask(), "run", keys[0].GetRun())
+	}
 	for _, k := range keys {
 		w.withdraw(now, Key{Task: k.GetTask(), Run: k.GetRun()}, from)
 	}
--- a/yuccaworker/types.go
+++ b/yuccaworker/types.go
@@ -105,6 +105,8 @@
 	Payload    []byte
 	DeadlineMS int64
 	Token      int64
+	// Traceparent is the span of the job, empty where none is traced.
+	Traceparent string
 }
 
 // CallStop stops a run at the worker.
