server: end kept connections when an entry leaves or can't serve

Cause: callers keep their connections open.

Answers of an entry that leaves, or isn't ready, carry Connection: close; idle connections are closed when it takes no more.

TestLeave was seen to fail with either part taken out.

--- a/yuccacommand/deployed.go
+++ b/yuccacommand/deployed.go
@@ -200,8 +200,9 @@
 	if err != nil {
 		return err
 	}
-	callers := yuccaserver.New(settings.Callers, yuccaplatform.NewFrontend(edge, d.metrics, d.logger)).ListenAfter(edge.AwaitReady)
-	d.process.drain = func(ctx context.Context) int { return edge.Drain(ctx, callers.Refuse) }
+	callers := yuccaserver.New(settings.Callers, yuccaplatform.NewFrontend(edge, d.metrics, d.logger)).
+		ListenAfter(edge.AwaitReady).LeaveUnless(edge.Ready)
+	d.process.drain = func(ctx context.Context) int { return edge.Drain(ctx, callers) }
 	d.process.add(callers,
 		yuccaserver.New(settings.Readiness, yuccaplatform.Readiness(edge.Ready)),
 		yuccaserver.New(settings.Operators, yuccaplatform.NewOperators(edge, settings, d.logger)))
--- a/yuccacommand/sized.go
+++ b/yuccacommand/sized.go
@@ -65,9 +65,9 @@
 	if err != nil {
 		return err
 	}
-	callers := yuccaserver.New(e.Callers, yuccasized.NewCallers(edge, s.metrics, p.logger))
+	callers := yuccaserver.New(e.Callers, yuccasized.NewCallers(edge, s.metrics, p.logger)).LeaveUnless(edge.Ready)
 	operators := yuccasized.NewOperators(edge, yuccasized.OperatorOptions{Self: e.Operators, DataCentres: e.DataCentres, Logger: p.logger})
-	p.drain = func(ctx context.Context) int { return edge.Drain(ctx, callers.Refuse) }
+	p.drain = func(ctx context.Context) int { return edge.Drain(ctx, callers) }
 	p.add(callers, yuccaserver.New(e.Operators, yuccaserver.WithVars(operators)))
 	return p.run()
 }
--- a/yuccaedge/edge.go
+++ b/yuccaedge/edge.go
@@ -302,10 +302,19 @@
 	e.options.Logger.Info("takes jobs", "ready", e.Ready(), "since_start_ms", time.Since(began).Milliseconds())
 }
 
-// Drain tells the balancer to send no more jobs, calls refuse once it has had
+// Listener is that for callers.
+type Listener interface {
+	// Leave makes callers that keep connections open use others.
+	Leave()
+	// Refuse takes no more connections.
+	Refuse()
+}
+
+// Drain tells the balancer to send no more jobs, refuses callers once it has had
 // the time to notice, and returns when the jobs that came are answered, which
 // all are before the context ends. It returns the number of jobs that are cut.
-func (e *Edge) Drain(ctx context.Context, refuse func()) int {
+func (e *Edge) Drain(ctx context.Context, callers Listener) int {
+	callers.Leave()
 	e.draining.Store(true)
 	now := time.Now()
 	earliest := now.Add(drainGrace)
@@ -323,7 +332,7 @@
 			return open
 		}
 		if time.Now().After(earliest) {
-			refuse()
+			callers.Refuse()
 			if open == 0 {
 				return 0
 			}
--- a/yuccaserver/server.go
+++ b/yuccaserver/server.go
@@ -35,7 +35,10 @@
 	handler http.Handler
 	bound   chan string
 	await   func(ctx context.Context)
+	able    func() bool
+	leaves  atomic.Bool
 	refuses atomic.Bool
+	http    atomic.Pointer[http.Server]
 }
 
 // New returns a server that does not listen yet.
@@ -43,9 +46,36 @@
 	return &Server{listen: listen, handler: handler, bound: make(chan string, 1)}
 }
 
+// Leave closes each connection after its next answer, so that callers which
+// keep theirs open reach another process with what they ask later.
+func (s *Server) Leave() { s.leaves.Store(true) }
+
 // Refuse closes every new connection before anything of it is read, so that its
-// caller tries another process. Requests in progress go on.
-func (s *Server) Refuse() { s.refuses.Store(true) }
+// caller tries another process, and those on which nothing is asked. Requests in
+// progress go on.
+func (s *Server) Refuse() {
+	if s.refuses.Swap(true) {
+		return
+	}
+	if server := s.http.Load(); server != nil {
+		server.SetKeepAlivesEnabled(false)
+	}
+}
+
+// LeaveUnless makes the server act as after Leave whenever able says that it
+// can't serve.
+func (s *Server) LeaveUnless(able func() bool) *Server {
+	s.able = able
+	return s
+}
+
+// leaving asks for the end of the connection while its server leaves.
+func (s *Server) leaving(w http.ResponseWriter, r *http.Request) {
+	if s.leaves.Load() || s.able != nil && !s.able() {
+		w.Header().Set("Connection", "close")
+	}
+	s.handler.ServeHTTP(w, r)
+}
 
 // refusingListener closes what it accepts once its server refuses.
 type refusingListener struct {
@@ -96,12 +126,13 @@
 	}
 	s.tellBound(listener.Addr().String())
 	server := &http.Server{
-		Handler:           s.handler,
+		Handler:           http.HandlerFunc(s.leaving),
 		ReadHeaderTimeout: readHeaderTimeout,
 		ReadTimeout:       readTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
+	s.http.Store(server)
 	closer := &closer{server: server, done: make(chan struct{})}
 	go closer.run(ctx)
 	if err := server.Serve(&refusingListener{Listener: listener, server: s}); !errors.Is(err, http.ErrServerClosed) {
--- a/yuccaserver/server_test.go
+++ b/yuccaserver/server_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -60,6 +61,54 @@
 	<-s.done
 }
 
+// A server that leaves ends the connections that its callers keep open: each
+// after its next answer, and those without one once it refuses.
+func TestLeave(t *testing.T) {
+	var unable atomic.Bool
+	server := yuccaserver.New("127.0.0.1:0", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "whole") })).
+		LeaveUnless(func() bool { return !unable.Load() })
+	ctx, cancel := context.WithCancel(t.Context())
+	s := &service{server: server, done: make(chan error, 1)}
+	go s.run(ctx)
+	address, err := server.Address(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	asking, idle := &http.Client{Transport: &http.Transport{}}, &http.Client{Transport: &http.Transport{}}
+	ask := func(c *http.Client) (closes bool, err error) {
+		response, err := c.Get("http://" + address)
+		if err != nil {
+			return false, err
+		}
+		defer response.Body.Close()
+		text, err := io.ReadAll(response.Body)
+		if string(text) != "whole" {
+			t.Errorf("the answer is %q", text)
+		}
+		return response.Close, err
+	}
+	for _, c := range []*http.Client{asking, idle} {
+		if closes, err := ask(c); closes || err != nil {
+			t.Errorf("before it leaves, the server ends a connection: %v %v", closes, err)
+		}
+	}
+	unable.Store(true)
+	if closes, err := ask(asking); !closes || err != nil {
+		t.Errorf("while it can't serve, the server keeps a connection: %v %v", closes, err)
+	}
+	unable.Store(false)
+	server.Leave()
+	if closes, err := ask(asking); !closes || err != nil {
+		t.Errorf("after an answer the connection stays: %v %v", closes, err)
+	}
+	server.Refuse()
+	if _, err := ask(idle); err == nil {
+		t.Error("a request on an idle connection is answered by a server that refuses")
+	}
+	cancel()
+	<-s.done
+}
+
 // A server that waits listens only after that.
 func TestListenAfter(t *testing.T) {
 	ready := make(chan struct{})
