--- a/yuccamux/count.go
+++ b/yuccamux/count.go
@@ -21,6 +21,8 @@
 type countingConn struct {
 	net.Conn
 	traffic *Traffic
+	// held is the header of a frame whose body is written next.
+	held []byte
 }
 
 // Read counts what it reads.
@@ -29,10 +31,3 @@
 	c.traffic.received.Add(int64(n))
 	return n, err
 }
-
-// Write counts what it writes.
-func (c *countingConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.traffic.sent.Add(int64(n))
-	return n, err
-}
