worker, broker: see ends sooner, move stragglers, refuse in time

Renewals wait 50 ms and count as lost after 80 ms; the first try of a start counts as lost after 40 ms. Runs that take three times as long as their siblings are withdrawn and run elsewhere once they have ended; slow workers come last. Jobs of which nothing was sent out are refused once they can't be answered in three times their objective. An entry that stops takes what probably fits.

Ruled out: see docs/design/platform.md (margins, newest first, a last tier, a factor of 2.2 for stragglers).

TestSlowWorkers, TestLateOrders, TestStraggler, TestSlowWorkerIsLast, TestRefusedInVain, TestStragglersSuspect and TestStartTries were seen to fail with their mechanism taken out.

--- a/yuccabroker/broker.go
+++ b/yuccabroker/broker.go
@@ -45,6 +45,8 @@
 	busySince time.Time
 	beatAt    time.Time
 	rate      rate
+	// usual is the median of the workers' run times over the estimates.
+	usual float64
 }
 
 type runKey struct {
@@ -75,6 +77,7 @@
 		kept:    make(map[string]keptOutcome),
 		sides:   make(map[string]*side),
 		runs:    make(map[runKey]*task),
+		usual:   1,
 	}
 }
 
@@ -158,6 +161,8 @@
 	b.expireJobs(now)
 	b.rerank(now)
 	b.loseRuns(now)
+	b.usual = b.usualPace()
+	b.moveStragglers(now)
 	b.forgetSides(now)
 	b.sendBeats(now)
 	b.forgetOutcomes(now)
--- a/yuccabroker/broker_test.go
+++ b/yuccabroker/broker_test.go
@@ -400,3 +400,119 @@
 		t.Errorf("sent %v, want the task at the side that is back", f.sent())
 	}
 }
+
+// ended speaks for a side about one run that has taken some time.
+func (f *fixture) ended(side, task string, run uint64, end yuccawire.RunEnd, ran time.Duration) {
+	state := f.workerState(full)
+	state.OrdersSeen = f.seen[side]
+	f.broker.Ends(f.now, side, &yuccawire.Ends{State: state, Ends: []*yuccawire.Ended{{
+		Run: &yuccawire.RunKey{Task: task, Run: run}, End: end, RanMs: uint32(ran.Milliseconds()),
+	}}})
+	f.settle()
+}
+
+// A run that takes far longer than others of its step is withdrawn, and runs
+// elsewhere once it has provably ended; a second time it is let run.
+func TestStraggler(t *testing.T) {
+	f := newFixture(t, "s1", "s2")
+	f.submit(job("j", 2), 1)
+	first := f.sent()
+	slow := first["j.0.0.0/1"]
+	f.pass(120*time.Millisecond, "s1", "s2")
+	f.ended(first["j.0.0.1/1"], "j.0.0.1", 1, yuccawire.RunEnd_RUN_END_DONE, 120*time.Millisecond)
+	f.pass(280*time.Millisecond, "s1", "s2")
+	if len(f.stops) > 0 {
+		t.Fatalf("withdrawn after %v: %v", f.now.Sub(began), f.stops)
+	}
+	f.pass(60*time.Millisecond, "s1", "s2")
+	if runs := f.stops[slow]; len(runs) != 1 || runs[0].GetTask() != "j.0.0.0" {
+		t.Fatalf("after %v withdrawn: %v, want j.0.0.0 at %s", f.now.Sub(began), f.stops, slow)
+	}
+	if _, again := f.sent()["j.0.0.0/2"]; again {
+		t.Fatal("it runs again before its end is known")
+	}
+	f.ended(slow, "j.0.0.0", 1, yuccawire.RunEnd_RUN_END_STOPPED, 450*time.Millisecond)
+	if side := f.sent()["j.0.0.0/2"]; side == "" || side == slow {
+		t.Fatalf("its next run is at %q, want the other side than %s", side, slow)
+	}
+	f.pass(900*time.Millisecond, "s1", "s2")
+	if len(f.stops[slow])+len(f.stops[f.sent()["j.0.0.0/2"]]) != 1 {
+		t.Errorf("it was moved twice: %v", f.stops)
+	}
+}
+
+// Tasks that all take long are no stragglers, and none is moved where no other
+// worker has room.
+func TestNoStraggler(t *testing.T) {
+	f := newFixture(t, "s1", "s2")
+	f.submit(job("j", 2), 1)
+	f.pass(1200*time.Millisecond, "s1", "s2")
+	if len(f.stops) > 0 {
+		t.Errorf("tasks of a long job are withdrawn: %v", f.stops)
+	}
+	f = newFixture(t, "s1", "s2")
+	f.submit(job("j", 2), 1)
+	first := f.sent()
+	slow := first["j.0.0.0/1"]
+	f.ended(first["j.0.0.1/1"], "j.0.0.1", 1, yuccawire.RunEnd_RUN_END_DONE, 100*time.Millisecond)
+	for range 30 {
+		f.now = f.now.Add(20 * time.Millisecond)
+		for _, s := range []string{"s1", "s2"} {
+			free := 0
+			if s == slow {
+				free = full
+			}
+			f.state(s, free)
+		}
+		f.broker.Tick(f.now)
+		f.settle()
+	}
+	if len(f.stops) > 0 {
+		t.Errorf("withdrawn with no room elsewhere: %v", f.stops)
+	}
+}
+
+// A worker that is slow gets a task only where no other has room.
+func TestSlowWorkerIsLast(t *testing.T) {
+	f := newFixture(t, "s1", "s2", "s3")
+	state := f.workerState(full)
+	state.PacePercent = 450
+	f.broker.State(f.now, "s2", state)
+	f.broker.Tick(f.now)
+	for i := range 9 {
+		f.submit(job(fmt.Sprint("j", i), 2), uint64(i+1))
+	}
+	for run, side := range f.sent() {
+		if side == "s2" {
+			t.Errorf("%s went to the slow worker", run)
+		}
+	}
+}
+
+// noRoom is the room of a worker at whose side nothing may wait either.
+const noRoom = -full
+
+// A job of which nothing could be sent out is refused, as not run, once it can't
+// be answered while that is worth something; its caller doesn't wait in vain.
+func TestRefusedInVain(t *testing.T) {
+	f := newFixture(t, "s1")
+	f.state("s1", noRoom)
+	f.submit(job("j", 2), 1)
+	objective := 380 * time.Millisecond
+	for f.now.Sub(began) < 3*objective-200*time.Millisecond-20*time.Millisecond {
+		if len(f.answers) > 0 {
+			t.Fatalf("answered %v after %v", f.answers[1], f.now.Sub(began))
+		}
+		f.now = f.now.Add(20 * time.Millisecond)
+		f.state("s1", noRoom)
+		f.broker.Tick(f.now)
+		f.settle()
+	}
+	f.now = f.now.Add(40 * time.Millisecond)
+	f.state("s1", noRoom)
+	f.broker.Tick(f.now)
+	f.settle()
+	if o, answered := f.answers[1]; !answered || o.State != yuccabroker.Rejected || o.RetryAfter <= 0 {
+		t.Errorf("after %v answered %v %v, want rejected with a time to come back", f.now.Sub(began), answered, o)
+	}
+}
--- a/yuccabroker/doc.go
+++ b/yuccabroker/doc.go
@@ -47,6 +47,9 @@
 	queuedShare = 0.18
 	// choices is the number of random workers that are compared for a task.
 	choices = 4
+	// lateFactor times its objective is until when an answer is worth something, as
+	// the users weigh it; a job of which nothing was sent out by then is refused.
+	lateFactor = 3
 	// answerMargin is how long before a caller's deadline it is answered.
 	answerMargin = 40 * time.Millisecond
 	// withdrawMargin is how long before that the runs of a job that won't end are
@@ -56,6 +59,11 @@
 	// hopelessShare of a task's estimate must be left before its caller's
 	// deadline; estimates are off by 40%, and workers up to a quarter faster.
 	hopelessShare = 0.5
+	// stopFactor times its chain, and stopSlack more, has to be left for a job at an
+	// entry that is about to stop: half of the jobs end within their estimate, and
+	// what is refused is not served at all.
+	stopFactor = 1.3
+	stopSlack  = 100 * time.Millisecond
 	// sideKept is how long a side without a link is remembered, with the size of its
 	// worker; as long as the mesh remembers an entry.
 	sideKept = time.Minute
--- a/yuccabroker/job.go
+++ b/yuccabroker/job.go
@@ -29,8 +29,10 @@
 	// be.
 	objective time.Time
 	giveUpAt  time.Time
-	waiters   []uint64
-	steps     []*step
+	// worthlessAt is when an answer is worth nothing to its caller any more.
+	worthlessAt time.Time
+	waiters     []uint64
+	steps       []*step
 	// count is the number of tasks, left those that are not done.
 	count int
 	left  int
@@ -54,6 +56,9 @@
 	Step
 	tasks []*task
 	left  int
+	// longest is what the longest run of it that ended well has taken, zero while
+	// none has.
+	longest time.Duration
 }
 
 // task is one task of a job.
@@ -73,6 +78,8 @@
 	sentAt time.Time
 	// avoid is where it has last failed or stood still.
 	avoid *side
+	// moved is set once a run of it was withdrawn as a straggler.
+	moved bool
 }
 
 // Submit takes in a job. A job that is known is joined.
@@ -127,6 +134,7 @@
 	}
 	objective := time.Duration(j.Queue.Stretch*float64(j.chain())) + j.Queue.TargetLatency
 	j.objective = now.Add(objective)
+	j.worthlessAt = now.Add(lateFactor * objective)
 	j.giveUpAt = submitted.Deadline.Add(-answerMargin)
 	return j
 }
@@ -165,7 +173,7 @@
 	if workers == 0 {
 		return &Outcome{State: Rejected, Reason: "no worker of the service is known", RetryAfter: time.Second}
 	}
-	if !b.stopAt.IsZero() && b.stopAt.Sub(now) < 2*j.chain() {
+	if !b.stopAt.IsZero() && b.stopAt.Sub(now) < time.Duration(stopFactor*float64(j.chain()))+stopSlack {
 		return &Outcome{State: Rejected, Reason: "this entry is about to stop", RetryAfter: time.Second}
 	}
 	if !now.Before(j.giveUpAt) {
@@ -372,6 +380,8 @@
 			b.withdraw(j, "the deadline is near")
 		case j.withdrawn == "" && j.hopeless(now):
 			b.withdraw(j, "a task of it can't end before the deadline")
+		case j.sentRuns == 0 && now.Add(j.chain()).After(j.worthlessAt):
+			b.giveUp(now, j, "it has waited in vain and can't be answered in three times its objective")
 		}
 	}
 }
--- a/yuccabroker/place.go
+++ b/yuccabroker/place.go
@@ -131,7 +131,7 @@
 	} else {
 		score *= s.pace
 	}
-	if s == t.avoid {
+	if s == t.avoid || s.pace > slowPace*b.usual {
 		score--
 	}
 	return score, true
--- a/yuccabroker/side.go
+++ b/yuccabroker/side.go
@@ -216,6 +216,7 @@
 	}
 	switch e.GetEnd() {
 	case yuccawire.RunEnd_RUN_END_DONE:
+		t.step.longest = max(t.step.longest, time.Duration(e.GetRanMs())*time.Millisecond)
 		b.taskDone(now, t)
 	case yuccawire.RunEnd_RUN_END_FAILED:
 		t.avoid = s
--- a/yuccadriver/driver.go
+++ b/yuccadriver/driver.go
@@ -178,7 +178,7 @@
 	case *yuccawire.Envelope_Beat:
 		d.worker.Beat(now, from, body.Beat)
 	case *yuccawire.Envelope_Withdraw:
-		d.worker.Withdraw(now, from, body.Withdraw.GetRuns())
+		d.worker.Withdraw(now, from, body.Withdraw)
 	}
 }
 
--- a/yuccamodel/caller_test.go
+++ b/yuccamodel/caller_test.go
@@ -184,6 +184,8 @@
 // result is what callers got.
 type result struct {
 	jobs, inTime, late, refused, failed int
+	// overdue are those answered well, and too late to be worth anything.
+	overdue int
 	// worth is the share of the credit that was earned, each kind weighing alike.
 	worth float64
 	kinds map[string]float64
@@ -206,10 +208,12 @@
 			r.inTime++
 			earned[j.kind.name] += worth
 		default:
-			r.late++
-			if j.response <= 3*j.objective {
-				earned[j.kind.name] += worth / 5
+			if j.response > 3*j.objective {
+				r.overdue++
+				break
 			}
+			r.late++
+			earned[j.kind.name] += worth / 5
 		}
 	}
 	for name := range owed {
--- a/yuccamodel/model_test.go
+++ b/yuccamodel/model_test.go
@@ -75,6 +75,63 @@
 	}
 }
 
+// mean plays a scenario with several seeds and returns the mean worth, that of
+// the most urgent kind, and the share served.
+func mean(t *testing.T, factor float64, begin, end func(w *world)) (worth, urgent, served float64) {
+	const plays = 4
+	for i := range plays {
+		w := newWorld(t, uint64(100+i), 9, 11)
+		w.run(warmUp)
+		w.offer(factor, 10*time.Second)
+		w.run(time.Second)
+		begin(w)
+		w.run(5 * time.Second)
+		end(w)
+		w.run(8 * time.Second)
+		r := w.result()
+		t.Logf("%+v", r)
+		worth += r.worth / plays
+		urgent += r.kinds["trim"] / plays
+		served += float64(r.inTime+r.late) / float64(r.jobs) / plays
+	}
+	return worth, urgent, served
+}
+
+// Two workers turn four and eight times slower: what straggles there runs
+// elsewhere, and new tasks go to the others.
+func TestSlowWorkers(t *testing.T) {
+	worth, _, served := mean(t, 0.8, func(w *world) {
+		w.sides[4].node.slow, w.sides[5].node.slow = 8, 4
+	}, func(w *world) {
+		w.sides[4].node.slow, w.sides[5].node.slow = 0, 0
+	})
+	if worth < 0.95 {
+		t.Errorf("worth %.3f, want 0.95", worth)
+	}
+	if served < 0.997 {
+		t.Errorf("%.4f of the jobs are served, want 0.997", served)
+	}
+}
+
+// One in sixteen calls to the workers gets no answer and is carried out seconds
+// later: starts are tried again and ends are seen in time.
+func TestLateOrders(t *testing.T) {
+	late := func(share float64) func(w *world) {
+		return func(w *world) {
+			for _, s := range w.sides {
+				s.node.lateOrders = share
+			}
+		}
+	}
+	_, urgent, served := mean(t, 0.7, late(1.0/16), late(0))
+	if urgent < 0.93 {
+		t.Errorf("the most urgent kind is worth %.3f, want 0.93", urgent)
+	}
+	if served < 0.999 {
+		t.Errorf("%.4f of the jobs are served, want 0.999", served)
+	}
+}
+
 // A killed entry costs no more than the jobs that it had in hand.
 func TestKilledEntry(t *testing.T) {
 	w := newWorld(t, 4, 9, 11)
--- a/yuccamodel/world_test.go
+++ b/yuccamodel/world_test.go
@@ -26,7 +26,6 @@
 	// linkSilence is when a silent link is closed, linkAgain the time to the next.
 	linkSilence = 1300 * time.Millisecond
 	linkAgain   = 60 * time.Millisecond
-	callTimeout = 120 * time.Millisecond
 	tick        = 20 * time.Millisecond
 	beatEvery   = 1500 * time.Millisecond
 	// resendAfter is when a caller hands a job in again after a broken connection.
@@ -374,8 +373,8 @@
 	unknown := func() { core.StartReply(s.w.now, a.Life, a.Key, yuccaworker.StartUnknown, 0) }
 	s.call(func() {
 		result, clock := s.node.start(a), s.node.clock()
-		s.reply(func() { core.StartReply(s.w.now, a.Life, a.Key, result, clock) }, unknown, callTimeout)
-	}, unknown, callTimeout)
+		s.reply(func() { core.StartReply(s.w.now, a.Life, a.Key, result, clock) }, unknown, a.Timeout)
+	}, unknown, a.Timeout)
 }
 
 func (s *modelSide) callStop(a yuccaworker.CallStop) {
@@ -384,8 +383,8 @@
 	s.call(func() {
 		answered, clock := s.node.stop(a), s.node.clock()
 		s.w.note("%s stop %v carried out %v", s.name, a.Key, answered)
-		s.reply(func() { core.StopReply(s.w.now, a.Life, a.Key, answered, clock) }, unknown, callTimeout)
-	}, unknown, callTimeout)
+		s.reply(func() { core.StopReply(s.w.now, a.Life, a.Key, answered, clock) }, unknown, a.Timeout)
+	}, unknown, a.Timeout)
 }
 
 func (s *modelSide) callHold(a yuccaworker.CallHold) {
@@ -493,7 +492,7 @@
 			case *yuccawire.Envelope_Beat:
 				s.core.Beat(w.now, id, body.Beat)
 			case *yuccawire.Envelope_Withdraw:
-				s.core.Withdraw(w.now, id, body.Withdraw.GetRuns())
+				s.core.Withdraw(w.now, id, body.Withdraw)
 			}
 		})
 	})
--- a/yuccasized/doc.go
+++ b/yuccasized/doc.go
@@ -34,8 +34,6 @@
 	retryAfter = time.Second
 	// orderTimeout bounds an operator's change: an election and two syncs.
 	orderTimeout = 3 * time.Second
-	// callTimeout bounds a start or a stop at a worker on the same host.
-	callTimeout = 120 * time.Millisecond
 	// maxIdleConnections to a worker stay open: starts and stops overlap.
 	maxIdleConnections = 8
 	// reportInterval is how often a stand-in says that it is there.
--- a/yuccasized/system_test.go
+++ b/yuccasized/system_test.go
@@ -169,7 +169,7 @@
 		s := newSystem(t)
 		sub := s.submit("long", steps("1s"))
 		time.Sleep(100 * time.Millisecond)
-		waiting := s.submit("waiting", `{"deadline": "4s", "steps": [{"tasks": 1, "cpu": 4, "estimate": "60ms"}]}`)
+		waiting := s.submit("waiting", `{"deadline": "4s", "steps": [{"tasks": 1, "cpu": 4, "estimate": "400ms"}]}`)
 		time.Sleep(300 * time.Millisecond)
 		if status, answer := s.call(1, http.MethodGet, "/v1/queues/trim/jobs/long", ""); status != http.StatusOK || answer["state"] != "running" {
 			t.Errorf("the other entry shows %d %v, want running", status, answer)
--- a/yuccasized/worker.go
+++ b/yuccasized/worker.go
@@ -71,7 +71,7 @@
 
 // Start starts a run.
 func (w *Worker) Start(ctx context.Context, c yuccaworker.CallStart) (yuccaworker.StartResult, int64) {
-	reply, err := w.call(ctx, "/v1/start", callTimeout, startBody{
+	reply, err := w.call(ctx, "/v1/start", c.Timeout, startBody{
 		Life: lifeBodyOf(c.Life), Task: c.Key.Task, Run: c.Key.Run, Payload: c.Payload, DeadlineMS: c.DeadlineMS, Token: c.Token,
 	})
 	if err != nil {
@@ -87,7 +87,7 @@
 
 // Stop stops a run.
 func (w *Worker) Stop(ctx context.Context, c yuccaworker.CallStop) (bool, int64) {
-	reply, err := w.call(ctx, "/v1/stop", callTimeout, stopBody{
+	reply, err := w.call(ctx, "/v1/stop", c.Timeout, stopBody{
 		Life: lifeBodyOf(c.Life), Task: c.Key.Task, Run: c.Key.Run, Token: c.Token,
 	})
 	if err != nil || results.byName[reply.Result] != yuccaworker.Started {
--- a/yuccasized/worker_test.go
+++ b/yuccasized/worker_test.go
@@ -15,6 +15,9 @@
 	"github.com/yuccaturn/yuccaturn/yuccaworker"
 )
 
+// patience is longer than any answer in these tests.
+const patience = 10 * time.Second
+
 func newWorker(t *testing.T, handler http.Handler) *yuccasized.Worker {
 	server := httptest.NewServer(handler)
 	t.Cleanup(server.Close)
@@ -31,7 +34,7 @@
 	far := int64(time.Hour.Milliseconds())
 	start := func(l yuccaworker.Life, task string, run uint64, payload string, deadline, token int64) yuccaworker.StartResult {
 		result, _ := worker.Start(ctx, yuccaworker.CallStart{
-			Life: l, Key: yuccaworker.Key{Task: task, Run: run}, Payload: []byte(payload), DeadlineMS: deadline, Token: token,
+			Life: l, Key: yuccaworker.Key{Task: task, Run: run}, Payload: []byte(payload), DeadlineMS: deadline, Token: token, Timeout: patience,
 		})
 		return result
 	}
@@ -52,20 +55,20 @@
 			t.Errorf("%s: result %v, want %v", tc.name, tc.got, tc.want)
 		}
 	}
-	if ok, _ := worker.Stop(ctx, yuccaworker.CallStop{Life: life, Key: yuccaworker.Key{Task: "f", Run: 3}, Token: 6}); !ok {
+	if ok, _ := worker.Stop(ctx, yuccaworker.CallStop{Life: life, Key: yuccaworker.Key{Task: "f", Run: 3}, Token: 6, Timeout: patience}); !ok {
 		t.Error("a stop is not answered")
 	}
 	if got := start(life, "f", 3, "", far, 6); got != yuccaworker.StartOld {
 		t.Errorf("a start after its stop: result %v, want old", got)
 	}
-	hold := worker.Hold(ctx, yuccaworker.CallHold{Life: life, DeadlineMS: far, Token: 6, Wait: 5 * time.Second, Timeout: 10 * time.Second})
+	hold := worker.Hold(ctx, yuccaworker.CallHold{Life: life, DeadlineMS: far, Token: 6, Wait: 5 * time.Second, Timeout: patience})
 	if hold.Result != yuccaworker.Started || len(hold.Running) != 1 || hold.Running[0] != (yuccaworker.Key{Task: "a", Run: 2}) {
 		t.Errorf("the hold lists %+v", hold)
 	}
 	if len(hold.Ends) != 1 || hold.Ends[0].Key.Task != "e" || hold.Ends[0].End != yuccawire.RunEnd_RUN_END_FAILED {
 		t.Errorf("the hold lists ends %+v, want that of e", hold.Ends)
 	}
-	hold = worker.Hold(ctx, yuccaworker.CallHold{Life: life, DeadlineMS: far, Token: 6, Cursor: hold.Ends[0].Number, Timeout: 10 * time.Second})
+	hold = worker.Hold(ctx, yuccaworker.CallHold{Life: life, DeadlineMS: far, Token: 6, Cursor: hold.Ends[0].Number, Timeout: patience})
 	if len(hold.Ends) != 0 {
 		t.Errorf("ends that were taken note of are listed again: %+v", hold.Ends)
 	}
@@ -84,7 +87,7 @@
 			calls.Add(1)
 			handler(w, r)
 		}))
-		result, _ := worker.Start(t.Context(), yuccaworker.CallStart{Key: yuccaworker.Key{Task: "a", Run: 1}})
+		result, _ := worker.Start(t.Context(), yuccaworker.CallStart{Key: yuccaworker.Key{Task: "a", Run: 1}, Timeout: patience})
 		if result != yuccaworker.StartUnknown || calls.Load() != 1 {
 			t.Errorf("%s: result %v after %d calls, want unknown after one", name, result, calls.Load())
 		}
--- a/yuccaworker/doc.go
+++ b/yuccaworker/doc.go
@@ -35,11 +35,19 @@
 const ClockDrift = 0.02
 
 const (
-	// holdWait is how long a renewal waits for an end; three renewals fit into
-	// one hold.
-	holdWait = 120 * time.Millisecond
-	// holdTimeout counts a renewal as lost, with room for a slow processor.
-	holdTimeout = holdWait + 80*time.Millisecond
+	// holdWait is how long a renewal waits for an end. While one that was lost is
+	// waited for, ends are not seen: 120 ms made a third of the quickest jobs late
+	// where one call in sixteen is lost.
+	holdWait = 50 * time.Millisecond
+	// holdTimeout counts a renewal as lost, with room for a slow processor. Five
+	// fit into one hold.
+	holdTimeout = holdWait + 30*time.Millisecond
+	// startTimeout counts the first try of a start as unanswered: a worker on the
+	// same host answers within a few milliseconds, and a second try of a start
+	// that was carried out does no harm. Each later try waits twice as long, which
+	// a slow processor needs, up to callTimeout.
+	startTimeout = 40 * time.Millisecond
+	callTimeout  = 120 * time.Millisecond
 	// takeOverRetry is the pause between attempts to take a worker over.
 	takeOverRetry = 150 * time.Millisecond
 	// silentAfter is how long a worker with runs may leave all calls unanswered;
@@ -47,7 +55,7 @@
 	silentAfter = 300 * time.Millisecond
 	// listMaxAge is how old the worker's lists may be for a judgement of its runs:
 	// where answers are lost, ends are seen late.
-	listMaxAge = holdWait + 30*time.Millisecond
+	listMaxAge = holdTimeout
 	// stopRetry is the pause between stops that are not answered.
 	stopRetry = 100 * time.Millisecond
 	// maxStartTries bounds how often an unanswered start is sent again; a start
@@ -69,6 +77,9 @@
 	// busyStateInterval bounds the age of the clock stamp that an owner renews
 	// its lease with.
 	busyStateInterval = 100 * time.Millisecond
+	// roomyShare of the processors must be free for reports at that interval: what
+	// all entries together send meanwhile then still fits.
+	roomyShare = 0.45
 	// minStateInterval bounds the rate of reports to one owner.
 	minStateInterval = 15 * time.Millisecond
 	// endsKept is how long ends are kept for an owner whose link broke.
--- a/yuccaworker/health.go
+++ b/yuccaworker/health.go
@@ -30,8 +30,11 @@
 // them, each entry only its own.
 type health struct {
 	// pace is the mean of run time over estimate.
-	pace        float64
-	failures    int
+	pace     float64
+	failures int
+	// stragglers counts the runs that were withdrawn for taking too long since the
+	// last one ended well.
+	stragglers  int
 	doneAt      time.Time
 	suspectedAt time.Time
 }
@@ -50,7 +53,7 @@
 func (h *health) ended(now time.Time, r *run, end yuccawire.RunEnd, ran time.Duration) {
 	switch end {
 	case yuccawire.RunEnd_RUN_END_DONE:
-		h.failures = 0
+		h.failures, h.stragglers = 0, 0
 		h.doneAt = now
 		h.suspectedAt = time.Time{}
 		h.notePace(ran, r.estimate)
@@ -88,6 +91,25 @@
 	return now.Sub(r.startAt) > limit
 }
 
+// straggled takes in that a run is withdrawn for taking too long. It has taken
+// less than it would have.
+func (w *Worker) straggled(now time.Time, r *run) {
+	w.health.notePace(now.Sub(r.startAt), r.estimate)
+	w.health.stragglers++
+	if w.health.stragglers >= overdueToSuspect && !w.health.suspect() {
+		w.suspect(now, w.health.stragglers)
+	}
+}
+
+// suspect keeps new tasks from a worker on which runs stand still.
+func (w *Worker) suspect(now time.Time, runs int) {
+	w.options.Logger.Warn("suspects the worker: runs stand still", "worker", w.report.ID, "overdue", runs, "runs", len(w.runs))
+	w.metrics.Add("suspected", 1)
+	w.health.suspectedAt = now
+	w.refuseQueue(now, yuccawire.RunRefusal_RUN_REFUSAL_UNHEALTHY)
+	w.touchAll()
+}
+
 // checkHealth suspects a worker on which several runs stand still, and stops
 // those that are overdue, so that they can run elsewhere.
 func (w *Worker) checkHealth(now time.Time) {
@@ -104,9 +126,7 @@
 		return
 	}
 	if !w.health.suspect() {
-		w.options.Logger.Warn("suspects the worker: runs stand still", "worker", w.report.ID, "overdue", len(overdue), "runs", len(w.runs))
-		w.metrics.Add("suspected", 1)
-		w.refuseQueue(now, yuccawire.RunRefusal_RUN_REFUSAL_UNHEALTHY)
+		w.suspect(now, len(overdue))
 	}
 	w.health.suspectedAt = now
 	w.touchAll()
--- a/yuccaworker/hold.go
+++ b/yuccaworker/hold.go
@@ -83,7 +83,7 @@
 	default:
 		w.metrics.Add("holds_unanswered", 1)
 	}
-	if latest && (h.Result == Started || now.Sub(h.SentAt) > stopRetry) {
+	if latest && (h.Result == Started || now.Sub(h.SentAt) > holdWait) {
 		w.renewHold(now)
 	}
 	w.pump(now)
@@ -133,7 +133,7 @@
 		if r := w.runs[key]; r == nil {
 			foreign++
 			w.metrics.Add("foreign_runs_stopped", 1)
-			w.do(CallStop{Life: h.Life, Key: key, Token: w.token})
+			w.callStop(key)
 		} else if r.state == starting || r.state == unsure && r.stopAt.IsZero() {
 			w.confirmStart(now, r)
 		}
--- a/yuccaworker/owner.go
+++ b/yuccaworker/owner.go
@@ -158,6 +158,8 @@
 	switch {
 	case o.dirty:
 		return minStateInterval
+	case w.roomy() && (o.runs > 0 || o.free != w.total().minus(w.used)):
+		return busyStateInterval
 	case o.runs > 0:
 		return min(o.interval, busyStateInterval)
 	case o.free != w.total().minus(w.used):
@@ -166,6 +168,11 @@
 	return max(o.interval, idleStateInterval)
 }
 
+// roomy tells whether so much is free that an owner may well know it late.
+func (w *Worker) roomy() bool {
+	return float64(w.total().minus(w.used).cpu) > roomyShare*float64(w.total().cpu)
+}
+
 func (w *Worker) state(now time.Time, o *owner) *yuccawire.WorkerState {
 	free := w.total().minus(w.used)
 	o.free = free
--- a/yuccaworker/run.go
+++ b/yuccaworker/run.go
@@ -201,7 +201,10 @@
 	r.tries++
 	deadline := w.clock.least(now) + Hold.Milliseconds()
 	w.holdUntil = max(w.holdUntil, deadline)
-	w.do(CallStart{Life: w.life(), Key: r.key, Payload: r.payload, DeadlineMS: deadline, Token: w.token, Traceparent: r.trace})
+	w.do(CallStart{
+		Life: w.life(), Key: r.key, Payload: r.payload, DeadlineMS: deadline, Token: w.token,
+		Timeout: min(startTimeout<<(r.tries-1), callTimeout), Traceparent: r.trace,
+	})
 }
 
 // StartReply takes in the answer to a start.
@@ -270,7 +273,11 @@
 // that it is not.
 func (w *Worker) stop(now time.Time, r *run) {
 	r.stopAt = now
-	w.do(CallStop{Life: w.life(), Key: r.key, Token: w.token})
+	w.callStop(r.key)
+}
+
+func (w *Worker) callStop(key Key) {
+	w.do(CallStop{Life: w.life(), Key: key, Token: w.token, Timeout: callTimeout})
 }
 
 // StopReply takes in the answer to a stop.
@@ -298,12 +305,18 @@
 }
 
 // Withdraw stops runs that their owner does not want any more.
-func (w *Worker) Withdraw(now time.Time, from Owner, keys []*yuccawire.RunKey) {
+func (w *Worker) Withdraw(now time.Time, from Owner, m *yuccawire.Withdraw) {
+	keys := m.GetRuns()
 	if len(keys) > 0 {
-		w.options.Logger.Info("an owner withdraws runs", "owner", from.Name, "runs", len(keys), "first", keys[0].GetTask(), "run", keys[0].GetRun())
+		w.options.Logger.Info("an owner withdraws runs", "owner", from.Name, "runs", len(keys), "first", keys[0].GetTask(),
+			"run", keys[0].GetRun(), "straggling", m.GetStraggling())
 	}
 	for _, k := range keys {
-		w.withdraw(now, Key{Task: k.GetTask(), Run: k.GetRun()}, from)
+		key := Key{Task: k.GetTask(), Run: k.GetRun()}
+		if r := w.runs[key]; r != nil && r.owner.id == from && r.stopAt.IsZero() && m.GetStraggling() {
+			w.straggled(now, r)
+		}
+		w.withdraw(now, key, from)
 	}
 	w.pump(now)
 	w.sendStates(now)
--- a/yuccaworker/types.go
+++ b/yuccaworker/types.go
@@ -105,6 +105,8 @@
 	Payload    []byte
 	DeadlineMS int64
 	Token      int64
+	// Timeout is when the start counts as unanswered.
+	Timeout time.Duration
 	// Traceparent is the span of the job, empty where none is traced.
 	Traceparent string
 }
@@ -114,6 +116,8 @@
 	Life  Life
 	Key   Key
 	Token int64
+	// Timeout is when the stop counts as unanswered.
+	Timeout time.Duration
 }
 
 // CallHold renews the hold and asks for what runs and what has ended.
--- a/yuccaworker/worker_test.go
+++ b/yuccaworker/worker_test.go
@@ -433,7 +433,7 @@
 	for i := range 12 {
 		w.order(entry, lease, task(fmt.Sprint("a", i), 1, 1600))
 	}
-	w.core.Withdraw(w.now, entry, []*yuccawire.RunKey{{Task: "a0", Run: 1}, {Task: "a11", Run: 1}})
+	w.core.Withdraw(w.now, entry, &yuccawire.Withdraw{Runs: []*yuccawire.RunKey{{Task: "a0", Run: 1}, {Task: "a11", Run: 1}}})
 	w.settle()
 	w.pass(50 * time.Millisecond)
 	w.wantEnd(entry, "a0", yuccawire.RunEnd_RUN_END_STOPPED, 0)
@@ -542,3 +542,44 @@
 		t.Error("suspect for ends that were not seen")
 	}
 }
+
+// Runs that are withdrawn because they straggle speak against the worker: with
+// none ending well in between it is suspected.
+func TestStragglersSuspect(t *testing.T) {
+	w := newWorld(t)
+	for i := range 3 {
+		w.order(entry, lease, task(fmt.Sprint("a", i), 1, 1600))
+	}
+	w.keep(entry, 400*time.Millisecond)
+	straggling := func(name string) {
+		w.core.Withdraw(w.now, entry, &yuccawire.Withdraw{Straggling: true, Runs: []*yuccawire.RunKey{{Task: name, Run: 1}}})
+		w.settle()
+		w.keep(entry, 40*time.Millisecond)
+	}
+	straggling("a0")
+	if w.state[entry].GetSuspect() {
+		t.Error("suspect after one straggler")
+	}
+	if pace := w.state[entry].GetPacePercent(); pace <= 100 {
+		t.Errorf("the pace is %d%%, want it above the plain one", pace)
+	}
+	straggling("a1")
+	if !w.state[entry].GetSuspect() {
+		t.Error("not suspect after two stragglers in a row")
+	}
+}
+
+// The first try of a start is short, later ones are longer.
+func TestStartTries(t *testing.T) {
+	w := newWorld(t)
+	w.deaf = true
+	w.order(entry, lease, task("a", 1, 1600))
+	if len(w.lost) < 3 {
+		t.Fatalf("%d tries, want 3", len(w.lost))
+	}
+	for i, want := range []time.Duration{40 * time.Millisecond, 80 * time.Millisecond, 120 * time.Millisecond} {
+		if got := w.lost[i].Timeout; got != want {
+			t.Errorf("try %d may take %v, want %v", i+1, got, want)
+		}
+	}
+}
