load: drive jobs of sized tasks against real processes

`yuccaturn load sized` sends them to entries and prints by kind what callers got, the largest tenth, and the worst two seconds.

--- a/yuccacommand/command_test.go
+++ b/yuccacommand/command_test.go
@@ -62,7 +62,7 @@
 	for _, command := range []string{
 		"control", "entry", "side", "target", "local", "config check", "config show", "config apply", "config log", "config diff",
 		"data-centre list", "data-centre out", "data-centre in", "job submit", "job show", "job cancel", "replica remove",
-		"load jobs", "load nodes", "history check", "status", "version",
+		"load jobs", "load sized", "load nodes", "history check", "status", "version",
 		"sized entry", "sized side", "sized worker", "sized submit", "sized show", "sized cancel", "sized pending",
 		"sized check", "sized apply", "sized document", "sized out", "sized back",
 	} {
--- a/yuccacommand/load.go
+++ b/yuccacommand/load.go
@@ -13,6 +13,7 @@
 
 type loadCommands struct {
 	Jobs  loadCommand      `cmd:"" help:"Send jobs and measure their answers."`
+	Sized loadSizedCommand `cmd:"" help:"Send jobs whose tasks have sizes and measure what callers get."`
 	Nodes loadNodesCommand `cmd:"" help:"Hold the leases of many light nodes and measure what they cost."`
 }
 
@@ -79,3 +80,29 @@
 		report.Count, report.Leased, report.Updates, report.Sent, report.Received)
 	return nil
 }
+
+type loadSizedCommand struct {
+	Settings string `required:"" help:"Settings file." placeholder:"FILE"`
+	JSON     bool   `name:"json" help:"Print the report as JSON."`
+}
+
+// Help shows an example.
+func (loadSizedCommand) Help() string {
+	return "Example: yuccaturn load sized --settings examples/sized/load.jsonc"
+}
+
+// Run drives the system and prints the report.
+func (c *loadSizedCommand) Run(o *output) error {
+	settings, err := yuccasettings.Load(yuccasettings.RoleSizedLoad, c.Settings)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	report := yuccaload.NewSized(settings.SizedLoad).Do(ctx)
+	if c.JSON {
+		return json.NewEncoder(o.out).Encode(report)
+	}
+	report.Print(o.out)
+	return nil
+}
--- /dev/null
+++ b/yuccaload/sized.go
@@ -0,0 +1,343 @@
+package yuccaload
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/yuccaturn/yuccaturn/yuccaclient"
+	"github.com/yuccaturn/yuccaturn/yuccaproblem"
+	"github.com/yuccaturn/yuccaturn/yuccasettings"
+)
+
+const (
+	// lateFactor times its objective is until when an answer is worth something.
+	lateFactor = 3
+	// windowLength is the span of which the worst one is shown.
+	windowLength = 2 * time.Second
+	// maxResponse bounds the histograms.
+	maxResponse = time.Hour
+)
+
+// Sized is one run of a load of jobs whose tasks have sizes.
+type Sized struct {
+	settings *yuccasettings.SizedLoad
+	clients  []*yuccaclient.Client
+	random   *rand.Rand
+	name     string
+	began    time.Time
+	pending  sync.WaitGroup
+
+	mu      sync.Mutex
+	results []sizedResult
+}
+
+// sizedArrival is one job of the schedule.
+type sizedArrival struct {
+	at       time.Duration
+	kind     yuccasettings.SizedKind
+	tasks    int
+	run      time.Duration
+	estimate time.Duration
+	leaves   bool
+}
+
+// sizedJob is a job on its way.
+type sizedJob struct {
+	load    *Sized
+	arrival sizedArrival
+	due     time.Time
+	id      string
+	client  *yuccaclient.Client
+}
+
+// sizedOutcome is what a caller got.
+type sizedOutcome int
+
+const (
+	sizedInTime sizedOutcome = iota
+	sizedLate
+	sizedOverdue
+	sizedRefused
+	sizedFailed
+	sizedLeft
+)
+
+type sizedResult struct {
+	arrival sizedArrival
+	outcome sizedOutcome
+	took    time.Duration
+}
+
+// NewSized returns a run that has not begun.
+func NewSized(settings *yuccasettings.SizedLoad) *Sized {
+	s := &Sized{settings: settings, random: rand.New(rand.NewPCG(settings.Seed, 0)), name: time.Now().UTC().Format("150405.000")}
+	for _, address := range settings.Entries {
+		s.clients = append(s.clients, yuccaclient.New(address, "load"))
+	}
+	return s
+}
+
+// Do runs the whole load and tells what callers got.
+func (s *Sized) Do(ctx context.Context) *SizedReport {
+	schedule := sizedSchedule(s.settings, s.random)
+	s.began = time.Now()
+	for n, a := range schedule {
+		j := &sizedJob{
+			load: s, arrival: a, due: s.began.Add(a.at), id: fmt.Sprintf("load-%s-%d", s.name, n), client: s.clients[n%len(s.clients)],
+		}
+		if !sleepUntil(ctx, j.due) {
+			break
+		}
+		s.pending.Add(1)
+		go j.run(ctx)
+	}
+	s.pending.Wait()
+	return s.report()
+}
+
+// sizedSchedule draws all arrivals, in order of time.
+func sizedSchedule(settings *yuccasettings.SizedLoad, random *rand.Rand) []sizedArrival {
+	highest := 1.0
+	for _, b := range settings.Bursts {
+		highest = max(highest, b.Factor)
+	}
+	total := 0.0
+	for _, k := range settings.Kinds {
+		total += k.JobsPerSecond
+	}
+	var arrivals []sizedArrival
+	at := time.Duration(0)
+	for {
+		at += time.Duration(random.ExpFloat64() / (total * highest) * float64(time.Second))
+		if at > settings.Duration {
+			return arrivals
+		}
+		kind, skip := drawKind(settings, random, total), random.Float64()*highest > factorAt(settings, at)
+		a := drawArrival(at, kind, random)
+		a.leaves = random.Float64() < settings.GiveUpShare
+		if !skip {
+			arrivals = append(arrivals, a)
+		}
+	}
+}
+
+func drawKind(settings *yuccasettings.SizedLoad, random *rand.Rand, total float64) yuccasettings.SizedKind {
+	left := random.Float64() * total
+	for _, k := range settings.Kinds {
+		if left -= k.JobsPerSecond; left < 0 {
+			return k
+		}
+	}
+	return settings.Kinds[len(settings.Kinds)-1]
+}
+
+func factorAt(settings *yuccasettings.SizedLoad, at time.Duration) float64 {
+	factor := 1.0
+	for _, b := range settings.Bursts {
+		if at >= b.At && at < b.At+b.For {
+			factor *= b.Factor
+		}
+	}
+	return factor
+}
+
+// drawArrival draws the size of a job.
+func drawArrival(at time.Duration, k yuccasettings.SizedKind, random *rand.Rand) sizedArrival {
+	spread := func() float64 { return math.Exp(k.Spread*random.NormFloat64() - k.Spread*k.Spread/2) }
+	a := sizedArrival{at: at, kind: k, tasks: max(int(math.Round(k.Tasks*spread())), 1)}
+	a.run = max(time.Duration(float64(k.Run)*spread()), time.Millisecond)
+	a.estimate = max(time.Duration(float64(a.run)*(1+k.EstimateOff*(2*random.Float64()-1))), time.Millisecond)
+	return a
+}
+
+// objective is the time within which the job should be answered.
+func (a sizedArrival) objective() time.Duration {
+	return time.Duration(a.kind.Stretch*float64(a.run)) + a.kind.TargetLatency
+}
+
+// sizedBody, sizedStep and payload are the job as an entry takes it.
+type sizedBody struct {
+	Deadline string      `json:"deadline"`
+	Payload  payload     `json:"payload"`
+	Steps    []sizedStep `json:"steps"`
+}
+
+type sizedStep struct {
+	Tasks    int     `json:"tasks"`
+	CPU      float64 `json:"cpu"`
+	Estimate string  `json:"estimate"`
+}
+
+// run submits the job and records what its caller got.
+func (j *sizedJob) run(ctx context.Context) {
+	defer j.load.pending.Done()
+	a := j.arrival
+	body, err := json.Marshal(sizedBody{
+		Deadline: a.kind.Deadline.String(), Payload: payload{Sleep: a.run.String()},
+		Steps: []sizedStep{{Tasks: a.tasks, CPU: a.kind.CPU, Estimate: a.estimate.String()}},
+	})
+	if err != nil {
+		panic(err) // strings and numbers always encode
+	}
+	if a.leaves {
+		leaving, cancel := context.WithTimeout(ctx, j.load.settings.GiveUpAfter)
+		defer cancel()
+		ctx = leaving
+	}
+	_, err = j.client.SubmitSized(ctx, a.kind.Queue, j.id, body)
+	took := time.Since(j.due)
+	j.load.add(sizedResult{arrival: a, outcome: a.outcome(took, err), took: took})
+}
+
+// outcome judges an answer.
+func (a sizedArrival) outcome(took time.Duration, err error) sizedOutcome {
+	var problem *yuccaproblem.Problem
+	switch {
+	case errors.As(err, &problem) && problem.NotRun:
+		return sizedRefused
+	case errors.As(err, &problem):
+		return sizedFailed
+	case err != nil && a.leaves:
+		return sizedLeft
+	case err != nil:
+		return sizedFailed
+	case took <= a.objective():
+		return sizedInTime
+	case took <= lateFactor*a.objective():
+		return sizedLate
+	}
+	return sizedOverdue
+}
+
+func (s *Sized) add(r sizedResult) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.results = append(s.results, r)
+}
+
+// SizedReport is what callers got.
+type SizedReport struct {
+	Kinds map[string]*SizedCounts `json:"kinds"`
+	// Large counts the largest tenth of all jobs, by work.
+	Large *SizedCounts `json:"large"`
+	// WorstInTime is the share in time of the worst two seconds of arrivals, which
+	// began at WorstAtMS.
+	WorstInTime float64 `json:"worst_in_time"`
+	WorstAtMS   int64   `json:"worst_at_ms"`
+}
+
+// SizedCounts counts jobs by what became of them.
+type SizedCounts struct {
+	Jobs, InTime, Late, Overdue, Refused, Failed, Left int
+	// Response holds percentiles in milliseconds, Refusal those of refusals.
+	Response Percentiles `json:"response_ms"`
+	Refusal  Percentiles `json:"refusal_ms"`
+
+	response *hdrhistogram.Histogram
+	refusal  *hdrhistogram.Histogram
+}
+
+func newSizedCounts() *SizedCounts {
+	histogram := func() *hdrhistogram.Histogram { return hdrhistogram.New(1, maxResponse.Microseconds(), 3) }
+	return &SizedCounts{response: histogram(), refusal: histogram()}
+}
+
+func (c *SizedCounts) count(r sizedResult) {
+	c.Jobs++
+	switch r.outcome {
+	case sizedInTime:
+		c.InTime++
+	case sizedLate:
+		c.Late++
+	case sizedOverdue:
+		c.Overdue++
+	case sizedRefused:
+		c.Refused++
+	case sizedFailed:
+		c.Failed++
+	case sizedLeft:
+		c.Left++
+	}
+	into := c.response
+	if r.outcome == sizedRefused {
+		into = c.refusal
+	}
+	_ = into.RecordValue(min(r.took, maxResponse).Microseconds()) // it is within the bounds
+}
+
+func (c *SizedCounts) finish() {
+	c.Response = percentiles(c.response, float64(time.Millisecond.Microseconds()))
+	c.Refusal = percentiles(c.refusal, float64(time.Millisecond.Microseconds()))
+}
+
+func (a sizedArrival) work() float64 { return float64(a.tasks) * a.kind.CPU * a.run.Seconds() }
+
+func (s *Sized) report() *SizedReport {
+	p := &SizedReport{Kinds: make(map[string]*SizedCounts), Large: newSizedCounts(), WorstInTime: 1}
+	large := largestTenth(s.results)
+	windows := make(map[time.Duration]*SizedCounts)
+	for _, r := range s.results {
+		if p.Kinds[r.arrival.kind.Queue] == nil {
+			p.Kinds[r.arrival.kind.Queue] = newSizedCounts()
+		}
+		p.Kinds[r.arrival.kind.Queue].count(r)
+		if r.arrival.work() >= large {
+			p.Large.count(r)
+		}
+		window := r.arrival.at.Truncate(windowLength)
+		if windows[window] == nil {
+			windows[window] = newSizedCounts()
+		}
+		windows[window].count(r)
+	}
+	for at, c := range windows {
+		if share := float64(c.InTime) / float64(max(c.Jobs-c.Left, 1)); share < p.WorstInTime {
+			p.WorstInTime, p.WorstAtMS = share, at.Milliseconds()
+		}
+	}
+	for _, c := range p.Kinds {
+		c.finish()
+	}
+	p.Large.finish()
+	return p
+}
+
+// Print writes the report for people.
+func (p *SizedReport) Print(w io.Writer) {
+	fmt.Fprintf(w, "%-10s %6s %8s %6s %8s %8s %7s %6s %8s %8s %11s\n",
+		"kind", "jobs", "in time", "late", "overdue", "refused", "failed", "left", "p50 ms", "p99 ms", "refusal p50")
+	for _, name := range slices.Sorted(maps.Keys(p.Kinds)) {
+		p.Kinds[name].print(w, name)
+	}
+	p.Large.print(w, "(largest)")
+	fmt.Fprintf(w, "worst two seconds: %.3f in time, from %d ms on\n", p.WorstInTime, p.WorstAtMS)
+}
+
+func (c *SizedCounts) print(w io.Writer, name string) {
+	fmt.Fprintf(w, "%-10s %6d %8d %6d %8d %8d %7d %6d %8.1f %8.1f %11.1f\n",
+		name, c.Jobs, c.InTime, c.Late, c.Overdue, c.Refused, c.Failed, c.Left, c.Response.P50, c.Response.P99, c.Refusal.P50)
+}
+
+// largestTenth is the work from which on a job counts among the largest.
+func largestTenth(results []sizedResult) float64 {
+	work := make([]float64, 0, len(results))
+	for _, r := range results {
+		work = append(work, r.arrival.work())
+	}
+	if len(work) == 0 {
+		return 0
+	}
+	slices.Sort(work)
+	return work[len(work)*9/10]
+}
--- a/yuccasettings/settings.go
+++ b/yuccasettings/settings.go
@@ -38,6 +38,7 @@
 	RoleSizedEntry  Role = "sized_entry"
 	RoleSizedSide   Role = "sized_side"
 	RoleSizedWorker Role = "sized_worker"
+	RoleSizedLoad   Role = "sized_load"
 )
 
 // Settings is the settings file of one process. Of the sections that are named
@@ -56,6 +57,7 @@
 	SizedEntry  *SizedEntry  `json:"sized_entry"`
 	SizedSide   *SizedSide   `json:"sized_side"`
 	SizedWorker *SizedWorker `json:"sized_worker"`
+	SizedLoad   *SizedLoad   `json:"sized_load"`
 }
 
 // Load reads and checks the settings of a process with the role.
@@ -104,6 +106,8 @@
 		s.SizedSide.check(d)
 	case s.SizedWorker != nil:
 		s.SizedWorker.check(d)
+	case s.SizedLoad != nil:
+		s.SizedLoad.check(d)
 	}
 }
 
@@ -113,6 +117,7 @@
 		RoleControl: s.Control != nil, RoleEntry: s.Entry != nil, RoleSide: s.Side != nil,
 		RoleTarget: s.Target != nil, RoleLocal: s.Local != nil, RoleLoad: s.Load != nil,
 		RoleSizedEntry: s.SizedEntry != nil, RoleSizedSide: s.SizedSide != nil, RoleSizedWorker: s.SizedWorker != nil,
+		RoleSizedLoad: s.SizedLoad != nil,
 	}
 	for _, other := range slices.Sorted(maps.Keys(given)) {
 		switch {
--- a/yuccasettings/settings_test.go
+++ b/yuccasettings/settings_test.go
@@ -65,6 +65,9 @@
 			t.Errorf("%v", err)
 		}
 	}
+	if _, err := yuccasettings.Load(yuccasettings.RoleSizedLoad, "../examples/sized/load.jsonc"); err != nil {
+		t.Errorf("%v", err)
+	}
 	if _, err := yuccasettings.Load(yuccasettings.RoleLocal, "../examples/local.jsonc"); err != nil {
 		t.Errorf("%v", err)
 	}
--- /dev/null
+++ b/yuccasettings/sizedload.go
@@ -0,0 +1,98 @@
+package yuccasettings
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/yuccaturn/yuccaturn/yuccajsonc"
+)
+
+// maxBurst bounds the factor of a burst.
+const maxBurst = 20
+
+// SizedLoad is the section of the load of jobs whose tasks have sizes.
+type SizedLoad struct {
+	// Entries are the callers' addresses of the entries.
+	Entries []string `json:"entries"`
+	// Seed makes arrivals and sizes repeatable.
+	Seed uint64 `json:"seed"`
+	// Duration is how long jobs arrive.
+	Duration time.Duration `json:"duration"`
+	// Kinds arrive side by side.
+	Kinds []SizedKind `json:"kinds"`
+	// Bursts multiply all rates for a while.
+	Bursts []SizedBurst `json:"bursts"`
+	// GiveUpShare of the callers leave GiveUpAfter their submission.
+	GiveUpShare float64       `json:"give_up_share"`
+	GiveUpAfter time.Duration `json:"give_up_after"`
+}
+
+// SizedKind is one kind of job.
+type SizedKind struct {
+	Queue         string  `json:"queue"`
+	JobsPerSecond float64 `json:"jobs_per_second"`
+	// Tasks is the mean number of a job's tasks, Run their mean time, Spread the
+	// sigma of the log-normal distributions of both over the jobs.
+	Tasks  float64       `json:"tasks"`
+	Run    time.Duration `json:"run"`
+	Spread float64       `json:"spread"`
+	// CPU is what a task needs, in cores.
+	CPU float64 `json:"cpu"`
+	// EstimateOff is the share by which an estimate may be wrong, either way.
+	EstimateOff float64 `json:"estimate_off"`
+	// A job is in time within Stretch x its run time and TargetLatency, as the
+	// document has them for its queue.
+	Stretch       float64       `json:"stretch"`
+	TargetLatency time.Duration `json:"target_latency"`
+	// Deadline is how long a caller waits.
+	Deadline time.Duration `json:"deadline"`
+}
+
+// SizedBurst multiplies the rates.
+type SizedBurst struct {
+	At     time.Duration `json:"at"`
+	For    time.Duration `json:"for"`
+	Factor float64       `json:"factor"`
+}
+
+func (l *SizedLoad) check(d *yuccajsonc.Document) {
+	if len(l.Entries) == 0 {
+		d.Report("sized_load.entries", "is missing", "the callers' addresses of the entries")
+	}
+	for i, address := range l.Entries {
+		checkAddress(d, fmt.Sprintf("sized_load.entries[%d]", i), address)
+	}
+	if l.Duration <= 0 || l.Duration > maxLoadDuration {
+		d.Report("sized_load.duration", fmt.Sprintf("is %s", l.Duration), fmt.Sprintf("above zero, at most %s", maxLoadDuration))
+	}
+	if len(l.Kinds) == 0 {
+		d.Report("sized_load.kinds", "is missing", "one kind of job at least")
+	}
+	for i, k := range l.Kinds {
+		k.check(d, fmt.Sprintf("sized_load.kinds[%d]", i))
+	}
+	for i, b := range l.Bursts {
+		if b.Factor <= 0 || b.Factor > maxBurst {
+			d.Report(fmt.Sprintf("sized_load.bursts[%d].factor", i), fmt.Sprintf("is %g", b.Factor), fmt.Sprintf("above 0, at most %d", maxBurst))
+		}
+	}
+	if l.GiveUpShare < 0 || l.GiveUpShare > 1 {
+		d.Report("sized_load.give_up_share", fmt.Sprintf("is %g", l.GiveUpShare), "0 to 1")
+	}
+}
+
+func (k SizedKind) check(d *yuccajsonc.Document, field string) {
+	checkPresent(d, field+".queue", k.Queue, "the name of a queue")
+	if k.JobsPerSecond <= 0 || k.JobsPerSecond > maxLoadRate {
+		d.Report(field+".jobs_per_second", fmt.Sprintf("is %g", k.JobsPerSecond), fmt.Sprintf("above 0, at most %d", maxLoadRate))
+	}
+	if k.Tasks < 1 || k.CPU <= 0 || k.Run <= 0 || k.Deadline <= 0 {
+		d.Report(field, "has no tasks, cpu, run or deadline", "1 task at least, and the others above zero")
+	}
+	if k.Spread < 0 || k.EstimateOff < 0 || k.EstimateOff >= 1 {
+		d.Report(field, "has a spread below zero or an estimate_off outside 0 to 1", "spread of 0 or more, estimate_off below 1")
+	}
+	if k.Stretch < 1 {
+		d.Report(field+".stretch", fmt.Sprintf("is %g", k.Stretch), "1 or more")
+	}
+}
