sized: say that a job isn't open when it can't be cancelled

Cause: cancelling a job that had ended answered that no entry knows it, though showing it gave its state.

--- a/yuccasized/callers.go
+++ b/yuccasized/callers.go
@@ -124,7 +124,7 @@
 		return
 	}
 	state, known, err := c.edge.JobState(r.Context(), route.Queue.Name, r.PathValue("id"))
-	c.found(w, r, route, state.String(), known, err)
+	c.found(w, r, route, found{state: state.String(), known: known, otherwise: "knows"}, err)
 }
 
 func (c *Callers) cancel(w http.ResponseWriter, r *http.Request) {
@@ -133,18 +133,26 @@
 		return
 	}
 	known, err := c.edge.Cancel(r.Context(), route.Queue.Name, r.PathValue("id"))
-	c.found(w, r, route, "cancelled", known, err)
+	c.found(w, r, route, found{state: "cancelled", known: known, otherwise: "has an open"}, err)
 }
 
-func (c *Callers) found(w http.ResponseWriter, r *http.Request, route yuccacatalog.Route, state string, known bool, err error) {
+// found is what the entries say of a job, and what no entry does where it is not
+// known.
+type found struct {
+	state     string
+	known     bool
+	otherwise string
+}
+
+func (c *Callers) found(w http.ResponseWriter, r *http.Request, route yuccacatalog.Route, f found, err error) {
 	id := r.PathValue("id")
 	switch {
 	case err != nil:
 		c.refuse(w, r, yuccaproblem.New(http.StatusServiceUnavailable, yuccaproblem.OutcomeUnknown, err.Error()).After(retryAfter))
-	case !known:
-		c.refuse(w, r, yuccaproblem.Newf(http.StatusNotFound, yuccaproblem.JobUnknown, "id: no entry knows job %q of queue %q", id, route.Queue.Name))
+	case !f.known:
+		c.refuse(w, r, yuccaproblem.Newf(http.StatusNotFound, yuccaproblem.JobUnknown, "id: no entry %s job %q of queue %q", f.otherwise, id, route.Queue.Name))
 	default:
-		writeJSON(w, jobAnswer{Queue: route.Queue.Name, ID: id, State: state})
+		writeJSON(w, jobAnswer{Queue: route.Queue.Name, ID: id, State: f.state})
 	}
 }
 
--- a/yuccasized/system_test.go
+++ b/yuccasized/system_test.go
@@ -154,6 +154,9 @@
 				t.Errorf("entry %d shows %d %v", entry, status, answer)
 			}
 		}
+		if status, answer := s.call(1, http.MethodDelete, "/v1/queues/trim/jobs/j1", ""); status != http.StatusNotFound || !strings.Contains(fmt.Sprint(answer["detail"]), "open") {
+			t.Errorf("cancelling a job that has ended answers %d %v, want that none is open", status, answer)
+		}
 		failing := s.submit("j2", `{"payload": {"sleep": "10ms", "fail": true}, "steps": [{"tasks": 1, "cpu": 1, "estimate": "10ms"}]}`)
 		<-failing.done
 		if failing.status != http.StatusBadGateway || s.worker.Starts() != 6 {
