control, edge: answer operators' changes at the entry that was called

Change: an entry passes the change on to the leader over the session of its lease and answers in place. A drain names the version of the section that it is based on, so that a proposal which a partition delays can't undo a later change; it is proposed again while the operator waits.

--- a/yuccacommand/sized.go
+++ b/yuccacommand/sized.go
@@ -67,7 +67,7 @@
 		return err
 	}
 	callers := yuccaserver.New(e.Callers, yuccasized.NewCallers(edge, config.metrics, p.logger)).CloseAfterResponseUnless(edge.Ready)
-	operators := yuccasized.NewOperators(edge, yuccasized.OperatorOptions{Self: e.Operators, DataCentres: e.DataCentres, Logger: p.logger})
+	operators := yuccasized.NewOperators(edge, yuccasized.OperatorOptions{DataCentres: e.DataCentres, Logger: p.logger})
 	p.drain = func(ctx context.Context) int { return edge.Drain(ctx, callers) }
 	p.add(callers, yuccaserver.New(e.Operators, yuccaserver.WithVars(operators)))
 	return p.run()
--- a/yuccacontrol/loop.go
+++ b/yuccacontrol/loop.go
@@ -96,6 +96,8 @@
 		c.renew(now, from, body.Renew)
 	case *yuccawire.Envelope_ClaimBatch:
 		c.queueClaims(from, body.ClaimBatch)
+	case *yuccawire.Envelope_Proposal:
+		c.handleProposal(now, from, body.Proposal)
 	}
 }
 
--- a/yuccaedge/config.go
+++ b/yuccaedge/config.go
@@ -1,34 +1,18 @@
 package yuccaedge
 
 import (
-	"context"
-	"errors"
 	"time"
 
 	"github.com/yuccaturn/yuccaturn/yuccacatalog"
-	"github.com/yuccaturn/yuccaturn/yuccacontrol"
 	"github.com/yuccaturn/yuccaturn/yuccadocument"
 	"github.com/yuccaturn/yuccaturn/yuccalease"
-	"github.com/yuccaturn/yuccaturn/yuccastate"
 	"github.com/yuccaturn/yuccaturn/yuccawire"
 )
 
-// NotLeaderError is returned for a change that only the leader can commit.
-type NotLeaderError struct {
-	// Address is the operators' address of the leader, or empty if no leader is
-	// known.
-	Address string
-}
-
-// Error includes the address of the leader.
-func (n *NotLeaderError) Error() string {
-	if n.Address == "" {
-		return "no leading control is known"
-	}
-	return "the control at " + n.Address + " leads"
-}
-
 func (e *Edge) handleLeaseUpdate(u yuccalease.Update) {
+	if u.Proposal != nil {
+		e.finishProposal(u.Proposal)
+	}
 	confirmedAt := u.Lease.Expires().Add(-yuccalease.Duration)
 	if u.Lease.Expires().IsZero() {
 		confirmedAt = time.Time{}
@@ -129,41 +113,3 @@
 	}
 	return c.view.WholeDocument(), nil
 }
-
-// ReplaceDocument commits a whole document if its version is the highest. The
-// document must be valid. It returns a *NotLeaderError if this process does not
-// run the leader.
-func (e *Edge) ReplaceDocument(ctx context.Context, version uint64, document []byte) (*yuccastate.ChangeResult, error) {
-	replace := &yuccawire.ReplaceDocument{Version: version, Body: document}
-	return e.apply(ctx, &yuccawire.Command{Body: &yuccawire.Command_ReplaceDocument{ReplaceDocument: replace}})
-}
-
-// SetDrained commits that a data centre is drained or in service. The data centre
-// must be a known one. It returns a *NotLeaderError if this process does not run
-// the leader.
-func (e *Edge) SetDrained(ctx context.Context, dataCentre string, drained bool) (*yuccastate.ChangeResult, error) {
-	change := &yuccawire.SetDataCentre{DataCentre: dataCentre, Out: drained, Known: true, AtUnixMs: time.Now().UnixMilli()}
-	return e.apply(ctx, &yuccawire.Command{Body: &yuccawire.Command_SetDataCentre{SetDataCentre: change}})
-}
-
-func (e *Edge) apply(ctx context.Context, command *yuccawire.Command) (*yuccastate.ChangeResult, error) {
-	if e.options.Replica != nil {
-		result, err := e.options.Replica.Apply(ctx, command)
-		if !errors.Is(err, yuccacontrol.ErrNotLeader) {
-			return result, err
-		}
-	}
-	return nil, &NotLeaderError{Address: e.leaderOperatorAddress()}
-}
-
-// leaderOperatorAddress returns the operators' address of the leader, or an empty
-// string if no leader is known.
-func (e *Edge) leaderOperatorAddress() string {
-	leader := e.options.Lease.Leader()
-	for _, r := range e.options.Mesh.Replicas() {
-		if leader != "" && r.GetAddress() == leader {
-			return r.GetOperatorAddress()
-		}
-	}
-	return ""
-}
--- a/yuccaedge/edge.go
+++ b/yuccaedge/edge.go
@@ -73,10 +73,12 @@
 	lastID     uint64                                // the last waiterID or inquiry number
 	entryPeers map[*yuccamesh.Peer]struct{}          // all links to other entries
 	inquiries  map[uint64]*inquiry                   // inquiries that wait for replies, by number
+	proposals  map[uint64]proposalRequest            // proposals that wait for the leader's reply, by number
 }
 
 // event is an input of the event loop: a submitRequest, recoveredSections, a
-// callerLeft, an inquiryRequest or a [yuccaquery.Query].
+// callerLeft, an inquiryRequest, a proposalRequest, a proposalExpired or a
+// [yuccaquery.Query].
 type event any
 
 // submitRequest is a job of a caller. waiterID receives the number that identifies
@@ -108,6 +110,7 @@
 
 		entryPeers: make(map[*yuccamesh.Peer]struct{}),
 		inquiries:  make(map[uint64]*inquiry),
+		proposals:  make(map[uint64]proposalRequest),
 	}
 	e.config.Store(&config{view: yuccadocument.NewView()})
 	return e
@@ -186,6 +189,10 @@
 		e.broker.HandleDisconnect(now, ev.jobID, ev.waiterID)
 	case inquiryRequest:
 		e.startInquiry(now, ev)
+	case proposalRequest:
+		e.startProposal(ev)
+	case proposalExpired:
+		delete(e.proposals, ev.number)
 	case yuccaquery.Query[*Edge]:
 		ev.Run(e)
 	}
--- a/yuccalease/client.go
+++ b/yuccalease/client.go
@@ -58,6 +58,8 @@
 	Fences []*yuccawire.Fence
 	// Claims are replies to claims, if any.
 	Claims []*yuccawire.ClaimReply
+	// Proposal is the reply to a proposal, or nil.
+	Proposal *yuccawire.ProposalReply
 	// Fenced is set if this incarnation can never hold a lease again. The
 	// process must abandon everything it owns and call [Client.Restart].
 	Fenced bool
--- a/yuccalease/session.go
+++ b/yuccalease/session.go
@@ -155,6 +155,8 @@
 		return s.handleRenewed(ctx, body.Renewed)
 	case *yuccawire.Envelope_ClaimReplies:
 		return s.sendUpdate(ctx, Update{Claims: body.ClaimReplies.GetReplies()})
+	case *yuccawire.Envelope_ProposalReply:
+		return s.sendUpdate(ctx, Update{Proposal: body.ProposalReply})
 	case *yuccawire.Envelope_Goodbye:
 		return errNotLeader
 	}
--- a/yuccasized/operators.go
+++ b/yuccasized/operators.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"log/slog"
 	"net/http"
@@ -15,8 +14,6 @@
 
 // OperatorOptions configures the handler for operators.
 type OperatorOptions struct {
-	// Self is the address at which this entry serves operators.
-	Self string
 	// DataCentres lists the names of all data centres in the settings.
 	DataCentres []string
 	Logger      *slog.Logger
@@ -30,8 +27,7 @@
 }
 
 // NewOperators returns the handler for operators. Operators may call any entry.
-// An entry whose control is not the leader redirects changes to the entry whose
-// control is.
+// An entry whose control is not the leader passes changes on to the leader.
 func NewOperators(edge *yuccaedge.Edge, options OperatorOptions) http.Handler {
 	o := &Operators{edge: edge, options: options}
 	mux := http.NewServeMux()
@@ -94,10 +90,9 @@
 	o.writeResult(w, r, result, err)
 }
 
-// writeResult acknowledges a change, redirects it to the leader, or responds with
-// the findings or, if the change may have been made, with an unknown outcome.
+// writeResult acknowledges a change, or responds with the findings or, if the
+// change may have been made, with an unknown outcome.
 func (o *Operators) writeResult(w http.ResponseWriter, r *http.Request, result *yuccastate.ChangeResult, err error) {
-	var notLeader *yuccaedge.NotLeaderError
 	switch {
 	case err == nil && (result.Outcome == yuccastate.Accepted || result.Outcome == yuccastate.Repeated):
 		repeated := result.Outcome == yuccastate.Repeated
@@ -105,10 +100,6 @@
 		writeJSON(w, changeResponse{Version: result.Version, Repeated: repeated})
 	case err == nil:
 		o.refuse(w, r, invalidBodyProblem(result.Findings))
-	case errors.As(err, &notLeader) && notLeader.Address != "" && notLeader.Address != o.options.Self:
-		o.options.Logger.Info("change redirected to the leader", "path", r.URL.Path, "leader", notLeader.Address)
-		w.Header().Set("Location", "http://"+notLeader.Address+r.URL.RequestURI())
-		w.WriteHeader(http.StatusTemporaryRedirect)
 	default:
 		o.refuse(w, r, yuccaproblem.New(http.StatusServiceUnavailable, yuccaproblem.OutcomeUnknown, err.Error()).WithRetryAfter(retryAfter))
 	}
--- a/yuccastate/change.go
+++ b/yuccastate/change.go
@@ -81,6 +81,9 @@
 	if d.GetRequestId() == "" && s.IsDrained(d.GetDataCentre()) == d.GetOut() {
 		return &ChangeResult{Outcome: Repeated, Section: section, Version: s.sections[section].GetVersion()}
 	}
+	if current := s.sections[section].GetVersion(); d.BaseVersion != nil && d.GetBaseVersion() != current {
+		return &ChangeResult{Outcome: Conflict, Section: section, Version: current, Current: s.latestChange(section)}
+	}
 	drained := slices.DeleteFunc(s.DrainedDataCentres(), func(name string) bool { return name == d.GetDataCentre() })
 	if d.GetOut() {
 		drained = append(drained, d.GetDataCentre())
--- a/yuccastate/state_test.go
+++ b/yuccastate/state_test.go
@@ -261,3 +261,25 @@
 	}
 	b.ReportMetric(float64(size), "B")
 }
+
+// A proposal that was delayed until after a later change must not undo that change.
+func TestDelayedDrainIsConflict(t *testing.T) {
+	s := yuccastate.New()
+	set := func(drained bool, base uint64) *yuccastate.ChangeResult {
+		d := &yuccawire.SetDataCentre{DataCentre: "puno", Out: drained, Known: true, BaseVersion: proto.Uint64(base)}
+		return apply(t, s, &yuccawire.Command{Body: &yuccawire.Command_SetDataCentre{SetDataCentre: d}}).Change
+	}
+	drained := set(true, 0)
+	if drained.Outcome != yuccastate.Accepted {
+		t.Fatalf("drain: got %+v, want it accepted", drained)
+	}
+	if got := set(false, drained.Version); got.Outcome != yuccastate.Accepted {
+		t.Errorf("restore: got %+v, want it accepted", got)
+	}
+	if got := set(true, 0); got.Outcome != yuccastate.Conflict || s.IsDrained("puno") {
+		t.Errorf("delayed drain: got %+v and drained %v, want a conflict", got, s.IsDrained("puno"))
+	}
+	if got := set(false, 0); got.Outcome != yuccastate.Repeated {
+		t.Errorf("delayed restore: got %+v, want it to count as repeated", got)
+	}
+}
