--- a/yuccabroker/broker.go
+++ b/yuccabroker/broker.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -43,9 +44,8 @@
 	stopAt time.Time
 
 	// backlogSince is the tick since which tasks have been queued, zero if none is.
-	backlogSince  time.Time
-	lastHeartbeat time.Time
-	throughput    throughput
+	backlogSince time.Time
+	throughput   throughput
 	// medianSlowdown is the median of the workers' slowdowns.
 	medianSlowdown float64
 }
@@ -147,6 +147,22 @@
 	return n
 }
 
+// PendingByQueue returns the numbers of [Broker.Pending] that are not zero, sorted
+// by queue.
+func (b *Broker) PendingByQueue() []*yuccawire.QueueCount {
+	jobs := make(map[string]uint32)
+	for _, j := range b.jobs {
+		if !j.dispatched {
+			jobs[j.Queue.Name]++
+		}
+	}
+	counts := make([]*yuccawire.QueueCount, 0, len(jobs))
+	for _, queue := range slices.Sorted(maps.Keys(jobs)) {
+		counts = append(counts, &yuccawire.QueueCount{Queue: queue, Jobs: jobs[queue]})
+	}
+	return counts
+}
+
 // JobState returns the state of a job of the queue. It returns false if this
 // entry neither owns the job nor retains its outcome.
 func (b *Broker) JobState(queue, id string) (State, bool) {
--- a/yuccabroker/doc.go
+++ b/yuccabroker/doc.go
@@ -33,18 +33,33 @@
 	tierCount  = 3
 	// milli is the number of thousandths in one.
 	milli = 1000
-	// heartbeatInterval is the time between two renewals of the lease at a side
-	// with runs; five fit into one lease.
-	heartbeatInterval = 100 * time.Millisecond
-	// maxReportAge is how old a side's last report may be for the side to get orders.
-	maxReportAge = 350 * time.Millisecond
+	// renewInterval is the time between two renewals of the lease at a side with
+	// runs. Orders renew it too; most runs need no other renewal.
+	renewInterval = 250 * time.Millisecond
+	// maxBusyReportAge is how old the last report of a side with runs may be for its
+	// lease to be renewed and for the side to get orders. Such a side reports every
+	// 100 ms.
+	maxBusyReportAge = 350 * time.Millisecond
+	// maxUnseenOrderAge is how long a side may leave an order unmentioned in its
+	// reports and still get further ones.
+	maxUnseenOrderAge = 250 * time.Millisecond
+	// machineDrift is the maximum difference in speed between the clocks of two
+	// machines.
+	machineDrift = 0.01
 	// lossSlack is added to the leases before a run at a silent side counts as
 	// lost: the stop of a run (50 ms), a tick at either end, and rounding.
 	lossSlack = 120 * time.Millisecond
-	// stateIntervalPerSide limits the reports that an entry receives to 330 a second.
+	// stateIntervalPerSide limits the reports of changed workers that an entry
+	// receives to 330 a second, idleIntervalPerSide those of unchanged ones to 40.
 	stateIntervalPerSide = 3 * time.Millisecond
 	minStateInterval     = 25 * time.Millisecond
 	maxStateInterval     = 250 * time.Millisecond
+	idleIntervalPerSide  = 25 * time.Millisecond
+	minIdleInterval      = 250 * time.Millisecond
+	maxIdleInterval      = time.Second
+	// idleReportSlack is added to the interval of an idle side before its last report
+	// is too old: a late tick, and a slow link.
+	idleReportSlack = 250 * time.Millisecond
 	// maxQueuedShare is the share of a worker's processors for which tasks may be
 	// queued at its side.
 	maxQueuedShare = 0.18
--- a/yuccabroker/place.go
+++ b/yuccabroker/place.go
@@ -32,7 +32,7 @@
 		b.logOrders(now, s, m)
 		s.lastOrder++
 		m.Number = s.lastOrder
-		m.UntilMs = s.renewLease()
+		m.UntilMs = s.renewLease(now)
 		b.send(s.name, &yuccawire.Envelope{Body: &yuccawire.Envelope_Orders{Orders: m}})
 	}
 }
@@ -58,6 +58,9 @@
 	j.dispatched = true
 	j.runsSent++
 	j.runsInFlight++
+	if len(s.runs) == 0 {
+		s.busySince = now
+	}
 	s.runs[t] = struct{}{}
 	b.runs[runKey{task: t.name, run: t.run}] = t
 	b.metrics.Add("orders_sent", 1)
@@ -81,7 +84,7 @@
 		Accelerators: uint32(t.step.Accelerators), EstimateMs: uint32(t.step.Estimate.Milliseconds()), Failures: t.failures,
 	}
 	m.Jobs[n-1].Tasks = append(m.Jobs[n-1].Tasks, order)
-	s.unreported = append(s.unreported, unreportedOrder{number: s.lastOrder + 1, tier: t.tier, size: demand(t.step.Step)})
+	s.unreported = append(s.unreported, unreportedOrder{number: s.lastOrder + 1, sentAt: now, tier: t.tier, size: demand(t.step.Step)})
 }
 
 // toSideClock converts a local time to the side's clock, based on its last report.
@@ -152,7 +155,7 @@
 // of its capacity.
 func (b *Broker) isEligible(now time.Time, t *task, s *side) bool {
 	return s.linked && s.ready && s.service == t.job.Queue.Service && !b.drained[s.DataCentre] &&
-		!s.lastReport.IsZero() && now.Sub(s.lastReport) < maxReportAge && !now.Before(s.pausedUntil) && s.hasLabel(t.step.Label) &&
+		s.isResponsive(now) && !now.Before(s.pausedUntil) && s.hasLabel(t.step.Label) &&
 		b.withinSpread(t, s)
 }
 
--- a/yuccabroker/side.go
+++ b/yuccabroker/side.go
@@ -54,14 +54,18 @@
 	// local time at which that arrived, zero if there is none.
 	clockMS    uint64
 	lastReport time.Time
-	// leaseBase is the local time of the report on whose clock the latest renewal
-	// of this entry's lease at the side is based.
+	// leaseBase is the local time at which this entry's lease at the side was last
+	// renewed.
 	leaseBase time.Time
+	// intervals are those last requested of the side on this link.
+	intervals reportIntervals
 	// lastOrder is the number of the last orders sent on this link.
 	lastOrder  uint64
 	unreported []unreportedOrder
-	// runs holds the tasks whose latest run may be alive at the side.
+	// runs holds the tasks whose latest run may be alive at the side, busySince is
+	// when the first of them was ordered.
 	runs        map[*task]struct{}
+	busySince   time.Time
 	pausedUntil time.Time
 	// hasOrphans is set while runs sent to an earlier incarnation of the side may
 	// be alive.
@@ -72,6 +76,7 @@
 // does not include yet.
 type unreportedOrder struct {
 	number uint64
+	sentAt time.Time
 	tier   int
 	size   resources
 }
@@ -120,6 +125,7 @@
 	s.lastOrder = 0
 	s.unreported = nil
 	s.lastReport = time.Time{}
+	s.intervals = reportIntervals{}
 }
 
 // HandleLinkDown records the loss of the link to a side. Its runs may still be
@@ -321,28 +327,68 @@
 	})
 }
 
-// renewLease returns the new expiry of this entry's lease, in milliseconds of the
-// side's clock, counted from the clock in its last report.
-func (s *side) renewLease() uint64 {
-	s.leaseBase = s.lastReport
-	return s.clockMS + uint64(yuccaworker.OwnerLease.Milliseconds())
+// renewLease renews this entry's lease and returns its new expiry, in milliseconds
+// of the side's clock. That clock is computed from the last report: it has advanced
+// by at least the time since then, less the drift, so the lease ends no later than
+// OwnerLease after now.
+func (s *side) renewLease(now time.Time) uint64 {
+	s.leaseBase = now
+	return uint64(s.clockAt(now)) + uint64(yuccaworker.OwnerLease.Milliseconds())
 }
 
-// sendHeartbeats renews the lease at each linked side that has reported: every
-// heartbeatInterval at sides with runs, about every maxReportAge at the others.
-// A heartbeat also sets the interval of the side's state reports, which grows with
-// the number of sides.
-func (b *Broker) sendHeartbeats(now time.Time) {
-	if now.Sub(b.lastHeartbeat) < heartbeatInterval {
-		return
+// clockAt returns a time that the side's clock has certainly reached at the local
+// time, in milliseconds.
+func (s *side) clockAt(at time.Time) int64 {
+	sinceReport := float64(at.Sub(s.lastReport).Milliseconds())
+	return int64(s.clockMS) + int64(sinceReport*(1-machineDrift))
+}
+
+// isResponsive reports whether the side was heard recently enough to get orders. A
+// side with runs reports often, and each report mentions the orders received.
+func (s *side) isResponsive(now time.Time) bool {
+	if s.lastReport.IsZero() || now.Sub(s.lastReport) > s.intervals.idle+idleReportSlack {
+		return false
+	}
+	if len(s.unreported) > 0 && now.Sub(s.unreported[0].sentAt) > maxUnseenOrderAge {
+		return false
+	}
+	heard := s.lastReport
+	if s.busySince.After(heard) {
+		heard = s.busySince
+	}
+	return len(s.runs) == 0 || now.Sub(heard) < maxBusyReportAge
+}
+
+// reportIntervals are the intervals at which a side is to report: changed while its
+// worker's state changes, idle while it does not.
+type reportIntervals struct{ changed, idle time.Duration }
+
+// reportIntervals returns the intervals for the current number of sides.
+func (b *Broker) reportIntervals() reportIntervals {
+	sides := time.Duration(len(b.sideList))
+	return reportIntervals{
+		changed: min(max(sides*stateIntervalPerSide, minStateInterval), maxStateInterval),
+		idle:    min(max(sides*idleIntervalPerSide, minIdleInterval), maxIdleInterval),
 	}
-	b.lastHeartbeat = now
-	interval := min(max(time.Duration(len(b.sideList))*stateIntervalPerSide, minStateInterval), maxStateInterval)
+}
+
+// sendHeartbeats renews the lease at each side with runs that has been heard, and
+// requests the intervals of reports if they have changed.
+func (b *Broker) sendHeartbeats(now time.Time) {
+	intervals := b.reportIntervals()
 	for _, s := range b.sideList {
-		if !s.linked || s.lastReport.IsZero() || len(s.runs) == 0 && now.Sub(s.leaseBase) < maxReportAge {
+		if !s.linked || s.lastReport.IsZero() {
+			continue
+		}
+		renews := len(s.runs) > 0 && now.Sub(s.leaseBase) >= renewInterval && now.Sub(s.lastReport) < maxBusyReportAge
+		if !renews && s.intervals == intervals {
 			continue
 		}
-		heartbeat := &yuccawire.Beat{UntilMs: s.renewLease(), StateIntervalMs: uint32(interval.Milliseconds())}
+		s.intervals = intervals
+		heartbeat := &yuccawire.Beat{StateIntervalMs: uint32(intervals.changed.Milliseconds()), IdleIntervalMs: uint32(intervals.idle.Milliseconds())}
+		if renews {
+			heartbeat.UntilMs = s.renewLease(now)
+		}
 		b.send(s.name, &yuccawire.Envelope{Body: &yuccawire.Envelope_Beat{Beat: heartbeat}})
 	}
 }
--- a/yuccacommand/sizedconfig.go
+++ b/yuccacommand/sizedconfig.go
@@ -116,6 +116,7 @@
 	lease := yuccalease.New(yuccalease.Options{
 		Network: controlNetwork, Self: node, Sections: yuccadocument.WholeDocumentSections, Random: newRandom(), Logger: c.logger,
 		Discover: func() []string { return controlAddresses(mesh, address) },
+		Pending:  func() []*yuccawire.QueueCount { return edge.PendingCounts() },
 	})
 	var replica *yuccaedge.Replica
 	if folder != nil {
--- a/yuccacontrol/sessions.go
+++ b/yuccacontrol/sessions.go
@@ -70,6 +70,9 @@
 	renewed := c.pendingUpdates(now, s)
 	renewed.Sequence = r.GetSequence()
 	renewed.LeaseMs = uint32(yuccalease.Duration.Milliseconds())
+	if node.GetRole() == yuccawire.Role_ROLE_ENTRY && c.registry.IsComplete(now) {
+		renewed.Pending, renewed.PendingKnown = c.registry.PendingAtOthers(node.GetName()), true
+	}
 	c.metrics.Add("renewals", 1)
 	s.send(renewed)
 }
--- a/yuccadriver/driver.go
+++ b/yuccadriver/driver.go
@@ -124,8 +124,10 @@
 	for range maxBatchedEvents {
 		select {
 		case m := <-d.options.Mesh.Events():
+			d.checkSuspension()
 			d.handleMeshEvent(m)
 		case ev := <-d.events:
+			d.checkSuspension()
 			d.handleEvent(ev)
 		default:
 			return
@@ -178,6 +180,10 @@
 			delete(d.entryPeers, m.Peer.Node().GetName())
 			d.worker.HandleLinkDown(ownerOf(m.Peer))
 		}
+	case yuccamesh.LinkSurplus:
+		if d.entryPeers[m.Peer.Node().GetName()] == m.Peer {
+			d.worker.HandleLinkSurplus(now, ownerOf(m.Peer))
+		}
 	case yuccamesh.Received:
 		if d.entryPeers[m.Peer.Node().GetName()] == m.Peer {
 			d.handleMessage(now, ownerOf(m.Peer), m.Message)
@@ -203,6 +209,10 @@
 			if p := d.entryPeers[a.Owner.Name]; p != nil && p.Node().GetIncarnation() == a.Owner.Incarnation {
 				p.Send(a.Message)
 			}
+		case yuccaworker.ReleaseLink:
+			if p := d.entryPeers[a.Owner.Name]; p != nil && p.Node().GetIncarnation() == a.Owner.Incarnation {
+				d.options.Mesh.Release(p)
+			}
 		case yuccaworker.CallStart:
 			c := &startCall{driver: d, call: a}
 			go c.run(ctx)
--- a/yuccaedge/config.go
+++ b/yuccaedge/config.go
@@ -13,6 +13,9 @@
 	if u.Proposal != nil {
 		e.finishProposal(u.Proposal)
 	}
+	if u.PendingKnown {
+		e.pendingElsewhere, e.pendingElsewhereAt = u.Pending, time.Now()
+	}
 	confirmedAt := u.Lease.Expires().Add(-yuccalease.Duration)
 	if u.Lease.Expires().IsZero() {
 		confirmedAt = time.Time{}
--- a/yuccaedge/doc.go
+++ b/yuccaedge/doc.go
@@ -32,6 +32,17 @@
 	// readyTimeout is how long a new entry waits for readiness before it opens its
 	// callers' port. After that it refuses jobs with a reason.
 	readyTimeout = 6 * time.Second
+	// ownerMemory is how long after the last known contact an entry may still own a
+	// job that a caller asks for. News of a contact take seconds in large
+	// deployments.
+	ownerMemory = 15 * time.Second
+	// inquiryLinkPeriod is how long the links to all entries that an inquiry needs
+	// are kept, for further ones.
+	inquiryLinkPeriod = 10 * time.Second
+	// pendingCountInterval is the time between two counts of the pending jobs for the
+	// lease, and maxPendingAge how old those of the other entries may be to be used.
+	pendingCountInterval = 100 * time.Millisecond
+	maxPendingAge        = 1500 * time.Millisecond
 	// inquiryTimeout limits the wait for the replies of other entries. It allows
 	// for a round trip between data centres and a garbage collection pause, and is
 	// well below the timeouts of callers.
--- a/yuccaedge/edge.go
+++ b/yuccaedge/edge.go
@@ -65,7 +65,9 @@
 	events     chan event
 	config     atomic.Pointer[config]
 	readySides atomic.Int64
-	draining   atomic.Bool
+	// pending are the pending jobs of this entry, for its lease.
+	pending  atomic.Pointer[[]*yuccawire.QueueCount]
+	draining atomic.Bool
 
 	// The fields below are owned by the event loop.
 	sidePeers  map[string]*yuccamesh.Peer            // the newest link of each side, by name
@@ -74,6 +76,11 @@
 	entryPeers map[*yuccamesh.Peer]struct{}          // all links to other entries
 	inquiries  map[uint64]*inquiry                   // inquiries that wait for replies, by number
 	proposals  map[uint64]proposalRequest            // proposals that wait for the leader's reply, by number
+	// pendingElsewhere are the pending jobs of the other entries, as control has
+	// summed them at pendingElsewhereAt.
+	pendingElsewhere   []*yuccawire.QueueCount
+	pendingElsewhereAt time.Time
+	nextPendingCount   time.Time
 }
 
 // event is an input of the event loop: a submitRequest, recoveredSections, a
@@ -128,6 +135,7 @@
 			e.checkSuspension(now)
 			e.broker.Tick(time.Now())
 			e.expireInquiries(time.Now())
+			e.countPending(time.Now())
 		case m := <-e.options.Mesh.Events():
 			e.checkSuspension(time.Now())
 			e.handleMeshEvent(m)
@@ -234,6 +242,7 @@
 	node := p.Node()
 	if node.GetRole() == yuccawire.Role_ROLE_ENTRY {
 		e.entryPeers[p] = struct{}{}
+		e.sendInquiries(p)
 	}
 	if node.GetRole() != yuccawire.Role_ROLE_SIDE {
 		return
--- a/yuccaedge/inquiry.go
+++ b/yuccaedge/inquiry.go
@@ -34,40 +34,90 @@
 
 // inquiry is the state of an inquiry that waits for the replies of other entries.
 type inquiry struct {
-	number  uint64
 	request inquiryRequest
+	message *yuccawire.Inquiry
 	result  inquiryResult
-	// pendingReplies holds the links whose replies are outstanding.
-	pendingReplies map[*yuccamesh.Peer]struct{}
+	// pendingReplies holds the names of the entries whose replies are outstanding,
+	// and whether each has been sent the inquiry.
+	pendingReplies map[string]bool
 	deadline       time.Time
 }
 
-// startInquiry answers the request from the state of this entry if that is
-// enough, and otherwise sends an inquiry to all other entries.
+// startInquiry answers the request from what this entry knows if that is enough.
+// Otherwise it asks all other entries, and opens links to those that it is not
+// linked to.
 func (e *Edge) startInquiry(now time.Time, request inquiryRequest) {
 	reply := e.localReply(now, request.inquiry)
-	i := &inquiry{request: request, deadline: now.Add(inquiryTimeout), pendingReplies: make(map[*yuccamesh.Peer]struct{})}
+	i := &inquiry{request: request, deadline: now.Add(inquiryTimeout), pendingReplies: make(map[string]bool)}
 	i.merge(reply)
-	if reply.GetKnown() && request.inquiry.GetKind() != yuccawire.InquiryKind_INQUIRY_KIND_PENDING {
+	if e.isAnsweredLocally(now, request.inquiry, i) {
 		request.done <- i.result
 		return
 	}
 	e.lastID++
-	i.number = e.lastID
-	e.inquiries[i.number] = i
-	query := &yuccawire.Inquiry{Number: i.number, Kind: request.inquiry.GetKind(), Queue: request.inquiry.GetQueue(), Job: request.inquiry.GetJob()}
-	queried := make(map[string]bool)
+	i.message = &yuccawire.Inquiry{Number: e.lastID, Kind: request.inquiry.GetKind(), Queue: request.inquiry.GetQueue(), Job: request.inquiry.GetJob()}
+	e.inquiries[e.lastID] = i
 	for p := range e.entryPeers {
-		if queried[p.Node().GetName()] {
-			continue
-		}
-		queried[p.Node().GetName()] = true
-		i.pendingReplies[p] = struct{}{}
-		p.Send(&yuccawire.Envelope{Body: &yuccawire.Envelope_Inquiry{Inquiry: query}})
+		e.sendInquiry(i, p)
+	}
+	if request.inquiry.GetKind() != yuccawire.InquiryKind_INQUIRY_KIND_PENDING {
+		e.askUnlinked(i)
 	}
 	e.finishIfComplete(i)
 }
 
+// isAnsweredLocally reports whether an inquiry needs no other entry: the job is
+// here, or control has lately summed the pending jobs of the others, which are then
+// added.
+func (e *Edge) isAnsweredLocally(now time.Time, q *yuccawire.Inquiry, i *inquiry) bool {
+	if q.GetKind() != yuccawire.InquiryKind_INQUIRY_KIND_PENDING {
+		return i.result.known
+	}
+	if e.pendingElsewhereAt.IsZero() || now.Sub(e.pendingElsewhereAt) > maxPendingAge {
+		return false
+	}
+	for _, c := range e.pendingElsewhere {
+		if c.GetQueue() == q.GetQueue() {
+			i.result.pendingJobs += int(c.GetJobs())
+		}
+	}
+	return true
+}
+
+// askUnlinked opens links to the entries that may own the job and are not linked.
+// They are sent the inquiry once their links are up.
+func (e *Edge) askUnlinked(i *inquiry) {
+	unlinked := false
+	for _, node := range e.options.Mesh.RecentNodes(ownerMemory) {
+		if _, asked := i.pendingReplies[node.GetName()]; !asked {
+			i.pendingReplies[node.GetName()] = false
+			unlinked = true
+		}
+	}
+	if unlinked {
+		e.options.Mesh.LinkAll(inquiryLinkPeriod)
+	}
+}
+
+// sendInquiry sends an inquiry to an entry unless it has been sent over another
+// link.
+func (e *Edge) sendInquiry(i *inquiry, p *yuccamesh.Peer) {
+	if i.pendingReplies[p.Node().GetName()] {
+		return
+	}
+	i.pendingReplies[p.Node().GetName()] = true
+	p.Send(&yuccawire.Envelope{Body: &yuccawire.Envelope_Inquiry{Inquiry: i.message}})
+}
+
+// sendInquiries sends the open inquiries to an entry whose link has come up.
+func (e *Edge) sendInquiries(p *yuccamesh.Peer) {
+	for _, i := range e.inquiries {
+		if _, isPending := i.pendingReplies[p.Node().GetName()]; isPending {
+			e.sendInquiry(i, p)
+		}
+	}
+}
+
 // localReply answers an inquiry from the state of this entry. An inquiry of the
 // kind CANCEL cancels the job.
 func (e *Edge) localReply(now time.Time, q *yuccawire.Inquiry) *yuccawire.InquiryReply {
@@ -114,10 +164,10 @@
 	if i == nil {
 		return
 	}
-	if _, isPending := i.pendingReplies[from]; !isPending {
+	if _, isPending := i.pendingReplies[from.Node().GetName()]; !isPending {
 		return
 	}
-	delete(i.pendingReplies, from)
+	delete(i.pendingReplies, from.Node().GetName())
 	i.merge(reply)
 	e.finishIfComplete(i)
 }
@@ -127,21 +177,41 @@
 	if len(i.pendingReplies) > 0 {
 		return
 	}
-	delete(e.inquiries, i.number)
+	delete(e.inquiries, i.message.GetNumber())
 	i.request.done <- i.result
 }
 
-// handleEntryDown counts the entry of a closed link as unanswered in all
-// inquiries that wait for it.
+// handleEntryDown records the end of a link to another entry. Inquiries that wait
+// for that entry are sent over its other link if there is one. Otherwise the
+// entry counts as unanswered.
 func (e *Edge) handleEntryDown(p *yuccamesh.Peer) {
+	if _, isEntry := e.entryPeers[p]; !isEntry {
+		return
+	}
 	delete(e.entryPeers, p)
+	name := p.Node().GetName()
 	for _, i := range e.inquiries {
-		if _, isPending := i.pendingReplies[p]; isPending {
-			delete(i.pendingReplies, p)
-			i.result.unanswered++
-			e.finishIfComplete(i)
+		if sent, isPending := i.pendingReplies[name]; !isPending || !sent {
+			continue
+		}
+		delete(i.pendingReplies, name)
+		if other := e.entryPeer(name); other != nil {
+			e.sendInquiry(i, other)
+			continue
+		}
+		i.result.unanswered++
+		e.finishIfComplete(i)
+	}
+}
+
+// entryPeer returns a link to the named entry, or nil if there is none.
+func (e *Edge) entryPeer(name string) *yuccamesh.Peer {
+	for p := range e.entryPeers {
+		if p.Node().GetName() == name {
+			return p
 		}
 	}
+	return nil
 }
 
 // expireInquiries finishes the inquiries whose deadline has passed.
@@ -158,6 +228,25 @@
 	}
 }
 
+// countPending counts the pending jobs of this entry for its lease.
+func (e *Edge) countPending(now time.Time) {
+	if now.Before(e.nextPendingCount) {
+		return
+	}
+	e.nextPendingCount = now.Add(pendingCountInterval)
+	counts := e.broker.PendingByQueue()
+	e.pending.Store(&counts)
+}
+
+// PendingCounts returns the pending jobs of this entry by queue, which control sums
+// for the other entries. They are up to half a second old.
+func (e *Edge) PendingCounts() []*yuccawire.QueueCount {
+	if counts := e.pending.Load(); counts != nil {
+		return *counts
+	}
+	return nil
+}
+
 // inquire starts an inquiry and waits for its result.
 func (e *Edge) inquire(ctx context.Context, kind yuccawire.InquiryKind, queue, id string) (inquiryResult, error) {
 	done := make(chan inquiryResult, 1)
@@ -186,7 +275,9 @@
 }
 
 // Pending returns the number of open jobs of a queue of which no task has been sent
-// to a side, summed over all entries that reply.
+// to a side, summed over all entries. Those of the other entries are as control has
+// summed them within the last two seconds; without control, the linked entries that
+// reply are counted.
 func (e *Edge) Pending(ctx context.Context, queue string) (int, error) {
 	result, err := e.inquire(ctx, yuccawire.InquiryKind_INQUIRY_KIND_PENDING, queue, "")
 	return result.pendingJobs, err
--- a/yuccalease/client.go
+++ b/yuccalease/client.go
@@ -38,6 +38,8 @@
 	Discover func() []string
 	// Sections are the names of the sections to receive.
 	Sections []string
+	// Pending returns the pending jobs of an entry, by queue. Optional.
+	Pending func() []*yuccawire.QueueCount
 	// Random is the source of jitter for renewals and redials.
 	Random *rand.Rand
 	Logger *slog.Logger
@@ -58,6 +60,10 @@
 	Fences []*yuccawire.Fence
 	// Claims are replies to claims, if any.
 	Claims []*yuccawire.ClaimReply
+	// Pending are the pending jobs of the other entries, by queue, valid if
+	// PendingKnown is set.
+	Pending      []*yuccawire.QueueCount
+	PendingKnown bool
 	// Proposal is the reply to a proposal, or nil.
 	Proposal *yuccawire.ProposalReply
 	// Fenced is set if this incarnation can never hold a lease again. The
--- a/yuccalease/session.go
+++ b/yuccalease/session.go
@@ -146,6 +146,9 @@
 		FencesVersion:  c.fencesVersion,
 		Leaving:        leaving,
 	}
+	if c.options.Pending != nil {
+		renew.Pending = c.options.Pending()
+	}
 	return s.link.Send(&yuccawire.Envelope{Body: &yuccawire.Envelope_Renew{Renew: renew}})
 }
 
@@ -176,7 +179,10 @@
 	s.client.leaderAddress.Store(&s.address)
 	s.applySections(r.GetSections())
 	s.extendLease(r)
-	update := Update{Members: s.applyMembers(r.GetMembers()), Fences: r.GetFences(), Connected: !s.connected}
+	update := Update{
+		Members: s.applyMembers(r.GetMembers()), Fences: r.GetFences(), Connected: !s.connected,
+		Pending: r.GetPending(), PendingKnown: r.GetPendingKnown(),
+	}
 	c.fencesVersion = max(c.fencesVersion, r.GetFencesVersion())
 	s.connected = true
 	if len(r.GetSections()) > 0 {
--- a/yuccamesh/doc.go
+++ b/yuccamesh/doc.go
@@ -1,10 +1,16 @@
 // Package yuccamesh maintains links between the entries and sides of a
 // deployment with peer discovery.
 //
-// Each process dials every entry that it knows: those at the seed addresses of
-// its settings, and those in the rosters of its peers. A link that receives
-// nothing for too long is closed and dialled again over a new connection, since
-// an open connection may never deliver anything again.
+// Each process dials the entries that a [yuccatopology.Topology] chooses among
+// those that it knows: those at the seed addresses of its settings, and those in
+// the rosters of its peers. A link on which nothing is received for too long is
+// closed and dialled again over a new connection, since an open connection may
+// never deliver anything again.
+//
+// Processes tell each other of changed members as soon as they learn of them, and
+// fetch the full roster of one peer at intervals. A heartbeat is sent only on links
+// that are otherwise idle; its interval grows with the number of links of the
+// process.
 //
 // # Usage
 //
@@ -23,14 +29,22 @@
 	// dialled again.
 	minRedialDelay = 50 * time.Millisecond
 	maxRedialDelay = 500 * time.Millisecond
-	// rosterInterval is the time between two roster messages on a link. They also
-	// serve as heartbeats.
-	rosterInterval = 400 * time.Millisecond
-	// fullRosterInterval is the time between two full rosters while no member
-	// changes. It is well below the retention of members in a roster.
-	fullRosterInterval = 4 * time.Second
-	// silenceTimeout is the time without any message after which a link is closed:
-	// three lost rosters.
-	silenceTimeout     = 1300 * time.Millisecond
+	// tickInterval is the time between two checks for links that need a heartbeat,
+	// are silent or are no longer wanted, and for changed members to broadcast.
+	tickInterval = 100 * time.Millisecond
+	// A process leaves a link idle for heartbeatPerLink times the number of its
+	// links, within minHeartbeatInterval and maxHeartbeatInterval. It thus sends at
+	// most 40 heartbeats a second on up to 40 links.
+	heartbeatPerLink     = 25 * time.Millisecond
+	minHeartbeatInterval = 400 * time.Millisecond
+	maxHeartbeatInterval = time.Second
+	// A link is closed after silenceFactor times the interval of the peer's
+	// heartbeats, and silenceSlack, without any message.
+	silenceFactor = 2.5
+	silenceSlack  = 300 * time.Millisecond
+	// entrySyncInterval and sideSyncInterval are the times between two requests for
+	// the full roster of a peer. They are well below the retention of members.
+	entrySyncInterval  = 10 * time.Second
+	sideSyncInterval   = 20 * time.Second
 	eventQueueCapacity = 4096
 )
--- /dev/null
+++ b/yuccamesh/gossip.go
@@ -0,0 +1,196 @@
+package yuccamesh
+
+import (
+	"cmp"
+	"context"
+	"hash/fnv"
+	"slices"
+	"time"
+
+	"github.com/yuccaturn/yuccaturn/yuccawire"
+)
+
+// firstRoster returns the first message of a new link: the full roster and, for
+// another entry, the versions of the configuration sections. The caller must hold
+// m.mu.
+func (m *Mesh) firstRoster(now time.Time, p *Peer) *yuccawire.Envelope {
+	roster := m.roster.ToWire(now)
+	p.rosterVersion = m.roster.Version()
+	if !p.isEntry() || m.options.Self.GetRole() != yuccawire.Role_ROLE_ENTRY {
+		return rosterEnvelope(roster)
+	}
+	roster.First = true
+	for _, s := range m.sections() {
+		roster.Versions = append(roster.Versions, &yuccawire.SectionVersion{Name: s.GetName(), Version: s.GetVersion()})
+	}
+	return rosterEnvelope(roster)
+}
+
+// sections returns the configuration sections of this process.
+func (m *Mesh) sections() []*yuccawire.Section {
+	if m.options.Sections == nil {
+		return nil
+	}
+	return m.options.Sections()
+}
+
+func rosterEnvelope(roster *yuccawire.Roster) *yuccawire.Envelope {
+	return &yuccawire.Envelope{Body: &yuccawire.Envelope_Roster{Roster: roster}}
+}
+
+func (m *Mesh) receiveRoster(ctx context.Context, now time.Time, p *Peer, roster *yuccawire.Roster) {
+	m.mu.Lock()
+	before := m.roster.Version()
+	m.roster.RecordContact(now, p.node)
+	invalid := m.roster.Merge(now, roster)
+	if p.rosterVersion == before {
+		// The peer need not be told what it has just said.
+		p.rosterVersion = m.roster.Version()
+	}
+	changed := m.roster.Version() != before
+	m.mu.Unlock()
+	if invalid > 0 {
+		m.options.Metrics.Add("mesh_members_invalid", int64(invalid))
+		m.options.Logger.Warn("invalid members in a roster ignored", "peer", p.node.GetName(), "members", invalid)
+	}
+	if changed {
+		m.wakeUp()
+	}
+	if roster.GetFirst() {
+		m.sendNewerSections(p, roster.GetVersions())
+	}
+	if len(roster.GetSections()) > 0 {
+		m.emit(ctx, ReceivedSections{Sections: roster.GetSections()})
+	}
+}
+
+// sendNewerSections sends an entry the configuration sections that it lacks.
+func (m *Mesh) sendNewerSections(p *Peer, known []*yuccawire.SectionVersion) {
+	versions := make(map[string]uint64, len(known))
+	for _, v := range known {
+		versions[v.GetName()] = v.GetVersion()
+	}
+	newer := slices.DeleteFunc(m.sections(), func(s *yuccawire.Section) bool { return s.GetVersion() <= versions[s.GetName()] })
+	if len(newer) > 0 {
+		p.Send(rosterEnvelope(&yuccawire.Roster{Sections: newer}))
+	}
+}
+
+// BroadcastSections sends configuration sections to all linked entries, some of
+// which may have no configuration.
+func (m *Mesh) BroadcastSections(sections []*yuccawire.Section) {
+	envelope := rosterEnvelope(&yuccawire.Roster{Sections: sections})
+	for _, p := range m.peerList() {
+		if p.isEntry() {
+			p.Send(envelope)
+		}
+	}
+}
+
+// receiveHeartbeat adopts the interval of the peer, and sends the roster if the
+// peer wants it.
+func (m *Mesh) receiveHeartbeat(now time.Time, p *Peer, h *yuccawire.Heartbeat) {
+	interval := time.Duration(h.GetIntervalMs()) * time.Millisecond
+	p.heartbeatInterval.Store(int64(min(max(interval, minHeartbeatInterval), maxHeartbeatInterval)))
+	m.mu.Lock()
+	m.roster.RecordContact(now, p.node)
+	var roster *yuccawire.Roster
+	if h.GetWantRoster() {
+		roster = m.roster.ToWire(now)
+		p.rosterVersion = m.roster.Version()
+	}
+	m.mu.Unlock()
+	if roster != nil {
+		p.Send(rosterEnvelope(roster))
+	}
+}
+
+// heartbeatInterval returns the longest time that this process leaves a link idle.
+// The caller must hold m.mu.
+func (m *Mesh) heartbeatInterval() time.Duration {
+	return min(max(time.Duration(len(m.peers))*heartbeatPerLink, minHeartbeatInterval), maxHeartbeatInterval)
+}
+
+// maintainLinks closes silent links, sends a heartbeat on the idle ones, and tells
+// peers of changed members.
+func (m *Mesh) maintainLinks(now time.Time) {
+	m.mu.Lock()
+	interval := m.heartbeatInterval()
+	version := m.roster.Version()
+	m.mu.Unlock()
+	sinceStart := now.Sub(m.startedAt)
+	for _, p := range m.peerList() {
+		if silent, tooLong := p.silentFor(sinceStart); tooLong {
+			m.options.Metrics.Add("mesh_links_silent", 1)
+			m.options.Logger.Warn("closing silent link", "peer", p.node.GetName(), "silent_ms", silent.Milliseconds())
+			m.disconnect(p)
+			continue
+		}
+		m.sendChanges(now, p, version)
+		m.sendHeartbeat(sinceStart, p, interval)
+	}
+}
+
+// sendChanges sends the members that have changed since the last roster to the
+// peer.
+func (m *Mesh) sendChanges(now time.Time, p *Peer, version uint64) {
+	m.mu.Lock()
+	if p.rosterVersion >= version {
+		m.mu.Unlock()
+		return
+	}
+	roster := m.roster.Changes(now, p.rosterVersion)
+	p.rosterVersion = m.roster.Version()
+	m.mu.Unlock()
+	if len(roster.GetMembers()) > 0 {
+		p.Send(rosterEnvelope(roster))
+	}
+}
+
+// sendHeartbeat sends a heartbeat if the link would otherwise be idle for longer
+// than the interval, or if the interval has changed.
+func (m *Mesh) sendHeartbeat(sinceStart time.Duration, p *Peer, interval time.Duration) {
+	idle := sinceStart-time.Duration(p.lastSent.Load()) > interval-tickInterval
+	m.mu.Lock()
+	changed := p.announcedInterval != interval
+	p.announcedInterval = interval
+	m.mu.Unlock()
+	if idle || changed {
+		p.Send(heartbeatEnvelope(&yuccawire.Heartbeat{IntervalMs: uint32(interval.Milliseconds())}))
+	}
+}
+
+func heartbeatEnvelope(h *yuccawire.Heartbeat) *yuccawire.Envelope {
+	return &yuccawire.Envelope{Body: &yuccawire.Envelope_Heartbeat{Heartbeat: h}}
+}
+
+// syncInterval returns the time between two requests for a full roster.
+func (m *Mesh) syncInterval() time.Duration {
+	if m.options.Self.GetRole() == yuccawire.Role_ROLE_ENTRY {
+		return entrySyncInterval
+	}
+	return sideSyncInterval
+}
+
+// firstSyncDelay returns the time before the first request for a full roster. It
+// differs between processes that start at the same time.
+func (m *Mesh) firstSyncDelay() time.Duration {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(m.options.Self.GetName()))
+	interval := m.syncInterval()
+	return interval/2 + time.Duration(h.Sum32())%interval/2
+}
+
+// syncRoster requests the full roster of the next linked entry, by name.
+func (m *Mesh) syncRoster() {
+	entries := slices.DeleteFunc(m.peerList(), func(p *Peer) bool { return !p.isEntry() })
+	if len(entries) == 0 {
+		return
+	}
+	slices.SortFunc(entries, func(a, b *Peer) int { return cmp.Compare(a.node.GetName(), b.node.GetName()) })
+	m.syncCount++
+	m.mu.Lock()
+	interval := m.heartbeatInterval()
+	m.mu.Unlock()
+	entries[m.syncCount%len(entries)].Send(heartbeatEnvelope(&yuccawire.Heartbeat{IntervalMs: uint32(interval.Milliseconds()), WantRoster: true}))
+}
--- a/yuccamesh/link.go
+++ b/yuccamesh/link.go
@@ -11,6 +11,7 @@
 type dialer struct {
 	mesh    *Mesh
 	address string
+	cancel  context.CancelFunc
 }
 
 func (d *dialer) run(ctx context.Context) {
@@ -37,16 +38,16 @@
 	defer cancel()
 	link, err := m.options.Network.Dial(dialCtx, d.address)
 	if err != nil {
-		m.options.Metrics.Add("mesh_dials_failed", 1)
+		m.recordDialFailure(d.address)
 		return false
 	}
 	node, err := yuccawire.SayHello(dialCtx, link, m.options.Self)
 	if err != nil || node.GetName() == m.options.Self.GetName() {
-		m.options.Metrics.Add("mesh_dials_failed", 1)
+		m.recordDialFailure(d.address)
 		m.disconnect(&Peer{link: link, address: d.address})
 		return false
 	}
-	m.serveLink(ctx, &Peer{link: link, node: node, address: d.address})
+	m.serveLink(ctx, newPeer(m, link, node, d.address))
 	return true
 }
 
@@ -75,5 +76,73 @@
 		h.mesh.options.Metrics.Add("mesh_links_rejected", 1)
 		return
 	}
-	h.mesh.serveLink(ctx, &Peer{link: h.link, node: node})
+	h.mesh.serveLink(ctx, newPeer(h.mesh, h.link, node, ""))
+}
+
+func (m *Mesh) recordDialFailure(address string) {
+	m.options.Metrics.Add("mesh_dials_failed", 1)
+	m.mu.Lock()
+	m.topology.HandleDialFailed(time.Now(), address)
+	m.mu.Unlock()
+}
+
+// disconnect closes a link and, for a dialled one, its connection.
+func (m *Mesh) disconnect(p *Peer) {
+	p.Close()
+	if d, ok := m.options.Network.(connectionDropper); ok && p.isDialled() {
+		d.Drop(p.address)
+	}
+}
+
+// serveLink registers the peer and reads its link until that closes.
+func (m *Mesh) serveLink(ctx context.Context, p *Peer) {
+	stop := context.AfterFunc(ctx, p.Close)
+	defer stop()
+	defer m.disconnect(p)
+	now := time.Now()
+	m.mu.Lock()
+	m.peers[p] = struct{}{}
+	m.roster.RecordContact(now, p.node)
+	m.topology.SetMembers(m.roster.Nodes(now), m.options.Seeds())
+	m.topology.HandleLinkUp(p.node, p.isDialled())
+	first := m.firstRoster(now, p)
+	m.mu.Unlock()
+	m.options.Metrics.Add("mesh_links_opened", 1)
+	p.Send(first)
+	m.wakeUp()
+	m.emit(ctx, LinkUp{Peer: p})
+	for {
+		message, err := p.link.Receive()
+		if err != nil {
+			break
+		}
+		m.receive(ctx, p, message)
+	}
+	m.mu.Lock()
+	delete(m.peers, p)
+	m.topology.HandleLinkDown(p.node, p.isDialled())
+	m.mu.Unlock()
+	m.wakeUp()
+	m.emit(ctx, LinkDown{Peer: p})
+}
+
+func (m *Mesh) receive(ctx context.Context, p *Peer, message *yuccawire.Envelope) {
+	now := time.Now()
+	p.lastReceived.Store(int64(now.Sub(m.startedAt)))
+	m.traffic.recordReceived(message)
+	switch body := message.GetBody().(type) {
+	case *yuccawire.Envelope_Roster:
+		m.receiveRoster(ctx, now, p, body.Roster)
+	case *yuccawire.Envelope_Heartbeat:
+		m.receiveHeartbeat(now, p, body.Heartbeat)
+	default:
+		m.emit(ctx, Received{Peer: p, Message: message})
+	}
+}
+
+func (m *Mesh) emit(ctx context.Context, e Event) {
+	select {
+	case m.events <- e:
+	case <-ctx.Done():
+	}
 }
--- a/yuccamesh/mesh.go
+++ b/yuccamesh/mesh.go
@@ -7,13 +7,13 @@
 	"maps"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/thejerf/suture/v4"
 
 	"github.com/yuccaturn/yuccaturn/yuccametric"
 	"github.com/yuccaturn/yuccaturn/yuccaroster"
+	"github.com/yuccaturn/yuccaturn/yuccatopology"
 	"github.com/yuccaturn/yuccaturn/yuccawire"
 )
 
@@ -27,7 +27,8 @@
 	Replica *yuccawire.ReplicaAddress
 	// Seeds returns the current seed addresses of entries.
 	Seeds func() []string
-	// Sections returns the configuration sections that are sent to a new peer.
+	// Sections returns the current configuration sections, to be sent to entries that
+	// lack them. Only entries have sections.
 	Sections func() []*yuccawire.Section
 	Metrics  *yuccametric.Set
 	Logger   *slog.Logger
@@ -38,34 +39,17 @@
 // opens a new one.
 type connectionDropper interface{ Drop(address string) }
 
-// Peer is a link and the process at its other end.
-type Peer struct {
-	link yuccawire.Link
-	node *yuccawire.Node
-	// address is the dialled address, empty for an accepted link.
-	address string
-	// lastReceived is the time of the last message of the peer, in nanoseconds
-	// since the start of the mesh.
-	lastReceived atomic.Int64
-}
-
-// Node returns the process at the other end of the link.
-func (p *Peer) Node() *yuccawire.Node { return p.node }
-
-// Send queues a message. A link whose queue is full is closed, which is reported
-// as [LinkDown].
-func (p *Peer) Send(m *yuccawire.Envelope) { _ = p.link.Send(m) }
-
-// Close closes the link, which is reported as [LinkDown].
-func (p *Peer) Close() { _ = p.link.Close() }
-
 // LinkUp is the event of an opened link.
 type LinkUp struct{ Peer *Peer }
 
 // LinkDown is the event of a closed link.
 type LinkDown struct{ Peer *Peer }
 
-// Received is the event of a message other than a roster.
+// LinkSurplus is the event of a link that a side no longer wants. The receiver
+// calls [Mesh.Release] once the link is not in use.
+type LinkSurplus struct{ Peer *Peer }
+
+// Received is the event of a message other than a roster or heartbeat.
 type Received struct {
 	Peer    *Peer
 	Message *yuccawire.Envelope
@@ -74,7 +58,7 @@
 // ReceivedSections is the event of configuration sections sent by a peer.
 type ReceivedSections struct{ Sections []*yuccawire.Section }
 
-// Event is one of LinkUp, LinkDown, Received and ReceivedSections.
+// Event is one of LinkUp, LinkDown, LinkSurplus, Received and ReceivedSections.
 type Event any
 
 // Mesh maintains the links of one process. It is a suture service.
@@ -83,15 +67,17 @@
 	events    chan Event
 	wake      chan struct{}
 	startedAt time.Time
+	traffic   *traffic
+
+	mu       sync.Mutex
+	roster   *yuccaroster.Roster
+	topology *yuccatopology.Topology
+	peers    map[*Peer]struct{}
 
-	mu     sync.Mutex
-	roster *yuccaroster.Roster
-	peers  map[*Peer]struct{}
-	// lastHash is the hash of the last full roster that was broadcast, at
-	// lastFullRoster.
-	lastHash       uint64
-	lastFullRoster time.Time
-	dialers        map[string]context.CancelFunc
+	// The fields below are owned by loop.
+
+	dialers   map[string]*dialer
+	syncCount int
 }
 
 // New returns a mesh without links.
@@ -101,9 +87,11 @@
 		events:    make(chan Event, eventQueueCapacity),
 		wake:      make(chan struct{}, 1),
 		startedAt: time.Now(),
+		traffic:   newTraffic(options.Metrics),
 		roster:    yuccaroster.New(options.Self, options.Replica),
+		topology:  yuccatopology.New(options.Self),
 		peers:     make(map[*Peer]struct{}),
-		dialers:   make(map[string]context.CancelFunc),
+		dialers:   make(map[string]*dialer),
 	}
 }
 
@@ -124,6 +112,29 @@
 	return m.roster.Nodes(time.Now())
 }
 
+// RecentNodes returns the other entries that any process has had contact with
+// within the given time, sorted by name.
+func (m *Mesh) RecentNodes(within time.Duration) []*yuccawire.Node {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.roster.RecentNodes(time.Now(), within)
+}
+
+// LinkAll opens links to all entries, and keeps them for the given time.
+func (m *Mesh) LinkAll(d time.Duration) {
+	m.mu.Lock()
+	m.topology.WantAll(time.Now().Add(d))
+	m.mu.Unlock()
+	m.wakeUp()
+}
+
+// Release closes a surplus link.
+func (m *Mesh) Release(p *Peer) {
+	m.options.Logger.Info("closing surplus link", "peer", p.node.GetName())
+	m.options.Metrics.Add("mesh_links_released", 1)
+	p.Close()
+}
+
 // Serve maintains the links until the context ends. It terminates the supervisor
 // tree if the process can't listen on its address.
 func (m *Mesh) Serve(ctx context.Context) error {
@@ -140,161 +151,83 @@
 }
 
 func (m *Mesh) loop(ctx context.Context) error {
-	ticker := time.NewTicker(rosterInterval)
+	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	nextSync := time.Now().Add(m.firstSyncDelay())
 	for {
 		m.updateDialers(ctx)
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-m.wake:
+			continue
 		case <-ticker.C:
-			m.broadcastRoster()
+		}
+		now := time.Now()
+		m.maintainLinks(now)
+		if now.After(nextSync) {
+			nextSync = now.Add(m.syncInterval())
+			m.syncRoster()
 		}
 	}
 }
 
-// updateDialers starts a dialer for each new address of a seed or member, and
-// stops the dialers of addresses that are no longer either.
+// updateDialers starts a dialer for each new target, and stops those without a
+// link that are no longer targets. It closes the surplus links of an entry, and
+// reports those of a side.
 func (m *Mesh) updateDialers(ctx context.Context) {
-	wanted := make(map[string]bool)
-	for _, address := range m.options.Seeds() {
-		wanted[address] = true
-	}
-	for _, node := range m.Nodes() {
-		wanted[node.GetAddress()] = true
-	}
-	delete(wanted, m.options.Self.GetAddress())
+	now := time.Now()
 	m.mu.Lock()
-	defer m.mu.Unlock()
-	for address := range wanted {
-		if m.dialers[address] != nil {
-			continue
-		}
-		dialCtx, cancel := context.WithCancel(ctx)
-		m.dialers[address] = cancel
-		d := &dialer{mesh: m, address: address}
-		go d.run(dialCtx)
-	}
-	for address, cancel := range m.dialers {
-		if !wanted[address] {
-			cancel()
-			delete(m.dialers, address)
+	m.topology.SetMembers(m.roster.Nodes(now), m.options.Seeds())
+	targets := m.topology.Targets(now)
+	linked := make(map[string]*Peer)
+	for p := range m.peers {
+		if p.isDialled() {
+			linked[p.address] = p
 		}
 	}
-}
-
-// nextRoster returns the roster to broadcast: the full one if its members have
-// changed or fullRosterInterval has passed, otherwise an empty one as a
-// heartbeat. The caller must hold m.mu.
-func (m *Mesh) nextRoster(now time.Time) *yuccawire.Roster {
-	hash := m.roster.Hash()
-	if hash == m.lastHash && now.Sub(m.lastFullRoster) < fullRosterInterval {
-		return &yuccawire.Roster{}
-	}
-	m.lastHash, m.lastFullRoster = hash, now
-	return m.roster.ToWire(now)
-}
-
-// broadcastRoster sends the next roster to every peer and closes silent links.
-func (m *Mesh) broadcastRoster() {
-	now := time.Now()
-	m.mu.Lock()
-	roster := m.nextRoster(now)
-	peers := slices.Collect(maps.Keys(m.peers))
+	surplus := m.topology.Surplus(now, slices.Collect(maps.Keys(linked)))
+	m.options.Metrics.Gauge("mesh_links", int64(len(m.peers)))
 	m.mu.Unlock()
-	envelope := &yuccawire.Envelope{Body: &yuccawire.Envelope_Roster{Roster: roster}}
-	for _, p := range peers {
-		if silentFor := now.Sub(m.startedAt) - time.Duration(p.lastReceived.Load()); silentFor > silenceTimeout {
-			m.options.Metrics.Add("mesh_links_silent", 1)
-			m.options.Logger.Warn("closing silent link", "peer", p.node.GetName(), "silent_ms", silentFor.Milliseconds())
-			m.disconnect(p)
-			continue
+	for _, address := range targets {
+		if m.dialers[address] == nil {
+			dialCtx, cancel := context.WithCancel(ctx)
+			d := &dialer{mesh: m, address: address, cancel: cancel}
+			m.dialers[address] = d
+			go d.run(dialCtx)
 		}
-		p.Send(envelope)
 	}
-}
-
-// disconnect closes a link and, for a dialled one, its connection.
-func (m *Mesh) disconnect(p *Peer) {
-	p.Close()
-	if d, ok := m.options.Network.(connectionDropper); ok && p.address != "" {
-		d.Drop(p.address)
-	}
-}
-
-// BroadcastSections sends configuration sections to all linked entries, some of
-// which may have no configuration.
-func (m *Mesh) BroadcastSections(sections []*yuccawire.Section) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	envelope := &yuccawire.Envelope{Body: &yuccawire.Envelope_Roster{Roster: &yuccawire.Roster{Sections: sections}}}
-	for p := range m.peers {
-		if p.node.GetRole() == yuccawire.Role_ROLE_ENTRY {
-			p.Send(envelope)
+	for address, d := range m.dialers {
+		if linked[address] == nil && !slices.Contains(targets, address) {
+			d.cancel()
+			delete(m.dialers, address)
 		}
 	}
-}
-
-// initialRoster returns the first message of a new link: the full roster and the
-// configuration sections.
-func (m *Mesh) initialRoster(now time.Time) *yuccawire.Envelope {
-	m.mu.Lock()
-	roster := m.roster.ToWire(now)
-	m.mu.Unlock()
-	if m.options.Sections != nil {
-		roster.Sections = m.options.Sections()
+	for _, address := range surplus {
+		m.dropSurplus(ctx, linked[address])
 	}
-	return &yuccawire.Envelope{Body: &yuccawire.Envelope_Roster{Roster: roster}}
 }
 
-// serveLink registers the peer and reads its link until that closes.
-func (m *Mesh) serveLink(ctx context.Context, p *Peer) {
-	stop := context.AfterFunc(ctx, p.Close)
-	defer stop()
-	defer m.disconnect(p)
-	now := time.Now()
-	p.lastReceived.Store(int64(now.Sub(m.startedAt)))
+// dropSurplus closes a surplus link of an entry. That of a side may carry runs, so
+// the owner of the events decides when to release it.
+func (m *Mesh) dropSurplus(ctx context.Context, p *Peer) {
 	m.mu.Lock()
-	m.peers[p] = struct{}{}
-	m.roster.RecordContact(now, p.node)
+	reported := p.isSurplus
+	p.isSurplus = true
 	m.mu.Unlock()
-	m.options.Metrics.Add("mesh_links_opened", 1)
-	p.Send(m.initialRoster(now))
-	m.emit(ctx, LinkUp{Peer: p})
-	for {
-		message, err := p.link.Receive()
-		if err != nil {
-			break
-		}
-		m.receive(ctx, p, message)
+	switch {
+	case reported:
+	case m.options.Self.GetRole() == yuccawire.Role_ROLE_SIDE:
+		m.emit(ctx, LinkSurplus{Peer: p})
+	default:
+		m.Release(p)
 	}
-	m.mu.Lock()
-	delete(m.peers, p)
-	m.mu.Unlock()
-	m.emit(ctx, LinkDown{Peer: p})
 }
 
-func (m *Mesh) receive(ctx context.Context, p *Peer, message *yuccawire.Envelope) {
-	now := time.Now()
-	p.lastReceived.Store(int64(now.Sub(m.startedAt)))
-	roster := message.GetRoster()
-	if roster == nil {
-		m.emit(ctx, Received{Peer: p, Message: message})
-		return
-	}
+func (m *Mesh) peerList() []*Peer {
 	m.mu.Lock()
-	knownNodes := len(m.roster.Nodes(now))
-	m.roster.RecordContact(now, p.node)
-	m.roster.Merge(now, roster)
-	hasNewNodes := len(m.roster.Nodes(now)) != knownNodes
-	m.mu.Unlock()
-	if hasNewNodes {
-		m.wakeUp()
-	}
-	if len(roster.GetSections()) > 0 {
-		m.emit(ctx, ReceivedSections{Sections: roster.GetSections()})
-	}
+	defer m.mu.Unlock()
+	return slices.Collect(maps.Keys(m.peers))
 }
 
 // wakeUp makes the loop update the dialers.
@@ -304,10 +237,3 @@
 	default:
 	}
 }
-
-func (m *Mesh) emit(ctx context.Context, e Event) {
-	select {
-	case m.events <- e:
-	case <-ctx.Done():
-	}
-}
--- /dev/null
+++ b/yuccamesh/peer.go
@@ -0,0 +1,69 @@
+package yuccamesh
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/yuccaturn/yuccaturn/yuccawire"
+)
+
+// Peer is a link and the process at its other end.
+type Peer struct {
+	mesh *Mesh
+	link yuccawire.Link
+	node *yuccawire.Node
+	// address is the dialled address, empty for an accepted link.
+	address string
+	// lastReceived and lastSent are the times of the last messages, in nanoseconds
+	// since the start of the mesh.
+	lastReceived atomic.Int64
+	lastSent     atomic.Int64
+	// heartbeatInterval is the longest time, in nanoseconds, that the peer leaves
+	// the link idle.
+	heartbeatInterval atomic.Int64
+
+	// The fields below are guarded by the mutex of the mesh.
+
+	// rosterVersion is the version of the roster up to which the peer was sent
+	// changes.
+	rosterVersion uint64
+	// announcedInterval is the interval in the last heartbeat sent.
+	announcedInterval time.Duration
+	// isSurplus is set once LinkSurplus was emitted.
+	isSurplus bool
+}
+
+func newPeer(m *Mesh, link yuccawire.Link, node *yuccawire.Node, address string) *Peer {
+	p := &Peer{mesh: m, link: link, node: node, address: address}
+	now := int64(time.Since(m.startedAt))
+	p.lastReceived.Store(now)
+	p.lastSent.Store(now)
+	p.heartbeatInterval.Store(int64(minHeartbeatInterval))
+	return p
+}
+
+// Node returns the process at the other end of the link.
+func (p *Peer) Node() *yuccawire.Node { return p.node }
+
+// Send queues a message. A link whose queue is full is closed, which is reported
+// as [LinkDown].
+func (p *Peer) Send(m *yuccawire.Envelope) {
+	p.lastSent.Store(int64(time.Since(p.mesh.startedAt)))
+	p.mesh.traffic.recordSent(m)
+	_ = p.link.Send(m)
+}
+
+// Close closes the link, which is reported as [LinkDown].
+func (p *Peer) Close() { _ = p.link.Close() }
+
+func (p *Peer) isEntry() bool { return p.node.GetRole() == yuccawire.Role_ROLE_ENTRY }
+
+func (p *Peer) isDialled() bool { return p.address != "" }
+
+// silentFor returns the time since the last message of the peer, and whether that
+// is too long.
+func (p *Peer) silentFor(sinceStart time.Duration) (time.Duration, bool) {
+	silent := sinceStart - time.Duration(p.lastReceived.Load())
+	limit := time.Duration(silenceFactor*float64(p.heartbeatInterval.Load())) + silenceSlack
+	return silent, silent > limit
+}
--- a/yuccametric/set.go
+++ b/yuccametric/set.go
@@ -27,6 +27,17 @@
 // Add adds delta to a counter, and creates the counter if necessary.
 func (s *Set) Add(counter string, delta int64) { s.values.Add(counter, delta) }
 
+// Counter returns the counter of that name, for callers that add to it often, and
+// creates it if necessary.
+func (s *Set) Counter(name string) *expvar.Int {
+	s.values.Add(name, 0)
+	v, ok := s.values.Get(name).(*expvar.Int)
+	if !ok {
+		panic("metric " + name + " is not a counter") // Set creates only integers
+	}
+	return v
+}
+
 // Gauge sets a gauge, and creates it if necessary.
 func (s *Set) Gauge(name string, value int64) {
 	if v, ok := s.values.Get(name).(*expvar.Int); ok {
--- a/yuccaregistry/registry.go
+++ b/yuccaregistry/registry.go
@@ -53,6 +53,8 @@
 	version  uint64
 	expires  time.Time
 	sections map[string]uint64
+	// pending counts its pending jobs by queue.
+	pending map[string]uint32
 }
 
 // Node returns the identity of the process.
@@ -112,9 +114,32 @@
 	for _, s := range renew.GetSections() {
 		m.sections[s.GetName()] = s.GetVersion()
 	}
+	m.pending = make(map[string]uint32, len(renew.GetPending()))
+	for _, q := range renew.GetPending() {
+		m.pending[q.GetQueue()] = q.GetJobs()
+	}
 	return true
 }
 
+// PendingAtOthers returns the pending jobs of all processes but the named one, as
+// of their last renewals, by queue.
+func (r *Registry) PendingAtOthers(name string) []*yuccawire.QueueCount {
+	sums := make(map[string]uint32)
+	for other, m := range r.members {
+		if other == name {
+			continue
+		}
+		for queue, jobs := range m.pending {
+			sums[queue] += jobs
+		}
+	}
+	counts := make([]*yuccawire.QueueCount, 0, len(sums))
+	for _, queue := range slices.Sorted(maps.Keys(sums)) {
+		counts = append(counts, &yuccawire.QueueCount{Queue: queue, Jobs: sums[queue]})
+	}
+	return counts
+}
+
 // Expire removes the processes whose lease has expired and returns them, sorted by
 // name.
 func (r *Registry) Expire(now time.Time) []*Member {
--- a/yuccaroster/roster.go
+++ b/yuccaroster/roster.go
@@ -6,19 +6,22 @@
 // the one with the later contact wins. A record that is not refreshed for
 // [Retention] is dropped.
 //
+// Each change of a member gets a version, so that peers can be sent only what has
+// changed since the last message to them.
+//
 // # Usage
 //
 //	roster := yuccaroster.New(self, replica)
 //	roster.RecordContact(now, node)
 //	roster.Merge(now, message)
 //	for _, node := range roster.Nodes(now) { ... }
+//	delta := roster.Changes(now, sentVersion)
 package yuccaroster
 
 import (
 	"cmp"
-	"fmt"
-	"hash/fnv"
 	"maps"
+	"net"
 	"slices"
 	"time"
 
@@ -27,25 +30,38 @@
 
 // Retention is how long a member is retained after its last contact with any
 // process. It is longer than any partition that the deployment must tolerate,
-// so that both halves of a partition can find each other again.
-const Retention = 60 * time.Second
+// so that both halves of a partition can find each other again, and than the news
+// of a contact takes to reach processes that are several links away.
+const Retention = 120 * time.Second
 
 // addressReuseDelay is how long a member must have been without contact when
 // another process is seen at its address, for the member to be evicted.
 const addressReuseDelay = time.Second
 
+const (
+	// maxMembers limits the memory that wrong rosters can take. It is ten times the
+	// entries of the largest deployment planned.
+	maxMembers    = 4096
+	maxNameLength = 253
+)
+
 // Roster is the set of the other entries that a process knows. It is not safe
 // for concurrent use.
 type Roster struct {
 	self    *yuccawire.Node
 	replica *yuccawire.ReplicaAddress
 	members map[string]*member
+	// version is that of the latest change of a member, other than of its last
+	// contact.
+	version uint64
 }
 
 type member struct {
 	node        *yuccawire.Node
 	replica     *yuccawire.ReplicaAddress
 	lastContact time.Time
+	// version is that of its latest change.
+	version uint64
 }
 
 // New returns the roster of the process self. replica is the address of its
@@ -67,15 +83,30 @@
 	r.update(now, node, nil)
 }
 
-// Merge applies the roster of a peer and drops expired members.
-func (r *Roster) Merge(now time.Time, roster *yuccawire.Roster) {
+// Merge applies the roster of a peer and drops expired members. It ignores invalid
+// records, and those beyond maxMembers, and returns their number.
+func (r *Roster) Merge(now time.Time, roster *yuccawire.Roster) (invalid int) {
 	for _, m := range roster.GetMembers() {
+		if !isValid(m.GetNode()) || len(r.members) >= maxMembers && r.members[m.GetNode().GetName()] == nil {
+			invalid++
+			continue
+		}
 		lastContact := now.Add(-time.Duration(m.GetAgeMs()) * time.Millisecond)
 		if now.Sub(lastContact) < Retention {
 			r.update(lastContact, m.GetNode(), m.GetReplica())
 		}
 	}
 	r.expire(now)
+	return invalid
+}
+
+// isValid reports whether a record describes an entry that can be dialled.
+func isValid(node *yuccawire.Node) bool {
+	if node.GetRole() != yuccawire.Role_ROLE_ENTRY || node.GetName() == "" || len(node.GetName()) > maxNameLength {
+		return false
+	}
+	host, port, err := net.SplitHostPort(node.GetAddress())
+	return err == nil && host != "" && port != "" && port != "0"
 }
 
 // update applies the record of a process unless a later one is known. A record
@@ -87,18 +118,33 @@
 	}
 	known := r.members[node.GetName()]
 	if known != nil && lastContact.Before(known.lastContact) {
-		if known.replica == nil && known.node.GetIncarnation() == node.GetIncarnation() {
+		if known.replica == nil && replica != nil && known.node.GetIncarnation() == node.GetIncarnation() {
 			known.replica = replica
+			r.version++
+			known.version = r.version
 		}
 		return
 	}
 	if known != nil && replica == nil && known.node.GetAddress() == node.GetAddress() {
 		replica = known.replica
 	}
-	r.members[node.GetName()] = &member{node: node, replica: replica, lastContact: lastContact}
+	next := &member{node: node, replica: replica, lastContact: lastContact}
+	if known != nil && known.isSame(next) {
+		next.version = known.version
+	} else {
+		r.version++
+		next.version = r.version
+	}
+	r.members[node.GetName()] = next
 	r.evictByAddress(node, lastContact)
 }
 
+// isSame reports whether both records agree in what peers have to know.
+func (m *member) isSame(other *member) bool {
+	return m.node.GetIncarnation() == other.node.GetIncarnation() && m.node.GetAddress() == other.node.GetAddress() &&
+		m.replica.GetId() == other.replica.GetId() && m.replica.GetAddress() == other.replica.GetAddress()
+}
+
 // evictByAddress drops other members at the address of the node if they have been
 // without contact for addressReuseDelay: the node has taken over their address.
 func (r *Roster) evictByAddress(node *yuccawire.Node, lastContact time.Time) {
@@ -120,14 +166,21 @@
 // ToWire returns the roster as a message. It includes this process if that is
 // an entry.
 func (r *Roster) ToWire(now time.Time) *yuccawire.Roster {
-	roster := &yuccawire.Roster{}
+	roster := r.Changes(now, 0)
 	if r.self.GetRole() == yuccawire.Role_ROLE_ENTRY {
 		roster.Members = append(roster.Members, &yuccawire.RosterMember{Node: r.self, Replica: r.replica})
 	}
+	return roster
+}
+
+// Changes returns the other members that have changed since the version, as a
+// message.
+func (r *Roster) Changes(now time.Time, since uint64) *yuccawire.Roster {
+	roster := &yuccawire.Roster{}
 	for _, name := range slices.Sorted(maps.Keys(r.members)) {
 		m := r.members[name]
 		age := now.Sub(m.lastContact)
-		if age >= Retention {
+		if age >= Retention || m.version <= since {
 			continue
 		}
 		roster.Members = append(roster.Members, &yuccawire.RosterMember{
@@ -137,22 +190,18 @@
 	return roster
 }
 
-// Hash returns a hash of the members, to detect changes. It does not depend on
-// their ages.
-func (r *Roster) Hash() uint64 {
-	h := fnv.New64a()
-	for _, name := range slices.Sorted(maps.Keys(r.members)) {
-		m := r.members[name]
-		_, _ = fmt.Fprintf(h, "%s %d %s %d;", name, m.node.GetIncarnation(), m.node.GetAddress(), m.replica.GetId())
-	}
-	return h.Sum64()
-}
+// Version returns the version of the latest change of a member.
+func (r *Roster) Version() uint64 { return r.version }
 
 // Nodes returns the other entries, sorted by name.
-func (r *Roster) Nodes(now time.Time) []*yuccawire.Node {
+func (r *Roster) Nodes(now time.Time) []*yuccawire.Node { return r.RecentNodes(now, Retention) }
+
+// RecentNodes returns the other entries that any process has had contact with
+// within the given time, sorted by name.
+func (r *Roster) RecentNodes(now time.Time, within time.Duration) []*yuccawire.Node {
 	var nodes []*yuccawire.Node
 	for _, m := range r.members {
-		if now.Sub(m.lastContact) < Retention {
+		if now.Sub(m.lastContact) < within {
 			nodes = append(nodes, m.node)
 		}
 	}
--- a/yuccaworker/doc.go
+++ b/yuccaworker/doc.go
@@ -76,7 +76,7 @@
 	// don't fit.
 	maxBackfill = 6
 	// idleStateInterval is the interval of state messages to an owner without runs
-	// on this worker.
+	// on this worker, until the owner requests another one.
 	idleStateInterval = 250 * time.Millisecond
 	// busyStateInterval is the maximum interval of state messages to an owner with
 	// runs. It limits the age of the time stamp with which the owner renews its
--- a/yuccaworker/owner.go
+++ b/yuccaworker/owner.go
@@ -10,7 +10,7 @@
 func (w *Worker) ensureOwner(id Owner) *owner {
 	o := w.owners[id]
 	if o == nil {
-		o = &owner{id: id, stateInterval: idleStateInterval}
+		o = &owner{id: id, stateInterval: idleStateInterval, idleInterval: idleStateInterval}
 		w.owners[id] = o
 		w.ownerList = append(w.ownerList, o)
 	}
@@ -37,6 +37,9 @@
 	if ms := m.GetStateIntervalMs(); ms > 0 {
 		o.stateInterval = max(time.Duration(ms)*time.Millisecond, minStateInterval)
 	}
+	if ms := m.GetIdleIntervalMs(); ms > 0 {
+		o.idleInterval = max(time.Duration(ms)*time.Millisecond, o.stateInterval)
+	}
 	w.sendStates(now)
 }
 
@@ -53,6 +56,7 @@
 	w.expireOwners(now)
 	o := w.ensureOwner(id)
 	o.linked = true
+	o.closing = false
 	o.ordersSeen = 0
 	o.specSent = 0
 	o.unsent = nil
@@ -74,6 +78,28 @@
 	w.emit(Send{Owner: id, Message: &yuccawire.Envelope{Body: &yuccawire.Envelope_Ends{Ends: message}}})
 }
 
+// HandleLinkSurplus prepares the end of a link that is no longer wanted: the owner
+// gets told to send no more orders. The link is released by a [ReleaseLink] once
+// the owner has no runs.
+func (w *Worker) HandleLinkSurplus(now time.Time, id Owner) {
+	if o := w.owners[id]; o != nil && o.linked && !o.closing {
+		o.closing = true
+		o.dirty = true
+		w.sendStates(now)
+		w.releaseLinks()
+	}
+}
+
+// releaseLinks releases the surplus links of owners without runs.
+func (w *Worker) releaseLinks() {
+	for _, o := range w.ownerList {
+		if o.closing && o.linked && o.runCount == 0 && len(o.unsent) == 0 {
+			o.linked = false
+			w.emit(ReleaseLink{Owner: o.id})
+		}
+	}
+}
+
 // HandleLinkDown processes the loss of the link to an owner. Its runs continue until
 // its lease expires, as the owner may reconnect before.
 func (w *Worker) HandleLinkDown(id Owner) {
@@ -168,7 +194,7 @@
 	case o.freeSent != w.capacity().minus(w.used):
 		return o.stateInterval
 	}
-	return max(o.stateInterval, idleStateInterval)
+	return max(o.stateInterval, o.idleInterval)
 }
 
 // hasSpareCapacity reports whether enough capacity is free that owners need no
@@ -182,7 +208,7 @@
 	o.freeSent = free
 	state := &yuccawire.WorkerState{
 		ClockMs:          w.Clock(now),
-		Ready:            w.isReady() && w.health.canAdmit(now, len(w.runs)+len(w.queue)),
+		Ready:            w.isReady() && !o.closing && w.health.canAdmit(now, len(w.runs)+len(w.queue)),
 		FreeCpuMilli:     int32(free.cpuMilli),
 		FreeMemoryMb:     int32(free.memoryMB),
 		FreeAccelerators: int32(free.accelerators),
--- a/yuccaworker/run.go
+++ b/yuccaworker/run.go
@@ -92,7 +92,7 @@
 	switch {
 	case w.report == nil || w.gone || !w.takenOver || r.service != w.report.Service:
 		return yuccawire.RunRefusal_RUN_REFUSAL_NO_WORKER
-	case w.stopping || w.report.Leaving:
+	case w.stopping || w.report.Leaving || r.owner.closing:
 		return yuccawire.RunRefusal_RUN_REFUSAL_LEAVING
 	case r.staleReason(now) != yuccawire.RunRefusal_RUN_REFUSAL_UNSPECIFIED:
 		return r.staleReason(now)
--- a/yuccaworker/types.go
+++ b/yuccaworker/types.go
@@ -98,7 +98,7 @@
 }
 
 // Action is a side effect that the embedding process has to execute: one of
-// CallStart, CallStop, CallHold and Send.
+// CallStart, CallStop, CallHold, Send and ReleaseLink.
 type Action any
 
 // CallStart starts a run at the worker.
@@ -144,3 +144,6 @@
 	Owner   Owner
 	Message *yuccawire.Envelope
 }
+
+// ReleaseLink closes the surplus link of an owner that has no runs.
+type ReleaseLink struct{ Owner Owner }
--- a/yuccaworker/worker.go
+++ b/yuccaworker/worker.go
@@ -80,13 +80,18 @@
 
 // owner is the state of one incarnation of an entry.
 type owner struct {
-	id            Owner
-	linked        bool
-	leaseUntil    time.Time
-	ordersSeen    uint64
-	stateSentAt   time.Time
+	id          Owner
+	linked      bool
+	leaseUntil  time.Time
+	ordersSeen  uint64
+	stateSentAt time.Time
+	// stateInterval and idleInterval are the intervals of state messages that the
+	// owner wants while the state changes, and while it does not.
 	stateInterval time.Duration
+	idleInterval  time.Duration
 	dirty         bool
+	// closing is set once the link to the owner is to be closed.
+	closing bool
 	// specSent is the specVersion that the owner has received, 0 for none.
 	specSent uint64
 	// freeSent is the free capacity in the last state message.
@@ -251,6 +256,8 @@
 		o.leaseUntil = now
 	}
 	w.clock.observedAt = w.clock.observedAt.Add(-suspendedFor)
+	// Owners extrapolate the side's clock, so it has to include the suspension.
+	w.clockStart = w.clockStart.Add(-suspendedFor)
 	w.expireOwners(now)
 }
 
@@ -284,4 +291,5 @@
 	}
 	w.startQueued(now)
 	w.sendStates(now)
+	w.releaseLinks()
 }
