--- a/yuccaworker/owner.go
+++ b/yuccaworker/owner.go
@@ -187,8 +187,10 @@
 	switch {
 	case o.dirty:
 		return minStateInterval
-	case w.hasSpareCapacity() && (o.runCount > 0 || o.freeSent != w.capacity().minus(w.used)):
+	case w.hasSpareCapacity() && o.runCount > 0:
 		return busyStateInterval
+	case w.hasSpareCapacity():
+		return max(o.stateInterval, o.idleInterval)
 	case o.runCount > 0:
 		return min(o.stateInterval, busyStateInterval)
 	case o.freeSent != w.capacity().minus(w.used):
