--- a/yuccamesh/gossip.go
+++ b/yuccamesh/gossip.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"context"
 	"hash/fnv"
 	"slices"
 	"time"
@@ -38,7 +37,7 @@
 	return &yuccawire.Envelope{Body: &yuccawire.Envelope_Roster{Roster: roster}}
 }
 
-func (m *Mesh) receiveRoster(ctx context.Context, now time.Time, p *Peer, roster *yuccawire.Roster) {
+func (m *Mesh) receiveRoster(now time.Time, p *Peer, roster *yuccawire.Roster) {
 	m.mu.Lock()
 	before := m.roster.Version()
 	m.roster.RecordContact(now, p.node)
@@ -60,7 +59,7 @@
 		m.sendNewerSections(p, roster.GetVersions())
 	}
 	if len(roster.GetSections()) > 0 {
-		m.emit(ctx, ReceivedSections{Sections: roster.GetSections()})
+		m.emit(ReceivedSections{Sections: roster.GetSections()})
 	}
 }
 
--- a/yuccamesh/link.go
+++ b/yuccamesh/link.go
@@ -110,39 +110,41 @@
 	m.options.Metrics.Add("mesh_links_opened", 1)
 	p.Send(first)
 	m.wakeUp()
-	m.emit(ctx, LinkUp{Peer: p})
+	m.emit(LinkUp{Peer: p})
 	for {
 		message, err := p.link.Receive()
 		if err != nil {
 			break
 		}
-		m.receive(ctx, p, message)
+		m.receive(p, message)
 	}
 	m.mu.Lock()
 	delete(m.peers, p)
 	m.topology.HandleLinkDown(p.node, p.isDialled())
 	m.mu.Unlock()
 	m.wakeUp()
-	m.emit(ctx, LinkDown{Peer: p})
+	m.emit(LinkDown{Peer: p})
 }
 
-func (m *Mesh) receive(ctx context.Context, p *Peer, message *yuccawire.Envelope) {
+func (m *Mesh) receive(p *Peer, message *yuccawire.Envelope) {
 	now := time.Now()
 	p.lastReceived.Store(int64(now.Sub(m.startedAt)))
 	m.traffic.recordReceived(message)
 	switch body := message.GetBody().(type) {
 	case *yuccawire.Envelope_Roster:
-		m.receiveRoster(ctx, now, p, body.Roster)
+		m.receiveRoster(now, p, body.Roster)
 	case *yuccawire.Envelope_Heartbeat:
 		m.receiveHeartbeat(now, p, body.Heartbeat)
 	default:
-		m.emit(ctx, Received{Peer: p, Message: message})
+		m.emit(Received{Peer: p, Message: message})
 	}
 }
 
-func (m *Mesh) emit(ctx context.Context, e Event) {
+// emit passes an event to the receiver. It does not depend on the context of a link,
+// since the end of a link must be reported after that context has ended.
+func (m *Mesh) emit(e Event) {
 	select {
 	case m.events <- e:
-	case <-ctx.Done():
+	case <-m.stopped:
 	}
 }
--- a/yuccamesh/mesh.go
+++ b/yuccamesh/mesh.go
@@ -63,9 +63,12 @@
 
 // Mesh maintains the links of one process. It is a suture service.
 type Mesh struct {
-	options   Options
-	events    chan Event
-	wake      chan struct{}
+	options Options
+	events  chan Event
+	wake    chan struct{}
+	// stopped is closed when Serve ends.
+	stopped   chan struct{}
+	stopOnce  sync.Once
 	startedAt time.Time
 	traffic   *traffic
 
@@ -86,6 +89,7 @@
 		options:   options,
 		events:    make(chan Event, eventQueueCapacity),
 		wake:      make(chan struct{}, 1),
+		stopped:   make(chan struct{}),
 		startedAt: time.Now(),
 		traffic:   newTraffic(options.Metrics),
 		roster:    yuccaroster.New(options.Self, options.Replica),
@@ -135,9 +139,10 @@
 	p.Close()
 }
 
-// Serve maintains the links until the context ends. It terminates the supervisor
-// tree if the process can't listen on its address.
+// Serve maintains the links until the context ends, and can be called once. It
+// terminates the supervisor tree if the process can't listen on its address.
 func (m *Mesh) Serve(ctx context.Context) error {
+	defer m.stop()
 	if m.options.Listen {
 		listener, err := m.options.Network.Listen(m.options.Self.GetAddress())
 		if err != nil {
@@ -204,13 +209,13 @@
 		}
 	}
 	for _, address := range surplus {
-		m.dropSurplus(ctx, linked[address])
+		m.dropSurplus(linked[address])
 	}
 }
 
 // dropSurplus closes a surplus link of an entry. That of a side may carry runs, so
 // the owner of the events decides when to release it.
-func (m *Mesh) dropSurplus(ctx context.Context, p *Peer) {
+func (m *Mesh) dropSurplus(p *Peer) {
 	m.mu.Lock()
 	reported := p.isSurplus
 	p.isSurplus = true
@@ -218,12 +223,15 @@
 	switch {
 	case reported:
 	case m.options.Self.GetRole() == yuccawire.Role_ROLE_SIDE:
-		m.emit(ctx, LinkSurplus{Peer: p})
+		m.emit(LinkSurplus{Peer: p})
 	default:
 		m.Release(p)
 	}
 }
 
+// stop ends the delivery of events. A mesh can't be served again.
+func (m *Mesh) stop() { m.stopOnce.Do(func() { close(m.stopped) }) }
+
 func (m *Mesh) peerList() []*Peer {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/yuccamesh/mesh_test.go
+++ b/yuccamesh/mesh_test.go
@@ -30,19 +30,23 @@
 		case <-ctx.Done():
 			return
 		case e := <-m.mesh.Events():
-			m.mu.Lock()
-			switch e := e.(type) {
-			case yuccamesh.LinkUp:
-				m.up[e.Peer.Node().GetName()] = e.Peer
-			case yuccamesh.LinkDown:
-				if m.up[e.Peer.Node().GetName()] == e.Peer {
-					delete(m.up, e.Peer.Node().GetName())
-				}
-			case yuccamesh.ReceivedSections:
-				m.sections = append(m.sections, e.Sections...)
-			}
-			m.mu.Unlock()
+			m.record(e)
+		}
+	}
+}
+
+func (m *testMember) record(e yuccamesh.Event) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	switch e := e.(type) {
+	case yuccamesh.LinkUp:
+		m.up[e.Peer.Node().GetName()] = e.Peer
+	case yuccamesh.LinkDown:
+		if m.up[e.Peer.Node().GetName()] == e.Peer {
+			delete(m.up, e.Peer.Node().GetName())
 		}
+	case yuccamesh.ReceivedSections:
+		m.sections = append(m.sections, e.Sections...)
 	}
 }
 
--- a/yuccaroster/roster_test.go
+++ b/yuccaroster/roster_test.go
@@ -1,6 +1,8 @@
 package yuccaroster_test
 
 import (
+	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -80,3 +82,45 @@
 		t.Error("the roster contains a side")
 	}
 }
+
+// Records that can't be those of an entry of the deployment are ignored and counted,
+// however many there are, and are not passed on.
+func TestInvalidRecordsAreIgnored(t *testing.T) {
+	side := entryNode("s", "10.0.0.9:1", 1)
+	side.Role = yuccawire.Role_ROLE_SIDE
+	for name, node := range map[string]*yuccawire.Node{
+		"no node": nil, "no name": entryNode("", "10.0.0.2:1", 1), "long name": entryNode(strings.Repeat("x", 300), "10.0.0.2:1", 1),
+		"no address": entryNode("x", "", 1), "no port": entryNode("x", "10.0.0.2", 1), "port zero": entryNode("x", "10.0.0.2:0", 1),
+		"no host": entryNode("x", ":1", 1), "side": side,
+	} {
+		a := yuccaroster.New(entryNode("a", "10.0.0.1:1", 1), nil)
+		if invalid := a.Merge(startTime, &yuccawire.Roster{Members: []*yuccawire.RosterMember{{Node: node}}}); invalid != 1 || len(a.Nodes(startTime)) != 0 {
+			t.Errorf("%s: %d records counted as invalid, nodes %v", name, invalid, a.Nodes(startTime))
+		}
+	}
+	a := yuccaroster.New(entryNode("a", "10.0.0.1:1", 1), nil)
+	roster := &yuccawire.Roster{}
+	for i := range 10_000 {
+		roster.Members = append(roster.Members, &yuccawire.RosterMember{Node: entryNode(fmt.Sprint("x", i), fmt.Sprintf("10.0.%d.%d:1", i/250, i%250), 1)})
+	}
+	if invalid := a.Merge(startTime, roster); invalid != 10_000-4096 || len(a.Nodes(startTime)) != 4096 {
+		t.Errorf("%d of 10,000 records ignored, %d members kept, want 4,096 kept", invalid, len(a.Nodes(startTime)))
+	}
+}
+
+// A peer is sent what has changed since its version, and nothing if only contacts
+// were made.
+func TestChanges(t *testing.T) {
+	a := yuccaroster.New(entryNode("a", "10.0.0.1:1", 1), nil)
+	a.RecordContact(startTime, entryNode("b", "10.0.0.2:1", 1))
+	seen := a.Version()
+	a.RecordContact(startTime.Add(time.Second), entryNode("b", "10.0.0.2:1", 1))
+	if got := a.Changes(startTime, seen); a.Version() != seen || len(got.GetMembers()) != 0 {
+		t.Errorf("version %d and changes %v after a contact, want %d and none", a.Version(), got, seen)
+	}
+	a.RecordContact(startTime.Add(2*time.Second), entryNode("c", "10.0.0.3:1", 1))
+	a.RecordContact(startTime.Add(2*time.Second), entryNode("b", "10.0.0.2:1", 2))
+	if got := a.Changes(startTime.Add(2*time.Second), seen).GetMembers(); len(got) != 2 {
+		t.Errorf("changes are %v, want the new member and the restarted one", got)
+	}
+}
