sized: list the links of an entry or a side

`yuccaturn sized links` and GET /v1/links: the other end, who dialled, how long it has been silent and when the link would be closed. A process is linked to a part of the others in large deployments, so operators need to see which.

--- a/yuccaclient/sized.go
+++ b/yuccaclient/sized.go
@@ -78,3 +78,28 @@
 	_, err := c.call(ctx, method, "/v1/data-centres/"+url.PathEscape(dataCentre)+"/out", nil, &response)
 	return response, err
 }
+
+// Link is an open link of an entry or a side. Times are in milliseconds.
+type Link struct {
+	// Peer, Role ("entry" or "side") and DataCentre are those of the other end.
+	Peer       string `json:"peer"`
+	Role       string `json:"role"`
+	DataCentre string `json:"data_centre"`
+	// Dialled is set if the called process has opened the link.
+	Dialled bool `json:"dialled"`
+	// Surplus is set if the link is to be closed.
+	Surplus bool `json:"surplus,omitempty"`
+	// SilentMS is the time since the last message, MaxSilentMS that after which the
+	// link is closed.
+	SilentMS    int64 `json:"silent_ms"`
+	MaxSilentMS int64 `json:"max_silent_ms"`
+}
+
+// Links returns the links of an entry or a side for sized jobs, sorted by peer.
+func (c *Client) Links(ctx context.Context) ([]Link, error) {
+	var response struct {
+		Links []Link `json:"links"`
+	}
+	_, err := c.call(ctx, http.MethodGet, "/v1/links", nil, &response)
+	return response.Links, err
+}
--- a/yuccacommand/sized.go
+++ b/yuccacommand/sized.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"net/http"
+	"encoding/json"
 	"os"
 
 	"github.com/ansel1/merry/v2"
@@ -29,6 +29,7 @@
 	Document sizedDocument `cmd:"" help:"Print the document in force."`
 	Out      sizedOut      `cmd:"" help:"Take a data centre out."`
 	Back     sizedBack     `cmd:"" help:"Bring a data centre back."`
+	Links    sizedLinks    `cmd:"" help:"List the links of an entry or a side, and how fresh they are."`
 }
 
 type sizedEntryCommand struct {
@@ -92,7 +93,7 @@
 	side := settings.SizedSide
 	driver := newSizedConfig(settings, side.Listen, side.Seeds, p).addSide(p, yuccasized.NewWorkerClient(side.Worker, p.logger))
 	p.add(yuccaserver.New(side.Listen, yuccasized.NewRegistry(driver, p.logger)),
-		yuccaserver.New(side.Operators, yuccaserver.WithVars(http.NotFoundHandler())))
+		yuccaserver.New(side.Operators, yuccaserver.WithVars(yuccasized.NewLinks(driver.Links))))
 	return p.run()
 }
 
@@ -318,3 +319,39 @@
 	o.printf("data centre %s is %s (version %d)\n", dataCentre, state, accepted.Version)
 	return nil
 }
+
+type sizedLinks struct {
+	sizedOperatorFlags
+	JSON bool `name:"json" help:"Print JSON."`
+}
+
+// Help returns the detailed help text for kong.
+func (sizedLinks) Help() string {
+	return "A link is closed after its longest silence. In a large deployment a process is linked to a part of the others only.\n\n" +
+		"Example: yuccaturn sized links --address 127.0.0.1:7491"
+}
+
+// Run prints one line for each link, and their number by role.
+func (c *sizedLinks) Run(o *output) error {
+	links, err := c.client().Links(context.Background())
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return json.NewEncoder(o.stdout).Encode(links)
+	}
+	byRole := make(map[string]int)
+	for _, l := range links {
+		byRole[l.Role]++
+		note := "accepted"
+		if l.Dialled {
+			note = "dialled"
+		}
+		if l.Surplus {
+			note += ", surplus"
+		}
+		o.printf("%s: %s in %s, %s, silent for %d ms of %d\n", l.Role, l.Peer, l.DataCentre, note, l.SilentMS, l.MaxSilentMS)
+	}
+	o.printf("%d links to entries, %d to sides\n", byRole["entry"], byRole["side"])
+	return nil
+}
--- a/yuccadriver/driver.go
+++ b/yuccadriver/driver.go
@@ -295,6 +295,9 @@
 	return err
 }
 
+// Links returns the links of this side to entries.
+func (d *Driver) Links() []yuccamesh.LinkStatus { return d.options.Mesh.Links() }
+
 // Drain refuses new orders and waits until no task is queued or running. It returns
 // 0 on success, or 1 if the context ends first.
 func (d *Driver) Drain(ctx context.Context) int {
--- a/yuccaedge/config.go
+++ b/yuccaedge/config.go
@@ -6,6 +6,7 @@
 	"github.com/yuccaturn/yuccaturn/yuccacatalog"
 	"github.com/yuccaturn/yuccaturn/yuccadocument"
 	"github.com/yuccaturn/yuccaturn/yuccalease"
+	"github.com/yuccaturn/yuccaturn/yuccamesh"
 	"github.com/yuccaturn/yuccaturn/yuccawire"
 )
 
@@ -97,6 +98,9 @@
 	e.events <- recoveredSections{sections: sections}
 }
 
+// Links returns the links of this entry to sides and other entries.
+func (e *Edge) Links() []yuccamesh.LinkStatus { return e.options.Mesh.Links() }
+
 // Catalog returns the current document in decoded form, or nil if there is none.
 func (e *Edge) Catalog() *yuccacatalog.Catalog { return e.config.Load().catalog }
 
--- a/yuccamesh/gossip.go
+++ b/yuccamesh/gossip.go
@@ -119,7 +119,7 @@
 	m.mu.Unlock()
 	sinceStart := now.Sub(m.startedAt)
 	for _, p := range m.peerList() {
-		if silent, tooLong := p.silentFor(sinceStart); tooLong {
+		if silent := p.silence(sinceStart); silent > p.maxSilence() {
 			m.options.Metrics.Add("mesh_links_silent", 1)
 			m.options.Logger.Warn("closing silent link", "peer", p.node.GetName(), "silent_ms", silent.Milliseconds())
 			m.disconnect(p)
--- a/yuccamesh/peer.go
+++ b/yuccamesh/peer.go
@@ -60,10 +60,12 @@
 
 func (p *Peer) isDialled() bool { return p.address != "" }
 
-// silentFor returns the time since the last message of the peer, and whether that
-// is too long.
-func (p *Peer) silentFor(sinceStart time.Duration) (time.Duration, bool) {
-	silent := sinceStart - time.Duration(p.lastReceived.Load())
-	limit := time.Duration(silenceFactor*float64(p.heartbeatInterval.Load())) + silenceSlack
-	return silent, silent > limit
+// silence returns the time since the last message of the peer.
+func (p *Peer) silence(sinceStart time.Duration) time.Duration {
+	return sinceStart - time.Duration(p.lastReceived.Load())
+}
+
+// maxSilence returns the time without a message after which the link is closed.
+func (p *Peer) maxSilence() time.Duration {
+	return time.Duration(silenceFactor*float64(p.heartbeatInterval.Load())) + silenceSlack
 }
--- a/yuccasized/system_test.go
+++ b/yuccasized/system_test.go
@@ -34,6 +34,7 @@
 	t       *testing.T
 	fabric  *yuccamemnet.Fabric
 	callers [2]http.Handler
+	edges   [2]*yuccaedge.Edge
 	worker  *yuccasized.SimulatedWorker
 }
 
@@ -58,6 +59,7 @@
 			Metrics: metrics, Logger: logger,
 		})
 		edge.ApplyRecovered([]*yuccawire.Section{{Name: yuccadocument.SectionWholeDocument, Version: 3, Body: []byte(document)}})
+		s.edges[i] = edge
 		s.callers[i] = yuccasized.NewCallers(edge, metrics, logger)
 		supervisor.Add(mesh)
 		supervisor.Add(edge)
