mesh: let sides of large deployments send heartbeats every second, too

A side has 12 links, so it sent a heartbeat every 400 ms on each, although it reports every second anyway: an idle entry of the large site received 100 heartbeats a second. The interval now also grows with the entries known.

--- a/yuccamesh/doc.go
+++ b/yuccamesh/doc.go
@@ -33,8 +33,9 @@
 	// are silent or are no longer wanted, and for changed members to broadcast.
 	tickInterval = 100 * time.Millisecond
 	// A process leaves a link idle for heartbeatPerLink times the number of its
-	// links, within minHeartbeatInterval and maxHeartbeatInterval. It thus sends at
-	// most 40 heartbeats a second on up to 40 links.
+	// links or of the entries that it knows, within minHeartbeatInterval and
+	// maxHeartbeatInterval. It thus sends at most 40 heartbeats a second on up to 40
+	// links.
 	heartbeatPerLink     = 25 * time.Millisecond
 	minHeartbeatInterval = 400 * time.Millisecond
 	maxHeartbeatInterval = time.Second
--- a/yuccamesh/gossip.go
+++ b/yuccamesh/gossip.go
@@ -105,9 +105,11 @@
 }
 
 // heartbeatInterval returns the longest time that this process leaves a link idle.
-// The caller must hold m.mu.
+// A side has few links, but an entry of a large deployment has many sides, so the
+// number of known entries counts as well. The caller must hold m.mu.
 func (m *Mesh) heartbeatInterval() time.Duration {
-	return min(max(time.Duration(len(m.peers))*heartbeatPerLink, minHeartbeatInterval), maxHeartbeatInterval)
+	size := max(len(m.peers), m.roster.Len())
+	return min(max(time.Duration(size)*heartbeatPerLink, minHeartbeatInterval), maxHeartbeatInterval)
 }
 
 // maintainLinks closes silent links, sends a heartbeat on the idle ones, and tells
--- a/yuccaroster/roster.go
+++ b/yuccaroster/roster.go
@@ -190,6 +190,9 @@
 	return roster
 }
 
+// Len returns the number of other members.
+func (r *Roster) Len() int { return len(r.members) }
+
 // Version returns the version of the latest change of a member.
 func (r *Roster) Version() uint64 { return r.version }
 
