worker, disk, broker: log when failures make a worker suspect; fail a folder whose log can't be opened

Found in reading: four failed first runs made a worker suspect without a log line, and the owners were told with the next report only; 'worker state changed' named the worker only after its description had changed; yuccadisk.Replace did not mark the folder as failed when its last step failed, so later writes would have gone to the removed log (TestFailedReplaceMarksFolder failed before).

--- a/yuccabroker/side.go
+++ b/yuccabroker/side.go
@@ -147,7 +147,7 @@
 		return
 	}
 	if s.ready != m.GetReady() || s.suspect != m.GetSuspect() {
-		b.options.Logger.Info("worker state changed", "side", name, "worker", m.GetWorker(), "ready", m.GetReady(), "suspect", m.GetSuspect(), "pace_percent", m.GetPacePercent())
+		b.options.Logger.Info("worker state changed", "side", name, "worker", cmp.Or(m.GetWorker(), s.worker), "ready", m.GetReady(), "suspect", m.GetSuspect(), "pace_percent", m.GetPacePercent())
 	}
 	s.clockMS, s.lastReport = m.GetClockMs(), now
 	s.ready, s.suspect = m.GetReady(), m.GetSuspect()
--- a/yuccadisk/folder.go
+++ b/yuccadisk/folder.go
@@ -40,6 +40,8 @@
 	stored         yuccareplica.Stored
 	failed         bool
 	truncatedBytes int
+	// openFile opens a file of the log. Tests replace it.
+	openFile func(path string, flag int, perm os.FileMode) (*os.File, error)
 }
 
 // Open reads the data folder at path, or creates it with a random id. It returns
@@ -48,7 +50,7 @@
 	if err := os.MkdirAll(path, folderPerm); err != nil {
 		return nil, merry.Prepend(err, "creating the data folder")
 	}
-	f := &Folder{path: path}
+	f := &Folder{path: path, openFile: os.OpenFile}
 	if err := f.loadIdentity(); err != nil {
 		return nil, err
 	}
@@ -162,7 +164,7 @@
 }
 
 func (f *Folder) openForAppend(path string, size int64) error {
-	file, err := os.OpenFile(path, os.O_WRONLY, filePerm)
+	file, err := f.openFile(path, os.O_WRONLY, filePerm)
 	if err != nil {
 		return merry.Prepend(err, "opening the log")
 	}
--- a/yuccadisk/folder_test.go
+++ b/yuccadisk/folder_test.go
@@ -199,3 +199,16 @@
 		}
 	})
 }
+
+// A folder whose log can't be opened after a replacement takes no more writes: they
+// would go to the removed file.
+func TestFailedReplaceMarksFolder(t *testing.T) {
+	f := openFolder(t, t.TempDir())
+	f.FailOpening()
+	if err := f.Replace(&yuccawire.DiskFrame{Snapshot: &yuccawire.InstallSnapshot{Index: 2, IndexTerm: 2}}); err == nil {
+		t.Fatal("the replacement succeeded")
+	}
+	if err := f.Write(&yuccawire.DiskFrame{Entries: []*yuccawire.Entry{newEntry(3, 2, "b")}}); !errors.Is(err, yuccadisk.ErrFailed) {
+		t.Errorf("a write after a failed replacement returned %v, want %v", err, yuccadisk.ErrFailed)
+	}
+}
--- a/yuccadisk/write.go
+++ b/yuccadisk/write.go
@@ -52,7 +52,10 @@
 		_ = f.file.Close()
 		_ = os.Remove(f.logPath(old))
 	}
-	return f.openForAppend(f.logPath(f.generation), int64(len(data)))
+	if err := f.openForAppend(f.logPath(f.generation), int64(len(data))); err != nil {
+		return f.fail(err, "opening the new log")
+	}
+	return nil
 }
 
 func (f *Folder) fail(err error, action string) error {
--- a/yuccaworker/health.go
+++ b/yuccaworker/health.go
@@ -54,16 +54,12 @@
 	return !h.isSuspect() || active == 0 && now.Sub(h.suspectedAt) > probationPause
 }
 
-func (h *health) recordOutcome(now time.Time, r *run, outcome yuccawire.RunEnd, ran time.Duration) {
-	switch outcome {
-	case yuccawire.RunEnd_RUN_END_DONE:
-		h.consecutiveFailures, h.stragglers = 0, 0
-		h.lastDoneAt = now
-		h.suspectedAt = time.Time{}
-		h.recordSlowdown(ran, r.estimate)
-	case yuccawire.RunEnd_RUN_END_FAILED:
-		h.recordFailure(now, r.priorFailures)
-	}
+// recordSuccess ends the suspicion of the worker.
+func (h *health) recordSuccess(now time.Time, ran, estimate time.Duration) {
+	h.consecutiveFailures, h.stragglers = 0, 0
+	h.lastDoneAt = now
+	h.suspectedAt = time.Time{}
+	h.recordSlowdown(ran, estimate)
 }
 
 func (h *health) recordSlowdown(ran, estimate time.Duration) {
@@ -96,6 +92,31 @@
 	return now.Sub(r.startSentAt) > limit
 }
 
+// recordOutcome updates the health of the worker with the outcome of a run.
+func (w *Worker) recordOutcome(now time.Time, r *run, outcome yuccawire.RunEnd, ran time.Duration) {
+	switch outcome {
+	case yuccawire.RunEnd_RUN_END_DONE:
+		if w.health.isSuspect() {
+			w.options.Logger.Info("worker no longer suspect, a run succeeded", "worker", w.report.ID, "task", r.key.Task)
+		}
+		w.health.recordSuccess(now, ran, r.estimate)
+	case yuccawire.RunEnd_RUN_END_FAILED:
+		w.recordFailure(now, r)
+	}
+}
+
+// recordFailure counts a failed run, or a start that the worker refused as
+// unhealthy.
+func (w *Worker) recordFailure(now time.Time, r *run) {
+	wasSuspect := w.health.isSuspect()
+	w.health.recordFailure(now, r.priorFailures)
+	if !wasSuspect && w.health.isSuspect() {
+		w.options.Logger.Warn("worker suspect, first runs failed in a row", "worker", w.report.ID, "failures", w.health.consecutiveFailures, "task", r.key.Task)
+		w.metrics.Add("suspected", 1)
+		w.markOwnersDirty()
+	}
+}
+
 // recordStraggler counts a run that is withdrawn for taking too long. Its run
 // time so far is a lower bound of the time that it would have taken.
 func (w *Worker) recordStraggler(now time.Time, r *run) {
--- a/yuccaworker/run.go
+++ b/yuccaworker/run.go
@@ -236,7 +236,7 @@
 		}
 		w.refuseStarted(now, r, yuccawire.RunRefusal_RUN_REFUSAL_OLD_RUN)
 	case ResultUnhealthy:
-		w.health.recordFailure(now, r.priorFailures)
+		w.recordFailure(now, r)
 		w.refuseStarted(now, r, yuccawire.RunRefusal_RUN_REFUSAL_UNHEALTHY)
 	case ResultFenced:
 		w.raiseToken(now, clockMS)
@@ -384,7 +384,7 @@
 func (w *Worker) completeRun(now time.Time, r *run, outcome yuccawire.RunEnd) {
 	w.removeRun(r)
 	ran := now.Sub(r.startSentAt)
-	w.health.recordOutcome(now, r, outcome, ran)
+	w.recordOutcome(now, r, outcome, ran)
 	w.metrics.Add("ends_"+outcomeNames[outcome], 1)
 	w.queueOutcome(now, r, &yuccawire.Ended{End: outcome, RanMs: uint32(ran.Milliseconds())})
 }
--- a/yuccaworker/worker_test.go
+++ b/yuccaworker/worker_test.go
@@ -38,6 +38,8 @@
 	lostStarts       []yuccaworker.CallStart
 	delivered        map[yuccaworker.Owner][]*yuccawire.Ended
 	states           map[yuccaworker.Owner]*yuccawire.WorkerState
+	stateCount       map[yuccaworker.Owner]int
+	released         []yuccaworker.Owner
 	pendingHold      *yuccaworker.CallHold
 }
 
@@ -46,6 +48,7 @@
 		t: t, now: startTime, incarnation: yuccaworker.Incarnation{ID: "w-1", StartedAtMS: 100},
 		running: make(map[yuccaworker.Key]bool), latestRun: make(map[string]uint64),
 		delivered: make(map[yuccaworker.Owner][]*yuccawire.Ended), states: make(map[yuccaworker.Owner]*yuccawire.WorkerState),
+		stateCount: make(map[yuccaworker.Owner]int),
 	}
 	h.core = yuccaworker.New(yuccaworker.Options{Metrics: yuccametric.New(t.Name()), Logger: slog.New(slog.DiscardHandler)}, startTime)
 	h.core.HandleLinkUp(h.now, entry)
@@ -85,7 +88,10 @@
 		}
 		if state := a.Message.GetWorkerState(); state != nil {
 			h.states[a.Owner] = state
+			h.stateCount[a.Owner]++
 		}
+	case yuccaworker.ReleaseLink:
+		h.released = append(h.released, a.Owner)
 	case yuccaworker.CallStart:
 		h.start(a)
 	case yuccaworker.CallStop:
