topology, control, mesh: spread new processes over the seeds, and documents over the entries

Change: a process that knows nobody dials one seed, chosen by the hash of its name; the others only if that fails or does not name their holders in a second. The leader pushes a section to 16 entries, which announce it to those they are linked to.

--- a/yuccacommand/sizedconfig.go
+++ b/yuccacommand/sizedconfig.go
@@ -35,6 +35,10 @@
 	// meshPendingBytes limits the data queued for a slow peer. It is enough for the
 	// orders of several seconds.
 	meshPendingBytes = 2 << 20
+	// sectionPushes is the number of entries that the leader pushes a new section to;
+	// they announce it to the entries that they are linked to. It covers all entries of
+	// small deployments.
+	sectionPushes = 16
 	// sizedMaxLogEntries is the number of log entries after which the log is
 	// compacted. It is low because the disks are small: with whole documents of
 	// 100 KB as entries, the log takes 25 MB.
@@ -125,7 +129,7 @@
 			yuccacontrol.Options{
 				Network: controlNetwork, Self: address, DataCentre: c.dataCentre, Discover: mesh.Replicas, CanFormGroup: f.canFormGroup,
 				OnRecovered: func(sections []*yuccawire.Section) { edge.ApplyRecovered(sections) }, Voters: 2*c.toleratedFailures + 1,
-				MaxLogEntries: sizedMaxLogEntries, Random: newRandom(), SuspendWatch: yuccasuspend.New(), Metrics: c.metrics, Logger: c.logger,
+				SectionPushes: sectionPushes, MaxLogEntries: sizedMaxLogEntries, Random: newRandom(), SuspendWatch: yuccasuspend.New(), Metrics: c.metrics, Logger: c.logger,
 			})
 		p.add(replica)
 	}
--- a/yuccacontrol/control.go
+++ b/yuccacontrol/control.go
@@ -58,6 +58,9 @@
 	// now, and whether that group may have fewer replicas than Voters. It is
 	// used only with Discover; if it is nil, this replica forms no group.
 	CanFormGroup func() (allowed, undersized bool)
+	// SectionPushes is the number of processes that a new section is pushed to. The
+	// others must get it from these, or with their next renewal. Zero means all.
+	SectionPushes int
 	// Voters is the number of voters in the group; the other replicas stay
 	// learners. Zero makes every replica a voter.
 	Voters int
--- a/yuccacontrol/sessions.go
+++ b/yuccacontrol/sessions.go
@@ -1,6 +1,8 @@
 package yuccacontrol
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -114,18 +116,26 @@
 	}
 }
 
-// pushUpdates sends new sections and fences to all sessions immediately, instead of
-// with their next renewal.
+// pushUpdates sends new sections and fences to the sessions immediately, instead of
+// with their next renewal. Where processes pass on sections among themselves, only
+// SectionPushes sessions are sent new ones.
 func (c *Control) pushUpdates(now time.Time) {
 	if !c.isActiveLeader(now) {
 		return
 	}
-	for s := range c.sessions {
-		renewed := &yuccawire.Renewed{Sections: c.state.NewerSections(s.sections)}
+	pushed := 0
+	for _, s := range c.sessionsToPush() {
+		renewed := &yuccawire.Renewed{}
+		if c.options.SectionPushes == 0 || pushed < c.options.SectionPushes {
+			renewed.Sections = c.state.NewerSections(s.sections)
+		}
 		renewed.Fences, renewed.FencesVersion = c.state.FencesSince(s.fencesVersion)
 		if len(renewed.GetSections()) == 0 && len(renewed.GetFences()) == 0 {
 			continue
 		}
+		if len(renewed.GetSections()) > 0 {
+			pushed++
+		}
 		s.fencesVersion = renewed.GetFencesVersion()
 		s.markSectionsSent(renewed.GetSections())
 		c.metrics.Add("pushes", 1)
@@ -133,6 +143,14 @@
 	}
 }
 
+// sessionsToPush returns the sessions in an order that is different for each change,
+// so that no process always gets sections later than others.
+func (c *Control) sessionsToPush() []*session {
+	sessions := slices.Collect(maps.Keys(c.sessions))
+	c.options.Random.Shuffle(len(sessions), func(i, j int) { sessions[i], sessions[j] = sessions[j], sessions[i] })
+	return sessions
+}
+
 // pushMembers sends changes of the membership to the entries, once the registry
 // is complete.
 func (c *Control) pushMembers(now time.Time) {
--- a/yuccaedge/change_test.go
+++ b/yuccaedge/change_test.go
@@ -31,6 +31,8 @@
 	t      *testing.T
 	fabric *yuccamemnet.Fabric
 	edges  []*yuccaedge.Edge
+	// metrics are those of the entry with the control.
+	metrics *yuccametric.Set
 }
 
 func newGroup(t *testing.T, entries int) *group {
@@ -54,8 +56,10 @@
 	network, metrics, logger := g.fabric.Host(name), yuccametric.New(name), slog.New(slog.DiscardHandler)
 	self := &yuccawire.Node{Name: name, Role: yuccawire.Role_ROLE_ENTRY, Address: name + ":1", Incarnation: 1}
 	control := &yuccawire.ReplicaAddress{Name: "e0", Address: "e0:2"}
+	var edge *yuccaedge.Edge
 	mesh := yuccamesh.New(yuccamesh.Options{
 		Network: network, Self: self, Listen: true, Seeds: func() []string { return []string{"e0:1"} }, Metrics: metrics, Logger: logger,
+		Sections: func() []*yuccawire.Section { return edge.Sections() },
 	})
 	lease := yuccalease.New(yuccalease.Options{
 		Network: network, Self: self, Random: rand.New(rand.NewPCG(1, uint64(i))), Logger: logger,
@@ -67,18 +71,19 @@
 		Broker: yuccabroker.New(yuccabroker.Options{Name: name, Random: rand.New(rand.NewPCG(2, uint64(i))), Metrics: metrics, Logger: logger}),
 	}
 	if i == 0 {
+		g.metrics = metrics
 		folder, err := yuccadisk.Open(g.t.TempDir())
 		if err != nil {
 			g.t.Fatal(err)
 		}
 		control.Id = folder.ID()
 		options.Replica = yuccaedge.NewReplica(folder, nil, yuccacontrol.Options{
-			Network: network, Self: control, Voters: 1, Discover: func() []*yuccawire.ReplicaAddress { return nil },
+			Network: network, Self: control, Voters: 1, SectionPushes: 4, Discover: func() []*yuccawire.ReplicaAddress { return nil },
 			CanFormGroup: func() (bool, bool) { return true, true }, Random: rand.New(rand.NewPCG(3, 1)), Metrics: metrics, Logger: logger,
 		})
 		supervisor.Add(options.Replica)
 	}
-	edge := yuccaedge.New(options)
+	edge = yuccaedge.New(options)
 	g.edges = append(g.edges, edge)
 	supervisor.Add(mesh)
 	supervisor.Add(lease)
@@ -149,3 +154,27 @@
 		}
 	})
 }
+
+// The leader pushes a change to a few entries only. The others get it from these well
+// before their next renewal.
+func TestChangeSpreadsAmongEntries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 24)
+		time.Sleep(4 * time.Second)
+		for version := uint64(7); version < 12; version++ {
+			before := g.metrics.Value("pushes")
+			if _, err := g.replace(1, version); err != nil {
+				t.Fatal(err)
+			}
+			if n := g.metrics.Value("pushes") - before; n != 4 {
+				t.Errorf("version %d was pushed to %d entries, want 4", version, n)
+			}
+			time.Sleep(100 * time.Millisecond)
+			for i, edge := range g.edges {
+				if sections := edge.Sections(); len(sections) == 0 || sections[0].GetVersion() != version {
+					t.Errorf("entry %d has %v after 100 ms, want version %d", i, sections, version)
+				}
+			}
+		}
+	})
+}
--- a/yuccaedge/config.go
+++ b/yuccaedge/config.go
@@ -55,7 +55,8 @@
 	return sections
 }
 
-// applySections replaces the current sections by those that are newer.
+// applySections replaces the current sections by those that are newer, and announces
+// them to the linked entries.
 // confirmedAt is the last time at which control had no newer section, or zero if
 // control has not confirmed them. source is logged.
 func (e *Edge) applySections(sections []*yuccawire.Section, confirmedAt time.Time, source string) {
@@ -85,10 +86,11 @@
 	if confirmedAt.After(next.confirmedAt) {
 		next.confirmedAt = confirmedAt
 	}
+	e.config.Store(&next)
 	if next.view != current.view {
 		e.broker.SetDrained(next.view.Drained())
+		e.options.Mesh.AnnounceSections()
 	}
-	e.config.Store(&next)
 }
 
 // ApplyRecovered applies committed sections that were read from the disk of this
--- a/yuccaedge/edge.go
+++ b/yuccaedge/edge.go
@@ -191,7 +191,6 @@
 		e.broker.Submit(now, ev.job, e.lastID)
 	case recoveredSections:
 		e.applySections(ev.sections, time.Time{}, "the data folder")
-		e.options.Mesh.BroadcastSections(e.Sections())
 	case callerLeft:
 		delete(e.waiters, ev.waiterID)
 		e.broker.HandleDisconnect(now, ev.jobID, ev.waiterID)
--- a/yuccamesh/doc.go
+++ b/yuccamesh/doc.go
@@ -47,5 +47,8 @@
 	// the full roster of a peer. They are well below the retention of members.
 	entrySyncInterval  = 10 * time.Second
 	sideSyncInterval   = 20 * time.Second
-	eventQueueCapacity = 4096
+	// sectionRequestTimeout is how long a process waits for a section that it has
+	// requested before it requests it from another entry.
+	sectionRequestTimeout = 200 * time.Millisecond
+	eventQueueCapacity    = 4096
 )
--- a/yuccamesh/gossip.go
+++ b/yuccamesh/gossip.go
@@ -18,11 +18,17 @@
 	if !p.isEntry() || m.options.Self.GetRole() != yuccawire.Role_ROLE_ENTRY {
 		return rosterEnvelope(roster)
 	}
-	roster.First = true
+	roster.WantSections = true
+	roster.Versions = m.sectionVersions()
+	return rosterEnvelope(roster)
+}
+
+func (m *Mesh) sectionVersions() []*yuccawire.SectionVersion {
+	var versions []*yuccawire.SectionVersion
 	for _, s := range m.sections() {
-		roster.Versions = append(roster.Versions, &yuccawire.SectionVersion{Name: s.GetName(), Version: s.GetVersion()})
+		versions = append(versions, &yuccawire.SectionVersion{Name: s.GetName(), Version: s.GetVersion()})
 	}
-	return rosterEnvelope(roster)
+	return versions
 }
 
 // sections returns the configuration sections of this process.
@@ -55,8 +61,11 @@
 	if changed {
 		m.wakeUp()
 	}
-	if roster.GetFirst() {
+	switch {
+	case roster.GetWantSections():
 		m.sendNewerSections(p, roster.GetVersions())
+	case len(roster.GetVersions()) > 0:
+		m.requestNewerSections(now, p, roster.GetVersions())
 	}
 	if len(roster.GetSections()) > 0 {
 		m.emit(ReceivedSections{Sections: roster.GetSections()})
@@ -75,17 +84,46 @@
 	}
 }
 
-// BroadcastSections sends configuration sections to all linked entries, some of
-// which may have no configuration.
-func (m *Mesh) BroadcastSections(sections []*yuccawire.Section) {
-	envelope := rosterEnvelope(&yuccawire.Roster{Sections: sections})
+// AnnounceSections tells all linked entries the versions of the sections of this
+// process. Those that lack one request it from the first entry that announces it.
+func (m *Mesh) AnnounceSections() {
+	announcement := rosterEnvelope(&yuccawire.Roster{Versions: m.sectionVersions()})
 	for _, p := range m.peerList() {
 		if p.isEntry() {
-			p.Send(envelope)
+			p.Send(announcement)
 		}
 	}
 }
 
+// requestNewerSections requests the sections of an entry that has announced newer
+// versions, unless another one was asked for them just now.
+func (m *Mesh) requestNewerSections(now time.Time, p *Peer, announced []*yuccawire.SectionVersion) {
+	own := m.sectionVersions()
+	versions := make(map[string]uint64, len(own))
+	for _, v := range own {
+		versions[v.GetName()] = v.GetVersion()
+	}
+	m.mu.Lock()
+	isNew := false
+	for _, v := range announced {
+		r := m.requested[v.GetName()]
+		if v.GetVersion() > versions[v.GetName()] && (v.GetVersion() > r.version || now.Sub(r.at) > sectionRequestTimeout) {
+			m.requested[v.GetName()] = sectionRequest{version: v.GetVersion(), at: now}
+			isNew = true
+		}
+	}
+	m.mu.Unlock()
+	if isNew {
+		p.Send(rosterEnvelope(&yuccawire.Roster{WantSections: true, Versions: own}))
+	}
+}
+
+// sectionRequest is the latest request for a section.
+type sectionRequest struct {
+	version uint64
+	at      time.Time
+}
+
 // receiveHeartbeat adopts the interval of the peer, and sends the roster if the
 // peer wants it.
 func (m *Mesh) receiveHeartbeat(now time.Time, p *Peer, h *yuccawire.Heartbeat) {
--- a/yuccamesh/link.go
+++ b/yuccamesh/link.go
@@ -104,7 +104,7 @@
 	m.peers[p] = struct{}{}
 	m.roster.RecordContact(now, p.node)
 	m.topology.SetMembers(m.roster.Nodes(now), m.options.Seeds())
-	m.topology.HandleLinkUp(p.node, p.isDialled())
+	m.topology.HandleLinkUp(now, p.node, p.isDialled())
 	first := m.firstRoster(now, p)
 	m.mu.Unlock()
 	m.options.Metrics.Add("mesh_links_opened", 1)
--- a/yuccamesh/mesh.go
+++ b/yuccamesh/mesh.go
@@ -76,6 +76,8 @@
 	roster   *yuccaroster.Roster
 	topology *yuccatopology.Topology
 	peers    map[*Peer]struct{}
+	// requested holds the latest requests for sections, by name.
+	requested map[string]sectionRequest
 
 	// The fields below are owned by loop.
 
@@ -95,6 +97,7 @@
 		roster:    yuccaroster.New(options.Self, options.Replica),
 		topology:  yuccatopology.New(options.Self),
 		peers:     make(map[*Peer]struct{}),
+		requested: make(map[string]sectionRequest),
 		dialers:   make(map[string]*dialer),
 	}
 }
--- a/yuccatopology/doc.go
+++ b/yuccatopology/doc.go
@@ -13,7 +13,7 @@
 // # Usage
 //
 //	topology := yuccatopology.New(self)
-//	topology.SetMembers(now, roster.Nodes(now), seeds)
+//	topology.SetMembers(roster.Nodes(now), seeds)
 //	topology.HandleDialFailed(now, address)
 //	topology.HandleLinkUp(now, peer, dialled)
 //	for _, address := range topology.Targets(now) { ... }
@@ -29,6 +29,9 @@
 	// unreachableAfter is how long an entry must have been unreachable for another
 	// one to be chosen in its place. A restart takes less.
 	unreachableAfter = 1500 * time.Millisecond
+	// seedDelay is how long a process with a link waits for the news of the entries
+	// that have the other seeds, before it dials these.
+	seedDelay = time.Second
 	// surplusGracePeriod is how long a link that is no longer a target is kept, so
 	// that passing failures and a roster that is still growing close no links.
 	surplusGracePeriod = 5 * time.Second
--- a/yuccatopology/topology.go
+++ b/yuccatopology/topology.go
@@ -14,9 +14,15 @@
 // Topology holds the links of one process and the entries that it may link to. It
 // is not safe for concurrent use.
 type Topology struct {
-	self    *yuccawire.Node
-	seeds   []string
-	entries map[string]*entry
+	self  *yuccawire.Node
+	seeds []string
+	// failedSeeds holds the seed addresses whose last attempt failed.
+	failedSeeds map[string]bool
+	// links counts the open links to entries, linkedSince is when the first of them
+	// was opened.
+	links       int
+	linkedSince time.Time
+	entries     map[string]*entry
 	// byAddress holds the same entries by address.
 	byAddress map[string]*entry
 	// allUntil is the time until which links to all entries are wanted.
@@ -43,7 +49,10 @@
 
 // New returns the topology of the process self, which knows no entries yet.
 func New(self *yuccawire.Node) *Topology {
-	return &Topology{self: self, entries: make(map[string]*entry), byAddress: make(map[string]*entry), surplusSince: make(map[string]time.Time)}
+	return &Topology{
+		self: self, failedSeeds: make(map[string]bool), entries: make(map[string]*entry), byAddress: make(map[string]*entry),
+		surplusSince: make(map[string]time.Time),
+	}
 }
 
 // SetMembers replaces the known entries, and the seed addresses that are dialled
@@ -89,11 +98,16 @@
 
 // HandleLinkUp records an open link to an entry. Links of other processes are
 // ignored.
-func (t *Topology) HandleLinkUp(peer *yuccawire.Node, dialled bool) {
+func (t *Topology) HandleLinkUp(now time.Time, peer *yuccawire.Node, dialled bool) {
 	e := t.entries[peer.GetName()]
 	if e == nil {
 		return
 	}
+	if t.links == 0 {
+		t.linkedSince = now
+	}
+	t.links++
+	delete(t.failedSeeds, peer.GetAddress())
 	e.failingSince = time.Time{}
 	if dialled {
 		e.dialled++
@@ -108,6 +122,7 @@
 	if e == nil {
 		return
 	}
+	t.links = max(t.links-1, 0)
 	if dialled {
 		e.dialled = max(e.dialled-1, 0)
 	} else {
@@ -120,6 +135,9 @@
 	if e := t.byAddress[address]; e != nil && e.failingSince.IsZero() {
 		e.failingSince = now
 	}
+	if slices.Contains(t.seeds, address) {
+		t.failedSeeds[address] = true
+	}
 }
 
 // WantAll makes all entries targets until the given time.
@@ -133,10 +151,8 @@
 // to keep the link that it has dialled, in order.
 func (t *Topology) Targets(now time.Time) []string {
 	wanted := make(map[string]bool)
-	for _, seed := range t.seeds {
-		if t.byAddress[seed] == nil && seed != t.self.GetAddress() {
-			wanted[seed] = true
-		}
+	for _, seed := range t.seedTargets(now) {
+		wanted[seed] = true
 	}
 	for _, e := range t.chosen(now) {
 		if !t.isLinkedByPeer(e) {
@@ -146,6 +162,28 @@
 	return slices.Sorted(maps.Keys(wanted))
 }
 
+// seedTargets returns the seeds to dial: one that no known entry has, and those before
+// it in the order of this process that have failed. While a link is young, its peer
+// may still name the entries that have the other seeds. When all processes of a
+// deployment start, each seed thus gets its share of them only.
+func (t *Topology) seedTargets(now time.Time) []string {
+	if t.links > 0 && now.Sub(t.linkedSince) < seedDelay {
+		return nil
+	}
+	unknown := slices.DeleteFunc(slices.Clone(t.seeds), func(seed string) bool {
+		return t.byAddress[seed] != nil || seed == t.self.GetAddress()
+	})
+	slices.SortFunc(unknown, func(a, b string) int {
+		return cmp.Compare(weight(t.self.GetName(), a), weight(t.self.GetName(), b))
+	})
+	for i, seed := range unknown {
+		if !t.failedSeeds[seed] {
+			return unknown[:i+1]
+		}
+	}
+	return unknown
+}
+
 // isLinkedByPeer reports whether the other entry maintains a link to this process
 // that makes one of its own unnecessary. If both have dialled at the same time,
 // the link of the entry whose name comes first is kept.
--- a/yuccatopology/topology_test.go
+++ b/yuccatopology/topology_test.go
@@ -146,7 +146,7 @@
 	lost := before[len(before)-1]
 	for _, n := range before {
 		if n != lost {
-			side.HandleLinkUp(n, true)
+			side.HandleLinkUp(startTime, n, true)
 		}
 	}
 	side.HandleDialFailed(startTime, lost.GetAddress())
@@ -167,8 +167,8 @@
 	if substitute.GetDataCentre() != lost.GetDataCentre() {
 		t.Errorf("the substitute is in %s, want %s", substitute.GetDataCentre(), lost.GetDataCentre())
 	}
-	side.HandleLinkUp(substitute, true)
-	side.HandleLinkUp(lost, true)
+	side.HandleLinkUp(now, substitute, true)
+	side.HandleLinkUp(now, lost, true)
 	dialled := side.Targets(now)
 	dialled = append(dialled, substitute.GetAddress())
 	if got := side.Surplus(now, dialled); len(got) != 0 {
@@ -214,8 +214,8 @@
 		topology *yuccatopology.Topology
 		other    *yuccawire.Node
 	}{{a, f.entries[1]}, {b, f.entries[0]}} {
-		end.topology.HandleLinkUp(end.other, true)
-		end.topology.HandleLinkUp(end.other, false)
+		end.topology.HandleLinkUp(startTime, end.other, true)
+		end.topology.HandleLinkUp(startTime, end.other, false)
 	}
 	if got := a.Targets(startTime); len(got) != 1 {
 		t.Errorf("the first entry wants %v, want its link kept", got)
@@ -235,6 +235,42 @@
 	}
 }
 
+// Processes that know nobody spread over the seeds, and go on to the next one if a
+// seed fails. Once linked, they wait for news of the other seeds for a while.
+func TestSeedsShareNewProcesses(t *testing.T) {
+	f := newFleet(6, 40, 120)
+	seeds := []string{"entry-0:1", "entry-1:1", "entry-2:1"}
+	processes := make(map[string]int)
+	for _, s := range f.sides {
+		side := yuccatopology.New(s)
+		side.SetMembers(nil, seeds)
+		targets := side.Targets(startTime)
+		if len(targets) != 1 {
+			t.Fatalf("%s dials %v at first, want one seed", s.GetName(), targets)
+		}
+		processes[targets[0]]++
+		side.HandleDialFailed(startTime, targets[0])
+		next := side.Targets(startTime)
+		if len(next) != 2 || !slices.Contains(next, targets[0]) {
+			t.Errorf("%s dials %v after %v has failed, want another one, too", s.GetName(), next, targets)
+		}
+		linked := f.byAddress[next[0]]
+		side.SetMembers([]*yuccawire.Node{linked}, seeds)
+		side.HandleLinkUp(startTime, linked, true)
+		if got := side.Targets(startTime.Add(500 * time.Millisecond)); len(got) != 1 {
+			t.Errorf("%s dials %v soon after it is linked, want only that link", s.GetName(), got)
+		}
+		if got := side.Targets(startTime.Add(1500 * time.Millisecond)); len(got) < 2 {
+			t.Errorf("%s dials %v later, want another seed, too", s.GetName(), got)
+		}
+	}
+	for _, seed := range seeds {
+		if processes[seed] < 25 || processes[seed] > 55 {
+			t.Errorf("%d of 120 processes begin with %s, want 25 to 55", processes[seed], seed)
+		}
+	}
+}
+
 // Links to all entries are wanted only until the given time.
 func TestWantAll(t *testing.T) {
 	f := newFleet(6, 40, 0)
