--- a/yuccamesh/doc.go
+++ b/yuccamesh/doc.go
@@ -45,8 +45,8 @@
 	silenceSlack  = 300 * time.Millisecond
 	// entrySyncInterval and sideSyncInterval are the times between two requests for
 	// the full roster of a peer. They are well below the retention of members.
-	entrySyncInterval  = 10 * time.Second
-	sideSyncInterval   = 20 * time.Second
+	entrySyncInterval = 10 * time.Second
+	sideSyncInterval  = 20 * time.Second
 	// sectionRequestTimeout is how long a process waits for a section that it has
 	// requested before it requests it from another entry.
 	sectionRequestTimeout = 200 * time.Millisecond
