worker, broker: log a worker that refuses connections and the runs lost with it

A crash of the worker was not in the logs: it showed as slow, then as unresponsive, and 'runs lost' had a count only. The side now logs 'worker unreachable, it refuses connections' once an outage, a line 'run lost with the worker' for each run with its age at that moment, and since when the worker had not answered when it is taken over. The entry logs how many runs of a task were lost with their worker, and counts the tasks by that number.

Calls distinguish a refused connection (not executed) from a missing answer. No decision depends on it yet.

--- a/yuccabroker/side.go
+++ b/yuccabroker/side.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -248,6 +249,11 @@
 		b.failTask(now, t)
 	case yuccawire.RunEnd_RUN_END_REFUSED:
 		b.handleRefused(now, t, s, e)
+	case yuccawire.RunEnd_RUN_END_LOST:
+		t.avoid = s
+		b.recordLoss(t)
+		b.logRunEnd(now, t, s, e)
+		b.enqueue(now, t)
 	default:
 		t.avoid = s
 		b.logRunEnd(now, t, s, e)
@@ -255,10 +261,17 @@
 	}
 }
 
+// recordLoss counts a run that ended with its worker.
+func (b *Broker) recordLoss(t *task) {
+	t.losses++
+	b.metrics.Add("runs_lost_with_worker", 1)
+	b.metrics.Add(fmt.Sprintf("tasks_lost_%d_times", min(t.losses, maxCountedLosses)), 1)
+}
+
 func (b *Broker) logRunEnd(now time.Time, t *task, s *side, e *yuccawire.Ended) {
 	b.options.Logger.Info("run did not succeed", "job", t.job.ID, "task", t.name, "run", t.run, "side", s.name, "worker", s.worker,
 		"end", e.GetEnd().String(), "refusal", e.GetRefusal().String(), "ran_ms", e.GetRanMs(), "since_order_ms", now.Sub(t.sentAt).Milliseconds(),
-		"failures", t.failures)
+		"failures", t.failures, "losses", t.losses)
 }
 
 // handleRefused requeues a task whose run was refused by the side before it
--- a/yuccadriver/driver.go
+++ b/yuccadriver/driver.go
@@ -17,6 +17,7 @@
 
 	"go.opentelemetry.io/otel/trace"
 
+	"github.com/yuccaturn/yuccaturn/yuccajsonpost"
 	"github.com/yuccaturn/yuccaturn/yuccamesh"
 	"github.com/yuccaturn/yuccaturn/yuccametric"
 	"github.com/yuccaturn/yuccaturn/yuccaquery"
@@ -38,8 +39,8 @@
 // WorkerClient calls the worker. Its methods are called concurrently. They return
 // when the context ends or after the timeout of the call.
 type WorkerClient interface {
-	// Start starts a run. It returns the result, ResultUnknown if there is no
-	// answer, and the worker's clock in milliseconds.
+	// Start starts a run. It returns the result, that of [ResultOfError] if there is
+	// no answer, and the worker's clock in milliseconds.
 	Start(ctx context.Context, c yuccaworker.CallStart) (yuccaworker.Result, int64)
 	// Stop stops a run. It reports whether the worker confirmed the call, and
 	// returns the worker's clock in milliseconds.
@@ -49,6 +50,15 @@
 	Hold(ctx context.Context, c yuccaworker.CallHold) yuccaworker.HoldResult
 }
 
+// ResultOfError returns the result of a call that failed with an error of
+// [yuccajsonpost.Client].
+func ResultOfError(err error) yuccaworker.Result {
+	if yuccajsonpost.IsRefused(err) {
+		return yuccaworker.ResultUnreachable
+	}
+	return yuccaworker.ResultUnknown
+}
+
 // Options configures a Driver. SuspendWatch is optional.
 type Options struct {
 	Mesh   *yuccamesh.Mesh
--- a/yuccajsonpost/client.go
+++ b/yuccajsonpost/client.go
@@ -12,9 +12,11 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/yuccaturn/yuccaturn/yuccatrace"
@@ -47,6 +49,10 @@
 	}}}
 }
 
+// IsRefused reports whether an error of [Client.Post] means that no process listens
+// at the address. The request was not sent then.
+func IsRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
 // Post sends the body encoded as JSON and returns the status and the body of the
 // response. An error means that no complete response was received; the request
 // may have been processed nevertheless.
--- a/yuccasized/wire.go
+++ b/yuccasized/wire.go
@@ -91,8 +91,8 @@
 }
 
 // resultNames has no name for [yuccaworker.ResultUnknown], the result of a missing
-// or invalid reply, which is never sent. It is the zero value, so unknown names
-// decode to it.
+// or invalid reply, and [yuccaworker.ResultUnreachable], which are never sent. The
+// former is the zero value, so unknown names decode to it.
 var resultNames = newNameTable(map[string]yuccaworker.Result{
 	"ok":         yuccaworker.ResultOK,
 	"no_room":    yuccaworker.ResultNoCapacity,
--- a/yuccasized/worker.go
+++ b/yuccasized/worker.go
@@ -9,6 +9,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"github.com/yuccaturn/yuccaturn/yuccadriver"
 	"github.com/yuccaturn/yuccaturn/yuccajsonpost"
 	"github.com/yuccaturn/yuccaturn/yuccawire"
 	"github.com/yuccaturn/yuccaturn/yuccaworker"
@@ -50,14 +51,14 @@
 }
 
 // Start asks the worker to start a run. It returns the result and the worker's
-// clock in milliseconds, or [yuccaworker.ResultUnknown] if there was no valid
-// reply.
+// clock in milliseconds, [yuccaworker.ResultUnknown] if there was no valid reply, or
+// [yuccaworker.ResultUnreachable] if no process accepted the call.
 func (w *WorkerClient) Start(ctx context.Context, c yuccaworker.CallStart) (yuccaworker.Result, int64) {
 	reply, err := w.call(ctx, "/v1/start", c.Timeout, startBody{
 		Incarnation: encodeIncarnation(c.Incarnation), Task: c.Key.Task, Run: c.Key.Run, Payload: c.Payload, DeadlineMS: c.DeadlineMS, Token: c.Token,
 	})
 	if err != nil {
-		return yuccaworker.ResultUnknown, 0
+		return yuccadriver.ResultOfError(err), 0
 	}
 	result := resultNames.byName[reply.Result]
 	if result != yuccaworker.ResultOK {
@@ -87,6 +88,7 @@
 		Incarnation: encodeIncarnation(c.Incarnation), DeadlineMS: c.DeadlineMS, Token: c.Token, Cursor: c.Cursor, WaitMS: c.Wait.Milliseconds(),
 	})
 	if err != nil {
+		result.Result = yuccadriver.ResultOfError(err)
 		return result
 	}
 	result.Result, result.ClockMS = resultNames.byName[reply.Result], reply.ClockMS
--- a/yuccaworker/hold.go
+++ b/yuccaworker/hold.go
@@ -84,6 +84,9 @@
 		w.loseAllRuns(now, "another incarnation answers at the worker's address")
 		w.refuseQueue(now, yuccawire.RunRefusal_RUN_REFUSAL_NO_WORKER)
 		w.markOwnersDirty()
+	case ResultUnreachable:
+		w.recordUnreachable(now)
+		w.metrics.Add("holds_unanswered", 1)
 	default:
 		w.metrics.Add("holds_unanswered", 1)
 	}
--- a/yuccaworker/run.go
+++ b/yuccaworker/run.go
@@ -213,7 +213,11 @@
 
 // HandleStartReply processes the answer to a start, or its timeout.
 func (w *Worker) HandleStartReply(now time.Time, incarnation Incarnation, key Key, result Result, clockMS int64) {
-	if result != ResultUnknown && incarnation == w.incarnation() {
+	switch {
+	case incarnation != w.incarnation() || result == ResultUnknown:
+	case result == ResultUnreachable:
+		w.recordUnreachable(now)
+	default:
 		w.recordAnswer(now, clockMS)
 	}
 	r := w.runs[key]
@@ -223,7 +227,7 @@
 	switch result {
 	case ResultOK:
 		w.confirmStart(now, r)
-	case ResultUnknown:
+	case ResultUnknown, ResultUnreachable:
 		w.retryStart(now, r)
 	case ResultNoCapacity:
 		w.refuseStarted(now, r, yuccawire.RunRefusal_RUN_REFUSAL_NO_ROOM)
@@ -421,7 +425,14 @@
 	if len(w.runs) > 0 {
 		w.options.Logger.Warn("runs lost", "count", len(w.runs), "why", reason)
 	}
+	endedBy := now
+	if !w.unreachableSince.IsZero() {
+		endedBy = w.unreachableSince
+	}
 	for _, r := range w.sortedRuns() {
+		w.options.Logger.Info("run lost with the worker", "task", r.key.Task, "run", r.key.Run, "owner", r.owner.id.Name,
+			"ran_ms", endedBy.Sub(r.startSentAt).Milliseconds(), "unreachable", !w.unreachableSince.IsZero(), "why", reason)
+		w.metrics.Add("runs_lost", 1)
 		w.completeRun(now, r, yuccawire.RunEnd_RUN_END_LOST)
 	}
 }
--- a/yuccaworker/types.go
+++ b/yuccaworker/types.go
@@ -55,11 +55,15 @@
 // Result is the outcome of a call to the worker.
 type Result int
 
-// Results of calls. All but ResultUnknown are answers of the worker.
+// Results of calls. All but ResultUnknown and ResultUnreachable are answers of the
+// worker.
 const (
 	// ResultUnknown means that no answer was received. The worker may have executed
 	// the call, or may still execute it.
 	ResultUnknown Result = iota
+	// ResultUnreachable means that no process listens at the worker's address. The
+	// call was not executed.
+	ResultUnreachable
 	// ResultOK means that the call succeeded. A run is running after a start.
 	ResultOK
 	// ResultNoCapacity, ResultExpired, ResultOldRun and ResultUnhealthy mean that
@@ -80,7 +84,8 @@
 // HoldResult is the answer to a renewal of the hold.
 type HoldResult struct {
 	Incarnation Incarnation
-	// Result is ResultOK, ResultUnknown, ResultFenced or ResultOtherIncarnation.
+	// Result is ResultOK, ResultUnknown, ResultUnreachable, ResultFenced or
+	// ResultOtherIncarnation.
 	Result Result
 	// SentAt is when the renewal was sent, from [CallHold].
 	SentAt      time.Time
--- a/yuccaworker/worker.go
+++ b/yuccaworker/worker.go
@@ -29,6 +29,9 @@
 	// lastContactAt is when the worker last reported or answered a call.
 	lastContactAt time.Time
 	lastAnswerAt  time.Time
+	// unreachableSince is when the worker first refused a connection after its last
+	// answer, zero if it has not.
+	unreachableSince time.Time
 	// lastListAt is when the lists of running and completed runs were last
 	// received.
 	lastListAt time.Time
@@ -204,8 +207,12 @@
 // takeOver begins the takeover of a new incarnation of the worker. Runs of the
 // previous incarnation are lost.
 func (w *Worker) takeOver(now time.Time, r Report) {
+	silent := int64(0)
+	if !w.lastAnswerAt.IsZero() {
+		silent = now.Sub(w.lastAnswerAt).Milliseconds()
+	}
 	w.options.Logger.Info("taking over worker", "worker", r.ID, "born", r.StartedAtMS, "service", r.Service,
-		"cpu_milli", r.CPUMilli, "memory_mb", r.MemoryMB, "clock_ms", r.ClockMS)
+		"cpu_milli", r.CPUMilli, "memory_mb", r.MemoryMB, "clock_ms", r.ClockMS, "since_answer_ms", silent)
 	w.metrics.Add("workers_taken", 1)
 	w.loseAllRuns(now, "worker restarted")
 	w.gone = false
@@ -214,6 +221,7 @@
 	w.takenOver = false
 	w.nextTakeOverAt = now
 	w.lastAnswerAt = now
+	w.unreachableSince = time.Time{}
 	w.holdInFlight = false
 	w.holdUntilMS = 0
 	w.cursor, w.ackedCursor = 0, 0
@@ -264,9 +272,21 @@
 // recordAnswer records that the worker answered a call, and its clock.
 func (w *Worker) recordAnswer(now time.Time, clockMS int64) {
 	w.lastContactAt, w.lastAnswerAt = now, now
+	w.unreachableSince = time.Time{}
 	w.clock.observe(clockMS, now)
 }
 
+// recordUnreachable records that no process listens at the worker's address.
+func (w *Worker) recordUnreachable(now time.Time) {
+	if !w.unreachableSince.IsZero() {
+		return
+	}
+	w.unreachableSince = now
+	w.metrics.Add("workers_unreachable", 1)
+	w.options.Logger.Warn("worker unreachable, it refuses connections", "worker", w.report.ID, "born", w.report.StartedAtMS,
+		"runs", len(w.runs), "queued", len(w.queue), "since_answer_ms", now.Sub(w.lastAnswerAt).Milliseconds())
+}
+
 // isReady reports whether the worker can start runs.
 func (w *Worker) isReady() bool {
 	return w.report != nil && w.takenOver && !w.gone && !w.stopping && !w.report.Leaving
