--- a/yuccamodel/caller_test.go
+++ b/yuccamodel/caller_test.go
@@ -33,7 +33,8 @@
 	// The objective of a job is stretch times its longest task plus targetLatency.
 	targetLatency = 60 * time.Millisecond
 	stretch       = 1.6
-	// callerPatience is how long after the objective a caller stops waiting.
+	// callerPatience is how long after the objective a caller stops waiting, unless
+	// a test sets another time.
 	callerPatience = 1500 * time.Millisecond
 	// maxEstimateError is the maximum relative error of run time estimates.
 	maxEstimateError = 0.4
@@ -48,10 +49,12 @@
 
 // callerJob is a job and the state of the simulated caller that submitted it.
 type callerJob struct {
-	world        *world
-	kind         jobKind
-	job          yuccabroker.Job
-	tasks        map[string]taskSize
+	world *world
+	kind  jobKind
+	job   yuccabroker.Job
+	tasks map[string]taskSize
+	// crashes is the set of its tasks that crash their workers.
+	crashes      map[string]bool
 	sentAt       time.Time
 	objective    time.Duration
 	entry        *modelEntry
@@ -77,7 +80,7 @@
 	count := max(int(math.Round(k.meanTasks*w.logNormal(0.4))), 1)
 	mean := k.meanTaskMS * w.logNormal(0.4)
 	cpuMilli := min(int(w.meanCPUMilli*w.logNormal(0.2)), int(maxCPUFactor*w.meanCPUMilli))
-	j := &callerJob{world: w, kind: k, tasks: make(map[string]taskSize), sentAt: w.now}
+	j := &callerJob{world: w, kind: k, tasks: make(map[string]taskSize), crashes: make(map[string]bool), sentAt: w.now}
 	longest := 0.0
 	for i := range count {
 		work := mean * w.logNormal(0.15)
@@ -85,10 +88,13 @@
 		j.tasks[fmt.Sprintf("%s.0.0.%d", id, i)] = taskSize{cpuMilli: cpuMilli, workMS: work}
 		j.coreSeconds += work / 1000 * float64(cpuMilli) / 1000
 	}
+	if share := w.crashingShare[k.name]; share > 0 && w.random.Float64() < share {
+		j.crashes[id+".0.0.0"] = true
+	}
 	j.objective = time.Duration(stretch*longest)*time.Millisecond + targetLatency
 	estimate := mean * (1 + maxEstimateError*(2*w.random.Float64()-1))
 	j.job = yuccabroker.Job{
-		ID: id, Payload: []byte(id), Deadline: w.now.Add(j.objective + callerPatience),
+		ID: id, Payload: []byte(id), Deadline: w.now.Add(j.objective + w.patience),
 		Queue: yuccabroker.Queue{
 			Name: k.name, Service: "belfry", Priority: k.priority, MaxAttempts: k.maxAttempts, Stretch: stretch, TargetLatency: targetLatency,
 		},
@@ -123,7 +129,7 @@
 }
 
 func (j *callerJob) retry() {
-	if !j.isAnswered && j.world.now.Sub(j.sentAt) < j.objective+callerPatience {
+	if !j.isAnswered && j.world.now.Sub(j.sentAt) < j.objective+j.world.patience {
 		j.submit()
 		return
 	}
@@ -140,6 +146,8 @@
 	j.world.after(resubmitDelay, j.retry)
 }
 
+func (j *callerJob) isCompleted() bool { return j.isAnswered && j.state == yuccabroker.Completed }
+
 // disconnect closes the connection of the caller, who then retries.
 func (j *callerJob) disconnect() {
 	e, waiter := j.entry, j.waiter
@@ -192,7 +200,8 @@
 	}
 }
 
-// result summarises the answers that callers received.
+// result summarises the answers that callers received. Jobs with crashing tasks don't
+// count.
 type result struct {
 	jobs, inTime, late, refused, failed int
 	// overdue counts jobs that succeeded after three times the objective, which
@@ -207,6 +216,9 @@
 	r := result{scoreByKind: make(map[string]float64)}
 	earned, possible := make(map[string]float64), make(map[string]float64)
 	for _, j := range w.jobs {
+		if len(j.crashes) > 0 {
+			continue
+		}
 		r.jobs++
 		meanCoreSeconds := j.kind.meanTasks * j.kind.meanTaskMS / 1000 * w.meanCPUMilli / 1000
 		credit := min(0.3+0.7*j.coreSeconds/meanCoreSeconds, 4)
--- /dev/null
+++ b/yuccamodel/crash_test.go
@@ -0,0 +1,79 @@
+package yuccamodel_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// playFewCrashingTasks offers moderate load, with a few jobs whose first task crashes
+// its worker and whose callers are patient. onCrash is called after each such crash.
+func playFewCrashingTasks(t *testing.T, onCrash func(w *world, j *callerJob)) {
+	for seed := range uint64(4) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			w := newWorld(t, 300+seed, 9, 11)
+			w.patience = 20 * time.Second
+			w.onCrash = func(j *callerJob) { onCrash(w, j) }
+			w.run(warmUp)
+			w.offerLoad(0.5, 8*time.Second)
+			w.run(time.Second)
+			w.crashingShare["trim"] = 0.02
+			w.run(4 * time.Second)
+			w.crashingShare["trim"] = 0
+			w.run(24 * time.Second)
+			if w.workerCrashes == 0 {
+				t.Error("no worker crashed")
+			}
+			t.Logf("%d workers crashed, %+v", w.workerCrashes, w.result())
+		})
+	}
+}
+
+func TestCrashingTaskTakesDownWorkerAfterWorker(t *testing.T) {
+	playFewCrashingTasks(t, func(*world, *callerJob) {})
+}
+
+func TestCrashingTaskIsStartedAgainByAnotherEntry(t *testing.T) {
+	playFewCrashingTasks(t, func(w *world, j *callerJob) {
+		if e := j.entry; e != nil {
+			w.after(100*time.Millisecond, func() { w.killEntry(e, false, 600*time.Millisecond) })
+		}
+	})
+}
+
+// servedShare returns the share of the jobs of the kinds that were completed.
+func (w *world) servedShare(kinds ...string) float64 {
+	jobs, served := 0, 0
+	for _, kind := range kinds {
+		for _, j := range w.jobs {
+			if j.kind.name != kind || len(j.crashes) > 0 {
+				continue
+			}
+			jobs++
+			if j.isCompleted() {
+				served++
+			}
+		}
+	}
+	return float64(served) / float64(jobs)
+}
+
+func TestCrashingTasksOfOneQueueStopTheOthers(t *testing.T) {
+	const runs = 4
+	others := 0.0
+	for seed := range uint64(runs) {
+		w := newWorld(t, 300+seed, 9, 11)
+		w.run(warmUp)
+		w.offerLoad(0.7, 16*time.Second)
+		w.run(2 * time.Second)
+		w.crashingShare["trim"] = 0.1
+		w.run(8 * time.Second)
+		w.crashingShare["trim"] = 0
+		w.run(14 * time.Second)
+		t.Logf("%d workers crashed, %+v, served: trim %.3f, others %.3f", w.workerCrashes, w.result(), w.servedShare("trim"), w.servedShare("resync", "check"))
+		others += w.servedShare("resync", "check") / runs
+	}
+	if others < 0.9 {
+		t.Errorf("a share of %.3f of the jobs of the other kinds is served, want at least 0.9", others)
+	}
+}
--- a/yuccamodel/worker_test.go
+++ b/yuccamodel/worker_test.go
@@ -35,8 +35,10 @@
 	pendingHolds []pendingHold
 
 	isDown bool
-	hangs  bool
-	fails  bool
+	// refuses is set while only the process is down, not its machine.
+	refuses bool
+	hangs   bool
+	fails   bool
 	// slowdown divides the speed if it is more than 1.
 	slowdown float64
 	// delayedCallShare is the share of calls that take effect seconds late and
@@ -145,8 +147,38 @@
 	m.completions, m.pendingHolds = nil, nil
 }
 
+// crashProcess is the crash of the worker's process alone: its connections are
+// closed, and it refuses new ones.
+func (m *modelWorker) crashProcess() {
+	holds := m.pendingHolds
+	m.refuses = true
+	m.crash()
+	for _, h := range holds {
+		h.reply(yuccaworker.HoldResult{Incarnation: h.call.Incarnation, SentAt: h.call.SentAt})
+	}
+}
+
+// crashBy schedules the crash of the worker by a run.
+func (m *modelWorker) crashBy(key yuccaworker.Key) {
+	r := m.runs[key]
+	m.world.after(crashDelay, func() {
+		if m.isDown || m.runs[key] != r {
+			return
+		}
+		m.world.crashes[key.Task]++
+		m.world.workerCrashes++
+		m.world.logf("%s is crashed by %v, the worker %d of that task", m.name, key, m.world.crashes[key.Task])
+		m.crashProcess()
+		m.world.onCrash(r.job)
+		m.world.after(restartDelay, func() {
+			m.restart()
+			m.world.sidesByName[m.name].handleReport()
+		})
+	})
+}
+
 func (m *modelWorker) restart() {
-	m.isDown = false
+	m.isDown, m.refuses = false, false
 	m.incarnation.StartedAtMS++
 	m.startedAt = m.world.now
 	m.lastRun = make(map[string]uint64)
@@ -177,6 +209,9 @@
 	m.runs[key] = &modelRun{cpuMilli: size.cpuMilli, job: job, remainingMS: size.workMS}
 	m.world.logf("%s starts %v lease until %d clock %d", m.name, key, m.leaseUntilMS, m.clock())
 	m.world.recordStart(m, key.Task, job)
+	if job.crashes[key.Task] {
+		m.crashBy(key)
+	}
 	used := 0
 	for _, r := range m.runs {
 		used += r.cpuMilli
--- a/yuccamodel/world_test.go
+++ b/yuccamodel/world_test.go
@@ -32,6 +32,12 @@
 	// resubmitDelay is how long a caller waits before it retries after its
 	// connection has closed.
 	resubmitDelay = 1300 * time.Millisecond
+	// crashDelay is when after its start a crashing task crashes its worker,
+	// restartDelay how long the worker is down then. maxCrashes is how many workers
+	// a task may crash.
+	crashDelay   = 10 * time.Millisecond
+	restartDelay = 3300 * time.Millisecond
+	maxCrashes   = 2
 )
 
 // event is a scheduled action. Events of the same time run in order of sequence.
@@ -75,6 +81,8 @@
 	// entriesOf and sidesByName index the entries by data centre and the sides.
 	entriesOf   map[string][]*modelEntry
 	sidesByName map[string]*modelSide
+	// patience is how long after the objective callers stop waiting.
+	patience time.Duration
 	// meanCPUMilli is the mean processor demand of a task, kinds are the kinds of
 	// jobs.
 	meanCPUMilli float64
@@ -88,9 +96,16 @@
 	jobs []*callerJob
 	// runningCount counts the current runs of each task.
 	runningCount map[string]int
-	workDone     float64
-	starts       int
-	jobCount     int
+	// crashingShare is the share of new jobs, by kind, whose first task crashes the
+	// worker that starts it. crashes counts the workers that each task has crashed.
+	crashingShare map[string]float64
+	crashes       map[string]int
+	workerCrashes int
+	// onCrash is called when a task of the job has crashed a worker.
+	onCrash  func(j *callerJob)
+	workDone float64
+	starts   int
+	jobCount int
 	// log is the trace that is printed with a violation.
 	log []string
 }
@@ -149,9 +164,10 @@
 	w := &world{
 		t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 7)), now: startTime,
 		links: make(map[[2]int]*link), callers: make(map[string]*callerJob), runningCount: make(map[string]int),
+		crashingShare: make(map[string]float64), crashes: make(map[string]int), onCrash: func(*callerJob) {},
 		isLinked:  func(*modelEntry, *modelSide) bool { return true },
 		entriesOf: make(map[string][]*modelEntry), sidesByName: make(map[string]*modelSide),
-		meanCPUMilli: firstMeanCPUMilli, kinds: jobKinds,
+		meanCPUMilli: firstMeanCPUMilli, kinds: jobKinds, patience: callerPatience,
 	}
 	w.pickEntry = func() *modelEntry { return w.entries[w.random.IntN(len(w.entries))] }
 	speeds := []float64{0.8, 1, 1.25}
@@ -223,12 +239,17 @@
 func (w *world) reportAll() {
 	for _, s := range w.sides {
 		if !s.worker.isDown {
-			r := s.worker.report()
-			s.handle(func() { s.core.HandleReport(w.now, r) })
+			s.handleReport()
 		}
 	}
 }
 
+// handleReport delivers a report of the worker to its side.
+func (s *modelSide) handleReport() {
+	r := s.worker.report()
+	s.handle(func() { s.core.HandleReport(s.world.now, r) })
+}
+
 func (w *world) advanceAll() {
 	for _, s := range w.sides {
 		s.worker.advance()
@@ -262,6 +283,9 @@
 	if job.wasRefused {
 		w.reportViolation(job.job.ID, "%s starts after its job was refused as not run", task)
 	}
+	if w.crashes[task] >= maxCrashes {
+		w.reportViolation(job.job.ID, "%s starts on %s after it has crashed %d workers", task, m.name, w.crashes[task])
+	}
 	job.hasRun = true
 }
 
@@ -289,8 +313,7 @@
 	s.isDown = false
 	s.core = yuccaworker.New(yuccaworker.Options{Metrics: yuccametric.New(s.name), Logger: slog.New(slog.DiscardHandler)}, w.now)
 	if !s.worker.isDown {
-		r := s.worker.report()
-		s.handle(func() { s.core.HandleReport(w.now, r) })
+		s.handleReport()
 	}
 	for _, e := range w.entries {
 		if e.broker != nil && w.isLinked(e, s) {
@@ -363,14 +386,19 @@
 }
 
 // call simulates a call to the worker. The call takes effect after callDelay, or
-// seconds late without an answer, or never if the worker is down.
-func (s *modelSide) call(deliver func(), onTimeout func(), timeout time.Duration) {
+// seconds late without an answer, or never if the worker is down. If only its process
+// is down, the connection is refused.
+func (s *modelSide) call(deliver, onRefused, onTimeout func(), timeout time.Duration) {
 	w, m := s.world, s.worker
 	incarnation := s.incarnation
 	failLater := func() {
-		w.after(timeout, func() {
+		onFailure, delay := onTimeout, timeout
+		if m.refuses {
+			onFailure, delay = onRefused, callDelay
+		}
+		w.after(delay, func() {
 			if s.incarnation == incarnation {
-				s.handle(onTimeout)
+				s.handle(onFailure)
 			}
 		})
 	}
@@ -416,10 +444,11 @@
 	core := s.core
 	s.world.logf("%s sends start %v", s.name, a.Key)
 	onTimeout := func() { core.HandleStartReply(s.world.now, a.Incarnation, a.Key, yuccaworker.ResultUnknown, 0) }
+	onRefused := func() { core.HandleStartReply(s.world.now, a.Incarnation, a.Key, yuccaworker.ResultUnreachable, 0) }
 	s.call(func() {
 		result, clock := s.worker.start(a), s.worker.clock()
 		s.reply(func() { core.HandleStartReply(s.world.now, a.Incarnation, a.Key, result, clock) }, onTimeout, a.Timeout)
-	}, onTimeout, a.Timeout)
+	}, onRefused, onTimeout, a.Timeout)
 }
 
 func (s *modelSide) callStop(a yuccaworker.CallStop) {
@@ -429,19 +458,22 @@
 		answered, clock := s.worker.stop(a), s.worker.clock()
 		s.world.logf("%s sends stop %v, accepted %v", s.name, a.Key, answered)
 		s.reply(func() { core.HandleStopReply(s.world.now, a.Incarnation, a.Key, answered, clock) }, onTimeout, a.Timeout)
-	}, onTimeout, a.Timeout)
+	}, onTimeout, onTimeout, a.Timeout)
 }
 
 func (s *modelSide) callHold(a yuccaworker.CallHold) {
 	core := s.core
-	onTimeout := func() {
-		core.HandleHoldReply(s.world.now, yuccaworker.HoldResult{Incarnation: a.Incarnation, SentAt: a.SentAt})
+	fail := func(result yuccaworker.Result) func() {
+		return func() {
+			core.HandleHoldReply(s.world.now, yuccaworker.HoldResult{Incarnation: a.Incarnation, Result: result, SentAt: a.SentAt})
+		}
 	}
+	onTimeout := fail(yuccaworker.ResultUnknown)
 	s.call(func() {
 		s.worker.hold(a, func(h yuccaworker.HoldResult) {
 			s.reply(func() { core.HandleHoldReply(s.world.now, h) }, onTimeout, a.Timeout)
 		})
-	}, onTimeout, a.Timeout)
+	}, fail(yuccaworker.ResultUnreachable), onTimeout, a.Timeout)
 }
 
 func (w *world) link(e *modelEntry, s *modelSide) *link {
