broker, worker: give up a task that has crashed two workers

What callers saw: a job with a task that crashes its worker was started again and again until its caller's deadline, each time with another worker down for seconds and the runs of others on it lost.

Cause: a run that ended with its worker was reported as lost, like one whose lease had expired, and the entry queued its task again without counting it. Only failed runs counted towards a limit.

The side now reports runs under which the worker crashed as crashed, with the run time until then. The entry fails the job after two crashes at the same point of the task's run, or after three in any case: a task that happened to run beside the cause crashes at another point each time, and gets a third attempt. A worker counts as crashed if it refuses connections until its hold has expired, or if another incarnation reports or answers; a silent one may still run, so its runs stay lost.

TestNewIncarnationLosesRuns expected 'lost' after a restart of the worker; it now expects 'crashed', which is as strict.

--- a/yuccabroker/doc.go
+++ b/yuccabroker/doc.go
@@ -104,8 +104,6 @@
 	// most one in nearlyDoneDivisor of its tasks is left. That takes little work
 	// and wastes none.
 	nearlyDoneDivisor = 3
-	// maxCountedLosses limits the number of counters of tasks by their losses.
-	maxCountedLosses = 6
 	// refusalBackoff is how long a side that refused an order gets no new ones, so
 	// that it can report its state first.
 	refusalBackoff = 20 * time.Millisecond
--- a/yuccabroker/job.go
+++ b/yuccabroker/job.go
@@ -72,8 +72,10 @@
 	// run is the number of its latest run.
 	run      uint64
 	failures uint32
-	// losses counts the runs that ended with their worker.
-	losses int
+	// losses counts the runs that ended with their worker. crashes holds the run times
+	// after which workers crashed.
+	losses  int
+	crashes []time.Duration
 	// side is where its latest run was sent, nil while it is queued.
 	side *side
 	// sideIncarnation is the incarnation of the side that the run was sent to.
--- a/yuccabroker/side.go
+++ b/yuccabroker/side.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -254,6 +253,11 @@
 		b.recordLoss(t)
 		b.logRunEnd(now, t, s, e)
 		b.enqueue(now, t)
+	case yuccawire.RunEnd_RUN_END_CRASHED:
+		t.avoid = s
+		b.recordLoss(t)
+		b.logRunEnd(now, t, s, e)
+		b.handleCrash(now, t, time.Duration(e.GetRanMs())*time.Millisecond)
 	default:
 		t.avoid = s
 		b.logRunEnd(now, t, s, e)
@@ -261,17 +265,10 @@
 	}
 }
 
-// recordLoss counts a run that ended with its worker.
-func (b *Broker) recordLoss(t *task) {
-	t.losses++
-	b.metrics.Add("runs_lost_with_worker", 1)
-	b.metrics.Add(fmt.Sprintf("tasks_lost_%d_times", min(t.losses, maxCountedLosses)), 1)
-}
-
 func (b *Broker) logRunEnd(now time.Time, t *task, s *side, e *yuccawire.Ended) {
 	b.options.Logger.Info("run did not succeed", "job", t.job.ID, "task", t.name, "run", t.run, "side", s.name, "worker", s.worker,
 		"end", e.GetEnd().String(), "refusal", e.GetRefusal().String(), "ran_ms", e.GetRanMs(), "since_order_ms", now.Sub(t.sentAt).Milliseconds(),
-		"failures", t.failures, "losses", t.losses)
+		"failures", t.failures, "losses", t.losses, "crashes", len(t.crashes))
 }
 
 // handleRefused requeues a task whose run was refused by the side before it
--- a/yuccaworker/hold.go
+++ b/yuccaworker/hold.go
@@ -81,7 +81,7 @@
 		w.metrics.Add("other_life", 1)
 		w.options.Logger.Warn("worker address answered by another incarnation, waiting for its report", "worker", w.report.ID)
 		w.gone = true
-		w.loseAllRuns(now, "another incarnation answers at the worker's address")
+		w.loseAllRuns(now, "another incarnation answers at the worker's address", true)
 		w.refuseQueue(now, yuccawire.RunRefusal_RUN_REFUSAL_NO_WORKER)
 		w.markOwnersDirty()
 	case ResultUnreachable:
@@ -176,7 +176,7 @@
 	}
 	if len(w.runs) > 0 && w.clock.lowerBound(now) > w.holdUntilMS+stopRetry.Milliseconds() {
 		w.options.Logger.Warn("worker unresponsive, hold expired", "worker", w.report.ID, "runs", len(w.runs))
-		w.loseAllRuns(now, "hold expired")
+		w.loseAllRuns(now, "hold expired", !w.unreachableSince.IsZero())
 		w.takenOver = false
 		w.nextTakeOverAt = now
 		w.markOwnersDirty()
--- a/yuccaworker/run.go
+++ b/yuccaworker/run.go
@@ -386,8 +386,12 @@
 
 // completeRun removes an active run and queues its outcome for the owner.
 func (w *Worker) completeRun(now time.Time, r *run, outcome yuccawire.RunEnd) {
+	w.completeRunAfter(now, r, outcome, now.Sub(r.startSentAt))
+}
+
+// completeRunAfter is completeRun for a run that has ended before now.
+func (w *Worker) completeRunAfter(now time.Time, r *run, outcome yuccawire.RunEnd, ran time.Duration) {
 	w.removeRun(r)
-	ran := now.Sub(r.startSentAt)
 	w.recordOutcome(now, r, outcome, ran)
 	w.metrics.Add("ends_"+outcomeNames[outcome], 1)
 	w.queueOutcome(now, r, &yuccawire.Ended{End: outcome, RanMs: uint32(ran.Milliseconds())})
@@ -398,6 +402,7 @@
 	yuccawire.RunEnd_RUN_END_FAILED:  "failed",
 	yuccawire.RunEnd_RUN_END_STOPPED: "stopped",
 	yuccawire.RunEnd_RUN_END_LOST:    "lost",
+	yuccawire.RunEnd_RUN_END_CRASHED: "crashed",
 }
 
 func (w *Worker) refuse(now time.Time, r *run, reason yuccawire.RunRefusal) {
@@ -420,19 +425,24 @@
 	}
 }
 
-// loseAllRuns completes all active runs as lost.
-func (w *Worker) loseAllRuns(now time.Time, reason string) {
+// loseAllRuns completes all active runs, as crashed if the worker crashed under them.
+func (w *Worker) loseAllRuns(now time.Time, reason string, crashed bool) {
 	if len(w.runs) > 0 {
-		w.options.Logger.Warn("runs lost", "count", len(w.runs), "why", reason)
+		w.options.Logger.Warn("runs lost", "count", len(w.runs), "why", reason, "crashed", crashed)
 	}
-	endedBy := now
+	endedAt := now
 	if !w.unreachableSince.IsZero() {
-		endedBy = w.unreachableSince
+		endedAt = w.unreachableSince
 	}
 	for _, r := range w.sortedRuns() {
+		outcome := yuccawire.RunEnd_RUN_END_LOST
+		if crashed && !r.startSentAt.After(endedAt) {
+			outcome = yuccawire.RunEnd_RUN_END_CRASHED
+		}
+		ran := max(endedAt.Sub(r.startSentAt), 0)
 		w.options.Logger.Info("run lost with the worker", "task", r.key.Task, "run", r.key.Run, "owner", r.owner.id.Name,
-			"ran_ms", endedBy.Sub(r.startSentAt).Milliseconds(), "unreachable", !w.unreachableSince.IsZero(), "why", reason)
+			"end", outcome.String(), "ran_ms", ran.Milliseconds(), "unreachable", !w.unreachableSince.IsZero(), "why", reason)
 		w.metrics.Add("runs_lost", 1)
-		w.completeRun(now, r, yuccawire.RunEnd_RUN_END_LOST)
+		w.completeRunAfter(now, r, outcome, ran)
 	}
 }
--- a/yuccaworker/worker.go
+++ b/yuccaworker/worker.go
@@ -214,7 +214,7 @@
 	w.options.Logger.Info("taking over worker", "worker", r.ID, "born", r.StartedAtMS, "service", r.Service,
 		"cpu_milli", r.CPUMilli, "memory_mb", r.MemoryMB, "clock_ms", r.ClockMS, "since_answer_ms", silent)
 	w.metrics.Add("workers_taken", 1)
-	w.loseAllRuns(now, "worker restarted")
+	w.loseAllRuns(now, "worker restarted", true)
 	w.gone = false
 	w.clock = workerClock{lastMS: r.ClockMS, observedAt: now}
 	w.token = max(r.ClockMS, 1)
@@ -238,7 +238,7 @@
 	}
 	w.options.Logger.Info("worker deregistered", "worker", id)
 	w.gone = true
-	w.loseAllRuns(now, "worker deregistered")
+	w.loseAllRuns(now, "worker deregistered", false)
 	w.refuseQueue(now, yuccawire.RunRefusal_RUN_REFUSAL_NO_WORKER)
 	w.markOwnersDirty()
 }
--- a/yuccaworker/worker_test.go
+++ b/yuccaworker/worker_test.go
@@ -31,8 +31,10 @@
 	lastNumber  int64
 	token       int64
 	holdUntilMS int64
-	// unresponsive drops calls without executing them.
+	// unresponsive drops calls without executing them, refusing also refuses their
+	// connections.
 	unresponsive bool
+	refusing     bool
 	// dropStartReplies executes starts but drops the answers.
 	dropStartReplies bool
 	lostStarts       []yuccaworker.CallStart
@@ -95,7 +97,7 @@
 	case yuccaworker.CallStart:
 		h.start(a)
 	case yuccaworker.CallStop:
-		if h.unresponsive {
+		if h.unresponsive || h.refusing {
 			h.core.HandleStopReply(h.now, a.Incarnation, a.Key, false, 0)
 			return
 		}
@@ -111,6 +113,8 @@
 
 func (h *harness) start(a yuccaworker.CallStart) {
 	switch {
+	case h.refusing:
+		h.core.HandleStartReply(h.now, a.Incarnation, a.Key, yuccaworker.ResultUnreachable, 0)
 	case h.unresponsive:
 		h.lostStarts = append(h.lostStarts, a)
 		h.core.HandleStartReply(h.now, a.Incarnation, a.Key, yuccaworker.ResultUnknown, 0)
@@ -135,6 +139,8 @@
 func (h *harness) hold(a yuccaworker.CallHold) {
 	result := yuccaworker.HoldResult{Incarnation: a.Incarnation, SentAt: a.SentAt, ClockMS: h.clock()}
 	switch {
+	case h.refusing:
+		result.Result = yuccaworker.ResultUnreachable
 	case h.unresponsive:
 		return // no answer yet
 	case a.Incarnation != h.incarnation:
@@ -180,6 +186,12 @@
 				h.complete(key, yuccawire.RunEnd_RUN_END_LOST)
 			}
 		}
+		if h.refusing && h.pendingHold != nil {
+			p := *h.pendingHold
+			h.pendingHold = nil
+			h.core.HandleHoldReply(h.now, yuccaworker.HoldResult{Incarnation: p.Incarnation, SentAt: p.SentAt})
+			h.runActions()
+		}
 		if p := h.pendingHold; p != nil && !h.unresponsive && (len(h.completions) > 0 || h.now.Sub(p.SentAt) >= p.Wait) {
 			h.pendingHold = nil
 			h.hold(*p)
@@ -409,7 +421,7 @@
 	}
 	h.runActions()
 	h.advance(50 * time.Millisecond)
-	h.expectOutcome(entry, "a", yuccawire.RunEnd_RUN_END_LOST, 0)
+	h.expectOutcome(entry, "a", yuccawire.RunEnd_RUN_END_CRASHED, 0)
 	h.incarnation.StartedAtMS = 100
 	if h.report(50, false) {
 		t.Error("a late report of the previous incarnation was accepted")
