worker: recognise a crashed worker by refused connections

What callers saw: tasks that ran on a crashed worker, or were queued or ordered there after the crash, started elsewhere 860 ms after it at the earliest, too late for the objective of the two quicker queues.

Cause: a refused connection was treated like a missing answer. For 300 ms the side went on to renew the hold, so that the runs counted as possibly alive until 850 ms after the crash; it reported itself as ready, queued orders, and held starts whose call had provably not been executed as possibly running.

The side now stops renewing the hold at the first refused connection, reports itself as not ready and refuses what is queued. The runs still count as alive until the hold has expired, since a partition can refuse connections while the worker runs on. A start whose only call was refused is refused to its owner at once: that call was not sent.

One queue still stops the others.

--- a/yuccaworker/hold.go
+++ b/yuccaworker/hold.go
@@ -30,8 +30,9 @@
 	}
 	deadline := w.clock.lowerBound(now) + Hold.Milliseconds()
 	if w.isUnresponsive(now) {
-		// The worker may receive renewals although its answers are lost. Extending
-		// the hold further would keep runs alive whose outcome is never received.
+		// The worker may run on, and receive renewals although its answers are lost.
+		// Extending the hold further would keep runs alive whose outcome is never
+		// received.
 		deadline = 0
 	}
 	w.holdUntilMS = max(w.holdUntilMS, deadline)
@@ -42,10 +43,10 @@
 	})
 }
 
-// isUnresponsive reports whether the worker has left its calls unanswered for so
-// long that its hold is no longer extended.
+// isUnresponsive reports whether the worker refuses connections, or has left its calls
+// unanswered for so long, that its hold is no longer extended.
 func (w *Worker) isUnresponsive(now time.Time) bool {
-	return len(w.runs) > 0 && now.Sub(w.lastAnswerAt) > unresponsiveAfter
+	return len(w.runs) > 0 && (!w.isReachable() || now.Sub(w.lastAnswerAt) > unresponsiveAfter)
 }
 
 // awaitsStopOutcome reports whether the worker acknowledged the stop of a run
@@ -176,7 +177,7 @@
 	}
 	if len(w.runs) > 0 && w.clock.lowerBound(now) > w.holdUntilMS+stopRetry.Milliseconds() {
 		w.options.Logger.Warn("worker unresponsive, hold expired", "worker", w.report.ID, "runs", len(w.runs))
-		w.loseAllRuns(now, "hold expired", !w.unreachableSince.IsZero())
+		w.loseAllRuns(now, "hold expired", !w.isReachable())
 		w.takenOver = false
 		w.nextTakeOverAt = now
 		w.markOwnersDirty()
--- a/yuccaworker/run.go
+++ b/yuccaworker/run.go
@@ -90,7 +90,7 @@
 
 func (w *Worker) refusalFor(now time.Time, r *run) yuccawire.RunRefusal {
 	switch {
-	case w.report == nil || w.gone || !w.takenOver || r.service != w.report.Service:
+	case w.report == nil || w.gone || !w.isReachable() || !w.takenOver || r.service != w.report.Service:
 		return yuccawire.RunRefusal_RUN_REFUSAL_NO_WORKER
 	case w.stopping || w.report.Leaving || r.owner.closing:
 		return yuccawire.RunRefusal_RUN_REFUSAL_LEAVING
@@ -227,7 +227,13 @@
 	switch result {
 	case ResultOK:
 		w.confirmStart(now, r)
-	case ResultUnknown, ResultUnreachable:
+	case ResultUnreachable:
+		if r.tries == 1 {
+			w.refuseStarted(now, r, yuccawire.RunRefusal_RUN_REFUSAL_NO_WORKER)
+			break
+		}
+		w.retryStart(now, r)
+	case ResultUnknown:
 		w.retryStart(now, r)
 	case ResultNoCapacity:
 		w.refuseStarted(now, r, yuccawire.RunRefusal_RUN_REFUSAL_NO_ROOM)
@@ -269,7 +275,7 @@
 // start takes effect.
 func (w *Worker) retryStart(now time.Time, r *run) {
 	w.metrics.Add("starts_unanswered", 1)
-	if r.tries < maxStartTries && r.staleReason(now) == yuccawire.RunRefusal_RUN_REFUSAL_UNSPECIFIED && r.stopSentAt.IsZero() {
+	if r.tries < maxStartTries && w.isReachable() && r.staleReason(now) == yuccawire.RunRefusal_RUN_REFUSAL_UNSPECIFIED && r.stopSentAt.IsZero() {
 		w.sendStart(now, r)
 		return
 	}
@@ -431,7 +437,7 @@
 		w.options.Logger.Warn("runs lost", "count", len(w.runs), "why", reason, "crashed", crashed)
 	}
 	endedAt := now
-	if !w.unreachableSince.IsZero() {
+	if !w.isReachable() {
 		endedAt = w.unreachableSince
 	}
 	for _, r := range w.sortedRuns() {
@@ -441,7 +447,7 @@
 		}
 		ran := max(endedAt.Sub(r.startSentAt), 0)
 		w.options.Logger.Info("run lost with the worker", "task", r.key.Task, "run", r.key.Run, "owner", r.owner.id.Name,
-			"end", outcome.String(), "ran_ms", ran.Milliseconds(), "unreachable", !w.unreachableSince.IsZero(), "why", reason)
+			"end", outcome.String(), "ran_ms", ran.Milliseconds(), "unreachable", !w.isReachable(), "why", reason)
 		w.metrics.Add("runs_lost", 1)
 		w.completeRunAfter(now, r, outcome, ran)
 	}
--- a/yuccaworker/worker.go
+++ b/yuccaworker/worker.go
@@ -184,6 +184,7 @@
 	w.report = &r
 	w.clock.observe(r.ClockMS, now)
 	if sameIncarnation {
+		w.recordReachable(now)
 		if startsLeaving {
 			w.options.Logger.Info("worker is leaving", "worker", r.ID)
 			w.refuseQueue(now, yuccawire.RunRefusal_RUN_REFUSAL_LEAVING)
@@ -272,24 +273,42 @@
 // recordAnswer records that the worker answered a call, and its clock.
 func (w *Worker) recordAnswer(now time.Time, clockMS int64) {
 	w.lastContactAt, w.lastAnswerAt = now, now
-	w.unreachableSince = time.Time{}
+	w.recordReachable(now)
 	w.clock.observe(clockMS, now)
 }
 
-// recordUnreachable records that no process listens at the worker's address.
+// isReachable reports whether the worker has not refused a connection since its last
+// answer or report.
+func (w *Worker) isReachable() bool { return w.unreachableSince.IsZero() }
+
+// recordUnreachable records that no process listens at the worker's address. Queued
+// tasks are refused. The runs stay active until the hold has expired, since the worker
+// may run on.
 func (w *Worker) recordUnreachable(now time.Time) {
-	if !w.unreachableSince.IsZero() {
+	if !w.isReachable() {
 		return
 	}
 	w.unreachableSince = now
 	w.metrics.Add("workers_unreachable", 1)
 	w.options.Logger.Warn("worker unreachable, it refuses connections", "worker", w.report.ID, "born", w.report.StartedAtMS,
 		"runs", len(w.runs), "queued", len(w.queue), "since_answer_ms", now.Sub(w.lastAnswerAt).Milliseconds())
+	w.refuseQueue(now, yuccawire.RunRefusal_RUN_REFUSAL_NO_WORKER)
+	w.markOwnersDirty()
+}
+
+// recordReachable records that the same incarnation of the worker was heard.
+func (w *Worker) recordReachable(now time.Time) {
+	if w.isReachable() {
+		return
+	}
+	w.options.Logger.Info("worker reachable again", "worker", w.report.ID, "after_ms", now.Sub(w.unreachableSince).Milliseconds())
+	w.unreachableSince = time.Time{}
+	w.markOwnersDirty()
 }
 
 // isReady reports whether the worker can start runs.
 func (w *Worker) isReady() bool {
-	return w.report != nil && w.takenOver && !w.gone && !w.stopping && !w.report.Leaving
+	return w.report != nil && w.takenOver && !w.gone && w.isReachable() && !w.stopping && !w.report.Leaving
 }
 
 func (w *Worker) capacity() resources {
