worker, broker, edge: report crashes to all entries

What callers saw: if the entry that owned a job with a crashing task was killed, cut off or gave the job up, the caller sent it again to another entry, which started the task anew, with a budget of its own.

Cause: the count of crashes was kept with the job, at its owner. The class: a limit on retries that is kept by the process that is retried away from.

The side outlives its worker and knows what ran on it. It reports each crash of an incarnation to all its owners: as soon as connections are refused for 20 ms, or when the runs are lost, and for a minute to new owners when their link comes up. Entries pass news on to each other, so that the report also reaches entries without a link to that side. Each keeps the crashes of a minute, a thousand at most, by incarnation of the worker, and decides on that whether a task crashes its workers: at the report, which ends an open job before its runs have expired, and when a job is submitted.

A worker that answers nothing until its hold has expired counts as crashed, too, since its machine may have lost power with it; not if the side itself stood still, which shows in how few renewals were unanswered.

--- a/yuccabroker/broker.go
+++ b/yuccabroker/broker.go
@@ -37,7 +37,8 @@
 	sideList    []*side
 	queue       taskQueue
 	// runs maps a run that may be alive to its task.
-	runs map[runKey]*task
+	runs    map[runKey]*task
+	crashes *crashLog
 	// needsPlacement is set when a change may allow a queued task to be placed.
 	needsPlacement bool
 	// stopAt is when this entry stops, zero unless a stop is scheduled.
@@ -79,6 +80,7 @@
 		outcomes:       make(map[string]savedOutcome),
 		sides:          make(map[string]*side),
 		runs:           make(map[runKey]*task),
+		crashes:        newCrashLog(),
 		medianSlowdown: 1,
 	}
 }
@@ -187,6 +189,7 @@
 	b.evictSides(now)
 	b.sendHeartbeats(now)
 	b.evictOutcomes(now)
+	b.crashes.evict(now)
 	b.needsPlacement = true
 	b.Place(now)
 	switch {
--- a/yuccabroker/crash.go
+++ b/yuccabroker/crash.go
@@ -2,7 +2,10 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
+
+	"github.com/yuccaturn/yuccaturn/yuccawire"
 )
 
 const (
@@ -26,16 +29,61 @@
 	b.metrics.Add(fmt.Sprintf("tasks_lost_%d_times", min(t.losses, maxCountedLosses)), 1)
 }
 
-// handleCrash handles a run under which the worker crashed. It queues the task again,
-// or ends its job if the task is the likely cause.
-func (b *Broker) handleCrash(now time.Time, t *task, ran time.Duration) {
-	t.crashes = append(t.crashes, ran)
-	if !crashesWorkers(t.crashes) {
-		b.enqueue(now, t)
+// HandleCrashReport records crashes of workers. New ones are published to the other
+// entries. A job ends as failed if one of its tasks is the likely cause.
+func (b *Broker) HandleCrashReport(now time.Time, m *yuccawire.CrashReport) {
+	news := &yuccawire.CrashReport{}
+	for _, c := range m.GetCrashes() {
+		if !b.crashes.add(now, c) {
+			continue
+		}
+		news.Crashes = append(news.Crashes, c)
+		b.metrics.Add("worker_crashes", 1)
+		b.options.Logger.Info("worker crashed", "side", c.GetSide(), "worker", c.GetWorker(), "born", c.GetStartedUnixMs(),
+			"age_ms", c.GetAgeMs(), "runs", len(c.GetRuns()))
+		for _, r := range c.GetRuns() {
+			b.checkCrashes(now, r.GetTask())
+		}
+	}
+	if len(news.GetCrashes()) > 0 {
+		b.emit(Publish{Message: &yuccawire.Envelope{Body: &yuccawire.Envelope_CrashReport{CrashReport: news}}})
+	}
+}
+
+// RecentCrashes returns the known crashes for an entry that may not know them.
+func (b *Broker) RecentCrashes(now time.Time) *yuccawire.CrashReport { return b.crashes.report(now) }
+
+// checkCrashes ends the job of a task under which a worker has crashed if the task is
+// the likely cause.
+func (b *Broker) checkCrashes(now time.Time, name string) {
+	crashes := b.crashes.of(name)
+	if !crashesWorkers(crashes) {
 		return
 	}
-	b.metrics.Add("tasks_given_up_after_crashes", 1)
-	b.answer(now, t.job, Outcome{State: Failed, Reason: fmt.Sprintf("task %s crashed %d workers", t.name, len(t.crashes))})
+	id, _, _ := strings.Cut(name, ".")
+	b.metrics.Add("tasks_found_crashing", 1)
+	b.options.Logger.Warn("task crashes its workers", "job", id, "task", name, "crashes", len(crashes), "ran_ms", crashes[len(crashes)-1].Milliseconds())
+	if j := b.jobs[id]; j != nil {
+		b.answer(now, j, crashOutcome(name, crashes))
+	}
+}
+
+func crashOutcome(task string, crashes []time.Duration) Outcome {
+	return Outcome{State: Failed, Reason: fmt.Sprintf("task %s crashed %d workers", task, len(crashes))}
+}
+
+// crashRefusal returns the outcome of a submitted job with a task that is known to
+// crash its workers, or nil.
+func (b *Broker) crashRefusal(j *job) *Outcome {
+	for _, st := range j.steps {
+		for _, t := range st.tasks {
+			if crashes := b.crashes.of(t.name); crashesWorkers(crashes) {
+				outcome := crashOutcome(t.name, crashes)
+				return &outcome
+			}
+		}
+	}
+	return nil
 }
 
 // crashesWorkers reports whether a task is the likely cause of crashes, given the run
--- /dev/null
+++ b/yuccabroker/crashlog.go
@@ -0,0 +1,111 @@
+package yuccabroker
+
+import (
+	"slices"
+	"time"
+
+	"github.com/yuccaturn/yuccaturn/yuccawire"
+)
+
+const (
+	// crashRetention is how long a crash is known, maxKnownCrashes limits the number
+	// of known ones.
+	crashRetention  = time.Minute
+	maxKnownCrashes = 1000
+)
+
+// crashLog holds the recent crashes of workers, and what ran on them.
+type crashLog struct {
+	known map[crashKey]*crash
+	// inOrder holds the crashes in the order in which they became known.
+	inOrder []*crash
+	// byTask holds the crashes under each task.
+	byTask map[string][]crashedRun
+}
+
+// crashKey identifies an incarnation of a worker, which crashes once at most.
+type crashKey struct {
+	side, worker string
+	startedAtMS  int64
+}
+
+type crash struct {
+	key crashKey
+	at  time.Time
+	// message is the crash as it was reported.
+	message *yuccawire.Crash
+}
+
+type crashedRun struct {
+	crash *crash
+	ran   time.Duration
+}
+
+func newCrashLog() *crashLog {
+	return &crashLog{known: make(map[crashKey]*crash), byTask: make(map[string][]crashedRun)}
+}
+
+// add records a crash. It returns false if the crash is known, or too old.
+func (l *crashLog) add(now time.Time, m *yuccawire.Crash) bool {
+	key := crashKey{side: m.GetSide(), worker: m.GetWorker(), startedAtMS: m.GetStartedUnixMs()}
+	at := now.Add(-time.Duration(m.GetAgeMs()) * time.Millisecond)
+	if l.known[key] != nil || now.Sub(at) > crashRetention {
+		return false
+	}
+	if len(l.inOrder) >= maxKnownCrashes {
+		l.evictFirst()
+	}
+	c := &crash{key: key, at: at, message: m}
+	l.known[key] = c
+	l.inOrder = append(l.inOrder, c)
+	for _, r := range m.GetRuns() {
+		l.byTask[r.GetTask()] = append(l.byTask[r.GetTask()], crashedRun{crash: c, ran: time.Duration(r.GetRanMs()) * time.Millisecond})
+	}
+	return true
+}
+
+// of returns the run times of a task after which workers crashed.
+func (l *crashLog) of(task string) []time.Duration {
+	runs := l.byTask[task]
+	if len(runs) == 0 {
+		return nil
+	}
+	times := make([]time.Duration, len(runs))
+	for i, r := range runs {
+		times[i] = r.ran
+	}
+	return times
+}
+
+// evict removes the crashes older than crashRetention.
+func (l *crashLog) evict(now time.Time) {
+	for len(l.inOrder) > 0 && now.Sub(l.inOrder[0].at) > crashRetention {
+		l.evictFirst()
+	}
+}
+
+func (l *crashLog) evictFirst() {
+	c := l.inOrder[0]
+	l.inOrder = l.inOrder[1:]
+	delete(l.known, c.key)
+	for _, r := range c.message.GetRuns() {
+		runs := slices.DeleteFunc(l.byTask[r.GetTask()], func(r crashedRun) bool { return r.crash == c })
+		if len(runs) == 0 {
+			delete(l.byTask, r.GetTask())
+			continue
+		}
+		l.byTask[r.GetTask()] = runs
+	}
+}
+
+// report returns all known crashes.
+func (l *crashLog) report(now time.Time) *yuccawire.CrashReport {
+	report := &yuccawire.CrashReport{}
+	for _, c := range l.inOrder {
+		report.Crashes = append(report.Crashes, &yuccawire.Crash{
+			Side: c.key.side, Worker: c.key.worker, StartedUnixMs: c.key.startedAtMS,
+			AgeMs: uint64(now.Sub(c.at).Milliseconds()), Runs: c.message.GetRuns(),
+		})
+	}
+	return report
+}
--- a/yuccabroker/job.go
+++ b/yuccabroker/job.go
@@ -72,10 +72,8 @@
 	// run is the number of its latest run.
 	run      uint64
 	failures uint32
-	// losses counts the runs that ended with their worker. crashes holds the run times
-	// after which workers crashed.
-	losses  int
-	crashes []time.Duration
+	// losses counts the runs that ended with their worker.
+	losses int
 	// side is where its latest run was sent, nil while it is queued.
 	side *side
 	// sideIncarnation is the incarnation of the side that the run was sent to.
@@ -169,6 +167,9 @@
 
 // admissionRefusal returns the outcome for a job that is not accepted, or nil.
 func (b *Broker) admissionRefusal(now time.Time, j *job) *Outcome {
+	if refusal := b.crashRefusal(j); refusal != nil {
+		return refusal
+	}
 	workers := 0
 	for _, st := range j.steps {
 		workers = 0
--- a/yuccabroker/side.go
+++ b/yuccabroker/side.go
@@ -248,16 +248,11 @@
 		b.failTask(now, t)
 	case yuccawire.RunEnd_RUN_END_REFUSED:
 		b.handleRefused(now, t, s, e)
-	case yuccawire.RunEnd_RUN_END_LOST:
+	case yuccawire.RunEnd_RUN_END_LOST, yuccawire.RunEnd_RUN_END_CRASHED:
 		t.avoid = s
 		b.recordLoss(t)
 		b.logRunEnd(now, t, s, e)
 		b.enqueue(now, t)
-	case yuccawire.RunEnd_RUN_END_CRASHED:
-		t.avoid = s
-		b.recordLoss(t)
-		b.logRunEnd(now, t, s, e)
-		b.handleCrash(now, t, time.Duration(e.GetRanMs())*time.Millisecond)
 	default:
 		t.avoid = s
 		b.logRunEnd(now, t, s, e)
@@ -268,7 +263,7 @@
 func (b *Broker) logRunEnd(now time.Time, t *task, s *side, e *yuccawire.Ended) {
 	b.options.Logger.Info("run did not succeed", "job", t.job.ID, "task", t.name, "run", t.run, "side", s.name, "worker", s.worker,
 		"end", e.GetEnd().String(), "refusal", e.GetRefusal().String(), "ran_ms", e.GetRanMs(), "since_order_ms", now.Sub(t.sentAt).Milliseconds(),
-		"failures", t.failures, "losses", t.losses, "crashes", len(t.crashes))
+		"failures", t.failures, "losses", t.losses, "crashes", len(b.crashes.of(t.name)))
 }
 
 // handleRefused requeues a task whose run was refused by the side before it
--- a/yuccabroker/types.go
+++ b/yuccabroker/types.go
@@ -92,7 +92,10 @@
 	Message *yuccawire.Envelope
 }
 
-// Action is an [Answer] or a [Send].
+// Publish is the action that sends a message to all linked entries.
+type Publish struct{ Message *yuccawire.Envelope }
+
+// Action is an [Answer], a [Send] or a [Publish].
 type Action any
 
 // Side identifies an incarnation of a side, the process beside a worker.
--- a/yuccacommand/sizedconfig.go
+++ b/yuccacommand/sizedconfig.go
@@ -86,7 +86,7 @@
 // addSide adds a side to the process. The side drives its worker through client.
 func (c sizedConfig) addSide(p *process, client yuccadriver.WorkerClient) *yuccadriver.Driver {
 	mesh := c.newMesh(yuccamesh.Options{Self: c.newNode(yuccawire.Role_ROLE_SIDE)})
-	driver := yuccadriver.New(yuccadriver.Options{Mesh: mesh, Client: client, SuspendWatch: yuccasuspend.New(), Metrics: c.metrics, Logger: c.logger})
+	driver := yuccadriver.New(yuccadriver.Options{Name: c.name, Mesh: mesh, Client: client, SuspendWatch: yuccasuspend.New(), Metrics: c.metrics, Logger: c.logger})
 	p.drain = driver.Drain
 	p.add(mesh, driver)
 	return driver
--- a/yuccadriver/driver.go
+++ b/yuccadriver/driver.go
@@ -61,6 +61,8 @@
 
 // Options configures a Driver. SuspendWatch is optional.
 type Options struct {
+	// Name is the name of the side.
+	Name   string
 	Mesh   *yuccamesh.Mesh
 	Client WorkerClient
 	// SuspendWatch detects suspensions of the machine, after which the leases of
@@ -96,7 +98,7 @@
 
 // New returns a driver without a worker. The first [Driver.Report] adds one.
 func New(options Options) *Driver {
-	worker := yuccaworker.New(yuccaworker.Options{Metrics: options.Metrics, Logger: options.Logger}, time.Now())
+	worker := yuccaworker.New(yuccaworker.Options{Name: options.Name, Metrics: options.Metrics, Logger: options.Logger}, time.Now())
 	return &Driver{
 		options:    options,
 		worker:     worker,
--- a/yuccaedge/edge.go
+++ b/yuccaedge/edge.go
@@ -229,6 +229,8 @@
 			e.broker.HandleWorkerState(now, name, body.WorkerState)
 		case *yuccawire.Envelope_Ends:
 			e.broker.HandleEnds(now, name, body.Ends)
+		case *yuccawire.Envelope_CrashReport:
+			e.broker.HandleCrashReport(now, body.CrashReport)
 		}
 	case yuccamesh.ReceivedSections:
 		e.applySections(m.Sections, time.Time{}, "a peer")
@@ -242,6 +244,9 @@
 	if node.GetRole() == yuccawire.Role_ROLE_ENTRY {
 		e.entryPeers[p] = struct{}{}
 		e.sendInquiries(p)
+		if report := e.broker.RecentCrashes(now); len(report.GetCrashes()) > 0 {
+			p.Send(&yuccawire.Envelope{Body: &yuccawire.Envelope_CrashReport{CrashReport: report}})
+		}
 	}
 	if node.GetRole() != yuccawire.Role_ROLE_SIDE {
 		return
@@ -266,6 +271,10 @@
 			if p := e.sidePeers[a.Side]; p != nil {
 				p.Send(a.Message)
 			}
+		case yuccabroker.Publish:
+			for p := range e.entryPeers {
+				p.Send(a.Message)
+			}
 		case yuccabroker.Answer:
 			if waiter := e.waiters[a.Waiter]; waiter != nil {
 				delete(e.waiters, a.Waiter)
--- a/yuccaedge/inquiry.go
+++ b/yuccaedge/inquiry.go
@@ -149,13 +149,15 @@
 	}
 }
 
-// handleEntryMessage handles an inquiry or a reply of another entry.
+// handleEntryMessage handles an inquiry, a reply or a crash report of another entry.
 func (e *Edge) handleEntryMessage(now time.Time, from *yuccamesh.Peer, m *yuccawire.Envelope) {
 	switch body := m.GetBody().(type) {
 	case *yuccawire.Envelope_Inquiry:
 		from.Send(&yuccawire.Envelope{Body: &yuccawire.Envelope_InquiryReply{InquiryReply: e.localReply(now, body.Inquiry)}})
 	case *yuccawire.Envelope_InquiryReply:
 		e.handleInquiryReply(from, body.InquiryReply)
+	case *yuccawire.Envelope_CrashReport:
+		e.broker.HandleCrashReport(now, body.CrashReport)
 	}
 }
 
--- a/yuccasized/doc.go
+++ b/yuccasized/doc.go
@@ -44,6 +44,8 @@
 	maxConnections = 4
 	// reportInterval is the interval between the reports of a simulated worker.
 	reportInterval = 500 * time.Millisecond
+	// simulatedDowntime is how long a simulated worker is down after a crash.
+	simulatedDowntime = time.Second
 	// maxLease limits how long the runs of a simulated worker continue without a
 	// renewal by its side.
 	maxLease = time.Second
--- a/yuccasized/simulatedworker.go
+++ b/yuccasized/simulatedworker.go
@@ -11,6 +11,8 @@
 	"sync"
 	"time"
 
+	"github.com/ansel1/merry/v2"
+
 	"github.com/yuccaturn/yuccaturn/yuccaproblem"
 	"github.com/yuccaturn/yuccaturn/yuccawire"
 	"github.com/yuccaturn/yuccaturn/yuccaworker"
@@ -33,8 +35,10 @@
 }
 
 // SimulatedWorker is a worker whose tasks sleep. The payload of a task sets how
-// long, and whether it fails: {"sleep": "60ms", "fail": true}. It is a suture
-// service and implements [yuccadriver.WorkerClient].
+// long, and whether it fails then, {"sleep": "60ms", "fail": true}, or crashes the
+// worker, {"sleep": "10ms", "crash": true}. A crashed worker answers no calls until it
+// restarts as a new incarnation after simulatedDowntime. It is a suture service and
+// implements [yuccadriver.WorkerClient].
 type SimulatedWorker struct {
 	options     SimulatedWorkerOptions
 	incarnation yuccaworker.Incarnation
@@ -50,14 +54,19 @@
 	leaseTimer     *time.Timer
 	completed      chan struct{} // closed and replaced at each completion
 	leaving        bool
+	isDown         bool // crashed and not restarted yet
 	sequence       int64
 	starts         int
 }
 
+// errDown is returned by reports while the worker is down.
+var errDown = merry.Sentinel("the worker is down")
+
 // payloadBody is the payload of a job for a simulated worker.
 type payloadBody struct {
 	Sleep string `json:"sleep"`
 	Fail  bool   `json:"fail"`
+	Crash bool   `json:"crash"`
 }
 
 // NewSimulatedWorker returns an idle worker. Its incarnation consists of its ID and
@@ -78,15 +87,16 @@
 	return s
 }
 
-// Report returns the worker's current report, with the next sequence number.
-func (s *SimulatedWorker) Report() yuccaworker.Report {
+// Report returns the worker's current report, with the next sequence number. It
+// returns false while the worker is down.
+func (s *SimulatedWorker) Report() (yuccaworker.Report, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.sequence++
 	return yuccaworker.Report{
 		ID: s.incarnation.ID, StartedAtMS: s.incarnation.StartedAtMS, Service: s.options.Service, CPUMilli: int(s.options.CPU * milli),
 		MemoryMB: s.options.MemoryMB, Leaving: s.leaving, ClockMS: s.clock(), Sequence: s.sequence,
-	}
+	}, !s.isDown
 }
 
 // Starts returns the number of runs started so far.
@@ -103,6 +113,8 @@
 // token. The caller must hold s.mu.
 func (s *SimulatedWorker) validateCall(incarnation yuccaworker.Incarnation, token int64) yuccaworker.Result {
 	switch {
+	case s.isDown:
+		return yuccaworker.ResultUnreachable
 	case incarnation != s.incarnation:
 		return yuccaworker.ResultOtherIncarnation
 	case token < s.token:
@@ -129,36 +141,75 @@
 	if c.DeadlineMS <= s.clock() {
 		return yuccaworker.ResultExpired, s.clock()
 	}
-	sleep, outcome, ok := s.parsePayload(c.Payload)
+	sleep, end, ok := s.parsePayload(c.Payload, c.Key)
 	if !ok {
 		return yuccaworker.ResultInvalid, s.clock()
 	}
 	s.lastRun[c.Key.Task] = c.Key.Run
 	s.starts++
-	s.runs[c.Key] = time.AfterFunc(sleep, func() { s.complete(c.Key, outcome) })
+	s.runs[c.Key] = time.AfterFunc(sleep, end)
 	s.renewLease(c.DeadlineMS)
 	return yuccaworker.ResultOK, s.clock()
 }
 
-// parsePayload returns the run time and the outcome that the payload requests. It
-// returns false if the payload is invalid.
-func (s *SimulatedWorker) parsePayload(payload []byte) (time.Duration, yuccawire.RunEnd, bool) {
-	sleep, outcome := s.options.Sleep, yuccawire.RunEnd_RUN_END_DONE
-	if len(payload) == 0 {
-		return sleep, outcome, true
-	}
+// parsePayload returns the run time that the payload requests, and the function that
+// ends the run as requested. It returns false if the payload is invalid.
+func (s *SimulatedWorker) parsePayload(payload []byte, key yuccaworker.Key) (time.Duration, func(), bool) {
 	var body payloadBody
-	if json.Unmarshal(payload, &body) != nil {
-		return 0, outcome, false
+	if len(payload) > 0 && json.Unmarshal(payload, &body) != nil {
+		return 0, nil, false
+	}
+	sleep, err := s.options.Sleep, error(nil)
+	if body.Sleep != "" {
+		sleep, err = time.ParseDuration(body.Sleep)
+	}
+	switch {
+	case body.Crash:
+		incarnation := s.incarnation
+		return sleep, func() { s.crash(incarnation) }, err == nil
+	case body.Fail:
+		return sleep, func() { s.complete(key, yuccawire.RunEnd_RUN_END_FAILED) }, err == nil
 	}
-	if body.Fail {
-		outcome = yuccawire.RunEnd_RUN_END_FAILED
+	return sleep, func() { s.complete(key, yuccawire.RunEnd_RUN_END_DONE) }, err == nil
+}
+
+// crash ends the incarnation of the worker and all its runs. The worker restarts after
+// simulatedDowntime.
+func (s *SimulatedWorker) crash(incarnation yuccaworker.Incarnation) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.isDown || s.incarnation != incarnation {
+		return
 	}
-	if body.Sleep == "" {
-		return sleep, outcome, true
+	s.isDown = true
+	s.leaseTimer.Stop()
+	for _, timer := range s.runs {
+		timer.Stop()
 	}
-	sleep, err := time.ParseDuration(body.Sleep)
-	return sleep, outcome, err == nil
+	clear(s.runs)
+	s.completions = nil
+	close(s.completed)
+	s.completed = make(chan struct{})
+	s.options.Logger.Warn("simulated worker crashed", "worker", s.options.ID)
+	time.AfterFunc(simulatedDowntime, s.restart)
+}
+
+// hasCrashed reports whether the worker is down.
+func (s *SimulatedWorker) hasCrashed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.isDown
+}
+
+// restart starts a new incarnation of the worker.
+func (s *SimulatedWorker) restart() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.startedAt = time.Now()
+	s.incarnation.StartedAtMS = s.startedAt.UnixMilli()
+	clear(s.lastRun)
+	s.lastCompletion, s.token, s.sequence = 0, 0, 0
+	s.isDown = false
 }
 
 // renewLease extends the lease until the worker's clock reaches the deadline, but
@@ -240,6 +291,10 @@
 	if len(s.completions) == 0 && c.Wait > 0 {
 		s.awaitCompletion(ctx, c.Wait)
 	}
+	if s.isDown {
+		result.Result = yuccaworker.ResultUnknown
+		return result
+	}
 	result.ClockMS, result.Running, result.Completions = s.clock(), s.runningKeys(), slices.Clone(s.completions)
 	return result
 }
@@ -276,8 +331,11 @@
 			ok, clock := s.Stop(r.Context(), yuccaworker.CallStop{
 				Incarnation: decodeIncarnation(b.Incarnation), Key: yuccaworker.Key{Task: b.Task, Run: b.Run}, Token: b.Token,
 			})
-			if ok {
+			switch {
+			case ok:
 				result = yuccaworker.ResultOK
+			case s.hasCrashed():
+				result = yuccaworker.ResultUnreachable
 			}
 			return replyBody{ClockMS: clock, Result: resultNames.byValue[result]}
 		})
@@ -303,14 +361,19 @@
 	return reply
 }
 
-// serveCall decodes the body of a call and writes the reply that handle returns.
+// serveCall decodes the body of a call and writes the reply that handle returns. It
+// closes the connection without a reply if there is none.
 func serveCall[T any](w http.ResponseWriter, r *http.Request, handle func(T) replyBody) {
 	var body T
 	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxJobBytes)).Decode(&body); err != nil {
 		yuccaproblem.Write(w, bodyReadProblem(err))
 		return
 	}
-	writeJSON(w, handle(body))
+	reply := handle(body)
+	if reply.Result == "" {
+		panic(http.ErrAbortHandler)
+	}
+	writeJSON(w, reply)
 }
 
 // Serve reports to the side at a fixed interval until the context ends.
@@ -333,7 +396,10 @@
 }
 
 func (s *SimulatedWorker) sendReport(ctx context.Context) error {
-	r := s.Report()
+	r, ok := s.Report()
+	if !ok {
+		return errDown
+	}
 	body, err := json.Marshal(reportBody{
 		ID: r.ID, StartedAtMS: r.StartedAtMS, Service: r.Service, CPU: s.options.CPU, MemoryMB: r.MemoryMB, Leaving: r.Leaving,
 		ClockMS: r.ClockMS, Sequence: r.Sequence,
--- /dev/null
+++ b/yuccaworker/crash.go
@@ -0,0 +1,101 @@
+package yuccaworker
+
+import (
+	"time"
+
+	"github.com/yuccaturn/yuccaturn/yuccawire"
+)
+
+const (
+	// crashConfirmation is how long a worker must refuse connections before its crash
+	// is reported.
+	crashConfirmation = 20 * time.Millisecond
+	// minUnansweredHolds is how many renewals in a row a worker must leave unanswered
+	// for the expiry of its hold to count as a crash. There are fewer if the side
+	// itself stood still.
+	minUnansweredHolds = 4
+	// crashRetention is how long crashes are reported on new links, maxRetainedCrashes
+	// limits their number.
+	crashRetention     = time.Minute
+	maxRetainedCrashes = 64
+)
+
+// retainedCrash is a crash of the worker that is reported on new links.
+type retainedCrash struct {
+	crash     *yuccawire.Crash
+	crashedAt time.Time
+}
+
+// checkCrash reports the crash of a worker that keeps refusing connections. Its runs
+// are reported as ended later, when the hold has expired.
+func (w *Worker) checkCrash(now time.Time) {
+	if w.report != nil && !w.gone && !w.isReachable() && now.Sub(w.unreachableSince) >= crashConfirmation {
+		w.reportCrash(now)
+	}
+}
+
+// reportCrash tells all owners which runs were active when this incarnation of the
+// worker crashed. It does so once.
+func (w *Worker) reportCrash(now time.Time) {
+	if w.crashReported {
+		return
+	}
+	crashedAt := w.crashTime(now)
+	crash := &yuccawire.Crash{Worker: w.report.ID, StartedUnixMs: w.report.StartedAtMS}
+	for _, r := range w.sortedRuns() {
+		if !r.startSentAt.After(crashedAt) {
+			crash.Runs = append(crash.Runs, &yuccawire.CrashedRun{Task: r.key.Task, RanMs: uint32(crashedAt.Sub(r.startSentAt).Milliseconds())})
+		}
+	}
+	if len(crash.GetRuns()) == 0 {
+		return
+	}
+	w.crashReported = true
+	w.metrics.Add("crashes_reported", 1)
+	w.retainedCrashes = append(w.retainedCrashes, retainedCrash{crash: crash, crashedAt: crashedAt})
+	if len(w.retainedCrashes) > maxRetainedCrashes {
+		w.retainedCrashes = w.retainedCrashes[1:]
+	}
+	for _, o := range w.ownerList {
+		if o.linked {
+			w.sendCrashes(now, o, w.retainedCrashes[len(w.retainedCrashes)-1:])
+		}
+	}
+}
+
+// seemsCrashed reports whether the worker refuses connections, or answers no calls.
+func (w *Worker) seemsCrashed() bool {
+	return !w.isReachable() || w.unansweredHolds >= minUnansweredHolds
+}
+
+// crashTime returns when the worker crashed, if it has crashed by now.
+func (w *Worker) crashTime(now time.Time) time.Time {
+	switch {
+	case !w.isReachable():
+		return w.unreachableSince
+	case w.seemsCrashed():
+		return w.lastAnswerAt
+	}
+	return now
+}
+
+// sendRecentCrashes reports the recent crashes on a new link.
+func (w *Worker) sendRecentCrashes(now time.Time, o *owner) {
+	for len(w.retainedCrashes) > 0 && now.Sub(w.retainedCrashes[0].crashedAt) > crashRetention {
+		w.retainedCrashes = w.retainedCrashes[1:]
+	}
+	if len(w.retainedCrashes) > 0 {
+		w.sendCrashes(now, o, w.retainedCrashes)
+	}
+}
+
+func (w *Worker) sendCrashes(now time.Time, o *owner, crashes []retainedCrash) {
+	report := &yuccawire.CrashReport{}
+	for _, c := range crashes {
+		report.Crashes = append(report.Crashes, &yuccawire.Crash{
+			Side: w.options.Name, Worker: c.crash.GetWorker(), StartedUnixMs: c.crash.GetStartedUnixMs(),
+			AgeMs: uint64(now.Sub(c.crashedAt).Milliseconds()), Runs: c.crash.GetRuns(),
+		})
+	}
+	w.emit(Send{Owner: o.id, Message: &yuccawire.Envelope{Body: &yuccawire.Envelope_CrashReport{CrashReport: report}}})
+}
--- a/yuccaworker/hold.go
+++ b/yuccaworker/hold.go
@@ -89,6 +89,7 @@
 		w.recordUnreachable(now)
 		w.metrics.Add("holds_unanswered", 1)
 	default:
+		w.unansweredHolds++
 		w.metrics.Add("holds_unanswered", 1)
 	}
 	if latest && (h.Result == ResultOK || now.Sub(h.SentAt) > holdWait) {
@@ -177,7 +178,7 @@
 	}
 	if len(w.runs) > 0 && w.clock.lowerBound(now) > w.holdUntilMS+stopRetry.Milliseconds() {
 		w.options.Logger.Warn("worker unresponsive, hold expired", "worker", w.report.ID, "runs", len(w.runs))
-		w.loseAllRuns(now, "hold expired", !w.isReachable())
+		w.loseAllRuns(now, "hold expired", w.seemsCrashed())
 		w.takenOver = false
 		w.nextTakeOverAt = now
 		w.markOwnersDirty()
--- a/yuccaworker/owner.go
+++ b/yuccaworker/owner.go
@@ -75,6 +75,7 @@
 		}
 	}
 	o.stateSentAt = now
+	w.sendRecentCrashes(now, o)
 	w.emit(Send{Owner: id, Message: &yuccawire.Envelope{Body: &yuccawire.Envelope_Ends{Ends: message}}})
 }
 
--- a/yuccaworker/run.go
+++ b/yuccaworker/run.go
@@ -431,15 +431,16 @@
 	}
 }
 
-// loseAllRuns completes all active runs, as crashed if the worker crashed under them.
+// loseAllRuns completes all active runs, as crashed if the worker has crashed under them.
 func (w *Worker) loseAllRuns(now time.Time, reason string, crashed bool) {
-	if len(w.runs) > 0 {
-		w.options.Logger.Warn("runs lost", "count", len(w.runs), "why", reason, "crashed", crashed)
+	if len(w.runs) == 0 {
+		return
 	}
-	endedAt := now
-	if !w.isReachable() {
-		endedAt = w.unreachableSince
+	w.options.Logger.Warn("runs lost", "count", len(w.runs), "why", reason, "crashed", crashed)
+	if crashed {
+		w.reportCrash(now)
 	}
+	endedAt := w.crashTime(now)
 	for _, r := range w.sortedRuns() {
 		outcome := yuccawire.RunEnd_RUN_END_LOST
 		if crashed && !r.startSentAt.After(endedAt) {
--- a/yuccaworker/worker.go
+++ b/yuccaworker/worker.go
@@ -10,6 +10,8 @@
 
 // Options holds the dependencies of a [Worker].
 type Options struct {
+	// Name is the name of the side.
+	Name    string
 	Metrics *yuccametric.Set
 	Logger  *slog.Logger
 }
@@ -32,6 +34,11 @@
 	// unreachableSince is when the worker first refused a connection after its last
 	// answer, zero if it has not.
 	unreachableSince time.Time
+	// unansweredHolds counts the renewals without an answer since the last answer.
+	unansweredHolds int
+	// crashReported is set once the crash of this incarnation has been reported.
+	crashReported   bool
+	retainedCrashes []retainedCrash
 	// lastListAt is when the lists of running and completed runs were last
 	// received.
 	lastListAt time.Time
@@ -181,6 +188,9 @@
 	if w.report == nil || !w.report.sameSpec(r) {
 		w.specVersion++
 	}
+	if !sameIncarnation {
+		w.loseAllRuns(now, "worker restarted", true)
+	}
 	w.report = &r
 	w.clock.observe(r.ClockMS, now)
 	if sameIncarnation {
@@ -215,7 +225,6 @@
 	w.options.Logger.Info("taking over worker", "worker", r.ID, "born", r.StartedAtMS, "service", r.Service,
 		"cpu_milli", r.CPUMilli, "memory_mb", r.MemoryMB, "clock_ms", r.ClockMS, "since_answer_ms", silent)
 	w.metrics.Add("workers_taken", 1)
-	w.loseAllRuns(now, "worker restarted", true)
 	w.gone = false
 	w.clock = workerClock{lastMS: r.ClockMS, observedAt: now}
 	w.token = max(r.ClockMS, 1)
@@ -223,6 +232,8 @@
 	w.nextTakeOverAt = now
 	w.lastAnswerAt = now
 	w.unreachableSince = time.Time{}
+	w.unansweredHolds = 0
+	w.crashReported = false
 	w.holdInFlight = false
 	w.holdUntilMS = 0
 	w.cursor, w.ackedCursor = 0, 0
@@ -273,6 +284,7 @@
 // recordAnswer records that the worker answered a call, and its clock.
 func (w *Worker) recordAnswer(now time.Time, clockMS int64) {
 	w.lastContactAt, w.lastAnswerAt = now, now
+	w.unansweredHolds = 0
 	w.recordReachable(now)
 	w.clock.observe(clockMS, now)
 }
@@ -320,6 +332,7 @@
 
 // Tick handles expired leases and timeouts, and starts and sends what is due.
 func (w *Worker) Tick(now time.Time) {
+	w.checkCrash(now)
 	w.expireOwners(now)
 	w.expireQueue(now)
 	w.retryStops(now)
