broker: confine a queue whose tasks crash workers to its share of them

Cause: nothing limits how much of the fleet one queue can take down. Each new job goes to the freest worker, which it takes down together with ten runs of others. A budget per task does not help: two thirds of the crashes were the first of a task.

Once a quarter of the workers are down after crashes, and half or more of the tasks that crash theirs are of one queue, that queue is confined to a part of the workers: as large as its share in the work, which is estimated from what ran on the crashed workers, and chosen by rendezvous hashing, so that entries choose the same ones. Other queues avoid these workers. Confined tasks wait apart, since they would block the others at the head of the queue, and jobs that find all members down are rejected at once, with the time until a worker is expected back. Entries tell each other, also after a restart. The queue is released when it has had a worker for 5 s and crashed none. A queue without others beside it is not confined: there is none to protect.

Weighed: a limit on starts per worker after its crash (lets each worker die again), and giving a task up after one crash (ends jobs that did nothing but run beside the cause).

--- a/yuccabroker/broker.go
+++ b/yuccabroker/broker.go
@@ -39,6 +39,13 @@
 	// runs maps a run that may be alive to its task.
 	runs    map[runKey]*task
 	crashes *crashLog
+	// culprits are the tasks that were lately found to crash their workers. downtime is
+	// the moving average of the time that a worker is down after a crash.
+	culprits     []culprit
+	downtime     time.Duration
+	queueUses    map[string]queueUse
+	bulkheads    map[string]*bulkhead
+	bulkheadList []*bulkhead
 	// needsPlacement is set when a change may allow a queued task to be placed.
 	needsPlacement bool
 	// stopAt is when this entry stops, zero unless a stop is scheduled.
@@ -81,6 +88,9 @@
 		sides:          make(map[string]*side),
 		runs:           make(map[runKey]*task),
 		crashes:        newCrashLog(),
+		downtime:       usualDowntime,
+		queueUses:      make(map[string]queueUse),
+		bulkheads:      make(map[string]*bulkhead),
 		medianSlowdown: 1,
 	}
 }
@@ -190,6 +200,7 @@
 	b.sendHeartbeats(now)
 	b.evictOutcomes(now)
 	b.crashes.evict(now)
+	b.updateBulkheads(now)
 	b.needsPlacement = true
 	b.Place(now)
 	switch {
--- a/yuccabroker/crash.go
+++ b/yuccabroker/crash.go
@@ -41,28 +41,45 @@
 		b.metrics.Add("worker_crashes", 1)
 		b.options.Logger.Info("worker crashed", "side", c.GetSide(), "worker", c.GetWorker(), "born", c.GetStartedUnixMs(),
 			"age_ms", c.GetAgeMs(), "runs", len(c.GetRuns()))
+		b.recordDown(c.GetSide(), now.Add(-time.Duration(c.GetAgeMs())*time.Millisecond))
+		b.recordMemberCrash(now, c)
 		for _, r := range c.GetRuns() {
-			b.checkCrashes(now, r.GetTask())
+			b.checkCrashes(now, culprit{task: r.GetTask(), queue: r.GetQueue(), service: c.GetService()})
 		}
 	}
+	for _, confined := range m.GetConfined() {
+		b.adopt(now, confined)
+	}
+	b.updateBulkheads(now)
 	if len(news.GetCrashes()) > 0 {
 		b.emit(Publish{Message: &yuccawire.Envelope{Body: &yuccawire.Envelope_CrashReport{CrashReport: news}}})
 	}
 }
 
-// RecentCrashes returns the known crashes for an entry that may not know them.
-func (b *Broker) RecentCrashes(now time.Time) *yuccawire.CrashReport { return b.crashes.report(now) }
+// RecentCrashes returns the known crashes and confined queues for an entry that may not
+// know them.
+func (b *Broker) RecentCrashes(now time.Time) *yuccawire.CrashReport {
+	report := b.crashes.report(now)
+	for _, h := range b.bulkheadList {
+		report.Confined = append(report.Confined, h.toWire(now))
+	}
+	return report
+}
 
 // checkCrashes ends the job of a task under which a worker has crashed if the task is
 // the likely cause.
-func (b *Broker) checkCrashes(now time.Time, name string) {
+func (b *Broker) checkCrashes(now time.Time, c culprit) {
+	name := c.task
 	crashes := b.crashes.of(name)
 	if !crashesWorkers(crashes) {
 		return
 	}
 	id, _, _ := strings.Cut(name, ".")
-	b.metrics.Add("tasks_found_crashing", 1)
-	b.options.Logger.Warn("task crashes its workers", "job", id, "task", name, "crashes", len(crashes), "ran_ms", crashes[len(crashes)-1].Milliseconds())
+	if b.recordCulprit(now, c) {
+		b.metrics.Add("tasks_found_crashing", 1)
+		b.options.Logger.Info("task crashes its workers", "job", id, "task", name, "queue", c.queue, "crashes", len(crashes),
+			"ran_ms", crashes[len(crashes)-1].Milliseconds())
+	}
 	if j := b.jobs[id]; j != nil {
 		b.answer(now, j, crashOutcome(name, crashes))
 	}
--- a/yuccabroker/crashlog.go
+++ b/yuccabroker/crashlog.go
@@ -104,7 +104,7 @@
 	for _, c := range l.inOrder {
 		report.Crashes = append(report.Crashes, &yuccawire.Crash{
 			Side: c.key.side, Worker: c.key.worker, StartedUnixMs: c.key.startedAtMS,
-			AgeMs: uint64(now.Sub(c.at).Milliseconds()), Runs: c.message.GetRuns(),
+			AgeMs: uint64(now.Sub(c.at).Milliseconds()), Runs: c.message.GetRuns(), Service: c.message.GetService(),
 		})
 	}
 	return report
--- a/yuccabroker/job.go
+++ b/yuccabroker/job.go
@@ -109,6 +109,7 @@
 		j.answerBy = submitted.Deadline.Add(-answerMargin)
 		return
 	}
+	b.queueUses[submitted.Queue.Name] = queueUse{service: submitted.Queue.Service, at: now}
 	j := newJob(now, submitted, waiter)
 	j.answerBy = earlier(j.answerBy, b.stopAt)
 	j.lastRun = b.outcomes[submitted.ID].lastRun
@@ -120,14 +121,14 @@
 	if refusal := b.admissionRefusal(now, j); refusal != nil {
 		b.metrics.Add("jobs_refused", 1)
 		b.options.Logger.Info("job refused", "job", j.ID, "queue", j.Queue.Name, "reason", refusal.Reason,
-			"retry_after_ms", refusal.RetryAfter.Milliseconds(), "waiting_tasks", b.queue.Len(), "sides", len(b.sideList))
+			"retry_after_ms", refusal.RetryAfter.Milliseconds(), "waiting_tasks", b.queuedTasks(), "sides", len(b.sideList))
 		b.emit(Answer{Waiter: waiter, Outcome: *refusal})
 		return
 	}
 	b.jobs[j.ID] = j
 	b.jobList = append(b.jobList, j)
 	b.options.Logger.Info("job accepted", "job", j.ID, "queue", j.Queue.Name, "tasks", j.taskCount, "chain_ms", j.criticalPath().Milliseconds(),
-		"deadline_ms", j.answerBy.Sub(now).Milliseconds(), "waiting_tasks", b.queue.Len())
+		"deadline_ms", j.answerBy.Sub(now).Milliseconds(), "waiting_tasks", b.queuedTasks())
 	b.enqueueReady(now, j)
 	b.needsPlacement = true
 }
@@ -170,6 +171,9 @@
 	if refusal := b.crashRefusal(j); refusal != nil {
 		return refusal
 	}
+	if refusal := b.confinedRefusal(now, j); refusal != nil {
+		return refusal
+	}
 	workers := 0
 	for _, st := range j.steps {
 		workers = 0
@@ -233,7 +237,7 @@
 	}
 	t.state = taskQueued
 	t.tier, t.rank = t.rankAt(now)
-	b.queue.add(t)
+	b.queueOf(t).add(t)
 	b.needsPlacement = true
 }
 
@@ -258,15 +262,9 @@
 
 // rerank updates the ranks of the queued tasks, some of which may have become late.
 func (b *Broker) rerank(now time.Time) {
-	changed := false
-	for _, t := range b.queue.tasks {
-		if tier, rank := t.rankAt(now); tier != t.tier || !rank.Equal(t.rank) {
-			t.tier, t.rank = tier, rank
-			changed = true
-		}
-	}
-	if changed {
-		b.queue.rerank()
+	b.queue.rerank(now)
+	for _, h := range b.bulkheadList {
+		h.queue.rerank(now)
 	}
 }
 
@@ -338,7 +336,7 @@
 		for _, t := range st.tasks {
 			switch t.state {
 			case taskQueued:
-				b.queue.remove(t)
+				b.queueOf(t).remove(t)
 			case taskSent:
 				if withdrawals[t.side] == nil {
 					withdrawals[t.side] = &yuccawire.Withdraw{}
@@ -398,6 +396,8 @@
 			b.withdrawJob(j, "the deadline is near")
 		case j.withdrawReason == "" && j.cannotFinish(now):
 			b.withdrawJob(j, "a task of it can't end before the deadline")
+		case j.runsSent == 0 && b.confinedRefusal(now, j) != nil:
+			b.answer(now, j, *b.confinedRefusal(now, j))
 		case j.runsSent == 0 && now.Add(j.criticalPath()).After(j.usefulUntil):
 			b.abandon(now, j, "it has waited in vain and can't be answered in three times its objective")
 		}
--- a/yuccabroker/place.go
+++ b/yuccabroker/place.go
@@ -9,26 +9,17 @@
 // Place sends orders for the queued tasks, in queue order, to workers with capacity
 // until none can accept the next task. It has to be called after each batch of events.
 func (b *Broker) Place(now time.Time) {
-	if !b.needsPlacement || b.queue.Len() == 0 {
+	if !b.needsPlacement || b.queuedTasks() == 0 {
 		return
 	}
 	b.needsPlacement = false
-	orders := make(map[*side]*yuccawire.Orders)
-	var sides []*side
-	for b.queue.Len() > 0 {
-		t := b.queue.peek()
-		s := b.chooseSide(now, t)
-		if s == nil {
-			break
-		}
-		b.queue.remove(t)
-		if orders[s] == nil {
-			sides = append(sides, s)
-		}
-		b.addOrder(now, t, s, orders)
+	batch := &orderBatch{orders: make(map[*side]*yuccawire.Orders)}
+	b.placeQueue(now, &b.queue, batch)
+	for _, h := range b.bulkheadList {
+		b.placeQueue(now, &h.queue, batch)
 	}
-	for _, s := range sides {
-		m := orders[s]
+	for _, s := range batch.sides {
+		m := batch.orders[s]
 		b.logOrders(now, s, m)
 		s.lastOrder++
 		m.Number = s.lastOrder
@@ -37,6 +28,26 @@
 	}
 }
 
+// orderBatch holds the orders that are sent together, with their sides in order.
+type orderBatch struct {
+	orders map[*side]*yuccawire.Orders
+	sides  []*side
+}
+
+// placeQueue adds orders for the tasks of a queue to the batch until no worker can
+// accept the next one.
+func (b *Broker) placeQueue(now time.Time, queue *taskQueue, batch *orderBatch) {
+	for queue.Len() > 0 {
+		t := queue.peek()
+		s := b.chooseSide(now, t)
+		if s == nil {
+			return
+		}
+		queue.remove(t)
+		b.addOrder(now, t, s, batch)
+	}
+}
+
 // logOrders logs one line for each job in the orders for a side.
 func (b *Broker) logOrders(now time.Time, s *side, m *yuccawire.Orders) {
 	for _, j := range m.GetJobs() {
@@ -47,7 +58,7 @@
 }
 
 // addOrder starts a new run of a task and adds it to the orders for a side.
-func (b *Broker) addOrder(now time.Time, t *task, s *side, orders map[*side]*yuccawire.Orders) {
+func (b *Broker) addOrder(now time.Time, t *task, s *side, batch *orderBatch) {
 	j := t.job
 	t.state = taskSent
 	t.run++
@@ -64,15 +75,16 @@
 	s.runs[t] = struct{}{}
 	b.runs[runKey{task: t.name, run: t.run}] = t
 	b.metrics.Add("orders_sent", 1)
-	m := orders[s]
+	m := batch.orders[s]
 	if m == nil {
 		m = &yuccawire.Orders{}
-		orders[s] = m
+		batch.orders[s] = m
+		batch.sides = append(batch.sides, s)
 	}
 	n := len(m.GetJobs())
 	if n == 0 || m.GetJobs()[n-1].GetJob() != j.ID || m.GetJobs()[n-1].GetTier() != uint32(t.tier) {
 		m.Jobs = append(m.Jobs, &yuccawire.JobOrder{
-			Job: j.ID, Service: j.Queue.Service, Payload: j.Payload, Traceparent: j.Traceparent,
+			Job: j.ID, Queue: j.Queue.Name, Service: j.Queue.Service, Payload: j.Payload, Traceparent: j.Traceparent,
 			Tier:      uint32(t.tier),
 			RankMs:    s.toSideClock(t.rank),
 			ExpiresMs: uint64(max(s.toSideClock(j.answerBy), 0)),
@@ -145,7 +157,7 @@
 	if score > 0 && t.step.NearRack != "" && !s.hasLabel(t.step.NearRack) {
 		score /= remoteRackFactor
 	}
-	if s == t.avoid || s.slowdown > slowFactor*b.medianSlowdown {
+	if s == t.avoid || s.slowdown > slowFactor*b.medianSlowdown || b.bulkheads[t.job.Queue.Name] == nil && b.isMember(s) {
 		score--
 	}
 	return score, true
@@ -156,7 +168,7 @@
 func (b *Broker) isEligible(now time.Time, t *task, s *side) bool {
 	return s.linked && s.ready && s.service == t.job.Queue.Service && !b.drained[s.DataCentre] &&
 		s.isResponsive(now) && !now.Before(s.pausedUntil) && s.hasLabel(t.step.Label) &&
-		b.withinSpread(t, s)
+		b.isOpenTo(t.job.Queue.Name, s) && b.withinSpread(t, s)
 }
 
 // withinSpread reports whether the step may have one more task on the worker.
--- a/yuccabroker/queue.go
+++ b/yuccabroker/queue.go
@@ -60,8 +60,19 @@
 	}
 }
 
-// rerank restores the heap order after ranks have changed.
-func (q *taskQueue) rerank() { heap.Init(q) }
+// rerank updates the ranks of the tasks, some of which may have become late.
+func (q *taskQueue) rerank(now time.Time) {
+	changed := false
+	for _, t := range q.tasks {
+		if tier, rank := t.rankAt(now); tier != t.tier || !rank.Equal(t.rank) {
+			t.tier, t.rank = tier, rank
+			changed = true
+		}
+	}
+	if changed {
+		heap.Init(q)
+	}
+}
 
 func (q *taskQueue) peek() *task { return q.tasks[0] }
 
--- a/yuccabroker/side.go
+++ b/yuccabroker/side.go
@@ -67,6 +67,8 @@
 	runs        map[*task]struct{}
 	busySince   time.Time
 	pausedUntil time.Time
+	// crashedAt is when the worker crashed, zero once it is ready again.
+	crashedAt time.Time
 	// hasOrphans is set while runs sent to an earlier incarnation of the side may
 	// be alive.
 	hasOrphans bool
@@ -149,6 +151,9 @@
 	if s.ready != m.GetReady() || s.suspect != m.GetSuspect() {
 		b.options.Logger.Info("worker state changed", "side", name, "worker", cmp.Or(m.GetWorker(), s.worker), "ready", m.GetReady(), "suspect", m.GetSuspect(), "pace_percent", m.GetPacePercent())
 	}
+	if m.GetReady() {
+		b.recordUp(now, s)
+	}
 	s.clockMS, s.lastReport = m.GetClockMs(), now
 	s.ready, s.suspect = m.GetReady(), m.GetSuspect()
 	if m.GetWorker() != "" {
--- a/yuccaedge/edge.go
+++ b/yuccaedge/edge.go
@@ -244,7 +244,7 @@
 	if node.GetRole() == yuccawire.Role_ROLE_ENTRY {
 		e.entryPeers[p] = struct{}{}
 		e.sendInquiries(p)
-		if report := e.broker.RecentCrashes(now); len(report.GetCrashes()) > 0 {
+		if report := e.broker.RecentCrashes(now); len(report.GetCrashes())+len(report.GetConfined()) > 0 {
 			p.Send(&yuccawire.Envelope{Body: &yuccawire.Envelope_CrashReport{CrashReport: report}})
 		}
 	}
--- a/yuccatopology/topology.go
+++ b/yuccatopology/topology.go
@@ -2,12 +2,11 @@
 
 import (
 	"cmp"
-	"encoding/binary"
-	"hash/fnv"
 	"maps"
 	"slices"
 	"time"
 
+	"github.com/yuccaturn/yuccaturn/yuccaplacement"
 	"github.com/yuccaturn/yuccaturn/yuccawire"
 )
 
@@ -68,7 +67,7 @@
 		}
 		e := previous[node.GetName()]
 		if e == nil {
-			e = &entry{weight: weight(t.self.GetName(), node.GetName())}
+			e = &entry{weight: yuccaplacement.Weight(t.self.GetName(), node.GetName())}
 		}
 		if e.node.GetAddress() != node.GetAddress() {
 			e.failingSince = time.Time{}
@@ -79,23 +78,6 @@
 	}
 }
 
-// weight ranks the entries for a process: the highest weights are chosen. It is
-// the hash of both names, so each process has an order of its own.
-func weight(self, other string) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write(binary.BigEndian.AppendUint32(nil, uint32(len(self))))
-	_, _ = h.Write([]byte(self))
-	_, _ = h.Write([]byte(other))
-	// The upper bits of FNV hashes of similar names are similar; this finalizer of
-	// MurmurHash3 mixes them.
-	x := h.Sum64()
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	return x ^ x>>33
-}
-
 // HandleLinkUp records an open link to an entry. Links of other processes are
 // ignored.
 func (t *Topology) HandleLinkUp(now time.Time, peer *yuccawire.Node, dialled bool) {
@@ -174,7 +156,7 @@
 		return t.byAddress[seed] != nil || seed == t.self.GetAddress()
 	})
 	slices.SortFunc(unknown, func(a, b string) int {
-		return cmp.Compare(weight(t.self.GetName(), a), weight(t.self.GetName(), b))
+		return cmp.Compare(yuccaplacement.Weight(t.self.GetName(), a), yuccaplacement.Weight(t.self.GetName(), b))
 	})
 	for i, seed := range unknown {
 		if !t.failedSeeds[seed] {
@@ -240,7 +222,7 @@
 		total += links[name]
 	}
 	order := slices.SortedFunc(maps.Keys(reachable), func(a, b string) int {
-		return cmp.Compare(weight(t.self.GetName(), a), weight(t.self.GetName(), b))
+		return cmp.Compare(yuccaplacement.Weight(t.self.GetName(), a), yuccaplacement.Weight(t.self.GetName(), b))
 	})
 	for grown := true; grown; {
 		grown = false
--- a/yuccaworker/crash.go
+++ b/yuccaworker/crash.go
@@ -41,10 +41,10 @@
 		return
 	}
 	crashedAt := w.crashTime(now)
-	crash := &yuccawire.Crash{Worker: w.report.ID, StartedUnixMs: w.report.StartedAtMS}
+	crash := &yuccawire.Crash{Worker: w.report.ID, Service: w.report.Service, StartedUnixMs: w.report.StartedAtMS}
 	for _, r := range w.sortedRuns() {
 		if !r.startSentAt.After(crashedAt) {
-			crash.Runs = append(crash.Runs, &yuccawire.CrashedRun{Task: r.key.Task, RanMs: uint32(crashedAt.Sub(r.startSentAt).Milliseconds())})
+			crash.Runs = append(crash.Runs, &yuccawire.CrashedRun{Task: r.key.Task, Queue: r.queue, CpuMilli: uint32(r.demand.cpuMilli), RanMs: uint32(crashedAt.Sub(r.startSentAt).Milliseconds())})
 		}
 	}
 	if len(crash.GetRuns()) == 0 {
@@ -94,7 +94,7 @@
 	for _, c := range crashes {
 		report.Crashes = append(report.Crashes, &yuccawire.Crash{
 			Side: w.options.Name, Worker: c.crash.GetWorker(), StartedUnixMs: c.crash.GetStartedUnixMs(),
-			AgeMs: uint64(now.Sub(c.crashedAt).Milliseconds()), Runs: c.crash.GetRuns(),
+			AgeMs: uint64(now.Sub(c.crashedAt).Milliseconds()), Runs: c.crash.GetRuns(), Service: c.crash.GetService(),
 		})
 	}
 	w.emit(Send{Owner: o.id, Message: &yuccawire.Envelope{Body: &yuccawire.Envelope_CrashReport{CrashReport: report}}})
--- a/yuccaworker/run.go
+++ b/yuccaworker/run.go
@@ -28,6 +28,7 @@
 	key           Key
 	owner         *owner
 	service       string
+	queue         string
 	payload       []byte
 	traceparent   string
 	demand        resources
@@ -66,7 +67,7 @@
 
 func (w *Worker) admit(now time.Time, o *owner, job *yuccawire.JobOrder, task *yuccawire.TaskOrder) {
 	r := &run{
-		key: Key{Task: task.GetTask(), Run: task.GetRun()}, owner: o, service: job.GetService(), payload: job.GetPayload(), traceparent: job.GetTraceparent(),
+		key: Key{Task: task.GetTask(), Run: task.GetRun()}, owner: o, service: job.GetService(), queue: job.GetQueue(), payload: job.GetPayload(), traceparent: job.GetTraceparent(),
 		demand:    resources{cpuMilli: int(task.GetCpuMilli()), memoryMB: int(task.GetMemoryMb()), accelerators: int(task.GetAccelerators())},
 		tier:      min(int(job.GetTier()), tierCount-1),
 		rankMS:    job.GetRankMs(),
