broker: confine only the queue that accounts for the crashes, and only in need

Cause: a task that is beside the cause twice at the same point of its run was enough to blame its queue. An entry told the others what it had confined, so that the mistake of one became that of all. The share of a queue was overestimated: the siblings of the crashing task were counted, and they are always there. That crashed workers are missing was taken for a harm by itself.

Now a queue is confined only if no other one accounts better for the last twelve crashes at one point of its tasks' runs, and it accounts for four in five. Crashes of workers that a queue is confined to are put down to that queue, not to others that ran there. Entries decide by the same crash reports, and tell what they have confined only when a link comes up, since a restarted entry can't know. The job of the youngest run is left out of the estimate of the share. A queue is confined only while less than a fifth of the other workers' processors is free, and to two workers at least. Run times are at the same point if they differ by a tenth, not by a quarter: long runs of other tasks matched too often.

Evidence: TestQueueBesideTheCulpritIsNotConfined, TestCrashOfMemberIsPutDownToConfinedQueue and TestQueueIsNotConfinedWhileCapacityIsFree failed before.

--- a/yuccabroker/bulkhead.go
+++ b/yuccabroker/bulkhead.go
@@ -5,6 +5,7 @@
 	"maps"
 	"math"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/yuccaturn/yuccaturn/yuccaplacement"
@@ -13,9 +14,18 @@
 
 const (
 	// A queue is confined once a share of downShareToConfine of the workers, and
-	// minDownToConfine at least, are down after crashes.
+	// minDownToConfine at least, are down after crashes, and no more than
+	// freeShareToConfine of the processors of the others is free.
 	downShareToConfine = 0.25
 	minDownToConfine   = 2
+	freeShareToConfine = 0.2
+	// minMembers is the least number of workers that a queue is confined to.
+	minMembers = 2
+	// minCrashesToConfine is how many crashes tell which queue is the cause. The queue
+	// must account for minAccountedShare of the latest maxCrashesCompared ones.
+	minCrashesToConfine = 3
+	minAccountedShare   = 0.8
+	maxCrashesCompared  = 12
 	// culpritWindow is how long a task that was found to crash its workers counts
 	// against its queue.
 	culpritWindow = 10 * time.Second
@@ -113,6 +123,17 @@
 	}
 }
 
+// isExplained reports whether a crash is put down to a queue that is confined to the
+// worker and had a run there.
+func (b *Broker) isExplained(c *yuccawire.Crash) bool {
+	return slices.ContainsFunc(c.GetRuns(), func(r *yuccawire.CrashedRun) bool {
+		h := b.bulkheads[r.GetQueue()]
+		return h != nil && h.members[b.sides[c.GetSide()]]
+	})
+}
+
+func (b *Broker) isConfined(queue string) bool { return b.bulkheads[queue] != nil }
+
 // updateBulkheads releases queues that have been quiet, confines the queue whose tasks
 // crash the workers, and updates the members.
 func (b *Broker) updateBulkheads(now time.Time) {
@@ -124,76 +145,148 @@
 			b.release(now, h)
 		}
 	}
-	if c, tasks := b.mainCulprit(); tasks > 0 && b.bulkheads[c.queue] == nil {
-		b.confineIfHarmful(now, c, tasks)
+	if c, ok := b.mainCulprit(now); ok {
+		b.confineIfHarmful(now, c)
 	}
 	b.metrics.Gauge("queues_confined_now", int64(len(b.bulkheadList)))
 }
 
-// mainCulprit returns a task of the queue that has half or more of those that were found
-// to crash their workers, and the number of these, which is zero if no queue has.
-func (b *Broker) mainCulprit() (main culprit, tasks int) {
+// mainCulprit returns a task that was found to crash its workers, of the queue that
+// accounts for the recent crashes best. It returns false if there is none, or if a queue
+// without such a task accounts for them better.
+func (b *Broker) mainCulprit(now time.Time) (culprit, bool) {
+	if len(b.culprits) == 0 {
+		return culprit{}, false
+	}
+	crashes := b.unexplainedCrashes(now)
+	if len(crashes) < minCrashesToConfine {
+		return culprit{}, false
+	}
+	accounted := accountFor(crashes)
+	best := 0
+	for _, n := range accounted {
+		best = max(best, n)
+	}
+	var main culprit
+	tasks := 0
 	byQueue := make(map[string]int)
 	for _, c := range b.culprits {
+		if n := accounted[c.queue]; n < best || float64(n) < minAccountedShare*float64(len(crashes)) || b.bulkheads[c.queue] != nil {
+			continue
+		}
 		byQueue[c.queue]++
-		if n := byQueue[c.queue]; n > tasks || n == tasks && c.queue < main.queue {
-			main, tasks = c, n
+		if byQueue[c.queue] > tasks {
+			main, tasks = c, byQueue[c.queue]
 		}
 	}
-	if tasks*2 < len(b.culprits) {
-		return culprit{}, 0
+	return main, tasks > 0
+}
+
+// unexplainedCrashes returns the latest crashes that are not put down to a confined
+// queue.
+func (b *Broker) unexplainedCrashes(now time.Time) []*yuccawire.Crash {
+	var crashes []*yuccawire.Crash
+	for i := len(b.crashes.inOrder) - 1; i >= 0 && len(crashes) < maxCrashesCompared; i-- {
+		if c := b.crashes.inOrder[i]; !c.isExplained && now.Sub(c.at) <= culpritWindow {
+			crashes = append(crashes, c.message)
+		}
 	}
-	return main, tasks
+	return crashes
+}
+
+// accountFor returns, for each queue, how many of the crashes happened at the same point
+// of a run of its tasks, for the point with the most.
+func accountFor(crashes []*yuccawire.Crash) map[string]int {
+	best := make(map[string]int)
+	for _, c := range crashes {
+		for _, r := range c.GetRuns() {
+			n := 0
+			for _, other := range crashes {
+				if slices.ContainsFunc(other.GetRuns(), func(o *yuccawire.CrashedRun) bool {
+					return o.GetQueue() == r.GetQueue() && isSamePoint(runTime(o), runTime(r))
+				}) {
+					n++
+				}
+			}
+			best[r.GetQueue()] = max(best[r.GetQueue()], n)
+		}
+	}
+	return best
+}
+
+func runTime(r *yuccawire.CrashedRun) time.Duration {
+	return time.Duration(r.GetRanMs()) * time.Millisecond
 }
 
 // confineIfHarmful confines the queue of a culprit if a large part of the workers that
 // other queues use, too, is down.
-func (b *Broker) confineIfHarmful(now time.Time, c culprit, tasks int) {
+func (b *Broker) confineIfHarmful(now time.Time, c culprit) {
 	candidates := b.candidates(now, c.service)
-	down := 0
+	down, free, capacity := 0, 0, 0
 	for _, s := range candidates {
 		if !s.crashedAt.IsZero() {
 			down++
+			continue
 		}
+		free += max(s.available(tierLate).cpuMilli, 0)
+		capacity += s.capacity.cpuMilli
 	}
 	share := b.shareOf(now, c.queue)
-	if down < minDownToConfine || float64(down) < downShareToConfine*float64(len(candidates)) || memberCount(share, len(candidates)) == len(candidates) ||
-		!b.hasOtherQueue(now, c.queue, c.service) {
+	switch {
+	case down < minDownToConfine, float64(down) < downShareToConfine*float64(len(candidates)):
+		return
+	case float64(free) > freeShareToConfine*float64(capacity):
+		return
+	case memberCount(share, len(candidates)) == len(candidates), !b.hasOtherQueue(now, c.queue, c.service):
 		return
 	}
-	b.options.Logger.Warn("queue crashes workers", "queue", c.queue, "tasks", tasks, "down", down, "workers", len(candidates))
+	b.options.Logger.Warn("queue crashes workers", "queue", c.queue, "task", c.task, "down", down, "workers", len(candidates))
 	b.confine(now, &bulkhead{queueName: c.queue, service: c.service, quietSince: now, share: share})
 }
 
 // shareOf returns the share of a queue in the processors that were in use on the workers
-// that have crashed lately. The youngest run of the queue on each is left out: that it
-// was there may be why the worker crashed.
+// that have crashed lately. The job of the youngest run of the queue on each is left out:
+// that it was there may be why the worker crashed.
 func (b *Broker) shareOf(now time.Time, queue string) float64 {
 	own, total, runs := 0.0, 0.0, 0
 	for _, c := range b.crashes.inOrder {
 		if now.Sub(c.at) > culpritWindow {
 			continue
 		}
-		var youngest *yuccawire.CrashedRun
+		suspect := jobOf(youngestRun(c.message, queue).GetTask())
 		for _, r := range c.message.GetRuns() {
-			runs++
-			total += float64(r.GetCpuMilli())
-			if r.GetQueue() != queue {
+			if jobOf(r.GetTask()) == suspect {
 				continue
 			}
-			own += float64(r.GetCpuMilli())
-			if youngest == nil || r.GetRanMs() < youngest.GetRanMs() {
-				youngest = r
+			runs++
+			total += float64(r.GetCpuMilli())
+			if r.GetQueue() == queue {
+				own += float64(r.GetCpuMilli())
 			}
 		}
-		own -= float64(youngest.GetCpuMilli())
-		total -= float64(youngest.GetCpuMilli())
 	}
 	prior := priorRuns * max(total/float64(max(runs, 1)), 1)
 	return (own + priorShare*prior) / (total + prior)
 }
 
-// confine confines a queue and tells the other entries.
+// youngestRun returns the run of a queue that was started last before a crash, or nil.
+func youngestRun(c *yuccawire.Crash, queue string) *yuccawire.CrashedRun {
+	var youngest *yuccawire.CrashedRun
+	for _, r := range c.GetRuns() {
+		if r.GetQueue() == queue && (youngest == nil || r.GetRanMs() < youngest.GetRanMs()) {
+			youngest = r
+		}
+	}
+	return youngest
+}
+
+// jobOf returns the job of a task.
+func jobOf(task string) string {
+	id, _, _ := strings.Cut(task, ".")
+	return id
+}
+
+// confine confines a queue.
 func (b *Broker) confine(now time.Time, h *bulkhead) {
 	h.since = now
 	b.bulkheads[h.queueName] = h
@@ -202,9 +295,6 @@
 	moveQueued(&b.queue, &h.queue, func(t *task) bool { return t.job.Queue.Name == h.queueName })
 	b.metrics.Add("queues_confined", 1)
 	b.options.Logger.Warn("queue confined", "queue", h.queueName, "share_percent", int(100*h.share), "members", h.memberNames())
-	b.emit(Publish{Message: &yuccawire.Envelope{Body: &yuccawire.Envelope_CrashReport{CrashReport: &yuccawire.CrashReport{
-		Confined: []*yuccawire.ConfinedQueue{h.toWire(now)},
-	}}}})
 }
 
 func (h *bulkhead) toWire(now time.Time) *yuccawire.ConfinedQueue {
@@ -213,18 +303,16 @@
 	}
 }
 
-// adopt confines a queue that another entry has confined. Entries that have done so at
-// the same time agree on the largest share.
+// adopt confines a queue that another entry has confined before the link to it was
+// opened. An entry that has just started can't tell by itself.
 func (b *Broker) adopt(now time.Time, m *yuccawire.ConfinedQueue) {
 	quietSince := now.Add(-time.Duration(m.GetQuietMs()) * time.Millisecond)
-	share := float64(m.GetSharePermille()) / milli
-	h := b.bulkheads[m.GetQueue()]
-	switch {
-	case h == nil && now.Sub(quietSince) <= quietToRelease:
-		b.confine(now, &bulkhead{queueName: m.GetQueue(), service: m.GetService(), quietSince: quietSince, share: share})
-	case h != nil:
-		h.share = max(h.share, share)
+	if b.bulkheads[m.GetQueue()] != nil || now.Sub(quietSince) > quietToRelease {
+		return
 	}
+	b.confine(now, &bulkhead{
+		queueName: m.GetQueue(), service: m.GetService(), quietSince: quietSince, share: float64(m.GetSharePermille()) / milli,
+	})
 }
 
 func (b *Broker) release(now time.Time, h *bulkhead) {
@@ -292,7 +380,7 @@
 }
 
 func memberCount(share float64, candidates int) int {
-	return min(max(int(math.Ceil(share*float64(candidates))), 1), candidates)
+	return min(max(int(math.Ceil(share*float64(candidates))), minMembers), candidates)
 }
 
 // memberNames returns the sorted names of the members.
--- a/yuccabroker/crash.go
+++ b/yuccabroker/crash.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"strings"
 	"time"
 
 	"github.com/yuccaturn/yuccaturn/yuccawire"
@@ -14,9 +13,9 @@
 	// the task's doing, not that of another one on the same worker.
 	maxCrashes = 3
 	// Crashes happened at the same point if the run times until then differ by at most
-	// samePointShare of the longer one, since workers differ in speed, and
-	// samePointSlack, with which the side sees starts and crashes.
-	samePointShare = 0.25
+	// samePointShare of the longer one and samePointSlack, with which the side sees
+	// starts and crashes.
+	samePointShare = 0.1
 	samePointSlack = 15 * time.Millisecond
 	// maxCountedLosses limits the number of counters of tasks by their losses.
 	maxCountedLosses = 6
@@ -34,7 +33,7 @@
 func (b *Broker) HandleCrashReport(now time.Time, m *yuccawire.CrashReport) {
 	news := &yuccawire.CrashReport{}
 	for _, c := range m.GetCrashes() {
-		if !b.crashes.add(now, c) {
+		if !b.crashes.add(now, c, b.isExplained(c), b.isConfined) {
 			continue
 		}
 		news.Crashes = append(news.Crashes, c)
@@ -70,15 +69,15 @@
 // the likely cause.
 func (b *Broker) checkCrashes(now time.Time, c culprit) {
 	name := c.task
-	crashes := b.crashes.of(name)
+	crashes := b.crashes.byTask[name]
 	if !crashesWorkers(crashes) {
 		return
 	}
-	id, _, _ := strings.Cut(name, ".")
+	id := jobOf(name)
 	if b.recordCulprit(now, c) {
 		b.metrics.Add("tasks_found_crashing", 1)
 		b.options.Logger.Info("task crashes its workers", "job", id, "task", name, "queue", c.queue, "crashes", len(crashes),
-			"ran_ms", crashes[len(crashes)-1].Milliseconds())
+			"ran_ms", crashes[len(crashes)-1].ran.Milliseconds())
 	}
 	if j := b.jobs[id]; j != nil {
 		b.answer(now, j, crashOutcome(name, crashes))
@@ -101,7 +100,7 @@
 	return false
 }
 
-func crashOutcome(task string, crashes []time.Duration) Outcome {
+func crashOutcome(task string, crashes []crashedRun) Outcome {
 	return Outcome{State: Failed, Reason: fmt.Sprintf("task %s crashed %d workers", task, len(crashes))}
 }
 
@@ -110,7 +109,7 @@
 func (b *Broker) crashRefusal(j *job) *Outcome {
 	for _, st := range j.steps {
 		for _, t := range st.tasks {
-			if crashes := b.crashes.of(t.name); crashesWorkers(crashes) {
+			if crashes := b.crashes.byTask[t.name]; crashesWorkers(crashes) {
 				outcome := crashOutcome(t.name, crashes)
 				return &outcome
 			}
@@ -119,15 +118,15 @@
 	return nil
 }
 
-// crashesWorkers reports whether a task is the likely cause of crashes, given the run
-// times after which its workers crashed.
-func crashesWorkers(crashes []time.Duration) bool {
-	if len(crashes) >= maxCrashes {
+// crashesWorkers reports whether a task is the likely cause of the crashes under its
+// runs.
+func crashesWorkers(runs []crashedRun) bool {
+	if len(runs) >= maxCrashes {
 		return true
 	}
-	for i, a := range crashes {
-		for _, b := range crashes[:i] {
-			if isSamePoint(a, b) {
+	for i, a := range runs {
+		for _, b := range runs[:i] {
+			if !a.isExplained && !b.isExplained && isSamePoint(a.ran, b.ran) {
 				return true
 			}
 		}
--- a/yuccabroker/crashlog.go
+++ b/yuccabroker/crashlog.go
@@ -34,19 +34,26 @@
 	at  time.Time
 	// message is the crash as it was reported.
 	message *yuccawire.Crash
+	// isExplained is set if the crash was put down to a confined queue.
+	isExplained bool
 }
 
+// crashedRun is a run under which a worker crashed after ran.
 type crashedRun struct {
 	crash *crash
 	ran   time.Duration
+	// isExplained is set if the crash is put down to another queue.
+	isExplained bool
 }
 
 func newCrashLog() *crashLog {
 	return &crashLog{known: make(map[crashKey]*crash), byTask: make(map[string][]crashedRun)}
 }
 
-// add records a crash. It returns false if the crash is known, or too old.
-func (l *crashLog) add(now time.Time, m *yuccawire.Crash) bool {
+// add records a crash. isExplained is set if it is put down to a confined queue, and
+// isConfined tells these from the others. It returns false if the crash is known, or too
+// old.
+func (l *crashLog) add(now time.Time, m *yuccawire.Crash, isExplained bool, isConfined func(queue string) bool) bool {
 	key := crashKey{side: m.GetSide(), worker: m.GetWorker(), startedAtMS: m.GetStartedUnixMs()}
 	at := now.Add(-time.Duration(m.GetAgeMs()) * time.Millisecond)
 	if l.known[key] != nil || now.Sub(at) > crashRetention {
@@ -55,28 +62,17 @@
 	if len(l.inOrder) >= maxKnownCrashes {
 		l.evictFirst()
 	}
-	c := &crash{key: key, at: at, message: m}
+	c := &crash{key: key, at: at, message: m, isExplained: isExplained}
 	l.known[key] = c
 	l.inOrder = append(l.inOrder, c)
 	for _, r := range m.GetRuns() {
-		l.byTask[r.GetTask()] = append(l.byTask[r.GetTask()], crashedRun{crash: c, ran: time.Duration(r.GetRanMs()) * time.Millisecond})
+		l.byTask[r.GetTask()] = append(l.byTask[r.GetTask()], crashedRun{
+			crash: c, ran: runTime(r), isExplained: isExplained && !isConfined(r.GetQueue()),
+		})
 	}
 	return true
 }
 
-// of returns the run times of a task after which workers crashed.
-func (l *crashLog) of(task string) []time.Duration {
-	runs := l.byTask[task]
-	if len(runs) == 0 {
-		return nil
-	}
-	times := make([]time.Duration, len(runs))
-	for i, r := range runs {
-		times[i] = r.ran
-	}
-	return times
-}
-
 // evict removes the crashes older than crashRetention.
 func (l *crashLog) evict(now time.Time) {
 	for len(l.inOrder) > 0 && now.Sub(l.inOrder[0].at) > crashRetention {
