broker: don't repeat confined tasks whose answer is of no use any more

What callers saw: of a confined queue, more jobs that crash nothing were refused than its workers could have served.

Cause: after a crash all interrupted tasks were repeated on the few workers that the queue is confined to, the crashing one among them, which took down a second worker. The crash is noticed 580 ms after it; the jobs of the quickest queues are of no use by then.

Tasks of other queues, and those of jobs that can still be of use, are repeated as before.

Evidence: TestLateConfinedTaskIsRepeated failed before.

--- a/yuccabroker/bulkhead_test.go
+++ b/yuccabroker/bulkhead_test.go
@@ -281,3 +281,22 @@
 		t.Errorf("confined %v, want the queue once little is free", confined)
 	}
 }
+
+// A confined task under which a worker crashed is not repeated once its answer is of no
+// use any more: workers for its queue are scarce.
+func TestLateConfinedTaskIsRepeated(t *testing.T) {
+	for _, confined := range []bool{false, true} {
+		sides := sideNames(8)
+		f := newFixture(t, sides...)
+		f.submit(crashingJob("a"), 1)
+		run := f.sentRuns()["a.0.0.0/1"]
+		if confined {
+			f.crashWorkers("x.0.0.0", "s0", "s1", "s2", "s3")
+		}
+		f.now = f.now.Add(1300 * time.Millisecond)
+		f.endRunAfter(run, "a.0.0.0", 1, crashed, 10*time.Millisecond)
+		if _, answered := f.answers[1]; answered != confined {
+			t.Errorf("confined: %v, answered: %v", confined, answered)
+		}
+	}
+}
--- a/yuccabroker/side.go
+++ b/yuccabroker/side.go
@@ -259,6 +259,10 @@
 		t.avoid = s
 		b.recordLoss(t)
 		b.logRunEnd(now, t, s, e)
+		if b.isConfined(t.job.Queue.Name) && now.After(t.job.usefulUntil) {
+			b.abandon(now, t.job, "a worker crashed under a task of it")
+			return
+		}
 		b.enqueue(now, t)
 	default:
 		t.avoid = s
