worker, broker, platform: follow a worker whose capacity shrinks and grows

Cause: capacity was taken for a constant of an incarnation. The side checked its queue against it on arrival only; the entry answered 'no worker is large enough' from the present capacity; the registry refused heartbeats with zero cores, so that the earlier capacity stayed in force, while one with no memory was accepted as zero memory.

The entry rejects a job (503, Retry-After) that fits the largest capacity its workers have had.

--- a/yuccabroker/job.go
+++ b/yuccabroker/job.go
@@ -177,15 +177,20 @@
 	workers := 0
 	for _, st := range j.steps {
 		workers = 0
-		fits := false
+		fits, fitted := false, false
 		for _, s := range b.sideList {
-			if s.service != j.Queue.Service || s.capacity == (resources{}) {
+			if s.service != j.Queue.Service || s.largest == (resources{}) {
 				continue
 			}
 			workers++
 			fits = fits || demand(st.Step).fitsIn(s.capacity) && s.hasLabel(st.Label)
+			fitted = fitted || demand(st.Step).fitsIn(s.largest) && s.hasLabel(st.Label)
 		}
-		if workers > 0 && !fits && workers == len(b.sideList) {
+		switch {
+		case workers == 0 || fits || workers < len(b.sideList):
+		case fitted:
+			return &Outcome{State: Rejected, Reason: "no worker is large enough at present for a task of it", RetryAfter: time.Second}
+		default:
 			return &Outcome{State: Failed, Reason: "no worker is large enough, or has the label, for a task of it"}
 		}
 	}
--- a/yuccabroker/side.go
+++ b/yuccabroker/side.go
@@ -27,6 +27,10 @@
 	return resources{cpuMilli: r.cpuMilli - o.cpuMilli, memoryMB: r.memoryMB - o.memoryMB, accelerators: r.accelerators - o.accelerators}
 }
 
+func (r resources) max(o resources) resources {
+	return resources{cpuMilli: max(r.cpuMilli, o.cpuMilli), memoryMB: max(r.memoryMB, o.memoryMB), accelerators: max(r.accelerators, o.accelerators)}
+}
+
 func (r resources) fitsIn(capacity resources) bool {
 	return r.cpuMilli <= capacity.cpuMilli && r.memoryMB <= capacity.memoryMB && r.accelerators <= capacity.accelerators
 }
@@ -43,7 +47,9 @@
 	ready      bool
 	suspect    bool
 	capacity   resources
-	free       resources
+	// largest is the largest capacity that the worker has had.
+	largest resources
+	free    resources
 	// queuedCPU is the processors that tasks queued at the side need, in
 	// thousandths by tier.
 	queuedCPU [tierCount]int
@@ -159,8 +165,12 @@
 	s.clockMS, s.lastReport = m.GetClockMs(), now
 	s.ready, s.suspect, s.hasSuspectRun = m.GetReady(), m.GetSuspect(), m.GetSuspectRun()
 	if m.GetWorker() != "" {
+		if m.GetWorker() != s.worker {
+			s.largest = resources{}
+		}
 		s.worker, s.service, s.labels = m.GetWorker(), m.GetService(), m.GetLabels()
 		s.capacity = resources{cpuMilli: int(m.GetCpuMilli()), memoryMB: int(m.GetMemoryMb()), accelerators: int(m.GetAccelerators())}
+		s.largest = s.largest.max(s.capacity)
 	}
 	s.free = resources{cpuMilli: int(m.GetFreeCpuMilli()), memoryMB: int(m.GetFreeMemoryMb()), accelerators: int(m.GetFreeAccelerators())}
 	s.queuedCPU = [tierCount]int{}
--- a/yuccamodel/worker_test.go
+++ b/yuccamodel/worker_test.go
@@ -16,7 +16,11 @@
 	world       *world
 	name        string
 	incarnation yuccaworker.Incarnation
-	cpuMilli    int
+	// cpuMilli is the current capacity, cpuLimit the one that starts are checked
+	// against: a smaller one counts after capacityGrace.
+	cpuMilli        int
+	cpuLimit        int
+	capacityChanges int
 	// speed is in milliseconds of work per millisecond.
 	speed     float64
 	startedAt time.Time
@@ -137,6 +141,20 @@
 	}
 }
 
+// setCapacity changes the capacity while tasks run.
+func (m *modelWorker) setCapacity(cpuMilli int) {
+	m.world.logf("fault %s capacity %d to %d", m.name, m.cpuMilli, cpuMilli)
+	m.cpuMilli = cpuMilli
+	m.cpuLimit = max(m.cpuLimit, cpuMilli)
+	m.capacityChanges++
+	change := m.capacityChanges
+	m.world.after(capacityGrace, func() {
+		if m.capacityChanges == change {
+			m.cpuLimit = cpuMilli
+		}
+	})
+}
+
 // crash stops the worker and all its runs. It restarts as a new incarnation.
 func (m *modelWorker) crash() {
 	m.isDown = true
@@ -216,8 +234,8 @@
 	for _, r := range m.runs {
 		used += r.cpuMilli
 	}
-	if used > m.cpuMilli {
-		m.world.t.Errorf("seed %d, %v: %s exceeds its capacity: %d of %d milli-CPU in use", m.world.seed, m.world.now.Sub(startTime), m.name, used, m.cpuMilli)
+	if used > m.cpuLimit {
+		m.world.reportViolation(m.name, "%s exceeds its capacity: %d of %d milli-CPU in use", m.name, used, m.cpuLimit)
 	}
 	return yuccaworker.ResultOK
 }
--- a/yuccamodel/world_test.go
+++ b/yuccamodel/world_test.go
@@ -29,6 +29,8 @@
 	reconnectDelay = 60 * time.Millisecond
 	tickInterval   = 20 * time.Millisecond
 	reportInterval = 1500 * time.Millisecond
+	// capacityGrace is when a smaller capacity counts: one report and some slack.
+	capacityGrace = reportInterval + 100*time.Millisecond
 	// resubmitDelay is how long a caller waits before it retries after its
 	// connection has closed.
 	resubmitDelay = 1300 * time.Millisecond
@@ -180,6 +182,7 @@
 		if i%3 == 2 {
 			m.cpuMilli = 24000
 		}
+		m.cpuLimit = m.cpuMilli
 		s := &modelSide{world: w, index: i, name: m.name, dataCentre: fmt.Sprint("dc", i%dataCentres), worker: m}
 		w.sides = append(w.sides, s)
 		w.sidesByName[s.name] = s
--- a/yuccasized/registry.go
+++ b/yuccasized/registry.go
@@ -54,14 +54,18 @@
 			d.Report(field, problem, expected)
 		}
 	}
-	if b.CPU <= 0 {
-		d.Report("cpu", fmt.Sprintf("is %g", b.CPU), "cores, above zero")
+	switch {
+	case b.CPU == nil:
+		d.Report("cpu", "is missing", "cores, zero or more")
+		b.CPU = new(float64)
+	case *b.CPU < 0:
+		d.Report("cpu", fmt.Sprintf("is %g", *b.CPU), "cores, zero or more")
 	}
 	if b.MemoryMB < 0 || b.Accelerators < 0 {
 		d.Report("memory_mb", "or accelerators is below zero", "0 or more")
 	}
 	return yuccaworker.Report{
-		ID: b.ID, StartedAtMS: b.StartedAtMS, Service: b.Service, CPUMilli: int(b.CPU * milli), MemoryMB: b.MemoryMB,
+		ID: b.ID, StartedAtMS: b.StartedAtMS, Service: b.Service, CPUMilli: int(*b.CPU * milli), MemoryMB: b.MemoryMB,
 		Accelerators: b.Accelerators, Labels: b.Labels, Leaving: b.Leaving, ClockMS: b.ClockMS, Sequence: b.Sequence,
 	}, d.Err()
 }
--- a/yuccasized/simulatedworker.go
+++ b/yuccasized/simulatedworker.go
@@ -401,7 +401,7 @@
 		return errDown
 	}
 	body, err := json.Marshal(reportBody{
-		ID: r.ID, StartedAtMS: r.StartedAtMS, Service: r.Service, CPU: s.options.CPU, MemoryMB: r.MemoryMB, Leaving: r.Leaving,
+		ID: r.ID, StartedAtMS: r.StartedAtMS, Service: r.Service, CPU: &s.options.CPU, MemoryMB: r.MemoryMB, Leaving: r.Leaving,
 		ClockMS: r.ClockMS, Sequence: r.Sequence,
 	})
 	if err != nil {
--- a/yuccasized/wire.go
+++ b/yuccasized/wire.go
@@ -62,12 +62,12 @@
 	Outcome string `json:"end"`
 }
 
-// reportBody is a worker's report of its capacity and state.
+// reportBody is a worker's report of its capacity, which may change, and its state.
 type reportBody struct {
 	ID           string   `json:"id"`
 	StartedAtMS  int64    `json:"born"`
 	Service      string   `json:"service"`
-	CPU          float64  `json:"cpu"`
+	CPU          *float64 `json:"cpu"`
 	MemoryMB     int      `json:"memory_mb"`
 	Accelerators int      `json:"accelerators"`
 	Labels       []string `json:"labels,omitempty"`
--- a/yuccaworker/run.go
+++ b/yuccaworker/run.go
@@ -366,6 +366,22 @@
 	}
 }
 
+// refuseExcess refuses the queued tasks that neither fit the capacity nor may be queued
+// beyond it.
+func (w *Worker) refuseExcess(now time.Time) {
+	room := w.capacity().minus(w.used).plus(w.queueAllowance())
+	for i := 0; i < len(w.queue); {
+		r := w.queue[i]
+		if r.demand.fitsIn(room) && r.demand.fitsIn(w.capacity()) {
+			room = room.minus(r.demand)
+			i++
+			continue
+		}
+		w.dequeue(i)
+		w.refuseQueued(now, r, yuccawire.RunRefusal_RUN_REFUSAL_NO_ROOM)
+	}
+}
+
 func (w *Worker) expireQueue(now time.Time) {
 	for i := 0; i < len(w.queue); {
 		r := w.queue[i]
--- a/yuccaworker/types.go
+++ b/yuccaworker/types.go
@@ -28,6 +28,10 @@
 	Sequence int64
 }
 
+func (r Report) capacity() resources {
+	return resources{cpuMilli: r.CPUMilli, memoryMB: r.MemoryMB, accelerators: r.Accelerators}
+}
+
 // sameSpec reports whether both reports agree in the fields that seldom change.
 func (r Report) sameSpec(other Report) bool {
 	return r.ID == other.ID && r.Service == other.Service && r.CPUMilli == other.CPUMilli && r.MemoryMB == other.MemoryMB &&
--- a/yuccaworker/worker.go
+++ b/yuccaworker/worker.go
@@ -185,8 +185,10 @@
 	sameIncarnation := w.report != nil && !w.gone && w.incarnation() == Incarnation{ID: r.ID, StartedAtMS: r.StartedAtMS}
 	startsLeaving := sameIncarnation && !w.report.Leaving && r.Leaving
 	w.lastContactAt = now
-	if w.report == nil || !w.report.sameSpec(r) {
+	previous := w.report
+	if previous == nil || !previous.sameSpec(r) {
 		w.specVersion++
+		w.markOwnersDirty()
 	}
 	if !sameIncarnation {
 		w.loseAllRuns(now, "worker restarted", true)
@@ -195,6 +197,7 @@
 	w.clock.observe(r.ClockMS, now)
 	if sameIncarnation {
 		w.recordReachable(now)
+		w.handleCapacity(now, previous)
 		if startsLeaving {
 			w.options.Logger.Info("worker is leaving", "worker", r.ID)
 			w.refuseQueue(now, yuccawire.RunRefusal_RUN_REFUSAL_LEAVING)
@@ -327,7 +330,21 @@
 	if w.report == nil {
 		return resources{}
 	}
-	return resources{cpuMilli: w.report.CPUMilli, memoryMB: w.report.MemoryMB, accelerators: w.report.Accelerators}
+	return w.report.capacity()
+}
+
+// handleCapacity handles a change of the worker's capacity. Its runs continue, also
+// beyond the capacity, but queued tasks that would have to wait for them are refused.
+func (w *Worker) handleCapacity(now time.Time, previous *Report) {
+	capacity := w.capacity()
+	if capacity == previous.capacity() {
+		return
+	}
+	w.metrics.Add("capacity_changes", 1)
+	w.options.Logger.Info("worker capacity changed", "worker", w.report.ID, "cpu_milli", capacity.cpuMilli, "was_cpu_milli", previous.CPUMilli,
+		"memory_mb", capacity.memoryMB, "accelerators", capacity.accelerators, "used_cpu_milli", w.used.cpuMilli, "queued", len(w.queue))
+	w.refuseExcess(now)
+	w.startQueued(now)
 }
 
 // Tick handles expired leases and timeouts, and starts and sends what is due.
