worker: start nothing while the worker's capacity is not known

The side is not ready while the last heartbeat is older than 4 s, and refuses orders; runs in progress continue. A suspension of the machine counts towards that age.

Evidence: TestStartWithStaleCapacity failed before. TestReportsToIdleOwners now reports like a worker does; its bounds are as before.

--- a/yuccaworker/capacity_test.go
+++ b/yuccaworker/capacity_test.go
@@ -47,3 +47,22 @@
 		t.Error("a task that fits the worker again is not started")
 	}
 }
+
+// A side that has not heard of its worker's capacity for a while, since it stood still or
+// reports were lost, starts nothing until the next report.
+func TestStartWithStaleCapacity(t *testing.T) {
+	h := newHarness(t)
+	h.order(entry, lease, task("a", 1, 1600))
+	h.advanceWithLease(entry, 4500*time.Millisecond)
+	h.order(entry, lease, task("b", 1, 1600))
+	h.advanceWithLease(entry, 100*time.Millisecond)
+	h.expectOutcome(entry, "b", yuccawire.RunEnd_RUN_END_REFUSED, yuccawire.RunRefusal_RUN_REFUSAL_NO_WORKER)
+	if h.states[entry].GetReady() || len(h.running) != 1 {
+		t.Errorf("ready: %v, %d runs, want the side not ready and the run to continue", h.states[entry].GetReady(), len(h.running))
+	}
+	h.reportCapacity(2, 8000)
+	h.order(entry, lease, task("c", 1, 1600))
+	if !h.running[yuccaworker.Key{Task: "c", Run: 1}] {
+		t.Error("a task is not started after the next report")
+	}
+}
--- a/yuccaworker/doc.go
+++ b/yuccaworker/doc.go
@@ -91,6 +91,10 @@
 	// outcomeRetention is how long outcomes are retained for an owner whose link
 	// is down.
 	outcomeRetention = 3 * time.Second
+	// maxReportAge is how old the worker's last report may be for its capacity to
+	// count as known, for example after the side stood still. Workers report every
+	// 1.5 s.
+	maxReportAge = 4 * time.Second
 	// reportTimeout is how long a worker counts as reachable without a report or
 	// an answer. Workers report every 1.5 s.
 	reportTimeout = 5 * time.Second
--- a/yuccaworker/owner.go
+++ b/yuccaworker/owner.go
@@ -211,7 +211,7 @@
 	o.freeSent = free
 	state := &yuccawire.WorkerState{
 		ClockMs:          w.Clock(now),
-		Ready:            w.isReady() && !o.closing && w.health.canAdmit(now, len(w.runs)+len(w.queue)),
+		Ready:            w.isReady(now) && !o.closing && w.health.canAdmit(now, len(w.runs)+len(w.queue)),
 		FreeCpuMilli:     int32(free.cpuMilli),
 		FreeMemoryMb:     int32(free.memoryMB),
 		FreeAccelerators: int32(free.accelerators),
--- a/yuccaworker/owner_test.go
+++ b/yuccaworker/owner_test.go
@@ -64,6 +64,7 @@
 		for end := h.now.Add(d); h.now.Before(end); {
 			name := fmt.Sprint("a", h.now.Sub(startTime))
 			load ^= 512
+			h.report(h.now.Sub(startTime).Milliseconds(), false)
 			h.order(entry, lease, task(name, 1, uint32(load)))
 			h.advanceWithLease(entry, 200*time.Millisecond)
 			h.complete(yuccaworker.Key{Task: name, Run: 1}, yuccawire.RunEnd_RUN_END_DONE)
--- a/yuccaworker/run.go
+++ b/yuccaworker/run.go
@@ -99,6 +99,8 @@
 		return yuccawire.RunRefusal_RUN_REFUSAL_LEAVING
 	case r.staleReason(now) != yuccawire.RunRefusal_RUN_REFUSAL_UNSPECIFIED:
 		return r.staleReason(now)
+	case w.isReportStale(now):
+		return yuccawire.RunRefusal_RUN_REFUSAL_NO_WORKER
 	case w.hasRunOf(r.key.Task):
 		return yuccawire.RunRefusal_RUN_REFUSAL_BUSY
 	case r.suspect && w.hasSuspectRun():
@@ -150,7 +152,7 @@
 
 // startQueued starts the queued tasks that fit, by tier and lowest rank first.
 func (w *Worker) startQueued(now time.Time) {
-	if !w.isReady() || w.isUnresponsive(now) {
+	if !w.isReady(now) || w.isUnresponsive(now) {
 		return
 	}
 	for i := 0; i < len(w.queue) && i < maxBackfill; {
--- a/yuccaworker/worker.go
+++ b/yuccaworker/worker.go
@@ -28,6 +28,8 @@
 	report *Report
 	// specVersion counts the changes of the fields that sameSpec compares.
 	specVersion uint64
+	// reportedAt is when the last report arrived.
+	reportedAt time.Time
 	// lastContactAt is when the worker last reported or answered a call.
 	lastContactAt time.Time
 	lastAnswerAt  time.Time
@@ -193,7 +195,10 @@
 	if !sameIncarnation {
 		w.loseAllRuns(now, "worker restarted", true)
 	}
-	w.report = &r
+	if w.isReportStale(now) {
+		w.markOwnersDirty()
+	}
+	w.report, w.reportedAt = &r, now
 	w.clock.observe(r.ClockMS, now)
 	if sameIncarnation {
 		w.recordReachable(now)
@@ -279,6 +284,7 @@
 		o.leaseUntil = now
 	}
 	w.clock.observedAt = w.clock.observedAt.Add(-suspendedFor)
+	w.reportedAt = w.reportedAt.Add(-suspendedFor)
 	// Owners extrapolate the side's clock, so it has to include the suspension.
 	w.clockStart = w.clockStart.Add(-suspendedFor)
 	w.expireOwners(now)
@@ -321,9 +327,12 @@
 	w.markOwnersDirty()
 }
 
+// isReportStale reports whether the worker's capacity may have changed unnoticed.
+func (w *Worker) isReportStale(now time.Time) bool { return now.Sub(w.reportedAt) > maxReportAge }
+
 // isReady reports whether the worker can start runs.
-func (w *Worker) isReady() bool {
-	return w.report != nil && w.takenOver && !w.gone && w.isReachable() && !w.stopping && !w.report.Leaving
+func (w *Worker) isReady(now time.Time) bool {
+	return w.report != nil && w.takenOver && !w.gone && w.isReachable() && !w.stopping && !w.report.Leaving && !w.isReportStale(now)
 }
 
 func (w *Worker) capacity() resources {
