broker: update the members of confined queues every 100 ms

An entry without links to any member leaves jobs to the usual admission, which says that no worker is known, instead of naming a time.

--- /dev/null
+++ b/yuccabroker/bench_test.go
@@ -0,0 +1,87 @@
+package yuccabroker_test
+
+import (
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/yuccaturn/yuccaturn/yuccabroker"
+	"github.com/yuccaturn/yuccaturn/yuccametric"
+	"github.com/yuccaturn/yuccaturn/yuccawire"
+)
+
+// benchSides is the number of sides of the large deployment, benchRuns the number of
+// runs on a worker that crashes.
+const (
+	benchSides = 160
+	benchRuns  = 12
+)
+
+func benchCrash(i int) *yuccawire.Crash {
+	c := &yuccawire.Crash{Side: fmt.Sprint("side-puno-", i%benchSides), Worker: "i-7f3a91c2", StartedUnixMs: int64(i), Service: "belfry"}
+	for n := range benchRuns {
+		c.Runs = append(c.Runs, &yuccawire.CrashedRun{
+			Task: fmt.Sprintf("%016x.0.0.%d", i/2, n), Queue: fmt.Sprint("r-3hwrr6", n%3), RanMs: uint32(12 + 40*n), CpuMilli: 1600,
+		})
+	}
+	return c
+}
+
+func benchBroker(now time.Time) *yuccabroker.Broker {
+	broker := yuccabroker.New(yuccabroker.Options{
+		Name: "entry", Random: rand.New(rand.NewPCG(1, 1)), Metrics: yuccametric.New("bench"), Logger: slog.New(slog.DiscardHandler),
+	})
+	for i := range benchSides {
+		name := fmt.Sprint("side-puno-", i)
+		broker.HandleLinkUp(now, yuccabroker.Side{Name: name, Incarnation: 1, DataCentre: "puno"})
+		broker.HandleWorkerState(now, name, &yuccawire.WorkerState{
+			ClockMs: 1, Worker: "w", Service: "belfry", Ready: true, Taken: true, CpuMilli: fullCPU, MemoryMb: 32768, FreeCpuMilli: 1000, PacePercent: 100,
+		})
+	}
+	for i := range 2 {
+		j := job(fmt.Sprint("j", i), 1)
+		j.Queue.Name = fmt.Sprint("r-3hwrr6", i)
+		broker.Submit(now, j, uint64(i))
+	}
+	return broker
+}
+
+// BenchmarkCrashReport measures what an entry spends on one crash of a storm, of which
+// every second one finds the same tasks again, and the size of the report.
+func BenchmarkCrashReport(b *testing.B) {
+	now := startTime
+	broker := benchBroker(now)
+	size := 0
+	for i := 0; b.Loop(); i++ {
+		now = now.Add(30 * time.Millisecond)
+		report := &yuccawire.CrashReport{Crashes: []*yuccawire.Crash{benchCrash(i)}}
+		size = proto.Size(report)
+		broker.HandleCrashReport(now, report)
+		broker.Actions()
+	}
+	b.ReportMetric(float64(size), "bytes")
+	b.ReportMetric(float64(len(broker.RecentCrashes(now).GetConfined())), "confined")
+}
+
+// BenchmarkTick measures a tick of an entry with a confined queue, and without.
+func BenchmarkTick(b *testing.B) {
+	for _, crashes := range []int{0, 60} {
+		b.Run(fmt.Sprint(crashes, " crashes"), func(b *testing.B) {
+			broker := benchBroker(startTime)
+			for i := range crashes {
+				broker.HandleCrashReport(startTime, &yuccawire.CrashReport{Crashes: []*yuccawire.Crash{benchCrash(i)}})
+			}
+			now := startTime
+			for b.Loop() {
+				now = now.Add(20 * time.Millisecond)
+				broker.Tick(now)
+				broker.Actions()
+			}
+			b.ReportMetric(float64(len(broker.RecentCrashes(now).GetConfined())), "confined")
+		})
+	}
+}
--- a/yuccabroker/broker.go
+++ b/yuccabroker/broker.go
@@ -46,6 +46,8 @@
 	queueUses    map[string]queueUse
 	bulkheads    map[string]*bulkhead
 	bulkheadList []*bulkhead
+	// bulkheadsUpdatedAt is when the bulkheads were last updated.
+	bulkheadsUpdatedAt time.Time
 	// needsPlacement is set when a change may allow a queued task to be placed.
 	needsPlacement bool
 	// stopAt is when this entry stops, zero unless a stop is scheduled.
@@ -200,7 +202,9 @@
 	b.sendHeartbeats(now)
 	b.evictOutcomes(now)
 	b.crashes.evict(now)
-	b.updateBulkheads(now)
+	if now.Sub(b.bulkheadsUpdatedAt) >= bulkheadInterval {
+		b.updateBulkheads(now)
+	}
 	b.needsPlacement = true
 	b.Place(now)
 	switch {
--- a/yuccabroker/bulkhead.go
+++ b/yuccabroker/bulkhead.go
@@ -19,6 +19,8 @@
 	downShareToConfine = 0.25
 	minDownToConfine   = 2
 	freeShareToConfine = 0.2
+	// bulkheadInterval is the time between two updates without a crash.
+	bulkheadInterval = 100 * time.Millisecond
 	// minMembers is the least number of workers that a queue is confined to.
 	minMembers = 2
 	// minCrashesToConfine is how many crashes tell which queue is the cause. The queue
@@ -56,6 +58,8 @@
 	// share is the share of the workers that are members.
 	share   float64
 	members map[*side]bool
+	// weights caches the weights by which members are chosen.
+	weights map[*side]uint64
 	// queue holds the queued tasks, which must not delay those of other queues.
 	queue taskQueue
 }
@@ -137,6 +141,7 @@
 // updateBulkheads releases queues that have been quiet, confines the queue whose tasks
 // crash the workers, and updates the members.
 func (b *Broker) updateBulkheads(now time.Time) {
+	b.bulkheadsUpdatedAt = now
 	b.culprits = slices.DeleteFunc(b.culprits, func(c culprit) bool { return now.Sub(c.foundAt) > culpritWindow })
 	maps.DeleteFunc(b.queueUses, func(_ string, use queueUse) bool { return now.Sub(use.at) > culpritWindow })
 	for _, h := range slices.Clone(b.bulkheadList) {
@@ -365,9 +370,7 @@
 // on.
 func (b *Broker) updateMembers(now time.Time, h *bulkhead) {
 	candidates := b.candidates(now, h.service)
-	slices.SortFunc(candidates, func(x, y *side) int {
-		return cmp.Compare(yuccaplacement.Weight(h.queueName, x.name), yuccaplacement.Weight(h.queueName, y.name))
-	})
+	slices.SortFunc(candidates, func(x, y *side) int { return cmp.Compare(h.weight(x), h.weight(y)) })
 	h.members = make(map[*side]bool)
 	isUp := false
 	for _, s := range candidates[:memberCount(h.share, len(candidates))] {
@@ -379,6 +382,16 @@
 	}
 }
 
+func (h *bulkhead) weight(s *side) uint64 {
+	if h.weights == nil {
+		h.weights = make(map[*side]uint64)
+	}
+	if _, known := h.weights[s]; !known {
+		h.weights[s] = yuccaplacement.Weight(h.queueName, s.name)
+	}
+	return h.weights[s]
+}
+
 func memberCount(share float64, candidates int) int {
 	return min(max(int(math.Ceil(share*float64(candidates))), minMembers), candidates)
 }
@@ -408,7 +421,7 @@
 // are all down, or nil.
 func (b *Broker) confinedRefusal(now time.Time, j *job) *Outcome {
 	h := b.bulkheads[j.Queue.Name]
-	if h == nil {
+	if h == nil || len(h.members) == 0 {
 		return nil
 	}
 	back := now.Add(maxDowntime)
--- a/yuccabroker/bulkhead_test.go
+++ b/yuccabroker/bulkhead_test.go
@@ -275,6 +275,7 @@
 	if confined := f.broker.RecentCrashes(f.now).GetConfined(); len(confined) > 0 {
 		t.Errorf("confined %v, want none", confined)
 	}
+	f.now = f.now.Add(100 * time.Millisecond)
 	f.reportOthers(1000, sides[:3])
 	f.broker.Tick(f.now)
 	if confined := f.broker.RecentCrashes(f.now).GetConfined(); len(confined) != 1 {
