worker: repeat the first renewal that fails early at once

Cause: when a renewal's connection broke, the side tried again at its next tick, so that the crash was timed up to 20 ms late. The two crashes seemed to be 10 and 29 ms after the start of the task's runs, beyond the slack within which they count as the same point.

The first renewal that fails before it could have timed out is repeated at once; if that is refused, the worker is known to be gone within a millisecond.

Evidence: TestCrashIsTimedByTheNextTick failed before (110 ms instead of 100).

--- a/yuccaworker/crash_test.go
+++ b/yuccaworker/crash_test.go
@@ -60,6 +60,26 @@
 	}
 }
 
+// A renewal whose connection breaks is repeated at once, so that the time of a crash is
+// known to the millisecond: it tells which tasks crash their workers.
+func TestCrashIsTimedByTheNextTick(t *testing.T) {
+	h := newHarness(t)
+	h.order(entry, lease, task("a", 1, 1600))
+	h.advance(100 * time.Millisecond)
+	p := h.pendingHold
+	if p == nil {
+		t.Fatal("no renewal is pending")
+	}
+	h.crash()
+	h.pendingHold = nil
+	h.core.HandleHoldReply(h.now, yuccaworker.HoldResult{Incarnation: p.Incarnation, SentAt: p.SentAt})
+	h.runActions()
+	h.advanceWithLease(entry, 700*time.Millisecond)
+	if ran := h.outcomeOf(entry, "a").GetRanMs(); ran != 100 {
+		t.Errorf("the run was reported to have run %d ms, want 100", ran)
+	}
+}
+
 func TestCrashIsNoticedOnlyWhenTheWorkerIsUnresponsive(t *testing.T) {
 	h := newHarness(t)
 	h.order(entry, lease, task("a", 1, 14000))
--- a/yuccaworker/hold.go
+++ b/yuccaworker/hold.go
@@ -92,7 +92,10 @@
 		w.unansweredHolds++
 		w.metrics.Add("holds_unanswered", 1)
 	}
-	if latest && (h.Result == ResultOK || now.Sub(h.SentAt) > holdWait) {
+	// The first renewal that fails early is repeated at once: its connection broke,
+	// perhaps in a crash.
+	failedEarly := h.Result == ResultUnknown && w.unansweredHolds == 1
+	if latest && (h.Result == ResultOK || now.Sub(h.SentAt) > holdWait || failedEarly) {
 		w.renewHold(now)
 	}
 	w.startQueued(now)
