broker: suspect no task when several workers crash at the same moment

What callers saw: after the loss of a rack, or of power in part, the tasks that were interrupted started again one at a time on each remaining worker, since each was suspect of the crash. Long ones were late.

Cause: suspicion was applied to every crash, also where a cause outside the tasks shows.

Workers that crash within 30 ms of each other make no task suspect. The crashes still count towards the two or three after which a task is given up.

Evidence: TestTasksWaitForEachOtherAfterALossOfPower failed before.

--- a/yuccabroker/crash.go
+++ b/yuccabroker/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/yuccaturn/yuccaturn/yuccawire"
@@ -84,8 +85,11 @@
 	}
 }
 
-// isSuspect reports whether a worker has crashed under an earlier run of a task.
-func (b *Broker) isSuspect(t *task) bool { return len(b.crashes.byTask[t.name]) > 0 }
+// isSuspect reports whether a worker has crashed under an earlier run of a task. If
+// several crashed at the same moment, as after a loss of power, no task is the cause.
+func (b *Broker) isSuspect(t *task) bool {
+	return slices.ContainsFunc(b.crashes.byTask[t.name], func(r crashedRun) bool { return !b.crashes.isSimultaneous(r.crash) })
+}
 
 // runsSuspect reports whether a side has a run of a suspect task.
 func (b *Broker) runsSuspect(s *side) bool {
--- a/yuccabroker/crashlog.go
+++ b/yuccabroker/crashlog.go
@@ -12,6 +12,8 @@
 	// of known ones.
 	crashRetention  = time.Minute
 	maxKnownCrashes = 1000
+	// sameMoment is how far apart crashes of the same cause are seen.
+	sameMoment = 30 * time.Millisecond
 )
 
 // crashLog holds the recent crashes of workers, and what ran on them.
@@ -73,6 +75,13 @@
 	return true
 }
 
+// isSimultaneous reports whether another worker crashed at the same moment.
+func (l *crashLog) isSimultaneous(c *crash) bool {
+	return slices.ContainsFunc(l.inOrder, func(other *crash) bool {
+		return other.key.side != c.key.side && other.at.Sub(c.at).Abs() <= sameMoment
+	})
+}
+
 // evict removes the crashes older than crashRetention.
 func (l *crashLog) evict(now time.Time) {
 	for len(l.inOrder) > 0 && now.Sub(l.inOrder[0].at) > crashRetention {
