broker: let a confined queue use more workers while the others are idle

What callers saw: jobs of a confined queue were refused while a third and more of the other workers was free.

Cause: the number of workers that a queue is confined to was fixed by its share of the work when it was confined.

Further workers become members, in the same order, as long as more than 35% of the processors of the remaining ones stay free.

Evidence: TestConfinedJobsAreRefusedWhileOtherWorkersAreIdle failed before.

--- a/yuccabroker/bulkhead.go
+++ b/yuccabroker/bulkhead.go
@@ -19,6 +19,9 @@
 	downShareToConfine = 0.25
 	minDownToConfine   = 2
 	freeShareToConfine = 0.2
+	// freeShareToGrow is the share of the processors of the other workers that must be
+	// free for another one to become a member.
+	freeShareToGrow = 0.35
 	// bulkheadInterval is the time between two updates without a crash.
 	bulkheadInterval = 100 * time.Millisecond
 	// minMembers is the least number of workers that a queue is confined to.
@@ -373,7 +376,11 @@
 	slices.SortFunc(candidates, func(x, y *side) int { return cmp.Compare(h.weight(x), h.weight(y)) })
 	h.members = make(map[*side]bool)
 	isUp := false
-	for _, s := range candidates[:memberCount(h.share, len(candidates))] {
+	n := memberCount(h.share, len(candidates))
+	for n < len(candidates) && freeShare(candidates[n+1:]) > freeShareToGrow {
+		n++
+	}
+	for _, s := range candidates[:n] {
 		h.members[s] = true
 		isUp = isUp || s.ready
 	}
@@ -382,6 +389,18 @@
 	}
 }
 
+// freeShare returns the share of free processors at sides whose workers are up.
+func freeShare(sides []*side) float64 {
+	free, capacity := 0, 0
+	for _, s := range sides {
+		if s.crashedAt.IsZero() {
+			free += max(s.available(tierLate).cpuMilli, 0)
+			capacity += s.capacity.cpuMilli
+		}
+	}
+	return float64(free) / float64(max(capacity, 1))
+}
+
 func (h *bulkhead) weight(s *side) uint64 {
 	if h.weights == nil {
 		h.weights = make(map[*side]uint64)
--- a/yuccabroker/bulkhead_test.go
+++ b/yuccabroker/bulkhead_test.go
@@ -238,7 +238,11 @@
 	f.crashWorkers("x.0.0.0", sides[:7]...)
 	var members []string
 	for i := range 12 {
-		f.advance(200*time.Millisecond, sides...)
+		f.now = f.now.Add(200 * time.Millisecond)
+		for _, side := range sides {
+			f.report(side, 4000)
+		}
+		f.broker.Tick(f.now)
 		f.submit(crashingJob(fmt.Sprint("c", i)), uint64(100+i))
 	}
 	for run, side := range f.sentRuns() {
@@ -301,3 +305,23 @@
 		}
 	}
 }
+
+func TestConfinedJobsAreRefusedWhileOtherWorkersAreIdle(t *testing.T) {
+	sides := sideNames(8)
+	f := newFixture(t, sides...)
+	f.crashWorkers("x.0.0.0", "s0", "s1", "s2")
+	f.now = f.now.Add(100 * time.Millisecond)
+	f.reportOthers(fullCPU, sides[:3])
+	f.broker.Tick(f.now)
+	used := make(map[string]bool)
+	for i := range 30 {
+		id := fmt.Sprint("c", i)
+		f.submit(crashingJob(id), uint64(i))
+		for _, side := range f.sidesOf(id) {
+			used[side] = true
+		}
+	}
+	if len(used) < 4 || len(used) > 6 {
+		t.Errorf("jobs of the confined queue went to %v, want four to six while the others are idle", used)
+	}
+}
--- a/yuccamodel/crash_test.go
+++ b/yuccamodel/crash_test.go
@@ -62,7 +62,7 @@
 
 func TestCrashingTasksOfOneQueueStopTheOthers(t *testing.T) {
 	const runs = 4
-	others := 0.0
+	others, confined := 0.0, 0.0
 	for seed := range uint64(runs) {
 		w := newWorld(t, 300+seed, 9, 11)
 		w.run(warmUp)
@@ -74,6 +74,10 @@
 		w.run(14 * time.Second)
 		t.Logf("%d workers crashed, %+v, served: trim %.3f, others %.3f", w.workerCrashes, w.result(), w.servedShare("trim"), w.servedShare("resync", "check"))
 		others += w.servedShare("resync", "check") / runs
+		confined += w.servedShare("trim") / runs
+	}
+	if confined < 0.6 {
+		t.Errorf("a share of %.3f of the jobs of the confined kind that crash nothing is served, want at least 0.6", confined)
 	}
 	if others < 0.9 {
 		t.Errorf("a share of %.3f of the jobs of the other kinds is served, want at least 0.9", others)
