broker: don't compare all crashes for each worker and task

What callers would have seen in a storm of crashes on a large deployment: an entry that stands still.

Cause: whether a task is suspect was found by comparing its crash with all known ones, for each side that was considered for it, and each waiting suspect task was tried again at each event.

Crashes at the same moment are marked when they become known, and after four suspect tasks that find no worker the others are not tried.

--- a/yuccabroker/bench_test.go
+++ b/yuccabroker/bench_test.go
@@ -85,3 +85,24 @@
 		})
 	}
 }
+
+// BenchmarkPlaceSuspects measures a placement while 120 suspect tasks wait for a worker.
+func BenchmarkPlaceSuspects(b *testing.B) {
+	broker := benchBroker(startTime)
+	for i := range 400 {
+		crash := benchCrash(2 * i)
+		broker.HandleCrashReport(startTime.Add(time.Duration(i)*100*time.Millisecond), &yuccawire.CrashReport{Crashes: []*yuccawire.Crash{crash}})
+	}
+	for i := range 10 {
+		j := job(fmt.Sprintf("%016x", 150+i), benchRuns)
+		j.Steps[0].CPUMilli = fullCPU
+		j.Deadline = startTime.Add(time.Hour)
+		broker.Submit(startTime, j, uint64(100+i))
+	}
+	broker.Actions()
+	for b.Loop() {
+		broker.HandleWorkerState(startTime, "side-puno-1", &yuccawire.WorkerState{ClockMs: 1, Ready: true, Taken: true, FreeCpuMilli: 1000, PacePercent: 100})
+		broker.Place(startTime)
+		broker.Actions()
+	}
+}
--- a/yuccabroker/crash.go
+++ b/yuccabroker/crash.go
@@ -88,7 +88,7 @@
 // isSuspect reports whether a worker has crashed under an earlier run of a task. If
 // several crashed at the same moment, as after a loss of power, no task is the cause.
 func (b *Broker) isSuspect(t *task) bool {
-	return slices.ContainsFunc(b.crashes.byTask[t.name], func(r crashedRun) bool { return !b.crashes.isSimultaneous(r.crash) })
+	return slices.ContainsFunc(b.crashes.byTask[t.name], func(r crashedRun) bool { return !r.crash.isSimultaneous })
 }
 
 // runsSuspect reports whether a side has a run of a suspect task.
--- a/yuccabroker/crashlog.go
+++ b/yuccabroker/crashlog.go
@@ -38,6 +38,8 @@
 	message *yuccawire.Crash
 	// isExplained is set if the crash was put down to a confined queue.
 	isExplained bool
+	// isSimultaneous is set if another worker crashed at the same moment.
+	isSimultaneous bool
 }
 
 // crashedRun is a run under which a worker crashed after ran.
@@ -66,6 +68,11 @@
 	}
 	c := &crash{key: key, at: at, message: m, isExplained: isExplained}
 	l.known[key] = c
+	for _, other := range l.inOrder {
+		if other.key.side != c.key.side && other.at.Sub(c.at).Abs() <= sameMoment {
+			other.isSimultaneous, c.isSimultaneous = true, true
+		}
+	}
 	l.inOrder = append(l.inOrder, c)
 	for _, r := range m.GetRuns() {
 		l.byTask[r.GetTask()] = append(l.byTask[r.GetTask()], crashedRun{
@@ -75,13 +82,6 @@
 	return true
 }
 
-// isSimultaneous reports whether another worker crashed at the same moment.
-func (l *crashLog) isSimultaneous(c *crash) bool {
-	return slices.ContainsFunc(l.inOrder, func(other *crash) bool {
-		return other.key.side != c.key.side && other.at.Sub(c.at).Abs() <= sameMoment
-	})
-}
-
 // evict removes the crashes older than crashRetention.
 func (l *crashLog) evict(now time.Time) {
 	for len(l.inOrder) > 0 && now.Sub(l.inOrder[0].at) > crashRetention {
--- a/yuccabroker/doc.go
+++ b/yuccabroker/doc.go
@@ -104,6 +104,9 @@
 	// most one in nearlyDoneDivisor of its tasks is left. That takes little work
 	// and wastes none.
 	nearlyDoneDivisor = 3
+	// maxSkippedSuspects is how many suspect tasks may find no worker before the others
+	// are not tried.
+	maxSkippedSuspects = 4
 	// refusalBackoff is how long a side that refused an order gets no new ones, so
 	// that it can report its state first.
 	refusalBackoff = 20 * time.Millisecond
--- a/yuccabroker/place.go
+++ b/yuccabroker/place.go
@@ -41,8 +41,12 @@
 	var skipped []*task
 	for queue.Len() > 0 {
 		t := queue.peek()
-		s := b.chooseSide(now, t)
-		if s == nil && !b.isSuspect(t) {
+		suspect := b.isSuspect(t)
+		var s *side
+		if !suspect || len(skipped) < maxSkippedSuspects {
+			s = b.chooseSide(now, t)
+		}
+		if s == nil && !suspect {
 			break
 		}
 		queue.remove(t)
