--- a/yuccamodel/crash_test.go
+++ b/yuccamodel/crash_test.go
@@ -105,3 +105,26 @@
 		t.Errorf("%d of %d jobs are failed though no task of them crashes its worker, want one in a thousand at most", blamed, jobs)
 	}
 }
+
+// Tasks crash their workers while random faults are injected, which may make the system
+// forget crashes. The users' bound: two starts at most after three workers have crashed.
+func TestFaultsWithCrashingTasks(t *testing.T) {
+	for i := range *seeds {
+		seed := *firstSeed + 7000 + uint64(i)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			w := newWorld(t, seed, 4, 5)
+			w.maxCrashes = 5
+			w.patience = 6 * time.Second
+			w.crashingShare["trim"] = 0.03
+			w.run(warmUp)
+			w.offerLoad(0.3, 10*time.Second)
+			for range 12 {
+				w.after(time.Duration(w.random.IntN(9000))*time.Millisecond, w.injectFault)
+			}
+			w.run(24 * time.Second)
+			if w.starts == 0 {
+				t.Error("no task was started")
+			}
+		})
+	}
+}
