--- a/yuccabroker/bulkhead.go
+++ b/yuccabroker/bulkhead.go
@@ -230,20 +230,17 @@
 // other queues use, too, is down.
 func (b *Broker) confineIfHarmful(now time.Time, c culprit) {
 	candidates := b.candidates(now, c.service)
-	down, free, capacity := 0, 0, 0
+	down := 0
 	for _, s := range candidates {
 		if !s.crashedAt.IsZero() {
 			down++
-			continue
 		}
-		free += max(s.available(tierLate).cpuMilli, 0)
-		capacity += s.capacity.cpuMilli
 	}
 	share := b.shareOf(now, c.queue)
 	switch {
 	case down < minDownToConfine, float64(down) < downShareToConfine*float64(len(candidates)):
 		return
-	case float64(free) > freeShareToConfine*float64(capacity):
+	case freeShare(candidates) > freeShareToConfine:
 		return
 	case memberCount(share, len(candidates)) == len(candidates), !b.hasOtherQueue(now, c.queue, c.service):
 		return
