worker: don't report the end of a leaving worker as a crash

What callers could see: a task that ran on two workers that drained and ended early, as with a reclaim at short notice, was given up as if it had crashed them.

Cause: the end of a worker with runs counted as a crash however it came. A worker that has said that it leaves may end before its last runs are done.

Evidence: TestEndOfLeavingWorkerIsReportedAsCrash failed before. Found by reading.

--- a/yuccaworker/crash_test.go
+++ b/yuccaworker/crash_test.go
@@ -201,3 +201,16 @@
 		t.Error("the next suspect task does not run after the first has ended")
 	}
 }
+
+// A worker that drains and ends before its runs are done has not crashed under them.
+func TestEndOfLeavingWorkerIsReportedAsCrash(t *testing.T) {
+	h := newHarness(t)
+	h.order(entry, lease, task("a", 1, 1600))
+	h.report(2, true)
+	h.crash()
+	h.advanceWithLease(entry, 700*time.Millisecond)
+	h.expectOutcome(entry, "a", yuccawire.RunEnd_RUN_END_LOST, 0)
+	if len(h.crashes[entry]) > 0 {
+		t.Errorf("crashes %v were reported, want none", h.crashes[entry])
+	}
+}
--- a/yuccaworker/run.go
+++ b/yuccaworker/run.go
@@ -455,10 +455,12 @@
 }
 
 // loseAllRuns completes all active runs, as crashed if the worker has crashed under them.
+// The end of a leaving worker is no crash.
 func (w *Worker) loseAllRuns(now time.Time, reason string, crashed bool) {
 	if len(w.runs) == 0 {
 		return
 	}
+	crashed = crashed && !w.report.Leaving
 	w.options.Logger.Warn("runs lost", "count", len(w.runs), "why", reason, "crashed", crashed)
 	if crashed {
 		w.reportCrash(now)
