worker: log answers of other incarnations, unanswered stops and refused retries

Each now has a line and a counter: answers_with_other_clock, stops_unanswered, retries_refused. The clock in an answer tells the incarnations apart where the answer has no start time.

No decision changes.

--- a/yuccaworker/doc.go
+++ b/yuccaworker/doc.go
@@ -61,6 +61,8 @@
 	maxListAge = holdTimeout
 	// stopRetry is the interval at which an unanswered stop is sent again.
 	stopRetry = 100 * time.Millisecond
+	// loggedStopTry is the try of a stop that is logged.
+	loggedStopTry = 3
 	// maxStartTries limits the tries of an unanswered start. A worker answers a
 	// start of a run that is already running like the first one.
 	maxStartTries = 3
@@ -95,6 +97,9 @@
 	// count as known, for example after the side stood still. Workers report every
 	// 1.5 s.
 	maxReportAge = 4 * time.Second
+	// maxClockAge is how old a reading of the worker's clock may be when it arrives. A
+	// worker sends a report to another process after a second.
+	maxClockAge = time.Second
 	// reportTimeout is how long a worker counts as reachable without a report or
 	// an answer. Workers report every 1.5 s.
 	reportTimeout = 5 * time.Second
--- a/yuccaworker/run.go
+++ b/yuccaworker/run.go
@@ -51,6 +51,9 @@
 	// one.
 	stopSentAt  time.Time
 	stopAckedAt time.Time
+	// stopRequestedAt is when the first stop was sent, stopTries the number of stops.
+	stopRequestedAt time.Time
+	stopTries       int
 }
 
 // HandleOrders renews the lease of an owner, and queues or refuses the tasks that it
@@ -243,6 +246,11 @@
 	if r == nil || incarnation != w.incarnation() || r.state != starting {
 		return
 	}
+	if result.isRefusal() && r.tries > 1 {
+		w.metrics.Add("retries_refused", 1)
+		w.options.Logger.Warn("start refused after an unanswered try", "task", key.Task, "run", key.Run, "result", result, "tries", r.tries,
+			"since_start_ms", now.Sub(r.startSentAt).Milliseconds())
+	}
 	switch result {
 	case ResultOK:
 		w.confirmStart(now, r)
@@ -307,6 +315,15 @@
 // lists show that it is not.
 func (w *Worker) stopRun(now time.Time, r *run) {
 	r.stopSentAt = now
+	if r.stopTries == 0 {
+		r.stopRequestedAt = now
+	}
+	r.stopTries++
+	if r.stopTries == loggedStopTry {
+		w.metrics.Add("stops_unanswered", 1)
+		w.options.Logger.Warn("stop unanswered, the run may continue", "task", r.key.Task, "run", r.key.Run, "owner", r.owner.id.Name,
+			"for_ms", now.Sub(r.stopRequestedAt).Milliseconds(), "tries", r.stopTries-1, "since_answer_ms", now.Sub(w.lastAnswerAt).Milliseconds())
+	}
 	w.sendStop(r.key)
 }
 
@@ -327,6 +344,9 @@
 		return
 	}
 	r.stopAckedAt = now
+	if r.stopTries >= loggedStopTry {
+		w.options.Logger.Info("stop answered", "task", r.key.Task, "run", r.key.Run, "after_ms", now.Sub(r.stopRequestedAt).Milliseconds(), "tries", r.stopTries)
+	}
 	w.renewHold(now)
 }
 
--- a/yuccaworker/worker.go
+++ b/yuccaworker/worker.go
@@ -142,6 +142,12 @@
 	return c.lastMS + int64(float64(now.Sub(c.observedAt).Milliseconds())*(1-ClockDrift))
 }
 
+// isPlausible reports whether the clock may show ms in an answer that arrives now.
+func (c *workerClock) isPlausible(ms int64, now time.Time) bool {
+	slack := maxClockAge.Milliseconds()
+	return ms >= c.lowerBound(now)-slack && ms <= c.lastMS+now.Sub(c.observedAt).Milliseconds()+slack
+}
+
 // New returns a Worker that has received no report yet. The side's clock starts
 // at now.
 func New(options Options, now time.Time) *Worker {
@@ -299,6 +305,11 @@
 
 // recordAnswer records that the worker answered a call, and its clock.
 func (w *Worker) recordAnswer(now time.Time, clockMS int64) {
+	if clockMS > 0 && !w.clock.isPlausible(clockMS, now) {
+		w.metrics.Add("answers_with_other_clock", 1)
+		w.options.Logger.Warn("answer with another clock, the worker may have restarted", "worker", w.report.ID, "born", w.report.StartedAtMS,
+			"clock_ms", clockMS, "expected_ms", w.clock.lowerBound(now), "runs", len(w.runs))
+	}
 	w.lastContactAt, w.lastAnswerAt = now, now
 	w.unansweredHolds = 0
 	w.recordReachable(now)
