--- a/yuccaworker/worker.go
+++ b/yuccaworker/worker.go
@@ -46,12 +46,12 @@
 	lastListAt time.Time
 	// gone is set if the worker has deregistered, or another incarnation answers
 	// at its address, goneAt is since when.
-	gone     bool
-	goneAt   time.Time
+	gone   bool
+	goneAt time.Time
 	// deregistered is set while the worker has announced its end and its runs have not
 	// ended yet. An earlier incarnation with the same ID may have sent the announcement.
 	deregistered bool
-	stopping bool
+	stopping     bool
 	// token is the fencing token sent with each call. A worker rejects calls with a
 	// lower token than the highest one it has received.
 	token int64
