yuccamodel: let restarted workers execute calls meant before their restart

Callers of the model saw a restarted worker refuse every call that was sent before it was known to have restarted. On the platform a call names its target by ID alone, so a worker that has restarted under its ID executes such starts, stops and holds. Only the answer to a hold tells, by the time of the start, and it tells after the hold was executed.

The model compares the ID now. The random streams are as before.

--- a/yuccamodel/worker_test.go
+++ b/yuccamodel/worker_test.go
@@ -58,8 +58,16 @@
 	// delayedCallShare is the share of calls that take effect seconds late and
 	// get no answer.
 	delayedCallShare float64
-	lostReplyShare   float64
-	reportSequence   int64
+	// delaySpread is by how much the delays of these calls differ.
+	delaySpread    time.Duration
+	lostReplyShare float64
+	// unhealthyShare is the share of starts that are refused as unhealthy,
+	// noCapacityShare that of starts of new runs that are refused for lack of capacity.
+	unhealthyShare  float64
+	noCapacityShare float64
+	reportSequence  int64
+	// reportsFrom is when a restarted worker sends its first report.
+	reportsFrom time.Time
 }
 
 // modelRun is a run of a task; remainingMS is the work left.
@@ -225,11 +233,16 @@
 	m.lastCompletion, m.token, m.leaseUntilMS, m.reportSequence = 0, 0, 0, 0
 }
 
+// start executes the call also if it was meant for an earlier incarnation with the same
+// ID, as calls name their target by ID.
 func (m *modelWorker) start(c yuccaworker.CallStart) yuccaworker.Result {
 	key := c.Key
 	switch {
-	case c.Incarnation != m.incarnation:
+	case c.Incarnation.ID != m.incarnation.ID:
 		return yuccaworker.ResultOtherIncarnation
+	case m.unhealthyShare > 0 && m.world.random.Float64() < m.unhealthyShare:
+		m.world.logf("%s refuses %v as unhealthy", m.name, key)
+		return yuccaworker.ResultUnhealthy
 	case c.Token < m.token:
 		return yuccaworker.ResultFenced
 	}
@@ -244,6 +257,10 @@
 		return yuccaworker.ResultExpired
 	}
 	m.leaseUntilMS = max(m.leaseUntilMS, min(c.DeadlineMS, m.clock()+1000))
+	if m.noCapacityShare > 0 && m.world.random.Float64() < m.noCapacityShare {
+		m.world.logf("%s refuses %v for lack of capacity", m.name, key)
+		return yuccaworker.ResultNoCapacity
+	}
 	job := m.world.callers[string(c.Payload)]
 	size := job.tasks[key.Task]
 	m.runs[key] = &modelRun{cpuMilli: size.cpuMilli, job: job, remainingMS: size.workMS, startedAt: m.world.now}
@@ -270,7 +287,7 @@
 }
 
 func (m *modelWorker) stop(c yuccaworker.CallStop) bool {
-	if c.Incarnation != m.incarnation || c.Token < m.token {
+	if c.Incarnation.ID != m.incarnation.ID || c.Token < m.token {
 		return false
 	}
 	m.token = c.Token
@@ -284,7 +301,7 @@
 func (m *modelWorker) hold(c yuccaworker.CallHold, reply func(yuccaworker.HoldResult)) {
 	refusal := yuccaworker.HoldResult{Incarnation: c.Incarnation, SentAt: c.SentAt, ClockMS: m.clock()}
 	switch {
-	case c.Incarnation != m.incarnation:
+	case c.Incarnation.ID != m.incarnation.ID:
 		refusal.Result = yuccaworker.ResultOtherIncarnation
 		reply(refusal)
 		return
@@ -305,9 +322,14 @@
 	reply(m.holdResult(c))
 }
 
+// holdResult tells only now whether the hold was meant for an earlier incarnation.
 func (m *modelWorker) holdResult(c yuccaworker.CallHold) yuccaworker.HoldResult {
+	result := yuccaworker.ResultOK
+	if c.Incarnation != m.incarnation {
+		result = yuccaworker.ResultOtherIncarnation
+	}
 	return yuccaworker.HoldResult{
-		Incarnation: c.Incarnation, Result: yuccaworker.ResultOK, SentAt: c.SentAt, ClockMS: m.clock(),
+		Incarnation: c.Incarnation, Result: result, SentAt: c.SentAt, ClockMS: m.clock(),
 		Running: m.runKeys(), Completions: slices.Clone(m.completions),
 	}
 }
--- a/yuccamodel/world_test.go
+++ b/yuccamodel/world_test.go
@@ -40,6 +40,10 @@
 	crashDelay   = 10 * time.Millisecond
 	restartDelay = 3300 * time.Millisecond
 	maxCrashes   = 2
+	// Delayed calls take effect minLateness late, and up to usualDelaySpread more unless
+	// a test sets another spread.
+	minLateness      = 2 * time.Second
+	usualDelaySpread = 8 * time.Second
 )
 
 // event is a scheduled action. Events of the same time run in order of sequence.
@@ -195,7 +199,7 @@
 		m := &modelWorker{
 			world: w, name: fmt.Sprintf("side-%d", i), incarnation: yuccaworker.Incarnation{ID: fmt.Sprintf("w-%d", i), StartedAtMS: 1},
 			cpuMilli: 16000, speed: speeds[i%3], startedAt: startTime.Add(-time.Minute),
-			runs: make(map[yuccaworker.Key]*modelRun), lastRun: make(map[string]uint64),
+			runs: make(map[yuccaworker.Key]*modelRun), lastRun: make(map[string]uint64), delaySpread: usualDelaySpread,
 		}
 		if i%3 == 2 {
 			m.cpuMilli = 24000
@@ -263,7 +267,7 @@
 
 func (w *world) reportAll() {
 	for _, s := range w.sides {
-		if !s.worker.isDown {
+		if !s.worker.isDown && !w.now.Before(s.worker.reportsFrom) {
 			s.handleReport()
 		}
 	}
@@ -341,7 +345,7 @@
 	s.incarnation++
 	s.isDown = false
 	s.core = yuccaworker.New(yuccaworker.Options{Name: s.name, Metrics: yuccametric.New(s.name), Logger: slog.New(slog.DiscardHandler)}, w.now)
-	if !s.worker.isDown {
+	if !s.worker.isDown && !w.now.Before(s.worker.reportsFrom) {
 		s.handleReport()
 	}
 	for _, e := range w.entries {
@@ -452,7 +456,7 @@
 	case m.isDown:
 		failLater()
 	case w.random.Float64() < m.delayedCallShare:
-		w.after(2*time.Second+time.Duration(w.random.IntN(8000))*time.Millisecond, func() {
+		w.after(minLateness+time.Duration(w.random.IntN(int(m.delaySpread.Milliseconds())))*time.Millisecond, func() {
 			if !m.isDown {
 				deliver()
 			}
