--- a/yuccamodel/caller_test.go
+++ b/yuccamodel/caller_test.go
@@ -183,6 +183,7 @@
 	if j.isAnswered || j.entry != e || j.waiter != waiter {
 		return
 	}
+	j.world.logf("caller of %s is answered by %s: %v, %s", j.job.ID, e.name, o.State, o.Reason)
 	if o.State == yuccabroker.Abandoned {
 		j.handleDisconnect(e, waiter)
 		return
--- /dev/null
+++ b/yuccamodel/restarted_test.go
@@ -0,0 +1,140 @@
+package yuccamodel_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/yuccaturn/yuccaturn/yuccabroker"
+)
+
+const (
+	// shortDowntime and longDowntime limit the downtime of a worker that restarts.
+	shortDowntime = 150 * time.Millisecond
+	longDowntime  = 3 * time.Second
+	// maxReportDelay is how long after its restart a worker first reports at the latest.
+	maxReportDelay = reportInterval
+	// maxClock limits the reading of a worker's clock at its restart. The clocks show a
+	// minute at the start of a test.
+	maxClock = 2 * time.Minute
+	// leaveNotice is the notice of a worker that leaves and restarts, maxLateLeave how long
+	// the announcement of its end takes at most.
+	leaveNotice  = 400 * time.Millisecond
+	maxLateLeave = 4 * time.Second
+	// lastFault is when the last random fault begins, maxFault how long one lasts.
+	lastFault = 9 * time.Second
+	maxFault  = 4100 * time.Millisecond
+)
+
+// randomDuration returns a random duration below the limit, in milliseconds.
+func (w *world) randomDuration(limit time.Duration) time.Duration {
+	return time.Duration(w.random.IntN(int(limit.Milliseconds()))) * time.Millisecond
+}
+
+// restartWithClock restarts the worker under its ID. Its clock shows the time given, and
+// its first report follows after the delay.
+func (m *modelWorker) restartWithClock(clock, reportDelay time.Duration) {
+	w := m.world
+	m.restart()
+	m.leavesAt = time.Time{}
+	m.startedAt = w.now.Add(-clock)
+	m.reportsFrom = w.now.Add(reportDelay)
+	w.logf("fault %s has restarted as %d, clock %d, reports in %v", m.name, m.incarnation.StartedAtMS, m.clock(), reportDelay)
+	incarnation := m.incarnation
+	w.after(reportDelay, func() {
+		if m.incarnation == incarnation && !m.isDown {
+			w.sidesByName[m.name].handleReport()
+		}
+	})
+}
+
+// restartSome lets a random worker crash, or leave, and restart under its ID.
+func (w *world) restartSome() {
+	s := w.sides[w.random.IntN(len(w.sides))]
+	m := s.worker
+	downtime := 5*time.Millisecond + w.randomDuration(shortDowntime)
+	if w.random.IntN(3) == 0 {
+		downtime = shortDowntime + w.randomDuration(longDowntime)
+	}
+	refuses, leaves, reportsAtOnce := w.random.IntN(2) == 0, w.random.IntN(4) == 0, w.random.IntN(2) == 0
+	clock, reportDelay, late := w.randomDuration(maxClock), w.randomDuration(maxReportDelay), w.randomDuration(maxLateLeave)
+	if reportsAtOnce {
+		reportDelay = 0
+	}
+	if m.isDown || !m.leavesAt.IsZero() {
+		return
+	}
+	end := func() {
+		if m.isDown {
+			return
+		}
+		w.logf("fault %s ends for %v, refuses %v, leaves %v, announced %v later", m.name, downtime, refuses, leaves, late)
+		if refuses {
+			m.crashProcess()
+		} else {
+			m.crash()
+		}
+		if leaves {
+			w.after(late, func() {
+				w.logf("fault %s learns that its worker has left", s.name)
+				s.handle(func() { s.core.HandleDeregistration(w.now, m.incarnation.ID) })
+			})
+		}
+		w.after(downtime, func() { m.restartWithClock(clock, reportDelay) })
+	}
+	if !leaves {
+		end()
+		return
+	}
+	m.leavesAt = w.now.Add(leaveNotice)
+	s.handleReport()
+	w.after(leaveNotice, end)
+}
+
+// delayCallsOfSome delays calls to a random worker for a while.
+func (w *world) delayCallsOfSome() {
+	m, d := w.sides[w.random.IntN(len(w.sides))].worker, 500*time.Millisecond+w.randomDuration(3*time.Second)
+	w.logf("fault calls to %s are delayed for %v", m.name, d)
+	m.delayedCallShare = 0.2
+	w.after(d, func() { m.delayedCallShare = 0 })
+}
+
+// playFaults offers load during random faults, and load after the last of them, of which
+// every job has to be answered as completed or as not run.
+func (w *world) playFaults(load float64, faults int, injectors ...func()) {
+	w.run(warmUp)
+	w.offerLoad(load, 10*time.Second)
+	for range faults {
+		for _, inject := range injectors {
+			w.after(w.randomDuration(lastFault), inject)
+		}
+	}
+	w.run(lastFault + maxFault + reportInterval)
+	jobs := len(w.jobs)
+	w.offerLoad(load, 3*time.Second)
+	w.run(8 * time.Second)
+	for _, j := range w.jobs[jobs:] {
+		if !j.isAnswered || !j.isCompleted() && j.state != yuccabroker.Rejected {
+			w.reportViolation(j.job.ID, "job %s was submitted after the last fault and is not served: answered %v, state %v", j.job.ID, j.isAnswered, j.state)
+			return
+		}
+	}
+	if w.starts == 0 || len(w.jobs) == jobs {
+		w.t.Errorf("%d starts and %d jobs after the last fault, want some of both", w.starts, len(w.jobs)-jobs)
+	}
+}
+
+// Workers restart under their IDs while calls to them are delayed. A task runs at most once
+// at a time, a refused job never, and nothing hangs afterwards.
+func TestFaultsOfRestartedWorkers(t *testing.T) {
+	t.Parallel()
+	for i := range *seeds {
+		seed := *firstSeed + 9000 + uint64(i)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			w := newWorld(t, seed, 4, 5)
+			w.patience = 6 * time.Second
+			w.playFaults(0.3, 8, w.restartSome, w.delayCallsOfSome)
+		})
+	}
+}
--- a/yuccamodel/world_test.go
+++ b/yuccamodel/world_test.go
@@ -507,10 +507,11 @@
 
 func (s *modelSide) callStop(a yuccaworker.CallStop) {
 	core := s.core
+	s.world.logf("%s calls stop %v", s.name, a.Key)
 	onTimeout := func() { core.HandleStopReply(s.world.now, a.Incarnation, a.Key, false, 0) }
 	s.call(func() {
 		answered, clock := s.worker.stop(a), s.worker.clock()
-		s.world.logf("%s sends stop %v, accepted %v", s.name, a.Key, answered)
+		s.world.logf("%s executes stop %v, accepted %v", s.worker.name, a.Key, answered)
 		s.reply(func() { core.HandleStopReply(s.world.now, a.Incarnation, a.Key, answered, clock) }, onTimeout, a.Timeout)
 	}, onTimeout, onTimeout, a.Timeout)
 }
