worker: stop withdrawn runs at a restarted worker, too

The takeover of a new incarnation forgot which runs were being stopped: one that its owner had withdrawn, and that the new incarnation listed, went on until the hold of the whole worker expired, when its caller may have submitted the job again.

TestRunWithdrawnBeforeRestartIsNotStopped failed: the run went on 800 ms after the withdrawal. The bound is 1.3 s less the owner lease, as in TestUnansweredStopOutlivesTheCallersRetry. Runs that were being stopped are now stopped at the new incarnation at once.

--- a/yuccaworker/restart.go
+++ b/yuccaworker/restart.go
@@ -61,10 +61,13 @@
 }
 
 // carryOver prepares the takeover of a new incarnation for the runs that it may have
-// started.
-func (w *Worker) carryOver(reportedMS int64) {
-	for _, r := range w.runs {
-		r.stopSentAt, r.stopAckedAt = time.Time{}, time.Time{}
+// started. Those that were being stopped are stopped there.
+func (w *Worker) carryOver(now time.Time, reportedMS int64) {
+	for _, r := range w.sortedRuns() {
+		if !r.stopSentAt.IsZero() {
+			r.stopAckedAt = time.Time{}
+			w.stopRun(now, r)
+		}
 	}
 	if len(w.runs) > 0 {
 		w.holdUntilMS = reportedMS + maxLease.Milliseconds()
--- a/yuccaworker/restart_test.go
+++ b/yuccaworker/restart_test.go
@@ -127,3 +127,24 @@
 	h.advanceWithLease(entry, 100*time.Millisecond)
 	h.expectOutcome(entry, "a", yuccawire.RunEnd_RUN_END_LOST, 0)
 }
+
+// The stop of a withdrawn run may have reached no incarnation.
+func TestRunWithdrawnBeforeRestartIsNotStopped(t *testing.T) {
+	h := newHarness(t)
+	h.advance(time.Second)
+	h.restart(-4000)
+	h.holdsUnanswered, h.dropStops = true, true
+	h.order(entry, lease, task("a", 1, 1600))
+	h.core.HandleWithdraw(h.now, entry, &yuccawire.Withdraw{Runs: []*yuccawire.RunKey{{Task: "a", Run: 1}}})
+	h.runActions()
+	h.holdsUnanswered, h.dropStops = false, false
+	withdrawnAt := h.now
+	h.report(1, false)
+	h.runActions()
+	for h.now.Sub(withdrawnAt) < callerRetry-lease {
+		h.advanceWithLease(entry, 100*time.Millisecond)
+	}
+	if h.running[runA] {
+		t.Error("the withdrawn run continues")
+	}
+}
--- a/yuccaworker/worker.go
+++ b/yuccaworker/worker.go
@@ -272,7 +272,7 @@
 	w.crashReported = false
 	w.holdInFlight = false
 	w.holdUntilMS = 0
-	w.carryOver(r.ClockMS)
+	w.carryOver(now, r.ClockMS)
 	w.cursor, w.ackedCursor = 0, 0
 	w.health.reset()
 	w.markOwnersDirty()
