worker: don't acknowledge completions to a worker that may have restarted

Found in review. A renewal acknowledges completions by number. The numbers of a restarted worker start anew, so that it took the number for one of its own and forgot completions that the side had never received: a task that had ended done was reported as lost and run once more.

TestRenewalAcknowledgesCompletionOfNewIncarnation failed: RUN_END_CRASHED, want RUN_END_DONE. A renewal now acknowledges only what was listed within the last 100 ms, which no restart fits into; the first one after a pause asks for the lists and acknowledges nothing.

--- a/yuccaworker/doc.go
+++ b/yuccaworker/doc.go
@@ -59,6 +59,9 @@
 	// maxListAge is the maximum age of the worker's lists for a health check:
 	// lost answers delay the news of completed runs, which then look overdue.
 	maxListAge = holdTimeout
+	// maxAckAge is how old the worker's last lists may be for its completions to be
+	// acknowledged. It is far less than a worker takes to restart.
+	maxAckAge = 100 * time.Millisecond
 	// stopRetry is the interval at which an unanswered stop is sent again.
 	stopRetry = 100 * time.Millisecond
 	// maxStopTime is how long the stop of a withdrawn run may stay unanswered before the
--- a/yuccaworker/hold.go
+++ b/yuccaworker/hold.go
@@ -35,10 +35,20 @@
 	w.holdInFlight = true
 	w.holdSentAt = now
 	w.emit(CallHold{
-		Incarnation: w.incarnation(), DeadlineMS: deadline, Token: w.token, Cursor: w.cursor, Wait: wait, Timeout: holdTimeout, SentAt: now,
+		Incarnation: w.incarnation(), DeadlineMS: deadline, Token: w.token, Cursor: w.cursorToAck(now), Wait: wait, Timeout: holdTimeout, SentAt: now,
 	})
 }
 
+// cursorToAck returns the number of the last completion to acknowledge, zero if the worker
+// may have restarted since its last answer: the completions of a new incarnation have the
+// numbers of those of the earlier one.
+func (w *Worker) cursorToAck(now time.Time) int64 {
+	if now.Sub(w.lastListAt) > maxAckAge {
+		return 0
+	}
+	return w.cursor
+}
+
 // mayExtendHold reports whether the worker may keep its runs for longer. An unresponsive
 // worker may run on, and receive renewals although its answers are lost: extending the
 // hold would keep runs alive whose outcome is never received.
--- a/yuccaworker/restart_test.go
+++ b/yuccaworker/restart_test.go
@@ -128,6 +128,26 @@
 	h.expectOutcome(entry, "a", yuccawire.RunEnd_RUN_END_LOST, 0)
 }
 
+// A renewal meant for the earlier incarnation acknowledges completions of the new one,
+// whose numbers start anew.
+func TestRenewalAcknowledgesCompletionOfNewIncarnation(t *testing.T) {
+	h := newHarness(t)
+	h.order(entry, lease, task("z", 1, 1600))
+	h.advanceWithLease(entry, 100*time.Millisecond)
+	h.complete(yuccaworker.Key{Task: "z", Run: 1}, yuccawire.RunEnd_RUN_END_DONE)
+	h.advanceWithLease(entry, time.Second)
+	h.restart(-4000)
+	h.holdsUnanswered = true
+	h.order(entry, lease, task("a", 1, 1600))
+	h.complete(runA, yuccawire.RunEnd_RUN_END_DONE)
+	h.holdsUnanswered = false
+	h.advanceWithLease(entry, 200*time.Millisecond)
+	h.report(1, false)
+	h.runActions()
+	h.advanceWithLease(entry, 300*time.Millisecond)
+	h.expectOutcome(entry, "a", yuccawire.RunEnd_RUN_END_DONE, 0)
+}
+
 // The stop of a withdrawn run may have reached no incarnation.
 func TestRunWithdrawnBeforeRestartIsNotStopped(t *testing.T) {
 	h := newHarness(t)
--- a/yuccaworker/worker_test.go
+++ b/yuccaworker/worker_test.go
@@ -179,14 +179,13 @@
 	case a.Incarnation != h.incarnation:
 		h.token = a.Token
 		h.holdUntilMS = max(h.holdUntilMS, min(a.DeadlineMS, h.clock()+1000))
+		h.forgetCompletions(a.Cursor)
 		result.Result = yuccaworker.ResultOtherIncarnation
 	default:
 		h.token = a.Token
 		h.holdUntilMS = max(h.holdUntilMS, a.DeadlineMS)
 		result.Result = yuccaworker.ResultOK
-		for len(h.completions) > 0 && h.completions[0].Number <= a.Cursor {
-			h.completions = h.completions[1:]
-		}
+		h.forgetCompletions(a.Cursor)
 		result.Completions = append(result.Completions, h.completions...)
 		for key := range h.running {
 			result.Running = append(result.Running, key)
@@ -199,6 +198,12 @@
 	h.core.HandleHoldReply(h.now, result)
 }
 
+func (h *harness) forgetCompletions(cursor int64) {
+	for len(h.completions) > 0 && h.completions[0].Number <= cursor {
+		h.completions = h.completions[1:]
+	}
+}
+
 func (h *harness) complete(key yuccaworker.Key, outcome yuccawire.RunEnd) {
 	if !h.running[key] {
 		h.t.Fatalf("%v does not run", key)
