worker: renew the hold of a restarted worker for no longer than usual

Found in review. After a restart the side counts on the worker to keep runs for as long as a worker grants at most, a second; it sent the same as the deadline of its next renewal. Entries count on 450 ms after their own lease, so a side that stood still within that second could leave a run alive for up to 550 ms too long.

TestTakeoverOfNewIncarnationOutlivesTheHold failed: 1 s, want at most 450 ms. The latest deadline sent and the time until which runs may last are now kept apart.

--- a/yuccaworker/hold.go
+++ b/yuccaworker/hold.go
@@ -58,8 +58,9 @@
 
 // extendHold returns the deadline up to which the worker may keep its runs, on its clock.
 func (w *Worker) extendHold(now time.Time) int64 {
-	w.holdUntilMS = max(w.holdUntilMS, w.clock.lowerBound(now)+Hold.Milliseconds())
-	return w.holdUntilMS
+	w.deadlineMS = max(w.deadlineMS, w.clock.lowerBound(now)+Hold.Milliseconds())
+	w.holdUntilMS = max(w.holdUntilMS, w.deadlineMS)
+	return w.deadlineMS
 }
 
 // hasOverdueStop reports whether a run must end, because the lease of its owner has expired
--- a/yuccaworker/restart_test.go
+++ b/yuccaworker/restart_test.go
@@ -168,3 +168,18 @@
 		t.Error("the withdrawn run continues")
 	}
 }
+
+// The takeover of a new incarnation asks the worker to keep its runs for longer than Hold.
+func TestTakeoverOfNewIncarnationOutlivesTheHold(t *testing.T) {
+	h := newHarness(t)
+	h.advance(time.Second)
+	h.unresponsive = true
+	h.order(entry, lease, task("a", 1, 1600))
+	h.unresponsive = false
+	h.restart(-4000)
+	h.report(1, false)
+	h.runActions()
+	if kept := time.Duration(h.holdUntilMS-h.clock()) * time.Millisecond; kept > yuccaworker.Hold {
+		t.Errorf("the worker keeps its runs for %v after the side's last call, want at most %v", kept, yuccaworker.Hold)
+	}
+}
--- a/yuccaworker/run.go
+++ b/yuccaworker/run.go
@@ -233,7 +233,7 @@
 
 func (w *Worker) sendStart(now time.Time, r *run) {
 	r.tries++
-	deadline := w.holdUntilMS
+	deadline := w.deadlineMS
 	if w.mayExtendHold(now) {
 		deadline = w.extendHold(now)
 	}
--- a/yuccaworker/worker.go
+++ b/yuccaworker/worker.go
@@ -61,7 +61,9 @@
 	// takenOver is set once no run of an earlier process of this side is left.
 	takenOver      bool
 	nextTakeOverAt time.Time
-	// holdUntilMS is the latest deadline sent to the worker, on the worker's clock.
+	// deadlineMS is the latest deadline sent to the worker, on the worker's clock,
+	// holdUntilMS until when it keeps its runs at most: longer if it restarted under them.
+	deadlineMS   int64
 	holdUntilMS  int64
 	holdInFlight bool
 	holdSentAt   time.Time
@@ -271,7 +273,7 @@
 	w.unansweredHolds = 0
 	w.crashReported = false
 	w.holdInFlight = false
-	w.holdUntilMS = 0
+	w.deadlineMS, w.holdUntilMS = 0, 0
 	w.carryOver(now, r.ClockMS)
 	w.cursor, w.ackedCursor = 0, 0
 	w.health.reset()
