worker: don't blame runs of a restarted worker for the crash before them

Found in review. A restart that is noticed only afterwards was reported as a crash under all runs, also under those that the new incarnation had started. Entries mark such tasks as suspect, and give their job up after two crashes at the same point; as these runs are reported with the few milliseconds until the restart is noticed, two would agree.

TestRunOfNewIncarnationIsBlamedForTheCrash failed. The report of such a crash now waits until each unconfirmed run is known to have been active in it or not: a few calls to the new incarnation. Crashes that are noticed by refused connections are reported as before.

--- a/yuccaworker/crash.go
+++ b/yuccaworker/crash.go
@@ -41,6 +41,16 @@
 	if w.crashReported {
 		return
 	}
+	crash := w.newCrash(now)
+	if len(crash.GetRuns()) == 0 {
+		return
+	}
+	w.crashReported = true
+	w.publishCrash(now, &pendingCrash{crash: crash, crashedAt: w.crashTime(now)})
+}
+
+// newCrash returns the crash of this incarnation with the runs that were active.
+func (w *Worker) newCrash(now time.Time) *yuccawire.Crash {
 	crashedAt := w.crashTime(now)
 	crash := &yuccawire.Crash{Worker: w.report.ID, Service: w.report.Service, StartedUnixMs: w.report.StartedAtMS}
 	for _, r := range w.sortedRuns() {
@@ -48,12 +58,39 @@
 			crash.Runs = append(crash.Runs, &yuccawire.CrashedRun{Task: r.key.Task, Queue: r.queue, CpuMilli: uint32(r.demand.cpuMilli), RanMs: uint32(crashedAt.Sub(r.startSentAt).Milliseconds())})
 		}
 	}
-	if len(crash.GetRuns()) == 0 {
+	return crash
+}
+
+// pendingCrash is a crash that was noticed only by the restart. It is not reported while
+// unconfirmed runs may turn out to have been started after it.
+type pendingCrash struct {
+	crash       *yuccawire.Crash
+	crashedAt   time.Time
+	unconfirmed int
+}
+
+// settleCrash records whether an unconfirmed run was active in the crash.
+func (w *Worker) settleCrash(now time.Time, r *run, wasActive bool) {
+	p := r.pendingCrash
+	if p == nil {
+		return
+	}
+	r.pendingCrash = nil
+	if !wasActive {
+		p.crash.Runs = slices.DeleteFunc(p.crash.Runs, func(c *yuccawire.CrashedRun) bool { return c.GetTask() == r.key.Task })
+	}
+	p.unconfirmed--
+	w.publishCrash(now, p)
+}
+
+// publishCrash sends a crash to all owners if it is known under which runs it happened, and
+// there are any.
+func (w *Worker) publishCrash(now time.Time, p *pendingCrash) {
+	if p.unconfirmed > 0 || len(p.crash.GetRuns()) == 0 {
 		return
 	}
-	w.crashReported = true
 	w.metrics.Add("crashes_reported", 1)
-	w.retainedCrashes = append(w.retainedCrashes, retainedCrash{crash: crash, crashedAt: crashedAt})
+	w.retainedCrashes = append(w.retainedCrashes, retainedCrash{crash: p.crash, crashedAt: p.crashedAt})
 	if len(w.retainedCrashes) > maxRetainedCrashes {
 		w.retainedCrashes = w.retainedCrashes[1:]
 	}
--- a/yuccaworker/hold.go
+++ b/yuccaworker/hold.go
@@ -189,6 +189,7 @@
 	for _, r := range w.sortedRuns() {
 		if running[r.key] {
 			r.listed, r.lostAs = true, yuccawire.RunEnd_RUN_END_UNSPECIFIED
+			w.settleCrash(now, r, false)
 			continue
 		}
 		isLost := r.lostAs != yuccawire.RunEnd_RUN_END_UNSPECIFIED
--- a/yuccaworker/restart.go
+++ b/yuccaworker/restart.go
@@ -21,10 +21,12 @@
 		return
 	}
 	crashed := !w.report.Leaving && !w.deregistered
-	if crashed {
-		w.reportCrash(now)
-	}
 	endedAt := w.crashTime(now)
+	var pending *pendingCrash
+	if crashed && !w.crashReported {
+		w.crashReported = true
+		pending = &pendingCrash{crash: w.newCrash(now), crashedAt: endedAt}
+	}
 	lost, unconfirmed := 0, 0
 	for _, r := range w.sortedRuns() {
 		if r.lostAs == yuccawire.RunEnd_RUN_END_UNSPECIFIED {
@@ -37,6 +39,13 @@
 		}
 		unconfirmed++
 		r.state, r.listed = uncertain, false
+		if r.pendingCrash == nil && pending != nil {
+			r.pendingCrash = pending
+			pending.unconfirmed++
+		}
+	}
+	if pending != nil {
+		w.publishCrash(now, pending)
 	}
 	w.metrics.Add("runs_carried_over", int64(unconfirmed))
 	w.options.Logger.Warn("worker restarted under its runs", "worker", w.report.ID, "born", w.report.StartedAtMS, "lost", lost,
@@ -57,6 +66,7 @@
 	w.options.Logger.Info("run lost with the worker", "task", r.key.Task, "run", r.key.Run, "owner", r.owner.id.Name,
 		"end", r.lostAs.String(), "ran_ms", r.ranBeforeLoss.Milliseconds(), "unreachable", !w.isReachable(), "why", reason)
 	w.metrics.Add("runs_lost", 1)
+	w.settleCrash(now, r, true)
 	w.completeRunAfter(now, r, r.lostAs, r.ranBeforeLoss)
 }
 
--- a/yuccaworker/restart_test.go
+++ b/yuccaworker/restart_test.go
@@ -183,3 +183,25 @@
 		t.Errorf("the worker keeps its runs for %v after the side's last call, want at most %v", kept, yuccaworker.Hold)
 	}
 }
+
+// A run that the new incarnation has started is not at fault for the end of the earlier one.
+func TestRunOfNewIncarnationIsBlamedForTheCrash(t *testing.T) {
+	h := newHarness(t)
+	h.advance(time.Second)
+	h.restart(-4000)
+	h.holdsUnanswered = true
+	h.order(entry, lease, task("a", 1, 1600))
+	h.holdsUnanswered = false
+	h.advanceWithLease(entry, 100*time.Millisecond)
+	h.report(1, false)
+	h.runActions()
+	h.advanceWithLease(entry, 300*time.Millisecond)
+	if !h.running[runA] {
+		t.Fatal("the new incarnation does not run the task")
+	}
+	for _, c := range h.crashes[entry] {
+		for _, r := range c.GetRuns() {
+			t.Errorf("crash of the incarnation born at %d blamed on %s after %d ms, which its successor runs", c.GetStartedUnixMs(), r.GetTask(), r.GetRanMs())
+		}
+	}
+}
--- a/yuccaworker/run.go
+++ b/yuccaworker/run.go
@@ -57,6 +57,8 @@
 	// to have started it. It is unspecified while no restart has been noticed.
 	lostAs        yuccawire.RunEnd
 	ranBeforeLoss time.Duration
+	// pendingCrash is the crash that the run may have been active in, nil if there is none.
+	pendingCrash *pendingCrash
 	// withdrawnAt is when the owner first withdrew the run, zero if it did not.
 	withdrawnAt time.Time
 	// stopRequestedAt is when the first stop was sent, stopTries the number of stops.
@@ -484,6 +486,7 @@
 
 // completeRun removes an active run and queues its outcome for the owner.
 func (w *Worker) completeRun(now time.Time, r *run, outcome yuccawire.RunEnd) {
+	w.settleCrash(now, r, false)
 	w.completeRunAfter(now, r, outcome, now.Sub(r.startSentAt))
 }
 
