worker: stop runs at a restarted worker that does not report

Found in review. When another incarnation answered a renewal, the side waited for its report and reported the runs as ended after 1.1 s; a start without an answer that was executed after that had nothing to stop it.

TestDelayedStartAtNewIncarnationWithoutReport failed: the start was executed 1.3 s after it was sent. The runs are now stopped at the new incarnation 450 ms after it was noticed, when its hold has expired at the latest, which also refuses later starts.

--- a/yuccaworker/restart.go
+++ b/yuccaworker/restart.go
@@ -85,10 +85,20 @@
 }
 
 // checkReplacedWorker ends the runs that were left when another incarnation answered at
-// the worker's address, if that one doesn't report in time.
+// the worker's address, if that one doesn't report in time. It stops them there first, so
+// that no delayed start takes effect.
 func (w *Worker) checkReplacedWorker(now time.Time) {
-	if !w.gone || len(w.runs) == 0 || now.Sub(w.goneAt) <= maxLease+stopRetry {
+	if !w.gone || len(w.runs) == 0 {
 		return
 	}
-	w.loseAllRuns(now, "the new incarnation has not reported", true)
+	switch since := now.Sub(w.goneAt); {
+	case since > maxLease+stopRetry:
+		w.loseAllRuns(now, "the new incarnation has not reported", true)
+	case since > Hold:
+		for _, r := range w.sortedRuns() {
+			if r.stopSentAt.IsZero() {
+				w.stopRun(now, r)
+			}
+		}
+	}
 }
--- a/yuccaworker/restart_test.go
+++ b/yuccaworker/restart_test.go
@@ -205,3 +205,31 @@
 		}
 	}
 }
+
+// The new incarnation answers, but reports late: nothing stops or fences earlier starts.
+func TestDelayedStartAtNewIncarnationWithoutReport(t *testing.T) {
+	h := newHarness(t)
+	h.advance(time.Second)
+	h.restart(-4000)
+	h.core.HandleOrders(h.now, entry, &yuccawire.Orders{
+		UntilMs: h.core.Clock(h.now) + uint64(lease.Milliseconds()),
+		Jobs:    []*yuccawire.JobOrder{{Job: "j", Service: "belfry", ExpiresMs: h.core.Clock(h.now) + 60_000, Tasks: []*yuccawire.TaskOrder{task("a", 1, 1600)}}},
+	})
+	var delayed yuccaworker.CallStart
+	for _, a := range h.core.Actions() {
+		if start, ok := a.(yuccaworker.CallStart); ok {
+			delayed = start
+			continue
+		}
+		h.runAction(a)
+	}
+	h.core.HandleStartReply(h.now, delayed.Incarnation, delayed.Key, yuccaworker.ResultUnknown, 0)
+	h.advanceWithLease(entry, 1300*time.Millisecond)
+	if h.outcomeOf(entry, "a") == nil {
+		t.Fatal("no outcome of the run was reported")
+	}
+	h.start(delayed)
+	if h.running[runA] {
+		t.Error("the delayed start was executed after the run was reported as ended")
+	}
+}
