mux: open sessions in one place

Dial and the acceptor each wrapped their connection and called yamux themselves, and a session over another connection than TCP could not be made in a test. They now share newSession, openLink and acceptLink; Listen leaves the accepting to serve, which takes any listener.

--- a/yuccamux/acceptor.go
+++ b/yuccamux/acceptor.go
@@ -20,7 +20,7 @@
 	once     sync.Once
 
 	mu       sync.Mutex
-	sessions map[*yamux.Session]struct{}
+	sessions map[*session]struct{}
 }
 
 // Accept returns the next link of any session.
@@ -62,9 +62,8 @@
 			_ = a.Close()
 			return
 		}
-		session, err := yamux.Server(&countingConn{Conn: conn, traffic: a.traffic}, muxConfig(a.options))
+		session, err := newSession(yamux.Server, conn, a.traffic, a.options)
 		if err != nil {
-			_ = conn.Close()
 			continue
 		}
 		accepted := &acceptedSession{acceptor: a, session: session}
@@ -73,7 +72,7 @@
 }
 
 // add registers a session, or returns false if the acceptor is closed.
-func (a *acceptor) add(s *yamux.Session) bool {
+func (a *acceptor) add(s *session) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	select {
@@ -85,7 +84,7 @@
 	return true
 }
 
-func (a *acceptor) remove(s *yamux.Session) {
+func (a *acceptor) remove(s *session) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	delete(a.sessions, s)
@@ -94,7 +93,7 @@
 // acceptedSession passes the streams of one accepted connection to the acceptor.
 type acceptedSession struct {
 	acceptor *acceptor
-	session  *yamux.Session
+	session  *session
 }
 
 func (s *acceptedSession) run() {
@@ -104,12 +103,12 @@
 	}
 	defer s.acceptor.remove(s.session)
 	for {
-		stream, err := s.session.AcceptStream()
+		link, err := s.session.acceptLink()
 		if err != nil {
 			return
 		}
 		select {
-		case s.acceptor.links <- newLink(stream, s.acceptor.options):
+		case s.acceptor.links <- link:
 		case <-s.acceptor.closed:
 			return
 		}
--- a/yuccamux/network.go
+++ b/yuccamux/network.go
@@ -11,7 +11,6 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"sync"
 	"time"
@@ -50,7 +49,7 @@
 	options  Options
 	traffic  *Traffic
 	mu       sync.Mutex
-	sessions map[string]*yamux.Session
+	sessions map[string]*session
 }
 
 // New returns a network with no sessions.
@@ -67,7 +66,7 @@
 	if options.WriteTimeout == 0 {
 		options.WriteTimeout = writeTimeout
 	}
-	return &Network{options: options, traffic: new(Traffic), sessions: make(map[string]*yamux.Session)}
+	return &Network{options: options, traffic: new(Traffic), sessions: make(map[string]*session)}
 }
 
 // Traffic returns the byte counters of all dialled and accepted sessions.
@@ -80,15 +79,15 @@
 	if err != nil {
 		return nil, err
 	}
-	stream, err := session.OpenStream()
+	link, err := session.openLink()
 	if err != nil {
 		_ = session.Close()
 		return nil, merry.Prependf(err, "opening a stream to %s", address)
 	}
-	return newLink(stream, n.options), nil
+	return link, nil
 }
 
-func (n *Network) session(ctx context.Context, address string) (*yamux.Session, error) {
+func (n *Network) session(ctx context.Context, address string) (*session, error) {
 	if s := n.cachedSession(address); s != nil {
 		return s, nil
 	}
@@ -97,15 +96,14 @@
 	if err != nil {
 		return nil, merry.Prependf(err, "dialling %s", address)
 	}
-	session, err := yamux.Client(&countingConn{Conn: conn, traffic: n.traffic}, muxConfig(n.options))
+	opened, err := newSession(yamux.Client, conn, n.traffic, n.options)
 	if err != nil {
-		_ = conn.Close()
 		return nil, merry.Prependf(err, "opening a session to %s", address)
 	}
-	return n.storeSession(address, session), nil
+	return n.storeSession(address, opened), nil
 }
 
-func (n *Network) cachedSession(address string) *yamux.Session {
+func (n *Network) cachedSession(address string) *session {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	s := n.sessions[address]
@@ -117,16 +115,16 @@
 }
 
 // storeSession stores the session and returns it. If a concurrent dial was faster,
-// it closes the session and returns the one stored by that dial.
-func (n *Network) storeSession(address string, session *yamux.Session) *yamux.Session {
+// it closes the given session and returns the one stored by that dial.
+func (n *Network) storeSession(address string, opened *session) *session {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if first := n.sessions[address]; first != nil && !first.IsClosed() {
-		_ = session.Close()
+		_ = opened.Close()
 		return first
 	}
-	n.sessions[address] = session
-	return session
+	n.sessions[address] = opened
+	return opened
 }
 
 // Drop closes the session to the address, so that the next Dial opens a new
@@ -157,24 +155,19 @@
 	if err != nil {
 		return nil, merry.Prependf(err, "listening on %s", address)
 	}
+	return n.serve(l), nil
+}
+
+// serve accepts the connections of the listener.
+func (n *Network) serve(l net.Listener) *acceptor {
 	a := &acceptor{
 		listener: l,
 		options:  n.options,
 		traffic:  n.traffic,
 		links:    make(chan yuccawire.Link, acceptBacklog),
 		closed:   make(chan struct{}),
-		sessions: make(map[*yamux.Session]struct{}),
+		sessions: make(map[*session]struct{}),
 	}
 	go a.run()
-	return a, nil
-}
-
-func muxConfig(options Options) *yamux.Config {
-	config := yamux.DefaultConfig()
-	config.EnableKeepAlive = options.KeepAlive > 0
-	config.KeepAliveInterval = max(options.KeepAlive, time.Millisecond)
-	config.ConnectionWriteTimeout = options.WriteTimeout
-	config.MaxStreamWindowSize = streamWindowBytes
-	config.LogOutput = io.Discard
-	return config
+	return a
 }
