mux: close a link without waiting for the peer

What callers saw: Send on a full link, and Close, did not return while the connection took no more data, for the write timeout of the session (3 s by default), and a Receive on that link went on for as long. The interface says that Send does not wait for the peer. The mesh closes silent links one after the other in the loop that also sends its heartbeats, so that each such peer delays them all.

Cause: Close called Stream.Close, which waits until the connection has taken the frame that closes the stream, and only then set the deadline of Receive.

Close now sets the deadlines and leaves the rest to the goroutine that writes, which stops after the envelope it is at. Ruled out: setting the deadline first and closing the stream in Close, which ends Receive but lets Send wait. Queued envelopes may be lost by Close as before.

TestFullLinkDoesNotWaitForStuckConnection failed before (neither Send nor Receive came back within 10 s, with a write timeout of an hour). go test -race ./yuccamux ./yuccacontrol ./yuccamesh ./yuccaentry ./yuccaside ./yuccalocal passes.

--- a/yuccamux/link.go
+++ b/yuccamux/link.go
@@ -52,10 +52,8 @@
 // Send queues the envelope for the writing goroutine. If the queue is full, it
 // closes the link and returns [yuccawire.ErrLinkFull].
 func (l *link) Send(m *yuccawire.Envelope) error {
-	select {
-	case <-l.closed:
+	if l.isClosed() {
 		return yuccawire.ErrLinkClosed
-	default:
 	}
 	if !l.enqueue(m) {
 		_ = l.Close()
@@ -112,23 +110,29 @@
 	return m, nil
 }
 
-// Close closes the stream and unblocks Receive.
+// Close unblocks Receive and makes the writing goroutine close the stream. It does
+// not wait for the peer.
 func (l *link) Close() error {
-	var err error
 	l.once.Do(func() {
 		close(l.closed)
-		err = l.stream.Close()
 		// Closing a yamux stream does not unblock its reader until the peer closes
 		// its end, which it may never do.
-		_ = l.stream.SetReadDeadline(time.Now())
-		l.streams.remove(l.stream)
+		_ = l.stream.SetDeadline(time.Now())
 	})
-	return err
+	return nil
 }
 
-// run writes the queued envelopes, and flushes whenever the queue is empty.
+// closeStream closes the stream, which may wait until the connection takes a frame.
+func (l *link) closeStream() {
+	_ = l.Close()
+	_ = l.stream.Close()
+	l.streams.remove(l.stream)
+}
+
+// run writes the queued envelopes, flushes whenever the queue is empty, and closes
+// the stream at the end.
 func (l *link) run() {
-	defer l.Close()
+	defer l.closeStream()
 	w := bufio.NewWriterSize(l.stream, bufferBytes)
 	for {
 		select {
@@ -148,11 +152,24 @@
 	}
 }
 
+// write stops when the link is closed.
 func (l *link) write(w *bufio.Writer, envelopes []*yuccawire.Envelope) error {
 	for _, m := range envelopes {
+		if l.isClosed() {
+			return yuccawire.ErrLinkClosed
+		}
 		if _, err := protodelim.MarshalTo(w, m); err != nil {
 			return err
 		}
 	}
 	return nil
 }
+
+func (l *link) isClosed() bool {
+	select {
+	case <-l.closed:
+		return true
+	default:
+		return false
+	}
+}
--- a/yuccamux/session_test.go
+++ b/yuccamux/session_test.go
@@ -20,7 +20,7 @@
 )
 
 // stallingConn is a connection whose Read or Close, once it is closed, does not
-// return before stalled is closed. The goroutine that ends a session then waits
+// return before stalled is closed, nor does a Write if sticks is set. The goroutine that ends a session then waits
 // where it would wait for its turn on a busy machine.
 type stallingConn struct {
 	net.Conn
@@ -28,6 +28,7 @@
 	stallsClose bool
 	loses       atomic.Bool
 	fails       atomic.Bool
+	sticks      atomic.Bool
 }
 
 func (c *stallingConn) Read(p []byte) (int, error) {
@@ -42,6 +43,10 @@
 	if c.fails.Load() {
 		return 0, errors.New("connection reset")
 	}
+	if c.sticks.Load() {
+		<-c.stalled
+		return 0, net.ErrClosed
+	}
 	if c.loses.Load() {
 		return len(p), nil
 	}
@@ -231,3 +236,27 @@
 	<-p.near.CloseChan()
 	awaitReceiveError(t, receiveError(p.near.newLink(stream)))
 }
+
+// A peer that stands still delays neither Send nor the end of Receive.
+func TestFullLinkDoesNotWaitForStuckConnection(t *testing.T) {
+	p := newStallingPair(t, Options{KeepAlive: -1, WriteTimeout: time.Hour, MaxPendingBytes: 1000}, false)
+	l := p.dial(t)
+	received, sent := receiveError(l), make(chan error, 1)
+	p.conn.sticks.Store(true)
+	go func() {
+		var err error
+		for err == nil {
+			err = l.Send(&yuccawire.Envelope{Body: &yuccawire.Envelope_Finished{Finished: &yuccawire.Finished{Body: make([]byte, 100)}}})
+		}
+		sent <- err
+	}()
+	select {
+	case err := <-sent:
+		if !errors.Is(err, yuccawire.ErrLinkFull) {
+			t.Errorf("Send on a full link returned %v", err)
+		}
+	case <-time.After(stuckAfter):
+		t.Error("Send waits for the peer")
+	}
+	awaitReceiveError(t, received)
+}
