mux: close the links of a session that has ended

What callers saw: Send on a link whose session had ended took one more message and returned no error; a link that nobody reads, such as one that was accepted but not fetched before the listener closed, kept its goroutine for good.

Cause: a link learned of the end of its session only from Receive or from a write that failed. The connection now closes the links where it set their deadlines, which Close includes and which doesn't wait.

TestIdleLinkDoesNotOutliveSession failed before (open 10 s after the end). TestArrivedMessageIsNotLostWhenSessionEnds guards what must stay: a message that has arrived is received although the link is closed. go test -race ./yuccamux ./yuccacontrol ./yuccamesh ./yuccaentry ./yuccaside ./yuccalocal passes.

--- a/yuccamux/link.go
+++ b/yuccamux/link.go
@@ -21,7 +21,7 @@
 // queue of unsent envelopes is limited by their size in bytes.
 type link struct {
 	stream          net.Conn
-	streams         *streamSet
+	siblings        *linkSet // the open links of the session
 	reader          *bufio.Reader
 	decoder         protodelim.UnmarshalOptions
 	maxPendingBytes int64
@@ -34,17 +34,17 @@
 	pendingBytes int64
 }
 
-func newLink(stream net.Conn, streams *streamSet, options Options) *link {
+func newLink(stream net.Conn, siblings *linkSet, options Options) *link {
 	l := &link{
 		stream:          stream,
-		streams:         streams,
+		siblings:        siblings,
 		reader:          bufio.NewReaderSize(stream, bufferBytes),
 		decoder:         protodelim.UnmarshalOptions{MaxSize: options.MaxMessageBytes},
 		maxPendingBytes: options.MaxPendingBytes,
 		wake:            make(chan struct{}, 1),
 		closed:          make(chan struct{}),
 	}
-	streams.add(stream)
+	siblings.add(l)
 	go l.run()
 	return l
 }
@@ -126,7 +126,7 @@
 func (l *link) closeStream() {
 	_ = l.Close()
 	_ = l.stream.Close()
-	l.streams.remove(l.stream)
+	l.siblings.remove(l)
 }
 
 // run writes the queued envelopes, flushes whenever the queue is empty, and closes
--- a/yuccamux/session.go
+++ b/yuccamux/session.go
@@ -13,7 +13,7 @@
 type session struct {
 	*yamux.Session
 	options Options
-	streams *streamSet
+	links   *linkSet
 }
 
 // opener is yamux.Client or yamux.Server.
@@ -21,14 +21,14 @@
 
 // newSession opens a session on the connection, or closes the connection on error.
 func newSession(open opener, conn net.Conn, traffic *Traffic, options Options) (*session, error) {
-	streams := &streamSet{streams: make(map[net.Conn]struct{})}
+	links := &linkSet{links: make(map[*link]struct{})}
 	counting := &countingConn{Conn: conn, traffic: traffic}
-	mux, err := open(&sessionConn{Conn: counting, streams: streams}, muxConfig(options))
+	mux, err := open(&sessionConn{Conn: counting, links: links}, muxConfig(options))
 	if err != nil {
 		_ = conn.Close()
 		return nil, merry.Wrap(err)
 	}
-	return &session{Session: mux, options: options, streams: streams}, nil
+	return &session{Session: mux, options: options, links: links}, nil
 }
 
 // openLink opens a stream to the peer.
@@ -49,7 +49,7 @@
 	return s.newLink(stream), nil
 }
 
-func (s *session) newLink(stream net.Conn) *link { return newLink(stream, s.streams, s.options) }
+func (s *session) newLink(stream net.Conn) *link { return newLink(stream, s.links, s.options) }
 
 func muxConfig(options Options) *yamux.Config {
 	config := yamux.DefaultConfig()
--- a/yuccamux/session_test.go
+++ b/yuccamux/session_test.go
@@ -1,6 +1,7 @@
 package yuccamux
 
 import (
+	"bytes"
 	"errors"
 	"net"
 	"sync"
@@ -9,6 +10,7 @@
 	"time"
 
 	"github.com/hashicorp/yamux"
+	"google.golang.org/protobuf/encoding/protodelim"
 
 	"github.com/yuccaturn/yuccaturn/yuccawire"
 )
@@ -260,3 +262,44 @@
 	}
 	awaitReceiveError(t, received)
 }
+
+// A link that nobody uses ends with its session, and its goroutine with it.
+func TestIdleLinkDoesNotOutliveSession(t *testing.T) {
+	p := newStallingPair(t, Options{KeepAlive: -1}, true)
+	l := p.dial(t).(*link)
+	go p.network.Drop(peerAddress)
+	select {
+	case <-l.closed:
+	case <-time.After(stuckAfter):
+		t.Error("the link is still open after its session ended")
+	}
+}
+
+// What has arrived before a session ends is received.
+func TestArrivedMessageIsNotLostWhenSessionEnds(t *testing.T) {
+	p := newStallingPair(t, Options{KeepAlive: -1}, true)
+	near := p.dial(t)
+	far, err := p.far.AcceptStream()
+	if err != nil {
+		t.Fatal(err)
+	}
+	// One frame has arrived as a whole once its first message is received.
+	var frame bytes.Buffer
+	for _, size := range []int{1, 10 * bufferBytes} {
+		finished := &yuccawire.Finished{Body: make([]byte, size)}
+		if _, err := protodelim.MarshalTo(&frame, &yuccawire.Envelope{Body: &yuccawire.Envelope_Finished{Finished: finished}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, err := far.Write(frame.Bytes()); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := near.Receive(); err != nil {
+		t.Fatal(err)
+	}
+	go p.network.Drop(peerAddress)
+	<-near.(*link).closed
+	if m, err := near.Receive(); err != nil || len(m.GetFinished().GetBody()) != 10*bufferBytes {
+		t.Errorf("the second message is %d bytes, %v", len(m.GetFinished().GetBody()), err)
+	}
+}
