--- a/yuccamux/link.go
+++ b/yuccamux/link.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"errors"
 	"net"
 	"sync"
 	"time"
 
+	"github.com/hashicorp/yamux"
 	"google.golang.org/protobuf/encoding/protodelim"
 	"google.golang.org/protobuf/proto"
 
@@ -19,6 +21,7 @@
 // queue of unsent envelopes is limited by their size in bytes.
 type link struct {
 	stream          net.Conn
+	siblings        *linkSet // the open links of the session
 	reader          *bufio.Reader
 	decoder         protodelim.UnmarshalOptions
 	maxPendingBytes int64
@@ -31,15 +34,17 @@
 	pendingBytes int64
 }
 
-func newLink(stream net.Conn, options Options) *link {
+func newLink(stream net.Conn, siblings *linkSet, options Options) *link {
 	l := &link{
 		stream:          stream,
+		siblings:        siblings,
 		reader:          bufio.NewReaderSize(stream, bufferBytes),
 		decoder:         protodelim.UnmarshalOptions{MaxSize: options.MaxMessageBytes},
 		maxPendingBytes: options.MaxPendingBytes,
 		wake:            make(chan struct{}, 1),
 		closed:          make(chan struct{}),
 	}
+	siblings.add(l)
 	go l.run()
 	return l
 }
@@ -47,10 +52,8 @@
 // Send queues the envelope for the writing goroutine. If the queue is full, it
 // closes the link and returns [yuccawire.ErrLinkFull].
 func (l *link) Send(m *yuccawire.Envelope) error {
-	select {
-	case <-l.closed:
+	if l.isClosed() {
 		return yuccawire.ErrLinkClosed
-	default:
 	}
 	if !l.enqueue(m) {
 		_ = l.Close()
@@ -94,31 +97,42 @@
 }
 
 // Receive reads the next envelope from the peer. It closes the link on error.
+// [yuccawire.ErrLinkClosed] says that the link or its session has ended.
 func (l *link) Receive() (*yuccawire.Envelope, error) {
 	m := new(yuccawire.Envelope)
 	if err := l.decoder.UnmarshalFrom(l.reader, m); err != nil {
 		_ = l.Close()
+		if errors.Is(err, yamux.ErrTimeout) {
+			return nil, yuccawire.ErrLinkClosed
+		}
 		return nil, err
 	}
 	return m, nil
 }
 
-// Close closes the stream and unblocks Receive.
+// Close unblocks Receive and makes the writing goroutine close the stream. It does
+// not wait for the peer.
 func (l *link) Close() error {
-	var err error
 	l.once.Do(func() {
 		close(l.closed)
-		err = l.stream.Close()
 		// Closing a yamux stream does not unblock its reader until the peer closes
 		// its end, which it may never do.
-		_ = l.stream.SetReadDeadline(time.Now())
+		_ = l.stream.SetDeadline(time.Now())
 	})
-	return err
+	return nil
+}
+
+// closeStream closes the stream, which may wait until the connection takes a frame.
+func (l *link) closeStream() {
+	_ = l.Close()
+	_ = l.stream.Close()
+	l.siblings.remove(l)
 }
 
-// run writes the queued envelopes, and flushes whenever the queue is empty.
+// run writes the queued envelopes, flushes whenever the queue is empty, and closes
+// the stream at the end.
 func (l *link) run() {
-	defer l.Close()
+	defer l.closeStream()
 	w := bufio.NewWriterSize(l.stream, bufferBytes)
 	for {
 		select {
@@ -138,11 +152,24 @@
 	}
 }
 
+// write stops when the link is closed.
 func (l *link) write(w *bufio.Writer, envelopes []*yuccawire.Envelope) error {
 	for _, m := range envelopes {
+		if l.isClosed() {
+			return yuccawire.ErrLinkClosed
+		}
 		if _, err := protodelim.MarshalTo(w, m); err != nil {
 			return err
 		}
 	}
 	return nil
 }
+
+func (l *link) isClosed() bool {
+	select {
+	case <-l.closed:
+		return true
+	default:
+		return false
+	}
+}
