--- a/yuccamodel/restarted_test.go
+++ b/yuccamodel/restarted_test.go
@@ -48,15 +48,21 @@
 	})
 }
 
-// restartSome lets a random worker crash, or leave, and restart under its ID.
-func (w *world) restartSome() {
+// restartSome lets a random worker crash and restart under its ID.
+func (w *world) restartSome() { w.endSome(false) }
+
+// leaveSome lets a random worker leave and restart under its ID. Its side learns late that
+// it has left.
+func (w *world) leaveSome() { w.endSome(true) }
+
+func (w *world) endSome(leaves bool) {
 	s := w.sides[w.random.IntN(len(w.sides))]
 	m := s.worker
 	downtime := 5*time.Millisecond + w.randomDuration(shortDowntime)
 	if w.random.IntN(3) == 0 {
 		downtime = shortDowntime + w.randomDuration(longDowntime)
 	}
-	refuses, leaves, reportsAtOnce := w.random.IntN(2) == 0, w.random.IntN(4) == 0, w.random.IntN(2) == 0
+	refuses, reportsAtOnce := w.random.IntN(2) == 0, w.random.IntN(2) == 0
 	clock, reportDelay, late := w.randomDuration(maxClock), w.randomDuration(maxReportDelay), w.randomDuration(maxLateLeave)
 	if reportsAtOnce {
 		reportDelay = 0
@@ -68,7 +74,7 @@
 		if m.isDown {
 			return
 		}
-		w.logf("fault %s ends for %v, refuses %v, leaves %v, announced %v later", m.name, downtime, refuses, leaves, late)
+		w.logf("fault %s ends for %v, refuses %v, leaves %v", m.name, downtime, refuses, leaves)
 		if refuses {
 			m.crashProcess()
 		} else {
@@ -110,8 +116,9 @@
 		}
 	}
 	w.run(lastFault + maxFault + reportInterval)
+	w.kinds = jobKinds
 	jobs := len(w.jobs)
-	w.offerLoad(load, 3*time.Second)
+	w.offerLoad(load, 2*time.Second)
 	w.run(8 * time.Second)
 	for _, j := range w.jobs[jobs:] {
 		if !j.isAnswered || !j.isCompleted() && j.state != yuccabroker.Rejected {
@@ -134,7 +141,21 @@
 			t.Parallel()
 			w := newWorld(t, seed, 4, 5)
 			w.patience = 6 * time.Second
-			w.playFaults(0.3, 8, w.restartSome, w.delayCallsOfSome)
+			w.playFaults(0.3, 10, w.restartSome, w.delayCallsOfSome)
+		})
+	}
+}
+
+// The same for workers that leave, whose announcement may arrive after their restart.
+func TestFaultsOfWorkersThatLeaveAndRestart(t *testing.T) {
+	t.Parallel()
+	for i := range *seeds {
+		seed := *firstSeed + 9600 + uint64(i)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			w := newWorld(t, seed, 4, 5)
+			w.patience = 6 * time.Second
+			w.playFaults(0.3, 8, w.leaveSome)
 		})
 	}
 }
