yuccamodel: check that jobs are served, and restarted workers used, after the last fault

The new tests accepted any number of rejections after the last fault, and did not notice a worker that stays out of use.

--- a/yuccamodel/restarted_test.go
+++ b/yuccamodel/restarted_test.go
@@ -23,7 +23,9 @@
 	maxLateLeave = 4 * time.Second
 	// lastFault is when the last random fault begins, maxFault how long one lasts.
 	lastFault = 9 * time.Second
-	maxFault  = 4100 * time.Millisecond
+	// maxRejectedShare is the share of the jobs after the last fault that may be rejected.
+	maxRejectedShare = 0.03
+	maxFault         = 4100 * time.Millisecond
 )
 
 // randomDuration returns a random duration below the limit, in milliseconds.
@@ -105,9 +107,9 @@
 	w.after(d, func() { m.delayedCallShare = 0 })
 }
 
-// playFaults offers load during random faults, and load after the last of them, of which
-// every job has to be answered as completed or as not run.
-func (w *world) playFaults(load float64, faults int, injectors ...func()) {
+// playFaults offers load during random faults, and load after the last of them, which has
+// to be served. It returns how many runs each worker had started before that load.
+func (w *world) playFaults(load float64, faults int, injectors ...func()) map[*modelWorker]int {
 	w.run(warmUp)
 	w.offerLoad(load, 10*time.Second)
 	for range faults {
@@ -117,18 +119,45 @@
 	}
 	w.run(lastFault + maxFault + reportInterval)
 	w.kinds = jobKinds
-	jobs := len(w.jobs)
+	before, counts := len(w.jobs), w.startCounts()
 	w.offerLoad(load, 2*time.Second)
 	w.run(8 * time.Second)
-	for _, j := range w.jobs[jobs:] {
-		if !j.isAnswered || !j.isCompleted() && j.state != yuccabroker.Rejected {
+	if w.t.Failed() {
+		return counts
+	}
+	rejected := 0
+	for _, j := range w.jobs[before:] {
+		switch {
+		case j.isCompleted():
+		case j.isAnswered && j.state == yuccabroker.Rejected:
+			rejected++
+		default:
 			w.reportViolation(j.job.ID, "job %s was submitted after the last fault and is not served: answered %v, state %v", j.job.ID, j.isAnswered, j.state)
-			return
+			return counts
 		}
 	}
-	if w.starts == 0 || len(w.jobs) == jobs {
-		w.t.Errorf("%d starts and %d jobs after the last fault, want some of both", w.starts, len(w.jobs)-jobs)
+	if jobs := len(w.jobs) - before; w.starts == 0 || float64(rejected) > maxRejectedShare*float64(jobs) {
+		w.reportViolation("fault", "%d starts, and %d of %d jobs after the last fault are rejected", w.starts, rejected, jobs)
+	}
+	return counts
+}
+
+// checkInUse checks that every worker has started a run since the counts were taken.
+func (w *world) checkInUse(counts map[*modelWorker]int) {
+	for _, s := range w.sides {
+		if m := s.worker; !w.t.Failed() && m.startCount == counts[m] {
+			w.reportViolation(m.name, "%s is out of use after the last fault", m.name)
+		}
+	}
+}
+
+// startCounts returns how many runs each worker has started.
+func (w *world) startCounts() map[*modelWorker]int {
+	counts := make(map[*modelWorker]int)
+	for _, s := range w.sides {
+		counts[s.worker] = s.worker.startCount
 	}
+	return counts
 }
 
 // Workers restart under their IDs while calls to them are delayed. A task runs at most once
@@ -141,7 +170,7 @@
 			t.Parallel()
 			w := newWorld(t, seed, 4, 5)
 			w.patience = 6 * time.Second
-			w.playFaults(0.3, 10, w.restartSome, w.delayCallsOfSome)
+			w.checkInUse(w.playFaults(0.3, 10, w.restartSome, w.delayCallsOfSome))
 		})
 	}
 }
@@ -155,7 +184,7 @@
 			t.Parallel()
 			w := newWorld(t, seed, 4, 5)
 			w.patience = 6 * time.Second
-			w.playFaults(0.3, 8, w.leaveSome)
+			w.checkInUse(w.playFaults(0.3, 8, w.leaveSome))
 		})
 	}
 }
