worker: blame tasks for an unnoticed crash only if they had started

A start that was delayed over an unnoticed restart had never been executed, and its task was reported as running in the crash; another worker crashed by chance a few milliseconds apart under its next run.

An unconfirmed run now counts as active in such a crash only if its start was answered.

--- a/yuccaworker/restart.go
+++ b/yuccaworker/restart.go
@@ -66,7 +66,7 @@
 	w.options.Logger.Info("run lost with the worker", "task", r.key.Task, "run", r.key.Run, "owner", r.owner.id.Name,
 		"end", r.lostAs.String(), "ran_ms", r.ranBeforeLoss.Milliseconds(), "unreachable", !w.isReachable(), "why", reason)
 	w.metrics.Add("runs_lost", 1)
-	w.settleCrash(now, r, true)
+	w.settleCrash(now, r, r.clockConfirmed)
 	w.completeRunAfter(now, r, r.lostAs, r.ranBeforeLoss)
 }
 
--- a/yuccaworker/restart_test.go
+++ b/yuccaworker/restart_test.go
@@ -257,3 +257,22 @@
 		t.Error("no outcome of the run was reported")
 	}
 }
+
+// A start without an answer, at a worker that restarts unnoticed, may never have arrived.
+func TestTaskThatNeverRanIsBlamedForTheCrash(t *testing.T) {
+	h := newHarness(t)
+	h.advance(time.Second)
+	h.unresponsive = true
+	h.order(entry, lease, task("a", 1, 1600))
+	h.restart(-4000)
+	h.unresponsive = false
+	h.report(1, false)
+	h.runActions()
+	h.advanceWithLease(entry, 200*time.Millisecond)
+	if h.outcomeOf(entry, "a") == nil {
+		t.Fatal("no outcome of the run was reported")
+	}
+	if crashes := h.crashes[entry]; len(crashes) > 0 {
+		t.Errorf("crashes %v were reported, want none", crashes)
+	}
+}
