replica: acknowledge repeated entries only once they are synced

What operators could see: an acknowledged change is gone after the disks of two controls failed one after the other. If that write fails, as on a full disk, and the control restarts from its folder, the acknowledged copy is missing there. A learner could be promoted in this state.

Cause: a Ready without anything to write sends AfterSync at once, and the reply to entries that the log in memory has already was put there with their last index. Entries come again when a follower rejects two appends in a row, as after its restart. Ruled out: replies to heartbeats, which were limited to the synced index before.

Now such a reply is limited to the synced index, as that to a heartbeat, and the first write still sends its own reply.

Both tests failed before: index 2 and index 9 were acknowledged during the write.

--- a/yuccareplica/core_test.go
+++ b/yuccareplica/core_test.go
@@ -340,3 +340,57 @@
 		t.Error("still leader or lease still valid after StepDown")
 	}
 }
+
+// ackedMatch returns the highest index that the messages acknowledge, apart from
+// those that wait for a sync.
+func ackedMatch(ready yuccareplica.Ready) uint64 {
+	messages := ready.Immediate
+	if !ready.MustSync() {
+		messages = append(messages, ready.AfterSync...)
+	}
+	acked := uint64(0)
+	for _, m := range messages {
+		if reply := m.GetAppendReply(); reply.GetSuccess() {
+			acked = max(acked, reply.GetMatch())
+		}
+	}
+	return acked
+}
+
+// Entries that arrive again while their write is in progress are not on disk yet.
+func TestRepeatedAppendIsNotAcknowledgedBeforeSync(t *testing.T) {
+	follower := newCore(2, 1, 2, 3)
+	m := &yuccawire.Replica{From: 1, To: 2, Term: 2, Body: &yuccawire.Replica_Append{Append: &yuccawire.Append{
+		PreviousIndex: 1, PreviousTerm: 1, Entries: []*yuccawire.Entry{{Index: 2, Term: 2}},
+	}}}
+	follower.Step(startTime, m)
+	writing := follower.Ready(startTime)
+	follower.Step(startTime, m)
+	if acked := ackedMatch(follower.Ready(startTime)); acked >= 2 {
+		t.Errorf("index %d is acknowledged before its write has ended", acked)
+	}
+	follower.Synced(startTime, writing.SyncMark())
+	follower.Step(startTime, m)
+	if acked := ackedMatch(follower.Ready(startTime)); acked != 2 {
+		t.Errorf("index %d is acknowledged after the sync, want 2", acked)
+	}
+}
+
+// A snapshot that arrives again while its write is in progress is not on disk yet.
+func TestRepeatedSnapshotIsNotAcknowledgedBeforeSync(t *testing.T) {
+	follower := newCore(2, 1, 2, 3)
+	m := &yuccawire.Replica{From: 1, To: 2, Term: 2, Body: &yuccawire.Replica_InstallSnapshot{InstallSnapshot: &yuccawire.InstallSnapshot{
+		Index: 9, IndexTerm: 2, Replicas: replicas(1, 2, 3),
+	}}}
+	follower.Step(startTime, m)
+	writing := follower.Ready(startTime)
+	follower.Step(startTime, m)
+	if acked := ackedMatch(follower.Ready(startTime)); acked >= 9 {
+		t.Errorf("index %d is acknowledged before the snapshot is on disk", acked)
+	}
+	follower.Synced(startTime, writing.SyncMark())
+	follower.Step(startTime, m)
+	if acked := ackedMatch(follower.Ready(startTime)); acked != 9 {
+		t.Errorf("index %d is acknowledged after the sync, want 9", acked)
+	}
+}
--- a/yuccareplica/follower.go
+++ b/yuccareplica/follower.go
@@ -36,15 +36,21 @@
 	match := a.GetPreviousIndex() + uint64(len(a.GetEntries()))
 	c.storeEntries(a.GetEntries())
 	c.commit = max(c.commit, min(a.GetCommit(), match))
-	if len(a.GetEntries()) == 0 && c.ready.HardState == nil {
-		reply := &yuccawire.AppendReply{Success: true, Match: min(match, c.synced), Round: a.GetRound()}
-		c.ready.Immediate = append(c.ready.Immediate, c.newAppendReply(m, reply))
+	if len(a.GetEntries()) == 0 && c.ready.HardState == nil || !c.ready.MustSync() {
+		c.acknowledgeSynced(m, match, a.GetRound())
 		return
 	}
 	reply := c.newAppendReply(m, &yuccawire.AppendReply{Success: true, Match: match, Round: a.GetRound()})
 	c.ready.AfterSync = append(c.ready.AfterSync, reply)
 }
 
+// acknowledgeSynced replies at once to a message that needs no write. Its entries may
+// belong to an earlier write that is still in progress, which has its own reply.
+func (c *Core) acknowledgeSynced(m *yuccawire.Replica, match, round uint64) {
+	reply := &yuccawire.AppendReply{Success: true, Match: min(match, c.synced), Round: round}
+	c.ready.Immediate = append(c.ready.Immediate, c.newAppendReply(m, reply))
+}
+
 // checkPrevious compares the term of the entry before the new ones. On a
 // mismatch it returns a rejection, whose hint is the last index at which the
 // logs may agree.
@@ -104,11 +110,16 @@
 		c.log = memoryLog{snapshot: s}
 		c.commit = s.GetIndex()
 		c.applied = s.GetIndex()
+		c.synced = min(c.synced, s.GetIndex()-1)
 		c.ready.Snapshot = s
 		c.ready.Entries = nil
 		c.ready.Committed = nil
 		c.updateReplicas()
 	}
+	if !c.ready.MustSync() {
+		c.acknowledgeSynced(m, s.GetIndex(), s.GetRound())
+		return
+	}
 	reply := &yuccawire.AppendReply{Success: true, Match: s.GetIndex(), Round: s.GetRound()}
 	c.ready.AfterSync = append(c.ready.AfterSync, c.newAppendReply(m, reply))
 }
