edge, disk: test disks that are full in turn

It does not happen here in this form. A control whose write fails ends, its entry opens the folder again each second, the torn frame is truncated, and the replica catches up; the others elect a leader within two seconds.

The test runs entries with real data folders on an in-memory network, in groups of 3, 4 (3 voters) and 5 controls. Writes store a part of their data and fail; by disk, syncs fail too, and votes still have room. The log is replaced every 20 entries. Each entry drains and restores a data centre of its own all the while; a change is acknowledged within the 4 s that operators wait, and all entries show the acknowledged state at the end.

yuccadisk.OpenWith takes a replacement for os.OpenFile, so the export for tests is gone. TestFailedReplaceMarksFolder uses it and still fails at the last step only: it fails if that step returns the bare error.

--- a/yuccadisk/folder.go
+++ b/yuccadisk/folder.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"io/fs"
 	"math/rand/v2"
 	"os"
@@ -31,26 +32,43 @@
 // ErrFailed is returned by Write and Replace after an earlier write or sync failed.
 var ErrFailed = merry.Sentinel("the data folder has failed; restart the control")
 
+// File is an open file of a data folder, usually an *os.File.
+type File interface {
+	io.WriteSeeker
+	io.Closer
+	Truncate(size int64) error
+	Sync() error
+}
+
+// OpenFile opens a file for writing, as [os.OpenFile] does.
+type OpenFile func(path string, flag int, perm os.FileMode) (File, error)
+
 // Folder is an open data folder. Its methods must not be called concurrently.
 type Folder struct {
 	path           string
 	id             uint64
 	generation     uint64
-	file           *os.File
+	file           File
 	stored         yuccareplica.Stored
 	failed         bool
 	truncatedBytes int
-	// openFile opens a file of the log. Tests replace it.
-	openFile func(path string, flag int, perm os.FileMode) (*os.File, error)
+	openFile       OpenFile
 }
 
 // Open reads the data folder at path, or creates it with a random id. It returns
 // ErrCorrupt if synced data was lost.
-func Open(path string) (*Folder, error) {
+func Open(path string) (*Folder, error) { return OpenWith(path, openOSFile) }
+
+func openOSFile(path string, flag int, perm os.FileMode) (File, error) {
+	return os.OpenFile(path, flag, perm)
+}
+
+// OpenWith is Open with a replacement for [os.OpenFile].
+func OpenWith(path string, openFile OpenFile) (*Folder, error) {
 	if err := os.MkdirAll(path, folderPerm); err != nil {
 		return nil, merry.Prepend(err, "creating the data folder")
 	}
-	f := &Folder{path: path, openFile: os.OpenFile}
+	f := &Folder{path: path, openFile: openFile}
 	if err := f.loadIdentity(); err != nil {
 		return nil, err
 	}
--- a/yuccadisk/folder_test.go
+++ b/yuccadisk/folder_test.go
@@ -203,8 +203,15 @@
 // A folder whose log can't be opened after a replacement takes no more writes: they
 // would go to the removed file.
 func TestFailedReplaceMarksFolder(t *testing.T) {
-	f := openFolder(t, t.TempDir())
-	f.FailOpening()
+	f, err := yuccadisk.OpenWith(t.TempDir(), func(path string, flag int, perm os.FileMode) (yuccadisk.File, error) {
+		if flag&os.O_CREATE == 0 {
+			return nil, os.ErrPermission
+		}
+		return os.OpenFile(path, flag, perm)
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
 	if err := f.Replace(&yuccawire.DiskFrame{Snapshot: &yuccawire.InstallSnapshot{Index: 2, IndexTerm: 2}}); err == nil {
 		t.Fatal("the replacement succeeded")
 	}
--- a/yuccadisk/write.go
+++ b/yuccadisk/write.go
@@ -68,7 +68,7 @@
 // leaves either the complete file or none.
 func (f *Folder) writeFileAtomically(name string, data []byte) error {
 	path := filepath.Join(f.path, name)
-	if err := writeAndSync(path+tempSuffix, data); err != nil {
+	if err := f.writeAndSync(path+tempSuffix, data); err != nil {
 		return err
 	}
 	if err := os.Rename(path+tempSuffix, path); err != nil {
@@ -77,8 +77,8 @@
 	return syncFolder(f.path)
 }
 
-func writeAndSync(path string, data []byte) error {
-	file, err := os.OpenFile(path, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, filePerm)
+func (f *Folder) writeAndSync(path string, data []byte) error {
+	file, err := f.openFile(path, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, filePerm)
 	if err != nil {
 		return err
 	}
--- a/yuccaedge/change_test.go
+++ b/yuccaedge/change_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -26,17 +27,30 @@
 	"github.com/yuccaturn/yuccaturn/yuccawire"
 )
 
-// group runs entries on an in-memory network. The first has the only control.
+// group runs entries on an in-memory network. The first of them have a disk and a
+// control.
 type group struct {
-	t      *testing.T
-	fabric *yuccamemnet.Fabric
-	edges  []*yuccaedge.Edge
-	// metrics are those of the entry with the control.
+	t        *testing.T
+	seed     uint64
+	fabric   *yuccamemnet.Fabric
+	edges    []*yuccaedge.Edge
+	disks    []*disk
+	replicas []*yuccawire.ReplicaAddress
+	voters   int
+	// metrics are those of the first entry.
 	metrics *yuccametric.Set
 }
 
-func newGroup(t *testing.T, entries int) *group {
-	g := &group{t: t, fabric: yuccamemnet.New(yuccamemnet.Options{Delay: time.Millisecond, Seed: 1})}
+func newGroup(t *testing.T, entries int) *group { return newGroupOfControls(t, entries, 1, 1, 1) }
+
+func newGroupOfControls(t *testing.T, entries, controls, voters int, seed uint64) *group {
+	g := &group{t: t, seed: seed, voters: voters, fabric: yuccamemnet.New(yuccamemnet.Options{Delay: time.Millisecond, Seed: seed})}
+	for i := range controls {
+		d := &disk{path: t.TempDir()}
+		g.disks = append(g.disks, d)
+		name := fmt.Sprintf("e%d", i)
+		g.replicas = append(g.replicas, &yuccawire.ReplicaAddress{Name: name, Address: name + ":2", Id: g.open(d).ID()})
+	}
 	supervisor := suture.NewSimple("group")
 	for i := range entries {
 		g.add(supervisor, i)
@@ -55,15 +69,14 @@
 	name := fmt.Sprintf("e%d", i)
 	network, metrics, logger := g.fabric.Host(name), yuccametric.New(name), slog.New(slog.DiscardHandler)
 	self := &yuccawire.Node{Name: name, Role: yuccawire.Role_ROLE_ENTRY, Address: name + ":1", Incarnation: 1}
-	control := &yuccawire.ReplicaAddress{Name: "e0", Address: "e0:2"}
 	var edge *yuccaedge.Edge
 	mesh := yuccamesh.New(yuccamesh.Options{
 		Network: network, Self: self, Listen: true, Seeds: func() []string { return []string{"e0:1"} }, Metrics: metrics, Logger: logger,
 		Sections: func() []*yuccawire.Section { return edge.Sections() },
 	})
 	lease := yuccalease.New(yuccalease.Options{
-		Network: network, Self: self, Random: rand.New(rand.NewPCG(1, uint64(i))), Logger: logger,
-		Sections: yuccadocument.WholeDocumentSections, Discover: func() []string { return []string{control.GetAddress()} },
+		Network: network, Self: self, Random: rand.New(rand.NewPCG(g.seed, uint64(i))), Logger: logger,
+		Sections: yuccadocument.WholeDocumentSections, Discover: g.controlAddresses,
 	})
 	options := yuccaedge.Options{
 		Mesh: mesh, Lease: lease, MaxConfigurationAge: time.Second, Metrics: metrics, Logger: logger,
@@ -72,14 +85,14 @@
 	}
 	if i == 0 {
 		g.metrics = metrics
-		folder, err := yuccadisk.Open(g.t.TempDir())
-		if err != nil {
-			g.t.Fatal(err)
-		}
-		control.Id = folder.ID()
-		options.Replica = yuccaedge.NewReplica(folder, nil, yuccacontrol.Options{
-			Network: network, Self: control, Voters: 1, SectionPushes: 4, Discover: func() []*yuccawire.ReplicaAddress { return nil },
-			CanFormGroup: func() (bool, bool) { return true, true }, Random: rand.New(rand.NewPCG(3, 1)), Metrics: metrics, Logger: logger,
+	}
+	if i < len(g.disks) {
+		options.Replica = yuccaedge.NewReplica(g.open(g.disks[i]), g.disks[i].open, yuccacontrol.Options{
+			Network: network, Self: g.replicas[i], Voters: g.voters, SectionPushes: 4, MaxLogEntries: maxLogEntries,
+			Discover:     func() []*yuccawire.ReplicaAddress { return slices.Concat(g.replicas[:i], g.replicas[i+1:]) },
+			CanFormGroup: func() (bool, bool) { return i == 0, false },
+			OnRecovered:  func(sections []*yuccawire.Section) { edge.ApplyRecovered(sections) },
+			Random:       rand.New(rand.NewPCG(g.seed+2, uint64(i))), Metrics: metrics, Logger: logger,
 		})
 		supervisor.Add(options.Replica)
 	}
@@ -90,16 +103,32 @@
 	supervisor.Add(edge)
 }
 
+func (g *group) open(d *disk) *yuccadisk.Folder {
+	folder, err := d.open()
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	return folder
+}
+
+func (g *group) controlAddresses() []string {
+	var addresses []string
+	for _, r := range g.replicas {
+		addresses = append(addresses, r.GetAddress())
+	}
+	return addresses
+}
+
 func (g *group) replace(entry int, version uint64) (*yuccastate.ChangeResult, error) {
 	ctx, cancel := context.WithTimeout(g.t.Context(), 900*time.Millisecond)
 	defer cancel()
 	return g.edges[entry].ReplaceDocument(ctx, version, fmt.Appendf(nil, "v%d", version))
 }
 
-func (g *group) setDrained(entry int, drained bool) (*yuccastate.ChangeResult, error) {
+func (g *group) setDrained(entry int, dataCentre string, drained bool) (*yuccastate.ChangeResult, error) {
 	ctx, cancel := context.WithTimeout(g.t.Context(), 900*time.Millisecond)
 	defer cancel()
-	return g.edges[entry].SetDrained(ctx, "puno", drained)
+	return g.edges[entry].SetDrained(ctx, dataCentre, drained)
 }
 
 // An operator gets the acknowledgement from the entry that it calls, whichever
@@ -125,7 +154,7 @@
 			}
 		}
 		for i, drained := range []bool{true, true, false} {
-			if result, err := g.setDrained(1+i%2, drained); err != nil || result.Outcome == yuccastate.Invalid {
+			if result, err := g.setDrained(1+i%2, "puno", drained); err != nil || result.Outcome == yuccastate.Invalid {
 				t.Errorf("drained %v: got %+v, %v", drained, result, err)
 			}
 		}
