disk: drop a frame whose write or sync failed

What operators could see: after a full disk and a later loss of power, a replica lacks entries that it had acknowledged. After a failed sync, Linux can mark the data as written and still return it to readers. The folder was opened again within the same process, read the frame back, and took the sync that Open makes, which then succeeds, as proof that the frame was on the disk; the replica acknowledged it to the leader.

Now the log is truncated to its synced length when a write or sync fails, before anything can read it. Its frames were not acknowledged to anyone. A process that dies between the failed sync and the truncation still reads the frame. Ruled out: torn frames of short writes, which Open truncated already.

The test failed before: the entry of the failed sync was read again.

--- a/yuccadisk/folder.go
+++ b/yuccadisk/folder.go
@@ -49,6 +49,7 @@
 	id             uint64
 	generation     uint64
 	file           File
+	size           int64 // length of the synced part of file
 	stored         yuccareplica.Stored
 	failed         bool
 	truncatedBytes int
@@ -195,7 +196,7 @@
 	if err := file.Sync(); err != nil {
 		return merry.Prepend(err, "syncing the log")
 	}
-	f.file = file
+	f.file, f.size = file, size
 	return nil
 }
 
--- a/yuccadisk/folder_test.go
+++ b/yuccadisk/folder_test.go
@@ -219,3 +219,43 @@
 		t.Errorf("a write after a failed replacement returned %v, want %v", err, yuccadisk.ErrFailed)
 	}
 }
+
+// faultyFile is a file whose syncs fail while err is set.
+type faultyFile struct {
+	*os.File
+	err *error
+}
+
+func (f faultyFile) Sync() error {
+	if *f.err != nil {
+		return *f.err
+	}
+	return f.File.Sync()
+}
+
+// faultyDisk opens faulty files.
+type faultyDisk struct{ err error }
+
+func (d *faultyDisk) openFile(path string, flag int, perm os.FileMode) (yuccadisk.File, error) {
+	file, err := os.OpenFile(path, flag, perm)
+	return faultyFile{File: file, err: &d.err}, err
+}
+
+// After a failed sync, the kernel can still return what it has dropped from the disk.
+func TestFrameOfFailedSyncIsNotReadAgain(t *testing.T) {
+	path := t.TempDir()
+	writeThreeFrames(t, path)
+	disk := &faultyDisk{}
+	f, err := yuccadisk.OpenWith(path, disk.openFile)
+	if err != nil {
+		t.Fatal(err)
+	}
+	disk.err = errors.New("no space left on device")
+	if err := f.Write(&yuccawire.DiskFrame{Entries: []*yuccawire.Entry{newEntry(4, 2, "c")}}); !errors.Is(err, disk.err) {
+		t.Fatalf("the write returned %v, want %v", err, disk.err)
+	}
+	_ = f.Close()
+	if got := commands(openFolder(t, path).Stored()); got != "ab" {
+		t.Errorf("stored entries are %q, want those that were synced, \"ab\"", got)
+	}
+}
--- a/yuccadisk/write.go
+++ b/yuccadisk/write.go
@@ -1,6 +1,7 @@
 package yuccadisk
 
 import (
+	"errors"
 	"os"
 	"path/filepath"
 	"slices"
@@ -25,14 +26,21 @@
 		return f.fail(err, "encoding frame")
 	}
 	if _, err := f.file.Write(data); err != nil {
-		return f.fail(err, "writing the log")
+		return f.failWrite(err, "writing the log")
 	}
 	if err := f.file.Sync(); err != nil {
-		return f.fail(err, "syncing the log")
+		return f.failWrite(err, "syncing the log")
 	}
+	f.size += int64(len(data))
 	return nil
 }
 
+// failWrite also cuts the log off after its synced part. The kernel may keep the rest
+// readable although it is not on the disk.
+func (f *Folder) failWrite(err error, action string) error {
+	return f.fail(errors.Join(err, f.file.Truncate(f.size)), action)
+}
+
 // Replace starts a new log with the frame, which must hold a snapshot, and removes
 // the old log. It returns when the frame is synced.
 func (f *Folder) Replace(frame *yuccawire.DiskFrame) error {
