disk: sync the folder before its files are used

What operators could see: acknowledged changes are gone at a replica after a loss of power, if before that its control or its process had ended between the renaming of a new log (or of the identity) and the sync of the folder, as when that sync fails on a full disk. Open then used the new log at once, removed the old one, and the replica acknowledged further entries, which were in a file whose name could be lost: after a loss of power only NAME.part was left, and Open removes such files.

Now Open syncs the folder first, and fails if that fails. The sync goes through OpenFile, so that tests can see it; TestFailedReplaceMarksFolder therefore tells the opening of the log by its flag, and still fails if the last step returns the bare error. Ruled out: Replace itself, which syncs the folder before it removes the old log.

The test failed before: the old log was removed without a sync of the folder. Found by reading; no run showed a loss.

--- a/yuccadisk/folder.go
+++ b/yuccadisk/folder.go
@@ -40,7 +40,7 @@
 	Sync() error
 }
 
-// OpenFile opens a file for writing, as [os.OpenFile] does.
+// OpenFile opens a file to write it, or a folder to sync it, as [os.OpenFile] does.
 type OpenFile func(path string, flag int, perm os.FileMode) (File, error)
 
 // Folder is an open data folder. Its methods must not be called concurrently.
@@ -73,6 +73,10 @@
 	if err := f.loadIdentity(); err != nil {
 		return nil, err
 	}
+	// A process that died early may have renamed files without syncing the folder.
+	if err := f.syncNames(); err != nil {
+		return nil, merry.Prepend(err, "syncing the data folder")
+	}
 	if err := f.openLog(); err != nil {
 		return nil, err
 	}
--- a/yuccadisk/folder_test.go
+++ b/yuccadisk/folder_test.go
@@ -204,7 +204,7 @@
 // would go to the removed file.
 func TestFailedReplaceMarksFolder(t *testing.T) {
 	f, err := yuccadisk.OpenWith(t.TempDir(), func(path string, flag int, perm os.FileMode) (yuccadisk.File, error) {
-		if flag&os.O_CREATE == 0 {
+		if flag == os.O_WRONLY {
 			return nil, os.ErrPermission
 		}
 		return os.OpenFile(path, flag, perm)
@@ -233,12 +233,24 @@
 	return f.File.Sync()
 }
 
-// faultyDisk opens faulty files.
-type faultyDisk struct{ err error }
+// faultyDisk opens faulty files. It calls onFolderSync before each sync of a folder.
+type faultyDisk struct {
+	err          error
+	onFolderSync func()
+}
 
 func (d *faultyDisk) openFile(path string, flag int, perm os.FileMode) (yuccadisk.File, error) {
 	file, err := os.OpenFile(path, flag, perm)
-	return faultyFile{File: file, err: &d.err}, err
+	if err != nil {
+		return nil, err
+	}
+	if info, err := file.Stat(); err == nil && info.IsDir() {
+		if d.onFolderSync != nil {
+			d.onFolderSync()
+		}
+		return file, nil
+	}
+	return faultyFile{File: file, err: &d.err}, nil
 }
 
 // After a failed sync, the kernel can still return what it has dropped from the disk.
@@ -259,3 +271,29 @@
 		t.Errorf("stored entries are %q, want those that were synced, \"ab\"", got)
 	}
 }
+
+// A log that took the place of another must not lose its name again in a loss of power.
+func TestOpenSyncsNamesBeforeOldLogIsRemoved(t *testing.T) {
+	path := t.TempDir()
+	writeThreeFrames(t, path)
+	newest, err := os.ReadFile(logFile(t, path))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(filepath.Join(path, "log-000000000002"), newest, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	synced := false
+	disk := &faultyDisk{onFolderSync: func() {
+		logs, _ := filepath.Glob(filepath.Join(path, "log-*"))
+		synced = synced || len(logs) == 2
+	}}
+	f, err := yuccadisk.OpenWith(path, disk.openFile)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = f.Close()
+	if !synced {
+		t.Error("the folder was not synced before its old log was removed")
+	}
+}
--- a/yuccadisk/write.go
+++ b/yuccadisk/write.go
@@ -82,7 +82,7 @@
 	if err := os.Rename(path+tempSuffix, path); err != nil {
 		return err
 	}
-	return syncFolder(f.path)
+	return f.syncNames()
 }
 
 func (f *Folder) writeAndSync(path string, data []byte) error {
@@ -97,8 +97,10 @@
 	return file.Sync()
 }
 
-func syncFolder(path string) error {
-	folder, err := os.Open(path)
+// syncNames syncs the folder, so that created, renamed and removed files keep their
+// names.
+func (f *Folder) syncNames() error {
+	folder, err := f.openFile(f.path, os.O_RDONLY, 0)
 	if err != nil {
 		return err
 	}
