disk: close the log if opening the folder fails

What operators could see: none yet; a control whose disk stays full opens its folder each second, and each attempt that failed at the truncation or the sync of the log kept a descriptor, up to the process's limit, from which on its entry accepts nothing either.

Now the file is closed. The test failed before: one file was still open.

--- a/yuccadisk/folder.go
+++ b/yuccadisk/folder.go
@@ -191,17 +191,22 @@
 	if err != nil {
 		return merry.Prepend(err, "opening the log")
 	}
+	if err := prepareForAppend(file, size); err != nil {
+		_ = file.Close()
+		return err
+	}
+	f.file, f.size = file, size
+	return nil
+}
+
+func prepareForAppend(file File, size int64) error {
 	if err := file.Truncate(size); err != nil {
 		return merry.Prepend(err, "truncating the torn frame of the log")
 	}
 	if _, err := file.Seek(size, 0); err != nil {
 		return merry.Prepend(err, "seeking to the end of the log")
 	}
-	if err := file.Sync(); err != nil {
-		return merry.Prepend(err, "syncing the log")
-	}
-	f.file, f.size = file, size
-	return nil
+	return merry.Prepend(file.Sync(), "syncing the log")
 }
 
 // Replay updates stored with the contents of one frame. A snapshot discards all
--- a/yuccadisk/folder_test.go
+++ b/yuccadisk/folder_test.go
@@ -220,10 +220,12 @@
 	}
 }
 
-// faultyFile is a file whose syncs fail while err is set.
+// faultyFile is a file whose syncs fail while err is set. It counts in open while it
+// is not closed.
 type faultyFile struct {
 	*os.File
-	err *error
+	err  *error
+	open *int
 }
 
 func (f faultyFile) Sync() error {
@@ -233,9 +235,15 @@
 	return f.File.Sync()
 }
 
+func (f faultyFile) Close() error {
+	*f.open--
+	return f.File.Close()
+}
+
 // faultyDisk opens faulty files. It calls onFolderSync before each sync of a folder.
 type faultyDisk struct {
 	err          error
+	open         int
 	onFolderSync func()
 }
 
@@ -250,7 +258,8 @@
 		}
 		return file, nil
 	}
-	return faultyFile{File: file, err: &d.err}, nil
+	d.open++
+	return faultyFile{File: file, err: &d.err, open: &d.open}, nil
 }
 
 // After a failed sync, the kernel can still return what it has dropped from the disk.
@@ -297,3 +306,16 @@
 		t.Error("the folder was not synced before its old log was removed")
 	}
 }
+
+// A control opens a folder that can't be synced every second.
+func TestFailedOpenClosesLog(t *testing.T) {
+	path := t.TempDir()
+	writeThreeFrames(t, path)
+	disk := &faultyDisk{err: errors.New("no space left on device")}
+	if _, err := yuccadisk.OpenWith(path, disk.openFile); !errors.Is(err, disk.err) {
+		t.Fatalf("got error %v, want %v", err, disk.err)
+	}
+	if disk.open != 0 {
+		t.Errorf("%d files are still open", disk.open)
+	}
+}
