control: compact the log by its size too

What operators could see: with documents of 1 MB, the log has 125 MB after 125 changes, before it is compacted at 250 entries. On disks of 128 MB, all controls run out of room at nearly the same change. Each control then ends at the next write and its entry opens the folder again each second; all processes run, and changes are refused for good.

Cause: only the number of entries started a compaction. The maximum was chosen for documents of 100 KB; entries take documents of 8 MB. Ruled out: torn frames of failed writes, which are truncated and don't add up.

Now the log is also compacted once its commands have 25 MB, which documents of 100 KB reach at 250 entries, so that nothing changes for them; for a control of its own 64 MB.

--- a/yuccacommand/sizedconfig.go
+++ b/yuccacommand/sizedconfig.go
@@ -43,6 +43,8 @@
 	// compacted. It is low because the disks are small: with whole documents of
 	// 100 KB as entries, the log takes 25 MB.
 	sizedMaxLogEntries = 250
+	// sizedMaxLogBytes keeps the log that small with larger documents too.
+	sizedMaxLogBytes = 25 << 20
 )
 
 // sizedConfig is the configuration of a process of a system for sized jobs, whose
@@ -130,7 +132,7 @@
 			yuccacontrol.Options{
 				Network: controlNetwork, Self: address, DataCentre: c.dataCentre, Discover: mesh.Replicas, CanFormGroup: f.canFormGroup,
 				OnRecovered: func(sections []*yuccawire.Section) { edge.ApplyRecovered(sections) }, Voters: 2*c.toleratedFailures + 1,
-				SectionPushes: sectionPushes, MaxLogEntries: sizedMaxLogEntries, Random: newRandom(), SuspendWatch: yuccasuspend.New(), Metrics: c.metrics, Logger: c.logger,
+				SectionPushes: sectionPushes, MaxLogEntries: sizedMaxLogEntries, MaxLogBytes: sizedMaxLogBytes, Random: newRandom(), SuspendWatch: yuccasuspend.New(), Metrics: c.metrics, Logger: c.logger,
 			})
 		p.add(replica)
 	}
--- a/yuccacontrol/control.go
+++ b/yuccacontrol/control.go
@@ -26,6 +26,7 @@
 	pushInterval         = 50 * time.Millisecond
 	expireInterval       = 10 * time.Second
 	defaultMaxLogEntries = 20_000
+	defaultMaxLogBytes   = 64 << 20
 	maxBatchedEvents     = 2048
 )
 
@@ -72,8 +73,12 @@
 	// MaxLogEntries is the number of log entries at which the log is compacted
 	// into a snapshot. Zero means the default of 20,000.
 	MaxLogEntries int
-	Random        *rand.Rand
-	Metrics       *yuccametric.Set
+	// MaxLogBytes is the size of the commands in the log at which it is compacted,
+	// however few entries they are. The disk needs room for it and two snapshots.
+	// Zero means the default of 64 MB.
+	MaxLogBytes int
+	Random      *rand.Rand
+	Metrics     *yuccametric.Set
 	// Logger defaults to one that discards everything.
 	Logger *slog.Logger
 }
@@ -133,6 +138,9 @@
 	if options.MaxLogEntries == 0 {
 		options.MaxLogEntries = defaultMaxLogEntries
 	}
+	if options.MaxLogBytes == 0 {
+		options.MaxLogBytes = defaultMaxLogBytes
+	}
 	self := &yuccawire.ReplicaAddress{
 		Name: options.Self.GetName(), Address: options.Self.GetAddress(),
 		OperatorAddress: options.Self.GetOperatorAddress(), Id: options.Storage.ID(),
--- a/yuccacontrol/loop.go
+++ b/yuccacontrol/loop.go
@@ -267,9 +267,10 @@
 }
 
 // compact replaces the log with a snapshot of the state once the log has
-// MaxLogEntries entries.
+// MaxLogEntries entries or MaxLogBytes bytes.
 func (c *Control) compact() {
-	if c.core.LogEntries() < c.options.MaxLogEntries {
+	isLong := c.core.LogEntries() >= c.options.MaxLogEntries || c.core.LogBytes() >= c.options.MaxLogBytes
+	if !isLong || c.core.Commit() <= c.core.SnapshotIndex() {
 		return
 	}
 	data, err := c.state.Encode()
--- a/yuccaedge/change_test.go
+++ b/yuccaedge/change_test.go
@@ -88,7 +88,7 @@
 	}
 	if i < len(g.disks) {
 		options.Replica = yuccaedge.NewReplica(g.open(g.disks[i]), g.disks[i].open, yuccacontrol.Options{
-			Network: network, Self: g.replicas[i], Voters: g.voters, SectionPushes: 4, MaxLogEntries: maxLogEntries,
+			Network: network, Self: g.replicas[i], Voters: g.voters, SectionPushes: 4, MaxLogEntries: maxLogEntries, MaxLogBytes: maxLogBytes,
 			Discover:     func() []*yuccawire.ReplicaAddress { return slices.Concat(g.replicas[:i], g.replicas[i+1:]) },
 			CanFormGroup: func() (bool, bool) { return i == 0, false },
 			OnRecovered:  func(sections []*yuccawire.Section) { edge.ApplyRecovered(sections) },
--- a/yuccaedge/disk_test.go
+++ b/yuccaedge/disk_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"path/filepath"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -20,6 +21,7 @@
 const (
 	// maxLogEntries is small, so that logs are replaced while a disk is full.
 	maxLogEntries = 20
+	maxLogBytes   = 256 << 10
 	syncDelay     = 9 * time.Millisecond
 	// fewBytes is enough for a vote, but not for a change.
 	fewBytes = 64
@@ -28,12 +30,28 @@
 )
 
 // disk holds a data folder. While it is full, a write of more than room bytes stores
-// a part of them, and a sync fails if failsSync is set.
+// a part of them, and a sync fails if failsSync is set. With a capacity, it is also full
+// while its files have more bytes than that.
 type disk struct {
 	path      string
 	full      atomic.Bool
 	room      int
 	failsSync bool
+	capacity  atomic.Int64
+}
+
+func (d *disk) isFull() bool {
+	if d.capacity.Load() == 0 {
+		return d.full.Load()
+	}
+	used := int64(0)
+	files, _ := filepath.Glob(filepath.Join(d.path, "*"))
+	for _, file := range files {
+		if info, err := os.Stat(file); err == nil {
+			used += info.Size()
+		}
+	}
+	return used > d.capacity.Load()
 }
 
 func (d *disk) open() (*yuccadisk.Folder, error) {
@@ -49,7 +67,7 @@
 }
 
 func (f *diskFile) Write(data []byte) (int, error) {
-	if !f.disk.full.Load() || len(data) <= f.disk.room {
+	if !f.disk.isFull() || len(data) <= f.disk.room {
 		return f.File.Write(data)
 	}
 	n, _ := f.File.Write(data[:len(data)/2])
@@ -59,7 +77,7 @@
 // Sync takes the time of a sync, or fails for lack of room.
 func (f *diskFile) Sync() error {
 	time.Sleep(syncDelay)
-	if f.disk.full.Load() && f.disk.failsSync {
+	if f.disk.isFull() && f.disk.failsSync {
 		return syscall.ENOSPC
 	}
 	return nil
@@ -140,6 +158,23 @@
 	}
 }
 
+// Documents that fill the disk long before the log has its maximum of entries must not
+// stop the control for good.
+func TestLargeDocumentsDoNotFillDisk(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroupOfControls(t, 1, 1, 1, 1)
+		g.disks[0].capacity.Store(4 * maxLogBytes)
+		for version := uint64(1); version <= 4*maxLogEntries; version++ {
+			ctx, cancel := context.WithTimeout(t.Context(), ackTimeout)
+			_, err := g.edges[0].ReplaceDocument(ctx, version, make([]byte, maxLogBytes/2))
+			cancel()
+			if err != nil {
+				t.Fatalf("version %d: %v", version, err)
+			}
+		}
+	})
+}
+
 func (g *group) isDrained(edge *yuccaedge.Edge, dataCentre string) bool {
 	view := yuccadocument.NewView()
 	for _, section := range edge.Sections() {
--- a/yuccareplica/core.go
+++ b/yuccareplica/core.go
@@ -139,7 +139,7 @@
 		options:           options,
 		term:              stored.HardState.GetTerm(),
 		vote:              stored.HardState.GetVote(),
-		log:               memoryLog{snapshot: stored.Snapshot, entries: stored.Entries},
+		log:               newMemoryLog(stored.Snapshot, stored.Entries),
 		commit:            stored.Snapshot.GetIndex(),
 		applied:           stored.Snapshot.GetIndex(),
 		lastLeaderContact: now,
@@ -243,6 +243,12 @@
 // LogEntries returns the number of entries after the last snapshot.
 func (c *Core) LogEntries() int { return len(c.log.entries) }
 
+// LogBytes returns the total size of the commands after the last snapshot.
+func (c *Core) LogBytes() int { return c.log.commandBytes }
+
+// SnapshotIndex returns the index of the last entry in the last snapshot.
+func (c *Core) SnapshotIndex() uint64 { return c.log.snapshot.GetIndex() }
+
 // Replicas returns the configuration in effect. It must not be modified.
 func (c *Core) Replicas() *yuccawire.Replicas { return c.replicas }
 
--- a/yuccareplica/follower.go
+++ b/yuccareplica/follower.go
@@ -107,7 +107,7 @@
 	}
 	s := m.GetInstallSnapshot()
 	if s.GetIndex() > c.commit {
-		c.log = memoryLog{snapshot: s}
+		c.log = newMemoryLog(s, nil)
 		c.commit = s.GetIndex()
 		c.applied = s.GetIndex()
 		c.synced = min(c.synced, s.GetIndex()-1)
--- a/yuccareplica/log.go
+++ b/yuccareplica/log.go
@@ -6,6 +6,20 @@
 type memoryLog struct {
 	snapshot *yuccawire.InstallSnapshot
 	entries  []*yuccawire.Entry
+	// commandBytes is the total size of the commands of the entries.
+	commandBytes int
+}
+
+func newMemoryLog(snapshot *yuccawire.InstallSnapshot, entries []*yuccawire.Entry) memoryLog {
+	return memoryLog{snapshot: snapshot, entries: entries, commandBytes: sumCommandBytes(entries)}
+}
+
+func sumCommandBytes(entries []*yuccawire.Entry) int {
+	sum := 0
+	for _, e := range entries {
+		sum += len(e.GetCommand())
+	}
+	return sum
 }
 
 func (l *memoryLog) firstIndex() uint64 { return l.snapshot.GetIndex() + 1 }
@@ -55,16 +69,19 @@
 // appends it.
 func (l *memoryLog) truncateAndAppend(e *yuccawire.Entry) {
 	offset := e.GetIndex() - l.firstIndex()
-	if offset == uint64(len(l.entries)) {
-		l.entries = append(l.entries, e)
-		return
+	if offset < uint64(len(l.entries)) {
+		l.commandBytes -= sumCommandBytes(l.entries[offset:])
+		// Callers hold slices of the log, so truncation must not reuse the array.
+		l.entries = l.entries[:offset:offset]
 	}
-	// Callers hold slices of the log, so truncation must not reuse the array.
-	l.entries = append(l.entries[:offset:offset], e)
+	l.add(e)
 }
 
 // add appends an entry without truncating the log.
-func (l *memoryLog) add(e *yuccawire.Entry) { l.entries = append(l.entries, e) }
+func (l *memoryLog) add(e *yuccawire.Entry) {
+	l.entries = append(l.entries, e)
+	l.commandBytes += len(e.GetCommand())
+}
 
 // latestReplicas returns the newest configuration in the log or the snapshot,
 // and its index.
@@ -83,6 +100,5 @@
 	if snapshot.GetIndex() <= l.lastIndex() {
 		remaining = append(remaining, l.entries[snapshot.GetIndex()-l.firstIndex()+1:]...)
 	}
-	l.snapshot = snapshot
-	l.entries = remaining
+	*l = newMemoryLog(snapshot, remaining)
 }
