mux: keep accepting after a passing error

If a control was out of descriptors for one accept, its listener was closed along with all accepted connections, for good: the control went on without hearing anyone. Two such controls of three leave no majority. The same held for the mesh.

Cause: every error of the listener was taken for its end. Now only a closed listener ends the acceptor; after another error it logs and tries again 100 ms later, as net/http does.

--- a/yuccamux/acceptor.go
+++ b/yuccamux/acceptor.go
@@ -1,14 +1,20 @@
 package yuccamux
 
 import (
+	"errors"
+	"log/slog"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/hashicorp/yamux"
 
 	"github.com/yuccaturn/yuccaturn/yuccawire"
 )
 
+// acceptRetryDelay is the time between an error of the listener and the next attempt.
+const acceptRetryDelay = 100 * time.Millisecond
+
 // acceptor accepts TCP connections and returns the streams of their sessions as
 // links.
 type acceptor struct {
@@ -55,13 +61,20 @@
 	}
 }
 
+// run accepts connections until the acceptor is closed. Other errors pass: the process
+// is out of descriptors, for example.
 func (a *acceptor) run() {
 	for {
 		conn, err := a.listener.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			_ = a.Close()
 			return
 		}
+		if err != nil {
+			slog.Warn("accepting a connection failed", "address", a.Address(), "error", err)
+			time.Sleep(acceptRetryDelay)
+			continue
+		}
 		session, err := yamux.Server(&countingConn{Conn: conn, traffic: a.traffic}, muxConfig(a.options))
 		if err != nil {
 			_ = conn.Close()
--- a/yuccamux/network.go
+++ b/yuccamux/network.go
@@ -157,6 +157,10 @@
 	if err != nil {
 		return nil, merry.Prependf(err, "listening on %s", address)
 	}
+	return n.accept(l), nil
+}
+
+func (n *Network) accept(l net.Listener) *acceptor {
 	a := &acceptor{
 		listener: l,
 		options:  n.options,
@@ -166,7 +170,7 @@
 		sessions: make(map[*yamux.Session]struct{}),
 	}
 	go a.run()
-	return a, nil
+	return a
 }
 
 func muxConfig(options Options) *yamux.Config {
