--- a/yuccareplica/core.go
+++ b/yuccareplica/core.go
@@ -86,6 +86,8 @@
 	inflight       int
 	ackedSendTime  time.Time
 	snapshotSentAt time.Time
+	// snapshotRound is the round in which the snapshot was sent.
+	snapshotRound uint64
 }
 
 // Ready holds the pending work of a Core. The caller processes the fields in
--- a/yuccareplica/core_test.go
+++ b/yuccareplica/core_test.go
@@ -25,11 +25,13 @@
 }
 
 // group connects cores with instant message delivery and instant disk syncs.
-// Messages from and to isolated replicas are dropped.
+// Messages from and to isolated replicas are dropped, and snapshots if losesSnapshots
+// is set.
 type group struct {
-	cores    map[uint64]*yuccareplica.Core
-	isolated map[uint64]bool
-	now      time.Time
+	cores          map[uint64]*yuccareplica.Core
+	isolated       map[uint64]bool
+	losesSnapshots bool
+	now            time.Time
 }
 
 func newGroup(ids ...uint64) *group {
@@ -54,6 +56,9 @@
 				c.Synced(g.now, ready.SyncMark())
 			}
 			for _, m := range append(ready.Immediate, ready.AfterSync...) {
+				if m.GetInstallSnapshot() != nil && g.losesSnapshots {
+					continue
+				}
 				if other := g.cores[m.GetTo()]; other != nil && !g.isolated[id] && !g.isolated[m.GetTo()] {
 					other.Step(g.now, m)
 				}
@@ -216,6 +221,39 @@
 	}
 }
 
+// A follower that lost the snapshot, as when its disk was full, gets it again at once. Up
+// to then its acknowledgements keep the leader in office.
+func TestLostSnapshotIsSentAgain(t *testing.T) {
+	g := newGroup(1, 2, 3)
+	g.advance(3 * time.Second)
+	leader := g.leader()
+	var followers []uint64
+	for id, c := range g.cores {
+		if c != leader {
+			followers = append(followers, id)
+		}
+	}
+	g.isolated[followers[0]] = true
+	g.advance(25 * time.Millisecond)
+	leader.Propose(g.now, []byte("x"))
+	g.advance(time.Second)
+	if leader.Compact(leader.Commit(), []byte("state")) == nil {
+		t.Fatal("Compact returned no snapshot")
+	}
+	g.losesSnapshots = true
+	g.isolated = map[uint64]bool{followers[1]: true}
+	g.advance(2 * time.Second)
+	if !leader.IsLeader() {
+		t.Error("the leader has stepped down although a follower is in touch")
+	}
+	index, _, _ := leader.Propose(g.now, []byte("y"))
+	g.losesSnapshots = false
+	g.advance(2 * yuccareplica.HeartbeatInterval)
+	if !leader.IsLeader() || leader.Commit() < index {
+		t.Errorf("commit = %d two heartbeats later, want %d", leader.Commit(), index)
+	}
+}
+
 func TestOneMembershipChangeAtATime(t *testing.T) {
 	g := newGroup(1, 2, 3)
 	g.advance(3 * time.Second)
--- a/yuccareplica/leader.go
+++ b/yuccareplica/leader.go
@@ -165,12 +165,16 @@
 }
 
 // sendAppend sends the entries that the replica is missing, or a snapshot if
-// these have been compacted. A heartbeat is sent even if there are no entries.
+// these have been compacted. A heartbeat is sent even if there are no entries. After a
+// snapshot, it refers to that, so that a replica which lost it rejects the heartbeat.
 func (c *Core) sendAppend(now time.Time, id uint64, heartbeat bool) {
 	p := c.progress[id]
+	previous := p.nextIndex - 1
 	if p.nextIndex < c.log.firstIndex() {
-		c.sendSnapshot(now, id, p)
-		return
+		if c.sendSnapshot(now, id, p) {
+			return
+		}
+		previous = c.log.snapshot.GetIndex()
 	}
 	var entries []*yuccawire.Entry
 	if p.inflight < maxInflightAppends {
@@ -179,10 +183,10 @@
 	if len(entries) == 0 && !heartbeat {
 		return
 	}
-	previousTerm, _ := c.log.termAt(p.nextIndex - 1)
+	previousTerm, _ := c.log.termAt(previous)
 	m := c.newMessage(id)
 	m.Body = &yuccawire.Replica_Append{Append: &yuccawire.Append{
-		PreviousIndex: p.nextIndex - 1,
+		PreviousIndex: previous,
 		PreviousTerm:  previousTerm,
 		Commit:        c.commit,
 		Entries:       entries,
@@ -195,17 +199,19 @@
 	}
 }
 
-func (c *Core) sendSnapshot(now time.Time, id uint64, p *progress) {
+// sendSnapshot returns false if the snapshot was sent and may still arrive.
+func (c *Core) sendSnapshot(now time.Time, id uint64, p *progress) bool {
 	if now.Sub(p.snapshotSentAt) < snapshotRetryInterval {
-		return
+		return false
 	}
-	p.snapshotSentAt = now
+	p.snapshotSentAt, p.snapshotRound = now, c.round
 	s := c.log.snapshot
 	m := c.newMessage(id)
 	m.Body = &yuccawire.Replica_InstallSnapshot{InstallSnapshot: &yuccawire.InstallSnapshot{
 		Index: s.GetIndex(), IndexTerm: s.GetIndexTerm(), State: s.GetState(), Replicas: s.GetReplicas(), Round: c.round,
 	}}
 	c.ready.Immediate = append(c.ready.Immediate, m)
+	return true
 }
 
 func (c *Core) handleAppendReply(now time.Time, m *yuccawire.Replica) {
@@ -225,11 +231,16 @@
 	if !reply.GetSuccess() {
 		p.nextIndex = max(min(reply.GetHint()+1, c.log.lastIndex()+1), p.matchIndex+1)
 		p.inflight = 0
+		if reply.GetRound() > p.snapshotRound {
+			p.snapshotSentAt = time.Time{}
+		}
 		c.sendAppend(now, m.GetFrom(), false)
 		return
 	}
 	if reply.GetMatch() > p.matchIndex {
 		p.matchIndex = reply.GetMatch()
+	}
+	if p.matchIndex >= c.log.snapshot.GetIndex() {
 		p.snapshotSentAt = time.Time{}
 	}
 	p.nextIndex = max(p.nextIndex, p.matchIndex+1)
