--- a/yuccadisk/folder_test.go
+++ b/yuccadisk/folder_test.go
@@ -203,8 +203,15 @@
 // A folder whose log can't be opened after a replacement takes no more writes: they
 // would go to the removed file.
 func TestFailedReplaceMarksFolder(t *testing.T) {
-	f := openFolder(t, t.TempDir())
-	f.FailOpening()
+	f, err := yuccadisk.OpenWith(t.TempDir(), func(path string, flag int, perm os.FileMode) (yuccadisk.File, error) {
+		if flag == os.O_WRONLY {
+			return nil, os.ErrPermission
+		}
+		return os.OpenFile(path, flag, perm)
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
 	if err := f.Replace(&yuccawire.DiskFrame{Snapshot: &yuccawire.InstallSnapshot{Index: 2, IndexTerm: 2}}); err == nil {
 		t.Fatal("the replacement succeeded")
 	}
@@ -212,3 +219,103 @@
 		t.Errorf("a write after a failed replacement returned %v, want %v", err, yuccadisk.ErrFailed)
 	}
 }
+
+// faultyFile is a file whose syncs fail while err is set. It counts in open while it
+// is not closed.
+type faultyFile struct {
+	*os.File
+	err  *error
+	open *int
+}
+
+func (f faultyFile) Sync() error {
+	if *f.err != nil {
+		return *f.err
+	}
+	return f.File.Sync()
+}
+
+func (f faultyFile) Close() error {
+	*f.open--
+	return f.File.Close()
+}
+
+// faultyDisk opens faulty files. It calls onFolderSync before each sync of a folder.
+type faultyDisk struct {
+	err          error
+	open         int
+	onFolderSync func()
+}
+
+func (d *faultyDisk) openFile(path string, flag int, perm os.FileMode) (yuccadisk.File, error) {
+	file, err := os.OpenFile(path, flag, perm)
+	if err != nil {
+		return nil, err
+	}
+	if info, err := file.Stat(); err == nil && info.IsDir() {
+		if d.onFolderSync != nil {
+			d.onFolderSync()
+		}
+		return file, nil
+	}
+	d.open++
+	return faultyFile{File: file, err: &d.err, open: &d.open}, nil
+}
+
+// After a failed sync, the kernel can still return what it has dropped from the disk.
+func TestFrameOfFailedSyncIsNotReadAgain(t *testing.T) {
+	path := t.TempDir()
+	writeThreeFrames(t, path)
+	disk := &faultyDisk{}
+	f, err := yuccadisk.OpenWith(path, disk.openFile)
+	if err != nil {
+		t.Fatal(err)
+	}
+	disk.err = errors.New("no space left on device")
+	if err := f.Write(&yuccawire.DiskFrame{Entries: []*yuccawire.Entry{newEntry(4, 2, "c")}}); !errors.Is(err, disk.err) {
+		t.Fatalf("the write returned %v, want %v", err, disk.err)
+	}
+	_ = f.Close()
+	if got := commands(openFolder(t, path).Stored()); got != "ab" {
+		t.Errorf("stored entries are %q, want those that were synced, \"ab\"", got)
+	}
+}
+
+// A log that took the place of another must not lose its name again in a loss of power.
+func TestOpenSyncsNamesBeforeOldLogIsRemoved(t *testing.T) {
+	path := t.TempDir()
+	writeThreeFrames(t, path)
+	newest, err := os.ReadFile(logFile(t, path))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(filepath.Join(path, "log-000000000002"), newest, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	synced := false
+	disk := &faultyDisk{onFolderSync: func() {
+		logs, _ := filepath.Glob(filepath.Join(path, "log-*"))
+		synced = synced || len(logs) == 2
+	}}
+	f, err := yuccadisk.OpenWith(path, disk.openFile)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = f.Close()
+	if !synced {
+		t.Error("the folder was not synced before its old log was removed")
+	}
+}
+
+// A control opens a folder that can't be synced every second.
+func TestFailedOpenClosesLog(t *testing.T) {
+	path := t.TempDir()
+	writeThreeFrames(t, path)
+	disk := &faultyDisk{err: errors.New("no space left on device")}
+	if _, err := yuccadisk.OpenWith(path, disk.openFile); !errors.Is(err, disk.err) {
+		t.Fatalf("got error %v, want %v", err, disk.err)
+	}
+	if disk.open != 0 {
+		t.Errorf("%d files are still open", disk.open)
+	}
+}
--- a/yuccadisk/write.go
+++ b/yuccadisk/write.go
@@ -1,6 +1,7 @@
 package yuccadisk
 
 import (
+	"errors"
 	"os"
 	"path/filepath"
 	"slices"
@@ -25,14 +26,21 @@
 		return f.fail(err, "encoding frame")
 	}
 	if _, err := f.file.Write(data); err != nil {
-		return f.fail(err, "writing the log")
+		return f.failWrite(err, "writing the log")
 	}
 	if err := f.file.Sync(); err != nil {
-		return f.fail(err, "syncing the log")
+		return f.failWrite(err, "syncing the log")
 	}
+	f.size += int64(len(data))
 	return nil
 }
 
+// failWrite also cuts the log off after its synced part. The kernel may keep the rest
+// readable although it is not on the disk.
+func (f *Folder) failWrite(err error, action string) error {
+	return f.fail(errors.Join(err, f.file.Truncate(f.size)), action)
+}
+
 // Replace starts a new log with the frame, which must hold a snapshot, and removes
 // the old log. It returns when the frame is synced.
 func (f *Folder) Replace(frame *yuccawire.DiskFrame) error {
@@ -68,17 +76,17 @@
 // leaves either the complete file or none.
 func (f *Folder) writeFileAtomically(name string, data []byte) error {
 	path := filepath.Join(f.path, name)
-	if err := writeAndSync(path+tempSuffix, data); err != nil {
+	if err := f.writeAndSync(path+tempSuffix, data); err != nil {
 		return err
 	}
 	if err := os.Rename(path+tempSuffix, path); err != nil {
 		return err
 	}
-	return syncFolder(f.path)
+	return f.syncNames()
 }
 
-func writeAndSync(path string, data []byte) error {
-	file, err := os.OpenFile(path, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, filePerm)
+func (f *Folder) writeAndSync(path string, data []byte) error {
+	file, err := f.openFile(path, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, filePerm)
 	if err != nil {
 		return err
 	}
@@ -89,8 +97,10 @@
 	return file.Sync()
 }
 
-func syncFolder(path string) error {
-	folder, err := os.Open(path)
+// syncNames syncs the folder, so that created, renamed and removed files keep their
+// names.
+func (f *Folder) syncNames() error {
+	folder, err := f.openFile(f.path, os.O_RDONLY, 0)
 	if err != nil {
 		return err
 	}
--- a/yuccareplica/core_test.go
+++ b/yuccareplica/core_test.go
@@ -25,11 +25,13 @@
 }
 
 // group connects cores with instant message delivery and instant disk syncs.
-// Messages from and to isolated replicas are dropped.
+// Messages from and to isolated replicas are dropped, and snapshots if losesSnapshots
+// is set.
 type group struct {
-	cores    map[uint64]*yuccareplica.Core
-	isolated map[uint64]bool
-	now      time.Time
+	cores          map[uint64]*yuccareplica.Core
+	isolated       map[uint64]bool
+	losesSnapshots bool
+	now            time.Time
 }
 
 func newGroup(ids ...uint64) *group {
@@ -54,6 +56,9 @@
 				c.Synced(g.now, ready.SyncMark())
 			}
 			for _, m := range append(ready.Immediate, ready.AfterSync...) {
+				if m.GetInstallSnapshot() != nil && g.losesSnapshots {
+					continue
+				}
 				if other := g.cores[m.GetTo()]; other != nil && !g.isolated[id] && !g.isolated[m.GetTo()] {
 					other.Step(g.now, m)
 				}
@@ -216,6 +221,39 @@
 	}
 }
 
+// A follower that lost the snapshot, as when its disk was full, gets it again at once. Up
+// to then its acknowledgements keep the leader in office.
+func TestLostSnapshotIsSentAgain(t *testing.T) {
+	g := newGroup(1, 2, 3)
+	g.advance(3 * time.Second)
+	leader := g.leader()
+	var followers []uint64
+	for id, c := range g.cores {
+		if c != leader {
+			followers = append(followers, id)
+		}
+	}
+	g.isolated[followers[0]] = true
+	g.advance(25 * time.Millisecond)
+	leader.Propose(g.now, []byte("x"))
+	g.advance(time.Second)
+	if leader.Compact(leader.Commit(), []byte("state")) == nil {
+		t.Fatal("Compact returned no snapshot")
+	}
+	g.losesSnapshots = true
+	g.isolated = map[uint64]bool{followers[1]: true}
+	g.advance(2 * time.Second)
+	if !leader.IsLeader() {
+		t.Error("the leader has stepped down although a follower is in touch")
+	}
+	index, _, _ := leader.Propose(g.now, []byte("y"))
+	g.losesSnapshots = false
+	g.advance(2 * yuccareplica.HeartbeatInterval)
+	if !leader.IsLeader() || leader.Commit() < index {
+		t.Errorf("commit = %d two heartbeats later, want %d", leader.Commit(), index)
+	}
+}
+
 func TestOneMembershipChangeAtATime(t *testing.T) {
 	g := newGroup(1, 2, 3)
 	g.advance(3 * time.Second)
@@ -340,3 +378,57 @@
 		t.Error("still leader or lease still valid after StepDown")
 	}
 }
+
+// ackedMatch returns the highest index that the messages acknowledge, apart from
+// those that wait for a sync.
+func ackedMatch(ready yuccareplica.Ready) uint64 {
+	messages := ready.Immediate
+	if !ready.MustSync() {
+		messages = append(messages, ready.AfterSync...)
+	}
+	acked := uint64(0)
+	for _, m := range messages {
+		if reply := m.GetAppendReply(); reply.GetSuccess() {
+			acked = max(acked, reply.GetMatch())
+		}
+	}
+	return acked
+}
+
+// Entries that arrive again while their write is in progress are not on disk yet.
+func TestRepeatedAppendIsNotAcknowledgedBeforeSync(t *testing.T) {
+	follower := newCore(2, 1, 2, 3)
+	m := &yuccawire.Replica{From: 1, To: 2, Term: 2, Body: &yuccawire.Replica_Append{Append: &yuccawire.Append{
+		PreviousIndex: 1, PreviousTerm: 1, Entries: []*yuccawire.Entry{{Index: 2, Term: 2}},
+	}}}
+	follower.Step(startTime, m)
+	writing := follower.Ready(startTime)
+	follower.Step(startTime, m)
+	if acked := ackedMatch(follower.Ready(startTime)); acked >= 2 {
+		t.Errorf("index %d is acknowledged before its write has ended", acked)
+	}
+	follower.Synced(startTime, writing.SyncMark())
+	follower.Step(startTime, m)
+	if acked := ackedMatch(follower.Ready(startTime)); acked != 2 {
+		t.Errorf("index %d is acknowledged after the sync, want 2", acked)
+	}
+}
+
+// A snapshot that arrives again while its write is in progress is not on disk yet.
+func TestRepeatedSnapshotIsNotAcknowledgedBeforeSync(t *testing.T) {
+	follower := newCore(2, 1, 2, 3)
+	m := &yuccawire.Replica{From: 1, To: 2, Term: 2, Body: &yuccawire.Replica_InstallSnapshot{InstallSnapshot: &yuccawire.InstallSnapshot{
+		Index: 9, IndexTerm: 2, Replicas: replicas(1, 2, 3),
+	}}}
+	follower.Step(startTime, m)
+	writing := follower.Ready(startTime)
+	follower.Step(startTime, m)
+	if acked := ackedMatch(follower.Ready(startTime)); acked >= 9 {
+		t.Errorf("index %d is acknowledged before the snapshot is on disk", acked)
+	}
+	follower.Synced(startTime, writing.SyncMark())
+	follower.Step(startTime, m)
+	if acked := ackedMatch(follower.Ready(startTime)); acked != 9 {
+		t.Errorf("index %d is acknowledged after the sync, want 9", acked)
+	}
+}
