--- a/yuccamodel/world_test.go
+++ b/yuccamodel/world_test.go
@@ -1,6 +1,7 @@
 package yuccamodel_test
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"log/slog"
@@ -160,10 +161,12 @@
 	dataCentre  string
 	incarnation uint64
 	core        *yuccaworker.Worker
-	worker      *modelWorker
-	isDown      bool
-	isFrozen    bool
-	deferred    []func()
+	// state is what the side last told an entry of its worker.
+	state    *yuccawire.WorkerState
+	worker   *modelWorker
+	isDown   bool
+	isFrozen bool
+	deferred []func()
 }
 
 // link connects an entry and a side. A partition delays messages until it is
@@ -422,6 +425,9 @@
 	for _, a := range s.core.Actions() {
 		switch a := a.(type) {
 		case yuccaworker.Send:
+			if state := cmp.Or(a.Message.GetWorkerState(), a.Message.GetEnds().GetState()); state != nil {
+				s.state = state
+			}
 			for _, e := range w.entries {
 				if e.name == a.Owner.Name && e.incarnation == a.Owner.Incarnation {
 					w.sendToEntry(s, e, a.Message)
