worker: count on the longest lease after each restart of the worker

A call to the earlier incarnation that a restarted worker executes late, before the side has taken it over, may extend its hold up to a second, also that of runs started later. The side counted on this only if runs were carried over, and reported others as lost while they ran, if the worker answered nothing soon after.

TestDelayedRenewalOutlivesTheHold failed.

--- a/yuccaworker/restart.go
+++ b/yuccaworker/restart.go
@@ -71,7 +71,8 @@
 }
 
 // carryOver prepares the takeover of a new incarnation for the runs that it may have
-// started. Those that were being stopped are stopped there.
+// started. Those that were being stopped are stopped there. A delayed call to the earlier
+// one may have extended the hold up to the longest lease.
 func (w *Worker) carryOver(now time.Time, reportedMS int64) {
 	for _, r := range w.sortedRuns() {
 		if !r.stopSentAt.IsZero() {
@@ -79,9 +80,7 @@
 			w.stopRun(now, r)
 		}
 	}
-	if len(w.runs) > 0 {
-		w.holdUntilMS = reportedMS + maxLease.Milliseconds()
-	}
+	w.holdUntilMS = reportedMS + maxLease.Milliseconds()
 }
 
 // checkReplacedWorker ends the runs that were left when another incarnation answered at
--- a/yuccaworker/restart_test.go
+++ b/yuccaworker/restart_test.go
@@ -276,3 +276,20 @@
 		t.Errorf("crashes %v were reported, want none", crashes)
 	}
 }
+
+// A delayed renewal with a deadline on the clock of the earlier incarnation, executed before
+// the takeover, extends the hold of later runs, too.
+func TestDelayedRenewalOutlivesTheHold(t *testing.T) {
+	h := newHarness(t)
+	h.advance(time.Second)
+	h.restart(-4000)
+	h.holdUntilMS = h.clock() + time.Second.Milliseconds()
+	h.report(1, false)
+	h.runActions()
+	h.order(entry, lease, task("a", 1, 1600))
+	h.unresponsive = true
+	h.advanceWithLease(entry, 1500*time.Millisecond)
+	if h.outcomeOf(entry, "a") == nil {
+		t.Error("no outcome of the run was reported")
+	}
+}
--- a/yuccaworker/worker.go
+++ b/yuccaworker/worker.go
@@ -276,7 +276,9 @@
 	w.crashReported = false
 	w.holdInFlight = false
 	w.deadlineMS, w.holdUntilMS = 0, 0
-	w.carryOver(now, r.ClockMS)
+	if sameID {
+		w.carryOver(now, r.ClockMS)
+	}
 	w.cursor, w.ackedCursor = 0, 0
 	w.health.reset()
 	w.markOwnersDirty()
