--- a/yuccaworker/hold.go
+++ b/yuccaworker/hold.go
@@ -214,8 +214,8 @@
 	}
 }
 
-// canRunsExpire reports whether the hold of a run has certainly expired.
-func (w *Worker) canRunsExpire(now time.Time) bool {
+// hasExpiredRuns reports whether the hold of any run has certainly expired.
+func (w *Worker) hasExpiredRuns(now time.Time) bool {
 	for _, r := range w.runs {
 		if w.hasExpired(now, r) {
 			return true
@@ -242,7 +242,7 @@
 	if w.report == nil || w.gone || now.Sub(w.lastAnswerAt) < Hold {
 		return
 	}
-	if w.canRunsExpire(now) {
+	if w.hasExpiredRuns(now) {
 		w.options.Logger.Warn("worker unresponsive, hold expired", "worker", w.report.ID, "runs", len(w.runs))
 		w.loseRuns(now, "hold expired", w.seemsCrashed(), func(r *run) bool { return w.hasExpired(now, r) })
 		w.takenOver = false
