worker: order renewals and answers that share an instant

A stop was answered by a restarted worker, and each renewal after it in the same instant: time stands still in a synctest bubble while calls take none. A renewal counts as sent after the stop's answer only if its time is later, so that the side renewed without end. Processes outside a bubble need a call that takes less than a nanosecond for that, so callers saw nothing.

Ruled out: the carried-over run itself, which the second renewal ends once it is told apart.

The times of renewals differ now, and answers are no earlier than the last renewal, so that the order of events decides.

--- a/yuccaworker/hold.go
+++ b/yuccaworker/hold.go
@@ -33,12 +33,23 @@
 		deadline = w.extendHold(now)
 	}
 	w.holdInFlight = true
-	w.holdSentAt = now
+	w.holdSentAt = latest(now, w.holdSentAt.Add(1))
 	w.emit(CallHold{
-		Incarnation: w.incarnation(), DeadlineMS: deadline, Token: w.token, Cursor: w.cursorToAck(now), Wait: wait, Timeout: holdTimeout, SentAt: now,
+		Incarnation: w.incarnation(), DeadlineMS: deadline, Token: w.token, Cursor: w.cursorToAck(now), Wait: wait, Timeout: holdTimeout, SentAt: w.holdSentAt,
 	})
 }
 
+// afterHold returns when an event of now happened, for a comparison with the times at which
+// renewals were sent: the last of them was sent before it.
+func (w *Worker) afterHold(now time.Time) time.Time { return latest(now, w.holdSentAt) }
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // cursorToAck returns the number of the last completion to acknowledge, zero if the worker
 // may have restarted since its last answer: the completions of a new incarnation have the
 // numbers of those of the earlier one.
@@ -99,8 +110,8 @@
 	if h.Incarnation != w.incarnation() || w.gone {
 		return
 	}
-	latest := h.SentAt.Equal(w.holdSentAt)
-	if latest {
+	isLatest := h.SentAt.Equal(w.holdSentAt)
+	if isLatest {
 		w.holdInFlight = false
 	}
 	switch h.Result {
@@ -128,7 +139,7 @@
 	// The first renewal that fails early is repeated at once: its connection broke,
 	// perhaps in a crash.
 	failedEarly := h.Result == ResultUnknown && w.unansweredHolds == 1
-	if latest && (h.Result == ResultOK || now.Sub(h.SentAt) > holdWait || failedEarly) {
+	if isLatest && (h.Result == ResultOK || now.Sub(h.SentAt) > holdWait || failedEarly) {
 		w.renewHold(now)
 	}
 	w.startQueued(now)
--- a/yuccaworker/start.go
+++ b/yuccaworker/start.go
@@ -115,7 +115,7 @@
 func (w *Worker) confirmStart(now time.Time, r *run) {
 	if r.state == starting || r.state == uncertain {
 		r.state = started
-		r.confirmedAt = now
+		r.confirmedAt = w.afterHold(now)
 		if !r.stopSentAt.IsZero() {
 			w.stopRun(now, r)
 		}
--- a/yuccaworker/stop.go
+++ b/yuccaworker/stop.go
@@ -39,7 +39,7 @@
 	if r == nil || !answered || r.stopSentAt.IsZero() || !r.stopAckedAt.IsZero() {
 		return
 	}
-	r.stopAckedAt = now
+	r.stopAckedAt = w.afterHold(now)
 	if r.stopTries >= loggedStopTry {
 		w.options.Logger.Info("stop answered", "task", r.key.Task, "run", r.key.Run, "after_ms", now.Sub(r.stopRequestedAt).Milliseconds(), "tries", r.stopTries)
 	}
--- a/yuccaworker/worker.go
+++ b/yuccaworker/worker.go
@@ -68,7 +68,9 @@
 	holdUntilMS  int64
 	extendedAt   time.Time
 	holdInFlight bool
-	holdSentAt   time.Time
+	// holdSentAt is when the last renewal was sent. It differs between renewals that are
+	// sent at the same instant.
+	holdSentAt time.Time
 	// cursor is the number of the last completion that was processed, ackedCursor
 	// the number up to which the worker has discarded completions.
 	cursor      int64
