worker: choose tokens above those of earlier incarnations

A token was the reading of the worker's clock at the takeover. That clock starts anew with each restart of the worker, and a side that restarts together with it, as after a loss of power, knows no earlier token: a start of its earlier process that had no answer was executed after the takeover, while the task ran elsewhere or the worker's capacity was in use.

The start time rises with each restart, so the token does, too, unless the wall clock is set back; then the worker fences the side, which raises its token in doubling steps as before.

--- a/yuccamodel/restarted_test.go
+++ b/yuccamodel/restarted_test.go
@@ -107,6 +107,21 @@
 	w.after(d, func() { m.delayedCallShare = 0 })
 }
 
+// cutPowerOfSome restarts a random worker and its side together. The worker keeps its ID, and
+// neither remembers anything.
+func (w *world) cutPowerOfSome() {
+	s := w.sides[w.random.IntN(len(w.sides))]
+	m, downtime := s.worker, shortDowntime+w.randomDuration(2*time.Second)
+	sideDelay, reportDelay := w.randomDuration(shortDowntime), w.randomDuration(maxReportDelay)
+	if m.isDown || s.isDown {
+		return
+	}
+	w.logf("fault %s and its worker lose power for %v, side after %v", s.name, downtime, sideDelay)
+	m.crash()
+	w.killSide(s, downtime+sideDelay)
+	w.after(downtime, func() { m.restartWithClock(0, reportDelay) })
+}
+
 // playFaults offers load during random faults, and load after the last of them, which has
 // to be served.
 func (w *world) playFaults(load float64, faults int, injectors ...func()) {
@@ -181,3 +196,22 @@
 		})
 	}
 }
+
+// The same for workers that restart together with their sides, as after a loss of power,
+// while calls of the earlier process are delayed by up to 12 s.
+func TestFaultsOfWorkersAndSidesThatRestartTogether(t *testing.T) {
+	t.Parallel()
+	for i := range *seeds {
+		seed := *firstSeed + 9800 + uint64(i)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			w := newWorld(t, seed, 4, 5)
+			w.patience = 6 * time.Second
+			for _, s := range w.sides {
+				s.worker.delaySpread = longDelaySpread
+			}
+			w.playFaults(0.3, 14, w.cutPowerOfSome, w.delayCallsOfSome)
+			w.checkInUse()
+		})
+	}
+}
--- a/yuccamodel/worker_test.go
+++ b/yuccamodel/worker_test.go
@@ -230,7 +230,7 @@
 
 func (m *modelWorker) restart() {
 	m.isDown, m.refuses = false, false
-	m.incarnation.StartedAtMS++
+	m.incarnation.StartedAtMS = max(m.incarnation.StartedAtMS+1, m.world.now.UnixMilli())
 	m.startedAt = m.world.now
 	m.lastRun = make(map[string]uint64)
 	m.lastCompletion, m.token, m.leaseUntilMS, m.reportSequence = 0, 0, 0, 0
--- a/yuccaworker/restart_test.go
+++ b/yuccaworker/restart_test.go
@@ -74,6 +74,28 @@
 	}
 }
 
+// A machine that loses power restarts the worker and its side, which knows no earlier token.
+func TestDelayedStartRunsAfterWorkerAndSideRestartedTogether(t *testing.T) {
+	h := newHarness(t)
+	h.advance(time.Second)
+	h.unresponsive = true
+	h.order(entry, lease, task("a", 1, 1600))
+	delayed := h.lostStarts[0]
+	h.restart(-4000)
+	h.incarnation.StartedAtMS += 4000
+	h.unresponsive = false
+	h.restartSide()
+	h.report(1, false)
+	h.advance(200 * time.Millisecond)
+	if !h.states[entry].GetTaken() {
+		t.Fatal("the worker was not taken over")
+	}
+	h.start(delayed)
+	if h.running[runA] {
+		t.Error("a start of the earlier process of the side was executed after the takeover")
+	}
+}
+
 // The runs that the earlier incarnation has listed are lost with it at once.
 func TestListedRunsAreKeptAfterARestart(t *testing.T) {
 	h := newHarness(t)
--- a/yuccaworker/worker.go
+++ b/yuccaworker/worker.go
@@ -52,8 +52,9 @@
 	// ended yet. An earlier incarnation with the same ID may have sent the announcement.
 	deregistered bool
 	stopping     bool
-	// token is the fencing token sent with each call. A worker rejects calls with a
-	// lower token than the highest one it has received.
+	// token is the fencing token sent with each call: the wall time of the takeover in
+	// milliseconds, as told by the worker. A worker rejects calls with a lower token than
+	// the highest one it has received.
 	token int64
 	// tokenStep is by how much the token was raised last, zero once it suffices.
 	tokenStep int64
@@ -264,12 +265,8 @@
 	w.metrics.Add("workers_taken", 1)
 	w.gone = false
 	w.clock = workerClock{lastMS: r.ClockMS, observedAt: now}
-	if sameID {
-		// Fences the starts that were sent to the earlier incarnation.
-		w.token = max(w.token+1, r.ClockMS)
-	} else {
-		w.token = max(r.ClockMS, 1)
-	}
+	// Fences the starts that were sent to an earlier incarnation with this ID.
+	w.token = max(w.token+1, r.StartedAtMS+r.ClockMS)
 	w.takenOver = false
 	w.nextTakeOverAt = now
 	w.lastAnswerAt = now
--- a/yuccaworker/worker_test.go
+++ b/yuccaworker/worker_test.go
@@ -73,6 +73,12 @@
 	return h
 }
 
+// restartSide replaces the side by a new process, which remembers nothing.
+func (h *harness) restartSide() {
+	h.core = yuccaworker.New(yuccaworker.Options{Metrics: yuccametric.New("next"), Logger: slog.New(slog.DiscardHandler)}, h.now)
+	h.core.HandleLinkUp(h.now, entry)
+}
+
 func (h *harness) clock() int64 {
 	return 5000 + h.clockOffset + h.now.Sub(startTime).Milliseconds()
 }
@@ -455,8 +461,7 @@
 	h.order(entry, lease, task("a", 1, 1600))
 	h.advance(100 * time.Millisecond)
 	token := h.token
-	h.core = yuccaworker.New(yuccaworker.Options{Metrics: yuccametric.New("next"), Logger: slog.New(slog.DiscardHandler)}, h.now)
-	h.core.HandleLinkUp(h.now, entry)
+	h.restartSide()
 	h.report(9, false)
 	h.advance(200 * time.Millisecond)
 	if len(h.running) != 0 {
