worker: stop runs again that were stopped before a restart

A start had no answer, its stop was answered by the earlier incarnation of the worker, and the worker restarted under its id before the next renewal. The new incarnation answered renewals, but reported more than 1.1 s later. The side took the answer of the earlier incarnation for that of the new one and sent no further stop, then reported the run as lost. The delayed start was executed after that, while the task ran elsewhere.

Ruled out: a restart that is reported in time, since the takeover stops these runs again.

TestStopAnsweredBeforeTheRestartIsNotRepeated failed. The end of an incarnation now forgets the answer, so that the stop is sent again with the next tick, and the new incarnation refuses the start.

--- a/yuccaworker/restart.go
+++ b/yuccaworker/restart.go
@@ -38,7 +38,8 @@
 			continue
 		}
 		unconfirmed++
-		r.state, r.listed = uncertain, false
+		// A stop that the earlier incarnation answered doesn't bind the new one.
+		r.state, r.listed, r.stopAckedAt = uncertain, false, time.Time{}
 		if r.pendingCrash == nil && pending != nil {
 			r.pendingCrash = pending
 			pending.unconfirmed++
--- a/yuccaworker/restart_test.go
+++ b/yuccaworker/restart_test.go
@@ -315,3 +315,24 @@
 		t.Error("no outcome of the run was reported")
 	}
 }
+
+// The earlier incarnation answers the stop and restarts. The new one answers, but reports late.
+func TestStopAnsweredBeforeTheRestartIsNotRepeated(t *testing.T) {
+	h := newHarness(t)
+	h.advance(time.Second)
+	h.unresponsive = true
+	h.order(entry, lease, task("a", 1, 1600))
+	delayed := h.lostStarts[0]
+	h.unresponsive, h.holdsUnanswered = false, true
+	h.advanceWithLease(entry, 200*time.Millisecond)
+	h.restart(-4000)
+	h.holdsUnanswered = false
+	h.advanceWithLease(entry, 1300*time.Millisecond)
+	if h.outcomeOf(entry, "a") == nil {
+		t.Fatal("no outcome of the run was reported")
+	}
+	h.start(delayed)
+	if h.running[runA] {
+		t.Error("the delayed start was executed after the run was reported as ended")
+	}
+}
