worker: count on the longest lease from the answer of a restarted worker

The side counted on the longest lease from the clock in the report of a restarted worker. A report may arrive a second after it was written, and until the takeover has reached the worker, it executes delayed renewals to its earlier incarnation. One that was executed after the report extended the hold to almost a second beyond what the side counted on: if the worker then answered nothing, its runs were reported as lost while they went on, and their tasks were started elsewhere.

Ruled out: workers that never answer the takeover, as nothing bounds the lease of a call that they may still execute, and nothing is started there.

TestDelayedRenewalAfterAnOldReportOutlivesTheHold failed. The longest lease is now counted from the clock in the first answer to the takeover, too, from which on the token fences such calls.

--- a/yuccaworker/hold.go
+++ b/yuccaworker/hold.go
@@ -118,6 +118,7 @@
 	case ResultOK:
 		w.recordAnswer(now, h.ClockMS)
 		w.lastListAt = now
+		w.boundHold(h.ClockMS)
 		w.applyCompletions(now, h)
 		w.reconcileRuns(now, h)
 	case ResultFenced:
--- a/yuccaworker/restart.go
+++ b/yuccaworker/restart.go
@@ -84,6 +84,16 @@
 	w.holdUntilMS = reportedMS + maxLease.Milliseconds()
 }
 
+// boundHold counts on the longest lease from the first answer of a restarted worker. Its
+// report, which carryOver goes by, may be old, while the token fences delayed calls only
+// from the answer on.
+func (w *Worker) boundHold(answeredMS int64) {
+	if w.unfenced {
+		w.unfenced = false
+		w.holdUntilMS = max(w.holdUntilMS, answeredMS+maxLease.Milliseconds())
+	}
+}
+
 // checkReplacedWorker ends the runs that were left when another incarnation answered at
 // the worker's address, if that one doesn't report in time. It stops them there first, so
 // that no delayed start takes effect.
--- a/yuccaworker/restart_test.go
+++ b/yuccaworker/restart_test.go
@@ -336,3 +336,27 @@
 		t.Error("the delayed start was executed after the run was reported as ended")
 	}
 }
+
+// The report that the takeover follows may be almost a second old, and a delayed renewal be
+// executed after it.
+func TestDelayedRenewalAfterAnOldReportOutlivesTheHold(t *testing.T) {
+	h := newHarness(t)
+	h.advance(time.Second)
+	h.restart(-4000)
+	report := yuccaworker.Report{
+		ID: h.incarnation.ID, StartedAtMS: h.incarnation.StartedAtMS, Service: "belfry", CPUMilli: 16000, MemoryMB: 32768, ClockMS: h.clock(), Sequence: 1,
+	}
+	h.advance(900 * time.Millisecond)
+	h.holdUntilMS = h.clock() + time.Second.Milliseconds()
+	h.core.HandleReport(h.now, report)
+	h.runActions()
+	h.order(entry, lease, task("a", 1, 1600))
+	if !h.running[runA] {
+		t.Fatal("the run was not started")
+	}
+	h.unresponsive = true
+	h.advanceWithLease(entry, 1500*time.Millisecond)
+	if h.outcomeOf(entry, "a") == nil {
+		t.Error("no outcome of the run was reported")
+	}
+}
--- a/yuccaworker/worker.go
+++ b/yuccaworker/worker.go
@@ -65,9 +65,12 @@
 	// deadlineMS is the latest deadline sent to the worker, on the worker's clock,
 	// holdUntilMS until when it keeps its runs at most: longer if it restarted under them.
 	// extendedAt is when a deadline was last sent.
-	deadlineMS   int64
-	holdUntilMS  int64
-	extendedAt   time.Time
+	deadlineMS  int64
+	holdUntilMS int64
+	extendedAt  time.Time
+	// unfenced is set until a restarted worker has first answered: it may execute calls to
+	// the earlier incarnation until then.
+	unfenced     bool
 	holdInFlight bool
 	// holdSentAt is when the last renewal was sent. It differs between renewals that are
 	// sent at the same instant.
@@ -275,6 +278,7 @@
 	w.crashReported = false
 	w.holdInFlight = false
 	w.deadlineMS, w.holdUntilMS = 0, 0
+	w.unfenced = sameID
 	if sameID {
 		w.carryOver(now, r.ClockMS)
 	}
