worker: use workers whose start time goes back

A side ignores reports with an earlier start time than that of the worker it knows, as delayed ones of an earlier incarnation. If the wall clock of the machine is set back before the worker restarts, all its reports are such, and callers saw the worker's capacity missing until the clock had caught up and the worker or its side restarted once more.

TestWorkerWithAnEarlierStartTimeIsLeftUnused failed, with and without a run. Such a report is accepted now once no run is active and the known incarnation is gone, or has not reported for 4 s. No run can be taken for lost by mistake then, and if the report was a delayed one after all, the answer to the takeover tells: TestDelayedReportOfEarlierIncarnationIsIgnored. That test fails without the condition on active runs.

--- a/yuccaworker/restart_test.go
+++ b/yuccaworker/restart_test.go
@@ -360,3 +360,49 @@
 		t.Error("no outcome of the run was reported")
 	}
 }
+
+// The wall clock of the machine was set back before the worker restarted.
+func TestWorkerWithAnEarlierStartTimeIsLeftUnused(t *testing.T) {
+	for name, tasks := range map[string][]*yuccawire.TaskOrder{"idle": nil, "busy": {task("a", 1, 1600)}} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			h.order(entry, lease, tasks...)
+			h.advanceWithLease(entry, time.Second)
+			h.restart(-4000)
+			h.incarnation.StartedAtMS -= 150
+			for sequence := range int64(5) {
+				h.report(sequence+1, false)
+				h.advanceWithLease(entry, 1500*time.Millisecond)
+			}
+			if !h.states[entry].GetReady() {
+				t.Error("the worker is not in use")
+			}
+		})
+	}
+}
+
+// A report of an earlier incarnation that was delayed.
+func TestDelayedReportOfEarlierIncarnationIsIgnored(t *testing.T) {
+	h := newHarness(t)
+	late := yuccaworker.Report{
+		ID: h.incarnation.ID, StartedAtMS: h.incarnation.StartedAtMS, Service: "belfry", CPUMilli: 16000, MemoryMB: 32768, ClockMS: h.clock(), Sequence: 2,
+	}
+	h.restart(-4000)
+	h.report(1, false)
+	h.advance(100 * time.Millisecond)
+	h.order(entry, lease, task("a", 1, 1600))
+	h.advanceWithLease(entry, 5*time.Second)
+	if h.core.HandleReport(h.now, late) {
+		t.Error("the report of the earlier incarnation was accepted while a run is active")
+	}
+	h.complete(runA, yuccawire.RunEnd_RUN_END_DONE)
+	h.advanceWithLease(entry, 200*time.Millisecond)
+	h.expectOutcome(entry, "a", yuccawire.RunEnd_RUN_END_DONE, 0)
+	h.core.HandleReport(h.now, late)
+	h.advance(200 * time.Millisecond)
+	h.report(2, false)
+	h.advance(200 * time.Millisecond)
+	if !h.states[entry].GetReady() {
+		t.Error("the worker is not in use after its next report")
+	}
+}
--- a/yuccaworker/worker.go
+++ b/yuccaworker/worker.go
@@ -205,7 +205,7 @@
 // HandleReport processes a report of the worker. It returns false and ignores the
 // report if a later one was received before.
 func (w *Worker) HandleReport(now time.Time, r Report) bool {
-	if w.report != nil && w.isOutdated(r) {
+	if w.report != nil && w.isOutdated(now, r) {
 		w.metrics.Add("reports_overtaken", 1)
 		w.options.Logger.Warn("outdated report ignored", "worker", r.ID, "born", r.StartedAtMS, "sequence", r.Sequence)
 		return false
@@ -249,10 +249,13 @@
 }
 
 // isOutdated reports whether the report comes from an earlier incarnation, or
-// precedes the last one of this incarnation.
-func (w *Worker) isOutdated(r Report) bool {
+// precedes the last one of this incarnation. If the known incarnation is gone or silent
+// and there are no runs to lose, an earlier start counts as that of a new one: the machine's
+// wall clock may have been set back.
+func (w *Worker) isOutdated(now time.Time, r Report) bool {
 	if r.StartedAtMS != w.report.StartedAtMS {
-		return r.StartedAtMS < w.report.StartedAtMS
+		mayBeReplaced := len(w.runs) == 0 && (w.gone || w.isReportStale(now))
+		return r.StartedAtMS < w.report.StartedAtMS && !mayBeReplaced
 	}
 	return r.ID == w.report.ID && r.Sequence < w.report.Sequence
 }
