worker: keep unanswered starts of a worker that has announced its exit

A worker that announced its exit and then refused connections counted as ended with all its runs. That holds for the runs it had, but not for a start without an answer: a worker that restarts under its id executes it. The run had been reported as lost by then and its task was started elsewhere. The class is the same: the end of a process is taken as proof of what its successor does.

Ruled out: runs whose only start was answered or listed. They are lost at once as before.

TestDelayedStartAfterDeregistration failed.

--- a/yuccaworker/restart_test.go
+++ b/yuccaworker/restart_test.go
@@ -406,3 +406,39 @@
 		t.Error("the worker is not in use after its next report")
 	}
 }
+
+// A worker that has announced its exit restarts, and executes a delayed start.
+func TestDelayedStartAfterDeregistration(t *testing.T) {
+	h := newHarness(t)
+	h.advance(time.Second)
+	h.unresponsive = true
+	h.order(entry, lease, task("a", 1, 1600))
+	delayed := h.lostStarts[0]
+	h.core.HandleDeregistration(h.now, "w-1")
+	h.unresponsive, h.refusing = false, true
+	h.advanceWithLease(entry, 200*time.Millisecond)
+	h.refusing = false
+	h.restart(-4000)
+	h.start(delayed)
+	if h.running[runA] && h.outcomeOf(entry, "a") != nil {
+		t.Error("the delayed start was executed after the run was reported as ended")
+	}
+	h.report(1, false)
+	h.advanceWithLease(entry, 300*time.Millisecond)
+	h.expectOutcome(entry, "a", yuccawire.RunEnd_RUN_END_STOPPED, 0)
+}
+
+// If it does not restart, the run is reported as lost in the end.
+func TestUnansweredStartAtDeregisteredWorkerIsKeptForGood(t *testing.T) {
+	h := newHarness(t)
+	h.advance(time.Second)
+	h.unresponsive = true
+	h.order(entry, lease, task("a", 1, 1600))
+	h.core.HandleDeregistration(h.now, "w-1")
+	h.refusing = true
+	h.advanceWithLease(entry, 1500*time.Millisecond)
+	h.expectOutcome(entry, "a", yuccawire.RunEnd_RUN_END_LOST, 0)
+	if crashes := h.crashes[entry]; len(crashes) > 0 {
+		t.Errorf("crashes %v were reported, want none", crashes)
+	}
+}
--- a/yuccaworker/start.go
+++ b/yuccaworker/start.go
@@ -135,3 +135,9 @@
 	r.state = uncertain
 	w.stopRun(now, r)
 }
+
+// mayStartLater reports whether the worker may still execute a start of the run: one that has
+// neither been answered nor led to the run that the worker listed.
+func (r *run) mayStartLater() bool {
+	return r.tries > 1 || r.state != started && !r.listed
+}
--- a/yuccaworker/worker.go
+++ b/yuccaworker/worker.go
@@ -305,14 +305,18 @@
 }
 
 // checkDeregistration completes the deregistration of a worker without runs, and of one
-// that refuses connections: its runs are lost.
+// that refuses connections: its runs are lost. Those that it may start after a restart under
+// its ID count as active for a while longer.
 func (w *Worker) checkDeregistration(now time.Time) {
 	if !w.deregistered || len(w.runs) > 0 && w.isReachable() {
 		return
 	}
 	w.deregistered = false
 	w.gone, w.goneAt = true, now
-	w.loseAllRuns(now, "worker deregistered", false)
+	w.loseRuns(now, "worker deregistered", false, func(r *run) bool { return !r.mayStartLater() })
+	for _, r := range w.runs {
+		r.markLost(false, now)
+	}
 }
 
 // Stop prepares for the shutdown of this side: it refuses queued tasks and all
