worker: keep runs with an earlier unanswered try for the longest lease

The first try of a start had no answer, the second one was executed and the worker listed the run. The worker then restarted unnoticed, executed the first try, and answered nothing. The deadline in it was on the clock of the earlier incarnation, so that the run went on for up to a second, while the side reported it as lost after 0.5 s: the listed run was taken as proof for all tries.

Ruled out: runs with a single try, which the listed run accounts for.

TestHoldExpiryEndsRunOfDelayedFirstTry failed. Only a listed run with a single try ends with the hold now, as in endIncarnation. The others are reported after 1.1 s if the worker answers nothing; they need a lost answer to a start, so that this is rare.

--- a/yuccaworker/hold.go
+++ b/yuccaworker/hold.go
@@ -238,13 +238,13 @@
 
 // hasExpired reports whether the hold of the run has certainly expired. A restarted worker
 // may have taken the deadline of a start for one on its own clock, which is behind, unless
-// it has confirmed the run.
+// the known incarnation has confirmed the run and no other try is left.
 func (w *Worker) hasExpired(now time.Time, r *run) bool {
 	if w.clock.lowerBound(now) <= w.holdUntilMS+stopRetry.Milliseconds() {
 		return false
 	}
 	longest := time.Duration(float64(maxLease)*(1+2*ClockDrift)) + stopRetry
-	return r.listed || r.clockConfirmed || now.Sub(w.extendedAt) > longest
+	return r.listed && r.tries == 1 || r.clockConfirmed || now.Sub(w.extendedAt) > longest
 }
 
 // checkHoldExpiry abandons the runs of an unresponsive worker once its hold has
--- a/yuccaworker/restart_test.go
+++ b/yuccaworker/restart_test.go
@@ -442,3 +442,31 @@
 		t.Errorf("crashes %v were reported, want none", crashes)
 	}
 }
+
+// The earlier incarnation has listed the run, after the second try. The first one is executed
+// by a new incarnation that never answers.
+func TestHoldExpiryEndsRunOfDelayedFirstTry(t *testing.T) {
+	h := newHarness(t)
+	h.advance(time.Second)
+	h.unresponsive = true
+	h.core.HandleOrders(h.now, entry, &yuccawire.Orders{
+		UntilMs: h.core.Clock(h.now) + uint64(lease.Milliseconds()),
+		Jobs:    []*yuccawire.JobOrder{{Job: "j", Service: "belfry", ExpiresMs: h.core.Clock(h.now) + 60_000, Tasks: []*yuccawire.TaskOrder{task("a", 1, 1600)}}},
+	})
+	for _, a := range h.core.Actions() {
+		h.runAction(a)
+	}
+	h.unresponsive = false
+	h.runActions()
+	h.advanceWithLease(entry, 200*time.Millisecond)
+	if !h.running[runA] {
+		t.Fatal("the second try was not executed")
+	}
+	h.restart(-4000)
+	h.start(h.lostStarts[0])
+	h.unresponsive = true
+	h.advanceWithLease(entry, 1500*time.Millisecond)
+	if h.outcomeOf(entry, "a") == nil {
+		t.Error("no outcome of the run was reported")
+	}
+}
