worker: refuse the queue when another incarnation takes over

The queue of a side survived a restart of its worker that was first noticed by the report. Tasks are checked against the service and the size of the worker when they are queued, and entries choose the label. A new incarnation may be of another kind, so that tasks were started on a worker of another service or without their label, and those that no longer fitted waited until they expired.

Ruled out: restarts that are noticed by a refused connection or a renewal, which refuse the queue already.

TestQueuedTaskStartsOnWorkerOfAnotherService failed, with the same id and with another one. The takeover refuses the queue now. Entries place the tasks again.

--- a/yuccaworker/restart_test.go
+++ b/yuccaworker/restart_test.go
@@ -470,3 +470,28 @@
 		t.Error("no outcome of the run was reported")
 	}
 }
+
+// A new incarnation may be of a different kind, with the same ID or another one.
+func TestQueuedTaskStartsOnWorkerOfAnotherService(t *testing.T) {
+	for _, id := range []string{"w-1", "w-2"} {
+		t.Run(id, func(t *testing.T) {
+			h := newHarness(t)
+			h.order(entry, lease, task("a", 1, 16000), task("b", 1, 1600))
+			h.advanceWithLease(entry, 200*time.Millisecond)
+			if h.outcomeOf(entry, "b") != nil {
+				t.Fatal("the second task was refused, want it queued")
+			}
+			h.restart(-4000)
+			h.incarnation.ID = id
+			h.core.HandleReport(h.now, yuccaworker.Report{
+				ID: id, StartedAtMS: h.incarnation.StartedAtMS, Service: "other", CPUMilli: 16000, MemoryMB: 32768, ClockMS: h.clock(), Sequence: 1,
+			})
+			h.runActions()
+			h.advanceWithLease(entry, 200*time.Millisecond)
+			if h.latestRun["b"] > 0 || h.running[yuccaworker.Key{Task: "b", Run: 1}] {
+				t.Error("the queued task was started on the worker of another service")
+			}
+			h.expectOutcome(entry, "b", yuccawire.RunEnd_RUN_END_REFUSED, yuccawire.RunRefusal_RUN_REFUSAL_NO_WORKER)
+		})
+	}
+}
--- a/yuccaworker/worker.go
+++ b/yuccaworker/worker.go
@@ -287,6 +287,8 @@
 	}
 	w.cursor, w.ackedCursor = 0, 0
 	w.health.reset()
+	// The new incarnation may be of another service, kind or size.
+	w.refuseQueue(now, yuccawire.RunRefusal_RUN_REFUSAL_NO_WORKER)
 	w.markOwnersDirty()
 	w.renewHold(now)
 }
