--- a/yuccaworker/worker.go
+++ b/yuccaworker/worker.go
@@ -65,9 +65,12 @@
 	// deadlineMS is the latest deadline sent to the worker, on the worker's clock,
 	// holdUntilMS until when it keeps its runs at most: longer if it restarted under them.
 	// extendedAt is when a deadline was last sent.
-	deadlineMS   int64
-	holdUntilMS  int64
-	extendedAt   time.Time
+	deadlineMS  int64
+	holdUntilMS int64
+	extendedAt  time.Time
+	// unfenced is set until a restarted worker has first answered: it may execute calls to
+	// the earlier incarnation until then.
+	unfenced     bool
 	holdInFlight bool
 	// holdSentAt is when the last renewal was sent. It differs between renewals that are
 	// sent at the same instant.
@@ -202,7 +205,7 @@
 // HandleReport processes a report of the worker. It returns false and ignores the
 // report if a later one was received before.
 func (w *Worker) HandleReport(now time.Time, r Report) bool {
-	if w.report != nil && w.isOutdated(r) {
+	if w.report != nil && w.isOutdated(now, r) {
 		w.metrics.Add("reports_overtaken", 1)
 		w.options.Logger.Warn("outdated report ignored", "worker", r.ID, "born", r.StartedAtMS, "sequence", r.Sequence)
 		return false
@@ -246,10 +249,13 @@
 }
 
 // isOutdated reports whether the report comes from an earlier incarnation, or
-// precedes the last one of this incarnation.
-func (w *Worker) isOutdated(r Report) bool {
+// precedes the last one of this incarnation. If the known incarnation is gone or silent
+// and there are no runs to lose, an earlier start counts as that of a new one: the machine's
+// wall clock may have been set back.
+func (w *Worker) isOutdated(now time.Time, r Report) bool {
 	if r.StartedAtMS != w.report.StartedAtMS {
-		return r.StartedAtMS < w.report.StartedAtMS
+		mayBeReplaced := len(w.runs) == 0 && (w.gone || w.isReportStale(now))
+		return r.StartedAtMS < w.report.StartedAtMS && !mayBeReplaced
 	}
 	return r.ID == w.report.ID && r.Sequence < w.report.Sequence
 }
@@ -275,11 +281,14 @@
 	w.crashReported = false
 	w.holdInFlight = false
 	w.deadlineMS, w.holdUntilMS = 0, 0
+	w.unfenced = sameID
 	if sameID {
 		w.carryOver(now, r.ClockMS)
 	}
 	w.cursor, w.ackedCursor = 0, 0
 	w.health.reset()
+	// The new incarnation may be of another service, kind or size.
+	w.refuseQueue(now, yuccawire.RunRefusal_RUN_REFUSAL_NO_WORKER)
 	w.markOwnersDirty()
 	w.renewHold(now)
 }
@@ -298,14 +307,18 @@
 }
 
 // checkDeregistration completes the deregistration of a worker without runs, and of one
-// that refuses connections: its runs are lost.
+// that refuses connections: its runs are lost. Those that it may start after a restart under
+// its ID count as active for a while longer.
 func (w *Worker) checkDeregistration(now time.Time) {
 	if !w.deregistered || len(w.runs) > 0 && w.isReachable() {
 		return
 	}
 	w.deregistered = false
 	w.gone, w.goneAt = true, now
-	w.loseAllRuns(now, "worker deregistered", false)
+	w.loseRuns(now, "worker deregistered", false, func(r *run) bool { return !r.mayStartLater() })
+	for _, r := range w.runs {
+		r.markLost(false, now)
+	}
 }
 
 // Stop prepares for the shutdown of this side: it refuses queued tasks and all
