dispatch: start no task of a job that was recorded as complete

A job that had completed was run a second time: submitted again at another entry more than five minutes after its deadline, once its owner had restarted, also as planned. All entries and sides were well.

Cause: the job is taken over, its sides are asked for its attempts, and a task that none of them reports counts as never started. Sides drop their records of a job five minutes after its deadline (`retention`); claims are kept for an hour. The reply to the take-over says that the job had finished, which was not looked at.

Ruled out: the loss of a side (the check on lastSideLoss holds), and dropped results within the retention, which are gathered as unknown.

A finished job that is taken over was recorded as complete (others are refused as expired), so each of its tasks was started: those that no side reports are unknown now, and the answer is outcome-unknown if all of them are. Jobs whose completion was not recorded are not covered by this.

--- a/yuccadispatch/takeover.go
+++ b/yuccadispatch/takeover.go
@@ -25,15 +25,19 @@
 	// pending is the set of sides, by name, that have not replied yet.
 	pending map[string]bool
 	// incomplete is set if a side that may have started tasks cannot be
-	// queried.
+	// queried, or may have forgotten them.
 	incomplete bool
 }
 
 // startGathering queries every side of the service. A side records the fence of
-// the former owner before it replies, so that it starts nothing more for it.
+// the former owner before it replies, so that it starts nothing more for it. All
+// tasks of a job that was recorded as complete have run, so that one which no side
+// reports was forgotten and must not be started.
 func (d *Dispatcher) startGathering(now time.Time, j *job, reply *yuccawire.ClaimReply) {
 	j.state = gathering
-	j.takeover = &takeover{formerOwner: j.owner, deadline: now.Add(gatherTimeout), pending: make(map[string]bool)}
+	j.takeover = &takeover{
+		formerOwner: j.owner, deadline: now.Add(gatherTimeout), pending: make(map[string]bool), incomplete: reply.GetFinished(),
+	}
 	if reply.GetAgeMs() >= 0 {
 		age := time.Duration(reply.GetAgeMs()) * time.Millisecond
 		j.takeover.claimedAt = now.Add(-age - claimAgeMargin)
