dispatch: start no task that sides may have forgotten

A job whose owner had crashed while it ran, and that was submitted again more than five minutes after its deadline, ran a second time. The job's claim does not say in this case that it has finished.

That holds only as long as it keeps its records: `retention`, five minutes after the deadline by default, while jobs may be submitted again for half an hour.

Ruled out: records of running attempts are kept however old; a refused start stays refused.

A side keeps the record of a start for longer than its retention after the claim. It can't learn a side's setting without a new field on the wire, so sides keep records for five minutes at least, also with a lower `retention`.

The price: tasks that waited for longer than that with an owner that dies are unknown, where they were started before.

--- a/yuccadispatch/takeover.go
+++ b/yuccadispatch/takeover.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/yuccaturn/yuccaturn/yuccagate"
 	"github.com/yuccaturn/yuccaturn/yuccawire"
 )
 
@@ -135,7 +136,7 @@
 // endGathering resumes the job. Tasks that no side reported are started only if
 // every side that may have started them has replied.
 func (d *Dispatcher) endGathering(now time.Time, j *job) {
-	allAnswered := d.allSidesAnswered(j)
+	allAnswered := d.allSidesAnswered(now, j)
 	j.state = open
 	sv := d.service(j.Service)
 	if !allAnswered {
@@ -159,7 +160,7 @@
 			continue
 		}
 		t.settle(unknown)
-		t.failure = "the former owner may have started it at a side that is gone"
+		t.failure = "the former owner may have started it at a side that is gone or keeps no record of it"
 		if j.failReason == "" {
 			j.failReason = t.failure
 		}
@@ -167,10 +168,14 @@
 }
 
 // allSidesAnswered reports whether every side that may have started tasks of the
-// job has replied: none is pending, none was lost since the job was claimed, and
-// this entry has tracked the sides since before the claim.
-func (d *Dispatcher) allSidesAnswered(j *job) bool {
+// job has replied and still has its records: none is pending, none was lost since
+// the job was claimed, this entry has tracked the sides since before the claim, and
+// the claim is younger than the records that sides drop.
+func (d *Dispatcher) allSidesAnswered(now time.Time, j *job) bool {
 	t := j.takeover
+	if len(t.pending) > 0 || t.incomplete || d.membersSince.IsZero() {
+		return false
+	}
 	lostAt := d.service(j.Service).lastSideLoss
-	return len(t.pending) == 0 && !t.incomplete && !d.membersSince.IsZero() && d.membersSince.Before(t.claimedAt) && lostAt.Before(t.claimedAt)
+	return d.membersSince.Before(t.claimedAt) && lostAt.Before(t.claimedAt) && now.Sub(t.claimedAt) < yuccagate.DefaultRetention
 }
--- a/yuccagate/gate.go
+++ b/yuccagate/gate.go
@@ -7,10 +7,12 @@
 	"github.com/yuccaturn/yuccaturn/yuccalease"
 )
 
-const (
-	defaultRetention      = 5 * time.Minute
-	defaultMaxResultBytes = 16 << 20
-)
+// DefaultRetention is the retention of records by default, and the minimum that
+// entries rely on: to them, a job claimed within it that a side has no record of was
+// not started there.
+const DefaultRetention = 5 * time.Minute
+
+const defaultMaxResultBytes = 16 << 20
 
 // Options holds the settings of a gate. A zero Retention means 5 minutes, a zero
 // MaxResultBytes 16 MiB.
@@ -51,7 +53,7 @@
 // starts.
 func New(options Options) *Gate {
 	if options.Retention == 0 {
-		options.Retention = defaultRetention
+		options.Retention = DefaultRetention
 	}
 	if options.MaxResultBytes == 0 {
 		options.MaxResultBytes = defaultMaxResultBytes
--- a/yuccasettings/side.go
+++ b/yuccasettings/side.go
@@ -20,7 +20,7 @@
 	// Controls are the addresses of the control group.
 	Controls []string `json:"controls"`
 	// Retention is how long the records of a job are retained after its deadline;
-	// zero means 5m.
+	// zero, and anything below 5m, means 5m.
 	Retention time.Duration `json:"retention"`
 	// MaxResultBytes limits the total size of the retained results; zero means 16
 	// MiB.
--- a/yuccaside/side.go
+++ b/yuccaside/side.go
@@ -47,7 +47,8 @@
 	// Controls are the addresses of the controls.
 	Controls []string
 	Runner   Runner
-	// Retention is how long the records of a job are retained after its deadline.
+	// Retention is how long the records of a job are retained after its deadline,
+	// at least [yuccagate.DefaultRetention].
 	Retention time.Duration
 	// MaxResultBytes is the maximum total size of the retained results, in bytes.
 	MaxResultBytes int
@@ -102,7 +103,7 @@
 	s.gate = yuccagate.New(yuccagate.Options{
 		Incarnation:    options.Self.GetIncarnation(),
 		DataCentre:     options.Self.GetDataCentre(),
-		Retention:      options.Retention,
+		Retention:      max(options.Retention, yuccagate.DefaultRetention),
 		MaxResultBytes: options.MaxResultBytes,
 	})
 	s.lease = yuccalease.New(yuccalease.Options{
