dispatch: track the sides anew after a gap in the lease

Four of twelve tasks were started twice: an entry was cut off from the controls for longer than its lease, a side joined meanwhile, started tasks for another entry, and was lost together with that entry. The entry that was back took the job over and started these tasks elsewhere, in the test while they might still have been running at their target.

Cause: a task that no known side reports counts as never started if no side was lost since the claim and the entry has tracked the sides for longer. A side that came and went in the gap is in the next list of changes only as removed, or not at all in a whole list, and the removal of an unknown side counts for nothing.

Ruled out: an entry whose lease has no gap sees each side, since a lease lasts 3 s from its request and a side is a member for 3.15 s at least; a known side that restarts in the gap shows by its incarnation.

TestTakeOverAfterUnseenSideWasLost failed: 16 starts of 12 tasks, answer "complete". The time since which an entry tracks the sides now begins anew when its lease has had a gap, so that tasks of earlier claims that nobody reports are unknown.

--- a/yuccadispatch/dispatcher.go
+++ b/yuccadispatch/dispatcher.go
@@ -60,10 +60,12 @@
 	teams          map[string]*team
 	sides          map[string]*side
 	entries        map[string]*entry
-	membersSince   time.Time
-	policy         *yuccaplacement.Policy[*endpoint]
-	actions        []Action
-	nextSweep      time.Time
+	// membersSince is since when this entry has known every side that held a lease,
+	// or zero.
+	membersSince time.Time
+	policy       *yuccaplacement.Policy[*endpoint]
+	actions      []Action
+	nextSweep    time.Time
 }
 
 // service is the state of one service.
@@ -149,6 +151,9 @@
 // HandleControlUpdate applies an update from control: the lease, configuration,
 // members and claim replies.
 func (d *Dispatcher) HandleControlUpdate(now time.Time, u yuccalease.Update) {
+	if !d.membersSince.IsZero() && !d.lease.Valid(now) {
+		d.membersSince = now // a side may have come and gone while nothing was heard
+	}
 	d.lease = u.Lease
 	if u.View != d.view {
 		d.view = u.View
--- a/yuccasystemtest/takeover_test.go
+++ b/yuccasystemtest/takeover_test.go
@@ -52,3 +52,34 @@
 		c.checkHistory(t)
 	})
 }
+
+// An entry that was cut off from the controls does not know a side that joined and
+// was lost meanwhile. Tasks that this side started are not started again.
+func TestTakeOverAfterUnseenSideWasLost(t *testing.T) {
+	withCluster(t, 32, 3, 2, 1, func(t *testing.T, c *cluster) {
+		time.Sleep(2 * memberSettleTime)
+		cutOff := c.entries[1]
+		for _, control := range c.controls {
+			c.fabric.Isolate(cutOff.name, control.name)
+		}
+		time.Sleep(4 * time.Second)
+		unseen := &node{name: "side-cusco-9", dataCentre: "cusco"}
+		c.sides = append(c.sides, unseen)
+		c.start(unseen)
+		c.awaitReady(c.entries[0])
+		spec := jobSpec{id: "toll", tasks: len(c.sides) * testSlots, runTime: 2 * time.Second, deadline: 20 * time.Second}
+		c.submitAsync(c.entries[0], spec)
+		time.Sleep(500 * time.Millisecond)
+		c.crash(c.entries[0])
+		c.crash(unseen)
+		time.Sleep(4 * time.Second)
+		c.healAll()
+		time.Sleep(2 * time.Second)
+		answer := c.submit(cutOff, spec)
+		c.callers.Wait()
+		if starts := c.countEvents(yuccahistory.Started, ""); starts != spec.tasks {
+			t.Errorf("got %d starts of %d tasks, want one each; answered %+v", starts, spec.tasks, answer)
+		}
+		c.checkHistory(t)
+	})
+}
