dispatch: don't take a failed attempt for the outcome of a repeatable job

Two callers heard different outcomes of a repeatable job: "complete" from its owner, and "failed" from the next owner after the first had crashed.

Cause: the owner repeats a task that failed at one side at another, where it succeeds. The next owner asks all sides, and the first result that arrives for a task decides: if it is that of the failed attempt, the job is reported as failed, also if the other attempt's result follows. A failed attempt proves less than that.

Ruled out: jobs that aren't repeatable, which have one started attempt for each task; an answer of "failed" by the former owner, which is recorded first and makes a take-over impossible.

TestFailedResultOfRepeatableTaskIsNotTheOutcome failed ("the target answered 500"). Such a job is now answered as outcome-unknown, as one whose results are lost is. That the success is lost if the failure arrives first is left as it was.

--- a/yuccadispatch/answer.go
+++ b/yuccadispatch/answer.go
@@ -108,13 +108,13 @@
 
 // mayHaveBeenAnswered reports whether a former owner may have answered the job
 // as complete: it was taken over, every task may have been started by the former
-// owner, none failed, and none was started by this entry.
+// owner, none failed that it can't have repeated, and none was started by this entry.
 func (j *job) mayHaveBeenAnswered() bool {
 	if j.takeover == nil {
 		return false
 	}
 	for _, t := range j.tasks {
-		if t.state == waiting && !t.maybeStarted || t.state == failed || t.startedHere {
+		if t.state == waiting && !t.maybeStarted || t.state == failed && !j.Repeatable || t.startedHere {
 			return false
 		}
 	}
--- /dev/null
+++ b/yuccadispatch/takeover_test.go
@@ -0,0 +1,71 @@
+package yuccadispatch_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/yuccaturn/yuccaturn/yuccadispatch"
+	"github.com/yuccaturn/yuccaturn/yuccalease"
+	"github.com/yuccaturn/yuccaturn/yuccawire"
+)
+
+// replyToClaims answers all claims sent since the last call. The claim that is
+// replied to names the job, the nonce and whether it records the end of the job.
+func replyToClaims(now time.Time, d *yuccadispatch.Dispatcher, reply *yuccawire.ClaimReply) []yuccadispatch.Action {
+	u := yuccalease.Update{Lease: d.Lease(), View: d.View()}
+	for _, action := range d.Actions() {
+		send, ok := action.(yuccadispatch.SendControl)
+		if !ok {
+			continue
+		}
+		for _, c := range send.Message.GetClaimBatch().GetClaims() {
+			u.Claims = append(u.Claims, &yuccawire.ClaimReply{
+				Job: c.GetJob(), Nonce: c.GetNonce(), Finished: c.GetFinished(), AgeMs: reply.GetAgeMs(),
+				Result: reply.GetResult(), Owner: reply.GetOwner(), Incarnation: reply.GetIncarnation(),
+			})
+		}
+	}
+	d.HandleControlUpdate(now, u)
+	return d.Actions()
+}
+
+// takeOver submits the job of an entry that is gone and takes it over. It returns the
+// time after it.
+func takeOver(now time.Time, d *yuccadispatch.Dispatcher, s yuccadispatch.Submission) time.Time {
+	d.Submit(now, s)
+	replyToClaims(now, d, &yuccawire.ClaimReply{Result: yuccawire.ClaimResult_CLAIM_HELD, Owner: "entry-2", Incarnation: 1})
+	now = now.Add(time.Second)
+	d.Tick(now)
+	replyToClaims(now, d, &yuccawire.ClaimReply{Result: yuccawire.ClaimResult_CLAIM_TAKEN, AgeMs: 5000})
+	return now
+}
+
+func gatheredResult(s yuccadispatch.Submission, attempt, status uint32) *yuccawire.Gathered {
+	key := &yuccawire.TaskKey{Job: s.Key.Wire(), Task: s.Tasks[0].ID, Attempt: attempt}
+	finished := &yuccawire.Finished{Key: key, State: yuccawire.TaskState_TASK_FINISHED, Status: status}
+	return &yuccawire.Gathered{Job: s.Key.Wire(), Finished: []*yuccawire.Finished{finished}}
+}
+
+// The former owner may have repeated a failed task, and answered the job as complete.
+func TestFailedResultOfRepeatableTaskIsNotTheOutcome(t *testing.T) {
+	now := time.Now()
+	d := newDispatcher(t, now)
+	s := submission(now.Add(20*time.Second), 1, 1)
+	s.Unnamed, s.Repeatable = false, true
+	now = takeOver(now.Add(20*time.Second), d, s)
+	d.HandleGathered(now, "side-0", gatheredResult(s, 1, 500))
+	d.HandleGathered(now, "side-1", gatheredResult(s, 2, 200))
+	for side := 2; side < workers; side++ {
+		d.HandleGathered(now, fmt.Sprintf("side-%d", side), &yuccawire.Gathered{Job: s.Key.Wire()})
+	}
+	var answers []yuccadispatch.Answer
+	for _, action := range replyToClaims(now, d, &yuccawire.ClaimReply{Result: yuccawire.ClaimResult_CLAIM_GRANTED}) {
+		if a, ok := action.(yuccadispatch.Answer); ok {
+			answers = append(answers, a)
+		}
+	}
+	if len(answers) != 1 || !answers[0].Outcome.GetUndetermined() {
+		t.Errorf("answered %+v, want one undetermined outcome", answers)
+	}
+}
