dispatch: fence the owner that a job is taken over from

At a take-over the sides are asked with the fence of the owner that this entry had heard of last. If another entry had taken the job over in between and was lost in turn, sides answered without a fence of that one, and a start of it that was still under way could be executed after the answer "not started", while the task was started elsewhere.

Cause: the reply to a take-over names the new owner, which asked, and the entry takes the name in an earlier reply ("held by") for that of the former owner.

Ruled out: a start by the owner that was named, which is refused as fenced.

The reply now names the owner before the take-over.

--- a/yuccadispatch/takeover.go
+++ b/yuccadispatch/takeover.go
@@ -37,7 +37,7 @@
 func (d *Dispatcher) startGathering(now time.Time, j *job, reply *yuccawire.ClaimReply) {
 	j.state = gathering
 	j.takeover = &takeover{
-		formerOwner: j.owner, deadline: now.Add(gatherTimeout), pending: make(map[string]bool), incomplete: reply.GetFinished(),
+		formerOwner: d.formerOwner(j, reply), deadline: now.Add(gatherTimeout), pending: make(map[string]bool), incomplete: reply.GetFinished(),
 	}
 	if reply.GetAgeMs() >= 0 {
 		age := time.Duration(reply.GetAgeMs()) * time.Millisecond
@@ -57,6 +57,16 @@
 	d.checkGathering(now, j)
 }
 
+// formerOwner returns the owner before the take-over. The reply to a repeated claim
+// names this entry instead; then it is the owner that this entry heard of last.
+func (d *Dispatcher) formerOwner(j *job, reply *yuccawire.ClaimReply) owner {
+	self := d.options.Self
+	if reply.GetOwner() == self.GetName() && reply.GetIncarnation() == self.GetIncarnation() {
+		return j.owner
+	}
+	return owner{name: reply.GetOwner(), incarnation: reply.GetIncarnation()}
+}
+
 func (d *Dispatcher) sendGather(j *job, name string) {
 	if !j.takeover.pending[name] {
 		return
--- a/yuccadispatch/takeover_test.go
+++ b/yuccadispatch/takeover_test.go
@@ -37,7 +37,7 @@
 	replyToClaims(now, d, &yuccawire.ClaimReply{Result: yuccawire.ClaimResult_CLAIM_HELD, Owner: "entry-2", Incarnation: 1})
 	now = now.Add(time.Second)
 	d.Tick(now)
-	replyToClaims(now, d, &yuccawire.ClaimReply{Result: yuccawire.ClaimResult_CLAIM_TAKEN, AgeMs: 5000})
+	replyToClaims(now, d, &yuccawire.ClaimReply{Result: yuccawire.ClaimResult_CLAIM_TAKEN, AgeMs: 5000, Owner: "entry-2", Incarnation: 1})
 	return now
 }
 
@@ -69,3 +69,31 @@
 		t.Errorf("answered %+v, want one undetermined outcome", answers)
 	}
 }
+
+// Between the two replies to this entry, entry-3 has taken the job over from entry-2, and
+// may have sent starts that are still on their way.
+func TestGatherFencesTheLastOwner(t *testing.T) {
+	now := time.Now()
+	d := newDispatcher(t, now)
+	s := submission(now, 1, 1)
+	s.Unnamed = false
+	d.Submit(now, s)
+	replyToClaims(now, d, &yuccawire.ClaimReply{Result: yuccawire.ClaimResult_CLAIM_HELD, Owner: "entry-2", Incarnation: 1})
+	now = now.Add(time.Second)
+	d.Tick(now)
+	actions := replyToClaims(now, d, &yuccawire.ClaimReply{Result: yuccawire.ClaimResult_CLAIM_TAKEN, Owner: "entry-3", Incarnation: 7})
+	gathers := 0
+	for _, action := range actions {
+		send, ok := action.(yuccadispatch.SendSide)
+		if !ok || send.Message.GetGather() == nil {
+			continue
+		}
+		gathers++
+		if fence := send.Message.GetGather().GetFence(); fence.GetOwner() != "entry-3" || fence.GetIncarnation() != 7 {
+			t.Fatalf("the gather fences %v, want incarnation 7 of entry-3", fence)
+		}
+	}
+	if gathers != workers {
+		t.Errorf("%d of %d sides were asked", gathers, workers)
+	}
+}
--- a/yuccastate/claims.go
+++ b/yuccastate/claims.go
@@ -16,6 +16,8 @@
 	return replies
 }
 
+// applyClaim returns the reply to a claim. It names the owner of the job, or the former
+// owner if this claim takes the job over.
 func (s *State) applyClaim(c *yuccawire.Claim) *yuccawire.ClaimReply {
 	id := jobID{team: c.GetJob().GetTeam(), id: c.GetJob().GetId()}
 	record := s.jobs[id]
@@ -32,11 +34,12 @@
 		if record.GetFinished() && !record.GetComplete() {
 			return s.newReply(record, yuccawire.ClaimResult_CLAIM_EXPIRED)
 		}
+		reply := s.newReply(record, yuccawire.ClaimResult_CLAIM_TAKEN)
 		record.Owner = c.GetOwner()
 		record.Incarnation = c.GetIncarnation()
 		record.Nonce = c.GetNonce()
 		record.Taken = true
-		return s.newReply(record, yuccawire.ClaimResult_CLAIM_TAKEN)
+		return reply
 	}
 	return s.newReply(record, yuccawire.ClaimResult_CLAIM_HELD)
 }
--- a/yuccastate/state_test.go
+++ b/yuccastate/state_test.go
@@ -82,6 +82,22 @@
 	expectResult(t, applyClaim(t, s, newClaim("x", 1)), yuccawire.ClaimResult_CLAIM_HELD)
 }
 
+// The new owner may have heard of an earlier owner only.
+func TestTakeOverNamesTheFormerOwner(t *testing.T) {
+	s := yuccastate.New()
+	applyClaim(t, s, newClaim("x", 1))
+	for i, owners := range [][2]string{{"x", "y"}, {"y", "z"}} {
+		applyFence(t, s, owners[0])
+		c := newClaim(owners[1], uint64(i)+7)
+		c.TakeOver = true
+		r := applyClaim(t, s, c)
+		expectResult(t, r, yuccawire.ClaimResult_CLAIM_TAKEN)
+		if r.GetOwner() != owners[0] || r.GetIncarnation() != 1 {
+			t.Errorf("the take-over by %s names %s, want %s", owners[1], r.GetOwner(), owners[0])
+		}
+	}
+}
+
 // A new owner whose reply was lost repeats its claim. The reply must again be
 // CLAIM_TAKEN, not CLAIM_GRANTED: the owner must not start tasks before it has
 // gathered the state of the job.
