entry: ignore messages of links to earlier incarnations

A side that had been restarted as planned was never used again by an entry: not dialled, with no free slots, and each job that the entry took over counted it as silent.

Cause: messages of sides are told apart by the side's name. The goodbye of the process that exits closes the link to the side of that name; if control's announcement of the next incarnation is handled first, that is the link to the new process, and it is opened only once for each incarnation. Announcements of control and messages of links come in two channels, and an entry that was held up for a moment picks either.

Ruled out: results and refusals of an earlier incarnation (they name the attempt, and its tasks were settled or repeated with another number when the incarnation changed); messages of an earlier link to the same incarnation, which come before the news that it has closed.

A message of a link that is not that of the present dialer is dropped and counted, as sides do.

--- a/yuccaentry/entry.go
+++ b/yuccaentry/entry.go
@@ -216,6 +216,10 @@
 	case linkClosed:
 		e.handleLinkClosed(ev)
 	case linkMessage:
+		if ev.dialer != nil && e.dialers[ev.name] != ev.dialer {
+			e.metrics.Add("messages_of_old_links", 1)
+			return
+		}
 		e.handleMessage(now, ev.name, ev.message)
 	case drainRequest:
 		e.dispatcher.Drain()
--- a/yuccaentry/events.go
+++ b/yuccaentry/events.go
@@ -40,8 +40,10 @@
 	link   yuccawire.Link
 }
 
-// linkMessage is a message of a side or another entry.
+// linkMessage is a message of a side or another entry. dialer is that of the link, nil
+// for an accepted one.
 type linkMessage struct {
+	dialer  *dialer
 	name    string
 	message *yuccawire.Envelope
 }
--- a/yuccaentry/links.go
+++ b/yuccaentry/links.go
@@ -133,7 +133,7 @@
 		if err != nil {
 			return
 		}
-		if d.entry.post(ctx, linkMessage{name: d.node.GetName(), message: m}) != nil {
+		if d.entry.post(ctx, linkMessage{dialer: d, name: d.node.GetName(), message: m}) != nil {
 			return
 		}
 	}
