entry: don't call a job ahead of the clock not run

A job whose `submitted_at` is more than 15 s ahead of an entry's clock is refused as a bad request, with `not_run`: true. If the entry's clock is behind, the job may have been run: its first submission went to an entry with another clock and had no answer, and this is the second. Clocks of entries may differ by a quarter of `claims_kept`.

Cause: all refusals of invalid requests say not run, since the same request is invalid at each entry. This one is judged by a clock.

Ruled out: refusals by admission, which ask control first; other findings, which don't depend on the entry. Left as they are: an invalid deadline and a body that was cut off, which a second submission can have where the first had none (tests fix their `not_run`).

TestJobAheadOfTheClockIsNotReportedAsNotRun failed ("not run"). The refusal says now that it can't tell.

--- a/yuccaentry/bad_input_test.go
+++ b/yuccaentry/bad_input_test.go
@@ -76,6 +76,22 @@
 	}
 }
 
+// An entry whose clock is right may have run the job before.
+func TestJobAheadOfTheClockIsNotReportedAsNotRun(t *testing.T) {
+	server := newIdleEntry(t)
+	body := fmt.Sprintf(`{"team": "p", "service": "s", "id": "j", "deadline": "1s", "submitted_at": %q, %s}`,
+		time.Now().Add(time.Minute).UTC().Format(time.RFC3339), singleTask)
+	response, err := http.Post(server.URL+"/v1/jobs", "application/json", strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	problem := yuccaproblem.Read(response)
+	if problem.Type != yuccaproblem.BadRequest || problem.NotRun || !strings.Contains(problem.Detail, "submitted_at") {
+		t.Errorf("response is %+v, want a bad request that names submitted_at and may have been run", problem)
+	}
+}
+
 func TestAllFindingsOfJobAreReported(t *testing.T) {
 	server := newIdleEntry(t)
 	body := "{\n\"team\": 7,\n\"service\": \"s\",\n\"deadline\": \"1\",\n\"wrong\": 1,\n\"tasks\": [{}]}"
--- a/yuccaentry/decode.go
+++ b/yuccaentry/decode.go
@@ -38,7 +38,7 @@
 func decodeJob(now time.Time, body []byte) (yuccadispatch.Submission, error) {
 	var request jobRequest
 	d := yuccajsonc.Decode("job", body, &request)
-	submittedAt := request.validate(now, d)
+	submittedAt := request.validate(d)
 	if err := d.Err(); err != nil {
 		return yuccadispatch.Submission{}, err
 	}
@@ -46,7 +46,7 @@
 }
 
 // validate reports all findings to d and returns the submission time.
-func (r jobRequest) validate(now time.Time, d *yuccajsonc.Document) time.Time {
+func (r jobRequest) validate(d *yuccajsonc.Document) time.Time {
 	validateName(d, "team", r.Team)
 	validateName(d, "service", r.Service)
 	validateName(d, "id", r.ID)
@@ -60,7 +60,7 @@
 		d.Report("tasks", fmt.Sprintf("has %d tasks", len(r.Tasks)), fmt.Sprintf("%d at most", MaxTasks))
 	}
 	r.validateTasks(d)
-	return parseSubmittedAt(now, d, r.SubmittedAt)
+	return parseSubmittedAt(d, r.SubmittedAt)
 }
 
 func (r jobRequest) validateTasks(d *yuccajsonc.Document) {
@@ -99,15 +99,13 @@
 	}
 }
 
-func parseSubmittedAt(now time.Time, d *yuccajsonc.Document, value string) time.Time {
+func parseSubmittedAt(d *yuccajsonc.Document, value string) time.Time {
 	submittedAt, err := time.Parse(time.RFC3339, value)
 	switch {
 	case value == "":
 		d.Report("submitted_at", "is missing", "the time of the first submission, such as 2026-03-02T09:30:00Z, the same in each resubmission")
 	case err != nil:
 		d.Report("submitted_at", fmt.Sprintf("is %q", value), "a time such as 2026-03-02T09:30:00Z")
-	case submittedAt.After(now.Add(maxClockSkew)):
-		d.Report("submitted_at", fmt.Sprintf("is %q", value), "a time that is not in the future")
 	}
 	return submittedAt
 }
--- a/yuccaentry/jobs.go
+++ b/yuccaentry/jobs.go
@@ -68,6 +68,13 @@
 		e.refuse(w, invalidJob(err))
 		return
 	}
+	if submission.SubmittedAt.After(now.Add(maxClockSkew)) {
+		// An entry with another clock may have run the job, so this is not "not run".
+		e.metrics.Add("requests_refused", 1)
+		yuccaproblem.Write(w, yuccaproblem.Newf(http.StatusBadRequest, yuccaproblem.BadRequest,
+			"submitted_at: is %s, expected a time that is not in the future", submission.SubmittedAt.Format(time.RFC3339)))
+		return
+	}
 	e.submitAndWrite(w, r, "entry.job", submission, func(o *yuccawire.Outcome) { writeOutcome(w, submission.Key, o) })
 }
 
