dispatch: reject old jobs as too old before all that says not run

A job that was run hours ago and is submitted again was refused as "not run" by an entry that is draining, after its team or service was taken out, or with a deadline that has passed.

Cause: before such a refusal the entry asks control whether the job was claimed. Control drops claims after `claims_kept`, so that its answer proves nothing for a job whose first submission is older. Admission checked the age last but one.

Ruled out: a full queue and a service without targets, which come after the age; jobs within half of `claims_kept`, whose claims are there.

TestOldJobIsNeverReportedAsNotRun failed in all four cases. The age is now checked first, after the lease of an entry that isn't draining, as without a lease the entry says that it can't tell. A single request with an `Idempotency-Key` and without `Yucca-Submitted-At` has no age: for it nothing changes.

--- a/yuccadispatch/admit.go
+++ b/yuccadispatch/admit.go
@@ -74,12 +74,15 @@
 // checkAdmission returns the first reason to reject the submission, or an empty
 // Admission. It runs before the job is claimed or queued.
 func (d *Dispatcher) checkAdmission(now time.Time, s Submission) Admission {
+	if !d.draining && !d.lease.Valid(now) {
+		return Admission{Rejection: NoLease, RetryAfter: minRetryAfter}
+	}
+	if d.isTooOld(now, s) { // before all that say not run, since its claim may be dropped
+		return Admission{Rejection: TooOld}
+	}
 	if d.draining {
 		return Admission{Rejection: Draining, RetryAfter: minRetryAfter}
 	}
-	if !d.lease.Valid(now) {
-		return Admission{Rejection: NoLease, RetryAfter: minRetryAfter}
-	}
 	quota, known := d.view.Team(s.Key.Team)
 	if !known {
 		return Admission{Rejection: UnknownTeam}
@@ -94,9 +97,6 @@
 	if !now.Before(s.Deadline) {
 		return Admission{Rejection: CannotMeetDeadline}
 	}
-	if d.isTooOld(now, s) {
-		return Admission{Rejection: TooOld}
-	}
 	return d.checkCapacity(now, s, quota, settings)
 }
 
