side: ignore cancellations by a fenced owner

A job that was taken over failed although its sides were well: its running task ended as unknown and its next tasks were refused as cancelled. The former owner was cut off from the controls, but not from the sides, and cancelled the job at its own deadline, which can be earlier than that of the caller's second submission.

Cause: a cancellation names the job only, and the side takes it for that of the job's owner.

Ruled out: starts and queries of a fenced owner, which name its own attempts.

TestFencedOwnerCancelsNothing failed (TASK_UNKNOWN). The side knows which owners are fenced, from the gather at the latest, and ignores their cancellations. Runs of theirs that nobody has taken over end at their deadline, as when the owner is gone.

--- a/yuccagate/gate.go
+++ b/yuccagate/gate.go
@@ -82,6 +82,11 @@
 	g.fences[name] = max(g.fences[name], incarnation)
 }
 
+// IsFenced reports whether the incarnation of the named owner is fenced.
+func (g *Gate) IsFenced(name string, incarnation uint64) bool {
+	return incarnation <= g.fences[name]
+}
+
 // SetTarget adds the target of the named service, or updates its slots and
 // whether it is leaving.
 func (g *Gate) SetTarget(name string, slots int, leaving bool) {
--- a/yuccagate/start.go
+++ b/yuccagate/start.go
@@ -72,7 +72,7 @@
 		return yuccawire.Refusal_REFUSAL_DATA_CENTRE_OUT
 	case s.GetDataCentresVersion() > g.view.Version(yuccadocument.SectionDrainedDataCentres):
 		return yuccawire.Refusal_REFUSAL_STALE_CONFIGURATION
-	case s.GetOwnerIncarnation() <= g.fences[s.GetOwner()]:
+	case g.IsFenced(s.GetOwner(), s.GetOwnerIncarnation()):
 		return yuccawire.Refusal_REFUSAL_FENCED
 	case r.cancelled:
 		return yuccawire.Refusal_REFUSAL_CANCELLED
--- a/yuccaside/owners.go
+++ b/yuccaside/owners.go
@@ -97,7 +97,7 @@
 	case *yuccawire.Envelope_Start:
 		s.handleStart(ctx, now, from, body.Start)
 	case *yuccawire.Envelope_Cancel:
-		s.handleCancel(now, body.Cancel)
+		s.handleCancel(now, from, body.Cancel)
 	case *yuccawire.Envelope_Forget:
 		s.handleForget(body.Forget)
 	case *yuccawire.Envelope_Query:
--- a/yuccaside/tasks.go
+++ b/yuccaside/tasks.go
@@ -80,8 +80,12 @@
 }
 
 // handleCancel refuses further starts of the jobs and cancels the requests of their
-// running attempts.
-func (s *Side) handleCancel(now time.Time, c *yuccawire.Cancel) {
+// running attempts. It ignores a fenced owner, whose jobs may belong to another one.
+func (s *Side) handleCancel(now time.Time, from *ownerLink, c *yuccawire.Cancel) {
+	if s.gate.IsFenced(from.node.GetName(), from.node.GetIncarnation()) {
+		s.metrics.Add("cancels_fenced", 1)
+		return
+	}
 	for _, job := range c.GetJobs() {
 		for _, key := range s.gate.Cancel(now, job) {
 			if r := s.running[runKeyOf(key)]; r != nil {
--- a/yuccasystemtest/promises_test.go
+++ b/yuccasystemtest/promises_test.go
@@ -27,12 +27,14 @@
 }
 
 // dialUnleased opens a link to the side as a new unleasedEntry.
-func (c *cluster) dialUnleased(n *node) *unleasedEntry {
-	link, err := c.fabric.Host("raw").Dial(context.Background(), n.address())
+func (c *cluster) dialUnleased(n *node) *unleasedEntry { return c.dialUnleasedAs(n, "raw") }
+
+func (c *cluster) dialUnleasedAs(n *node, name string) *unleasedEntry {
+	link, err := c.fabric.Host(name).Dial(context.Background(), n.address())
 	if err != nil {
 		c.t.Fatal(err)
 	}
-	self := &yuccawire.Node{Name: "raw", Role: yuccawire.Role_ROLE_ENTRY, Incarnation: 1}
+	self := &yuccawire.Node{Name: name, Role: yuccawire.Role_ROLE_ENTRY, Incarnation: 1}
 	peer, err := yuccawire.SayHello(context.Background(), link, self)
 	if err != nil {
 		c.t.Fatal(err)
--- a/yuccasystemtest/takeover_test.go
+++ b/yuccasystemtest/takeover_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/yuccaturn/yuccaturn/yuccahistory"
+	"github.com/yuccaturn/yuccaturn/yuccawire"
 )
 
 // sideRetentionTime is longer than sides retain the records of a job after its
@@ -83,3 +84,34 @@
 		c.checkHistory(t)
 	})
 }
+
+// A cancellation by the former owner, which doesn't know yet that it is fenced, does not
+// end what the next owner has started.
+func TestFencedOwnerCancelsNothing(t *testing.T) {
+	withCluster(t, 33, 1, 1, 1, func(t *testing.T, c *cluster) {
+		former, next := c.dialUnleasedAs(c.sides[0], "former"), c.dialUnleasedAs(c.sides[0], "next")
+		job := &yuccawire.JobKey{Team: testTeam, Id: "toll"}
+		fence := &yuccawire.Fence{Owner: "former", Incarnation: 1}
+		start := &yuccawire.Start{
+			Key: &yuccawire.TaskKey{Job: job, Task: "t", Attempt: 1}, Owner: "next", OwnerIncarnation: 1,
+			SideIncarnation: next.side.GetIncarnation(), Service: testService, DeadlineMs: 60_000,
+			Request: &yuccawire.Request{Method: "POST", Path: "/", Body: []byte("1s")},
+		}
+		_ = next.link.Send(&yuccawire.Envelope{Body: &yuccawire.Envelope_Gather{Gather: &yuccawire.Gather{Job: job, Fence: fence}}})
+		_ = next.link.Send(&yuccawire.Envelope{Body: &yuccawire.Envelope_Start{Start: start}})
+		time.Sleep(100 * time.Millisecond)
+		_ = former.link.Send(&yuccawire.Envelope{Body: &yuccawire.Envelope_Cancel{Cancel: &yuccawire.Cancel{Jobs: []*yuccawire.JobKey{job}}}})
+		for {
+			m, err := next.link.Receive()
+			if err != nil {
+				t.Fatal(err)
+			}
+			if f := m.GetFinished(); f != nil {
+				if f.GetState() != yuccawire.TaskState_TASK_FINISHED {
+					t.Errorf("the task of the next owner ended with %s, want TASK_FINISHED", f.GetState())
+				}
+				return
+			}
+		}
+	})
+}
