dispatch: don't lose a side by a start that crosses a new link

An entry could stop using a side until the next link to it: it counted four billion slots in use.

Cause: a side's reports say how many starts it has seen on the link, and the entry subtracts those that it has sent since the link opened. A start that was decided on just before the link was replaced, in one batch of events, is sent on the new one without being counted there; "seen" is one more than "sent" from then on, and the difference of the two numbers wraps around. It takes an entry that is held up for as long as a link takes to be dialled again.

Ruled out: an effect on what has been started; the side's gate counts its own slots.

A negative difference counts as none.

--- a/yuccadispatch/sides.go
+++ b/yuccadispatch/sides.go
@@ -293,7 +293,7 @@
 // the starts that the side had not received when it sent the report.
 func (d *Dispatcher) updateFreeSlots(s *side, service string, freeSlots, startsSeen uint32) {
 	if ep := s.endpoints[service]; ep != nil {
-		ep.freeSlots = int(freeSlots) - int(s.startsSent-startsSeen)
+		ep.freeSlots = int(freeSlots) - max(int(int32(s.startsSent-startsSeen)), 0)
 		if ep.service.full && ep.freeSlots > 0 {
 			ep.service.freedEndpoints = append(ep.service.freedEndpoints, ep)
 		}
