--- a/yuccadispatch/takeover.go
+++ b/yuccadispatch/takeover.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/yuccaturn/yuccaturn/yuccagate"
 	"github.com/yuccaturn/yuccaturn/yuccawire"
 )
 
@@ -25,15 +26,19 @@
 	// pending is the set of sides, by name, that have not replied yet.
 	pending map[string]bool
 	// incomplete is set if a side that may have started tasks cannot be
-	// queried.
+	// queried, or may have forgotten them.
 	incomplete bool
 }
 
 // startGathering queries every side of the service. A side records the fence of
-// the former owner before it replies, so that it starts nothing more for it.
+// the former owner before it replies, so that it starts nothing more for it. All
+// tasks of a job that was recorded as complete have run, so that one which no side
+// reports was forgotten and must not be started.
 func (d *Dispatcher) startGathering(now time.Time, j *job, reply *yuccawire.ClaimReply) {
 	j.state = gathering
-	j.takeover = &takeover{formerOwner: j.owner, deadline: now.Add(gatherTimeout), pending: make(map[string]bool)}
+	j.takeover = &takeover{
+		formerOwner: d.formerOwner(j, reply), deadline: now.Add(gatherTimeout), pending: make(map[string]bool), incomplete: reply.GetFinished(),
+	}
 	if reply.GetAgeMs() >= 0 {
 		age := time.Duration(reply.GetAgeMs()) * time.Millisecond
 		j.takeover.claimedAt = now.Add(-age - claimAgeMargin)
@@ -52,6 +57,16 @@
 	d.checkGathering(now, j)
 }
 
+// formerOwner returns the owner before the take-over. The reply to a repeated claim
+// names this entry instead; then it is the owner that this entry heard of last.
+func (d *Dispatcher) formerOwner(j *job, reply *yuccawire.ClaimReply) owner {
+	self := d.options.Self
+	if reply.GetOwner() == self.GetName() && reply.GetIncarnation() == self.GetIncarnation() {
+		return j.owner
+	}
+	return owner{name: reply.GetOwner(), incarnation: reply.GetIncarnation()}
+}
+
 func (d *Dispatcher) sendGather(j *job, name string) {
 	if !j.takeover.pending[name] {
 		return
@@ -131,7 +146,7 @@
 // endGathering resumes the job. Tasks that no side reported are started only if
 // every side that may have started them has replied.
 func (d *Dispatcher) endGathering(now time.Time, j *job) {
-	allAnswered := d.allSidesAnswered(j)
+	allAnswered := d.allSidesAnswered(now, j)
 	j.state = open
 	sv := d.service(j.Service)
 	if !allAnswered {
@@ -155,7 +170,7 @@
 			continue
 		}
 		t.settle(unknown)
-		t.failure = "the former owner may have started it at a side that is gone"
+		t.failure = "the former owner may have started it at a side that is gone or keeps no record of it"
 		if j.failReason == "" {
 			j.failReason = t.failure
 		}
@@ -163,10 +178,14 @@
 }
 
 // allSidesAnswered reports whether every side that may have started tasks of the
-// job has replied: none is pending, none was lost since the job was claimed, and
-// this entry has tracked the sides since before the claim.
-func (d *Dispatcher) allSidesAnswered(j *job) bool {
+// job has replied and still has its records: none is pending, none was lost since
+// the job was claimed, this entry has tracked the sides since before the claim, and
+// the claim is younger than the records that sides drop.
+func (d *Dispatcher) allSidesAnswered(now time.Time, j *job) bool {
 	t := j.takeover
+	if len(t.pending) > 0 || t.incomplete || d.membersSince.IsZero() {
+		return false
+	}
 	lostAt := d.service(j.Service).lastSideLoss
-	return len(t.pending) == 0 && !t.incomplete && !d.membersSince.IsZero() && d.membersSince.Before(t.claimedAt) && lostAt.Before(t.claimedAt)
+	return d.membersSince.Before(t.claimedAt) && lostAt.Before(t.claimedAt) && now.Sub(t.claimedAt) < yuccagate.DefaultRetention
 }
