--- a/yuccaworker/restart_test.go
+++ b/yuccaworker/restart_test.go
@@ -315,3 +315,183 @@
 		t.Error("no outcome of the run was reported")
 	}
 }
+
+// The earlier incarnation answers the stop and restarts. The new one answers, but reports late.
+func TestStopAnsweredBeforeTheRestartIsNotRepeated(t *testing.T) {
+	h := newHarness(t)
+	h.advance(time.Second)
+	h.unresponsive = true
+	h.order(entry, lease, task("a", 1, 1600))
+	delayed := h.lostStarts[0]
+	h.unresponsive, h.holdsUnanswered = false, true
+	h.advanceWithLease(entry, 200*time.Millisecond)
+	h.restart(-4000)
+	h.holdsUnanswered = false
+	h.advanceWithLease(entry, 1300*time.Millisecond)
+	if h.outcomeOf(entry, "a") == nil {
+		t.Fatal("no outcome of the run was reported")
+	}
+	h.start(delayed)
+	if h.running[runA] {
+		t.Error("the delayed start was executed after the run was reported as ended")
+	}
+}
+
+// The report that the takeover follows may be almost a second old, and a delayed renewal be
+// executed after it.
+func TestDelayedRenewalAfterAnOldReportOutlivesTheHold(t *testing.T) {
+	h := newHarness(t)
+	h.advance(time.Second)
+	h.restart(-4000)
+	report := yuccaworker.Report{
+		ID: h.incarnation.ID, StartedAtMS: h.incarnation.StartedAtMS, Service: "belfry", CPUMilli: 16000, MemoryMB: 32768, ClockMS: h.clock(), Sequence: 1,
+	}
+	h.advance(900 * time.Millisecond)
+	h.holdUntilMS = h.clock() + time.Second.Milliseconds()
+	h.core.HandleReport(h.now, report)
+	h.runActions()
+	h.order(entry, lease, task("a", 1, 1600))
+	if !h.running[runA] {
+		t.Fatal("the run was not started")
+	}
+	h.unresponsive = true
+	h.advanceWithLease(entry, 1500*time.Millisecond)
+	if h.outcomeOf(entry, "a") == nil {
+		t.Error("no outcome of the run was reported")
+	}
+}
+
+// The wall clock of the machine was set back before the worker restarted.
+func TestWorkerWithAnEarlierStartTimeIsLeftUnused(t *testing.T) {
+	for name, tasks := range map[string][]*yuccawire.TaskOrder{"idle": nil, "busy": {task("a", 1, 1600)}} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			h.order(entry, lease, tasks...)
+			h.advanceWithLease(entry, time.Second)
+			h.restart(-4000)
+			h.incarnation.StartedAtMS -= 150
+			for sequence := range int64(5) {
+				h.report(sequence+1, false)
+				h.advanceWithLease(entry, 1500*time.Millisecond)
+			}
+			if !h.states[entry].GetReady() {
+				t.Error("the worker is not in use")
+			}
+		})
+	}
+}
+
+// A report of an earlier incarnation that was delayed.
+func TestDelayedReportOfEarlierIncarnationIsIgnored(t *testing.T) {
+	h := newHarness(t)
+	late := yuccaworker.Report{
+		ID: h.incarnation.ID, StartedAtMS: h.incarnation.StartedAtMS, Service: "belfry", CPUMilli: 16000, MemoryMB: 32768, ClockMS: h.clock(), Sequence: 2,
+	}
+	h.restart(-4000)
+	h.report(1, false)
+	h.advance(100 * time.Millisecond)
+	h.order(entry, lease, task("a", 1, 1600))
+	h.advanceWithLease(entry, 5*time.Second)
+	if h.core.HandleReport(h.now, late) {
+		t.Error("the report of the earlier incarnation was accepted while a run is active")
+	}
+	h.complete(runA, yuccawire.RunEnd_RUN_END_DONE)
+	h.advanceWithLease(entry, 200*time.Millisecond)
+	h.expectOutcome(entry, "a", yuccawire.RunEnd_RUN_END_DONE, 0)
+	h.core.HandleReport(h.now, late)
+	h.advance(200 * time.Millisecond)
+	h.report(2, false)
+	h.advance(200 * time.Millisecond)
+	if !h.states[entry].GetReady() {
+		t.Error("the worker is not in use after its next report")
+	}
+}
+
+// A worker that has announced its exit restarts, and executes a delayed start.
+func TestDelayedStartAfterDeregistration(t *testing.T) {
+	h := newHarness(t)
+	h.advance(time.Second)
+	h.unresponsive = true
+	h.order(entry, lease, task("a", 1, 1600))
+	delayed := h.lostStarts[0]
+	h.core.HandleDeregistration(h.now, "w-1")
+	h.unresponsive, h.refusing = false, true
+	h.advanceWithLease(entry, 200*time.Millisecond)
+	h.refusing = false
+	h.restart(-4000)
+	h.start(delayed)
+	if h.running[runA] && h.outcomeOf(entry, "a") != nil {
+		t.Error("the delayed start was executed after the run was reported as ended")
+	}
+	h.report(1, false)
+	h.advanceWithLease(entry, 300*time.Millisecond)
+	h.expectOutcome(entry, "a", yuccawire.RunEnd_RUN_END_STOPPED, 0)
+}
+
+// If it does not restart, the run is reported as lost in the end.
+func TestUnansweredStartAtDeregisteredWorkerIsKeptForGood(t *testing.T) {
+	h := newHarness(t)
+	h.advance(time.Second)
+	h.unresponsive = true
+	h.order(entry, lease, task("a", 1, 1600))
+	h.core.HandleDeregistration(h.now, "w-1")
+	h.refusing = true
+	h.advanceWithLease(entry, 1500*time.Millisecond)
+	h.expectOutcome(entry, "a", yuccawire.RunEnd_RUN_END_LOST, 0)
+	if crashes := h.crashes[entry]; len(crashes) > 0 {
+		t.Errorf("crashes %v were reported, want none", crashes)
+	}
+}
+
+// The earlier incarnation has listed the run, after the second try. The first one is executed
+// by a new incarnation that never answers.
+func TestHoldExpiryEndsRunOfDelayedFirstTry(t *testing.T) {
+	h := newHarness(t)
+	h.advance(time.Second)
+	h.unresponsive = true
+	h.core.HandleOrders(h.now, entry, &yuccawire.Orders{
+		UntilMs: h.core.Clock(h.now) + uint64(lease.Milliseconds()),
+		Jobs:    []*yuccawire.JobOrder{{Job: "j", Service: "belfry", ExpiresMs: h.core.Clock(h.now) + 60_000, Tasks: []*yuccawire.TaskOrder{task("a", 1, 1600)}}},
+	})
+	for _, a := range h.core.Actions() {
+		h.runAction(a)
+	}
+	h.unresponsive = false
+	h.runActions()
+	h.advanceWithLease(entry, 200*time.Millisecond)
+	if !h.running[runA] {
+		t.Fatal("the second try was not executed")
+	}
+	h.restart(-4000)
+	h.start(h.lostStarts[0])
+	h.unresponsive = true
+	h.advanceWithLease(entry, 1500*time.Millisecond)
+	if h.outcomeOf(entry, "a") == nil {
+		t.Error("no outcome of the run was reported")
+	}
+}
+
+// A new incarnation may be of a different kind, with the same ID or another one.
+func TestQueuedTaskStartsOnWorkerOfAnotherService(t *testing.T) {
+	for _, id := range []string{"w-1", "w-2"} {
+		t.Run(id, func(t *testing.T) {
+			h := newHarness(t)
+			h.order(entry, lease, task("a", 1, 16000), task("b", 1, 1600))
+			h.advanceWithLease(entry, 200*time.Millisecond)
+			if h.outcomeOf(entry, "b") != nil {
+				t.Fatal("the second task was refused, want it queued")
+			}
+			h.restart(-4000)
+			h.incarnation.ID = id
+			h.core.HandleReport(h.now, yuccaworker.Report{
+				ID: id, StartedAtMS: h.incarnation.StartedAtMS, Service: "other", CPUMilli: 16000, MemoryMB: 32768, ClockMS: h.clock(), Sequence: 1,
+			})
+			h.runActions()
+			h.advanceWithLease(entry, 200*time.Millisecond)
+			if h.latestRun["b"] > 0 || h.running[yuccaworker.Key{Task: "b", Run: 1}] {
+				t.Error("the queued task was started on the worker of another service")
+			}
+			h.expectOutcome(entry, "b", yuccawire.RunEnd_RUN_END_REFUSED, yuccawire.RunRefusal_RUN_REFUSAL_NO_WORKER)
+		})
+	}
+}
