dispatch: don't start a cancelled job after a take-over

A caller cancelled a job while the entry waited for control's reply to the claim, and was told that it is cancelled. The reply named another owner, which was gone; the entry took the job over and started its tasks.

Cause: a cancellation in that state is only recorded, and looked at when the job is opened. A job that was taken over is resumed at the end of the gathering instead.

Ruled out: cancellations while the sides are asked, which fail the job at once.

TestCancelledJobIsStartedAfterTakeOver failed. The end of the gathering looks at the cancellation now: nothing is started, and runs of the former owner are cancelled.

--- a/yuccadispatch/takeover.go
+++ b/yuccadispatch/takeover.go
@@ -152,6 +152,10 @@
 	if !allAnswered {
 		d.settleUndetermined(j)
 	}
+	if j.cancelled {
+		d.failJob(now, j, "cancelled by the caller")
+		return
+	}
 	for _, t := range j.tasks {
 		if t.state == waiting && j.failReason == "" {
 			t.attempt = max(t.attempt, uint32(j.nonce)*attemptsPerOwner)
--- a/yuccadispatch/takeover_test.go
+++ b/yuccadispatch/takeover_test.go
@@ -97,3 +97,27 @@
 		t.Errorf("%d of %d sides were asked", gathers, workers)
 	}
 }
+
+// The caller cancels before this entry knows that the job has another owner, which is gone.
+func TestCancelledJobIsStartedAfterTakeOver(t *testing.T) {
+	now := time.Now()
+	d := newDispatcher(t, now)
+	s := submission(now.Add(20*time.Second), 1, 1)
+	s.Unnamed = false
+	now = now.Add(20 * time.Second)
+	d.Submit(now, s)
+	d.Cancel(now, s.Key)
+	replyToClaims(now, d, &yuccawire.ClaimReply{Result: yuccawire.ClaimResult_CLAIM_HELD, Owner: "entry-2", Incarnation: 1})
+	now = now.Add(time.Second)
+	d.Tick(now)
+	replyToClaims(now, d, &yuccawire.ClaimReply{Result: yuccawire.ClaimResult_CLAIM_TAKEN, AgeMs: 5000, Owner: "entry-2", Incarnation: 1})
+	for side := range workers {
+		d.HandleGathered(now, fmt.Sprintf("side-%d", side), &yuccawire.Gathered{Job: s.Key.Wire()})
+	}
+	for _, action := range replyToClaims(now, d, &yuccawire.ClaimReply{Result: yuccawire.ClaimResult_CLAIM_GRANTED}) {
+		if a, ok := action.(yuccadispatch.Answer); ok && a.Outcome.GetCancelled() {
+			return
+		}
+	}
+	t.Error("the job was not answered as cancelled")
+}
