yuccasystemtest: show a claim that is dropped while its job runs

A request with an Idempotency-Key and without Yucca-Submitted-At has no age, so that the entry can't reject it as too old. With claims_kept below its deadline (1 minute is allowed, deadlines go up to 10) its claim is dropped while it runs, and a second submission is granted another one.

--- a/yuccasystemtest/takeover_test.go
+++ b/yuccasystemtest/takeover_test.go
@@ -115,3 +115,19 @@
 		}
 	})
 }
+
+// A request with a key and without a submission time has no age. Its claim is dropped by its
+// age alone.
+func TestClaimIsDroppedWhileItsJobRuns(t *testing.T) {
+	withCluster(t, 35, 1, 2, 1, func(t *testing.T, c *cluster) {
+		c.apply(sectionCommand("services", 1, "s2", `{"regulation": {"objective": "work_done", "max_run": "10m"}}`))
+		c.apply(sectionCommand("limits", 1, "l2", `{"claims_kept": "1m", "teams": {"parishes": {"weight": 2}, "councils": {}}}`))
+		time.Sleep(2 * time.Second)
+		spec := jobSpec{id: "key", tasks: 1, runTime: 4 * time.Minute, deadline: 8 * time.Minute}
+		c.submitAsync(c.entries[0], spec)
+		time.Sleep(2 * time.Minute)
+		c.submitAsync(c.entries[1], spec)
+		c.callers.Wait()
+		c.checkHistory(t)
+	})
+}
