worker: don't blame a crash on starts that were not executed

The start had no answer, the worker answered further renewals without listing the run, and refused connections later. All runs whose start had been sent by then were blamed.

Ruled out: starts that crash the worker before it answers. No lists follow them, so that they are blamed as before.

A start without an answer is no longer blamed if lists that arrived more than a first timeout after it do not show the run.

--- a/yuccaworker/crash.go
+++ b/yuccaworker/crash.go
@@ -49,12 +49,13 @@
 	w.publishCrash(now, &pendingCrash{crash: crash, crashedAt: w.crashTime(now)})
 }
 
-// newCrash returns the crash of this incarnation with the runs that were active.
+// newCrash returns the crash of this incarnation with the runs that were active. A start
+// without an answer may have been the cause, unless the lists show that it was not executed.
 func (w *Worker) newCrash(now time.Time) *yuccawire.Crash {
 	crashedAt := w.crashTime(now)
 	crash := &yuccawire.Crash{Worker: w.report.ID, Service: w.report.Service, StartedUnixMs: w.report.StartedAtMS}
 	for _, r := range w.sortedRuns() {
-		if !r.startSentAt.After(crashedAt) && r.lostAs == yuccawire.RunEnd_RUN_END_UNSPECIFIED {
+		if !r.startSentAt.After(crashedAt) && r.lostAs == yuccawire.RunEnd_RUN_END_UNSPECIFIED && (r.state == started || !r.absent) {
 			crash.Runs = append(crash.Runs, &yuccawire.CrashedRun{Task: r.key.Task, Queue: r.queue, CpuMilli: uint32(r.demand.cpuMilli), RanMs: uint32(crashedAt.Sub(r.startSentAt).Milliseconds())})
 		}
 	}
--- a/yuccaworker/crash_test.go
+++ b/yuccaworker/crash_test.go
@@ -214,3 +214,24 @@
 		t.Errorf("crashes %v were reported, want none", h.crashes[entry])
 	}
 }
+
+// The worker answers a renewal without listing the task, and crashes later.
+func TestTaskOfLostStartIsBlamedForTheCrash(t *testing.T) {
+	h := newHarness(t)
+	h.order(entry, lease, task("b", 1, 1600))
+	h.advanceWithLease(entry, 100*time.Millisecond)
+	h.core.HandleOrders(h.now, entry, &yuccawire.Orders{
+		UntilMs: h.core.Clock(h.now) + uint64(lease.Milliseconds()),
+		Jobs:    []*yuccawire.JobOrder{{Job: "j", Service: "belfry", ExpiresMs: h.core.Clock(h.now) + 60_000, Tasks: []*yuccawire.TaskOrder{task("a", 1, 1600)}}},
+	})
+	h.core.Actions() // the start is lost
+	h.advanceWithLease(entry, 200*time.Millisecond)
+	h.crash()
+	h.advanceWithLease(entry, 100*time.Millisecond)
+	if len(h.crashes[entry]) != 1 {
+		t.Fatalf("%d crashes were reported, want 1", len(h.crashes[entry]))
+	}
+	if runs := h.crashes[entry][0].GetRuns(); len(runs) != 1 || runs[0].GetTask() != "b" {
+		t.Errorf("the crash is blamed on %v, want b only", runs)
+	}
+}
--- a/yuccaworker/hold.go
+++ b/yuccaworker/hold.go
@@ -201,10 +201,11 @@
 	}
 	for _, r := range w.sortedRuns() {
 		if running[r.key] {
-			r.listed, r.lostAs = true, yuccawire.RunEnd_RUN_END_UNSPECIFIED
+			r.listed, r.absent, r.lostAs = true, false, yuccawire.RunEnd_RUN_END_UNSPECIFIED
 			w.settleCrash(now, r, false)
 			continue
 		}
+		r.absent = r.state != started && h.SentAt.After(r.startSentAt) && now.Sub(r.startSentAt) > startTimeout
 		isLost := r.lostAs != yuccawire.RunEnd_RUN_END_UNSPECIFIED
 		switch {
 		case isLost && r.stopSentAt.IsZero():
--- a/yuccaworker/run.go
+++ b/yuccaworker/run.go
@@ -57,6 +57,9 @@
 	listed         bool
 	clockConfirmed bool
 	triedAtMS      int64
+	// absent is set while the worker's last lists have shown that none of the starts was
+	// executed in time.
+	absent bool
 	// lostAs is how the run ends, after ranBeforeLoss, unless a restarted worker turns out
 	// to have started it. It is unspecified while no restart has been noticed.
 	lostAs        yuccawire.RunEnd
