--- a/yuccaworker/crash_test.go
+++ b/yuccaworker/crash_test.go
@@ -220,10 +220,7 @@
 	h := newHarness(t)
 	h.order(entry, lease, task("b", 1, 1600))
 	h.advanceWithLease(entry, 100*time.Millisecond)
-	h.core.HandleOrders(h.now, entry, &yuccawire.Orders{
-		UntilMs: h.core.Clock(h.now) + uint64(lease.Milliseconds()),
-		Jobs:    []*yuccawire.JobOrder{{Job: "j", Service: "belfry", ExpiresMs: h.core.Clock(h.now) + 60_000, Tasks: []*yuccawire.TaskOrder{task("a", 1, 1600)}}},
-	})
+	h.handleOrder(entry, lease, task("a", 1, 1600))
 	h.core.Actions() // the start is lost
 	h.advanceWithLease(entry, 200*time.Millisecond)
 	h.crash()
--- a/yuccaworker/restart_test.go
+++ b/yuccaworker/restart_test.go
@@ -233,10 +233,7 @@
 	h := newHarness(t)
 	h.advance(time.Second)
 	h.restart(-4000)
-	h.core.HandleOrders(h.now, entry, &yuccawire.Orders{
-		UntilMs: h.core.Clock(h.now) + uint64(lease.Milliseconds()),
-		Jobs:    []*yuccawire.JobOrder{{Job: "j", Service: "belfry", ExpiresMs: h.core.Clock(h.now) + 60_000, Tasks: []*yuccawire.TaskOrder{task("a", 1, 1600)}}},
-	})
+	h.handleOrder(entry, lease, task("a", 1, 1600))
 	var delayed yuccaworker.CallStart
 	for _, a := range h.core.Actions() {
 		if start, ok := a.(yuccaworker.CallStart); ok {
@@ -262,10 +259,7 @@
 	h := newHarness(t)
 	h.advance(time.Second)
 	h.restart(-4000)
-	h.core.HandleOrders(h.now, entry, &yuccawire.Orders{
-		UntilMs: h.core.Clock(h.now) + uint64(lease.Milliseconds()),
-		Jobs:    []*yuccawire.JobOrder{{Job: "j", Service: "belfry", ExpiresMs: h.core.Clock(h.now) + 60_000, Tasks: []*yuccawire.TaskOrder{task("a", 1, 1600)}}},
-	})
+	h.handleOrder(entry, lease, task("a", 1, 1600))
 	h.dropStartReplies = true
 	for _, a := range h.core.Actions() {
 		h.runAction(a)
@@ -343,9 +337,7 @@
 	h := newHarness(t)
 	h.advance(time.Second)
 	h.restart(-4000)
-	report := yuccaworker.Report{
-		ID: h.incarnation.ID, StartedAtMS: h.incarnation.StartedAtMS, Service: "belfry", CPUMilli: 16000, MemoryMB: 32768, ClockMS: h.clock(), Sequence: 1,
-	}
+	report := h.newReport(1)
 	h.advance(900 * time.Millisecond)
 	h.holdUntilMS = h.clock() + time.Second.Milliseconds()
 	h.core.HandleReport(h.now, report)
@@ -384,9 +376,7 @@
 // A report of an earlier incarnation that was delayed.
 func TestDelayedReportOfEarlierIncarnationIsIgnored(t *testing.T) {
 	h := newHarness(t)
-	late := yuccaworker.Report{
-		ID: h.incarnation.ID, StartedAtMS: h.incarnation.StartedAtMS, Service: "belfry", CPUMilli: 16000, MemoryMB: 32768, ClockMS: h.clock(), Sequence: 2,
-	}
+	late := h.newReport(2)
 	h.restart(-4000)
 	h.report(1, false)
 	h.advance(100 * time.Millisecond)
@@ -449,10 +439,7 @@
 	h := newHarness(t)
 	h.advance(time.Second)
 	h.unresponsive = true
-	h.core.HandleOrders(h.now, entry, &yuccawire.Orders{
-		UntilMs: h.core.Clock(h.now) + uint64(lease.Milliseconds()),
-		Jobs:    []*yuccawire.JobOrder{{Job: "j", Service: "belfry", ExpiresMs: h.core.Clock(h.now) + 60_000, Tasks: []*yuccawire.TaskOrder{task("a", 1, 1600)}}},
-	})
+	h.handleOrder(entry, lease, task("a", 1, 1600))
 	for _, a := range h.core.Actions() {
 		h.runAction(a)
 	}
@@ -483,9 +470,9 @@
 			}
 			h.restart(-4000)
 			h.incarnation.ID = id
-			h.core.HandleReport(h.now, yuccaworker.Report{
-				ID: id, StartedAtMS: h.incarnation.StartedAtMS, Service: "other", CPUMilli: 16000, MemoryMB: 32768, ClockMS: h.clock(), Sequence: 1,
-			})
+			report := h.newReport(1)
+			report.Service = "other"
+			h.core.HandleReport(h.now, report)
 			h.runActions()
 			h.advanceWithLease(entry, 200*time.Millisecond)
 			if h.latestRun["b"] > 0 || h.running[yuccaworker.Key{Task: "b", Run: 1}] {
--- a/yuccaworker/worker_test.go
+++ b/yuccaworker/worker_test.go
@@ -84,9 +84,15 @@
 }
 
 func (h *harness) report(sequence int64, leaving bool) bool {
-	return h.core.HandleReport(h.now, yuccaworker.Report{
-		ID: h.incarnation.ID, StartedAtMS: h.incarnation.StartedAtMS, Service: "belfry", CPUMilli: 16000, MemoryMB: 32768, Leaving: leaving, ClockMS: h.clock(), Sequence: sequence,
-	})
+	report := h.newReport(sequence)
+	report.Leaving = leaving
+	return h.core.HandleReport(h.now, report)
+}
+
+func (h *harness) newReport(sequence int64) yuccaworker.Report {
+	return yuccaworker.Report{
+		ID: h.incarnation.ID, StartedAtMS: h.incarnation.StartedAtMS, Service: "belfry", CPUMilli: 16000, MemoryMB: 32768, ClockMS: h.clock(), Sequence: sequence,
+	}
 }
 
 // runActions executes actions until none is left.
@@ -253,13 +259,18 @@
 }
 
 func (h *harness) order(from yuccaworker.Owner, lease time.Duration, tasks ...*yuccawire.TaskOrder) {
+	h.handleOrder(from, lease, tasks...)
+	h.runActions()
+}
+
+// handleOrder orders tasks without executing the actions that follow.
+func (h *harness) handleOrder(from yuccaworker.Owner, lease time.Duration, tasks ...*yuccawire.TaskOrder) {
 	h.core.HandleOrders(h.now, from, &yuccawire.Orders{
 		UntilMs: h.core.Clock(h.now) + uint64(lease.Milliseconds()),
 		Jobs: []*yuccawire.JobOrder{{
 			Job: "j", Service: "belfry", RankMs: h.now.Sub(startTime).Milliseconds(), ExpiresMs: h.core.Clock(h.now) + 60_000, Tasks: tasks,
 		}},
 	})
-	h.runActions()
 }
 
 func (h *harness) heartbeat(from yuccaworker.Owner) {
