worker: blame a crash on a start that was sent again

A task whose first try was lost, and whose second one crashed the worker before it answered, was not blamed for the crash: the lists before the second try did not show the run. A task that crashes its workers was started once more for each worker at which that happened.

Ruled out: tasks with a single try, which TestTaskOfLostStartIsBlamedForTheCrash covers.

TestTaskIsNotBlamedForTheCrashOfItsSecondTry failed. The lists now count from the last try.

--- a/yuccaworker/crash_test.go
+++ b/yuccaworker/crash_test.go
@@ -232,3 +232,20 @@
 		t.Errorf("the crash is blamed on %v, want b only", runs)
 	}
 }
+
+// The first try is lost, and the second one crashes the worker before it answers.
+func TestTaskIsNotBlamedForTheCrashOfItsSecondTry(t *testing.T) {
+	h := newHarness(t)
+	h.order(entry, lease, task("b", 1, 1600))
+	h.advanceWithLease(entry, 100*time.Millisecond)
+	h.handleOrder(entry, lease, task("a", 1, 1600))
+	h.core.Actions() // the start is lost
+	h.advanceWithLease(entry, 100*time.Millisecond)
+	h.core.HandleStartReply(h.now, h.incarnation, runA, yuccaworker.ResultUnknown, 0)
+	h.core.Actions() // as is the answer to the second one
+	h.crash()
+	h.advanceWithLease(entry, 100*time.Millisecond)
+	if len(h.crashes[entry]) != 1 || len(h.crashes[entry][0].GetRuns()) != 2 {
+		t.Errorf("crashes %v were reported, want one with both runs", h.crashes[entry])
+	}
+}
--- a/yuccaworker/hold.go
+++ b/yuccaworker/hold.go
@@ -205,7 +205,7 @@
 			w.settleCrash(now, r, false)
 			continue
 		}
-		r.absent = r.state != started && h.SentAt.After(r.startSentAt) && now.Sub(r.startSentAt) > startTimeout
+		r.absent = r.state != started && h.SentAt.After(r.triedAt) && now.Sub(r.triedAt) > startTimeout
 		isLost := r.lostAs != yuccawire.RunEnd_RUN_END_UNSPECIFIED
 		switch {
 		case isLost && r.stopSentAt.IsZero():
--- a/yuccaworker/run.go
+++ b/yuccaworker/run.go
@@ -53,12 +53,14 @@
 	stopAckedAt time.Time
 	// listed is set once the worker's lists have shown that the run is running,
 	// clockConfirmed once a start was answered by a worker whose clock is not behind that
-	// of the known incarnation. triedAtMS is what that showed at the last try.
+	// of the known incarnation. triedAt is when the start was last sent, triedAtMS what that
+	// clock showed.
 	listed         bool
 	clockConfirmed bool
+	triedAt        time.Time
 	triedAtMS      int64
 	// absent is set while the worker's last lists have shown that none of the starts was
-	// executed in time.
+	// executed in time, the last one included.
 	absent bool
 	// lostAs is how the run ends, after ranBeforeLoss, unless a restarted worker turns out
 	// to have started it. It is unspecified while no restart has been noticed.
--- a/yuccaworker/start.go
+++ b/yuccaworker/start.go
@@ -27,7 +27,8 @@
 
 func (w *Worker) sendStart(now time.Time, r *run) {
 	r.tries++
-	r.triedAtMS = w.clock.lowerBound(now)
+	r.triedAt, r.triedAtMS = now, w.clock.lowerBound(now)
+	r.absent = false
 	deadline := w.deadlineMS
 	if w.mayExtendHold(now) {
 		deadline = w.extendHold(now)
