worker: name the runs that a side does not track

Callers saw a job run that had been refused, or two runs of one task. In the logs nothing tells whether the worker ran something that its side had reported as ended or not started: foreign_runs_stopped counts it, but no line names the task. The first stop of each such run is logged now.

No logic changes.

--- a/yuccaworker/hold.go
+++ b/yuccaworker/hold.go
@@ -193,8 +193,7 @@
 		running[key] = true
 		if r := w.runs[key]; r == nil {
 			untracked++
-			w.metrics.Add("foreign_runs_stopped", 1)
-			w.sendStop(key)
+			w.stopUntracked(key)
 		} else if r.state == starting || r.state == uncertain && r.stopSentAt.IsZero() {
 			w.confirmStart(now, r)
 		}
@@ -227,6 +226,17 @@
 	}
 }
 
+// stopUntracked stops a run that the worker lists and the side doesn't track.
+func (w *Worker) stopUntracked(key Key) {
+	w.metrics.Add("foreign_runs_stopped", 1)
+	if w.lastUntracked != key {
+		w.lastUntracked = key
+		w.options.Logger.Warn("worker runs a task that the side does not track, stopping it", "worker", w.report.ID,
+			"task", key.Task, "run", key.Run, "taken", w.takenOver, "used_cpu_milli", w.used.cpuMilli)
+	}
+	w.sendStop(key)
+}
+
 // hasExpiredRuns reports whether the hold of any run has certainly expired.
 func (w *Worker) hasExpiredRuns(now time.Time) bool {
 	for _, r := range w.runs {
--- a/yuccaworker/worker.go
+++ b/yuccaworker/worker.go
@@ -79,6 +79,8 @@
 	// the number up to which the worker has discarded completions.
 	cursor      int64
 	ackedCursor int64
+	// lastUntracked is the last run that was stopped because the side doesn't track it.
+	lastUntracked Key
 
 	runs   map[Key]*run
 	queue  []*run
