--- a/yuccamodel/worker_test.go
+++ b/yuccamodel/worker_test.go
@@ -65,7 +65,9 @@
 	// noCapacityShare that of starts of new runs that are refused for lack of capacity.
 	unhealthyShare  float64
 	noCapacityShare float64
-	reportSequence  int64
+	// refusalsDue is how many of the next starts are refused as unhealthy.
+	refusalsDue    int
+	reportSequence int64
 	// reportsFrom is when a restarted worker sends its first report.
 	reportsFrom time.Time
 }
@@ -246,6 +248,9 @@
 	case m.unhealthyShare > 0 && m.world.random.Float64() < m.unhealthyShare:
 		m.world.logf("%s refuses %v as unhealthy", m.name, key)
 		return yuccaworker.ResultUnhealthy
+	case m.refusalsDue > 0:
+		m.refusalsDue--
+		return yuccaworker.ResultUnhealthy
 	case c.Token < m.token:
 		return yuccaworker.ResultFenced
 	}
