yuccabroker: say "not run" of a missing run only if its end can't be forgotten

Callers would see: an entry that was frozen for more than 3 s answers 503 ("never runs") to a job whose task was executed meanwhile. The links break during the freeze, and once the process goes on it may handle LinkDown, LinkUp and the side's full list before the tick that counts the runs as lost (select takes either). The list lacks the run, since the side keeps ends for 3 s only, and the entry took that for an order that never reached the side, so that the job kept its promise of "not run".

Cause: a missing run was taken as proof that it never started. It proves only that it is not alive. It proves more if the order was sent less than OutcomeRetention before the list, on the side's clock: a run starts under a lease that ends later, its end is kept for OutcomeRetention, and the owner is not removed before the lease has been over for as long. Other missing runs now count as runs that may have started (counter runs_forgotten).

Callers of a lost order are served as before: it is placed again at once, and a refusal stays a 503, as links are mostly back within a second. Only jobs with an order of more than 3 s ago on a broken link get 504 instead, and may come again; within 1.2 s of silence expireRuns has said so already unless the entry stood still itself.

Before the fix TestEndForgottenDuringAFreezeIsNoProofOfNotRun failed: "waiter 1 got {rejected the deadline has passed 8s} (answered: true), want given_up", twice. TestJobOfLostOrderIsRefusedAsNotRun and TestListHasAllEndsOfRunsOrderedWithinTheRetention passed before and hold the two halves of the argument.

--- a/yuccabroker/job.go
+++ b/yuccabroker/job.go
@@ -99,6 +99,9 @@
 	// queuedAt is when it was last queued.
 	queuedAt time.Time
 	sentAt   time.Time
+	// orderedMS is a time that the side's clock had reached when the run was ordered, in
+	// milliseconds.
+	orderedMS int64
 	// avoid is the side where its last run failed, was refused, stopped or lost;
 	// other sides are preferred.
 	avoid *side
--- /dev/null
+++ b/yuccabroker/missing_test.go
@@ -0,0 +1,44 @@
+package yuccabroker_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/yuccaturn/yuccaturn/yuccabroker"
+	"github.com/yuccaturn/yuccaturn/yuccawire"
+	"github.com/yuccaturn/yuccaturn/yuccaworker"
+)
+
+// relink replaces the link of a side and delivers its full list of runs. Its worker is full.
+func (f *fixture) relink(side string, clockMS uint64, present ...*yuccawire.RunKey) {
+	f.broker.HandleLinkDown(f.now, side)
+	f.broker.HandleLinkUp(f.now, yuccabroker.Side{Name: side, Incarnation: 1, DataCentre: "puno"})
+	state := f.workerState(noCapacity)
+	state.ClockMs = clockMS
+	f.broker.HandleEnds(f.now, side, &yuccawire.Ends{Full: true, State: state, Present: present})
+	f.flush()
+}
+
+// The process is frozen for longer than the side retains outcomes. The links are handled before the tick.
+func TestEndForgottenDuringAFreezeIsNoProofOfNotRun(t *testing.T) {
+	for _, freeze := range []time.Duration{yuccaworker.OutcomeRetention + 50*time.Millisecond, 6 * time.Second} {
+		f := newFixture(t, "s1")
+		f.submit(job("a", 1), 1)
+		f.now = f.now.Add(freeze)
+		f.relink("s1", f.sideClock())
+		f.broker.Tick(f.now)
+		f.flush()
+		f.wantState(1, yuccabroker.Abandoned)
+	}
+}
+
+// An order that was lost with its link leaves the promise of a refusal intact.
+func TestJobOfLostOrderIsRefusedAsNotRun(t *testing.T) {
+	f := newFixture(t, "s1")
+	f.submit(job("a", 1), 1)
+	f.now = f.now.Add(yuccaworker.OutcomeRetention - 20*time.Millisecond)
+	f.relink("s1", f.sideClock())
+	f.broker.Tick(f.now)
+	f.flush()
+	f.wantState(1, yuccabroker.Rejected)
+}
--- a/yuccabroker/place.go
+++ b/yuccabroker/place.go
@@ -107,6 +107,7 @@
 	t.side = s
 	t.sideIncarnation = s.Incarnation
 	t.sentAt = now
+	t.orderedMS = s.clockAt(now)
 	// A task with a reservation waits for its start.
 	j.dispatched = j.dispatched || t.reservation == nil
 	j.runsSent++
--- a/yuccabroker/side.go
+++ b/yuccabroker/side.go
@@ -243,7 +243,8 @@
 }
 
 // reconcile compares the full list of runs that a side sends on a new link with
-// the runs ordered there: unknown runs are withdrawn, missing ones are lost.
+// the runs ordered there: unknown runs are withdrawn, missing ones are lost. Those have
+// not started unless the side may have forgotten their end.
 func (b *Broker) reconcile(now time.Time, s *side, m *yuccawire.Ends) {
 	present := make(map[runKey]bool, len(m.GetPresent()))
 	withdraw := &yuccawire.Withdraw{}
@@ -258,13 +259,25 @@
 		b.send(s.name, &yuccawire.Envelope{Body: &yuccawire.Envelope_Withdraw{Withdraw: withdraw}})
 	}
 	for _, t := range s.sortedTasks() {
-		if t.sideIncarnation == s.Incarnation && !present[runKey{task: t.name, run: t.run}] {
+		switch {
+		case t.sideIncarnation != s.Incarnation || present[runKey{task: t.name, run: t.run}]:
+		case t.mayBeForgotten(m):
+			t.job.mayHaveRun = true
+			b.metrics.Add("runs_forgotten", 1)
+			b.handleLostRun(now, t, "order never reached the side, or its end is forgotten")
+		default:
 			b.metrics.Add("runs_never_arrived", 1)
 			b.handleLostRun(now, t, "order never reached the side")
 		}
 	}
 }
 
+// mayBeForgotten reports whether a side that sends the list may have removed the end of the
+// latest run, which counts as soon as the order was sent.
+func (t *task) mayBeForgotten(list *yuccawire.Ends) bool {
+	return int64(list.GetState().GetClockMs())-t.orderedMS >= yuccaworker.OutcomeRetention.Milliseconds()
+}
+
 // handleEnded applies the end of one run. Ends of superseded runs and of earlier
 // incarnations of the side are ignored.
 func (b *Broker) handleEnded(now time.Time, s *side, e *yuccawire.Ended) {
--- a/yuccaworker/doc.go
+++ b/yuccaworker/doc.go
@@ -36,6 +36,9 @@
 // ClockDrift is the maximum fraction by which the worker's clock runs slow.
 const ClockDrift = 0.02
 
+// OutcomeRetention is how long a side retains outcomes for an owner whose link is down.
+const OutcomeRetention = 3 * time.Second
+
 const (
 	// holdWait is how long the worker may delay the answer to a renewal until a
 	// run completes. No completions arrive until the timeout of a lost renewal
@@ -97,9 +100,6 @@
 	spareCapacityShare = 0.45
 	// minStateInterval limits the rate of state messages to one owner.
 	minStateInterval = 15 * time.Millisecond
-	// outcomeRetention is how long outcomes are retained for an owner whose link
-	// is down.
-	outcomeRetention = 3 * time.Second
 	// maxReportAge is how old the worker's last report may be for its capacity to
 	// count as known, for example after the side stood still. Workers report every
 	// 1.5 s.
--- a/yuccaworker/owner.go
+++ b/yuccaworker/owner.go
@@ -131,7 +131,7 @@
 			w.stopOwnerRuns(now, o)
 			continue
 		}
-		if !o.linked && now.Sub(o.leaseUntil) > outcomeRetention {
+		if !o.linked && now.Sub(o.leaseUntil) > OutcomeRetention {
 			delete(w.owners, o.id)
 			w.ownerList = slices.DeleteFunc(w.ownerList, func(other *owner) bool { return other == o })
 		}
--- a/yuccaworker/owner_test.go
+++ b/yuccaworker/owner_test.go
@@ -101,3 +101,17 @@
 		break
 	}
 }
+
+// Entries take a run that the list lacks for one that never arrived if they ordered it within OutcomeRetention.
+func TestListHasAllEndsOfRunsOrderedWithinTheRetention(t *testing.T) {
+	h := newHarness(t)
+	h.order(entry, lease, task("a", 1, 1600))
+	h.core.HandleLinkDown(entry)
+	h.complete(yuccaworker.Key{Task: "a", Run: 1}, yuccawire.RunEnd_RUN_END_DONE)
+	h.advance(yuccaworker.OutcomeRetention - 10*time.Millisecond)
+	h.core.HandleLinkUp(h.now, entry)
+	h.runActions()
+	if got := h.delivered[entry]; len(got) != 1 || got[0].GetEnd() != yuccawire.RunEnd_RUN_END_DONE {
+		t.Errorf("outcomes %v on the new link, want the completion", got)
+	}
+}
--- a/yuccaworker/run.go
+++ b/yuccaworker/run.go
@@ -309,7 +309,7 @@
 }
 
 // queueOutcome adds an outcome to the owner's next message, and retains it for
-// outcomeRetention.
+// OutcomeRetention.
 func (w *Worker) queueOutcome(now time.Time, r *run, ended *yuccawire.Ended) {
 	ended.Run = &yuccawire.RunKey{Task: r.key.Task, Run: r.key.Run}
 	if !r.startSentAt.IsZero() {
@@ -318,7 +318,7 @@
 	o := r.owner
 	o.unsent = append(o.unsent, ended)
 	o.retained = append(o.retained, retainedOutcome{ended: ended, retainedAt: now})
-	for len(o.retained) > 0 && now.Sub(o.retained[0].retainedAt) > outcomeRetention {
+	for len(o.retained) > 0 && now.Sub(o.retained[0].retainedAt) > OutcomeRetention {
 		o.retained = o.retained[1:]
 	}
 }
