yuccabroker: ignore the list of an older link

Callers would see: a task runs twice at the same time, or starts although its job was answered 503. Both ends of a pair replace a link by the newest in their own order. If the side replaced Y by X, but the entry's handshake of Y finishes after that of X, the entry takes orders' runs on X for lost as soon as it reads the list that the side had sent on Y before X was up: "order never reached the side", and places their tasks elsewhere, although the side runs them.

Only sides dial, one dialler for each address, so that a side's links to an entry follow each other and cross only if the entry's goroutine of Y stands still between its Hello and its LinkUp event for longer than the side needs to close Y, dial again (50 ms) and be sent orders; or if an entry has two addresses. Found by reading, not seen in a run.

A side's clock never goes back within its incarnation, and a side reports on its current link only. A report with an earlier clock than a known one is therefore from an older link: its state and its list are ignored, while its ends still count, as they are about single runs. The older link is closed at the side already, so that a newer list follows; orders don't go out on it, as the side counts as unheard. A new incarnation starts with a new clock.

Not covered: two links that come up at the side in the same millisecond.

Before the fix TestListOfAnOlderLinkDoesNotDenyLaterOrders failed: "second run sent to s2 while the first may run".

--- a/yuccabroker/missing_test.go
+++ b/yuccabroker/missing_test.go
@@ -42,3 +42,30 @@
 	f.flush()
 	f.wantState(1, yuccabroker.Rejected)
 }
+
+// Link X replaced Y at the side. At the entry, Y came up after X, with the list that the side had sent before X.
+func TestListOfAnOlderLinkDoesNotDenyLaterOrders(t *testing.T) {
+	f := newFixture(t, "s1", "s2")
+	old := f.sideClock()
+	f.now = f.now.Add(100 * time.Millisecond)
+	f.relink("s1", f.sideClock())
+	f.report("s1", fullCPU)
+	f.report("s2", noCapacity)
+	f.submit(job("a", 1), 1)
+	if got := f.sentRuns()["a.0.0.0/1"]; got != "s1" {
+		t.Fatalf("sent %v, want the task at s1", f.sentRuns())
+	}
+	f.relink("s1", old)
+	f.report("s2", fullCPU)
+	f.flush()
+	if got := f.sentRuns()["a.0.0.0/2"]; got != "" {
+		t.Errorf("second run sent to %s while the first may run", got)
+	}
+	f.now = f.now.Add(100 * time.Millisecond)
+	f.relink("s1", f.sideClock())
+	f.report("s2", fullCPU)
+	f.flush()
+	if f.sentRuns()["a.0.0.0/2"] == "" {
+		t.Error("no second run after a newer list without the first")
+	}
+}
--- a/yuccabroker/side.go
+++ b/yuccabroker/side.go
@@ -139,6 +139,7 @@
 		s.ready = false
 		b.forgetWorker(peer.Name, "side restarted")
 		s.hasOrphans = len(s.runs) > 0
+		s.clockMS = 0
 	}
 	if s == nil {
 		s = &side{name: peer.Name, runs: make(map[*task]struct{}), slowdown: 1}
@@ -166,13 +167,18 @@
 	}
 }
 
-// HandleWorkerState updates a side from its report. Unknown sides and nil reports
-// are ignored.
+// HandleWorkerState updates a side from its report. Unknown sides, nil reports and those
+// of an older link are ignored.
 func (b *Broker) HandleWorkerState(now time.Time, name string, m *yuccawire.WorkerState) {
 	s := b.sides[name]
 	if s == nil || m == nil {
 		return
 	}
+	if s.precedes(m) {
+		b.metrics.Add("reports_of_older_links", 1)
+		b.options.Logger.Warn("report of an older link ignored", "side", name, "clock_ms", m.GetClockMs(), "known_ms", s.clockMS)
+		return
+	}
 	if s.ready != m.GetReady() || s.suspect != m.GetSuspect() {
 		b.options.Logger.Info("worker state changed", "side", name, "worker", cmp.Or(m.GetWorker(), s.worker), "ready", m.GetReady(), "suspect", m.GetSuspect(), "pace_percent", m.GetPacePercent())
 	}
@@ -206,6 +212,10 @@
 	b.needsPlacement = true
 }
 
+// precedes reports whether a report was sent before one that is known. The reports of one
+// link are in order, but two links of a side may come up in another order than at the side.
+func (s *side) precedes(m *yuccawire.WorkerState) bool { return m.GetClockMs() < s.clockMS }
+
 // loseOrphans treats the runs sent to an earlier incarnation of a side as lost.
 // It must not be called before the current incarnation has taken over the
 // worker and thereby made sure that none of them is alive.
@@ -225,11 +235,12 @@
 // HandleEnds applies the ends of runs at a side, and the worker state that comes
 // with them.
 func (b *Broker) HandleEnds(now time.Time, name string, m *yuccawire.Ends) {
-	b.HandleWorkerState(now, name, m.GetState())
 	s := b.sides[name]
 	if s == nil {
 		return
 	}
+	isOutdated := m.GetState() != nil && s.precedes(m.GetState())
+	b.HandleWorkerState(now, name, m.GetState())
 	for _, e := range m.GetEnds() {
 		t := b.runs[runKey{task: e.GetRun().GetTask(), run: e.GetRun().GetRun()}]
 		b.handleEnded(now, s, e)
@@ -237,7 +248,7 @@
 			b.answerWithdrawn(now, t.job)
 		}
 	}
-	if m.GetFull() {
+	if m.GetFull() && !isOutdated {
 		b.reconcile(now, s, m)
 	}
 }
