--- a/yuccabroker/side.go
+++ b/yuccabroker/side.go
@@ -139,6 +139,7 @@
 		s.ready = false
 		b.forgetWorker(peer.Name, "side restarted")
 		s.hasOrphans = len(s.runs) > 0
+		s.clockMS = 0
 	}
 	if s == nil {
 		s = &side{name: peer.Name, runs: make(map[*task]struct{}), slowdown: 1}
@@ -166,13 +167,18 @@
 	}
 }
 
-// HandleWorkerState updates a side from its report. Unknown sides and nil reports
-// are ignored.
+// HandleWorkerState updates a side from its report. Unknown sides, nil reports and those
+// of an older link are ignored.
 func (b *Broker) HandleWorkerState(now time.Time, name string, m *yuccawire.WorkerState) {
 	s := b.sides[name]
 	if s == nil || m == nil {
 		return
 	}
+	if s.precedes(m) {
+		b.metrics.Add("reports_of_older_links", 1)
+		b.options.Logger.Warn("report of an older link ignored", "side", name, "clock_ms", m.GetClockMs(), "known_ms", s.clockMS)
+		return
+	}
 	if s.ready != m.GetReady() || s.suspect != m.GetSuspect() {
 		b.options.Logger.Info("worker state changed", "side", name, "worker", cmp.Or(m.GetWorker(), s.worker), "ready", m.GetReady(), "suspect", m.GetSuspect(), "pace_percent", m.GetPacePercent())
 	}
@@ -206,6 +212,10 @@
 	b.needsPlacement = true
 }
 
+// precedes reports whether a report was sent before one that is known. The reports of one
+// link are in order, but two links of a side may come up in another order than at the side.
+func (s *side) precedes(m *yuccawire.WorkerState) bool { return m.GetClockMs() < s.clockMS }
+
 // loseOrphans treats the runs sent to an earlier incarnation of a side as lost.
 // It must not be called before the current incarnation has taken over the
 // worker and thereby made sure that none of them is alive.
@@ -225,11 +235,12 @@
 // HandleEnds applies the ends of runs at a side, and the worker state that comes
 // with them.
 func (b *Broker) HandleEnds(now time.Time, name string, m *yuccawire.Ends) {
-	b.HandleWorkerState(now, name, m.GetState())
 	s := b.sides[name]
 	if s == nil {
 		return
 	}
+	isOutdated := m.GetState() != nil && s.precedes(m.GetState())
+	b.HandleWorkerState(now, name, m.GetState())
 	for _, e := range m.GetEnds() {
 		t := b.runs[runKey{task: e.GetRun().GetTask(), run: e.GetRun().GetRun()}]
 		b.handleEnded(now, s, e)
@@ -237,13 +248,14 @@
 			b.answerWithdrawn(now, t.job)
 		}
 	}
-	if m.GetFull() {
+	if m.GetFull() && !isOutdated {
 		b.reconcile(now, s, m)
 	}
 }
 
 // reconcile compares the full list of runs that a side sends on a new link with
-// the runs ordered there: unknown runs are withdrawn, missing ones are lost.
+// the runs ordered there: unknown runs are withdrawn, missing ones are lost. Those have
+// not started unless the side may have forgotten their end.
 func (b *Broker) reconcile(now time.Time, s *side, m *yuccawire.Ends) {
 	present := make(map[runKey]bool, len(m.GetPresent()))
 	withdraw := &yuccawire.Withdraw{}
@@ -258,13 +270,25 @@
 		b.send(s.name, &yuccawire.Envelope{Body: &yuccawire.Envelope_Withdraw{Withdraw: withdraw}})
 	}
 	for _, t := range s.sortedTasks() {
-		if t.sideIncarnation == s.Incarnation && !present[runKey{task: t.name, run: t.run}] {
+		switch {
+		case t.sideIncarnation != s.Incarnation || present[runKey{task: t.name, run: t.run}]:
+		case t.mayBeForgotten(m):
+			t.job.mayHaveRun = true
+			b.metrics.Add("runs_forgotten", 1)
+			b.handleLostRun(now, t, "order never reached the side, or its end is forgotten")
+		default:
 			b.metrics.Add("runs_never_arrived", 1)
 			b.handleLostRun(now, t, "order never reached the side")
 		}
 	}
 }
 
+// mayBeForgotten reports whether a side that sends the list may have removed the end of the
+// latest run, which counts as soon as the order was sent.
+func (t *task) mayBeForgotten(list *yuccawire.Ends) bool {
+	return int64(list.GetState().GetClockMs())-t.orderedMS >= yuccaworker.OutcomeRetention.Milliseconds()
+}
+
 // handleEnded applies the end of one run. Ends of superseded runs and of earlier
 // incarnations of the side are ignored.
 func (b *Broker) handleEnded(now time.Time, s *side, e *yuccawire.Ended) {
