dispatch: start nothing for a claim that was dropped meanwhile

A caller whose request had joined another owner's job could have its tasks started again: if that owner is gone and its claim is dropped before this entry claims the job, control grants a first claim, and the entry took that for the right to start all tasks.

TestJobOfDroppedClaimIsNotStarted, before: "task 0 was started again", "the job was not answered". Now the caller is told that the job may have been run (job-expired, not_run false). The claim that was granted stays, so that a resubmission hears the same. Ruled out: refusing the claim in the replicated state, since controls of an earlier version would apply the same command differently.

--- a/yuccadispatch/claim.go
+++ b/yuccadispatch/claim.go
@@ -92,6 +92,10 @@
 func (d *Dispatcher) handleClaimResult(now time.Time, j *job, reply *yuccawire.ClaimReply) {
 	switch reply.GetResult() {
 	case yuccawire.ClaimResult_CLAIM_GRANTED:
+		if j.owner.name != "" { // the claim of that owner was dropped, and its tasks may have run
+			d.reject(j, Expired)
+			return
+		}
 		d.openJob(now, j)
 	case yuccawire.ClaimResult_CLAIM_TAKEN:
 		d.startGathering(now, j, reply)
--- a/yuccadispatch/takeover_test.go
+++ b/yuccadispatch/takeover_test.go
@@ -121,3 +121,27 @@
 	}
 	t.Error("the job was not answered as cancelled")
 }
+
+// The claim of the owner that this entry knows of was dropped, so that it gets a new one.
+func TestJobOfDroppedClaimIsNotStarted(t *testing.T) {
+	now := time.Now()
+	d := newDispatcher(t, now)
+	s := submission(now, 1, 1)
+	s.Unnamed = false
+	d.Submit(now, s)
+	replyToClaims(now, d, &yuccawire.ClaimReply{Result: yuccawire.ClaimResult_CLAIM_HELD, Owner: "entry-2", Incarnation: 1})
+	now = now.Add(time.Second)
+	d.Tick(now)
+	for _, action := range replyToClaims(now, d, &yuccawire.ClaimReply{Result: yuccawire.ClaimResult_CLAIM_GRANTED}) {
+		switch a := action.(type) {
+		case yuccadispatch.SendStart:
+			t.Errorf("task %s was started again", a.Start.GetKey().GetTask())
+		case yuccadispatch.Answer:
+			if a.Rejection != yuccadispatch.Expired {
+				t.Errorf("answered %+v, want rejection %d", a, yuccadispatch.Expired)
+			}
+			return
+		}
+	}
+	t.Error("the job was not answered")
+}
