dispatch: end a job that was taken over before its claim is dropped

The claim of a job counts from its first submission, but an entry that takes the job over ran it until the deadline of its own caller, 10 minutes later at most. With a short claims_kept the claim was dropped meanwhile, and the next submission with the same key started the tasks again beside it. Now the job ends within claims_kept of its claim, counted with the 10 s by which controls may differ; if that age is not known, nothing is started or repeated, and running attempts go on.

With the default of an hour nothing changes, unless the age is not known.

--- a/yuccadispatch/collect.go
+++ b/yuccadispatch/collect.go
@@ -82,6 +82,9 @@
 	if !j.Repeatable || j.state != open || j.failReason != "" || t.tries+1 >= maxTries {
 		return false
 	}
+	if j.takeover != nil && j.takeover.outlived {
+		return false
+	}
 	if !d.retries.tryWithdraw() {
 		d.metrics.Add("retries_denied", 1)
 		return false
--- a/yuccadispatch/takeover.go
+++ b/yuccadispatch/takeover.go
@@ -25,6 +25,9 @@
 	deadline  time.Time
 	// pending is the set of sides, by name, that have not replied yet.
 	pending map[string]bool
+	// outlived is set if the claim may be dropped at any time, so that this entry must
+	// start nothing.
+	outlived bool
 	// incomplete is set if a side that may have started tasks cannot be
 	// queried, or may have forgotten them.
 	incomplete bool
@@ -43,6 +46,7 @@
 		age := time.Duration(reply.GetAgeMs()) * time.Millisecond
 		j.takeover.claimedAt = now.Add(-age - claimAgeMargin)
 	}
+	d.limitToClaim(now, j)
 	j.owner = owner{}
 	d.metrics.Add("jobs_taken_over", 1)
 	for name, s := range d.sides {
@@ -57,6 +61,20 @@
 	d.checkGathering(now, j)
 }
 
+// limitToClaim ends the job before its claim may be dropped. The claim counts from the
+// first submission, whoever took the job over since.
+func (d *Dispatcher) limitToClaim(now time.Time, j *job) {
+	t := j.takeover
+	keptUntil := t.claimedAt.Add(d.view.Document().Limits.ClaimRetention())
+	if t.claimedAt.IsZero() || !now.Before(keptUntil) {
+		t.outlived = true
+		return
+	}
+	if keptUntil.Before(j.expireAt) {
+		j.expireAt = keptUntil
+	}
+}
+
 // formerOwner returns the owner before the take-over. The reply to a repeated claim
 // names this entry instead; then it is the owner that this entry heard of last.
 func (d *Dispatcher) formerOwner(j *job, reply *yuccawire.ClaimReply) owner {
@@ -187,7 +205,7 @@
 // the claim is younger than the records that sides drop.
 func (d *Dispatcher) allSidesAnswered(now time.Time, j *job) bool {
 	t := j.takeover
-	if len(t.pending) > 0 || t.incomplete || d.membersSince.IsZero() {
+	if len(t.pending) > 0 || t.incomplete || t.outlived || d.membersSince.IsZero() {
 		return false
 	}
 	lostAt := d.service(j.Service).lastSideLoss
--- a/yuccadispatch/takeover_test.go
+++ b/yuccadispatch/takeover_test.go
@@ -145,3 +145,28 @@
 	}
 	t.Error("the job was not answered")
 }
+
+// No age is known, so that the claim may be dropped at any time.
+func TestRepeatableTaskOfUnknownAgeIsNotRepeated(t *testing.T) {
+	now := time.Now()
+	d := newDispatcher(t, now)
+	s := submission(now.Add(20*time.Second), 1, 1)
+	s.Unnamed, s.Repeatable = false, true
+	now = now.Add(20 * time.Second)
+	d.Submit(now, s)
+	replyToClaims(now, d, &yuccawire.ClaimReply{Result: yuccawire.ClaimResult_CLAIM_HELD, Owner: "entry-2", Incarnation: 1})
+	now = now.Add(time.Second)
+	d.Tick(now)
+	replyToClaims(now, d, &yuccawire.ClaimReply{Result: yuccawire.ClaimResult_CLAIM_TAKEN, AgeMs: -1, Owner: "entry-2", Incarnation: 1})
+	key := &yuccawire.TaskKey{Job: s.Key.Wire(), Task: s.Tasks[0].ID, Attempt: 1}
+	d.HandleGathered(now, "side-0", &yuccawire.Gathered{Job: s.Key.Wire(), Running: []*yuccawire.TaskKey{key}})
+	for side := 1; side < workers; side++ {
+		d.HandleGathered(now, fmt.Sprintf("side-%d", side), &yuccawire.Gathered{Job: s.Key.Wire()})
+	}
+	d.HandleFinished(now, "side-0", &yuccawire.Finished{Key: key, Service: s.Service, State: yuccawire.TaskState_TASK_FINISHED, Status: 500})
+	for _, action := range d.Actions() {
+		if start, ok := action.(yuccadispatch.SendStart); ok {
+			t.Errorf("task %s was started again", start.Start.GetKey().GetTask())
+		}
+	}
+}
