control: keep the claims of running jobs when their retention is lowered

An operator who lowers claims_kept dropped the claims of jobs that run: they were accepted under the limits before, with deadlines of up to 10 minutes. A second submission ran them again at the same time. The leader now keeps claims, after a change, for as long as jobs may run that were accepted until a minute after it (entries apply it within seconds), by the history of the limits, which is in the replicated state; and always for 15 s beyond claims_kept, as controls may differ by 10 s and runs are stopped at their deadline.

Only the duration in the proposed command changes.

Cost: 15 s more of claims, 5% at 5 minutes.

--- a/yuccacontrol/sessions.go
+++ b/yuccacontrol/sessions.go
@@ -191,8 +191,7 @@
 	if c.state.JobCount() == 0 {
 		return
 	}
-	retention := c.state.Document().Limits.ClaimRetention()
-	expire := &yuccawire.ExpireJobs{NowUnixMs: now.UnixMilli(), KeptMs: retention.Milliseconds()}
+	expire := &yuccawire.ExpireJobs{NowUnixMs: now.UnixMilli(), KeptMs: c.state.ClaimRetention(now).Milliseconds()}
 	c.proposeCommand(now, &yuccawire.Command{Body: &yuccawire.Command_ExpireJobs{ExpireJobs: expire}}, nil)
 }
 
--- a/yuccadocument/limits.go
+++ b/yuccadocument/limits.go
@@ -17,6 +17,9 @@
 	maxClaimRetention     = 7 * 24 * time.Hour
 )
 
+// MaxDeadline limits the deadline of any job.
+const MaxDeadline = 10 * time.Minute
+
 // Limits holds the quotas of the teams and the retention of claims.
 type Limits struct {
 	// Teams maps the name of a team to its quota.
@@ -39,6 +42,10 @@
 // skew.
 func (l Limits) ResubmitWithin() time.Duration { return l.ClaimRetention() / 2 }
 
+// MaxDeadline returns the longest deadline of a job that needs a claim. The claim must
+// outlive the job, or a resubmission would run it again at the same time.
+func (l Limits) MaxDeadline() time.Duration { return min(MaxDeadline, l.ClaimRetention()) }
+
 // MaxSkew returns how far ahead the clock of a caller may be.
 func (l Limits) MaxSkew() time.Duration { return l.ClaimRetention() / 4 }
 
--- a/yuccastate/claims.go
+++ b/yuccastate/claims.go
@@ -2,10 +2,21 @@
 
 import (
 	"bytes"
+	"slices"
+	"time"
 
+	"github.com/yuccaturn/yuccaturn/yuccadocument"
 	"github.com/yuccaturn/yuccaturn/yuccawire"
 )
 
+const (
+	// claimMargin is how long claims are kept beyond their retention: controls may
+	// differ by 10 s, and runs are stopped at their deadline.
+	claimMargin = 15 * time.Second
+	// limitsDelay is how long an entry may admit jobs under limits that were changed.
+	limitsDelay = time.Minute
+)
+
 func (s *State) applyClaims(batch *yuccawire.ClaimBatch) []*yuccawire.ClaimReply {
 	s.clockUnixMs = max(s.clockUnixMs, batch.GetAtUnixMs())
 	replies := make([]*yuccawire.ClaimReply, len(batch.GetClaims()))
@@ -118,6 +129,37 @@
 	return s.newReply(record, yuccawire.ClaimResult_CLAIM_HELD)
 }
 
+// ClaimRetention returns how long claims are to be kept: longer than the jobs run that
+// were admitted under the present limits, and under those of the last minutes.
+func (s *State) ClaimRetention(now time.Time) time.Duration {
+	recent := s.longestRetention(now.Add(-yuccadocument.MaxDeadline - limitsDelay))
+	return max(s.document.Limits.ClaimRetention(), min(recent, yuccadocument.MaxDeadline)) + claimMargin
+}
+
+// longestRetention returns the longest retention of claims that was in force since
+// the given time. Limits whose change is no longer in the history count as the default.
+func (s *State) longestRetention(since time.Time) time.Duration {
+	longest := s.document.Limits.ClaimRetention()
+	replaced := false
+	for _, change := range slices.Backward(s.changes) {
+		if change.GetSection() != yuccadocument.SectionLimits {
+			continue
+		}
+		if replaced {
+			section := &yuccawire.Section{Name: change.GetSection(), Version: change.GetVersion(), Body: change.GetBody()}
+			longest = max(longest, mustAddSection(yuccadocument.NewView(), section).Document().Limits.ClaimRetention())
+		}
+		if change.GetAtUnixMs() < since.UnixMilli() {
+			return longest
+		}
+		replaced = true
+	}
+	if replaced {
+		longest = max(longest, yuccadocument.Limits{}.ClaimRetention())
+	}
+	return longest
+}
+
 // expireJobs drops the claims that are older than their retention, and returns
 // how many it dropped. It stops at the first claim that is young enough, since
 // jobsByAge is sorted by time.
--- a/yuccastate/state_test.go
+++ b/yuccastate/state_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"runtime"
 	"testing"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -218,6 +219,36 @@
 	}
 }
 
+// A retention that was shortened a moment ago leaves the claims of running jobs, also after
+// a snapshot. The commands that drop claims are the same as before.
+func TestRetentionOutlivesRunningJobs(t *testing.T) {
+	const changedMs = 10_000_000
+	s := yuccastate.New()
+	for i, step := range []struct {
+		body string
+		atMs int64
+	}{{`{"claims_kept": "2h"}`, 1000}, {`{"claims_kept": "5m"}`, 2000}, {`{"claims_kept": "1m"}`, changedMs}} {
+		change := &yuccawire.ApplySection{Section: "limits", BaseVersion: uint64(i), RequestId: fmt.Sprint(i), Body: []byte(step.body), AtUnixMs: step.atMs}
+		if got := apply(t, s, &yuccawire.Command{Body: &yuccawire.Command_ApplySection{ApplySection: change}}); got.Change.Outcome != yuccastate.Accepted {
+			t.Fatalf("%s: got %+v", step.body, got.Change)
+		}
+	}
+	const margin = 15 * time.Second
+	for after, want := range map[time.Duration]time.Duration{
+		0: 5*time.Minute + margin, 10*time.Minute + 30*time.Second: 5*time.Minute + margin, 12 * time.Minute: time.Minute + margin,
+	} {
+		now := time.UnixMilli(changedMs).Add(after)
+		for _, state := range []*yuccastate.State{s, encodeAndDecode(t, s)} {
+			if got := state.ClaimRetention(now); got != want {
+				t.Errorf("%s after the change: claims are kept for %s, want %s", after, got, want)
+			}
+		}
+	}
+	if got, want := yuccastate.New().ClaimRetention(time.UnixMilli(changedMs)), time.Hour+margin; got != want {
+		t.Errorf("without limits: claims are kept for %s, want %s", got, want)
+	}
+}
+
 // BenchmarkClaims applies claims in batches of 100. It reports the heap and
 // snapshot size per claim.
 func BenchmarkClaims(b *testing.B) {
--- a/yuccasystemtest/claims_test.go
+++ b/yuccasystemtest/claims_test.go
@@ -19,6 +19,27 @@
 	c.apply(sectionCommand("services", 1, "s2", `{"regulation": {"objective": "work_done", "max_run": "10m"}}`))
 }
 
+// Jobs that were admitted under the limits before are still running.
+func TestShorterRetentionKeepsClaimsOfRunningJobs(t *testing.T) {
+	withCluster(t, 38, 3, 2, 1, func(t *testing.T, c *cluster) {
+		c.allowLongRuns()
+		time.Sleep(2 * time.Second)
+		spec := jobSpec{id: "key", tasks: 1, runTime: 9 * time.Minute, deadline: 10 * time.Minute}
+		c.submitAsync(c.entries[0], spec)
+		time.Sleep(time.Second)
+		c.limitClaims()
+		time.Sleep(8 * time.Minute)
+		again := spec
+		again.deadline = 20 * time.Second
+		c.submit(c.entries[1], again)
+		c.callers.Wait()
+		if starts := c.countEvents(yuccahistory.Started, ""); starts != 1 {
+			t.Errorf("got %d starts of one task", starts)
+		}
+		c.checkHistory(t)
+	})
+}
+
 // Another entry takes the job over shortly before its claim is dropped, for a caller who
 // waits for longer than that.
 func TestJobThatWasTakenOverEndsBeforeItsClaim(t *testing.T) {
