dispatch: reject deadlines that are longer than claims are kept

A request with an Idempotency-Key and without Yucca-Submitted-At was accepted with a deadline that its claim does not outlive, if claims_kept is under 10 minutes. Once the claim was dropped, a second submission ran the request again beside the first run, or was refused as "not run" while it ran. Such deadlines are now rejected at once, as a bad request with the place, the longest deadline and the setting, and "not run" after control was asked: a job that was claimed before is joined. Requests without a key need no claim and are accepted as before; with the default of an hour nothing changes.

Ruled out: counting a claim from the end of its job (other results of the same commands in the replicated state), keeping all claims until the oldest unfinished job has ended (one job of 10 minutes doubles the state at the target of CAPACITY.md, past the size of a message), claiming again (the new claim has no age), and a check in the document (it is checked when it is applied); see docs/design/claims.md.

--- a/yuccadispatch/actions.go
+++ b/yuccadispatch/actions.go
@@ -43,6 +43,8 @@
 	Rejection Rejection
 	// RetryAfter is the delay after which a retry may succeed, or zero.
 	RetryAfter time.Duration
+	// MaxDeadline is the longest deadline, set with [DeadlineTooLong].
+	MaxDeadline time.Duration
 }
 
 // WatchResult is the answer to [Dispatcher.Watch].
@@ -88,12 +90,15 @@
 	// OutcomeUnknown: the outcome could not be determined, for example because
 	// the owner could not be reached before the deadline.
 	OutcomeUnknown
+	// DeadlineTooLong: the deadline is longer than the claim of the job would be
+	// kept; not run.
+	DeadlineTooLong
 )
 
 // NotRun reports whether a job with this rejection is known not to have run.
 func (r Rejection) NotRun() bool {
 	switch r {
-	case UnknownTeam, UnknownService, NotAllowed, QueueFull, CannotMeetDeadline, NoTarget, Draining, Conflict:
+	case UnknownTeam, UnknownService, NotAllowed, QueueFull, CannotMeetDeadline, NoTarget, Draining, Conflict, DeadlineTooLong:
 		return true
 	case NotRejected, NoLease, Expired, TooOld, OutcomeUnknown:
 	}
@@ -105,6 +110,8 @@
 	Rejection Rejection
 	// RetryAfter is the delay after which a retry may succeed, or zero.
 	RetryAfter time.Duration
+	// MaxDeadline is the longest deadline, set with [DeadlineTooLong].
+	MaxDeadline time.Duration
 	// Answer is set if the job was settled by an earlier submission.
 	Answer *Answer
 }
--- a/yuccadispatch/admit.go
+++ b/yuccadispatch/admit.go
@@ -67,6 +67,7 @@
 	a := &Answer{Key: j.Key, Outcome: j.outcome, Rejection: j.rejection}
 	if j.rejection == j.pendingRejection.Rejection {
 		a.RetryAfter = j.pendingRejection.RetryAfter
+		a.MaxDeadline = j.pendingRejection.MaxDeadline
 	}
 	return a
 }
@@ -94,6 +95,9 @@
 	if !quota.MayCall(s.Service) {
 		return Admission{Rejection: NotAllowed}
 	}
+	if limit := d.view.Document().Limits.MaxDeadline(); !s.Unnamed && s.Deadline.Sub(now) > limit {
+		return Admission{Rejection: DeadlineTooLong, MaxDeadline: limit}
+	}
 	if !now.Before(s.Deadline) {
 		return Admission{Rejection: CannotMeetDeadline}
 	}
--- a/yuccaentry/handler.go
+++ b/yuccaentry/handler.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/yuccaturn/yuccaturn/yuccadispatch"
+	"github.com/yuccaturn/yuccaturn/yuccadocument"
 	"github.com/yuccaturn/yuccaturn/yuccaproblem"
 	"github.com/yuccaturn/yuccaturn/yuccaquery"
 )
@@ -23,7 +24,7 @@
 	MaxHeaderBytes = 64 << 10
 	// MaxDeadline limits the deadline of a job, counted from the arrival of the
 	// request.
-	MaxDeadline = 10 * time.Minute
+	MaxDeadline = yuccadocument.MaxDeadline
 
 	defaultDeadline = 30 * time.Second
 	maxNameBytes    = 200
@@ -64,13 +65,26 @@
 }
 
 // answerProblem returns the problem for a rejected job.
-func answerProblem(a yuccadispatch.Answer) *yuccaproblem.Problem {
+func answerProblem(s yuccadispatch.Submission, a yuccadispatch.Answer) *yuccaproblem.Problem {
 	p := rejectionProblem(a.Rejection)
+	if a.Rejection == yuccadispatch.DeadlineTooLong {
+		p = deadlineProblem(s, a.MaxDeadline)
+	}
 	p.NotRun = a.Rejection.NotRun()
 	p.RetryAfter = a.RetryAfter
 	return p
 }
 
+// deadlineProblem returns the problem for a deadline that is longer than claims are kept.
+func deadlineProblem(s yuccadispatch.Submission, limit time.Duration) *yuccaproblem.Problem {
+	place := "deadline"
+	if s.Passthrough {
+		place = "header " + headerTimeout + " with " + headerIdempotencyKey
+	}
+	return yuccaproblem.Newf(http.StatusBadRequest, yuccaproblem.BadRequest,
+		"%s: is too long, expected at most %s, as long as claims are kept (limits.claims_kept)", place, limit)
+}
+
 func rejectionProblem(r yuccadispatch.Rejection) *yuccaproblem.Problem {
 	switch r {
 	case yuccadispatch.UnknownTeam:
--- a/yuccaentry/jobs.go
+++ b/yuccaentry/jobs.go
@@ -91,7 +91,7 @@
 	case err != nil:
 		yuccaproblem.Write(w, rejectionProblem(yuccadispatch.OutcomeUnknown))
 	case answer.Rejection != yuccadispatch.NotRejected:
-		yuccaproblem.Write(w, answerProblem(answer))
+		yuccaproblem.Write(w, answerProblem(s, answer))
 	default:
 		write(answer.Outcome)
 	}
