dispatch: start nothing after a take-over from an unknown owner

If the first reply to a take-over is lost, the reply to the repeated claim names this entry. It then fenced the owner that it had heard of last at the sides, and started what none of them knew. Between its two claims another entry may have taken the job over and sent starts, which are not fenced and may arrive later: the tasks would run twice.

Now tasks that no side knows count as unknown in this case, as if a side had not answered. Suspected in the postmortem, shown by TestRepeatedTakeOverStartsNothing, before: "task 0 was started again". Ruled out: naming the former owner in the record of the claim, which changes the replicated state for a reply that is lost at a change of the leader only.

--- a/yuccadispatch/takeover.go
+++ b/yuccadispatch/takeover.go
@@ -36,11 +36,13 @@
 // startGathering queries every side of the service. A side records the fence of
 // the former owner before it replies, so that it starts nothing more for it. All
 // tasks of a job that was recorded as complete have run, so that one which no side
-// reports was forgotten and must not be started.
+// reports was forgotten and must not be started. Nor must it be if the former owner
+// is not known, whose starts may still arrive.
 func (d *Dispatcher) startGathering(now time.Time, j *job, reply *yuccawire.ClaimReply) {
 	j.state = gathering
+	former, known := d.formerOwner(j, reply)
 	j.takeover = &takeover{
-		formerOwner: d.formerOwner(j, reply), deadline: now.Add(gatherTimeout), pending: make(map[string]bool), incomplete: reply.GetFinished(),
+		formerOwner: former, deadline: now.Add(gatherTimeout), pending: make(map[string]bool), incomplete: reply.GetFinished() || !known,
 	}
 	if reply.GetAgeMs() >= 0 {
 		age := time.Duration(reply.GetAgeMs()) * time.Millisecond
@@ -75,14 +77,15 @@
 	}
 }
 
-// formerOwner returns the owner before the take-over. The reply to a repeated claim
-// names this entry instead; then it is the owner that this entry heard of last.
-func (d *Dispatcher) formerOwner(j *job, reply *yuccawire.ClaimReply) owner {
+// formerOwner returns the owner before the take-over, and whether it is known. The
+// reply to a repeated claim names this entry instead; the owner that it heard of last
+// may have lost the job to another one since.
+func (d *Dispatcher) formerOwner(j *job, reply *yuccawire.ClaimReply) (owner, bool) {
 	self := d.options.Self
 	if reply.GetOwner() == self.GetName() && reply.GetIncarnation() == self.GetIncarnation() {
-		return j.owner
+		return j.owner, false
 	}
-	return owner{name: reply.GetOwner(), incarnation: reply.GetIncarnation()}
+	return owner{name: reply.GetOwner(), incarnation: reply.GetIncarnation()}, true
 }
 
 func (d *Dispatcher) sendGather(j *job, name string) {
--- a/yuccadispatch/takeover_test.go
+++ b/yuccadispatch/takeover_test.go
@@ -13,8 +13,12 @@
 // replyToClaims answers all claims sent since the last call. The claim that is
 // replied to names the job, the nonce and whether it records the end of the job.
 func replyToClaims(now time.Time, d *yuccadispatch.Dispatcher, reply *yuccawire.ClaimReply) []yuccadispatch.Action {
+	return replyToClaimsOf(now, d, d.Actions(), reply)
+}
+
+func replyToClaimsOf(now time.Time, d *yuccadispatch.Dispatcher, actions []yuccadispatch.Action, reply *yuccawire.ClaimReply) []yuccadispatch.Action {
 	u := yuccalease.Update{Lease: d.Lease(), View: d.View()}
-	for _, action := range d.Actions() {
+	for _, action := range actions {
 		send, ok := action.(yuccadispatch.SendControl)
 		if !ok {
 			continue
@@ -170,3 +174,47 @@
 		}
 	}
 }
+
+// The first reply, which named the former owner, was lost. Between the two claims of this
+// entry that were answered, entry-3 may have taken the job over from entry-2.
+func TestRepeatedTakeOverStartsNothing(t *testing.T) {
+	now := time.Now()
+	d := newDispatcher(t, now)
+	s := submission(now.Add(20*time.Second), 1, 1)
+	s.Unnamed = false
+	now = now.Add(20 * time.Second)
+	d.Submit(now, s)
+	replyToClaims(now, d, &yuccawire.ClaimReply{Result: yuccawire.ClaimResult_CLAIM_HELD, Owner: "entry-2", Incarnation: 1})
+	now = now.Add(time.Second)
+	d.Tick(now)
+	replyToClaims(now, d, &yuccawire.ClaimReply{Result: yuccawire.ClaimResult_CLAIM_TAKEN, AgeMs: 5000, Owner: "entry-1", Incarnation: 1})
+	gatherNothing(now, d, s)
+	checkNothingStarted(t, now, d)
+}
+
+func gatherNothing(now time.Time, d *yuccadispatch.Dispatcher, s yuccadispatch.Submission) {
+	for side := range workers {
+		d.HandleGathered(now, fmt.Sprintf("side-%d", side), &yuccawire.Gathered{Job: s.Key.Wire()})
+	}
+}
+
+// checkNothingStarted checks that the job starts nothing and is answered as one that may
+// have been run.
+func checkNothingStarted(t *testing.T, now time.Time, d *yuccadispatch.Dispatcher) {
+	t.Helper()
+	actions := d.Actions()
+	for _, action := range actions {
+		if start, ok := action.(yuccadispatch.SendStart); ok {
+			t.Fatalf("task %s was started again", start.Start.GetKey().GetTask())
+		}
+	}
+	for _, action := range replyToClaimsOf(now, d, actions, &yuccawire.ClaimReply{Result: yuccawire.ClaimResult_CLAIM_GRANTED}) {
+		if a, ok := action.(yuccadispatch.Answer); ok {
+			if a.Outcome == nil || a.Outcome.GetNotRun() || a.Outcome.GetComplete() {
+				t.Errorf("answered %+v, want neither complete nor not run", a)
+			}
+			return
+		}
+	}
+	t.Error("the job was not answered")
+}
