dispatch: count a side that joined as one that may have been lost

An entry that misses updates for a moment, and keeps its lease, sees only the second incarnation of a side that starts, crashes and starts again meanwhile. When it then took over a job that another entry had started there, all sides had answered and none was known to be lost, so that it started the tasks of the first incarnation again. Now tasks that no side knows are started only if no incarnation of a side was first heard of since the claim.

Shown by TestTakeOverAfterUnseenIncarnationWasLost, before: "got 16 starts of 12 tasks", and by TestTasksOfUnseenIncarnationAreNotStartedAgain, before: "task 0 was started again". Price: after a side has joined, waiting tasks of a job that was claimed before count as unknown when the job is taken over; so it was after a side had restarted.

--- a/yuccadispatch/dispatcher.go
+++ b/yuccadispatch/dispatcher.go
@@ -63,6 +63,9 @@
 	// membersSince is since when this entry has known every side that held a lease,
 	// or zero.
 	membersSince time.Time
+	// lastSideJoin is when this entry last heard of a new incarnation of a side. An
+	// earlier one may have come and gone between two updates.
+	lastSideJoin time.Time
 	policy       *yuccaplacement.Policy[*endpoint]
 	actions      []Action
 	nextSweep    time.Time
--- a/yuccadispatch/sides.go
+++ b/yuccadispatch/sides.go
@@ -102,6 +102,7 @@
 	if s == nil {
 		s = &side{endpoints: make(map[string]*endpoint), outstanding: make(map[*task]struct{})}
 		d.sides[name] = s
+		d.lastSideJoin = now
 		d.emit(OpenLink{Node: m.GetNode()})
 	}
 	s.node = m.GetNode()
--- a/yuccadispatch/takeover.go
+++ b/yuccadispatch/takeover.go
@@ -203,8 +203,8 @@
 }
 
 // allSidesAnswered reports whether every side that may have started tasks of the
-// job has replied and still has its records: none is pending, none was lost since
-// the job was claimed, this entry has tracked the sides since before the claim, and
+// job has replied and still has its records: none is pending, none was lost or
+// started since the job was claimed, this entry has tracked the sides since before the claim, and
 // the claim is younger than the records that sides drop.
 func (d *Dispatcher) allSidesAnswered(now time.Time, j *job) bool {
 	t := j.takeover
@@ -212,5 +212,5 @@
 		return false
 	}
 	lostAt := d.service(j.Service).lastSideLoss
-	return d.membersSince.Before(t.claimedAt) && lostAt.Before(t.claimedAt) && now.Sub(t.claimedAt) < yuccagate.DefaultRetention
+	return d.membersSince.Before(t.claimedAt) && lostAt.Before(t.claimedAt) && d.lastSideJoin.Before(t.claimedAt) && now.Sub(t.claimedAt) < yuccagate.DefaultRetention
 }
--- a/yuccadispatch/takeover_test.go
+++ b/yuccadispatch/takeover_test.go
@@ -192,6 +192,27 @@
 	checkNothingStarted(t, now, d)
 }
 
+// The former owner had a link to the first incarnation of the side, which this entry never
+// heard of.
+func TestTasksOfUnseenIncarnationAreNotStartedAgain(t *testing.T) {
+	now := time.Now()
+	d := newDispatcher(t, now)
+	now = now.Add(20 * time.Second)
+	member := &yuccawire.Member{
+		Node:    &yuccawire.Node{Name: "side-0-again", Role: yuccawire.Role_ROLE_SIDE, DataCentre: "cusco", Incarnation: 2},
+		Targets: []*yuccawire.Target{{Service: "regulation", Slots: slotsPerWorker, Connections: 64}},
+	}
+	d.HandleControlUpdate(now, yuccalease.Update{
+		Lease: d.Lease(), View: d.View(), Members: &yuccawire.MembersDelta{Epoch: 1, Version: 2, Changed: []*yuccawire.Member{member}},
+	})
+	s := submission(now, 1, 1)
+	s.Unnamed = false
+	now = takeOver(now.Add(time.Second), d, s)
+	d.HandleGathered(now, "side-0-again", &yuccawire.Gathered{Job: s.Key.Wire()})
+	gatherNothing(now, d, s)
+	checkNothingStarted(t, now, d)
+}
+
 func gatherNothing(now time.Time, d *yuccadispatch.Dispatcher, s yuccadispatch.Submission) {
 	for side := range workers {
 		d.HandleGathered(now, fmt.Sprintf("side-%d", side), &yuccawire.Gathered{Job: s.Key.Wire()})
--- a/yuccasystemtest/takeover_test.go
+++ b/yuccasystemtest/takeover_test.go
@@ -131,3 +131,34 @@
 		c.checkHistory(t)
 	})
 }
+
+// An entry that gets no updates for a moment, and keeps its lease, sees only the second
+// incarnation of a side that joins and restarts meanwhile. Tasks that the first one started
+// are not started again.
+func TestTakeOverAfterUnseenIncarnationWasLost(t *testing.T) {
+	withCluster(t, 34, 1, 2, 1, func(t *testing.T, c *cluster) {
+		time.Sleep(2 * memberSettleTime)
+		cutOff := c.entries[1]
+		c.fabric.Isolate(cutOff.name, c.controls[0].name)
+		unseen := &node{name: "side-cusco-9", dataCentre: "cusco"}
+		c.sides = append(c.sides, unseen)
+		c.start(unseen)
+		time.Sleep(300 * time.Millisecond)
+		spec := jobSpec{id: "toll", tasks: len(c.sides) * testSlots, runTime: 2 * time.Second, deadline: 20 * time.Second}
+		c.submitAsync(c.entries[0], spec)
+		time.Sleep(200 * time.Millisecond)
+		c.crash(c.entries[0])
+		c.crash(unseen)
+		c.start(unseen)
+		time.Sleep(300 * time.Millisecond)
+		c.fabric.CloseLinks(cutOff.name, c.controls[0].name)
+		c.healAll()
+		time.Sleep(5 * time.Second)
+		answer := c.submit(cutOff, spec)
+		c.callers.Wait()
+		if starts := c.countEvents(yuccahistory.Started, ""); starts != spec.tasks {
+			t.Errorf("got %d starts of %d tasks, want one each; answered %+v", starts, spec.tasks, answer)
+		}
+		c.checkHistory(t)
+	})
+}
