--- a/yuccadispatch/takeover.go
+++ b/yuccadispatch/takeover.go
@@ -25,6 +25,9 @@
 	deadline  time.Time
 	// pending is the set of sides, by name, that have not replied yet.
 	pending map[string]bool
+	// outlived is set if the claim may be dropped at any time, so that this entry must
+	// start nothing.
+	outlived bool
 	// incomplete is set if a side that may have started tasks cannot be
 	// queried, or may have forgotten them.
 	incomplete bool
@@ -33,16 +36,19 @@
 // startGathering queries every side of the service. A side records the fence of
 // the former owner before it replies, so that it starts nothing more for it. All
 // tasks of a job that was recorded as complete have run, so that one which no side
-// reports was forgotten and must not be started.
+// reports was forgotten and must not be started. Nor must it be if the former owner
+// is not known, whose starts may still arrive.
 func (d *Dispatcher) startGathering(now time.Time, j *job, reply *yuccawire.ClaimReply) {
 	j.state = gathering
+	former, known := d.formerOwner(j, reply)
 	j.takeover = &takeover{
-		formerOwner: d.formerOwner(j, reply), deadline: now.Add(gatherTimeout), pending: make(map[string]bool), incomplete: reply.GetFinished(),
+		formerOwner: former, deadline: now.Add(gatherTimeout), pending: make(map[string]bool), incomplete: reply.GetFinished() || !known,
 	}
 	if reply.GetAgeMs() >= 0 {
 		age := time.Duration(reply.GetAgeMs()) * time.Millisecond
 		j.takeover.claimedAt = now.Add(-age - claimAgeMargin)
 	}
+	d.limitToClaim(now, j)
 	j.owner = owner{}
 	d.metrics.Add("jobs_taken_over", 1)
 	for name, s := range d.sides {
@@ -57,14 +63,29 @@
 	d.checkGathering(now, j)
 }
 
-// formerOwner returns the owner before the take-over. The reply to a repeated claim
-// names this entry instead; then it is the owner that this entry heard of last.
-func (d *Dispatcher) formerOwner(j *job, reply *yuccawire.ClaimReply) owner {
+// limitToClaim ends the job before its claim may be dropped. The claim counts from the
+// first submission, whoever took the job over since.
+func (d *Dispatcher) limitToClaim(now time.Time, j *job) {
+	t := j.takeover
+	keptUntil := t.claimedAt.Add(d.view.Document().Limits.ClaimRetention())
+	if t.claimedAt.IsZero() || !now.Before(keptUntil) {
+		t.outlived = true
+		return
+	}
+	if keptUntil.Before(j.expireAt) {
+		j.expireAt = keptUntil
+	}
+}
+
+// formerOwner returns the owner before the take-over, and whether it is known. The
+// reply to a repeated claim names this entry instead; the owner that it heard of last
+// may have lost the job to another one since.
+func (d *Dispatcher) formerOwner(j *job, reply *yuccawire.ClaimReply) (owner, bool) {
 	self := d.options.Self
 	if reply.GetOwner() == self.GetName() && reply.GetIncarnation() == self.GetIncarnation() {
-		return j.owner
+		return j.owner, false
 	}
-	return owner{name: reply.GetOwner(), incarnation: reply.GetIncarnation()}
+	return owner{name: reply.GetOwner(), incarnation: reply.GetIncarnation()}, true
 }
 
 func (d *Dispatcher) sendGather(j *job, name string) {
@@ -182,14 +203,14 @@
 }
 
 // allSidesAnswered reports whether every side that may have started tasks of the
-// job has replied and still has its records: none is pending, none was lost since
-// the job was claimed, this entry has tracked the sides since before the claim, and
+// job has replied and still has its records: none is pending, none was lost or
+// started since the job was claimed, this entry has tracked the sides since before the claim, and
 // the claim is younger than the records that sides drop.
 func (d *Dispatcher) allSidesAnswered(now time.Time, j *job) bool {
 	t := j.takeover
-	if len(t.pending) > 0 || t.incomplete || d.membersSince.IsZero() {
+	if len(t.pending) > 0 || t.incomplete || t.outlived || d.membersSince.IsZero() {
 		return false
 	}
 	lostAt := d.service(j.Service).lastSideLoss
-	return d.membersSince.Before(t.claimedAt) && lostAt.Before(t.claimedAt) && now.Sub(t.claimedAt) < yuccagate.DefaultRetention
+	return d.membersSince.Before(t.claimedAt) && lostAt.Before(t.claimedAt) && d.lastSideJoin.Before(t.claimedAt) && now.Sub(t.claimedAt) < yuccagate.DefaultRetention
 }
