yuccajsonc: refuse text that is nested too deep

An entry, a control or a side ended with 'fatal error: stack overflow' when it read a deeply nested body: a worker's report to its side, a target's announcement, a submission or an operator's document, also one that was stored and is read again after each start.

Cause: the parser of JSON with comments (hujson.Parse) recurses without a limit, and Go ends the process once a goroutine's stack reaches 1 GB; no handler can recover from that. Bodies on the users' platform are read by encoding/json, which has the limit of 10,000 levels that now holds here, too.

TestDeeplyNestedTextEndsTheProcess, before: 'runtime: goroutine stack exceeds-byte limit', 'fatal error: stack overflow'. After: refused with the place.

--- a/yuccajsonc/document.go
+++ b/yuccajsonc/document.go
@@ -43,6 +43,9 @@
 // if the text has a syntax error.
 func Decode(file string, text []byte, into any) *Document {
 	d := &Document{file: file, text: text, offsets: make(map[string]int)}
+	if !d.checkNesting() {
+		return d
+	}
 	value, err := hujson.Parse(text)
 	if err != nil {
 		d.reportSyntax(err)
