yuccajsonc: report a hundred faults of a file at most

Each finding took a pass over the text for its position. A value of the wrong type was quoted in full, whatever its size.

Now a hundred findings are kept, the last line says how many more there are, and a finding quotes 200 bytes of a name or value. Tests, before: '30000 lines', 'error of 1048621 bytes, expected 400 at most'; after: 101 lines and below 400 bytes.

--- a/yuccajsonc/document.go
+++ b/yuccajsonc/document.go
@@ -20,6 +20,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"regexp"
 	"slices"
 	"strconv"
@@ -36,8 +37,17 @@
 	// offsets maps the path of each field to the byte offset of its value.
 	offsets  map[string]int
 	findings Findings
+	// omitted is the number of findings beyond maxFindings.
+	omitted int
 }
 
+// maxFindings is how many findings of a file are kept. Each costs a pass over the text for
+// its position, and a long line of the error.
+const maxFindings = 100
+
+// maxQuoteBytes is how much of a name or value a finding quotes.
+const maxQuoteBytes = 200
+
 // Decode parses the text and stores it in the struct that into points to. Errors
 // become findings of the document. Fields without errors are still stored, except
 // if the text has a syntax error.
@@ -69,7 +79,7 @@
 	d.reportAt(d.offset(path), path, problem, expected)
 }
 
-// Findings returns the findings sorted by position.
+// Findings returns the findings sorted by position, and at the end how many were left out.
 func (d *Document) Findings() Findings {
 	slices.SortStableFunc(d.findings, func(a, b Finding) int {
 		if a.Line != b.Line {
@@ -77,7 +87,13 @@
 		}
 		return a.Column - b.Column
 	})
-	return d.findings
+	if d.omitted == 0 {
+		return d.findings
+	}
+	last := d.findings[len(d.findings)-1]
+	return append(slices.Clip(d.findings), Finding{
+		File: d.file, Line: last.Line, Column: last.Column, Problem: fmt.Sprintf("has %d further faults", d.omitted),
+	})
 }
 
 // Err returns the findings as a Findings error, or nil if there are none.
@@ -102,12 +118,24 @@
 }
 
 func (d *Document) reportAt(offset int, path, problem, expected string) {
+	if len(d.findings) == maxFindings {
+		d.omitted++
+		return
+	}
 	line, column := position(d.text, offset)
 	d.findings = append(d.findings, Finding{
-		File: d.file, Line: line, Column: column, Field: path, Problem: problem, Expected: expected,
+		File: d.file, Line: line, Column: column, Field: shorten(path), Problem: shorten(problem), Expected: expected,
 	})
 }
 
+// shorten cuts a text that quotes the file.
+func shorten(text string) string {
+	if len(text) <= maxQuoteBytes {
+		return text
+	}
+	return strings.ToValidUTF8(text[:maxQuoteBytes], "") + "..."
+}
+
 // syntaxErrorPattern matches the syntax errors of hujson, which give the position
 // only in their text.
 var syntaxErrorPattern = regexp.MustCompile(`^hujson: line (\d+), column (\d+): (.*)$`)
