yuccaworker: refuse reports that no worker can have sent

One odd report among those of a worker took it out of use, or gave it more than it has room for. With seq or born near 2^63 all true reports after it were 'outdated report ignored'. With born and clock near 2^63 their sum, the fencing token, overflowed. A capacity of 2^63-1 or 2^32+1 became the room that tasks were placed by, and was cut to 32 bits on the way to the entries. An ID that is not UTF-8 can't be encoded for the entries, so that each link ended with the first state of the worker; with a line break every call to the worker failed.

Cause: both interfaces checked that numbers were not negative, and that of some only.

Now Report.Faults states the bounds for both interfaces, each names the field, value and what is expected, and nothing of the report reaches the known worker.

--- a/yuccasized/registry.go
+++ b/yuccasized/registry.go
@@ -54,23 +54,33 @@
 			d.Report(field, problem, expected)
 		}
 	}
-	switch {
-	case b.CPU == nil:
-		d.Report("cpu", "is missing", "cores, zero or more")
+	if b.CPU == nil || *b.CPU < 0 || *b.CPU > yuccaworker.MaxCPUMilli/milli {
+		problem := "is missing"
+		if b.CPU != nil {
+			problem = fmt.Sprintf("is %g", *b.CPU)
+		}
+		d.Report("cpu", problem, fmt.Sprintf("cores, 0 to %d", yuccaworker.MaxCPUMilli/milli))
 		b.CPU = new(float64)
-	case *b.CPU < 0:
-		d.Report("cpu", fmt.Sprintf("is %g", *b.CPU), "cores, zero or more")
-	}
-	if b.MemoryMB < 0 || b.Accelerators < 0 {
-		d.Report("memory_mb", "or accelerators is below zero", "0 or more")
 	}
 	if b.RemainingMS != nil && *b.RemainingMS < 0 {
 		d.Report("remaining_ms", fmt.Sprintf("is %d", *b.RemainingMS), "milliseconds, zero or more")
 	}
-	return yuccaworker.Report{
+	report := yuccaworker.Report{
 		ID: b.ID, StartedAtMS: b.StartedAtMS, Service: b.Service, CPUMilli: int(*b.CPU * milli), MemoryMB: b.MemoryMB,
 		Accelerators: b.Accelerators, Labels: b.Labels, Leaving: b.Leaving, Remaining: yuccaworker.RemainingTime(b.RemainingMS), ClockMS: b.ClockMS, Sequence: b.Sequence,
-	}, d.Err()
+	}
+	for _, fault := range report.Faults() {
+		if field := reportFields[fault.Field]; field != "" {
+			d.Report(field, fault.Problem, fault.Expected)
+		}
+	}
+	return report, d.Err()
+}
+
+// reportFields are the names of the fields with bounds but those that checkName checks.
+var reportFields = map[yuccaworker.Field]string{
+	yuccaworker.FieldStartedAt: "born", yuccaworker.FieldCPU: "cpu", yuccaworker.FieldMemory: "memory_mb", yuccaworker.FieldAccelerators: "accelerators",
+	yuccaworker.FieldLabels: "labels", yuccaworker.FieldClock: "clock_ms", yuccaworker.FieldSequence: "sequence",
 }
 
 func (h *Registry) leave(w http.ResponseWriter, r *http.Request) {
--- a/yuccasized/registry_test.go
+++ b/yuccasized/registry_test.go
@@ -47,3 +47,26 @@
 		t.Errorf("status %d: %s, want 400 with the field and its place", w.Code, w.Body)
 	}
 }
+
+func TestReportOfAnotherWriterIsBelieved(t *testing.T) {
+	registry := yuccasized.NewRegistry(nil, slog.New(slog.DiscardHandler))
+	for field, want := range map[string]string{
+		`"sequence": 9223372036854775807`: "report:1:14: sequence: is 9223372036854775807, expected 0 to 9007199254740991",
+		`"born": 9223372036854775807`:     "report:1:10: born: is 9223372036854775807, expected 0 to 7258118400000 milliseconds since 1970",
+		`"clock_ms": -1`:                  "report:1:14: clock_ms: is -1, expected 0 to 3162240000000 milliseconds",
+		`"cpu": 1e300`:                    "report:1:9: cpu: is 1e+300, expected cores, 0 to 1000000",
+		`"memory_mb": 4294967297`:         "report:1:15: memory_mb: is 4294967297, expected 0 to 1000000000 megabytes",
+		`"accelerators": -1`:              "report:1:18: accelerators: is -1, expected 0 to 1000000",
+		`"labels": ["\u0001"]`:            "report:1:12: labels: is ",
+	} {
+		body := "{" + field + `, "id": "w", "service": "belfry"`
+		if !strings.HasPrefix(field, `"cpu"`) {
+			body += `, "cpu": 4`
+		}
+		w := httptest.NewRecorder()
+		registry.ServeHTTP(w, httptest.NewRequestWithContext(t.Context(), http.MethodPut, "/v1/worker", strings.NewReader(body+"}")))
+		if w.Code != http.StatusBadRequest || !strings.Contains(w.Body.String(), want) || strings.Count(w.Body.String(), "expected") != 1 {
+			t.Errorf("%s: status %d: %s, want %s", field, w.Code, w.Body, want)
+		}
+	}
+}
--- /dev/null
+++ b/yuccaworker/faults.go
@@ -0,0 +1,95 @@
+package yuccaworker
+
+import (
+	"fmt"
+	"strings"
+	"time"
+	"unicode"
+	"unicode/utf8"
+)
+
+// Bounds of what a worker may state. Sums of the times, and of the capacity with what may be
+// queued beyond it, fit the messages to owners and the calls to the worker.
+const (
+	// MaxCPUMilli is in thousandths of a core, MaxMemoryMB in megabytes.
+	MaxCPUMilli     = 1_000_000_000
+	MaxMemoryMB     = 1_000_000_000
+	MaxAccelerators = 1_000_000
+	// maxClockMS is a hundred years.
+	maxClockMS  = 100 * 366 * 24 * 3600 * 1000
+	maxSequence = 1<<53 - 1
+	// maxNameBytes limits an ID, a service and a label, maxLabels the number of labels.
+	maxNameBytes = 200
+	maxLabels    = 100
+)
+
+// maxStartedAtMS is when a worker may have started at the latest, in milliseconds since 1970.
+var maxStartedAtMS = time.Date(2200, 1, 1, 0, 0, 0, 0, time.UTC).UnixMilli()
+
+// Field is a field of a [Report], whose name depends on the interface.
+type Field int
+
+// The fields of a [Report] that have bounds.
+const (
+	FieldID Field = iota
+	FieldStartedAt
+	FieldService
+	FieldCPU
+	FieldMemory
+	FieldAccelerators
+	FieldLabels
+	FieldClock
+	FieldSequence
+)
+
+// Fault is a value of a report that no worker can have.
+type Fault struct {
+	Field    Field
+	Problem  string
+	Expected string
+}
+
+// Faults returns what is wrong with the report. One with a fault names no worker to use.
+func (r Report) Faults() []Fault {
+	var faults []Fault
+	checkNumber := func(field Field, value, limit int64, unit string) {
+		if value < 0 || value > limit {
+			faults = append(faults, Fault{field, fmt.Sprintf("is %d", value), fmt.Sprintf("0 to %d%s", limit, unit)})
+		}
+	}
+	checkName := func(field Field, name string) {
+		if problem := nameProblem(name); problem != "" {
+			faults = append(faults, Fault{field, problem, fmt.Sprintf("1 to %d bytes of UTF-8 without control characters", maxNameBytes)})
+		}
+	}
+	checkName(FieldID, r.ID)
+	checkNumber(FieldStartedAt, r.StartedAtMS, maxStartedAtMS, " milliseconds since 1970")
+	checkName(FieldService, r.Service)
+	checkNumber(FieldCPU, int64(r.CPUMilli), MaxCPUMilli, " thousandths of a core")
+	checkNumber(FieldMemory, int64(r.MemoryMB), MaxMemoryMB, " megabytes")
+	checkNumber(FieldAccelerators, int64(r.Accelerators), MaxAccelerators, "")
+	if len(r.Labels) > maxLabels {
+		faults = append(faults, Fault{FieldLabels, fmt.Sprintf("has %d labels", len(r.Labels)), fmt.Sprintf("%d at most", maxLabels)})
+	}
+	for _, label := range r.Labels[:min(len(r.Labels), maxLabels)] {
+		if label != "" {
+			checkName(FieldLabels, label)
+		}
+	}
+	checkNumber(FieldClock, r.ClockMS, maxClockMS, " milliseconds")
+	checkNumber(FieldSequence, r.Sequence, maxSequence, "")
+	return faults
+}
+
+// nameProblem returns what is wrong with a name, empty if it is valid.
+func nameProblem(name string) string {
+	switch {
+	case name == "":
+		return "is empty"
+	case len(name) > maxNameBytes:
+		return fmt.Sprintf("has %d bytes", len(name))
+	case !utf8.ValidString(name), strings.ContainsFunc(name, unicode.IsControl):
+		return fmt.Sprintf("is %q", name)
+	}
+	return ""
+}
