yuccaworker: count answers that make no sense as none

An answer to a renewal that lists what can't be ended runs that went on, so that their tasks started a second time elsewhere (TWICE), or left ends unseen: a run without a name or number, a run that is both running and completed or listed twice, completions with the number 0, the same number twice, or 2^63-1 (acknowledged, it makes the worker forget all its ends). A clock near 2^63 in any answer became the base of all deadlines: the worker kept its runs for its longest lease instead of 450 ms, and the side's own count of them overflowed.

Now each answer is checked before it is used, for both interfaces in one place; one with a fault counts as no answer, with its reason in the log and a counter. The side asks again 50 ms later, so a single one costs nothing; with a worker that goes on so, the hold expires.

--- a/yuccaworker/faults.go
+++ b/yuccaworker/faults.go
@@ -93,3 +93,51 @@
 	}
 	return ""
 }
+
+// IsStartTime reports whether a worker may have started at ms, which is zero if it doesn't
+// say so.
+func IsStartTime(ms int64) bool { return ms >= 0 && ms <= maxStartedAtMS }
+
+// isClock reports whether a worker's clock may show ms, zero if there is none.
+func isClock(ms int64) bool { return ms >= 0 && ms <= maxClockMS }
+
+// fault returns what is wrong with the answer, empty if it makes sense. A run is listed once,
+// and completions have rising numbers.
+func (h HoldResult) fault() string {
+	if !isClock(h.ClockMS) {
+		return fmt.Sprintf("the clock is %d, expected 0 to %d", h.ClockMS, maxClockMS)
+	}
+	listed := make(map[Key]bool, len(h.Running)+len(h.Completions))
+	list := func(key Key) string {
+		switch {
+		case key.Task == "" || key.Run == 0:
+			return fmt.Sprintf("run %d of task %.*q is listed, expected a name and a number from 1", key.Run, maxNameBytes, key.Task)
+		case listed[key]:
+			return fmt.Sprintf("run %d of task %.*q is listed twice", key.Run, maxNameBytes, key.Task)
+		}
+		listed[key] = true
+		return ""
+	}
+	for _, key := range h.Running {
+		if problem := list(key); problem != "" {
+			return problem
+		}
+	}
+	last := int64(0)
+	for _, c := range h.Completions {
+		if problem := list(c.Key); problem != "" {
+			return problem
+		}
+		if c.Number <= last || c.Number > maxSequence {
+			return fmt.Sprintf("completion %d follows %d, expected a higher number up to %d", c.Number, last, maxSequence)
+		}
+		last = c.Number
+	}
+	return ""
+}
+
+// logSenseless records an answer that makes no sense. It counts as none.
+func (w *Worker) logSenseless(call, fault string) {
+	w.metrics.Add("answers_senseless", 1)
+	w.options.Logger.Warn("answer makes no sense, counting it as none", "call", call, "why", fault)
+}
--- /dev/null
+++ b/yuccaworker/faults_test.go
@@ -0,0 +1,83 @@
+package yuccaworker_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/yuccaturn/yuccaturn/yuccawire"
+	"github.com/yuccaturn/yuccaturn/yuccaworker"
+)
+
+// answerOddly answers the next renewal with a result that the test changes.
+func (h *harness) answerOddly(change func(r *yuccaworker.HoldResult)) yuccaworker.CallHold {
+	h.holdsUnanswered = true
+	h.core.Tick(h.now.Add(100 * time.Millisecond))
+	for _, a := range h.core.Actions() {
+		call, isHold := a.(yuccaworker.CallHold)
+		if !isHold {
+			continue
+		}
+		r := yuccaworker.HoldResult{Incarnation: call.Incarnation, SentAt: call.SentAt, ClockMS: h.clock(), Result: yuccaworker.ResultOK}
+		for key := range h.running {
+			r.Running = append(r.Running, key)
+		}
+		change(&r)
+		h.now = h.now.Add(100 * time.Millisecond)
+		h.core.HandleHoldReply(h.now, r)
+		h.runActions()
+		h.holdsUnanswered = false
+		return call
+	}
+	h.t.Fatal("no renewal was sent")
+	return yuccaworker.CallHold{}
+}
+
+func TestSenselessListEndsARunThatRuns(t *testing.T) {
+	a, b := yuccaworker.Key{Task: "a", Run: 1}, yuccaworker.Key{Task: "b", Run: 1}
+	done := yuccawire.RunEnd_RUN_END_FAILED
+	for name, change := range map[string]func(r *yuccaworker.HoldResult){
+		"run without a number": func(r *yuccaworker.HoldResult) { r.Running = []yuccaworker.Key{b, {Task: "a"}} },
+		"run without a task":   func(r *yuccaworker.HoldResult) { r.Running = []yuccaworker.Key{b, {Run: 1}} },
+		"running and completed": func(r *yuccaworker.HoldResult) {
+			r.Running = []yuccaworker.Key{a, b}
+			r.Completions = []yuccaworker.Completion{{1, a, done}}
+		},
+		"running twice":          func(r *yuccaworker.HoldResult) { r.Running = []yuccaworker.Key{b, b} },
+		"completion without one": func(r *yuccaworker.HoldResult) { r.Completions = []yuccaworker.Completion{{0, a, done}} },
+		"completion of 2^63-1":   func(r *yuccaworker.HoldResult) { r.Completions = []yuccaworker.Completion{{1<<63 - 1, a, done}} },
+		"same number twice":      func(r *yuccaworker.HoldResult) { r.Completions = []yuccaworker.Completion{{1, a, done}, {1, b, done}} },
+		"negative clock":         func(r *yuccaworker.HoldResult) { r.ClockMS = -1 },
+		"clock near 2^63":        func(r *yuccaworker.HoldResult) { r.ClockMS = 1<<63 - 1 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			h.order(entry, lease, task("a", 1, 1600), task("b", 1, 1600))
+			h.advanceWithLease(entry, 200*time.Millisecond)
+			h.answerOddly(change)
+			h.advanceWithLease(entry, 400*time.Millisecond)
+			if len(h.delivered[entry]) > 0 || len(h.running) != 2 {
+				t.Errorf("%d runs are left, delivered %v", len(h.running), h.delivered[entry])
+			}
+			h.complete(a, yuccawire.RunEnd_RUN_END_DONE)
+			h.advanceWithLease(entry, 200*time.Millisecond)
+			h.expectOutcome(entry, "a", yuccawire.RunEnd_RUN_END_DONE, 0)
+		})
+	}
+}
+
+func TestSenselessClockMovesTheDeadlines(t *testing.T) {
+	for _, clock := range []int64{1<<63 - 1, 1 << 62} {
+		h := newHarness(t)
+		key := yuccaworker.Key{Task: "a", Run: 1}
+		h.dropStartReplies = true
+		h.handleOrder(entry, lease, task("a", 1, 1600))
+		h.core.HandleStartReply(h.now, h.incarnation, key, yuccaworker.ResultOK, clock)
+		h.core.HandleWithdraw(h.now, entry, &yuccawire.Withdraw{Runs: []*yuccawire.RunKey{{Task: "a", Run: 1}}})
+		h.core.HandleStopReply(h.now, h.incarnation, key, true, clock)
+		h.core.Actions()
+		call := h.answerOddly(func(r *yuccaworker.HoldResult) { r.Running = []yuccaworker.Key{key} })
+		if limit := h.clock() + yuccaworker.Hold.Milliseconds(); call.DeadlineMS > limit {
+			t.Errorf("clock %d: the worker keeps its runs until %d, want %d at most", clock, call.DeadlineMS, limit)
+		}
+	}
+}
--- a/yuccaworker/hold.go
+++ b/yuccaworker/hold.go
@@ -110,6 +110,10 @@
 	if h.Incarnation != w.incarnation() || w.gone {
 		return
 	}
+	if fault := h.fault(); fault != "" {
+		w.logSenseless("hold", fault)
+		h = HoldResult{Incarnation: h.Incarnation, SentAt: h.SentAt}
+	}
 	isLatest := h.SentAt.Equal(w.holdSentAt)
 	if isLatest {
 		w.holdInFlight = false
--- a/yuccaworker/start.go
+++ b/yuccaworker/start.go
@@ -1,6 +1,7 @@
 package yuccaworker
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/yuccaturn/yuccaturn/yuccawire"
@@ -41,6 +42,10 @@
 
 // HandleStartReply processes the answer to a start, or its timeout.
 func (w *Worker) HandleStartReply(now time.Time, incarnation Incarnation, key Key, result Result, clockMS int64) {
+	if !isClock(clockMS) {
+		w.logSenseless("start", fmt.Sprintf("the clock is %d, expected 0 to %d", clockMS, maxClockMS))
+		result, clockMS = ResultUnknown, 0
+	}
 	switch {
 	case incarnation != w.incarnation() || result == ResultUnknown:
 	case result == ResultUnreachable:
--- a/yuccaworker/stop.go
+++ b/yuccaworker/stop.go
@@ -1,6 +1,7 @@
 package yuccaworker
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -32,6 +33,10 @@
 	if incarnation != w.incarnation() {
 		return
 	}
+	if answered && !isClock(clockMS) {
+		w.logSenseless("stop", fmt.Sprintf("the clock is %d, expected 0 to %d", clockMS, maxClockMS))
+		answered = false
+	}
 	if answered {
 		w.recordAnswer(now, clockMS)
 	}
