yuccaworker: limit the stops that follow one list

An answer of 4 MiB can list some hundred thousand runs that the side doesn't know. It sent a stop for each at once: a goroutine each, waiting for one of four connections. In the test 300,000.

Now a thousand are sent after an answer; the takeover isn't complete before a list has none left, and the next list names the others again. TestListOfUnknownRunsIsStoppedAtOnce, before: '300000 stops are sent at once, want 1000'.

--- a/yuccaworker/doc.go
+++ b/yuccaworker/doc.go
@@ -70,6 +70,9 @@
 	maxStopTime = 200 * time.Millisecond
 	// loggedStopTry is the try of a stop that is logged.
 	loggedStopTry = 3
+	// maxForeignStops limits how many runs that the side doesn't know are stopped after an
+	// answer, since each call waits in a goroutine. The next answer lists the others again.
+	maxForeignStops = 1000
 	// maxStartTries limits the tries of an unanswered start. A worker answers a
 	// start of a run that is already running like the first one.
 	maxStartTries = 3
--- a/yuccaworker/faults_test.go
+++ b/yuccaworker/faults_test.go
@@ -81,3 +81,29 @@
 		}
 	}
 }
+
+// Unfixed, an answer of 4 MiB leads to some hundred thousand calls at once.
+func TestListOfUnknownRunsIsStoppedAtOnce(t *testing.T) {
+	h := newHarness(t)
+	h.order(entry, lease, task("a", 1, 1600))
+	h.unresponsive = true
+	h.answerOddly(func(r *yuccaworker.HoldResult) {
+		for run := range uint64(300_000) {
+			r.Running = append(r.Running, yuccaworker.Key{Task: "x", Run: run + 1})
+		}
+		h.core.HandleHoldReply(h.now, *r)
+		stops := 0
+		for _, a := range h.core.Actions() {
+			if _, isStop := a.(yuccaworker.CallStop); isStop {
+				stops++
+			}
+		}
+		if stops != 1000 {
+			t.Errorf("%d stops are sent at once, want 1000", stops)
+		}
+		r.Running = []yuccaworker.Key{{Task: "a", Run: 1}}
+	})
+	if len(h.delivered[entry]) > 0 {
+		t.Errorf("delivered %v", h.delivered[entry])
+	}
+}
--- a/yuccaworker/hold.go
+++ b/yuccaworker/hold.go
@@ -197,8 +197,10 @@
 		running[key] = true
 		if r := w.runs[key]; r == nil {
 			untracked++
-			w.metrics.Add("foreign_runs_stopped", 1)
-			w.sendStop(key)
+			if untracked <= maxForeignStops {
+				w.metrics.Add("foreign_runs_stopped", 1)
+				w.sendStop(key)
+			}
 		} else if r.state == starting || r.state == uncertain && r.stopSentAt.IsZero() {
 			w.confirmStart(now, r)
 		}
