yuccaworker: follow the worker again after a wrong sequence

One report with a sequence within the bounds, but above the worker's own, took the worker out of use for good: every true report was 'outdated report ignored', the last known one went stale after 4 s, and its tasks were refused with NO_WORKER.

Sequences order the reports of one incarnation; one alone proves nothing about the others. Now the lower ones count again if the higher one is stale (4 s), and they have risen for more than a second: a worker that goes on reporting. Delayed reports that arrive at once, or one that is repeated, are ignored as before (TestDelayedReportsOfASilentWorkerAreIgnored).

TestOneReportWithAHighSequenceLocksTheWorkerOut, before: 'the worker is out of use: ... RUN_END_REFUSED refusal:RUN_REFUSAL_NO_WORKER', after: in use 4.5 s later. Until then it is used with what the wrong report said.

--- a/yuccaworker/faults_test.go
+++ b/yuccaworker/faults_test.go
@@ -107,3 +107,33 @@
 		t.Errorf("delivered %v", h.delivered[entry])
 	}
 }
+
+func TestOneReportWithAHighSequenceLocksTheWorkerOut(t *testing.T) {
+	h := newHarness(t)
+	h.report(1<<50, false)
+	for sequence := range int64(4) {
+		h.advance(1500 * time.Millisecond)
+		h.report(2+sequence, false)
+	}
+	h.order(entry, lease, task("a", 1, 1600))
+	if len(h.running) != 1 {
+		t.Errorf("the worker is out of use: %v", h.delivered[entry])
+	}
+}
+
+// Guards against delayed reports being taken for those of a worker that reports no more.
+func TestDelayedReportsOfASilentWorkerAreIgnored(t *testing.T) {
+	h := newHarness(t)
+	h.report(100, false)
+	h.advance(5 * time.Second)
+	for sequence := range int64(5) {
+		if h.advance(100 * time.Millisecond); h.report(90+sequence, false) {
+			t.Errorf("report %d was taken in", 90+sequence)
+		}
+	}
+	for range 5 {
+		if h.advance(1500 * time.Millisecond); h.report(90, false) {
+			t.Error("a repeated report was taken in")
+		}
+	}
+}
--- a/yuccaworker/worker.go
+++ b/yuccaworker/worker.go
@@ -30,6 +30,10 @@
 	specVersion uint64
 	// reportedAt is when the last report arrived.
 	reportedAt time.Time
+	// lowSequence is the sequence of the last report that was ignored for it, lowSince when
+	// the first of the reports with rising sequences arrived that it belongs to.
+	lowSequence int64
+	lowSince    time.Time
 	// lastContactAt is when the worker last reported or answered a call.
 	lastContactAt time.Time
 	lastAnswerAt  time.Time
@@ -257,7 +261,22 @@
 		mayBeReplaced := len(w.runs) == 0 && (w.gone || w.isReportStale(now))
 		return r.StartedAtMS < w.report.StartedAtMS && !mayBeReplaced
 	}
-	return r.ID == w.report.ID && r.Sequence < w.report.Sequence
+	return r.ID == w.report.ID && r.Sequence < w.report.Sequence && !w.isSequenceWrong(now, r)
+}
+
+// isSequenceWrong reports whether the sequence of the last report can't be that of the worker:
+// no higher one has followed it since it is stale, but lower ones that rise.
+func (w *Worker) isSequenceWrong(now time.Time, r Report) bool {
+	if r.Sequence <= w.lowSequence || w.lowSince.Before(w.reportedAt) {
+		w.lowSince = now
+	}
+	w.lowSequence = r.Sequence
+	if !w.isReportStale(now) || now.Sub(w.lowSince) <= maxClockAge {
+		return false
+	}
+	w.options.Logger.Warn("report with a high sequence was wrong, following the lower ones", "worker", r.ID, "born", r.StartedAtMS,
+		"sequence", r.Sequence, "was_sequence", w.report.Sequence)
+	return true
 }
 
 // takeOver begins the takeover of a new incarnation of the worker.
