yuccaworker: take the worker's clock from its answers first

A report with a clock far ahead, within the bounds, moved all deadlines of the worker: it kept its runs for its longest lease, a second, where the side counted on 450 ms, so that runs could outlast the time at which they are reported as lost. A lower clock in later answers never corrected it, since only higher readings count.

A report may come from another writer, an answer comes from the worker at its address. Now a report of a known incarnation can't move its clock ahead of the last reading, the time since and a second for its way; the first answer of an incarnation corrects the clock of its first report, and the deadlines with it. Deployments without a clock are served as before.

TestReportWithAWrongClockMovesTheDeadlines, before: 'the worker keeps its runs until, want 5750 at most' for a known and a new worker.

--- a/yuccaworker/faults_test.go
+++ b/yuccaworker/faults_test.go
@@ -137,3 +137,27 @@
 		}
 	}
 }
+
+func TestReportWithAWrongClockMovesTheDeadlines(t *testing.T) {
+	for name, report := range map[string]func(h *harness, r yuccaworker.Report){
+		"known worker": func(h *harness, r yuccaworker.Report) { h.core.HandleReport(h.now, r) },
+		"new worker": func(h *harness, r yuccaworker.Report) {
+			h.restartSide()
+			h.core.HandleReport(h.now, r)
+			h.runActions()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			r := h.newReport(2)
+			r.ClockMS = 1 << 40
+			report(h, r)
+			h.order(entry, lease, task("a", 1, 1600))
+			h.advanceWithLease(entry, 200*time.Millisecond)
+			call := h.answerOddly(func(*yuccaworker.HoldResult) {})
+			if limit := h.clock() + yuccaworker.Hold.Milliseconds(); call.DeadlineMS > limit {
+				t.Errorf("the worker keeps its runs until %d, want %d at most", call.DeadlineMS, limit)
+			}
+		})
+	}
+}
--- a/yuccaworker/worker.go
+++ b/yuccaworker/worker.go
@@ -63,6 +63,8 @@
 	// tokenStep is by how much the token was raised last, zero once it suffices.
 	tokenStep int64
 	clock     workerClock
+	// clockAnswered is set once an answer of this incarnation has stated its clock.
+	clockAnswered bool
 	// takenOver is set once no run of an earlier process of this side is left.
 	takenOver      bool
 	nextTakeOverAt time.Time
@@ -164,8 +166,12 @@
 
 // isPlausible reports whether the clock may show ms in an answer that arrives now.
 func (c *workerClock) isPlausible(ms int64, now time.Time) bool {
-	slack := maxClockAge.Milliseconds()
-	return ms >= c.lowerBound(now)-slack && ms <= c.lastMS+now.Sub(c.observedAt).Milliseconds()+slack
+	return ms >= c.lowerBound(now)-maxClockAge.Milliseconds() && c.mayShow(ms, now)
+}
+
+// mayShow reports whether the clock may have reached ms by now.
+func (c *workerClock) mayShow(ms int64, now time.Time) bool {
+	return c.observedAt.IsZero() || ms <= c.lastMS+now.Sub(c.observedAt).Milliseconds()+maxClockAge.Milliseconds()
 }
 
 // New returns a Worker that has received no report yet. The side's clock starts
@@ -234,7 +240,9 @@
 	}
 	w.report, w.reportedAt = &r, now
 	w.deregistered = false
-	w.clock.observe(r.ClockMS, now)
+	if w.clock.mayShow(r.ClockMS, now) {
+		w.clock.observe(r.ClockMS, now)
+	}
 	if sameIncarnation {
 		w.recordReachable(now)
 		w.handleCapacity(now, previous)
@@ -289,7 +297,7 @@
 		"cpu_milli", r.CPUMilli, "memory_mb", r.MemoryMB, "clock_ms", r.ClockMS, "since_answer_ms", silent)
 	w.metrics.Add("workers_taken", 1)
 	w.gone = false
-	w.clock = workerClock{lastMS: r.ClockMS, observedAt: now}
+	w.clock, w.clockAnswered = workerClock{lastMS: r.ClockMS, observedAt: now}, false
 	// Fences the starts that were sent to an earlier incarnation with this ID.
 	w.token = max(w.token+1, r.StartedAtMS+r.ClockMS)
 	w.takenOver = false
@@ -377,9 +385,22 @@
 	w.lastContactAt, w.lastAnswerAt = now, now
 	w.unansweredHolds = 0
 	w.recordReachable(now)
+	if clockMS > 0 && !w.clockAnswered {
+		w.clockAnswered = true
+		w.correctClock(now, clockMS)
+	}
 	w.clock.observe(clockMS, now)
 }
 
+// correctClock sets the clock to what the first answer of an incarnation says, if its report
+// put it ahead. The worker shortens the deadlines that were sent since to the longest lease.
+func (w *Worker) correctClock(now time.Time, answeredMS int64) {
+	if answeredMS < w.clock.lowerBound(now) {
+		w.clock = workerClock{lastMS: answeredMS, observedAt: now}
+		w.deadlineMS, w.holdUntilMS = 0, answeredMS+maxLease.Milliseconds()
+	}
+}
+
 // isReachable reports whether the worker has not refused a connection since its last
 // answer or report.
 func (w *Worker) isReachable() bool { return w.unreachableSince.IsZero() }
