yuccaside: refuse announcements that name no target to use

An announcement with a port out of range (http://127.0.0.1:99999) replaced the target of its service, and every attempt ended as unknown, since no request could be sent. With a query or a fragment in the address the path of each request was swallowed. A service whose name is not UTF-8 can't be encoded for control, so that the side could not renew its lease while it was announced.

Now they are refused with the field, value and what is expected, and logged; a known target stays.

--- a/yuccaside/handler.go
+++ b/yuccaside/handler.go
@@ -44,6 +44,7 @@
 	}
 	var body announcementBody
 	if err := yuccajsonc.Decode("announcement", content, &body).Err(); err != nil {
+		s.options.Logger.Warn("target announcement refused", "error", err)
 		yuccaproblem.Write(w, yuccaproblem.NotRunf(http.StatusBadRequest, yuccaproblem.BadRequest, "%v", err))
 		return
 	}
@@ -53,6 +54,7 @@
 	})
 	switch {
 	case errors.Is(err, ErrInvalidAnnouncement):
+		s.options.Logger.Warn("target announcement refused", "error", err)
 		yuccaproblem.Write(w, yuccaproblem.NotRunf(http.StatusBadRequest, yuccaproblem.BadRequest, "%v", err))
 	case err != nil:
 		yuccaproblem.Write(w, yuccaproblem.NotRunf(http.StatusServiceUnavailable, yuccaproblem.Draining, "%v", err))
--- a/yuccaside/targets.go
+++ b/yuccaside/targets.go
@@ -4,8 +4,10 @@
 	"context"
 	"net"
 	"net/url"
+	"strconv"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"github.com/ansel1/merry/v2"
 
@@ -18,6 +20,9 @@
 const (
 	maxSlots       = 4096
 	maxConnections = 65536
+	// maxNameBytes limits the name of a service, which is sent to control and the owners.
+	maxNameBytes    = 200
+	maxAddressBytes = 1000
 )
 
 // ErrInvalidAnnouncement is returned for an announcement with an invalid field, or
@@ -53,8 +58,14 @@
 	switch {
 	case a.Service == "":
 		return merry.Prepend(ErrInvalidAnnouncement, "service: is missing")
-	case err != nil || u.Scheme != "http" || u.Host == "":
+	case len(a.Service) > maxNameBytes || !utf8.ValidString(a.Service):
+		return merry.Prependf(ErrInvalidAnnouncement, "service: is %.*q, expected up to %d bytes of UTF-8", maxNameBytes, a.Service, maxNameBytes)
+	case len(a.Address) > maxAddressBytes:
+		return merry.Prependf(ErrInvalidAnnouncement, "address: has %d bytes, expected %d at most", len(a.Address), maxAddressBytes)
+	case err != nil || u.Scheme != "http" || u.Host == "" || u.User != nil || u.RawQuery != "" || u.ForceQuery || u.Fragment != "":
 		return merry.Prependf(ErrInvalidAnnouncement, "address: is %q, expected a URL such as http://127.0.0.1:7300", a.Address)
+	case !isPort(u.Port()):
+		return merry.Prependf(ErrInvalidAnnouncement, "address: is %q, expected a port from 1 to 65535", a.Address)
 	case !isLoopback(u.Hostname()):
 		return merry.Prependf(ErrInvalidAnnouncement, "address: is %q, expected a loopback address", a.Address)
 	case a.Slots < 1 || a.Slots > maxSlots:
@@ -65,6 +76,12 @@
 	return nil
 }
 
+// isPort reports whether the port of a URL exists. It is empty for the default one.
+func isPort(port string) bool {
+	number, err := strconv.ParseUint(port, 10, 16)
+	return port == "" || err == nil && number > 0
+}
+
 func isLoopback(host string) bool {
 	ip := net.ParseIP(host)
 	return host == "localhost" || ip != nil && ip.IsLoopback()
