yuccaworker: keep the token from overflowing

A worker that answers every call with 'fenced' made the side double its token until it overflowed (after 62 answers, about a second); it then began again from the start, far below what the worker had seen. A worker that has seen a token near 2^63 can't be reached by any later process of its side.

The token stops at 2^62 now, which every process can still reach by doubling.

--- a/yuccaworker/faults.go
+++ b/yuccaworker/faults.go
@@ -18,6 +18,8 @@
 	// maxClockMS is a hundred years.
 	maxClockMS  = 100 * 366 * 24 * 3600 * 1000
 	maxSequence = 1<<53 - 1
+	// maxToken is far above the sum of a start and a clock.
+	maxToken = 1 << 62
 	// maxNameBytes limits an ID, a service and a label, maxLabels the number of labels.
 	maxNameBytes = 200
 	maxLabels    = 100
--- a/yuccaworker/faults_test.go
+++ b/yuccaworker/faults_test.go
@@ -161,3 +161,23 @@
 		})
 	}
 }
+
+func TestTokenOverflowsAtAWorkerThatFencesForGood(t *testing.T) {
+	h := newHarness(t)
+	last := int64(0)
+	for range 200 {
+		h.now = h.now.Add(20 * time.Millisecond)
+		h.core.HandleHoldReply(h.now, yuccaworker.HoldResult{Incarnation: h.incarnation, Result: yuccaworker.ResultFenced, ClockMS: h.clock()})
+		h.core.Tick(h.now)
+		for _, a := range h.core.Actions() {
+			if call, isHold := a.(yuccaworker.CallHold); isHold && call.Token < last {
+				t.Fatalf("token %d follows %d", call.Token, last)
+			} else if isHold {
+				last = call.Token
+			}
+		}
+	}
+	if last < 1<<61 {
+		t.Errorf("the token has reached %d only", last)
+	}
+}
--- a/yuccaworker/hold.go
+++ b/yuccaworker/hold.go
@@ -155,8 +155,8 @@
 // worker over again. The other token was used by an earlier process of this
 // side.
 func (w *Worker) raiseToken(now time.Time, clockMS int64) {
-	w.tokenStep = max(2*w.tokenStep, 1)
-	w.token = max(w.token+w.tokenStep, w.report.StartedAtMS+max(clockMS, w.clock.lowerBound(now)))
+	w.tokenStep = min(max(2*w.tokenStep, 1), maxToken)
+	w.token = max(w.token+min(w.tokenStep, maxToken-w.token), w.report.StartedAtMS+max(clockMS, w.clock.lowerBound(now)))
 	w.metrics.Add("fenced", 1)
 	w.options.Logger.Warn("fenced by the worker, taking it over again with a higher token", "worker", w.report.ID, "token", w.token)
 	w.takenOver = false
--- a/yuccaworker/worker.go
+++ b/yuccaworker/worker.go
@@ -299,7 +299,7 @@
 	w.gone = false
 	w.clock, w.clockAnswered = workerClock{lastMS: r.ClockMS, observedAt: now}, false
 	// Fences the starts that were sent to an earlier incarnation with this ID.
-	w.token = max(w.token+1, r.StartedAtMS+r.ClockMS)
+	w.token = max(min(w.token+1, maxToken), r.StartedAtMS+r.ClockMS)
 	w.takenOver = false
 	w.nextTakeOverAt = now
 	w.lastAnswerAt = now
