--- a/yuccaworker/hold.go
+++ b/yuccaworker/hold.go
@@ -110,6 +110,10 @@
 	if h.Incarnation != w.incarnation() || w.gone {
 		return
 	}
+	if fault := h.fault(); fault != "" {
+		w.logSenseless("hold", fault)
+		h = HoldResult{Incarnation: h.Incarnation, SentAt: h.SentAt}
+	}
 	isLatest := h.SentAt.Equal(w.holdSentAt)
 	if isLatest {
 		w.holdInFlight = false
@@ -151,8 +155,8 @@
 // worker over again. The other token was used by an earlier process of this
 // side.
 func (w *Worker) raiseToken(now time.Time, clockMS int64) {
-	w.tokenStep = max(2*w.tokenStep, 1)
-	w.token = max(w.token+w.tokenStep, w.report.StartedAtMS+max(clockMS, w.clock.lowerBound(now)))
+	w.tokenStep = min(max(2*w.tokenStep, 1), maxToken)
+	w.token = max(w.token+min(w.tokenStep, maxToken-w.token), w.report.StartedAtMS+max(clockMS, w.clock.lowerBound(now)))
 	w.metrics.Add("fenced", 1)
 	w.options.Logger.Warn("fenced by the worker, taking it over again with a higher token", "worker", w.report.ID, "token", w.token)
 	w.takenOver = false
@@ -188,16 +192,16 @@
 // no longer start.
 func (w *Worker) reconcileRuns(now time.Time, h HoldResult) {
 	running := make(map[Key]bool, len(h.Running))
-	untracked := 0
+	var untracked []Key
 	for _, key := range h.Running {
 		running[key] = true
 		if r := w.runs[key]; r == nil {
-			untracked++
-			w.stopUntracked(key)
+			untracked = append(untracked, key)
 		} else if r.state == starting || r.state == uncertain && r.stopSentAt.IsZero() {
 			w.confirmStart(now, r)
 		}
 	}
+	w.stopUntracked(untracked)
 	for _, r := range w.sortedRuns() {
 		if running[r.key] {
 			r.listed, r.absent, r.lostAs = true, false, yuccawire.RunEnd_RUN_END_UNSPECIFIED
@@ -219,22 +223,24 @@
 			w.completeRun(now, r, yuccawire.RunEnd_RUN_END_LOST)
 		}
 	}
-	if !w.takenOver && untracked == 0 {
+	if !w.takenOver && len(untracked) == 0 {
 		w.takenOver, w.tokenStep = true, 0
 		w.options.Logger.Info("worker taken over", "worker", w.report.ID, "token", w.token)
 		w.markOwnersDirty()
 	}
 }
 
-// stopUntracked stops a run that the worker lists and the side doesn't track.
-func (w *Worker) stopUntracked(key Key) {
-	w.metrics.Add("foreign_runs_stopped", 1)
-	if w.lastUntracked != key {
-		w.lastUntracked = key
-		w.options.Logger.Warn("worker runs a task that the side does not track, stopping it", "worker", w.report.ID,
-			"task", key.Task, "run", key.Run, "taken", w.takenOver, "used_cpu_milli", w.used.cpuMilli)
+// stopUntracked stops the runs that the worker lists and the side doesn't track.
+func (w *Worker) stopUntracked(keys []Key) {
+	if len(keys) > 0 && keys[0] != w.lastUntracked {
+		w.lastUntracked = keys[0]
+		w.options.Logger.Warn("worker runs tasks that the side does not track, stopping them", "worker", w.report.ID, "runs", len(keys),
+			"first", keys[0].Task, "run", keys[0].Run, "taken", w.takenOver, "used_cpu_milli", w.used.cpuMilli)
+	}
+	for _, key := range keys[:min(len(keys), maxForeignStops)] {
+		w.metrics.Add("foreign_runs_stopped", 1)
+		w.sendStop(key)
 	}
-	w.sendStop(key)
 }
 
 // hasExpiredRuns reports whether the hold of any run has certainly expired.
--- a/yuccaworker/worker.go
+++ b/yuccaworker/worker.go
@@ -30,6 +30,10 @@
 	specVersion uint64
 	// reportedAt is when the last report arrived.
 	reportedAt time.Time
+	// lowSequence is the sequence of the last report that was ignored for it, lowSince when
+	// the first of the reports with rising sequences arrived that it belongs to.
+	lowSequence int64
+	lowSince    time.Time
 	// lastContactAt is when the worker last reported or answered a call.
 	lastContactAt time.Time
 	lastAnswerAt  time.Time
@@ -59,6 +63,8 @@
 	// tokenStep is by how much the token was raised last, zero once it suffices.
 	tokenStep int64
 	clock     workerClock
+	// clockAnswered is set once an answer of this incarnation has stated its clock.
+	clockAnswered bool
 	// takenOver is set once no run of an earlier process of this side is left.
 	takenOver      bool
 	nextTakeOverAt time.Time
@@ -79,7 +85,7 @@
 	// the number up to which the worker has discarded completions.
 	cursor      int64
 	ackedCursor int64
-	// lastUntracked is the last run that was stopped because the side doesn't track it.
+	// lastUntracked is the first run of the last list with runs that the side doesn't track.
 	lastUntracked Key
 
 	runs   map[Key]*run
@@ -162,8 +168,12 @@
 
 // isPlausible reports whether the clock may show ms in an answer that arrives now.
 func (c *workerClock) isPlausible(ms int64, now time.Time) bool {
-	slack := maxClockAge.Milliseconds()
-	return ms >= c.lowerBound(now)-slack && ms <= c.lastMS+now.Sub(c.observedAt).Milliseconds()+slack
+	return ms >= c.lowerBound(now)-maxClockAge.Milliseconds() && c.mayShow(ms, now)
+}
+
+// mayShow reports whether the clock may have reached ms by now.
+func (c *workerClock) mayShow(ms int64, now time.Time) bool {
+	return c.observedAt.IsZero() || ms <= c.lastMS+now.Sub(c.observedAt).Milliseconds()+maxClockAge.Milliseconds()
 }
 
 // New returns a Worker that has received no report yet. The side's clock starts
@@ -232,7 +242,9 @@
 	}
 	w.report, w.reportedAt = &r, now
 	w.deregistered = false
-	w.clock.observe(r.ClockMS, now)
+	if w.clock.mayShow(r.ClockMS, now) {
+		w.clock.observe(r.ClockMS, now)
+	}
 	if sameIncarnation {
 		w.recordReachable(now)
 		w.handleCapacity(now, previous)
@@ -259,7 +271,22 @@
 		mayBeReplaced := len(w.runs) == 0 && (w.gone || w.isReportStale(now))
 		return r.StartedAtMS < w.report.StartedAtMS && !mayBeReplaced
 	}
-	return r.ID == w.report.ID && r.Sequence < w.report.Sequence
+	return r.ID == w.report.ID && r.Sequence < w.report.Sequence && !w.isSequenceWrong(now, r)
+}
+
+// isSequenceWrong reports whether the sequence of the last report can't be that of the worker:
+// no higher one has followed it since it is stale, but lower ones that rise.
+func (w *Worker) isSequenceWrong(now time.Time, r Report) bool {
+	if r.Sequence <= w.lowSequence || w.lowSince.Before(w.reportedAt) {
+		w.lowSince = now
+	}
+	w.lowSequence = r.Sequence
+	if !w.isReportStale(now) || now.Sub(w.lowSince) <= maxClockAge {
+		return false
+	}
+	w.options.Logger.Warn("report with a high sequence was wrong, following the lower ones", "worker", r.ID, "born", r.StartedAtMS,
+		"sequence", r.Sequence, "was_sequence", w.report.Sequence)
+	return true
 }
 
 // takeOver begins the takeover of a new incarnation of the worker.
@@ -272,9 +299,9 @@
 		"cpu_milli", r.CPUMilli, "memory_mb", r.MemoryMB, "clock_ms", r.ClockMS, "since_answer_ms", silent)
 	w.metrics.Add("workers_taken", 1)
 	w.gone = false
-	w.clock = workerClock{lastMS: r.ClockMS, observedAt: now}
+	w.clock, w.clockAnswered = workerClock{lastMS: r.ClockMS, observedAt: now}, false
 	// Fences the starts that were sent to an earlier incarnation with this ID.
-	w.token = max(w.token+1, r.StartedAtMS+r.ClockMS)
+	w.token = max(min(w.token+1, maxToken), r.StartedAtMS+r.ClockMS)
 	w.takenOver = false
 	w.nextTakeOverAt = now
 	w.lastAnswerAt = now
@@ -360,9 +387,22 @@
 	w.lastContactAt, w.lastAnswerAt = now, now
 	w.unansweredHolds = 0
 	w.recordReachable(now)
+	if clockMS > 0 && !w.clockAnswered {
+		w.clockAnswered = true
+		w.correctClock(now, clockMS)
+	}
 	w.clock.observe(clockMS, now)
 }
 
+// correctClock sets the clock to what the first answer of an incarnation says, if its report
+// put it ahead. The worker shortens the deadlines that were sent since to the longest lease.
+func (w *Worker) correctClock(now time.Time, answeredMS int64) {
+	if answeredMS < w.clock.lowerBound(now) {
+		w.clock = workerClock{lastMS: answeredMS, observedAt: now}
+		w.deadlineMS, w.holdUntilMS = 0, answeredMS+maxLease.Milliseconds()
+	}
+}
+
 // isReachable reports whether the worker has not refused a connection since its last
 // answer or report.
 func (w *Worker) isReachable() bool { return w.unreachableSince.IsZero() }
