--- a/yuccastate/state_test.go
+++ b/yuccastate/state_test.go
@@ -330,3 +330,12 @@
 		t.Errorf("delayed restore: got %+v, want it to count as repeated", got)
 	}
 }
+
+// Each replica applies a committed section, and again whenever it starts.
+func TestDeeplyNestedSectionEndsTheReplicas(t *testing.T) {
+	section := &yuccawire.ApplySection{Section: yuccadocument.SectionServices, Body: bytes.Repeat([]byte("["), yuccadocument.MaxSectionBytes)}
+	result := apply(t, yuccastate.New(), &yuccawire.Command{Body: &yuccawire.Command_ApplySection{ApplySection: section}})
+	if result.Change.Outcome != yuccastate.Invalid {
+		t.Errorf("outcome = %v, want it invalid", result.Change.Outcome)
+	}
+}
