broker: answer an oversized job beside workers of other services

A job with more processors than any worker has was not answered until its deadline as soon as the entry knew a worker of another service. If it had more than eight tasks and a high priority, no other task of the service was placed at that entry for as long.

Cause: a job fails at once only if all sides are known to be of its service. Those of other services counted like sides that have not reported yet, whose workers may be larger.

TestOversizedJobBlocksItsService failed: "waiter 1 got {queued 0s} (answered: false)" and "sent map[], want the task of the other job". Only sides without a service, or without a capacity, keep the question open now. While there is one, such a job is accepted as before.

Ruled out: rejecting the job while a side is unknown, which would refuse jobs to an entry that has just started.

--- a/yuccabroker/job.go
+++ b/yuccabroker/job.go
@@ -214,9 +214,13 @@
 	workers := 0
 	for _, st := range j.steps {
 		workers = 0
-		fits, fitted := false, false
+		unknown, fits, fitted := 0, false, false
 		for _, s := range b.sideList {
-			if s.service != j.Queue.Service || s.largest.cpuMilli == 0 {
+			if s.service == "" || s.service == j.Queue.Service && s.largest.cpuMilli == 0 {
+				unknown++
+				continue
+			}
+			if s.service != j.Queue.Service {
 				continue
 			}
 			workers++
@@ -224,7 +228,7 @@
 			fitted = fitted || demand(st.Step).fitsIn(s.largest) && s.hasLabel(st.Label)
 		}
 		switch {
-		case workers == 0 || fits || workers < len(b.sideList):
+		case workers == 0 || fits || unknown > 0:
 		case fitted:
 			return &Outcome{State: Rejected, Reason: "no worker is large enough at present for a task of it", RetryAfter: b.retryAfter(now, j)}
 		default:
