platform, sized: refuse sizes of tasks that messages can't hold

A cpu of 0.0001 cores was cut to none, one of 0.57 to 569 thousandths: the side started tasks beside each other that together need more than their worker has. Sizes beyond 32 bits were accepted; 2^63 - 1 overflows the sums of what waits. With our own interface a cpu of 1e300 is converted to the lowest integer on amd64, which fits everywhere, to the highest on arm64.

Ruled out: that 2^32 + 1 reaches a side as 1. Reported capacities have 32 bits, so that such a task fits at no worker.

--- a/yuccabroker/types.go
+++ b/yuccabroker/types.go
@@ -1,6 +1,7 @@
 package yuccabroker
 
 import (
+	"math"
 	"time"
 
 	"github.com/yuccaturn/yuccaturn/yuccawire"
@@ -33,6 +34,10 @@
 	Traceparent string
 }
 
+// MaxSize is the largest number of thousandths of a processor, of megabytes and of
+// accelerators of a task: messages hold 32 bits, free capacities signed ones.
+const MaxSize = math.MaxInt32
+
 // Step is a part of a job with a number of equal tasks.
 type Step struct {
 	Count        int
--- /dev/null
+++ b/yuccasized/export_test.go
@@ -0,0 +1,4 @@
+package yuccasized
+
+// DecodeJob decodes and validates a submission.
+var DecodeJob = decodeJob
--- a/yuccasized/job.go
+++ b/yuccasized/job.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
 	"strings"
 	"time"
 
@@ -50,7 +51,7 @@
 	job := yuccabroker.Job{Payload: body.Payload}
 	for _, s := range body.Steps {
 		job.Steps = append(job.Steps, yuccabroker.Step{
-			Count: s.Tasks, CPUMilli: int(s.CPU * milli), MemoryMB: s.MemoryMB, Accelerators: s.Accelerators,
+			Count: s.Tasks, CPUMilli: s.cpuMilli(), MemoryMB: s.MemoryMB, Accelerators: s.Accelerators,
 			Estimate: s.Estimate, After: s.After, Label: s.Label, Spread: s.Spread,
 		})
 	}
@@ -79,14 +80,16 @@
 	if s.Tasks < 1 || s.Tasks > maxTasks {
 		d.Report(field+".tasks", fmt.Sprintf("is %d", s.Tasks), fmt.Sprintf("1 to %d", maxTasks))
 	}
-	if s.CPU <= 0 {
-		d.Report(field+".cpu", fmt.Sprintf("is %g", s.CPU), "cores, above zero")
+	if s.CPU <= 0 || s.CPU > yuccabroker.MaxSize/milli {
+		d.Report(field+".cpu", fmt.Sprintf("is %g", s.CPU), fmt.Sprintf("cores, above zero, at most %d", yuccabroker.MaxSize/milli))
 	}
 	if s.Estimate <= 0 {
 		d.Report(field+".estimate", fmt.Sprintf("is %s", s.Estimate), "a duration above zero")
 	}
-	if s.MemoryMB < 0 || s.Accelerators < 0 || s.Spread < 0 {
-		d.Report(field, "has a number below zero", "memory_mb, accelerators and spread of 0 or more")
+	checkSize(d, field+".memory_mb", s.MemoryMB)
+	checkSize(d, field+".accelerators", s.Accelerators)
+	if s.Spread < 0 {
+		d.Report(field+".spread", fmt.Sprintf("is %d", s.Spread), "0 or more")
 	}
 	for _, dependency := range s.After {
 		if dependency < 0 || dependency >= i {
@@ -95,6 +98,19 @@
 	}
 }
 
+func checkSize(d *yuccajsonc.Document, field string, size int) {
+	if size < 0 || size > yuccabroker.MaxSize {
+		d.Report(field, fmt.Sprintf("is %d", size), fmt.Sprintf("0 to %d", yuccabroker.MaxSize))
+	}
+}
+
+// cpuMilli returns the thousandths of a core that a task needs, rounded up except for
+// what the conversion adds.
+func (s stepBody) cpuMilli() int {
+	const rounding = 1e-6
+	return max(int(math.Ceil(s.CPU*milli-rounding)), 1)
+}
+
 // checkName returns the problem with an id or a name, and what is expected
 // instead. Both are empty if the name is valid.
 func checkName(name string) (problem, expected string) {
