broker: limit the estimates that are computed with

An estimate of 2^32 + 5 ms in a job with a long enough deadline reached the side as one of 5 ms: the side then took the run for overdue, its worker for slow, and the end of the run for near. The sum over a chain of steps with estimates near 2^63 ns overflowed as well.

Estimates above an hour count as an hour from the start of a job on, which fits into the message, and 10,000 of them into a duration.

Ruled out: refusing such a job. An estimate is rough, and the caller may wait that long.

--- a/yuccabroker/job.go
+++ b/yuccabroker/job.go
@@ -171,6 +171,7 @@
 func newJob(now time.Time, submitted Job, waiter uint64) *job {
 	j := &job{Job: submitted, arrivedAt: now, waiters: []uint64{waiter}}
 	for i, spec := range submitted.Steps {
+		spec.Estimate = min(spec.Estimate, maxEstimate)
 		st := &step{Step: spec, remaining: spec.Count}
 		for n := range spec.Count {
 			st.tasks = append(st.tasks, &task{job: j, step: st, name: fmt.Sprintf("%s.0.%d.%d", j.ID, i, n), heapIndex: -1})
--- a/yuccabroker/types.go
+++ b/yuccabroker/types.go
@@ -38,6 +38,10 @@
 // accelerators of a task: messages hold 32 bits, free capacities signed ones.
 const MaxSize = math.MaxInt32
 
+// maxEstimate limits the estimates that are computed with: longer ones count as this.
+// Sums over the steps of a job don't overflow then.
+const maxEstimate = time.Hour
+
 // Step is a part of a job with a number of equal tasks.
 type Step struct {
 	Count        int
