broker: limit objectives and priorities that overflow

Readable configurations made the jobs of a queue useless: with a targetLatencyMs beyond 2^62 ns, jobs that had to wait were refused within 0.2 s, since three times their objective was in the past; with 2^63 ns, and a stretch that adds to it, all of them counted as late and went last; with a priority of 2^38 they went before all others of their tier, by 149 years.

Cause: durations that overflow, and floats beyond them, for which the conversion depends on the processor (read; arm64 returns the nearest one, amd64 the lowest).

TestExtremeQueues failed: "the job has tier 2 and rank 4200 ms, the usual one rank 1230 ms", "the waiting job was answered with {rejected it has waited in vain ...}", "tier 1 and rank - ms". Objectives are limited to twice ten years, priorities to a million.

Ruled out: refusing such a document. It can be read in full, so it has to be accepted.

--- a/yuccabroker/extreme_test.go
+++ b/yuccabroker/extreme_test.go
@@ -1,8 +1,11 @@
 package yuccabroker_test
 
 import (
+	"math"
 	"testing"
 	"time"
+
+	"github.com/yuccaturn/yuccaturn/yuccabroker"
 )
 
 // An estimate of 2^32 + 5 ms reached the side as one of 5 ms, by which the run was overdue.
@@ -16,3 +19,36 @@
 		t.Errorf("the side gets an estimate of %d ms", got)
 	}
 }
+
+// Each of these queues is readable. The objective and the rank of their jobs overflowed:
+// the jobs counted as late, were refused, or went before all others.
+func TestExtremeQueues(t *testing.T) {
+	for name, queue := range map[string]yuccabroker.Queue{
+		"stretch":             {Priority: 1, Stretch: math.MaxFloat64},
+		"target latency":      {Priority: 1, Stretch: 1.6, TargetLatency: math.MaxInt64},
+		"target latency 2^62": {Priority: 1, Stretch: 1.6, TargetLatency: 1 << 62},
+		"both":                {Priority: 1, Stretch: math.MaxFloat64, TargetLatency: math.MaxInt64, MaxAttempts: math.MaxInt},
+		"priority":            {Priority: math.MaxInt, Stretch: 1.6, TargetLatency: time.Second},
+		"priority 2^38":       {Priority: 1 << 38, Stretch: 1.6, TargetLatency: time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, "s1")
+			queue.Name, queue.Service = "odd", "belfry"
+			odd, usual := job("odd", 1), job("usual", 1)
+			odd.Queue = queue
+			f.submit(usual, 1)
+			f.submit(odd, 2)
+			first, second := f.orders["s1"][0].GetJobs()[0], f.orders["s1"][1].GetJobs()[0]
+			if second.GetTier() != 1 || second.GetRankMs() <= first.GetRankMs() {
+				t.Errorf("the job has tier %d and rank %d ms, the usual one rank %d ms", second.GetTier(), second.GetRankMs(), first.GetRankMs())
+			}
+			f.report("s1", 0)
+			odd.ID, odd.Steps[0].CPUMilli = "waiting", fullCPU
+			f.submit(odd, 3)
+			f.advance(200 * time.Millisecond)
+			if o, answered := f.answers[3]; answered {
+				t.Errorf("the waiting job was answered with %v", o)
+			}
+		})
+	}
+}
--- a/yuccabroker/job.go
+++ b/yuccabroker/job.go
@@ -181,7 +181,7 @@
 		j.steps = append(j.steps, st)
 	}
 	j.path = j.criticalPath()
-	objective := time.Duration(j.Queue.Stretch*float64(j.path)) + j.Queue.TargetLatency
+	objective := j.Queue.objective(j.path)
 	j.objective = now.Add(objective)
 	j.usefulUntil = now.Add(usefulFactor * objective)
 	j.leastTime = time.Duration(minTimeShare * float64(j.path))
@@ -301,11 +301,11 @@
 	case now.After(latestStart) && j.Queue.Priority == 0 && !now.After(j.objective.Add(-t.step.Estimate)):
 		return tierInTime, j.objective.Add(uncertainDelay)
 	case now.After(latestStart):
-		return tierLate, j.arrivedAt.Add(time.Duration(j.remainingWork() * lateRankPerWork * float64(time.Second)))
+		return tierLate, j.arrivedAt.Add(span(j.remainingWork() * lateRankPerWork * float64(time.Second)))
 	case j.Queue.Priority == 0:
 		return tierUrgent, latestStart
 	}
-	return tierInTime, latestStart.Add(time.Duration(j.Queue.Priority) * priorityStep)
+	return tierInTime, latestStart.Add(time.Duration(min(max(j.Queue.Priority, -maxPriority), maxPriority)) * priorityStep)
 }
 
 // rerank updates the ranks of the queued tasks, some of which may have become late.
--- a/yuccabroker/runtimes.go
+++ b/yuccabroker/runtimes.go
@@ -159,7 +159,7 @@
 		return j.objective
 	}
 	short := j.estimator.RunTime(j.Queue.Name, "", j.path, yuccaestimate.Quartile)
-	return j.arrivedAt.Add(time.Duration(j.Queue.Stretch*float64(short)) + j.Queue.TargetLatency)
+	return j.arrivedAt.Add(j.Queue.objective(short))
 }
 
 // shortestRun returns a time that no run of a step is expected to be shorter than.
--- a/yuccabroker/types.go
+++ b/yuccabroker/types.go
@@ -22,6 +22,11 @@
 	TargetLatency time.Duration
 }
 
+// objective returns the objective of a job with that critical path, from its arrival.
+func (q *Queue) objective(path time.Duration) time.Duration {
+	return span(q.Stretch*float64(path)) + span(float64(q.TargetLatency))
+}
+
 // Job is a decoded submission.
 type Job struct {
 	ID      string
@@ -38,9 +43,19 @@
 // accelerators of a task: messages hold 32 bits, free capacities signed ones.
 const MaxSize = math.MaxInt32
 
-// maxEstimate limits the estimates that are computed with: longer ones count as this.
-// Sums over the steps of a job don't overflow then.
-const maxEstimate = time.Hour
+const (
+	// maxEstimate, maxPriority and maxSpan limit what is computed with: larger values
+	// count as these. Sums over the steps of a job don't overflow then.
+	maxEstimate = time.Hour
+	maxPriority = 1_000_000
+	maxSpan     = 10 * 365 * 24 * time.Hour
+)
+
+// span converts nanoseconds to a duration from zero to maxSpan. Without limits, the result
+// for large values depends on the processor.
+func span(nanoseconds float64) time.Duration {
+	return time.Duration(min(max(nanoseconds, 0), float64(maxSpan)))
+}
 
 // Step is a part of a job with a number of equal tasks.
 type Step struct {
