broker: limit deadlines that the clock of a side can't hold

A caller who sent a Deadline-Ms beyond 9.2e12 got a job that can't start: its orders expire at more milliseconds of the side's clock than a duration holds, so that the side takes them for expired and refuses them, and the entry orders the task again, for as long as the caller waits (read: yuccaworker.(*Worker).localTime overflows, staleReason refuses).

TestDistantDeadlineFitsTheClockOfTheSide failed with "the order expires at ms".

--- a/yuccabroker/extreme_test.go
+++ b/yuccabroker/extreme_test.go
@@ -20,6 +20,22 @@
 	}
 }
 
+// The side took an order that expires in 292 years for one that has expired, and refused it.
+func TestDistantDeadlineFitsTheClockOfTheSide(t *testing.T) {
+	f := newFixture(t, "s1")
+	j := job("a", 1)
+	j.Deadline = f.now.Add(math.MaxInt64)
+	f.submit(j, 1)
+	f.submit(j, 2)
+	j.ID = "b"
+	f.submit(j, 3)
+	for _, orders := range f.orders["s1"] {
+		if expires := orders.GetJobs()[0].GetExpiresMs(); expires > uint64(math.MaxInt64/time.Millisecond) {
+			t.Errorf("the order expires at %d ms", expires)
+		}
+	}
+}
+
 // Each of these queues is readable. The objective and the rank of their jobs overflowed:
 // the jobs counted as late, were refused, or went before all others.
 func TestExtremeQueues(t *testing.T) {
--- a/yuccabroker/job.go
+++ b/yuccabroker/job.go
@@ -127,6 +127,7 @@
 // outcome is returned by an [Answer] for the waiter.
 func (b *Broker) Submit(now time.Time, submitted Job, waiter uint64) {
 	b.metrics.Add("jobs_submitted", 1)
+	submitted.Deadline = earlier(submitted.Deadline, now.Add(maxSpan))
 	if saved, ok := b.outcomes[submitted.ID]; ok && saved.queue == submitted.Queue.Name && saved.outcome.State != Abandoned && saved.outcome.State != Rejected {
 		b.metrics.Add("jobs_answered_again", 1)
 		b.options.Logger.Info("resend answered with the saved outcome", "job", submitted.ID, "state", saved.outcome.State.String())
