yuccaedge: close a link that comes up late

Callers would see: a task runs twice at the same time. An entry takes a link of a side's earlier process that comes up after the link of the later one for a restart of the side. It closes the good link, reads on the late one what the dead process had sent ("the worker is taken over"), takes the runs at the later process for lost and places their tasks again.

Cause: the order in which links come up was taken for the order in which they were opened. Each accepted link has a goroutine for its handshake, and these finish in any order. Incarnations are no help: an entry may not have known the earlier one, and a clock that was set back makes the later number the smaller one.

The mesh now numbers the links as it accepts them. A side, or its successor, opens a link after the end of the one before, which was accepted before its Hello was answered, so that the newer one has the higher number. The entry closes a link with a lower number than the newest so far; nothing is lost with it, as it has ended at the side. The same holds for the dials that ran into their time limit while the entry was frozen: they no longer displace the link in use. The wire format is unchanged. At sides there is nothing to mend: they have one dialler for each address, which opens a link after the end of the last.

--- a/yuccaedge/edge.go
+++ b/yuccaedge/edge.go
@@ -71,6 +71,7 @@
 
 	// The fields below are owned by the event loop.
 	sidePeers  map[string]*yuccamesh.Peer            // the newest link of each side, by name
+	lastLinks  map[string]uint64                     // the number of the newest link of each side so far, by name
 	waiters    map[uint64]chan<- yuccabroker.Outcome // waiting callers, by waiterID
 	lastID     uint64                                // the last waiterID or inquiry number
 	entryPeers map[*yuccamesh.Peer]struct{}          // all links to other entries
@@ -113,6 +114,7 @@
 		broker:    options.Broker,
 		events:    make(chan event, eventQueueCapacity),
 		sidePeers: make(map[string]*yuccamesh.Peer),
+		lastLinks: make(map[string]uint64),
 		waiters:   make(map[uint64]chan<- yuccabroker.Outcome),
 
 		entryPeers: make(map[*yuccamesh.Peer]struct{}),
@@ -239,7 +241,8 @@
 }
 
 // handleLinkUp registers a link of an entry or a side. For a side, the newest
-// link replaces older ones, whose messages are ignored from then on.
+// link replaces older ones, whose messages are ignored from then on. An older one that
+// comes up late has ended at the side, and may be that of an earlier process.
 func (e *Edge) handleLinkUp(now time.Time, p *yuccamesh.Peer) {
 	node := p.Node()
 	if node.GetRole() == yuccawire.Role_ROLE_ENTRY {
@@ -252,6 +255,13 @@
 	if node.GetRole() != yuccawire.Role_ROLE_SIDE {
 		return
 	}
+	if p.Number() < e.lastLinks[node.GetName()] {
+		e.metrics.Add("side_links_late", 1)
+		e.options.Logger.Warn("late link of a side closed", "side", node.GetName(), "incarnation", node.GetIncarnation())
+		p.Close()
+		return
+	}
+	e.lastLinks[node.GetName()] = p.Number()
 	if old := e.sidePeers[node.GetName()]; old != nil {
 		old.Close()
 		e.broker.HandleLinkDown(now, node.GetName())
--- a/yuccamesh/link.go
+++ b/yuccamesh/link.go
@@ -47,7 +47,7 @@
 		m.disconnect(&Peer{link: link, address: d.address})
 		return false
 	}
-	m.serveLink(ctx, newPeer(m, link, node, d.address))
+	m.serveLink(ctx, newPeer(m, link, node, d.address, 0))
 	return true
 }
 
@@ -55,19 +55,23 @@
 type acceptor struct {
 	mesh     *Mesh
 	listener yuccawire.Listener
+	// accepted counts the links.
+	accepted uint64
 }
 
 func (a *acceptor) run(ctx context.Context) {
 	yuccawire.AcceptAll(ctx, a.listener, func(link yuccawire.Link) {
-		h := &handshake{mesh: a.mesh, link: link}
+		a.accepted++
+		h := &handshake{mesh: a.mesh, link: link, number: a.accepted}
 		go h.run(ctx)
 	})
 }
 
 // handshake is the exchange of Hello messages on an accepted link.
 type handshake struct {
-	mesh *Mesh
-	link yuccawire.Link
+	mesh   *Mesh
+	link   yuccawire.Link
+	number uint64
 }
 
 func (h *handshake) run(ctx context.Context) {
@@ -76,7 +80,7 @@
 		h.mesh.options.Metrics.Add("mesh_links_rejected", 1)
 		return
 	}
-	h.mesh.serveLink(ctx, newPeer(h.mesh, h.link, node, ""))
+	h.mesh.serveLink(ctx, newPeer(h.mesh, h.link, node, "", h.number))
 }
 
 func (m *Mesh) recordDialFailure(address string) {
--- a/yuccamesh/link_test.go
+++ b/yuccamesh/link_test.go
@@ -35,7 +35,7 @@
 			}
 			ctx, stop := context.WithCancel(t.Context())
 			stop()
-			m.serveLink(ctx, newPeer(m, link, entry, "e:1"))
+			m.serveLink(ctx, newPeer(m, link, entry, "e:1", 0))
 			for _, want := range []string{"up", "down"} {
 				select {
 				case e := <-m.Events():
--- a/yuccamesh/peer.go
+++ b/yuccamesh/peer.go
@@ -14,6 +14,8 @@
 	node *yuccawire.Node
 	// address is the dialled address, empty for an accepted link.
 	address string
+	// number is the number of an accepted link, zero for a dialled one.
+	number uint64
 	// lastReceived and lastSent are the times of the last messages, in nanoseconds
 	// since the start of the mesh.
 	lastReceived atomic.Int64
@@ -33,8 +35,8 @@
 	isSurplus bool
 }
 
-func newPeer(m *Mesh, link yuccawire.Link, node *yuccawire.Node, address string) *Peer {
-	p := &Peer{mesh: m, link: link, node: node, address: address}
+func newPeer(m *Mesh, link yuccawire.Link, node *yuccawire.Node, address string, number uint64) *Peer {
+	p := &Peer{mesh: m, link: link, node: node, address: address, number: number}
 	now := int64(time.Since(m.startedAt))
 	p.lastReceived.Store(now)
 	p.lastSent.Store(now)
@@ -45,6 +47,11 @@
 // Node returns the process at the other end of the link.
 func (p *Peer) Node() *yuccawire.Node { return p.node }
 
+// Number returns the number of an accepted link, zero for a dialled one. A link that the
+// other process, or its successor, has opened after the end of this one has a higher number,
+// while its [LinkUp] may come first.
+func (p *Peer) Number() uint64 { return p.number }
+
 // Send queues a message. A link whose queue is full is closed, which is reported
 // as [LinkDown].
 func (p *Peer) Send(m *yuccawire.Envelope) {
