yuccamodel: let the ends of a link notice it at different times

In the model both ends noticed a new or a lost link in the same instant, the links of frozen processes were never closed, and a frozen process made up for all ticks that it had missed before anything else. So links never crossed, and nothing was handled before the tick that counts runs as lost.

The other tests are as before: without a spread both ends notice at once.

--- a/yuccamodel/world_test.go
+++ b/yuccamodel/world_test.go
@@ -104,6 +104,9 @@
 	// jobs.
 	meanCPUMilli float64
 	kinds        []jobKind
+	// noticeSpread is how much later one end may notice that a link is up or down. If it is
+	// zero, both notice it at once.
+	noticeSpread time.Duration
 	// scheduling holds the settings of the entries.
 	scheduling yuccabroker.Scheduling
 	// pickEntry returns the entry for the next submission.
@@ -175,8 +178,12 @@
 	isUp          bool
 	epoch         int
 	isPartitioned bool
-	delayed       []func()
-	partitionedAt time.Time
+	// newest is the last connection, atEntry and atSide those that the ends use, or nil.
+	newest, atEntry, atSide *connection
+	// opened counts the connections, lastAtEntry is the number of the newest that has come up at the entry.
+	opened, lastAtEntry int
+	delayed             []func()
+	partitionedAt       time.Time
 }
 
 // newWorld returns a deployment of the size of the first ones: one data centre, in
@@ -260,16 +267,24 @@
 
 func (w *world) tickAll() {
 	for _, e := range w.entries {
-		e.handle(func() {
-			e.broker.Tick(w.now)
-			e.exchangeDemand()
-		})
+		if !e.isFrozen || w.noticeSpread == 0 {
+			e.handle(e.tick)
+		}
 	}
 	for _, s := range w.sides {
-		s.handle(func() { s.core.Tick(w.now) })
+		if !s.isFrozen || w.noticeSpread == 0 {
+			s.handle(s.tick)
+		}
 	}
 }
 
+func (e *modelEntry) tick() {
+	e.broker.Tick(e.world.now)
+	e.exchangeDemand()
+}
+
+func (s *modelSide) tick() { s.core.Tick(s.world.now) }
+
 func (w *world) reportAll() {
 	for _, s := range w.sides {
 		if !s.worker.isDown && !w.now.Before(s.worker.reportsFrom) {
@@ -561,12 +576,7 @@
 		case e.isDown || s.isDown || e.isFrozen || s.isFrozen || l.isPartitioned:
 			w.connect(e, s)
 		default:
-			l.isUp = true
-			id := yuccaworker.Owner{Name: e.name, Incarnation: e.incarnation}
-			e.handle(func() {
-				e.broker.HandleLinkUp(w.now, yuccabroker.Side{Name: s.name, Incarnation: s.incarnation, DataCentre: s.dataCentre})
-			})
-			s.handle(func() { s.core.HandleLinkUp(w.now, id) })
+			w.open(e, s)
 		}
 	})
 }
@@ -577,10 +587,7 @@
 	if !l.isUp {
 		return
 	}
-	id := yuccaworker.Owner{Name: e.name, Incarnation: e.incarnation}
-	e.handle(func() { e.broker.HandleLinkDown(w.now, s.name) })
-	s.handle(func() { s.core.HandleLinkDown(id) })
-	w.connect(e, s)
+	w.breakConnection(e, s, l.newest)
 }
 
 func (w *world) partitionLink(e *modelEntry, s *modelSide, d time.Duration) {
@@ -624,11 +631,16 @@
 func (w *world) sendToSide(e *modelEntry, s *modelSide, m *yuccawire.Envelope) {
 	id := yuccaworker.Owner{Name: e.name, Incarnation: e.incarnation}
 	incarnation := s.incarnation
-	w.transmit(w.link(e, s), func() {
+	l := w.link(e, s)
+	c := l.atEntry
+	w.transmitOn(l, c, (*connection).sideEnd, func() {
 		if s.incarnation != incarnation {
 			return
 		}
 		s.handle(func() {
+			if l.atSide != c {
+				return
+			}
 			w.logf("%s receives from %s.%d %v", s.name, e.name, e.incarnation, m)
 			switch body := m.GetBody().(type) {
 			case *yuccawire.Envelope_Orders:
@@ -644,11 +656,16 @@
 
 func (w *world) sendToEntry(s *modelSide, e *modelEntry, m *yuccawire.Envelope) {
 	incarnation := e.incarnation
-	w.transmit(w.link(e, s), func() {
+	l := w.link(e, s)
+	c := l.atSide
+	w.transmitOn(l, c, (*connection).entryEnd, func() {
 		if e.incarnation != incarnation {
 			return
 		}
 		e.handle(func() {
+			if l.atEntry != c {
+				return
+			}
 			switch body := m.GetBody().(type) {
 			case *yuccawire.Envelope_WorkerState:
 				e.broker.HandleWorkerState(w.now, s.name, body.WorkerState)
@@ -675,7 +692,7 @@
 			w.closeLink(e, s)
 		}
 		l := w.link(e, s)
-		l.isUp = false
+		l.drop()
 		l.delayed = nil
 	}
 	for _, peer := range e.peers {
@@ -704,12 +721,15 @@
 		return
 	}
 	e.isFrozen = true
+	for _, s := range w.sides {
+		w.closeSilentLink(e, s)
+	}
 	w.after(d, func() {
 		if e.isDown || !e.isFrozen {
 			return
 		}
 		e.isFrozen = false
-		deferred := e.deferred
+		deferred := w.withMissedTick(e.deferred, e.tick)
 		e.deferred = nil
 		for _, handler := range deferred {
 			e.handle(handler)
@@ -723,8 +743,7 @@
 	}
 	for _, e := range w.entries {
 		w.closeLink(e, s)
-		l := w.link(e, s)
-		l.isUp = false
+		w.link(e, s).drop()
 	}
 	s.isDown = true
 	s.isFrozen = false
@@ -737,12 +756,15 @@
 		return
 	}
 	s.isFrozen = true
+	for _, e := range w.entries {
+		w.closeSilentLink(e, s)
+	}
 	w.after(d, func() {
 		if s.isDown || !s.isFrozen {
 			return
 		}
 		s.isFrozen = false
-		deferred := s.deferred
+		deferred := w.withMissedTick(s.deferred, s.tick)
 		s.deferred = nil
 		for _, handler := range deferred {
 			s.handle(handler)
