yuccabroker: remember a run that turns up after it was written off

Callers would see: a 503 ("never runs") for a job of which a run was reported. An end that matches no run in flight, and a run in a side's list that the entry doesn't know, were ignored and withdrawn without a note. If the run had counted as never started, the job kept its promise of "not run", although the side had just said otherwise.

This keeps a wrong proof from becoming a wrong answer, and shows it: counter runs_unexpected, log line "run reported that counts as never started". Runs of an earlier submission of the same id don't count: their caller has been told 504, or nothing, and may be refused now.

Before the fix TestRunThatTurnsUpLateIsNotForgotten failed for an end and for a list: "waiter 1 got {rejected the deadline has passed 8s} (answered: true), want given_up". TestRefusedResendOfAJobThatRanBefore passed before and after.

--- a/yuccabroker/job.go
+++ b/yuccabroker/job.go
@@ -55,8 +55,9 @@
 	// abandoned.
 	withdrawReason string
 	// lastRun is the highest run number used by any of its tasks. A job that is
-	// submitted again continues the numbering from there.
-	lastRun uint64
+	// submitted again continues the numbering from there; runsBefore is that of the
+	// submissions before.
+	lastRun, runsBefore uint64
 	// ended is set once the outcome of the job is final.
 	ended bool
 }
@@ -146,7 +147,8 @@
 		j.estimator = b.estimator
 	}
 	j.answerBy = earlier(j.answerBy, b.stopAt)
-	j.lastRun = b.outcomes[submitted.ID].lastRun
+	j.runsBefore = b.outcomes[submitted.ID].lastRun
+	j.lastRun = j.runsBefore
 	for _, st := range j.steps {
 		for _, t := range st.tasks {
 			t.run = j.lastRun
--- a/yuccabroker/missing_test.go
+++ b/yuccabroker/missing_test.go
@@ -69,3 +69,41 @@
 		t.Error("no second run after a newer list without the first")
 	}
 }
+
+// A run that counts as never started turns up after all: in a list of ends, or of runs.
+func TestRunThatTurnsUpLateIsNotForgotten(t *testing.T) {
+	key := &yuccawire.RunKey{Task: "a.0.0.0", Run: 1}
+	for name, turnUp := range map[string]func(f *fixture){
+		"ended": func(f *fixture) {
+			f.broker.HandleEnds(f.now, "s1", &yuccawire.Ends{Ends: []*yuccawire.Ended{{Run: key, End: yuccawire.RunEnd_RUN_END_STOPPED}}})
+		},
+		"present": func(f *fixture) { f.relink("s1", f.sideClock(), key) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, "s1")
+			f.submit(job("a", 1), 1)
+			f.relink("s1", f.sideClock())
+			turnUp(f)
+			f.report("s1", noCapacity)
+			f.now = startTime.Add(3 * time.Second)
+			f.broker.Tick(f.now)
+			f.flush()
+			f.wantState(1, yuccabroker.Abandoned)
+		})
+	}
+}
+
+// An end of an earlier submission says nothing of the present one.
+func TestRefusedResendOfAJobThatRanBefore(t *testing.T) {
+	f := newFixture(t, "s1")
+	f.submit(job("a", 1), 1)
+	f.broker.HandleDisconnect(f.now, "a", 1)
+	f.report("s1", noCapacity)
+	f.submit(job("a", 1), 2)
+	f.endRun("s1", "a.0.0.0", 1, yuccawire.RunEnd_RUN_END_STOPPED, 0)
+	f.relink("s1", f.sideClock(), &yuccawire.RunKey{Task: "a.0.0.0", Run: 1})
+	f.now = startTime.Add(3 * time.Second)
+	f.broker.Tick(f.now)
+	f.flush()
+	f.wantState(2, yuccabroker.Rejected)
+}
--- a/yuccabroker/side.go
+++ b/yuccabroker/side.go
@@ -262,6 +262,9 @@
 	for _, k := range m.GetPresent() {
 		key := runKey{task: k.GetTask(), run: k.GetRun()}
 		present[key] = true
+		if b.runs[key] == nil {
+			b.recordUnknownRun(s, key)
+		}
 		if t := b.runs[key]; t == nil || t.job.ended {
 			withdraw.Runs = append(withdraw.Runs, k)
 		}
@@ -289,12 +292,24 @@
 	return int64(list.GetState().GetClockMs())-t.orderedMS >= yuccaworker.OutcomeRetention.Milliseconds()
 }
 
+// recordUnknownRun notes that a run of an open job may have started which counts as ended.
+func (b *Broker) recordUnknownRun(s *side, key runKey) {
+	if j := b.jobs[jobOf(key.task)]; j != nil && key.run > j.runsBefore && !j.mayHaveRun {
+		j.mayHaveRun = true
+		b.metrics.Add("runs_unexpected", 1)
+		b.options.Logger.Warn("run reported that counts as never started", "job", j.ID, "task", key.task, "run", key.run, "side", s.name)
+	}
+}
+
 // handleEnded applies the end of one run. Ends of superseded runs and of earlier
-// incarnations of the side are ignored.
+// incarnations of the side only show that the run may have started.
 func (b *Broker) handleEnded(now time.Time, s *side, e *yuccawire.Ended) {
 	key := runKey{task: e.GetRun().GetTask(), run: e.GetRun().GetRun()}
 	t := b.runs[key]
 	if t == nil || t.side != s || t.sideIncarnation != s.Incarnation {
+		if e.GetEnd() != yuccawire.RunEnd_RUN_END_REFUSED {
+			b.recordUnknownRun(s, key)
+		}
 		return
 	}
 	b.removeRun(t)
