yuccabroker: answer a joined job before the entry stops

Callers would see: a connection that breaks without an answer when an entry is stopped. A resend that joins an open job sets the time of its answer to that of the new deadline, also if the entry stops before.

Before the fix TestResendDoesNotOutlastTheStop failed: "waiter 1 got {queued 0s} (answered: false), want given_up", and the same for waiter 2.

--- a/yuccabroker/job.go
+++ b/yuccabroker/job.go
@@ -138,7 +138,7 @@
 		b.metrics.Add("jobs_joined", 1)
 		b.options.Logger.Info("resend joined the open job", "job", j.ID, "waiters", len(j.waiters)+1)
 		j.waiters = append(j.waiters, waiter)
-		j.answerBy = submitted.Deadline.Add(-AnswerMargin)
+		j.answerBy = earlier(submitted.Deadline.Add(-AnswerMargin), b.stopAt)
 		return
 	}
 	b.queueUses[submitted.Queue.Name] = queueUse{service: submitted.Queue.Service, at: now}
