yuccabroker: keep the outcome of a resend for its full time

Callers would see: a job runs a second time after its 200, as its outcome was dropped within seconds. Outcomes are dropped 10 s after they were saved, by id. If a submission was abandoned and its resend completed, the age of the first dropped the outcome of the second. The run numbers then also began at 1 again, which workers refuse as old.

Before the fix TestOutcomeOfAResendIsRetained failed: "waiter 3 got {queued 0s} (answered: false), want completed".

--- a/yuccabroker/broker.go
+++ b/yuccabroker/broker.go
@@ -104,9 +104,11 @@
 	queue   string
 	// lastRun is the highest run number used by any task of the job.
 	lastRun uint64
+	savedAt time.Time
 }
 
-// outcomeAge orders saved outcomes for eviction.
+// outcomeAge orders saved outcomes for eviction. A later submission of the job may have
+// replaced the outcome.
 type outcomeAge struct {
 	id      string
 	savedAt time.Time
@@ -268,7 +270,9 @@
 
 func (b *Broker) evictOutcomes(now time.Time) {
 	for len(b.outcomeAges) > 0 && now.Sub(b.outcomeAges[0].savedAt) > outcomeRetention {
-		delete(b.outcomes, b.outcomeAges[0].id)
+		if id := b.outcomeAges[0].id; b.outcomes[id].savedAt.Equal(b.outcomeAges[0].savedAt) {
+			delete(b.outcomes, id)
+		}
 		b.outcomeAges = b.outcomeAges[1:]
 	}
 }
--- a/yuccabroker/resend_test.go
+++ b/yuccabroker/resend_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/yuccaturn/yuccaturn/yuccabroker"
+	"github.com/yuccaturn/yuccaturn/yuccawire"
 )
 
 // A resend that joins the open job of a stopping entry does not extend it beyond the stop.
@@ -17,3 +18,23 @@
 	f.wantState(1, yuccabroker.Abandoned)
 	f.wantState(2, yuccabroker.Abandoned)
 }
+
+// The outcome of a submission is retained as long as any, also if an earlier one was abandoned.
+func TestOutcomeOfAResendIsRetained(t *testing.T) {
+	f := newFixture(t, "s1")
+	f.submit(job("a", 1), 1)
+	f.broker.HandleDisconnect(f.now, "a", 1)
+	f.endRun("s1", "a.0.0.0", 1, refused, yuccawire.RunRefusal_RUN_REFUSAL_WITHDRAWN)
+	f.advance(9*time.Second, "s1")
+	again := job("a", 1)
+	again.Deadline = f.now.Add(3 * time.Second)
+	f.submit(again, 2)
+	f.endRun("s1", "a.0.0.0", 2, done, 0)
+	f.wantState(2, yuccabroker.Completed)
+	f.advance(2*time.Second, "s1")
+	f.submit(again, 3)
+	f.wantState(3, yuccabroker.Completed)
+	if f.sentRuns()["a.0.0.0/1"] == "" || len(f.sentRuns()) != 2 {
+		t.Errorf("sent %v, want one run for each submission that was not answered", f.sentRuns())
+	}
+}
