--- a/yuccabroker/job.go
+++ b/yuccabroker/job.go
@@ -55,8 +55,9 @@
 	// abandoned.
 	withdrawReason string
 	// lastRun is the highest run number used by any of its tasks. A job that is
-	// submitted again continues the numbering from there.
-	lastRun uint64
+	// submitted again continues the numbering from there; runsBefore is that of the
+	// submissions before.
+	lastRun, runsBefore uint64
 	// ended is set once the outcome of the job is final.
 	ended bool
 }
@@ -138,7 +139,7 @@
 		b.metrics.Add("jobs_joined", 1)
 		b.options.Logger.Info("resend joined the open job", "job", j.ID, "waiters", len(j.waiters)+1)
 		j.waiters = append(j.waiters, waiter)
-		j.answerBy = submitted.Deadline.Add(-AnswerMargin)
+		j.answerBy = earlier(submitted.Deadline.Add(-AnswerMargin), b.stopAt)
 		return
 	}
 	b.queueUses[submitted.Queue.Name] = queueUse{service: submitted.Queue.Service, at: now}
@@ -147,7 +148,8 @@
 		j.estimator = b.estimator
 	}
 	j.answerBy = earlier(j.answerBy, b.stopAt)
-	j.lastRun = b.outcomes[submitted.ID].lastRun
+	j.runsBefore = b.outcomes[submitted.ID].lastRun
+	j.lastRun = j.runsBefore
 	for _, st := range j.steps {
 		for _, t := range st.tasks {
 			t.run = j.lastRun
@@ -370,7 +372,7 @@
 func (b *Broker) finish(now time.Time, j *job, o Outcome) {
 	j.ended = true
 	delete(b.jobs, j.ID)
-	b.outcomes[j.ID] = savedOutcome{outcome: o, queue: j.Queue.Name, lastRun: j.lastRun}
+	b.outcomes[j.ID] = savedOutcome{outcome: o, queue: j.Queue.Name, lastRun: j.lastRun, savedAt: now}
 	b.outcomeAges = append(b.outcomeAges, outcomeAge{id: j.ID, savedAt: now})
 	b.stopRuns(j)
 	b.needsPlacement = true
