side: guard what the runs of TestSuspendedSide share

The runs of the test ended at the same time and appended to one slice. The race was in the fake runner only.

--- a/yuccaside/suspension_test.go
+++ b/yuccaside/suspension_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,10 +17,15 @@
 )
 
 // blockingRunner records the runs that end with their context.
-type blockingRunner struct{ ended []string }
+type blockingRunner struct {
+	mu    sync.Mutex
+	ended []string
+}
 
 func (r *blockingRunner) Run(ctx context.Context, _ string, start *yuccawire.Start) *yuccawire.Finished {
 	<-ctx.Done()
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.ended = append(r.ended, start.GetKey().GetTask())
 	return &yuccawire.Finished{State: yuccawire.TaskState_TASK_UNKNOWN}
 }
@@ -53,6 +59,8 @@
 		wantEnded := func(when string, want int) {
 			t.Helper()
 			synctest.Wait()
+			runner.mu.Lock()
+			defer runner.mu.Unlock()
 			if len(runner.ended) != want {
 				t.Errorf("%s: the runs %v have ended, want %d", when, runner.ended, want)
 			}
