--- a/yuccacatalog/catalog.go
+++ b/yuccacatalog/catalog.go
@@ -59,12 +59,18 @@
 	hosts   map[string][]Route
 }
 
+// maxFindings limits the findings of a draft. They take far more memory than its text.
+const maxFindings = 100
+
 // New validates a draft and returns its catalog. The error is a
-// [yuccajsonc.Findings] with all findings.
+// [yuccajsonc.Findings] with all findings, a hundred at most.
 func New(draft Draft) (*Catalog, error) {
 	c := &Catalog{version: draft.Version, limits: draft.Limits, hosts: make(map[string][]Route)}
 	var findings yuccajsonc.Findings
 	report := func(field, problem, expected string) {
+		if len(findings) == maxFindings {
+			return
+		}
 		findings = append(findings, yuccajsonc.Finding{File: "document", Line: 1, Column: 1, Field: field, Problem: problem, Expected: expected})
 	}
 	if draft.Version == 0 {
