control: refuse operators' texts that are not UTF-8

An operator whose name, request id or path was not in UTF-8, such as Yucca-Operator: <0xff> or PUT /v1/sections/%ff, made the leader panic: messages hold UTF-8 only, and encoding the command was taken to be impossible to fail. The call had no answer, and was sent to the next leader.

TestTextThatIsNotUTF8IsRefused failed with "panic: string field contains invalid UTF-8". The call is a 400 now, and nothing is proposed.

Ruled out: the users' platform.

--- a/yuccacontrol/control.go
+++ b/yuccacontrol/control.go
@@ -35,6 +35,9 @@
 	// ErrNotLeader means that nothing was proposed; the request can be sent to
 	// the leader.
 	ErrNotLeader = merry.Sentinel("this control is not the leader")
+	// ErrNotUTF8 means that a text of the command can't be encoded, and that nothing was
+	// proposed.
+	ErrNotUTF8 = merry.Sentinel("the path, the request id or the operator is not in UTF-8")
 	// ErrUnknownOutcome means that the command was proposed or may have been, and
 	// that it may still be committed. Resending the same request is idempotent.
 	ErrUnknownOutcome = merry.Sentinel("the leadership ended before the outcome was known; send the same request again")
@@ -216,7 +219,7 @@
 }
 
 // Apply commits an operator's change and returns its result. It returns
-// ErrNotLeader or ErrUnknownOutcome if the result isn't available.
+// ErrNotLeader, ErrNotUTF8 or ErrUnknownOutcome if the result isn't available.
 func (c *Control) Apply(ctx context.Context, command *yuccawire.Command) (*yuccastate.ChangeResult, error) {
 	replies := make(chan changeReply, 1)
 	select {
--- a/yuccacontrol/operators.go
+++ b/yuccacontrol/operators.go
@@ -239,6 +239,8 @@
 	switch {
 	case errors.Is(err, ErrNotLeader):
 		c.redirect(w, r)
+	case errors.Is(err, ErrNotUTF8):
+		yuccaproblem.Write(w, yuccaproblem.NotRunf(http.StatusBadRequest, yuccaproblem.BadRequest, "%s", err))
 	case errors.Is(err, ErrUnknownOutcome), errors.Is(err, context.DeadlineExceeded):
 		yuccaproblem.Write(w, yuccaproblem.New(http.StatusGatewayTimeout, yuccaproblem.OutcomeUnknown, ErrUnknownOutcome.Error()))
 	case errors.Is(err, yuccareplica.ErrUnknownReplica):
--- a/yuccacontrol/sessions.go
+++ b/yuccacontrol/sessions.go
@@ -196,12 +196,15 @@
 }
 
 // proposeCommand appends the command to the log and calls done, unless it is nil,
-// with its result. It returns false and does not call done if this replica can't
-// propose.
+// with its result, or with ErrNotUTF8. It returns false and does not call done if this
+// replica can't propose.
 func (c *Control) proposeCommand(now time.Time, command *yuccawire.Command, done func(yuccastate.Result, error)) bool {
 	data, err := proto.Marshal(command)
 	if err != nil {
-		panic(err) // marshalling a generated message can't fail
+		if done != nil {
+			done(yuccastate.Result{}, ErrNotUTF8)
+		}
+		return true
 	}
 	index, term, ok := c.core.Propose(now, data)
 	if ok && done != nil {
