sized: refuse job IDs that are not UTF-8

A caller with the id %ff ended the link to each side that the job's tasks were sent to, in turn: messages hold UTF-8 only, and a link ends at a message that it can't encode (a trial with yuccamux: the next message is answered by EOF). The runs of all other jobs there were lost with it. A query or a cancellation of such an id ended the links to all other entries.

TestRefusals failed with "response 504 the deadline is near". Such an id is a 400 when a job is submitted; nobody has a job with one, so that queries and cancellations are a 404 at once.

Ruled out: the users' platform, where an id has 16 hexadecimal digits and all other texts come from JSON, which encoding/json turns into UTF-8.

--- a/yuccasized/callers.go
+++ b/yuccasized/callers.go
@@ -127,6 +127,10 @@
 	if !ok {
 		return
 	}
+	if problem, _ := checkName(r.PathValue("id")); problem != "" {
+		c.writeLookup(w, r, route, lookup{missingVerb: "knows"}, nil)
+		return
+	}
 	state, found, err := c.edge.JobState(r.Context(), route.Queue.Name, r.PathValue("id"))
 	c.writeLookup(w, r, route, lookup{state: state.String(), found: found, missingVerb: "knows"}, err)
 }
@@ -136,6 +140,10 @@
 	if !ok {
 		return
 	}
+	if problem, _ := checkName(r.PathValue("id")); problem != "" {
+		c.writeLookup(w, r, route, lookup{missingVerb: "has an open"}, nil)
+		return
+	}
 	found, err := c.edge.Cancel(r.Context(), route.Queue.Name, r.PathValue("id"))
 	c.writeLookup(w, r, route, lookup{state: "cancelled", found: found, missingVerb: "has an open"}, err)
 }
--- a/yuccasized/job.go
+++ b/yuccasized/job.go
@@ -6,6 +6,7 @@
 	"math"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"github.com/yuccaturn/yuccaturn/yuccabroker"
 	"github.com/yuccaturn/yuccaturn/yuccajsonc"
@@ -119,6 +120,8 @@
 		return "is empty", "a name"
 	case len(name) > maxNameBytes:
 		return fmt.Sprintf("has %d bytes", len(name)), fmt.Sprintf("%d at most", maxNameBytes)
+	case !utf8.ValidString(name):
+		return fmt.Sprintf("is %q", name), "a name in UTF-8"
 	case strings.ContainsFunc(name, func(r rune) bool { return r <= ' ' || r == 0x7f || r == '/' }):
 		return fmt.Sprintf("is %q", name), "a name without spaces, control characters and /"
 	}
--- a/yuccasized/system_test.go
+++ b/yuccasized/system_test.go
@@ -234,6 +234,7 @@
 		}{
 			{"/v1/queues/nobody/jobs/a", twoSteps("1s"), http.StatusNotFound, yuccaproblem.UnknownService, ""},
 			{"/v1/queues/trim/jobs/" + strings.Repeat("x", 201), twoSteps("1s"), http.StatusBadRequest, yuccaproblem.BadRequest, ""},
+			{"/v1/queues/trim/jobs/%ff", twoSteps("1s"), http.StatusBadRequest, yuccaproblem.BadRequest, ""},
 			{"/v1/queues/trim/jobs/a", "{", http.StatusBadRequest, yuccaproblem.BadRequest, "job:1:2"},
 			{"/v1/queues/trim/jobs/a", `{"steps": []}`, http.StatusBadRequest, yuccaproblem.BadRequest, "job:1:11: steps: has no steps"},
 			{"/v1/queues/trim/jobs/a", `{"steps": [{"tasks": 1, "cpu": 1, "estimate": "1ms", "after": [0]}]}`, http.StatusBadRequest, yuccaproblem.BadRequest, "steps[0].after: names step 0"},
