worker: count a run that is being stopped until its stop has ended

A worker takes up to 50 ms to stop a run, and its capacity becomes free when the end is listed.

Whether workers in use hide such runs is not known; the protocol doesn't say that they are listed as running.

Now a run that is in neither list is gone only after the time that a stop takes: counted from the answer to its stop or, for a run that had been started, from the first list without it. A run that a new incarnation did not list before the first stop is gone as before, as its takeover fences delayed starts. The renewal waits for that time instead of asking without pause.

--- a/yuccamodel/worker_test.go
+++ b/yuccamodel/worker_test.go
@@ -65,6 +65,10 @@
 	// noCapacityShare that of starts of new runs that are refused for lack of capacity.
 	unhealthyShare  float64
 	noCapacityShare float64
+	// stopTime is how long stops take, during which hidesStopping keeps the runs from both
+	// lists.
+	stopTime      time.Duration
+	hidesStopping bool
 	// refusalsDue is how many of the next starts are refused as unhealthy.
 	refusalsDue    int
 	reportSequence int64
@@ -80,6 +84,8 @@
 	startedAt   time.Time
 	// fails is set if the run fails near its end.
 	fails bool
+	// isStopping is set from the stop of the run on.
+	isStopping bool
 }
 
 // pendingHold is a hold call that waits for a completion.
@@ -145,6 +151,11 @@
 	})
 }
 
+// listedKeys returns the runs that the worker lists as running.
+func (m *modelWorker) listedKeys() []yuccaworker.Key {
+	return slices.DeleteFunc(m.runKeys(), func(key yuccaworker.Key) bool { return m.hidesStopping && m.runs[key].isStopping })
+}
+
 // answerHolds answers the hold calls whose wait is over, or all of them if there
 // is a completion.
 func (m *modelWorker) answerHolds() {
@@ -255,7 +266,7 @@
 		return yuccaworker.ResultFenced
 	}
 	m.token = c.Token
-	if m.runs[key] != nil {
+	if r := m.runs[key]; r != nil && !r.isStopping {
 		return yuccaworker.ResultOK
 	}
 	if key.Run <= m.lastRun[key.Task] {
@@ -300,8 +311,18 @@
 	}
 	m.token = c.Token
 	m.lastRun[c.Key.Task] = max(m.lastRun[c.Key.Task], c.Key.Run)
-	if m.runs[c.Key] != nil {
+	r := m.runs[c.Key]
+	switch {
+	case r == nil || r.isStopping:
+	case m.stopTime == 0:
 		m.complete(c.Key, yuccawire.RunEnd_RUN_END_STOPPED)
+	default:
+		r.isStopping = true
+		m.world.after(m.stopTime, func() {
+			if m.runs[c.Key] == r {
+				m.complete(c.Key, yuccawire.RunEnd_RUN_END_STOPPED)
+			}
+		})
 	}
 	return true
 }
@@ -338,6 +359,6 @@
 	}
 	return yuccaworker.HoldResult{
 		Incarnation: c.Incarnation, Result: result, SentAt: c.SentAt, ClockMS: m.clock(),
-		Running: m.runKeys(), Completions: slices.Clone(m.completions),
+		Running: m.listedKeys(), Completions: slices.Clone(m.completions),
 	}
 }
--- a/yuccaworker/doc.go
+++ b/yuccaworker/doc.go
@@ -68,6 +68,9 @@
 	// hold is no longer extended. With it, OwnerLease as the longest time that the
 	// withdrawal takes to arrive, and Hold, the run ends within 1.3 s.
 	maxStopTime = 200 * time.Millisecond
+	// stopTime is how long a worker takes to stop a run, with a margin. It may list the run
+	// neither as running nor as completed in that time.
+	stopTime = 60 * time.Millisecond
 	// loggedStopTry is the try of a stop that is logged.
 	loggedStopTry = 3
 	// maxStartTries limits the tries of an unanswered start. A worker answers a
--- a/yuccaworker/hold.go
+++ b/yuccaworker/hold.go
@@ -24,8 +24,8 @@
 	if !w.takenOver {
 		w.nextTakeOverAt = now.Add(takeOverRetry)
 	}
-	wait := holdWait
-	if !w.takenOver || len(w.runs) == 0 || w.awaitsStopOutcome() {
+	wait := min(holdWait, w.stopWait(now))
+	if !w.takenOver || len(w.runs) == 0 {
 		wait = 0
 	}
 	deadline := int64(0)
@@ -93,15 +93,26 @@
 	return len(w.runs) > 0 && (!w.isReachable() || now.Sub(w.lastAnswerAt) > unresponsiveAfter)
 }
 
-// awaitsStopOutcome reports whether the worker acknowledged the stop of a run
-// that it has not listed as completed yet.
-func (w *Worker) awaitsStopOutcome() bool {
-	for _, r := range w.sortedRuns() {
+// stopWait returns the time until the next list may show that a stopped run is gone, in whole
+// milliseconds. The worker answers at once if the end of a run is listed before.
+func (w *Worker) stopWait(now time.Time) time.Duration {
+	wait := holdWait
+	for _, r := range w.runs {
 		if !r.stopAckedAt.IsZero() {
-			return true
+			wait = min(wait, max(r.stopEndsAt().Sub(now), 0))
 		}
 	}
-	return false
+	return (wait + time.Millisecond - 1).Truncate(time.Millisecond)
+}
+
+// stopEndsAt returns when the stop of a run has ended that the worker acknowledged. There is
+// nothing to end if a new incarnation did not list the run before the first stop, as its
+// takeover fences delayed starts.
+func (r *run) stopEndsAt() time.Time {
+	if r.lostAs != yuccawire.RunEnd_RUN_END_UNSPECIFIED && !r.absentSince.IsZero() && r.absentSince.Before(r.stopRequestedAt) {
+		return r.stopAckedAt
+	}
+	return r.stopAckedAt.Add(stopTime)
 }
 
 // HandleHoldReply processes the answer to a renewal. If another incarnation of the
@@ -183,9 +194,9 @@
 }
 
 // reconcileRuns compares the worker's list of running runs with the runs that
-// the side tracks. It stops runs that an earlier process of this side started. A
-// run whose stop is acknowledged and that is neither running nor completed can
-// no longer start.
+// the side tracks. It stops the others, and doesn't use the worker while there are any. A
+// run that is neither running nor completed is gone after the time that a stop takes: once
+// its stop is acknowledged, or if it had been started. It can't start any more.
 func (w *Worker) reconcileRuns(now time.Time, h HoldResult) {
 	running := make(map[Key]bool, len(h.Running))
 	untracked := 0
@@ -202,20 +213,26 @@
 	for _, r := range w.sortedRuns() {
 		if running[r.key] {
 			r.listed, r.absent, r.lostAs = true, false, yuccawire.RunEnd_RUN_END_UNSPECIFIED
+			r.absentSince = time.Time{}
 			w.settleCrash(now, r, false)
 			continue
 		}
 		r.absent = r.state != started && h.SentAt.After(r.triedAt) && now.Sub(r.triedAt) > startTimeout
+		if r.absentSince.IsZero() {
+			r.absentSince = h.SentAt
+		}
+		isStopped := !r.stopAckedAt.IsZero() && h.SentAt.After(r.stopEndsAt())
+		isMissing := r.state == started && h.SentAt.Sub(latest(r.absentSince, r.confirmedAt)) > stopTime
 		isLost := r.lostAs != yuccawire.RunEnd_RUN_END_UNSPECIFIED
 		switch {
 		case isLost && r.stopSentAt.IsZero():
 			// Keeps a delayed start from taking effect.
 			w.stopRun(now, r)
-		case !r.stopAckedAt.IsZero() && h.SentAt.After(r.stopAckedAt) && isLost:
+		case isLost && isStopped:
 			w.loseRun(now, r, "the new incarnation does not list it")
-		case !r.stopAckedAt.IsZero() && h.SentAt.After(r.stopAckedAt):
+		case isStopped:
 			w.completeRun(now, r, yuccawire.RunEnd_RUN_END_STOPPED)
-		case r.state == started && h.SentAt.After(r.confirmedAt) && len(h.Completions) == 0:
+		case isMissing && len(h.Completions) == 0:
 			// Neither running nor completed: the worker lost its record of the run.
 			w.completeRun(now, r, yuccawire.RunEnd_RUN_END_LOST)
 		}
--- a/yuccaworker/restart.go
+++ b/yuccaworker/restart.go
@@ -39,7 +39,7 @@
 		}
 		unconfirmed++
 		// A stop that the earlier incarnation answered doesn't bind the new one.
-		r.state, r.listed, r.stopAckedAt = uncertain, false, time.Time{}
+		r.state, r.listed, r.stopAckedAt, r.absentSince = uncertain, false, time.Time{}, time.Time{}
 		if r.pendingCrash == nil && pending != nil {
 			r.pendingCrash = pending
 			pending.unconfirmed++
--- a/yuccaworker/worker_test.go
+++ b/yuccaworker/worker_test.go
@@ -44,6 +44,13 @@
 	clockOffset     int64
 	// dropStops loses stops on their way.
 	dropStops bool
+	// stopTime is how long stops take; the runs in stopping are in neither list until the
+	// clock shows the time given. dropStopReplies loses the answers to stops.
+	stopTime        time.Duration
+	stopping        map[yuccaworker.Key]int64
+	dropStopReplies bool
+	// leaseDecides makes starts late by the lease of all runs, not by their own deadline.
+	leaseDecides bool
 	// retryResult is the answer to starts of runs that are running, if it is set.
 	retryResult yuccaworker.Result
 	lostStarts  []yuccaworker.CallStart
@@ -61,7 +68,7 @@
 func newHarness(t *testing.T) *harness {
 	h := &harness{
 		t: t, now: startTime, incarnation: yuccaworker.Incarnation{ID: "w-1", StartedAtMS: 100},
-		running: make(map[yuccaworker.Key]bool), latestRun: make(map[string]uint64),
+		running: make(map[yuccaworker.Key]bool), latestRun: make(map[string]uint64), stopping: make(map[yuccaworker.Key]int64),
 		delivered: make(map[yuccaworker.Owner][]*yuccawire.Ended), states: make(map[yuccaworker.Owner]*yuccawire.WorkerState),
 		stateCount: make(map[yuccaworker.Owner]int), crashes: make(map[yuccaworker.Owner][]*yuccawire.Crash),
 	}
@@ -130,16 +137,35 @@
 			h.core.HandleStopReply(h.now, a.Incarnation, a.Key, false, 0)
 			return
 		}
-		h.latestRun[a.Key.Task] = max(h.latestRun[a.Key.Task], a.Key.Run)
-		if h.running[a.Key] {
-			h.complete(a.Key, yuccawire.RunEnd_RUN_END_STOPPED)
-		}
-		h.core.HandleStopReply(h.now, a.Incarnation, a.Key, true, h.clock())
+		h.stop(a.Key)
+		h.core.HandleStopReply(h.now, a.Incarnation, a.Key, !h.dropStopReplies, h.clock())
 	case yuccaworker.CallHold:
 		h.hold(a)
 	}
 }
 
+func (h *harness) stop(key yuccaworker.Key) {
+	h.latestRun[key.Task] = max(h.latestRun[key.Task], key.Run)
+	switch {
+	case h.running[key] && h.stopTime > 0:
+		delete(h.running, key)
+		h.stopping[key] = h.clock() + h.stopTime.Milliseconds()
+	case h.running[key]:
+		h.complete(key, yuccawire.RunEnd_RUN_END_STOPPED)
+	}
+}
+
+// endStops lists the runs whose stop is over as completed.
+func (h *harness) endStops() {
+	for key, until := range h.stopping {
+		if h.clock() >= until {
+			delete(h.stopping, key)
+			h.running[key] = true
+			h.complete(key, yuccawire.RunEnd_RUN_END_STOPPED)
+		}
+	}
+}
+
 // callTime is how long a renewal takes.
 const callTime = time.Microsecond
 
@@ -158,7 +184,7 @@
 		h.core.HandleStartReply(h.now, a.Incarnation, a.Key, yuccaworker.ResultOK, h.clock())
 	case a.Key.Run <= h.latestRun[a.Key.Task]:
 		h.core.HandleStartReply(h.now, a.Incarnation, a.Key, yuccaworker.ResultOldRun, h.clock())
-	case a.DeadlineMS <= h.clock():
+	case a.DeadlineMS <= h.clock() && !(h.leaseDecides && h.holdUntilMS > h.clock()):
 		h.core.HandleStartReply(h.now, a.Incarnation, a.Key, yuccaworker.ResultExpired, h.clock())
 	default:
 		h.running[a.Key] = true
@@ -231,6 +257,7 @@
 func (h *harness) advance(d time.Duration) {
 	for end := h.now.Add(d); h.now.Before(end); {
 		h.now = h.now.Add(10 * time.Millisecond)
+		h.endStops()
 		if h.clock() > h.holdUntilMS {
 			for key := range h.running {
 				h.complete(key, yuccawire.RunEnd_RUN_END_LOST)
