--- a/yuccaworker/doc.go
+++ b/yuccaworker/doc.go
@@ -71,6 +71,9 @@
 	// hold is no longer extended. With it, OwnerLease as the longest time that the
 	// withdrawal takes to arrive, and Hold, the run ends within 1.3 s.
 	maxStopTime = 200 * time.Millisecond
+	// stopTime is how long a worker takes to stop a run, with a margin. It may list the run
+	// neither as running nor as completed in that time.
+	stopTime = 60 * time.Millisecond
 	// loggedStopTry is the try of a stop that is logged.
 	loggedStopTry = 3
 	// maxForeignStops limits how many runs that the side doesn't know are stopped after an
