yuccamodel: check that nothing hangs after links have crossed

TestFaultsWithCrossingLinks ends like the other tests of faults: load after the last fault has to be served, and all workers have to be in use.

--- a/yuccamodel/crossing_test.go
+++ b/yuccamodel/crossing_test.go
@@ -201,7 +201,8 @@
 }
 
 // TestFaultsWithCrossingLinks is TestFaults with links whose ends notice changes at different times, so that
-// links cross, and with processes that handle what has waited before the tick that they missed.
+// links cross, and with processes that handle what has waited before the tick that they missed. Nothing hangs
+// afterwards.
 func TestFaultsWithCrossingLinks(t *testing.T) {
 	t.Parallel()
 	for i := range *seeds {
@@ -212,15 +213,8 @@
 			w.noticeSpread = 800 * time.Millisecond
 			w.patience = 6 * time.Second
 			w.start()
-			w.run(3 * warmUp)
-			w.offerLoad(0.35, 10*time.Second)
-			for range 24 {
-				w.after(time.Duration(w.random.IntN(9000))*time.Millisecond, w.injectFault)
-			}
-			w.run(22 * time.Second)
-			if w.starts == 0 {
-				t.Error("no task was started")
-			}
+			w.playFaults(0.3, 20, w.injectFault)
+			w.checkInUse()
 		})
 	}
 }
