--- a/yuccaentry/bad_input_test.go
+++ b/yuccaentry/bad_input_test.go
@@ -143,15 +143,27 @@
 	}
 }
 
+// Nobody has such a job, and a question about it ended the links to the other entries.
+func TestJobNameThatIsNotUTF8IsUnknown(t *testing.T) {
+	response, err := http.Get(newIdleEntry(t).URL + "/v1/jobs/parishes/%ff")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusNotFound {
+		t.Errorf("response is %s, want not found", response.Status)
+	}
+}
+
 func TestInvalidHeadersAreRefused(t *testing.T) {
 	server := newIdleEntry(t)
-	for name, value := range map[string]string{"Yucca-Timeout": "soon", "Yucca-Submitted-At": "yesterday", "Yucca-Team": ""} {
+	for name, value := range map[string]string{"Yucca-Timeout": "soon", "Yucca-Submitted-At": "yesterday", "Yucca-Team": "", "Idempotency-Key": "\xff"} {
 		request, err := http.NewRequest(http.MethodPost, server.URL+"/v1/services/regulation/x", nil)
 		if err != nil {
 			t.Fatal(err)
 		}
 		request.Header.Set("Yucca-Team", "parishes")
-		request.Header.Set(name, value)
+		request.Header[name] = []string{value}
 		response, err := http.DefaultClient.Do(request)
 		if err != nil {
 			t.Fatal(err)
--- a/yuccaentry/decode.go
+++ b/yuccaentry/decode.go
@@ -10,6 +10,7 @@
 	"net/url"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"github.com/yuccaturn/yuccaturn/yuccadispatch"
 	"github.com/yuccaturn/yuccaturn/yuccajsonc"
@@ -94,6 +95,8 @@
 		d.Report(field, "is missing", "a name")
 	case len(name) > maxNameBytes:
 		d.Report(field, fmt.Sprintf("has %d bytes", len(name)), fmt.Sprintf("%d at most", maxNameBytes))
+	case !utf8.ValidString(name):
+		d.Report(field, fmt.Sprintf("is %q", name), "a name in UTF-8")
 	case strings.ContainsFunc(name, func(r rune) bool { return r < ' ' || r == 0x7f || r == '/' }):
 		d.Report(field, fmt.Sprintf("is %q", name), "a name without control characters and /")
 	}
--- a/yuccaentry/jobs.go
+++ b/yuccaentry/jobs.go
@@ -212,6 +212,10 @@
 // watchJob cancels the job if cancelJob is set, and writes its state.
 func (e *Entry) watchJob(w http.ResponseWriter, r *http.Request, cancelJob bool) {
 	key := yuccadispatch.Key{Team: r.PathValue("team"), ID: r.PathValue("id")}
+	if !utf8.ValidString(key.Team) || !utf8.ValidString(key.ID) {
+		yuccaproblem.Write(w, yuccaproblem.New(http.StatusNotFound, yuccaproblem.JobUnknown, "no job has a name that is not in UTF-8"))
+		return
+	}
 	ctx, cancel := context.WithTimeout(r.Context(), watchTimeout)
 	defer cancel()
 	result, err := e.Watch(ctx, key, cancelJob)
