entry: escape queries that are not UTF-8

A request with a raw byte in its query, such as ?q=caf<e9>, ended the link to the side it was sent to, like a header of that kind.

TestQueryThatIsNotUTF8IsEscaped failed with "string field contains invalid UTF-8". The bytes are percent-encoded, which means the same; a query in UTF-8 is passed on unchanged.

Ruled out: the path, which is escaped already, and the method, which net/http checks.

--- a/yuccaentry/bad_input_test.go
+++ b/yuccaentry/bad_input_test.go
@@ -12,6 +12,8 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/yuccaturn/yuccaturn/yuccaentry"
 	"github.com/yuccaturn/yuccaturn/yuccametric"
 	"github.com/yuccaturn/yuccaturn/yuccamux"
@@ -175,3 +177,15 @@
 		}
 	}
 }
+
+func TestQueryThatIsNotUTF8IsEscaped(t *testing.T) {
+	request := httptest.NewRequest(http.MethodGet, "/v1/services/regulation/x?q=caf\xe9&r=%ff&s=é", nil)
+	message := yuccaentry.WireRequest(request, nil)
+	if _, err := proto.Marshal(message); err != nil || message.GetQuery() != "q=caf%E9&r=%ff&s=%C3%A9" {
+		t.Errorf("the query is %q, %v", message.GetQuery(), err)
+	}
+	request = httptest.NewRequest(http.MethodGet, "/v1/services/regulation/x?s=é", nil)
+	if got := yuccaentry.WireRequest(request, nil).GetQuery(); got != "s=é" {
+		t.Errorf("a query in UTF-8 is changed to %q", got)
+	}
+}
--- /dev/null
+++ b/yuccaentry/export_test.go
@@ -0,0 +1,4 @@
+package yuccaentry
+
+// WireRequest returns the message with a caller's request.
+var WireRequest = wireRequest
--- a/yuccaentry/single.go
+++ b/yuccaentry/single.go
@@ -2,9 +2,11 @@
 
 import (
 	"crypto/rand"
+	"fmt"
 	"net/http"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"github.com/yuccaturn/yuccaturn/yuccadispatch"
 	"github.com/yuccaturn/yuccaturn/yuccaheader"
@@ -127,12 +129,29 @@
 	return &yuccawire.Request{
 		Method:  r.Method,
 		Path:    targetPath(r.URL.EscapedPath()),
-		Query:   r.URL.RawQuery,
+		Query:   escapedQuery(r.URL.RawQuery),
 		Headers: yuccaheader.ToWire(r.Header),
 		Body:    body,
 	}
 }
 
+// escapedQuery returns the query with all bytes beyond ASCII escaped, unless it is UTF-8:
+// messages hold nothing else.
+func escapedQuery(query string) string {
+	if utf8.ValidString(query) {
+		return query
+	}
+	var escaped strings.Builder
+	for _, b := range []byte(query) {
+		if b < utf8.RuneSelf {
+			escaped.WriteByte(b)
+			continue
+		}
+		fmt.Fprintf(&escaped, "%%%02X", b)
+	}
+	return escaped.String()
+}
+
 // targetPath returns the escaped path after /v1/services/NAME.
 func targetPath(path string) string {
 	const segments = 5
