queue: limit weights that make an item cost nothing

A team with a weight above 2^20, which is valid, was served alone: all other teams of that service waited until it had no tasks. Larger weights also overflowed the forecast of the tasks ahead.

Cause: the cost of an item is 2^20 divided by the weight, in integers.

TestLargeWeightLeavesOthersTheirTurn failed with "the second item of the light flow was not popped". Weights above 2^20 count as that.

--- a/yuccaqueue/fair.go
+++ b/yuccaqueue/fair.go
@@ -15,6 +15,10 @@
 // itemCost is the virtual time that one item takes in a flow of weight one.
 const itemCost = 1 << 20
 
+// clampWeight returns the weight that is computed with. An item of a larger one would cost
+// nothing, and its flow be served alone.
+func clampWeight(weight int) int { return min(max(weight, 1), itemCost) }
+
 // Fair is a start-time fair queue of items in flows. It is not safe for concurrent use.
 type Fair[K comparable, T any] struct {
 	flows map[K]*flow[K, T]
@@ -55,7 +59,7 @@
 	ahead := own
 	for _, fl := range f.flowList {
 		if fl.key != key {
-			ahead += min(fl.items.Len(), own*int(fl.weight)/max(weight, 1))
+			ahead += min(fl.items.Len(), own*int(fl.weight)/clampWeight(weight))
 		}
 	}
 	return ahead
@@ -83,7 +87,7 @@
 	if fl.items.Len() == 0 {
 		fl.startTag = max(fl.startTag, f.virtualTime)
 	}
-	fl.weight = uint64(max(weight, 1))
+	fl.weight = uint64(clampWeight(weight))
 	return fl
 }
 
--- a/yuccaqueue/fair_test.go
+++ b/yuccaqueue/fair_test.go
@@ -1,6 +1,7 @@
 package yuccaqueue_test
 
 import (
+	"math"
 	"math/rand"
 	"testing"
 
@@ -115,6 +116,25 @@
 	}
 }
 
+// A flow of such a weight was served alone, for as long as it had items.
+func TestLargeWeightLeavesOthersTheirTurn(t *testing.T) {
+	q := yuccaqueue.New[string, int]()
+	for i := range 1 << 21 {
+		q.Push("heavy", math.MaxInt, i)
+	}
+	q.Push("light", 1, -1)
+	q.Push("light", 1, -2)
+	if got := q.Ahead("light", 1, 1); got != 3+1<<21 {
+		t.Errorf("%d items ahead", got)
+	}
+	for range 1<<20 + 8 {
+		if item, _ := q.Pop(allowAll); item == -2 {
+			return
+		}
+	}
+	t.Error("the second item of the light flow was not popped")
+}
+
 func TestRemoveAll(t *testing.T) {
 	q := yuccaqueue.New[string, int]()
 	for i := range 10 {
