dispatch: limit the expected wait

After about a minute in which no queued task of a service ended, the rate of completions is so small that the wait overflows: jobs were admitted that can't meet their deadline (the sum with four run times is below zero), and those refused for a full queue got a Retry-After of 292 years.

TestExpectedWaitOfStandstill failed with "got 2562047h47m16.854775807s".

--- a/yuccadispatch/rate.go
+++ b/yuccadispatch/rate.go
@@ -8,6 +8,9 @@
 	// runTimeMargin is the number of mean run times allowed between the start of
 	// the last task of a job and its deadline.
 	runTimeMargin = 4
+	// maxExpectedWait limits the estimate, which is beyond any duration after a minute
+	// without completions. No deadline is that long.
+	maxExpectedWait = time.Hour
 )
 
 // rate estimates the completion rate of a service at this entry while tasks are
@@ -41,14 +44,15 @@
 }
 
 // expectedWait returns the estimated time until all queued tasks of the team and
-// the given number of extra tasks are started. It is zero if the queue is empty.
+// the given number of extra tasks are started. It is zero if the queue is empty, and
+// maxExpectedWait at most.
 func (sv *service) expectedWait(team string, weight, extra int) time.Duration {
 	if sv.queue.Len() == 0 || sv.slots == 0 {
 		return 0
 	}
 	ahead := sv.queue.Ahead(team, weight, extra)
 	if sv.rate.perSecond > 0 {
-		return time.Duration(float64(ahead) / sv.rate.perSecond * float64(time.Second))
+		return time.Duration(min(float64(ahead)/sv.rate.perSecond*float64(time.Second), float64(maxExpectedWait)))
 	}
-	return sv.meanRunTime * time.Duration(ahead) / time.Duration(sv.slots)
+	return min(sv.meanRunTime*time.Duration(ahead)/time.Duration(sv.slots), maxExpectedWait)
 }
--- a/yuccadispatch/rate_test.go
+++ b/yuccadispatch/rate_test.go
@@ -40,3 +40,17 @@
 		t.Errorf("after an idle interval: got %+v, want perSecond 100 and a new interval", r)
 	}
 }
+
+// Without any completion for a minute, the wait overflowed: jobs that can't meet their
+// deadline were admitted, and refused ones sent away for 292 years.
+func TestExpectedWaitOfStandstill(t *testing.T) {
+	for _, perSecond := range []float64{1e-9, 1e-12, 1e-300} {
+		sv := &service{queue: yuccaqueue.New[string, *task](), slots: 1, meanRunTime: time.Second, rate: rate{perSecond: perSecond}}
+		for range 20_000 {
+			sv.queue.Push("parishes", 1, &task{})
+		}
+		if wait := sv.expectedWait("parishes", 1, 1); wait != time.Hour {
+			t.Errorf("wait at %g tasks/s: got %s, want the maximum of an hour", perSecond, wait)
+		}
+	}
+}
