entry: refuse requests that were submitted in the future

A request with Yucca-Submitted-At: 9999-12-31T23:59:59Z was accepted. Its claim is dropped after the retention, but each resubmission still counts as recent, so that it would run again. Jobs with such a submitted_at were refused already.

TestRequestAheadOfTheClockIsRefused failed with 504 instead of 400. The refusal doesn't say "not run", as for jobs.

--- a/yuccaentry/bad_input_test.go
+++ b/yuccaentry/bad_input_test.go
@@ -94,6 +94,24 @@
 	}
 }
 
+// Its claim would be dropped while a resubmission still counts as recent.
+func TestRequestAheadOfTheClockIsRefused(t *testing.T) {
+	request, err := http.NewRequest(http.MethodPost, newIdleEntry(t).URL+"/v1/services/regulation/x", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header = http.Header{"Yucca-Team": {"p"}, "Idempotency-Key": {"k"}, "Yucca-Submitted-At": {"9999-12-31T23:59:59Z"}, "Yucca-Timeout": {"1s"}}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	problem := yuccaproblem.Read(response)
+	if problem.Type != yuccaproblem.BadRequest || problem.NotRun || !strings.Contains(problem.Detail, "Yucca-Submitted-At") {
+		t.Errorf("response is %+v, want a bad request that names the header and may have been run", problem)
+	}
+}
+
 func TestAllFindingsOfJobAreReported(t *testing.T) {
 	server := newIdleEntry(t)
 	body := "{\n\"team\": 7,\n\"service\": \"s\",\n\"deadline\": \"1\",\n\"wrong\": 1,\n\"tasks\": [{}]}"
--- a/yuccaentry/jobs.go
+++ b/yuccaentry/jobs.go
@@ -68,16 +68,25 @@
 		e.refuse(w, invalidJob(err))
 		return
 	}
-	if submission.SubmittedAt.After(now.Add(maxClockSkew)) {
-		// An entry with another clock may have run the job, so this is not "not run".
-		e.metrics.Add("requests_refused", 1)
-		yuccaproblem.Write(w, yuccaproblem.Newf(http.StatusBadRequest, yuccaproblem.BadRequest,
-			"submitted_at: is %s, expected a time that is not in the future", submission.SubmittedAt.Format(time.RFC3339)))
+	if e.refuseAheadOfClock(w, now, "submitted_at", submission) {
 		return
 	}
 	e.submitAndWrite(w, r, "entry.job", submission, func(o *yuccawire.Outcome) { writeOutcome(w, submission.Key, o) })
 }
 
+// refuseAheadOfClock refuses a submission from the future, whose time is in the field, and
+// reports whether it did. An entry with another clock may have run the job, so this is not
+// "not run".
+func (e *Entry) refuseAheadOfClock(w http.ResponseWriter, now time.Time, field string, s yuccadispatch.Submission) bool {
+	if !s.SubmittedAt.After(now.Add(maxClockSkew)) {
+		return false
+	}
+	e.metrics.Add("requests_refused", 1)
+	yuccaproblem.Write(w, yuccaproblem.Newf(http.StatusBadRequest, yuccaproblem.BadRequest,
+		"%s: is %s, expected a time that is not in the future", field, s.SubmittedAt.Format(time.RFC3339)))
+	return true
+}
+
 // submitAndWrite submits a job of a caller under a span, and writes its outcome or
 // its rejection.
 func (e *Entry) submitAndWrite(w http.ResponseWriter, r *http.Request, spanName string, s yuccadispatch.Submission, write func(o *yuccawire.Outcome)) {
--- a/yuccaentry/single.go
+++ b/yuccaentry/single.go
@@ -35,11 +35,15 @@
 		e.refuse(w, problem)
 		return
 	}
-	submission, problem := decodeRequest(time.Now(), r, body)
+	now := time.Now()
+	submission, problem := decodeRequest(now, r, body)
 	if problem != nil {
 		e.refuse(w, problem)
 		return
 	}
+	if e.refuseAheadOfClock(w, now, "header "+headerSubmittedAt, submission) {
+		return
+	}
 	e.submitAndWrite(w, r, "entry.request", submission, func(o *yuccawire.Outcome) {
 		if !o.GetComplete() {
 			yuccaproblem.Write(w, outcomeProblem(o))
