worker: start nothing beside a run that the side does not track

A run that the worker lists and the side doesn't know was stopped, but its capacity counted as free, and the worker as taken over: the next task started beside it, although what is being stopped still counts (LIMIT), and entries were told that nothing of earlier processes is left.

Evidence: TestTaskStartsBesideAnUntrackedRun, before: 'the task was started while the worker lists a run that uses an unknown part of its capacity', 'the worker is reported as ready'.

A list that a later one has overtaken is ignored, as it may show runs that have ended since.

--- a/yuccaworker/hold.go
+++ b/yuccaworker/hold.go
@@ -198,6 +198,10 @@
 // run that is neither running nor completed is gone after the time that a stop takes: once
 // its stop is acknowledged, or if it had been started. It can't start any more.
 func (w *Worker) reconcileRuns(now time.Time, h HoldResult) {
+	if h.SentAt.Before(w.listSentAt) {
+		return // A later answer has overtaken this one.
+	}
+	w.listSentAt = h.SentAt
 	running := make(map[Key]bool, len(h.Running))
 	untracked := 0
 	for _, key := range h.Running {
@@ -237,10 +241,16 @@
 			w.completeRun(now, r, yuccawire.RunEnd_RUN_END_LOST)
 		}
 	}
-	if !w.takenOver && untracked == 0 {
+	switch {
+	case !w.takenOver && untracked == 0:
 		w.takenOver, w.tokenStep = true, 0
 		w.options.Logger.Info("worker taken over", "worker", w.report.ID, "token", w.token)
 		w.markOwnersDirty()
+	case w.takenOver && untracked > 0:
+		w.takenOver, w.nextTakeOverAt = false, now.Add(takeOverRetry)
+		w.metrics.Add("foreign_runs_found", 1)
+		w.options.Logger.Warn("worker runs what this side does not track, taking it over again", "worker", w.report.ID, "runs", untracked, "tracked", len(w.runs))
+		w.markOwnersDirty()
 	}
 }
 
--- a/yuccaworker/worker.go
+++ b/yuccaworker/worker.go
@@ -41,6 +41,8 @@
 	// crashReported is set once the crash of this incarnation has been reported.
 	crashReported   bool
 	retainedCrashes []retainedCrash
+	// listSentAt is when the latest of these lists was requested.
+	listSentAt time.Time
 	// lastListAt is when the lists of running and completed runs were last
 	// received.
 	lastListAt time.Time
@@ -59,7 +61,7 @@
 	// tokenStep is by how much the token was raised last, zero once it suffices.
 	tokenStep int64
 	clock     workerClock
-	// takenOver is set once no run of an earlier process of this side is left.
+	// takenOver is set while the worker runs only what this process of the side tracks.
 	takenOver      bool
 	nextTakeOverAt time.Time
 	// deadlineMS is the latest deadline sent to the worker, on the worker's clock,
