worker: fence the delayed starts of runs whose hold has expired

A worker that leaves calls unanswered until its hold has expired is taken over with the token that it has. Its delayed starts were kept out by their deadline alone: if a worker takes for late what its lease of all runs doesn't cover (the deadline 'applies to everything that runs on that worker'), it executes them as soon as the hold is renewed, after the runs were reported as ended and beside those that use their capacity (TWICE, LIMIT).

Evidence: TestDelayedStartAfterTheHoldExpired, before: 'the delayed start was executed: 32000 of 16000 milli-CPU are in use, and the run was reported as ended'. How workers in use decide what is late is not known.

Now the token is raised with the expiry, so that the takeover fences them. Tokens stay below those of a later process of the side, as an expiry takes longer than a millisecond.

--- a/yuccaworker/hold.go
+++ b/yuccaworker/hold.go
@@ -285,6 +285,7 @@
 	if w.hasExpiredRuns(now) {
 		w.options.Logger.Warn("worker unresponsive, hold expired", "worker", w.report.ID, "runs", len(w.runs))
 		w.loseRuns(now, "hold expired", w.seemsCrashed(), func(r *run) bool { return w.hasExpired(now, r) })
+		w.token++ // Fences delayed starts of these runs.
 		w.takenOver = false
 		w.nextTakeOverAt = now
 		w.markOwnersDirty()
--- a/yuccaworker/untracked_test.go
+++ b/yuccaworker/untracked_test.go
@@ -7,6 +7,31 @@
 	"github.com/yuccaturn/yuccaturn/yuccaworker"
 )
 
+// The worker is silent until its hold has expired, and executes the start once it has a new
+// one: what is late is decided by the lease of all runs.
+func TestDelayedStartAfterTheHoldExpired(t *testing.T) {
+	h := newHarness(t)
+	h.leaseDecides = true
+	h.unresponsive = true
+	h.order(entry, lease, task("a", 1, 16000))
+	late := h.lostStarts[0]
+	h.advanceWithLease(entry, 1500*time.Millisecond)
+	if h.outcomeOf(entry, "a") == nil {
+		t.Fatal("no outcome of the run was reported")
+	}
+	h.unresponsive = false
+	h.report(2, false)
+	h.advanceWithLease(entry, 300*time.Millisecond)
+	h.order(entry, lease, task("b", 1, 16000))
+	if !h.running[runB] {
+		t.Fatal("the second task was not started")
+	}
+	h.start(late)
+	if h.running[runA] {
+		t.Error("the delayed start was executed: 32000 of 16000 milli-CPU are in use, and the run was reported as ended")
+	}
+}
+
 // The worker lists a run that the side doesn't track, and its stop has no answer.
 func TestTaskStartsBesideAnUntrackedRun(t *testing.T) {
 	h := newHarness(t)
