--- a/yuccaworker/hold.go
+++ b/yuccaworker/hold.go
@@ -202,6 +202,10 @@
 // run that is neither running nor completed is gone after the time that a stop takes: once
 // its stop is acknowledged, or if it had been started. It can't start any more.
 func (w *Worker) reconcileRuns(now time.Time, h HoldResult) {
+	if h.SentAt.Before(w.listSentAt) {
+		return // A later answer has overtaken this one.
+	}
+	w.listSentAt = h.SentAt
 	running := make(map[Key]bool, len(h.Running))
 	var untracked []Key
 	for _, key := range h.Running {
@@ -240,10 +244,15 @@
 			w.completeRun(now, r, yuccawire.RunEnd_RUN_END_LOST)
 		}
 	}
-	if !w.takenOver && len(untracked) == 0 {
+	switch {
+	case !w.takenOver && len(untracked) == 0:
 		w.takenOver, w.tokenStep = true, 0
 		w.options.Logger.Info("worker taken over", "worker", w.report.ID, "token", w.token)
 		w.markOwnersDirty()
+	case w.takenOver && len(untracked) > 0:
+		w.takenOver, w.nextTakeOverAt = false, now.Add(takeOverRetry)
+		w.metrics.Add("foreign_runs_found", 1)
+		w.markOwnersDirty()
 	}
 }
 
@@ -291,6 +300,7 @@
 	if w.hasExpiredRuns(now) {
 		w.options.Logger.Warn("worker unresponsive, hold expired", "worker", w.report.ID, "runs", len(w.runs))
 		w.loseRuns(now, "hold expired", w.seemsCrashed(), func(r *run) bool { return w.hasExpired(now, r) })
+		w.token++ // Fences delayed starts of these runs.
 		w.takenOver = false
 		w.nextTakeOverAt = now
 		w.markOwnersDirty()
