--- a/yuccamodel/crossing_test.go
+++ b/yuccamodel/crossing_test.go
@@ -200,6 +200,13 @@
 	return append(deferred, tick)
 }
 
+// restartSomeSide replaces the process of a random side by another one, soon enough for links of both to cross.
+func (w *world) restartSomeSide() {
+	s, downtime := w.sides[w.random.IntN(len(w.sides))], 20*time.Millisecond+w.randomDuration(200*time.Millisecond)
+	w.logf("fault %s restarts in %v", s.name, downtime)
+	w.killSide(s, downtime)
+}
+
 // TestFaultsWithCrossingLinks is TestFaults with links whose ends notice changes at different times, so that
 // links cross, and with processes that handle what has waited before the tick that they missed. Nothing hangs
 // afterwards.
@@ -213,7 +220,7 @@
 			w.noticeSpread = 800 * time.Millisecond
 			w.patience = 6 * time.Second
 			w.start()
-			w.playFaults(0.3, 20, w.injectFault)
+			w.playFaults(0.3, 16, w.injectFault, w.restartSomeSide)
 			w.checkInUse()
 		})
 	}
