worker: date a missing run by the arrival of the list

A list may be on its way for 80 ms, and a run be stopped meanwhile: the first list without the run counted from its request, so that the time that a stop takes seemed over while the stop went on. After a restart, a run that was stopped before the list arrived counted as one that had never been there.

Now the first list without a run says that its stop began before it arrived.

--- a/yuccaworker/hold.go
+++ b/yuccaworker/hold.go
@@ -109,7 +109,7 @@
 // nothing to end if a new incarnation did not list the run before the first stop, as its
 // takeover fences delayed starts.
 func (r *run) stopEndsAt() time.Time {
-	if r.lostAs != yuccawire.RunEnd_RUN_END_UNSPECIFIED && !r.absentSince.IsZero() && r.absentSince.Before(r.stopRequestedAt) {
+	if r.lostAs != yuccawire.RunEnd_RUN_END_UNSPECIFIED && !r.absentSince.IsZero() && !r.absentSince.After(r.stopRequestedAt) {
 		return r.stopAckedAt
 	}
 	return r.stopAckedAt.Add(stopTime)
@@ -222,7 +222,7 @@
 		}
 		r.absent = r.state != started && h.SentAt.After(r.triedAt) && now.Sub(r.triedAt) > startTimeout
 		if r.absentSince.IsZero() {
-			r.absentSince = h.SentAt
+			r.absentSince = now
 		}
 		isStopped := !r.stopAckedAt.IsZero() && h.SentAt.After(r.stopEndsAt())
 		isMissing := r.state == started && h.SentAt.Sub(latest(r.absentSince, r.confirmedAt)) > stopTime
--- a/yuccaworker/run.go
+++ b/yuccaworker/run.go
@@ -62,8 +62,8 @@
 	// absent is set while the worker's last lists have shown that none of the starts was
 	// executed in time, the last one included.
 	absent bool
-	// absentSince is when the first of the last lists without the run was requested, zero if
-	// they show it.
+	// absentSince is when the first of the last lists without the run arrived, zero if they
+	// show it. A stop may have been executed since that list was requested.
 	absentSince time.Time
 	// lostAs is how the run ends, after ranBeforeLoss, unless a restarted worker turns out
 	// to have started it. It is unspecified while no restart has been noticed.
