jsonpost: don't follow redirects

A call that was answered with a redirect to an address at which nobody listens was reported as refused, although the worker had received it: the side told the owner that the run had not started (REFUSED, TWICE). A redirect that was followed ended in a GET, whose 404 or 503 counted as the answer to the start.

TestRedirectIsNoRefusal, before: 'got status 0, ... connect: connection refused, want the redirect itself'. Now the redirect is the response, which the sides count as no answer. No known worker sends one.

--- a/yuccajsonpost/client.go
+++ b/yuccajsonpost/client.go
@@ -46,9 +46,13 @@
 	return &Client{http: &http.Client{Transport: &http.Transport{
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: options.MaxConnections, MaxConnsPerHost: options.MaxConnections,
 		DisableCompression: true,
-	}}}
+	}, CheckRedirect: returnRedirect}}
 }
 
+// returnRedirect makes a redirect the response. The failure of a second request would say
+// nothing of the first.
+func returnRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
 // IsRefused reports whether an error of [Client.Post] means that no process listens
 // at the address. The request was not sent then.
 func IsRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
