worker: fence the starts of runs whose hold has expired

A start without an answer may be executed seconds later. If the worker answered nothing until its hold had expired, the run was reported as lost and the worker taken over again with the same token: nothing refused the delayed start but its own deadline.

TestDelayedStartAfterTheHoldExpired, before: 'the start is executed after its run was reported as ended'. Now the takeover that follows an expired hold raises the token, as after a restart. Ruled out: runs whose stop was answered, as workers refuse their starts from then on.

--- a/yuccaworker/absent_test.go
+++ b/yuccaworker/absent_test.go
@@ -66,3 +66,29 @@
 	h.list(h.now.Add(-time.Millisecond))
 	h.expectKept(t)
 }
+
+// A start that had no answer is executed after the hold has expired, when the worker is used again.
+func TestDelayedStartAfterTheHoldExpired(t *testing.T) {
+	h := newHarness(t)
+	h.leaseDecides, h.unresponsive = true, true
+	h.order(entry, lease, task("a", 1, 16000))
+	for range 30 {
+		h.report(h.now.UnixMilli(), false)
+		h.advanceWithLease(entry, 100*time.Millisecond)
+	}
+	if h.outcomeOf(entry, "a") == nil {
+		t.Fatal("the run is not reported as ended")
+	}
+	h.unresponsive = false
+	h.report(h.now.UnixMilli(), false)
+	h.advanceWithLease(entry, 300*time.Millisecond)
+	h.order(entry, lease, task("b", 1, 1600))
+	h.advanceWithLease(entry, 100*time.Millisecond)
+	if !h.running[runB] {
+		t.Fatal("the worker is not used again")
+	}
+	h.start(h.lostStarts[0])
+	if h.running[runA] {
+		t.Error("the start is executed after its run was reported as ended")
+	}
+}
--- a/yuccaworker/hold.go
+++ b/yuccaworker/hold.go
@@ -291,6 +291,9 @@
 	if w.hasExpiredRuns(now) {
 		w.options.Logger.Warn("worker unresponsive, hold expired", "worker", w.report.ID, "runs", len(w.runs))
 		w.loseRuns(now, "hold expired", w.seemsCrashed(), func(r *run) bool { return w.hasExpired(now, r) })
+		// Fences the starts of these runs that are still on their way: the hold of later runs
+		// may let them start.
+		w.token = min(w.token+1, maxToken)
 		w.takenOver = false
 		w.nextTakeOverAt = now
 		w.markOwnersDirty()
