sized: don't check the steps of a job that has too many

A refused job of 1 MB took 3.3 s of a processor, most of it for errors that are not listed.

TestManyStepsAreNotChecked failed with "6993039 allocations" (6.7 s for two jobs, 2.6 s now, which is parsing and decoding).

--- a/yuccasized/job.go
+++ b/yuccasized/job.go
@@ -66,6 +66,10 @@
 	if len(b.Steps) == 0 {
 		d.Report("steps", "has no steps", "one step at least")
 	}
+	if len(b.Steps) > maxTasks {
+		d.Report("steps", fmt.Sprintf("has %d steps", len(b.Steps)), fmt.Sprintf("%d at most", maxTasks))
+		return
+	}
 	tasks := 0
 	for i, s := range b.Steps {
 		tasks += s.Tasks
