--- a/yuccaworker/faults_test.go
+++ b/yuccaworker/faults_test.go
@@ -181,3 +181,53 @@
 		t.Errorf("the token has reached %d only", last)
 	}
 }
+
+// Whatever a worker states, its calls have deadlines on its clock and rising tokens.
+func FuzzStatedValues(f *testing.F) {
+	f.Add(int64(482113), int64(1), uint64(1), int64(100), int64(2), 16000)
+	f.Add(int64(1<<63-1), int64(1<<63-1), uint64(1<<64-1), int64(1<<63-1), int64(1<<63-1), 1<<63-1)
+	f.Add(int64(-1<<63), int64(-1), uint64(0), int64(-1), int64(-1<<63), -1)
+	f.Add(int64(3162240000000), int64(1<<53-1), uint64(2), int64(7258118400000), int64(1<<53-1), 1_000_000_000)
+	f.Fuzz(func(t *testing.T, clock, number int64, run uint64, born, sequence int64, cpu int) {
+		h := newHarness(t)
+		h.order(entry, lease, task("a", 1, 1600))
+		token := int64(0)
+		check := func() {
+			h.now = h.now.Add(160 * time.Millisecond)
+			h.core.Tick(h.now)
+			for _, a := range h.core.Actions() {
+				call, isHold := a.(yuccaworker.CallHold)
+				if !isHold {
+					continue
+				}
+				if call.Token < token || call.DeadlineMS < 0 || call.DeadlineMS > 1<<43 || call.Cursor < 0 {
+					t.Errorf("call %+v follows token %d", call, token)
+				}
+				token = call.Token
+				h.core.HandleHoldReply(h.now, yuccaworker.HoldResult{
+					Incarnation: call.Incarnation, SentAt: call.SentAt, Result: yuccaworker.ResultOK, ClockMS: clock, Running: []yuccaworker.Key{{Task: "a", Run: run}},
+					Completions: []yuccaworker.Completion{{Number: number, Key: yuccaworker.Key{Task: "b", Run: run}, Outcome: yuccawire.RunEnd_RUN_END_DONE}},
+				})
+			}
+		}
+		check()
+		h.core.HandleStartReply(h.now, h.incarnation, runA, yuccaworker.ResultFenced, clock)
+		h.core.HandleStopReply(h.now, h.incarnation, runA, true, clock)
+		check()
+		r := h.newReport(sequence)
+		r.StartedAtMS, r.ClockMS, r.CPUMilli = born, clock, cpu
+		if len(r.Faults()) == 0 {
+			h.core.HandleReport(h.now, r)
+		}
+		for range 4 {
+			check()
+		}
+		h.core.HandleLinkUp(h.now, entry)
+		for _, a := range h.core.Actions() {
+			send, isSend := a.(yuccaworker.Send)
+			if state := send.Message.GetEnds().GetState(); isSend && state != nil && state.GetFreeCpuMilli() < -2000 {
+				t.Errorf("state %v", state)
+			}
+		}
+	})
+}
