command: follow the seeds of settings with an odd line

A settings file that changed while the process ran was ignored as a whole if any line could not be used, also one that is read at the start only, such as bounds.graceS=1e999: the process no longer followed the seeds.

TestOddLineOfTheSettingsHidesTheSeeds failed with 'seeds "10.1.0.13:7720", want "10.2.0.30:7720 10.1.0.13:7720"'. The seeds are used whatever else the file says, unless there are none; all other settings stay those of the start, as documented. The log line says so.

Ruled out: odd seeds. One with a port out of range names a host all the same, one that names none is left out.

--- a/yuccacommand/deployed.go
+++ b/yuccacommand/deployed.go
@@ -156,15 +156,19 @@
 	w.modTime = info.ModTime()
 	next, err := yuccaplatform.LoadSettings()
 	if err != nil {
-		w.logger.Warn("settings reload failed, keeping the previous settings", "error", err)
-		return
+		w.logger.Warn("settings have errors, only their seeds are used", "error", err)
+		if next == nil || len(next.Seeds) == 0 {
+			return
+		}
 	}
 	if slices.Equal(next.Seeds, w.get().Seeds) {
 		return
 	}
 	w.logger.Info("settings reloaded", "seeds", next.Seeds)
+	changed := *w.get()
+	changed.Seeds = next.Seeds
 	w.mu.Lock()
-	w.settings = next
+	w.settings = &changed
 	w.mu.Unlock()
 }
 
