yuccabroker: let a resend wait for the runs of the earlier submission

Callers would see: a task runs twice at the same time, if a job comes again at the same entry while a run of its first submission may be alive. The entry knew that run, but counted on the caller to wait until the leases are over (1.3 s), and placed the task at another worker at once. A refused stop, a silent worker or a caller in a hurry breaks that.

The task now stays blocked until its earlier run has ended, is refused, or can't be alive. Jobs that can't be served in three times their objective are refused as before. Other entries still go by the time.

Before the fix TestResendWaitsForTheRunsOfTheEarlierSubmission failed: "sent map[a.0.0.0/1:s1 a.0.0.0/2:s2 a.0.0.1/1:s2 a.0.0.1/2:s1] while the runs map[a.0.0.0/1:s1 a.0.0.1/1:s2] may be alive". TestCallerLeaves demanded the second run at once; it now demands none before the first has ended, and then the same one.

--- a/yuccabroker/broker_test.go
+++ b/yuccabroker/broker_test.go
@@ -283,8 +283,12 @@
 	if len(f.withdrawn["s1"]) != 2 {
 		t.Errorf("withdrew %v, want both runs", f.withdrawn["s1"])
 	}
-	// When the job is submitted again, its runs get higher numbers.
+	// When the job is submitted again, its runs get higher numbers, and wait for the earlier ones.
 	f.submit(job("a", 2), 2)
+	if len(f.sentRuns()) != 2 {
+		t.Errorf("sent %v while the withdrawn runs may be alive", f.sentRuns())
+	}
+	f.endRun("s1", "a.0.0.0", 1, refused, yuccawire.RunRefusal_RUN_REFUSAL_WITHDRAWN)
 	if f.sentRuns()["a.0.0.0/2"] == "" {
 		t.Errorf("sent %v, want runs with number 2", f.sentRuns())
 	}
--- a/yuccabroker/job.go
+++ b/yuccabroker/job.go
@@ -12,7 +12,8 @@
 type taskState int
 
 const (
-	// taskBlocked: steps it depends on are not done, or its job is being withdrawn.
+	// taskBlocked: steps it depends on are not done, a run of an earlier submission may be
+	// alive, or its job is being withdrawn.
 	taskBlocked taskState = iota
 	// taskQueued: it is queued for placement.
 	taskQueued
@@ -245,20 +246,31 @@
 	return b.backlogRefusal(now, j)
 }
 
-// enqueueReady queues the blocked tasks of the steps whose dependencies are done.
+// enqueueReady queues the blocked tasks of the steps whose dependencies are done, but for
+// those with a run of an earlier submission that may be alive.
 func (b *Broker) enqueueReady(now time.Time, j *job) {
 	for _, st := range j.steps {
 		if st.remaining == 0 || !j.canStart(st) {
 			continue
 		}
 		for _, t := range st.tasks {
-			if t.state == taskBlocked {
+			if t.state == taskBlocked && !b.hasEarlierRun(t) {
 				b.enqueue(now, t)
 			}
 		}
 	}
 }
 
+// hasEarlierRun reports whether a run of the task of an earlier submission may be alive.
+func (b *Broker) hasEarlierRun(t *task) bool {
+	for run := range t.job.runsBefore {
+		if b.runs[runKey{task: t.name, run: run + 1}] != nil {
+			return true
+		}
+	}
+	return false
+}
+
 func (j *job) canStart(st *step) bool {
 	for _, dependency := range st.After {
 		if j.steps[dependency].remaining > 0 {
--- a/yuccabroker/resend_test.go
+++ b/yuccabroker/resend_test.go
@@ -38,3 +38,25 @@
 		t.Errorf("sent %v, want one run for each submission that was not answered", f.sentRuns())
 	}
 }
+
+// A caller that comes again soon meets runs of its earlier submission that may be alive.
+func TestResendWaitsForTheRunsOfTheEarlierSubmission(t *testing.T) {
+	f := newFixture(t, "s1", "s2")
+	f.submit(job("a", 2), 1)
+	first := f.sentRuns()
+	f.broker.HandleDisconnect(f.now, "a", 1)
+	f.submit(job("a", 2), 2)
+	f.advance(100*time.Millisecond, "s1", "s2")
+	if n := len(f.sentRuns()); n != 2 {
+		t.Fatalf("sent %v while the runs %v may be alive", f.sentRuns(), first)
+	}
+	f.endRun(first["a.0.0.0/1"], "a.0.0.0", 1, yuccawire.RunEnd_RUN_END_STOPPED, 0)
+	if runs := f.sentRuns(); len(runs) != 3 || runs["a.0.0.0/2"] == "" {
+		t.Errorf("sent %v, want a second run of a.0.0.0 only", runs)
+	}
+	f.advance(1600 * time.Millisecond)
+	f.advance(40*time.Millisecond, "s1", "s2")
+	if runs := f.sentRuns(); runs["a.0.0.1/2"] == "" {
+		t.Errorf("sent %v, want a second run of a.0.0.1 once the leases have expired", runs)
+	}
+}
--- a/yuccabroker/side.go
+++ b/yuccabroker/side.go
@@ -312,7 +312,7 @@
 		}
 		return
 	}
-	b.removeRun(t)
+	b.removeRun(now, t)
 	if e.GetEnd() != yuccawire.RunEnd_RUN_END_REFUSED {
 		t.job.mayHaveRun = true
 	}
@@ -374,7 +374,7 @@
 // outcome.
 func (b *Broker) handleLostRun(now time.Time, t *task, reason string) {
 	s := t.side
-	b.removeRun(t)
+	b.removeRun(now, t)
 	if t.job.ended {
 		return
 	}
@@ -385,11 +385,16 @@
 	b.enqueue(now, t)
 }
 
-func (b *Broker) removeRun(t *task) {
+// removeRun removes a run that has ended. The task of a later submission may have waited for
+// that.
+func (b *Broker) removeRun(now time.Time, t *task) {
 	delete(b.runs, runKey{task: t.name, run: t.run})
 	delete(t.side.runs, t)
 	b.queueOf(t).runningCPU -= t.step.CPUMilli
 	t.job.runsInFlight--
+	if j := b.jobs[t.job.ID]; j != nil && j != t.job {
+		b.enqueueReady(now, j)
+	}
 }
 
 // runsExpireAt returns when no run sent to a silent side can be alive anymore:
