worker: acknowledge no end of an old list

A renewal acknowledges the ends of the last list if that is at most 100 ms old, counted from when the side handled it. A side that stood still with a list in its queue, while the worker restarted with the same ID, acknowledged ends of the new incarnation, whose numbers start anew: a run that had ended as done counted as lost, and the task ran again.

Now the age counts from the request of the list; the next list, which the worker sends at once, allows the acknowledgement.

--- a/yuccaworker/absent_test.go
+++ b/yuccaworker/absent_test.go
@@ -92,3 +92,35 @@
 		t.Error("the start is executed after its run was reported as ended")
 	}
 }
+
+// The side stood still while it had a list, and the worker may have restarted meanwhile.
+func TestOldListIsNotAcknowledged(t *testing.T) {
+	h := newHarness(t)
+	h.handleOrder(entry, lease, task("a", 1, 1600))
+	holds := h.holds()
+	if len(holds) != 1 {
+		t.Fatalf("%d renewals, want 1", len(holds))
+	}
+	h.running[runA] = true
+	h.complete(runA, yuccawire.RunEnd_RUN_END_DONE)
+	result := yuccaworker.HoldResult{
+		Incarnation: h.incarnation, Result: yuccaworker.ResultOK, SentAt: holds[0].SentAt, ClockMS: h.clock(), Completions: h.completions,
+	}
+	h.now = h.now.Add(2 * time.Second)
+	h.core.HandleHoldReply(h.now, result)
+	holds = h.holds()
+	if len(holds) != 1 || holds[0].Cursor != 0 {
+		t.Errorf("the renewals %+v acknowledge the end in a list that is 2 s old", holds)
+	}
+}
+
+// holds returns the renewals among the next actions, and executes none.
+func (h *harness) holds() []yuccaworker.CallHold {
+	var holds []yuccaworker.CallHold
+	for _, a := range h.core.Actions() {
+		if hold, ok := a.(yuccaworker.CallHold); ok {
+			holds = append(holds, hold)
+		}
+	}
+	return holds
+}
--- a/yuccaworker/hold.go
+++ b/yuccaworker/hold.go
@@ -54,7 +54,7 @@
 // may have restarted since its last answer: the completions of a new incarnation have the
 // numbers of those of the earlier one.
 func (w *Worker) cursorToAck(now time.Time) int64 {
-	if now.Sub(w.lastListAt) > maxAckAge {
+	if now.Sub(w.listSentAt) > maxAckAge {
 		return 0
 	}
 	return w.cursor
@@ -132,7 +132,7 @@
 	switch h.Result {
 	case ResultOK:
 		w.recordAnswer(now, h.ClockMS)
-		w.lastListAt = now
+		w.lastListAt, w.listSentAt = now, latest(w.listSentAt, h.SentAt)
 		w.boundHold(h.ClockMS)
 		w.applyCompletions(now, h)
 		w.reconcileRuns(now, h)
--- a/yuccaworker/worker.go
+++ b/yuccaworker/worker.go
@@ -48,6 +48,9 @@
 	// lastListAt is when the lists of running and completed runs were last
 	// received.
 	lastListAt time.Time
+	// listSentAt is when the last of these lists was requested. The worker may have restarted
+	// since then.
+	listSentAt time.Time
 	// gone is set if the worker has deregistered, or another incarnation answers
 	// at its address, goneAt is since when.
 	gone   bool
