worker: don't report old ends on new links

Ends are kept for three seconds for an owner whose link breaks, but they were dropped only when the next run of that owner ended. An entry that had ordered nothing there for a while got older ones, too. It drops the outcome of a job after ten seconds: if the job is then submitted again, its run numbers begin at 1, and a refusal of the first submission counted as that of the run which had just started: the task was started elsewhere (TWICE), or its job answered 503 (REFUSED).

TestOldEndIsNotReportedForALaterRun, before: 'a was reported as RUN_END_REFUSED RUN_REFUSAL_NO_ROOM while it runs'. Now they are dropped by age before a full list is sent. Ruled out: that an entry misses such an end, as it counts runs whose list is that late as forgotten.

--- a/yuccaworker/absent_test.go
+++ b/yuccaworker/absent_test.go
@@ -124,3 +124,22 @@
 	}
 	return holds
 }
+
+// A job that is submitted again after its outcome was dropped has the run numbers of before.
+func TestOldEndIsNotReportedForALaterRun(t *testing.T) {
+	h := newHarness(t)
+	h.order(entry, lease, task("a", 1, 17000))
+	h.expectOutcome(entry, "a", yuccawire.RunEnd_RUN_END_REFUSED, yuccawire.RunRefusal_RUN_REFUSAL_NO_ROOM)
+	for sequence := range int64(12) {
+		h.advance(time.Second)
+		h.report(2+sequence, false)
+		h.runActions()
+	}
+	h.order(entry, lease, task("a", 1, 1600))
+	clear(h.delivered)
+	h.core.HandleLinkUp(h.now, entry)
+	h.runActions()
+	if e := h.outcomeOf(entry, "a"); !h.running[runA] || e != nil {
+		t.Errorf("the run was started: %v, the owner is told %v", h.running[runA], e)
+	}
+}
--- a/yuccaworker/owner.go
+++ b/yuccaworker/owner.go
@@ -61,6 +61,7 @@
 	o.ordersSeen = 0
 	o.specSent = 0
 	o.unsent = nil
+	o.dropRetained(now)
 	message := &yuccawire.Ends{Full: true, State: w.workerState(now, o)}
 	for _, retained := range o.retained {
 		message.Ends = append(message.Ends, retained.ended)
@@ -80,6 +81,14 @@
 	w.emit(Send{Owner: id, Message: &yuccawire.Envelope{Body: &yuccawire.Envelope_Ends{Ends: message}}})
 }
 
+// dropRetained drops the old outcomes. The owner may use the number of such a run again, for
+// a job that is submitted again.
+func (o *owner) dropRetained(now time.Time) {
+	for len(o.retained) > 0 && now.Sub(o.retained[0].retainedAt) > OutcomeRetention {
+		o.retained = o.retained[1:]
+	}
+}
+
 // dropUnsent drops the messages that were meant for the previous link of an owner. On the new
 // one, the owner would take them for an answer to its orders there. The full list of runs
 // and the retained outcomes replace them.
--- a/yuccaworker/run.go
+++ b/yuccaworker/run.go
@@ -321,9 +321,7 @@
 	o := r.owner
 	o.unsent = append(o.unsent, ended)
 	o.retained = append(o.retained, retainedOutcome{ended: ended, retainedAt: now})
-	for len(o.retained) > 0 && now.Sub(o.retained[0].retainedAt) > OutcomeRetention {
-		o.retained = o.retained[1:]
-	}
+	o.dropRetained(now)
 }
 
 // loseAllRuns completes all active runs, as crashed if the worker has crashed under them.
