worker: take a worker over once untracked runs have been stopped

A side that is started again stops the runs of its earlier process, and uses the worker as soon as a list shows none.

TestUntrackedRunThatIsBeingStoppedFreesNoCapacity, before: 'the next task runs while the run of the earlier process is being stopped'. Now the worker counts as taken over after a list that was requested the time of a stop after the first one without such runs; it is asked then, not after the usual retry. A takeover that finds no runs is as fast as before.

--- a/yuccaworker/absent_test.go
+++ b/yuccaworker/absent_test.go
@@ -143,3 +143,25 @@
 		t.Errorf("the run was started: %v, the owner is told %v", h.running[runA], e)
 	}
 }
+
+// The stop of a run that the earlier process of the side left is executed late, and not listed.
+func TestUntrackedRunThatIsBeingStoppedFreesNoCapacity(t *testing.T) {
+	h := newHarness(t)
+	h.stopTime, h.dropStops = stopTime, true
+	h.order(entry, lease, task("a", 1, 16000))
+	h.restartSide()
+	h.report(2, false)
+	h.runActions()
+	h.advance(140 * time.Millisecond)
+	h.stop(runA)
+	for run := uint64(1); run <= 30 && len(h.running) == 0; run++ {
+		h.advance(10 * time.Millisecond)
+		h.order(entry, lease, task("b", run, 1600))
+		if h.stopping[runA] != 0 && len(h.running) > 0 {
+			t.Fatal("the next task runs while the run of the earlier process is being stopped")
+		}
+	}
+	if len(h.running) == 0 {
+		t.Error("the next task was not started")
+	}
+}
--- a/yuccaworker/hold.go
+++ b/yuccaworker/hold.go
@@ -240,13 +240,28 @@
 			w.completeRun(now, r, yuccawire.RunEnd_RUN_END_LOST)
 		}
 	}
-	if !w.takenOver && len(untracked) == 0 {
+	if w.noteUntracked(now, h.SentAt, len(untracked)) && !w.takenOver {
 		w.takenOver, w.tokenStep = true, 0
 		w.options.Logger.Info("worker taken over", "worker", w.report.ID, "token", w.token)
 		w.markOwnersDirty()
 	}
 }
 
+// noteUntracked reports whether no run is left that the side doesn't track, after a list that was
+// requested at sentAt. What was listed before may be being stopped for a while.
+func (w *Worker) noteUntracked(now, sentAt time.Time, count int) bool {
+	switch {
+	case count > 0:
+		w.hadUntracked, w.clearSince = true, time.Time{}
+	case w.hadUntracked && w.clearSince.IsZero():
+		w.clearSince = now
+		w.nextTakeOverAt = now.Add(stopTime)
+	case w.hadUntracked && sentAt.Sub(w.clearSince) >= stopTime:
+		w.hadUntracked = false
+	}
+	return count == 0 && !w.hadUntracked
+}
+
 // stopUntracked stops the runs that the worker lists and the side doesn't track.
 func (w *Worker) stopUntracked(keys []Key) {
 	if len(keys) > 0 && keys[0] != w.lastUntracked {
--- a/yuccaworker/worker.go
+++ b/yuccaworker/worker.go
@@ -90,6 +90,10 @@
 	ackedCursor int64
 	// lastUntracked is the first run of the last list with runs that the side doesn't track.
 	lastUntracked Key
+	// hadUntracked is set while such a run may be left, clearSince when the first of the last
+	// lists without one arrived, zero if they show one.
+	hadUntracked bool
+	clearSince   time.Time
 
 	runs   map[Key]*run
 	queue  []*run
