broker: note the runs of a list before its ends

The first list of a new link may show a run that counts as never started, and with it the refusal of the last run that the entry waits for before it answers. The ends were applied first: the job was answered 503, although the same list showed that a task of it runs (REFUSED).

TestRunThatTurnsUpWithTheLastRefusalIsNotForgotten, before: 'waiter 1 got {rejected the deadline is near 1s} (answered: true), want given_up'. Now the runs of the list are noted first, also those of a list that precedes a known report. No order is known to turn up after such a list.

--- a/yuccabroker/missing_test.go
+++ b/yuccabroker/missing_test.go
@@ -107,3 +107,30 @@
 	f.flush()
 	f.wantState(2, yuccabroker.Rejected)
 }
+
+// The list that shows such a run also ends the last one that the entry waits for.
+func TestRunThatTurnsUpWithTheLastRefusalIsNotForgotten(t *testing.T) {
+	f := newFixture(t, "s1")
+	f.submit(job("a", 1), 1)
+	f.relink("s1", f.sideClock())
+	f.report("s1", fullCPU)
+	f.flush()
+	if got := f.sentRuns()["a.0.0.0/2"]; got != "s1" {
+		t.Fatalf("sent %v, want a second run at s1", f.sentRuns())
+	}
+	for range 200 {
+		f.now = f.now.Add(20 * time.Millisecond)
+		f.report("s1", noCapacity)
+		f.broker.Tick(f.now)
+		f.flush()
+		if len(f.withdrawn["s1"]) > 0 {
+			break
+		}
+	}
+	refused := &yuccawire.Ended{Run: &yuccawire.RunKey{Task: "a.0.0.0", Run: 2}, End: yuccawire.RunEnd_RUN_END_REFUSED}
+	f.broker.HandleEnds(f.now, "s1", &yuccawire.Ends{
+		Full: true, State: f.workerState(noCapacity), Ends: []*yuccawire.Ended{refused}, Present: []*yuccawire.RunKey{{Task: "a.0.0.0", Run: 1}},
+	})
+	f.flush()
+	f.wantState(1, yuccabroker.Abandoned)
+}
--- a/yuccabroker/side.go
+++ b/yuccabroker/side.go
@@ -241,6 +241,12 @@
 	}
 	isOutdated := m.GetState() != nil && s.precedes(m.GetState())
 	b.HandleWorkerState(now, name, m.GetState())
+	// An end may let a job be answered, so that these runs have to be known before.
+	for _, k := range m.GetPresent() {
+		if key := (runKey{task: k.GetTask(), run: k.GetRun()}); b.runs[key] == nil {
+			b.recordUnknownRun(s, key)
+		}
+	}
 	for _, e := range m.GetEnds() {
 		t := b.runs[runKey{task: e.GetRun().GetTask(), run: e.GetRun().GetRun()}]
 		b.handleEnded(now, s, e)
@@ -262,9 +268,6 @@
 	for _, k := range m.GetPresent() {
 		key := runKey{task: k.GetTask(), run: k.GetRun()}
 		present[key] = true
-		if b.runs[key] == nil {
-			b.recordUnknownRun(s, key)
-		}
 		if t := b.runs[key]; t == nil || t.job.ended {
 			withdraw.Runs = append(withdraw.Runs, k)
 		}
