--- a/yuccaworker/absent_test.go
+++ b/yuccaworker/absent_test.go
@@ -92,3 +92,76 @@
 		t.Error("the start is executed after its run was reported as ended")
 	}
 }
+
+// The side stood still while it had a list, and the worker may have restarted meanwhile.
+func TestOldListIsNotAcknowledged(t *testing.T) {
+	h := newHarness(t)
+	h.handleOrder(entry, lease, task("a", 1, 1600))
+	holds := h.holds()
+	if len(holds) != 1 {
+		t.Fatalf("%d renewals, want 1", len(holds))
+	}
+	h.running[runA] = true
+	h.complete(runA, yuccawire.RunEnd_RUN_END_DONE)
+	result := yuccaworker.HoldResult{
+		Incarnation: h.incarnation, Result: yuccaworker.ResultOK, SentAt: holds[0].SentAt, ClockMS: h.clock(), Completions: h.completions,
+	}
+	h.now = h.now.Add(2 * time.Second)
+	h.core.HandleHoldReply(h.now, result)
+	holds = h.holds()
+	if len(holds) != 1 || holds[0].Cursor != 0 {
+		t.Errorf("the renewals %+v acknowledge the end in a list that is 2 s old", holds)
+	}
+}
+
+// holds returns the renewals among the next actions, and executes none.
+func (h *harness) holds() []yuccaworker.CallHold {
+	var holds []yuccaworker.CallHold
+	for _, a := range h.core.Actions() {
+		if hold, ok := a.(yuccaworker.CallHold); ok {
+			holds = append(holds, hold)
+		}
+	}
+	return holds
+}
+
+// A job that is submitted again after its outcome was dropped has the run numbers of before.
+func TestOldEndIsNotReportedForALaterRun(t *testing.T) {
+	h := newHarness(t)
+	h.order(entry, lease, task("a", 1, 17000))
+	h.expectOutcome(entry, "a", yuccawire.RunEnd_RUN_END_REFUSED, yuccawire.RunRefusal_RUN_REFUSAL_NO_ROOM)
+	for sequence := range int64(12) {
+		h.advance(time.Second)
+		h.report(2+sequence, false)
+		h.runActions()
+	}
+	h.order(entry, lease, task("a", 1, 1600))
+	clear(h.delivered)
+	h.core.HandleLinkUp(h.now, entry)
+	h.runActions()
+	if e := h.outcomeOf(entry, "a"); !h.running[runA] || e != nil {
+		t.Errorf("the run was started: %v, the owner is told %v", h.running[runA], e)
+	}
+}
+
+// The stop of a run that the earlier process of the side left is executed late, and not listed.
+func TestUntrackedRunThatIsBeingStoppedFreesNoCapacity(t *testing.T) {
+	h := newHarness(t)
+	h.stopTime, h.dropStops = stopTime, true
+	h.order(entry, lease, task("a", 1, 16000))
+	h.restartSide()
+	h.report(2, false)
+	h.runActions()
+	h.advance(140 * time.Millisecond)
+	h.stop(runA)
+	for run := uint64(1); run <= 30 && len(h.running) == 0; run++ {
+		h.advance(10 * time.Millisecond)
+		h.order(entry, lease, task("b", run, 1600))
+		if h.stopping[runA] != 0 && len(h.running) > 0 {
+			t.Fatal("the next task runs while the run of the earlier process is being stopped")
+		}
+	}
+	if len(h.running) == 0 {
+		t.Error("the next task was not started")
+	}
+}
--- a/yuccaworker/hold.go
+++ b/yuccaworker/hold.go
@@ -54,7 +54,7 @@
 // may have restarted since its last answer: the completions of a new incarnation have the
 // numbers of those of the earlier one.
 func (w *Worker) cursorToAck(now time.Time) int64 {
-	if now.Sub(w.lastListAt) > maxAckAge {
+	if now.Sub(w.listSentAt) > maxAckAge {
 		return 0
 	}
 	return w.cursor
@@ -132,7 +132,7 @@
 	switch h.Result {
 	case ResultOK:
 		w.recordAnswer(now, h.ClockMS)
-		w.lastListAt = now
+		w.lastListAt, w.listSentAt = now, latest(w.listSentAt, h.SentAt)
 		w.boundHold(h.ClockMS)
 		w.applyCompletions(now, h)
 		w.reconcileRuns(now, h)
@@ -205,7 +205,6 @@
 	if h.SentAt.Before(w.listSentAt) {
 		return // A later answer has overtaken this one.
 	}
-	w.listSentAt = h.SentAt
 	running := make(map[Key]bool, len(h.Running))
 	var untracked []Key
 	for _, key := range h.Running {
@@ -244,8 +243,9 @@
 			w.completeRun(now, r, yuccawire.RunEnd_RUN_END_LOST)
 		}
 	}
+	isClear := w.noteUntracked(now, h.SentAt, len(untracked))
 	switch {
-	case !w.takenOver && len(untracked) == 0:
+	case !w.takenOver && isClear:
 		w.takenOver, w.tokenStep = true, 0
 		w.options.Logger.Info("worker taken over", "worker", w.report.ID, "token", w.token)
 		w.markOwnersDirty()
@@ -256,6 +256,21 @@
 	}
 }
 
+// noteUntracked reports whether no run is left that the side doesn't track, after a list that was
+// requested at sentAt. What was listed before may be being stopped for a while.
+func (w *Worker) noteUntracked(now, sentAt time.Time, count int) bool {
+	switch {
+	case count > 0:
+		w.hadUntracked, w.clearSince = true, time.Time{}
+	case w.hadUntracked && w.clearSince.IsZero():
+		w.clearSince = now
+		w.nextTakeOverAt = now.Add(stopTime)
+	case w.hadUntracked && sentAt.Sub(w.clearSince) >= stopTime:
+		w.hadUntracked = false
+	}
+	return count == 0 && !w.hadUntracked
+}
+
 // stopUntracked stops the runs that the worker lists and the side doesn't track.
 func (w *Worker) stopUntracked(keys []Key) {
 	if len(keys) > 0 && keys[0] != w.lastUntracked {
--- a/yuccaworker/worker.go
+++ b/yuccaworker/worker.go
@@ -45,11 +45,12 @@
 	// crashReported is set once the crash of this incarnation has been reported.
 	crashReported   bool
 	retainedCrashes []retainedCrash
-	// listSentAt is when the latest of these lists was requested.
-	listSentAt time.Time
 	// lastListAt is when the lists of running and completed runs were last
 	// received.
 	lastListAt time.Time
+	// listSentAt is when the last of these lists was requested. The worker may have restarted
+	// since then.
+	listSentAt time.Time
 	// gone is set if the worker has deregistered, or another incarnation answers
 	// at its address, goneAt is since when.
 	gone   bool
@@ -89,6 +90,10 @@
 	ackedCursor int64
 	// lastUntracked is the first run of the last list with runs that the side doesn't track.
 	lastUntracked Key
+	// hadUntracked is set while such a run may be left, clearSince when the first of the last
+	// lists without one arrived, zero if they show one.
+	hadUntracked bool
+	clearSince   time.Time
 
 	runs   map[Key]*run
 	queue  []*run
