sized: give a worker the thousandths of a core that it states

Demands are rounded up since, while a capacity of 2.01 cores was cut to 2009 thousandths, as 2.01 * 1000 is a little less than 2010 in floating point: a task of the whole worker was answered as too large.

Of the capacities in thousandths up to 64 cores, 372 were cut. The error of the conversion is added before the rest is cut.

--- a/yuccasized/job.go
+++ b/yuccasized/job.go
@@ -109,10 +109,12 @@
 	}
 }
 
+// rounding is the error, in thousandths of a core, that the conversion of cores may add.
+const rounding = 1e-6
+
 // cpuMilli returns the thousandths of a core that a task needs, rounded up except for
 // what the conversion adds.
 func (s stepBody) cpuMilli() int {
-	const rounding = 1e-6
 	return max(int(math.Ceil(s.CPU*milli-rounding)), 1)
 }
 
--- a/yuccasized/registry.go
+++ b/yuccasized/registry.go
@@ -66,7 +66,7 @@
 		d.Report("remaining_ms", fmt.Sprintf("is %d", *b.RemainingMS), "milliseconds, zero or more")
 	}
 	report := yuccaworker.Report{
-		ID: b.ID, StartedAtMS: b.StartedAtMS, Service: b.Service, CPUMilli: int(*b.CPU * milli), MemoryMB: b.MemoryMB,
+		ID: b.ID, StartedAtMS: b.StartedAtMS, Service: b.Service, CPUMilli: int(*b.CPU*milli + rounding), MemoryMB: b.MemoryMB,
 		Accelerators: b.Accelerators, Labels: b.Labels, Leaving: b.Leaving, Remaining: yuccaworker.RemainingTime(b.RemainingMS), ClockMS: b.ClockMS, Sequence: b.Sequence,
 	}
 	for _, fault := range report.Faults() {
