--- a/yuccaworker/worker.go
+++ b/yuccaworker/worker.go
@@ -278,12 +278,13 @@
 		mayBeReplaced := len(w.runs) == 0 && (w.gone || w.isReportStale(now))
 		return r.StartedAtMS < w.report.StartedAtMS && !mayBeReplaced
 	}
-	return r.ID == w.report.ID && r.Sequence < w.report.Sequence && !w.isSequenceWrong(now, r)
+	return r.ID == w.report.ID && r.Sequence < w.report.Sequence && !w.provesSequenceWrong(now, r)
 }
 
-// isSequenceWrong reports whether the sequence of the last report can't be that of the worker:
+// provesSequenceWrong records a report with a low sequence, and reports whether that of the last
+// report can't be the worker's:
 // no higher one has followed it since it is stale, but lower ones that rise.
-func (w *Worker) isSequenceWrong(now time.Time, r Report) bool {
+func (w *Worker) provesSequenceWrong(now time.Time, r Report) bool {
 	if r.Sequence <= w.lowSequence || w.lowSince.Before(w.reportedAt) {
 		w.lowSince = now
 	}
