--- a/yuccaworker/worker.go
+++ b/yuccaworker/worker.go
@@ -282,8 +282,8 @@
 }
 
 // provesSequenceWrong records a report with a low sequence, and reports whether that of the last
-// report can't be the worker's:
-// no higher one has followed it since it is stale, but lower ones that rise.
+// report can't be the worker's: no higher one has followed it since it is stale, but lower ones
+// that rise.
 func (w *Worker) provesSequenceWrong(now time.Time, r Report) bool {
 	if r.Sequence <= w.lowSequence || w.lowSince.Before(w.reportedAt) {
 		w.lowSince = now
