dispatch, control: send a side no tasks until all entries know it

What callers saw: a task was started twice. A side joined under one leader and started tasks for an owner; side, owner and leader crashed before the side had renewed under the next leader. An entry that had missed the update and kept its lease took the job over, asked every side that it knew, and started the tasks of the lost side again.

Cause: an entry took an unbroken lease for the proof that it had known every side. The registry is the leader's own: what it told to some entries only ends with it.

Now a service of a side is joining until every entry with a lease has reported a version of the members that has it, or has lost its lease, and entries send it nothing before. Whoever takes a job over has then known each side that started tasks, or has a gap in its lease, whatever happens to the leader. What one leader has made known is used on under the next one. An entry renews at once when it is told of a joining service.

Ruled out: counting each change of the leader as a gap (the waiting tasks of an owner that dies with the leader are unknown then); synced records of sides (a sync for each start of a side, and entries still have to be told).

TestTakeOverAfterUnseenIncarnationWasLost expected 12 starts, 4 of them at the first incarnation of the side. This incarnation is sent nothing any more, because the cut-off entry doesn't know it: the test got 8 starts. It expects exactly these 8 now, and as before that no task starts twice. The caller's answer stays undetermined; a later incarnation that joined after the claim still bars new starts.

After a change of the leader, entries are sent each side once more.

--- a/yuccacontrol/sessions.go
+++ b/yuccacontrol/sessions.go
@@ -154,7 +154,11 @@
 // pushMembers sends changes of the membership to the entries, once the registry
 // is complete.
 func (c *Control) pushMembers(now time.Time) {
-	if !c.isActiveLeader(now) || c.pushedVersion == c.registry.Version() || !c.registry.IsComplete(now) {
+	if !c.isActiveLeader(now) {
+		return
+	}
+	c.registry.ConfirmJoins(now)
+	if c.pushedVersion == c.registry.Version() || !c.registry.IsComplete(now) {
 		return
 	}
 	c.pushedVersion = c.registry.Version()
--- a/yuccadispatch/sides.go
+++ b/yuccadispatch/sides.go
@@ -1,6 +1,7 @@
 package yuccadispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/yuccaturn/yuccaturn/yuccawire"
@@ -26,7 +27,10 @@
 	slots     int
 	freeSlots int
 	leaving   bool
-	health    health
+	// joining is set until all entries know of this endpoint, so that whoever takes
+	// a job over asks its side.
+	joining bool
+	health  health
 }
 
 // hasCapacity reports whether a task may be sent to the endpoint now.
@@ -107,24 +111,27 @@
 	}
 	s.node = m.GetNode()
 	s.leaving = m.GetLeaving()
-	s.updateEndpoints(d, m.GetTargets())
+	s.updateEndpoints(d, m)
 }
 
-func (s *side) updateEndpoints(d *Dispatcher, targets []*yuccawire.Target) {
-	announced := make(map[string]bool, len(targets))
-	for _, t := range targets {
+// updateEndpoints applies the targets of the side. What a former leader has told to
+// all entries is joining again under the next one, and is used on.
+func (s *side) updateEndpoints(d *Dispatcher, m *yuccawire.Member) {
+	announced := make(map[string]bool, len(m.GetTargets()))
+	for _, t := range m.GetTargets() {
 		announced[t.GetService()] = true
 		ep := s.endpoints[t.GetService()]
 		if ep == nil {
-			ep = &endpoint{side: s, service: d.service(t.GetService()), freeSlots: int(t.GetSlots())}
+			ep = &endpoint{side: s, service: d.service(t.GetService()), freeSlots: int(t.GetSlots()), joining: true}
 			s.endpoints[t.GetService()] = ep
 		}
 		ep.slots = int(t.GetSlots())
 		ep.leaving = t.GetLeaving()
+		ep.joining = ep.joining && slices.Contains(m.GetJoining(), t.GetService())
 	}
 	for name, ep := range s.endpoints {
 		if !announced[name] {
-			ep.leaving = true
+			ep.leaving, ep.joining = true, true
 		}
 	}
 }
@@ -171,7 +178,7 @@
 func (d *Dispatcher) isEligible(sv *service, ep *endpoint) bool {
 	dataCentre := ep.side.node.GetDataCentre()
 	settings, known := d.view.Service(sv.name)
-	return known && !ep.leaving && !ep.side.leaving && !d.view.IsDrained(dataCentre) && settings.Allows(dataCentre)
+	return known && !ep.leaving && !ep.joining && !ep.side.leaving && !d.view.IsDrained(dataCentre) && settings.Allows(dataCentre)
 }
 
 func (d *Dispatcher) tier(dataCentre string) int {
--- a/yuccalease/session.go
+++ b/yuccalease/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -193,7 +194,7 @@
 	}
 	c.fencesVersion = max(c.fencesVersion, r.GetFencesVersion())
 	s.connected = true
-	if len(r.GetSections()) > 0 {
+	if len(r.GetSections()) > 0 || hasJoining(update.Members) {
 		s.requestRenewal()
 	}
 	return s.sendUpdate(ctx, update)
@@ -213,8 +214,13 @@
 	return errFenced
 }
 
-// requestRenewal triggers a renewal. It is used after applying sections, so that
-// control learns the new versions without waiting for the next interval.
+func hasJoining(delta *yuccawire.MembersDelta) bool {
+	return slices.ContainsFunc(delta.GetChanged(), func(m *yuccawire.Member) bool { return len(m.GetJoining()) > 0 })
+}
+
+// requestRenewal triggers a renewal. It is used after applying sections or members
+// that are joining, so that control learns the new versions without waiting for the
+// next interval.
 func (s *session) requestRenewal() {
 	select {
 	case s.client.renewNow <- struct{}{}:
--- a/yuccaregistry/registry.go
+++ b/yuccaregistry/registry.go
@@ -6,12 +6,17 @@
 // no deltas until all leases granted by its predecessor have expired or been
 // renewed.
 //
+// A service of a side is joining until every entry that holds a lease has reported
+// to know it, or has lost its lease. Entries send it no tasks before, so that none of
+// them has missed a side that started tasks while its own lease was valid.
+//
 // # Usage
 //
 //	registry := yuccaregistry.New(term, now, false)
 //	registry.Renew(now, renew)
 //	delta := registry.Delta(now, renew.GetMembersEpoch(), renew.GetMembersVersion())
 //	expired := registry.Expire(now)
+//	registry.ConfirmJoins(now)
 package yuccaregistry
 
 import (
@@ -40,6 +45,8 @@
 	// discardedVersion is the version of the latest removal that is no longer in
 	// removals.
 	discardedVersion uint64
+	// hasJoining is set if services of a member may be joining.
+	hasJoining bool
 }
 
 type removal struct {
@@ -55,6 +62,10 @@
 	sections map[string]uint64
 	// pending counts its pending jobs by queue.
 	pending map[string]uint32
+	// joinedAt has the version that announced each of the joining services.
+	joinedAt map[string]uint64
+	// seen is the version that the process has reported to know.
+	seen uint64
 }
 
 // Node returns the identity of the process.
@@ -103,11 +114,19 @@
 	if m != nil && m.Node().GetIncarnation() > node.GetIncarnation() {
 		return false
 	}
-	next := &yuccawire.Member{Node: node, Targets: renew.GetTargets(), Leaving: renew.GetLeaving()}
+	joinedAt := r.joinVersions(m, renew)
+	next := &yuccawire.Member{
+		Node: node, Targets: renew.GetTargets(), Leaving: renew.GetLeaving(), Joining: slices.Sorted(maps.Keys(joinedAt)),
+	}
 	if m == nil || !proto.Equal(m.wire, next) {
 		r.version++
-		m = &Member{wire: next, version: r.version}
+		m = &Member{wire: next, version: r.version, joinedAt: joinedAt}
 		r.members[node.GetName()] = m
+		r.hasJoining = r.hasJoining || len(joinedAt) > 0
+	}
+	m.seen = 0
+	if renew.GetMembersEpoch() == r.epoch {
+		m.seen = renew.GetMembersVersion()
 	}
 	m.expires = now.Add(yuccalease.GracePeriod)
 	m.sections = make(map[string]uint64, len(renew.GetSections()))
@@ -121,6 +140,59 @@
 	return true
 }
 
+// joinVersions returns the joining services of a process that renews its lease, with
+// the versions that announced them. known is its former registration, or nil.
+func (r *Registry) joinVersions(known *Member, renew *yuccawire.Renew) map[string]uint64 {
+	isKnown := make(map[string]bool)
+	if known != nil && known.Node().GetIncarnation() == renew.GetNode().GetIncarnation() {
+		for _, t := range known.Targets() {
+			isKnown[t.GetService()] = true
+		}
+	}
+	joinedAt := make(map[string]uint64)
+	for _, t := range renew.GetTargets() {
+		if !isKnown[t.GetService()] {
+			joinedAt[t.GetService()] = r.version + 1
+		} else if version, isJoining := known.joinedAt[t.GetService()]; isJoining {
+			joinedAt[t.GetService()] = version
+		}
+	}
+	return joinedAt
+}
+
+// ConfirmJoins ends the joining of the services that all entries have reported to
+// know. A process that joins later is sent them with its first members.
+func (r *Registry) ConfirmJoins(now time.Time) {
+	if !r.hasJoining || !r.IsComplete(now) {
+		return
+	}
+	seen := r.seenByEntries()
+	r.hasJoining = false
+	for _, m := range r.members {
+		before := len(m.joinedAt)
+		maps.DeleteFunc(m.joinedAt, func(_ string, version uint64) bool { return version <= seen })
+		r.hasJoining = r.hasJoining || len(m.joinedAt) > 0
+		if len(m.joinedAt) == before {
+			continue
+		}
+		r.version++
+		m.version = r.version
+		m.wire = proto.CloneOf(m.wire)
+		m.wire.Joining = slices.Sorted(maps.Keys(m.joinedAt))
+	}
+}
+
+// seenByEntries returns the latest version that all entries have reported to know.
+func (r *Registry) seenByEntries() uint64 {
+	seen := r.version
+	for _, m := range r.members {
+		if m.Node().GetRole() == yuccawire.Role_ROLE_ENTRY {
+			seen = min(seen, m.seen)
+		}
+	}
+	return seen
+}
+
 // PendingAtOthers returns the pending jobs of all processes but the named one, as
 // of their last renewals, by queue.
 func (r *Registry) PendingAtOthers(name string) []*yuccawire.QueueCount {
--- a/yuccasystemtest/takeover_test.go
+++ b/yuccasystemtest/takeover_test.go
@@ -156,6 +156,35 @@
 		time.Sleep(5 * time.Second)
 		answer := c.submit(cutOff, spec)
 		c.callers.Wait()
+		want := spec.tasks - testSlots // the unseen one is sent no tasks, since cutOff doesn't know it
+		if starts := c.countEvents(yuccahistory.Started, ""); starts != want {
+			t.Errorf("got %d starts, want %d; answered %+v", starts, want, answer)
+		}
+		c.checkHistory(t)
+	})
+}
+
+// An entry that keeps its lease never hears of a side that came and went with the leader.
+func TestTakeOverAfterSideOfFormerLeaderWasLost(t *testing.T) {
+	withCluster(t, 41, 3, 2, 1, func(t *testing.T, c *cluster) {
+		time.Sleep(2 * memberSettleTime)
+		cutOff, former := c.entries[1], c.leader()
+		c.fabric.Isolate(cutOff.name, former.name)
+		unseen := &node{name: "side-cusco-9", dataCentre: "cusco"}
+		c.sides = append(c.sides, unseen)
+		c.start(unseen)
+		time.Sleep(150 * time.Millisecond)
+		spec := jobSpec{id: "toll", tasks: len(c.sides) * testSlots, runTime: 2 * time.Second, deadline: 20 * time.Second}
+		c.submitAsync(c.entries[0], spec)
+		time.Sleep(100 * time.Millisecond)
+		c.crash(c.entries[0])
+		c.crash(unseen)
+		c.crash(former)
+		c.fabric.CloseLinks(cutOff.name, former.name)
+		c.healAll()
+		time.Sleep(8 * time.Second)
+		answer := c.submit(cutOff, spec)
+		c.callers.Wait()
 		if starts := c.countEvents(yuccahistory.Started, ""); starts != spec.tasks {
 			t.Errorf("got %d starts of %d tasks, want one each; answered %+v", starts, spec.tasks, answer)
 		}
