--- a/yuccaworker/restart.go
+++ b/yuccaworker/restart.go
@@ -62,8 +62,8 @@
 	r.ranBeforeLoss = max(endedAt.Sub(r.startSentAt), 0)
 }
 
-// loseRun completes a run that markLost was called for. isFenced is set if the worker has
-// answered since with the token that fences its delayed starts.
+// loseRun completes a run that markLost was called for. isFenced is set if the present
+// incarnation of the worker has stopped it and rejects its delayed starts.
 func (w *Worker) loseRun(now time.Time, r *run, isFenced bool, reason string) {
 	w.options.Logger.Info("run lost with the worker", "task", r.key.Task, "run", r.key.Run, "owner", r.owner.id.Name,
 		"end", r.lostAs.String(), "ran_ms", r.ranBeforeLoss.Milliseconds(), "unreachable", !w.isReachable(), "why", reason)
