broker: stop the other runs of a job that can't be completed

What others lacked: the capacity of tasks whose job could not be completed any more, as the end of a lost run of it that may still start is reported by no side. Such a job went on until its deadline, also with tasks that had not been placed.

The job is withdrawn once the side has lost the run itself or has restarted. It is still answered at its deadline, as a caller who comes again at another entry would have the task run beside that run. While a side is only silent it may report the end, and the job goes on.

TestJobThatCannotBeCompletedLeavesItsCapacityToOthers failed in its three cases: nothing was withdrawn.

--- a/yuccabroker/lost.go
+++ b/yuccabroker/lost.go
@@ -132,6 +132,18 @@
 	b.metrics.Add("runs_lost_unsettled", 1)
 	b.options.Logger.Warn("run lost that may still start, its task is not placed again", "job", t.job.ID, "task", t.name, "run", t.run,
 		"side", t.side.name, "why", reason, "since_order_ms", now.Sub(t.sentAt).Milliseconds())
+	b.withdrawHopeless(now, t)
+}
+
+// withdrawHopeless stops the other runs of a job that can't be completed, since no side will report
+// the end of a lost run of it. The job is answered at its deadline: a caller who comes again at
+// another entry would have the task run beside that run.
+func (b *Broker) withdrawHopeless(now time.Time, t *task) {
+	isKnown := t.sideIncarnation == t.side.Incarnation && !t.lostBySide
+	if isKnown || t.job.ended || t.job.withdrawReason != "" {
+		return
+	}
+	b.withdrawJob(now, t.job, "a run of it was lost that may still start")
 }
 
 // expireUnsettled removes the lost runs at a side whose jobs nobody submits again, as their
--- a/yuccabroker/lost_test.go
+++ b/yuccabroker/lost_test.go
@@ -89,3 +89,35 @@
 		t.Errorf("sent %v, want the run of the first submission only", f.sentRuns())
 	}
 }
+
+// The run of one task is lost for good, another one is running elsewhere.
+func TestJobThatCannotBeCompletedLeavesItsCapacityToOthers(t *testing.T) {
+	for name, lose := range map[string]func(f *fixture){
+		"lost by the side": func(f *fixture) {
+			f.broker.HandleEnds(f.now, "s1", &yuccawire.Ends{Ends: []*yuccawire.Ended{{Run: firstRun, End: yuccawire.RunEnd_RUN_END_LOST, MayStart: true}}})
+		},
+		"restarted": func(f *fixture) { f.restartSide("s1") },
+		"silent, then restarted": func(f *fixture) {
+			f.advance(1300*time.Millisecond, "s2")
+			f.restartSide("s1")
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, "s1")
+			submitted := job("a", 2)
+			submitted.Steps[0].Spread = 1
+			f.submit(submitted, 1)
+			f.broker.HandleLinkUp(f.now, yuccabroker.Side{Name: "s2", Incarnation: 1, DataCentre: "puno"})
+			f.report("s2", fullCPU)
+			f.flush()
+			if got := f.sentRuns(); got["a.0.0.0/1"] != "s1" || got["a.0.0.1/1"] != "s2" {
+				t.Fatalf("sent %v, want a task at each side", got)
+			}
+			lose(f)
+			f.flush()
+			if _, isAnswered := f.answers[1]; isAnswered || len(f.withdrawn["s2"]) != 1 {
+				t.Errorf("withdrawn %v, answered %v, want the other run withdrawn and no answer yet", f.withdrawn["s2"], isAnswered)
+			}
+		})
+	}
+}
--- a/yuccabroker/side.go
+++ b/yuccabroker/side.go
@@ -136,7 +136,7 @@
 // HandleLinkUp records a new link to a side. Runs that were sent to an earlier
 // incarnation of the side count as alive until the current one reports that it
 // has taken over the worker.
-func (b *Broker) HandleLinkUp(_ time.Time, peer Side) {
+func (b *Broker) HandleLinkUp(now time.Time, peer Side) {
 	s := b.sides[peer.Name]
 	if s != nil && s.Incarnation != peer.Incarnation {
 		b.options.Logger.Info("side restarted", "side", peer.Name, "runs", len(s.runs))
@@ -152,6 +152,9 @@
 		b.options.Logger.Info("side discovered", "side", peer.Name, "data_centre", peer.DataCentre)
 	}
 	s.Side = peer
+	for _, t := range sortedByName(s.unsettled) {
+		b.withdrawHopeless(now, t)
+	}
 	s.linked = true
 	s.lastOrder = 0
 	s.unreported = nil
