worker: take a worker over for a new process only after the time of a stop

A restarted side reported its worker as taken over while the worker still stopped a run of the earlier process. Entries then count that run as lost and place its task again, so that it may run twice.

Cause: a worker lists a run that it stops neither as running nor as completed for up to 50 ms. A new process took its first list without runs as proof that there are none. Only a list that shows untracked runs made it wait for a second one, requested at least 60 ms (stopTime) later.

A new process now starts in the state that it is in after such a list, so that its first takeover needs two lists without runs. The state is that of the process, not of the worker's first report: a delayed report of an earlier worker doesn't use it up. A takeover forgets the first list of an earlier incarnation. Starts of the earlier process are fenced from the first list on, and a stop that arrives after it stops a run that this list shows, so nothing hidden is left after the second one. Takeovers by a process that has taken a worker over before are as fast as they were.

Cost: a restarted or new side uses its worker 60 ms later, plus a tick.

The harness of the tests begins 70 ms earlier, as the worker is in use only then, and links the owners in the end, so that tests begin in the state as before; one case of TestReportWithAWrongClockMovesTheDeadlines waits for the same reason, and fails as before if the clock is not corrected. No check was changed.

--- a/yuccaworker/faults_test.go
+++ b/yuccaworker/faults_test.go
@@ -145,6 +145,7 @@
 			h.restartSide()
 			h.core.HandleReport(h.now, r)
 			h.runActions()
+			h.advance(takeOverTime)
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/yuccaworker/worker.go
+++ b/yuccaworker/worker.go
@@ -90,8 +90,9 @@
 	ackedCursor int64
 	// lastUntracked is the first run of the last list with runs that the side doesn't track.
 	lastUntracked Key
-	// hadUntracked is set while such a run may be left, clearSince when the first of the last
-	// lists without one arrived, zero if they show one.
+	// hadUntracked is set while such a run may be left, also one of an earlier process before
+	// the first takeover. clearSince is when the first of the last lists without one arrived,
+	// zero if they show one.
 	hadUntracked bool
 	clearSince   time.Time
 
@@ -192,6 +193,8 @@
 		clockStart: now,
 		runs:       make(map[Key]*run),
 		owners:     make(map[Owner]*owner),
+		// The worker may be stopping runs of an earlier process.
+		hadUntracked: true,
 	}
 	w.health.reset()
 	return w
@@ -317,6 +320,7 @@
 	w.unansweredHolds = 0
 	w.crashReported = false
 	w.holdInFlight = false
+	w.clearSince = time.Time{}
 	w.deadlineMS, w.holdUntilMS = 0, 0
 	w.unfenced = sameID
 	if sameID {
--- a/yuccaworker/worker_test.go
+++ b/yuccaworker/worker_test.go
@@ -65,17 +65,23 @@
 	timeouts []time.Time
 }
 
+// takeOverTime is how long a new process takes to take over a worker without runs.
+const takeOverTime = 70 * time.Millisecond
+
 func newHarness(t *testing.T) *harness {
 	h := &harness{
-		t: t, now: startTime, incarnation: yuccaworker.Incarnation{ID: "w-1", StartedAtMS: 100},
+		t: t, now: startTime.Add(-takeOverTime), incarnation: yuccaworker.Incarnation{ID: "w-1", StartedAtMS: 100},
 		running: make(map[yuccaworker.Key]bool), latestRun: make(map[string]uint64), stopping: make(map[yuccaworker.Key]int64),
 		delivered: make(map[yuccaworker.Owner][]*yuccawire.Ended), states: make(map[yuccaworker.Owner]*yuccawire.WorkerState),
 		stateCount: make(map[yuccaworker.Owner]int), crashes: make(map[yuccaworker.Owner][]*yuccawire.Crash),
 	}
-	h.core = yuccaworker.New(yuccaworker.Options{Metrics: yuccametric.New(t.Name()), Logger: slog.New(slog.DiscardHandler)}, startTime)
+	h.core = yuccaworker.New(yuccaworker.Options{Metrics: yuccametric.New(t.Name()), Logger: slog.New(slog.DiscardHandler)}, h.now)
+	h.report(1, false)
+	h.runActions()
+	h.now = startTime
 	h.core.HandleLinkUp(h.now, entry)
 	h.core.HandleLinkUp(h.now, otherEntry)
-	h.report(1, false)
+	h.core.Tick(h.now)
 	h.runActions()
 	return h
 }
