worker: count on the longest lease when a new process first hears a worker

When a worker and its side restarted together and the worker then fell silent, the side reported a run as lost while it went on, so that its entry could place the task a second time.

Cause: a new process counted on Hold after its own renewals. A worker that restarted takes a delayed renewal of the earlier process, whose deadline is on the clock of the earlier incarnation, for one on its own clock, and keeps its runs for up to maxLease (1 s). Until its first answer to the new process, the token fences no such call.

A process that sees a restart under the same ID already counts on maxLease from the first answer (boundHold). A new process now does so, too, whichever worker it hears first, since it can't tell whether that one has restarted. Calls of the earlier process are fenced from that answer on, so the bound holds.

Ruled out: a bound that goes by the age of the worker, as no finite wait is proof that a call won't be executed.

No check was changed.

--- a/yuccaworker/worker.go
+++ b/yuccaworker/worker.go
@@ -77,8 +77,8 @@
 	deadlineMS  int64
 	holdUntilMS int64
 	extendedAt  time.Time
-	// unfenced is set until a restarted worker has first answered: it may execute calls to
-	// the earlier incarnation until then.
+	// unfenced is set until a restarted worker has first answered, or any to a new process: it
+	// may execute calls to the earlier incarnation until then.
 	unfenced     bool
 	holdInFlight bool
 	// holdSentAt is when the last renewal was sent. It differs between renewals that are
@@ -193,8 +193,10 @@
 		clockStart: now,
 		runs:       make(map[Key]*run),
 		owners:     make(map[Owner]*owner),
-		// The worker may be stopping runs of an earlier process.
+		// The worker may be stopping runs of an earlier process, and have restarted since it
+		// last answered that one.
 		hadUntracked: true,
+		unfenced:     true,
 	}
 	w.health.reset()
 	return w
@@ -322,8 +324,8 @@
 	w.holdInFlight = false
 	w.clearSince = time.Time{}
 	w.deadlineMS, w.holdUntilMS = 0, 0
-	w.unfenced = sameID
 	if sameID {
+		w.unfenced = true
 		w.carryOver(now, r.ClockMS)
 	}
 	w.cursor, w.ackedCursor = 0, 0
--- a/yuccaworker/worker_test.go
+++ b/yuccaworker/worker_test.go
@@ -68,9 +68,12 @@
 // takeOverTime is how long a new process takes to take over a worker without runs.
 const takeOverTime = 70 * time.Millisecond
 
+// maxLease is how long a worker may keep its runs for an earlier process of the side.
+const maxLease = time.Second
+
 func newHarness(t *testing.T) *harness {
 	h := &harness{
-		t: t, now: startTime.Add(-takeOverTime), incarnation: yuccaworker.Incarnation{ID: "w-1", StartedAtMS: 100},
+		t: t, now: startTime.Add(-maxLease - takeOverTime), incarnation: yuccaworker.Incarnation{ID: "w-1", StartedAtMS: 100},
 		running: make(map[yuccaworker.Key]bool), latestRun: make(map[string]uint64), stopping: make(map[yuccaworker.Key]int64),
 		delivered: make(map[yuccaworker.Owner][]*yuccawire.Ended), states: make(map[yuccaworker.Owner]*yuccawire.WorkerState),
 		stateCount: make(map[yuccaworker.Owner]int), crashes: make(map[yuccaworker.Owner][]*yuccawire.Crash),
@@ -81,6 +84,7 @@
 	h.now = startTime
 	h.core.HandleLinkUp(h.now, entry)
 	h.core.HandleLinkUp(h.now, otherEntry)
+	h.report(1, false)
 	h.core.Tick(h.now)
 	h.runActions()
 	return h
