--- a/yuccaworker/worker.go
+++ b/yuccaworker/worker.go
@@ -77,8 +77,8 @@
 	deadlineMS  int64
 	holdUntilMS int64
 	extendedAt  time.Time
-	// unfenced is set until a restarted worker has first answered: it may execute calls to
-	// the earlier incarnation until then.
+	// unfenced is set until a restarted worker has first answered, or any to a new process: it
+	// may execute calls to the earlier incarnation until then.
 	unfenced     bool
 	holdInFlight bool
 	// holdSentAt is when the last renewal was sent. It differs between renewals that are
@@ -90,8 +90,9 @@
 	ackedCursor int64
 	// lastUntracked is the first run of the last list with runs that the side doesn't track.
 	lastUntracked Key
-	// hadUntracked is set while such a run may be left, clearSince when the first of the last
-	// lists without one arrived, zero if they show one.
+	// hadUntracked is set while such a run may be left, also one of an earlier process before
+	// the first takeover. clearSince is when the first of the last lists without one arrived,
+	// zero if they show one.
 	hadUntracked bool
 	clearSince   time.Time
 
@@ -194,6 +195,10 @@
 		clockStart: now,
 		runs:       make(map[Key]*run),
 		owners:     make(map[Owner]*owner),
+		// The worker may be stopping runs of an earlier process, and have restarted since it
+		// last answered that one.
+		hadUntracked: true,
+		unfenced:     true,
 	}
 	w.health.reset()
 	return w
@@ -319,9 +324,10 @@
 	w.unansweredHolds = 0
 	w.crashReported = false
 	w.holdInFlight = false
+	w.clearSince = time.Time{}
 	w.deadlineMS, w.holdUntilMS = 0, 0
-	w.unfenced = sameID
 	if sameID {
+		w.unfenced = true
 		w.carryOver(now, r.ClockMS)
 	}
 	w.cursor, w.ackedCursor = 0, 0
