worker: let the worker's answer decide on a report of a later start

A report within all bounds that names a later start of the worker ended the listed runs at once. If the known incarnation went on, the tasks ran again beside them (TWICE). The start in a report was taken as proof of a restart; it proves only what the report says.

Such a report is now a claim if it would end listed runs. New starts wait, the hold is not extended, the token rises as in a takeover, and the side asks for the lists at once, with no wait and nothing acknowledged. The next answer decides: another incarnation confirms the restart, and the report is followed; the lists of the known one, requested after the report, refute it. Without an answer the hold expires and ends the runs as for a silent worker, then the report is followed. The rest of a restart (unlisted runs, other IDs, answers before the report) is as before. An answer without 'born' counts as one of the known incarnation, as before.

TestReportOfALaterStartEndsRunsThatGoOn, before: 'a was reported as RUN_END_CRASHED RUN_REFUSAL_UNSPECIFIED while it runs'.

--- /dev/null
+++ b/yuccamodel/claimed_test.go
@@ -0,0 +1,29 @@
+package yuccamodel_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// claimRestartOfSome delivers a report of a later start of a worker that goes on.
+func (w *world) claimRestartOfSome() {
+	s := w.sides[w.random.IntN(len(w.sides))]
+	r := s.worker.report()
+	r.StartedAtMS += 1 + int64(w.random.IntN(100_000))
+	w.logf("fault %s gets a report of a later start, %d", s.name, r.StartedAtMS)
+	s.handle(func() { s.core.HandleReport(w.now, r) })
+}
+
+func TestFaultsOfReportsOfALaterStart(t *testing.T) {
+	t.Parallel()
+	for i := range *seeds {
+		seed := *firstSeed + 10100 + uint64(i)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			w := newWorld(t, seed, 4, 5)
+			w.patience = 6 * time.Second
+			w.playFaults(0.3, 10, w.claimRestartOfSome)
+		})
+	}
+}
--- /dev/null
+++ b/yuccaworker/claimed_test.go
@@ -0,0 +1,61 @@
+package yuccaworker_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/yuccaturn/yuccaturn/yuccawire"
+	"github.com/yuccaturn/yuccaturn/yuccaworker"
+)
+
+// reportLaterStart delivers a report of a later start of the worker, which has not restarted.
+func (h *harness) reportLaterStart() {
+	report := h.newReport(1)
+	report.StartedAtMS += 100
+	h.core.HandleReport(h.now, report)
+}
+
+func TestReportOfALaterStartEndsRunsThatGoOn(t *testing.T) {
+	h := newHarness(t)
+	h.order(entry, lease, task("a", 1, 1600))
+	h.advanceWithLease(entry, 200*time.Millisecond)
+	h.reportLaterStart()
+	h.runActions()
+	h.advanceWithLease(entry, 300*time.Millisecond)
+	h.complete(runA, yuccawire.RunEnd_RUN_END_DONE)
+	h.advanceWithLease(entry, 200*time.Millisecond)
+	h.expectOutcome(entry, "a", yuccawire.RunEnd_RUN_END_DONE, 0)
+}
+
+// An answer to a renewal that was sent before the report decides nothing.
+func TestOlderAnswerRefutesAReportOfALaterStart(t *testing.T) {
+	h := newHarness(t)
+	h.order(entry, lease, task("a", 1, 1600))
+	h.advanceWithLease(entry, 200*time.Millisecond)
+	pending := *h.pendingHold
+	h.reportLaterStart()
+	h.core.Actions()
+	h.core.HandleHoldReply(h.now, yuccaworker.HoldResult{
+		Incarnation: pending.Incarnation, SentAt: pending.SentAt, Result: yuccaworker.ResultOK, ClockMS: h.clock(), Running: []yuccaworker.Key{runA},
+	})
+	h.order(entry, lease, task("b", 1, 1600))
+	if len(h.running) != 1 {
+		t.Error("a start was sent while it is open whether the worker has restarted")
+	}
+	h.advanceWithLease(entry, 200*time.Millisecond)
+	if len(h.running) != 2 {
+		t.Error("the start was not sent after the worker's next answer")
+	}
+}
+
+func TestReportOfALaterStartWithoutAnAnswerKeepsRunsForGood(t *testing.T) {
+	h := newHarness(t)
+	h.order(entry, lease, task("a", 1, 1600))
+	h.advanceWithLease(entry, 200*time.Millisecond)
+	h.unresponsive = true
+	h.reportLaterStart()
+	h.advanceWithLease(entry, 800*time.Millisecond)
+	if h.outcomeOf(entry, "a") == nil {
+		t.Error("no outcome of the run was reported")
+	}
+}
--- a/yuccaworker/hold.go
+++ b/yuccaworker/hold.go
@@ -14,6 +14,10 @@
 	if w.report == nil || w.gone {
 		return
 	}
+	if w.claim != nil {
+		w.queryClaim(now)
+		return
+	}
 	if w.takenOver && len(w.runs) == 0 && w.ackedCursor == w.cursor {
 		w.holdInFlight = false
 		return
@@ -64,7 +68,7 @@
 // worker may run on, and receive renewals although its answers are lost: extending the
 // hold would keep runs alive whose outcome is never received.
 func (w *Worker) mayExtendHold(now time.Time) bool {
-	return !w.isUnresponsive(now) && !w.hasOverdueStop(now)
+	return w.claim == nil && !w.isUnresponsive(now) && !w.hasOverdueStop(now)
 }
 
 // extendHold returns the deadline up to which the worker may keep its runs, on its clock.
@@ -134,6 +138,7 @@
 		w.recordAnswer(now, h.ClockMS)
 		w.lastListAt, w.listSentAt = now, latest(w.listSentAt, h.SentAt)
 		w.boundHold(h.ClockMS)
+		w.refuteClaim(h.SentAt)
 		w.applyCompletions(now, h)
 		w.reconcileRuns(now, h)
 	case ResultFenced:
@@ -145,6 +150,11 @@
 		w.endIncarnation(now, "another incarnation answers at the worker's address")
 		w.refuseQueue(now, yuccawire.RunRefusal_RUN_REFUSAL_NO_WORKER)
 		w.markOwnersDirty()
+		if w.claim != nil {
+			// The answer to the takeover, or the next tick, sends the ends.
+			w.followClaim(now)
+			return
+		}
 	case ResultUnreachable:
 		w.recordUnreachable(now)
 		w.metrics.Add("holds_unanswered", 1)
--- a/yuccaworker/worker.go
+++ b/yuccaworker/worker.go
@@ -26,6 +26,9 @@
 	actions    []Action
 
 	report *Report
+	// claim is a report of a later start under the runs of the known incarnation, nil if there
+	// is none.
+	claim *claim
 	// specVersion counts the changes of the fields that sameSpec compares.
 	specVersion uint64
 	// reportedAt is when the last report arrived.
@@ -222,13 +225,18 @@
 }
 
 // HandleReport processes a report of the worker. It returns false and ignores the
-// report if a later one was received before.
+// report if a later one was received before. A later start under listed runs has to be
+// confirmed by the worker first.
 func (w *Worker) HandleReport(now time.Time, r Report) bool {
 	if w.report != nil && w.isOutdated(now, r) {
 		w.metrics.Add("reports_overtaken", 1)
 		w.options.Logger.Warn("outdated report ignored", "worker", r.ID, "born", r.StartedAtMS, "sequence", r.Sequence)
 		return false
 	}
+	if w.isClaim(r) {
+		w.noteClaim(now, r)
+		return true
+	}
 	sameIncarnation := w.report != nil && !w.gone && w.incarnation() == Incarnation{ID: r.ID, StartedAtMS: r.StartedAtMS}
 	startsLeaving := sameIncarnation && !w.report.Leaving && r.Leaving
 	w.lastContactAt = now
@@ -307,6 +315,7 @@
 		"cpu_milli", r.CPUMilli, "memory_mb", r.MemoryMB, "clock_ms", r.ClockMS, "since_answer_ms", silent)
 	w.metrics.Add("workers_taken", 1)
 	w.gone = false
+	w.claim = nil
 	w.clock, w.clockAnswered = workerClock{lastMS: r.ClockMS, observedAt: now}, false
 	// Fences the starts that were sent to an earlier incarnation with this ID.
 	w.token = max(min(w.token+1, maxToken), r.StartedAtMS+r.ClockMS)
@@ -446,7 +455,7 @@
 
 // isReady reports whether the worker can start runs.
 func (w *Worker) isReady(now time.Time) bool {
-	return w.report != nil && w.takenOver && !w.gone && !w.deregistered && w.isReachable() && !w.stopping && !w.report.Leaving && !w.isReportStale(now)
+	return w.report != nil && w.takenOver && !w.gone && !w.deregistered && w.isReachable() && !w.stopping && !w.report.Leaving && !w.isReportStale(now) && w.claim == nil
 }
 
 func (w *Worker) capacity() resources {
@@ -478,6 +487,7 @@
 	w.checkReservation(now)
 	w.retryStops(now)
 	w.checkHoldExpiry(now)
+	w.checkClaim(now)
 	w.checkReplacedWorker(now)
 	w.checkDeregistration(now)
 	w.checkHealth(now)
