--- a/yuccamodel/claimed_test.go
+++ b/yuccamodel/unconfirmed_test.go
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// claimRestartOfSome delivers a report of a later start of a worker that goes on.
-func (w *world) claimRestartOfSome() {
+// reportLaterStartOfSome delivers a report of a later start of a worker that goes on.
+func (w *world) reportLaterStartOfSome() {
 	s := w.sides[w.random.IntN(len(w.sides))]
 	r := s.worker.report()
 	r.StartedAtMS += 1 + int64(w.random.IntN(100_000))
@@ -23,7 +23,7 @@
 			t.Parallel()
 			w := newWorld(t, seed, 4, 5)
 			w.patience = 6 * time.Second
-			w.playFaults(0.3, 10, w.claimRestartOfSome)
+			w.playFaults(0.3, 10, w.reportLaterStartOfSome)
 		})
 	}
 }
--- /dev/null
+++ b/yuccaworker/clock.go
@@ -0,0 +1,31 @@
+package yuccaworker
+
+import "time"
+
+// workerClock computes a lower bound of the worker's clock from a reading of it
+// and the local time at which that arrived.
+type workerClock struct {
+	lastMS     int64
+	observedAt time.Time
+}
+
+func (c *workerClock) observe(ms int64, at time.Time) {
+	if c.observedAt.IsZero() || ms > c.lowerBound(at) {
+		c.lastMS, c.observedAt = ms, at
+	}
+}
+
+// lowerBound returns a time that the worker's clock has certainly reached.
+func (c *workerClock) lowerBound(now time.Time) int64 {
+	return c.lastMS + int64(float64(now.Sub(c.observedAt).Milliseconds())*(1-ClockDrift))
+}
+
+// isPlausible reports whether the clock may show ms in an answer that arrives now.
+func (c *workerClock) isPlausible(ms int64, now time.Time) bool {
+	return ms >= c.lowerBound(now)-maxClockAge.Milliseconds() && c.mayShow(ms, now)
+}
+
+// mayShow reports whether the clock may have reached ms by now.
+func (c *workerClock) mayShow(ms int64, now time.Time) bool {
+	return c.observedAt.IsZero() || ms <= c.lastMS+now.Sub(c.observedAt).Milliseconds()+maxClockAge.Milliseconds()
+}
--- a/yuccaworker/hold.go
+++ b/yuccaworker/hold.go
@@ -14,8 +14,8 @@
 	if w.report == nil || w.gone {
 		return
 	}
-	if w.claim != nil {
-		w.queryClaim(now)
+	if w.unconfirmed != nil {
+		w.queryIncarnation(now)
 		return
 	}
 	if w.takenOver && len(w.runs) == 0 && w.ackedCursor == w.cursor {
@@ -68,7 +68,7 @@
 // worker may run on, and receive renewals although its answers are lost: extending the
 // hold would keep runs alive whose outcome is never received.
 func (w *Worker) mayExtendHold(now time.Time) bool {
-	return w.claim == nil && !w.isUnresponsive(now) && !w.hasOverdueStop(now)
+	return w.unconfirmed == nil && !w.isUnresponsive(now) && !w.hasOverdueStop(now)
 }
 
 // extendHold returns the deadline up to which the worker may keep its runs, on its clock.
@@ -138,7 +138,7 @@
 		w.recordAnswer(now, h.ClockMS)
 		w.lastListAt, w.listSentAt = now, latest(w.listSentAt, h.SentAt)
 		w.boundHold(h.ClockMS)
-		w.refuteClaim(h.SentAt)
+		w.refuteRestart(h.SentAt)
 		w.applyCompletions(now, h)
 		w.reconcileRuns(now, h)
 	case ResultFenced:
@@ -150,9 +150,9 @@
 		w.endIncarnation(now, "another incarnation answers at the worker's address")
 		w.refuseQueue(now, yuccawire.RunRefusal_RUN_REFUSAL_NO_WORKER)
 		w.markOwnersDirty()
-		if w.claim != nil {
+		if w.unconfirmed != nil {
 			// The answer to the takeover, or the next tick, sends the ends.
-			w.followClaim(now)
+			w.followReport(now)
 			return
 		}
 	case ResultUnreachable:
--- /dev/null
+++ b/yuccaworker/unconfirmed.go
@@ -0,0 +1,89 @@
+package yuccaworker
+
+import "time"
+
+// unconfirmedRestart is a report of a later start of the worker. It is followed once an answer confirms
+// the restart, or no listed run of the known incarnation is left.
+type unconfirmedRestart struct {
+	report Report
+	// arrivedAt is when the report arrived, askedAt when the first renewal after it was sent.
+	arrivedAt time.Time
+	askedAt   time.Time
+}
+
+// isUnconfirmedRestart reports whether the report would end listed runs, by its start alone.
+func (w *Worker) isUnconfirmedRestart(r Report) bool {
+	return w.report != nil && !w.gone && r.ID == w.report.ID && r.StartedAtMS > w.report.StartedAtMS && w.hasListedRuns()
+}
+
+// hasListedRuns reports whether there are runs that a restart of the worker has certainly ended.
+func (w *Worker) hasListedRuns() bool {
+	for _, r := range w.runs {
+		if r.endsWithIncarnation() {
+			return true
+		}
+	}
+	return false
+}
+
+// endsWithIncarnation reports whether only the known incarnation can execute the run.
+func (r *run) endsWithIncarnation() bool { return r.listed && r.tries == 1 }
+
+// noteUnconfirmedRestart asks the worker which incarnation it is. Starts wait for the answer.
+func (w *Worker) noteUnconfirmedRestart(now time.Time, r Report) {
+	if w.unconfirmed != nil && w.unconfirmed.report.StartedAtMS == r.StartedAtMS {
+		if r.Sequence >= w.unconfirmed.report.Sequence {
+			w.unconfirmed.report, w.unconfirmed.arrivedAt = r, now
+		}
+		return
+	}
+	w.options.Logger.Warn("report of a later start, asking the worker", "worker", r.ID, "born", r.StartedAtMS, "known_born", w.report.StartedAtMS,
+		"sequence", r.Sequence, "runs", len(w.runs))
+	w.metrics.Add("restarts_unconfirmed", 1)
+	w.unconfirmed = &unconfirmedRestart{report: r, arrivedAt: now}
+	// Fences the starts that were sent to the known incarnation, as a takeover does.
+	w.token = min(w.token+1, maxToken)
+	w.markOwnersDirty()
+	w.queryIncarnation(now)
+	w.unconfirmed.askedAt = w.holdSentAt
+}
+
+// queryIncarnation requests the lists without an extension of the hold. It acknowledges nothing, as
+// a new incarnation has completions of its own.
+func (w *Worker) queryIncarnation(now time.Time) {
+	w.holdInFlight = true
+	w.holdSentAt = latest(now, w.holdSentAt.Add(1))
+	w.emit(CallHold{Incarnation: w.incarnation(), Token: w.token, Timeout: holdTimeout, SentAt: w.holdSentAt})
+}
+
+// refuteRestart drops the report if the known incarnation has answered a renewal that was sent
+// after it.
+func (w *Worker) refuteRestart(sentAt time.Time) {
+	if w.unconfirmed == nil || sentAt.Before(w.unconfirmed.askedAt) {
+		return
+	}
+	w.options.Logger.Warn("the worker has not restarted, report of a later start ignored", "worker", w.report.ID, "born", w.unconfirmed.report.StartedAtMS,
+		"known_born", w.report.StartedAtMS)
+	w.metrics.Add("restarts_refuted", 1)
+	w.unconfirmed = nil
+	w.markOwnersDirty()
+}
+
+// followReport takes the incarnation over that the report names.
+func (w *Worker) followReport(now time.Time) {
+	if w.unconfirmed == nil {
+		return
+	}
+	r := w.unconfirmed.report
+	clock := workerClock{lastMS: r.ClockMS, observedAt: w.unconfirmed.arrivedAt}
+	r.ClockMS = clock.lowerBound(now)
+	w.unconfirmed = nil
+	w.HandleReport(now, r)
+}
+
+// checkUnconfirmedRestart follows the report once the runs that it would have ended are over.
+func (w *Worker) checkUnconfirmedRestart(now time.Time) {
+	if w.unconfirmed != nil && !w.hasListedRuns() {
+		w.followReport(now)
+	}
+}
--- a/yuccaworker/worker.go
+++ b/yuccaworker/worker.go
@@ -26,9 +26,9 @@
 	actions    []Action
 
 	report *Report
-	// claim is a report of a later start under the runs of the known incarnation, nil if there
+	// unconfirmed is a report of a later start under the runs of the known incarnation, nil if there
 	// is none.
-	claim *claim
+	unconfirmed *unconfirmedRestart
 	// specVersion counts the changes of the fields that sameSpec compares.
 	specVersion uint64
 	// reportedAt is when the last report arrived.
@@ -161,34 +161,6 @@
 	retainedAt time.Time
 }
 
-// workerClock computes a lower bound of the worker's clock from a reading of it
-// and the local time at which that arrived.
-type workerClock struct {
-	lastMS     int64
-	observedAt time.Time
-}
-
-func (c *workerClock) observe(ms int64, at time.Time) {
-	if c.observedAt.IsZero() || ms > c.lowerBound(at) {
-		c.lastMS, c.observedAt = ms, at
-	}
-}
-
-// lowerBound returns a time that the worker's clock has certainly reached.
-func (c *workerClock) lowerBound(now time.Time) int64 {
-	return c.lastMS + int64(float64(now.Sub(c.observedAt).Milliseconds())*(1-ClockDrift))
-}
-
-// isPlausible reports whether the clock may show ms in an answer that arrives now.
-func (c *workerClock) isPlausible(ms int64, now time.Time) bool {
-	return ms >= c.lowerBound(now)-maxClockAge.Milliseconds() && c.mayShow(ms, now)
-}
-
-// mayShow reports whether the clock may have reached ms by now.
-func (c *workerClock) mayShow(ms int64, now time.Time) bool {
-	return c.observedAt.IsZero() || ms <= c.lastMS+now.Sub(c.observedAt).Milliseconds()+maxClockAge.Milliseconds()
-}
-
 // New returns a Worker that has received no report yet. The side's clock starts
 // at now.
 func New(options Options, now time.Time) *Worker {
@@ -240,8 +212,8 @@
 		w.options.Logger.Warn("outdated report ignored", "worker", r.ID, "born", r.StartedAtMS, "sequence", r.Sequence)
 		return false
 	}
-	if w.isClaim(r) {
-		w.noteClaim(now, r)
+	if w.isUnconfirmedRestart(r) {
+		w.noteUnconfirmedRestart(now, r)
 		return true
 	}
 	sameIncarnation := w.report != nil && !w.gone && w.incarnation() == Incarnation{ID: r.ID, StartedAtMS: r.StartedAtMS}
@@ -322,7 +294,7 @@
 		"cpu_milli", r.CPUMilli, "memory_mb", r.MemoryMB, "clock_ms", r.ClockMS, "since_answer_ms", silent)
 	w.metrics.Add("workers_taken", 1)
 	w.gone = false
-	w.claim = nil
+	w.unconfirmed = nil
 	w.clock, w.clockAnswered = workerClock{lastMS: r.ClockMS, observedAt: now}, false
 	// Fences the starts that were sent to an earlier incarnation with this ID.
 	w.token = max(min(w.token+1, maxToken), r.StartedAtMS+r.ClockMS)
@@ -463,7 +435,7 @@
 
 // isReady reports whether the worker can start runs.
 func (w *Worker) isReady(now time.Time) bool {
-	return w.report != nil && w.takenOver && !w.gone && !w.deregistered && w.isReachable() && !w.stopping && !w.report.Leaving && !w.isReportStale(now) && w.claim == nil
+	return w.report != nil && w.takenOver && !w.gone && !w.deregistered && w.isReachable() && !w.stopping && !w.report.Leaving && !w.isReportStale(now) && w.unconfirmed == nil
 }
 
 func (w *Worker) capacity() resources {
@@ -495,7 +467,7 @@
 	w.checkReservation(now)
 	w.retryStops(now)
 	w.checkHoldExpiry(now)
-	w.checkClaim(now)
+	w.checkUnconfirmedRestart(now)
 	w.checkReplacedWorker(now)
 	w.checkDeregistration(now)
 	w.checkHealth(now)
