broker: keep an unsettled run until the last caller has gone

A task would run twice at the same time.

Cause: a lost run that may still start is kept until the deadline of its own submission, or that of an open later one. The caller's third submission placed the task again.

Now each submission extends the deadline of the earlier one whose runs may be alive, also if they are lost only later.

TestSecondResendDoesNotWaitForAnUnansweredStart failed before: run 2 was ordered at the other side, 3.7 s after the first one.

--- a/yuccabroker/job.go
+++ b/yuccabroker/job.go
@@ -161,6 +161,7 @@
 	for _, st := range j.steps {
 		for _, t := range st.tasks {
 			t.run = j.lastRun
+			b.extendEarlierRuns(t)
 		}
 	}
 	if refusal := b.admissionRefusal(now, j); refusal != nil {
--- a/yuccabroker/lost.go
+++ b/yuccabroker/lost.go
@@ -141,12 +141,21 @@
 		return
 	}
 	for _, t := range sortedByName(s.unsettled) {
-		until := t.job.Deadline
-		if j := b.jobs[t.job.ID]; j != nil && j.Deadline.After(until) {
-			until = j.Deadline
+		if j := b.jobs[t.job.ID]; j != nil && j.Deadline.After(t.job.Deadline) {
+			t.job.Deadline = j.Deadline
 		}
-		if !now.Before(until) {
+		if !now.Before(t.job.Deadline) {
 			b.handleLostRun(now, t, "its caller has stopped waiting")
 		}
 	}
 }
+
+// extendEarlierRuns keeps the runs of earlier submissions of a task from being removed before
+// the caller of this one has stopped waiting, even if that leaves and comes again.
+func (b *Broker) extendEarlierRuns(t *task) {
+	for run := range t.job.runsBefore {
+		if earlier := b.runs[runKey{task: t.name, run: run + 1}]; earlier != nil && earlier.job.Deadline.Before(t.job.Deadline) {
+			earlier.job.Deadline = t.job.Deadline
+		}
+	}
+}
