broker: number a resend after unsettled runs of a forgotten job

A task would run twice at the same time.

Cause: a resend finds the runs of earlier submissions by the numbers in their saved outcome, which is kept for 10 s. A lost run that may still start is kept until its deadline, which may be later. In between, a resend used its number again: nothing held the task back, and both runs shared an entry in the table of runs.

Now a resend is numbered after the unsettled runs of its job too.

TestRunNumberOfAnUnansweredStartIsUsedAgain failed before: run 1 was ordered again at another side, 11 s after the first time.

--- a/yuccabroker/job.go
+++ b/yuccabroker/job.go
@@ -156,7 +156,7 @@
 		j.estimator = b.estimator
 	}
 	j.answerBy = earlier(j.answerBy, b.stopAt)
-	j.runsBefore = b.outcomes[submitted.ID].lastRun
+	j.runsBefore = max(b.outcomes[submitted.ID].lastRun, b.lastUnsettledRun(submitted.ID))
 	j.lastRun = j.runsBefore
 	for _, st := range j.steps {
 		for _, t := range st.tasks {
--- a/yuccabroker/lost.go
+++ b/yuccabroker/lost.go
@@ -159,3 +159,17 @@
 		}
 	}
 }
+
+// lastUnsettledRun returns the highest run number of the job's earlier submissions of which a
+// run that was lost may still start, which may last longer than their saved outcome.
+func (b *Broker) lastUnsettledRun(id string) uint64 {
+	last := uint64(0)
+	for _, s := range b.sideList {
+		for t := range s.unsettled {
+			if t.job.ID == id {
+				last = max(last, t.job.lastRun)
+			}
+		}
+	}
+	return last
+}
--- a/yuccabroker/resent_test.go
+++ b/yuccabroker/resent_test.go
@@ -27,6 +27,25 @@
 	}
 }
 
+// The caller of a long job comes again once the outcome of its first submission is forgotten.
+func TestRunNumberOfAnUnansweredStartIsUsedAgain(t *testing.T) {
+	f := newFixture(t, "s1", "s2")
+	j := job("a", 1)
+	j.Deadline = startTime.Add(30 * time.Second)
+	f.submit(j, 1)
+	lost, other := f.onlySide(), "s2"
+	if lost == "s2" {
+		other = "s1"
+	}
+	f.broker.HandleDisconnect(f.now, "a", 1)
+	f.advance(11*time.Second, other)
+	f.submit(j, 2)
+	f.advance(time.Second, other)
+	if len(f.orders[other]) != 0 {
+		t.Errorf("ordered %v at another side, want the run of the first submission only", f.orders[other])
+	}
+}
+
 // onlySide returns the side that has got the only order.
 func (f *fixture) onlySide() string {
 	f.t.Helper()
