broker: count no lost run in the share of its queue

After the loss of sides, the jobs of their queues would wait for their share longer than before.

Cause: a lost run that may still start counted as running until its callers' deadline, though its leases have expired, in the demand that all entries compute the shares from.

Now it stops counting once it is held back.

TestRunOfSilentSideUsesTheShareOfItsQueue failed before: 1600 thousandths of a processor running 2 s after the side fell silent.

--- a/yuccabroker/lost.go
+++ b/yuccabroker/lost.go
@@ -59,9 +59,11 @@
 // that.
 func (b *Broker) removeRun(now time.Time, t *task) {
 	delete(b.runs, runKey{task: t.name, run: t.run})
+	if !t.isHeldBack() {
+		b.queueOf(t).runningCPU -= t.step.CPUMilli
+	}
 	delete(t.side.runs, t)
 	delete(t.side.unsettled, t)
-	b.queueOf(t).runningCPU -= t.step.CPUMilli
 	t.job.runsInFlight--
 	if j := b.jobs[t.job.ID]; j != nil && j != t.job {
 		b.enqueueReady(now, j)
@@ -129,6 +131,7 @@
 	}
 	delete(t.side.runs, t)
 	t.side.unsettled[t] = struct{}{}
+	b.queueOf(t).runningCPU -= t.step.CPUMilli
 	b.metrics.Add("runs_lost_unsettled", 1)
 	b.options.Logger.Warn("run lost that may still start, its task is not placed again", "job", t.job.ID, "task", t.name, "run", t.run,
 		"side", t.side.name, "why", reason, "since_order_ms", now.Sub(t.sentAt).Milliseconds())
