broker: let a joining resend not shorten the wait for a lost run

A task would run twice at the same time.

Cause: a resend that joins an open job replaced its deadline, also by an earlier one. A lost run that may still start was released at that, while the first caller could come again.

Now the later deadline of the callers counts.

--- a/yuccabroker/job.go
+++ b/yuccabroker/job.go
@@ -147,7 +147,9 @@
 		b.options.Logger.Info("resend joined the open job", "job", j.ID, "waiters", len(j.waiters)+1)
 		j.waiters = append(j.waiters, waiter)
 		j.answerBy = earlier(submitted.Deadline.Add(-AnswerMargin), b.stopAt)
-		j.Deadline = submitted.Deadline
+		if submitted.Deadline.After(j.Deadline) {
+			j.Deadline = submitted.Deadline
+		}
 		return
 	}
 	b.queueUses[submitted.Queue.Name] = queueUse{service: submitted.Queue.Service, at: now}
