--- a/yuccabroker/lost.go
+++ b/yuccabroker/lost.go
@@ -59,9 +59,11 @@
 // that.
 func (b *Broker) removeRun(now time.Time, t *task) {
 	delete(b.runs, runKey{task: t.name, run: t.run})
+	if !t.isHeldBack() {
+		b.queueOf(t).runningCPU -= t.step.CPUMilli
+	}
 	delete(t.side.runs, t)
 	delete(t.side.unsettled, t)
-	b.queueOf(t).runningCPU -= t.step.CPUMilli
 	t.job.runsInFlight--
 	if j := b.jobs[t.job.ID]; j != nil && j != t.job {
 		b.enqueueReady(now, j)
@@ -129,6 +131,7 @@
 	}
 	delete(t.side.runs, t)
 	t.side.unsettled[t] = struct{}{}
+	b.queueOf(t).runningCPU -= t.step.CPUMilli
 	b.metrics.Add("runs_lost_unsettled", 1)
 	b.options.Logger.Warn("run lost that may still start, its task is not placed again", "job", t.job.ID, "task", t.name, "run", t.run,
 		"side", t.side.name, "why", reason, "since_order_ms", now.Sub(t.sentAt).Milliseconds())
@@ -153,12 +156,35 @@
 		return
 	}
 	for _, t := range sortedByName(s.unsettled) {
-		until := t.job.Deadline
-		if j := b.jobs[t.job.ID]; j != nil && j.Deadline.After(until) {
-			until = j.Deadline
+		if j := b.jobs[t.job.ID]; j != nil && j.Deadline.After(t.job.Deadline) {
+			t.job.Deadline = j.Deadline
 		}
-		if !now.Before(until) {
+		if !now.Before(t.job.Deadline) {
 			b.handleLostRun(now, t, "its caller has stopped waiting")
 		}
 	}
 }
+
+// extendEarlierRuns keeps the runs of earlier submissions of a task from being removed before
+// the caller of this one has stopped waiting, even if that leaves and comes again.
+func (b *Broker) extendEarlierRuns(t *task) {
+	for run := range t.job.runsBefore {
+		if earlier := b.runs[runKey{task: t.name, run: run + 1}]; earlier != nil && earlier.job.Deadline.Before(t.job.Deadline) {
+			earlier.job.Deadline = t.job.Deadline
+		}
+	}
+}
+
+// lastUnsettledRun returns the highest run number of the job's earlier submissions of which a
+// run that was lost may still start, which may last longer than their saved outcome.
+func (b *Broker) lastUnsettledRun(id string) uint64 {
+	last := uint64(0)
+	for _, s := range b.sideList {
+		for t := range s.unsettled {
+			if t.job.ID == id {
+				last = max(last, t.job.lastRun)
+			}
+		}
+	}
+	return last
+}
