worker: say of each lost run whether a start may be left

A start without an answer, a restart of the worker, a stop that the new incarnation acknowledged, a second restart: the delayed start was executed there, after the side had reported the run as lost with no start left, and its task could be placed again.

Cause: a stop and a token that bind one incarnation of the worker were taken as proof for the next one. The same held for a run with several tries of which the worker had lost its record.

Now a loss says that a start may be left unless the only start was executed. TestStopAtARestartedWorkerIsNoProofThatAStartIsNotLeft failed before.

--- a/yuccaworker/hold.go
+++ b/yuccaworker/hold.go
@@ -249,12 +249,13 @@
 			// Keeps a delayed start from taking effect.
 			w.stopRun(now, r)
 		case isLost && isStopped:
-			w.loseRun(now, r, true, "the new incarnation does not list it")
+			w.loseRun(now, r, "the new incarnation does not list it")
 		case isStopped:
 			w.completeRun(now, r, yuccawire.RunEnd_RUN_END_STOPPED)
 		case isMissing && len(h.Completions) == 0:
 			// Neither running nor completed: the worker lost its record of the run.
-			w.completeRun(now, r, yuccawire.RunEnd_RUN_END_LOST)
+			w.settleCrash(now, r, false)
+			w.completeRunAfter(now, r, yuccawire.RunEnd_RUN_END_LOST, now.Sub(r.startSentAt), r.mayStartLater())
 		}
 	}
 	isClear := w.noteUntracked(now, h.SentAt, len(untracked))
--- a/yuccaworker/restart.go
+++ b/yuccaworker/restart.go
@@ -34,7 +34,7 @@
 		}
 		if r.listed && r.tries == 1 {
 			lost++
-			w.loseRun(now, r, false, reason)
+			w.loseRun(now, r, reason)
 			continue
 		}
 		unconfirmed++
@@ -62,14 +62,14 @@
 	r.ranBeforeLoss = max(endedAt.Sub(r.startSentAt), 0)
 }
 
-// loseRun completes a run that markLost was called for. isFenced is set if the present
-// incarnation of the worker has stopped it and rejects its delayed starts.
-func (w *Worker) loseRun(now time.Time, r *run, isFenced bool, reason string) {
+// loseRun completes a run that markLost was called for. A stop at the present incarnation of the
+// worker doesn't keep the next one from executing a delayed start.
+func (w *Worker) loseRun(now time.Time, r *run, reason string) {
 	w.options.Logger.Info("run lost with the worker", "task", r.key.Task, "run", r.key.Run, "owner", r.owner.id.Name,
 		"end", r.lostAs.String(), "ran_ms", r.ranBeforeLoss.Milliseconds(), "unreachable", !w.isReachable(), "why", reason)
 	w.metrics.Add("runs_lost", 1)
 	w.settleCrash(now, r, r.clockConfirmed)
-	w.completeRunAfter(now, r, r.lostAs, r.ranBeforeLoss, !isFenced && r.mayStartLater())
+	w.completeRunAfter(now, r, r.lostAs, r.ranBeforeLoss, r.mayStartLater())
 }
 
 // carryOver prepares the takeover of a new incarnation for the runs that it may have
--- a/yuccaworker/run.go
+++ b/yuccaworker/run.go
@@ -349,6 +349,6 @@
 		if r.lostAs == yuccawire.RunEnd_RUN_END_UNSPECIFIED {
 			r.markLost(crashed, endedAt)
 		}
-		w.loseRun(now, r, false, reason)
+		w.loseRun(now, r, reason)
 	}
 }
--- a/yuccaworker/settled_test.go
+++ b/yuccaworker/settled_test.go
@@ -101,3 +101,19 @@
 		t.Errorf("reported %v, want may_start", ended)
 	}
 }
+
+// The new incarnation has acknowledged the stop of the run, but the next one knows nothing of it.
+func TestStopAtARestartedWorkerIsNoProofThatAStartIsNotLeft(t *testing.T) {
+	h := newHarness(t)
+	h.advance(time.Second)
+	h.unresponsive = true
+	h.order(entry, lease, task("a", 1, 1600))
+	h.unresponsive = false
+	h.restart(-4000)
+	h.report(1, false)
+	h.runActions()
+	h.advanceWithLease(entry, 400*time.Millisecond)
+	if ended := h.outcomeOf(entry, "a"); ended == nil || !ended.GetMayStart() {
+		t.Errorf("reported %v, want may_start", ended)
+	}
+}
