worker, broker: count runs of a restarted worker as unsettled again

A run whose start was answered counted as settled also after a restart of its worker was noticed, although the new incarnation may have executed it, and delayed renewals of the earlier one may keep it going there. Its side was then lost before that was known, and the task would have been placed again.

The side lists such runs as unsettled until a list of the new incarnation shows them, and the entry follows each report, not only the first one that settles a run. The cases 'answered before a restart' of TestRunIsUnsettledUntilItsOnlyStartWasExecuted and 'settled before the worker restarted' of TestTaskOfAnUnansweredStartIsNotPlacedAgain failed before.

--- a/yuccabroker/job.go
+++ b/yuccabroker/job.go
@@ -94,7 +94,7 @@
 	// sideIncarnation is the incarnation of the side that the run was sent to.
 	sideIncarnation uint64
 	// order is the number of the orders with its latest run, zero once the link that they were
-	// sent on has been replaced. settled is set once nothing can start that run again.
+	// sent on has been replaced. settled is set while nothing can start that run again.
 	order   uint64
 	settled bool
 	// lostBySide is set once the side has lost the run and the worker may still start it.
--- a/yuccabroker/lost.go
+++ b/yuccabroker/lost.go
@@ -7,10 +7,11 @@
 	"github.com/yuccaturn/yuccaturn/yuccaworker"
 )
 
-// settleRuns marks the runs as settled that the report includes and doesn't list as unsettled.
+// settleRuns marks the runs as settled that the report includes and doesn't list as unsettled. A
+// restart of the worker makes runs unsettled that the next incarnation may have started.
 func (s *side) settleRuns(m *yuccawire.WorkerState) {
 	for t := range s.runs {
-		if !t.settled && t.sideIncarnation == s.Incarnation && t.order <= m.GetOrdersSeen() {
+		if t.sideIncarnation == s.Incarnation && t.order <= m.GetOrdersSeen() {
 			t.settled = !t.isIn(m.GetUnsettled())
 		}
 	}
--- a/yuccabroker/lost_test.go
+++ b/yuccabroker/lost_test.go
@@ -36,6 +36,11 @@
 		"lost by the side": func(f *fixture) {
 			f.broker.HandleEnds(f.now, "s1", &yuccawire.Ends{Ends: []*yuccawire.Ended{{Run: firstRun, End: yuccawire.RunEnd_RUN_END_LOST, MayStart: true}}})
 		},
+		"settled before the worker restarted": func(f *fixture) {
+			f.report("s1", fullCPU)
+			f.reportUnsettled("s1")
+			f.restartSide("s1")
+		},
 		"reported unsettled, then restarted": func(f *fixture) {
 			f.reportUnsettled("s1")
 			f.restartSide("s1")
--- a/yuccaworker/settled_test.go
+++ b/yuccaworker/settled_test.go
@@ -33,7 +33,15 @@
 			want: true,
 		},
 		"answered by a restarted worker": {prepare: func(h *harness) { h.restart(-4000) }, want: true},
-		"queued":                         {prepare: func(h *harness) { h.order(otherEntry, lease, task("b", 1, 15000)) }, want: true},
+		"answered before a restart": {
+			follow: func(h *harness) {
+				h.restart(200)
+				h.report(1, false)
+				h.runActions()
+			},
+			want: true,
+		},
+		"queued": {prepare: func(h *harness) { h.order(otherEntry, lease, task("b", 1, 15000)) }, want: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			h := newHarness(t)
