broker: withdraw a job whose silent side reports its run lost

What callers saw: nothing. What others lacked: the capacity of tasks whose job could not be completed any more. A run that is lost as its side is silent does not withdraw the job, as the side may report the end. If the side is heard again and reports instead that it has lost the run, which may still start, holdBack returned early for the run that was held back before, and the job went on until its deadline.

The job is withdrawn then too. The call does nothing for a job that is ended or being withdrawn.

TestJobWithARunLostAfterSilenceKeepsItsOtherRuns failed: nothing was withdrawn.

--- a/yuccabroker/lost.go
+++ b/yuccabroker/lost.go
@@ -128,6 +128,7 @@
 // still report how the run ended.
 func (b *Broker) holdBack(now time.Time, t *task, reason string) {
 	if t.isHeldBack() {
+		b.withdrawHopeless(now, t)
 		return
 	}
 	delete(t.side.runs, t)
