broker: withdraw a job of which a side has forgotten the end of a run

What callers saw: nothing. What others lacked: the same capacity as with a run that the side lost itself. A side that links again after the retention of outcomes, without the run in its full list, reports its end no more, but the job went on until its deadline.

The run counts as one whose end the side will not report, so that its job is withdrawn. By the code, an order that arrives that late is refused, as its lease has ended; no run shows it.

The case 'end forgotten' of TestJobWithARunLostAfterSilenceKeepsItsOtherRuns failed: nothing was withdrawn.

--- a/yuccabroker/hopeless_test.go
+++ b/yuccabroker/hopeless_test.go
@@ -14,6 +14,10 @@
 		"lost by the side": func(f *fixture) {
 			f.broker.HandleEnds(f.now, "s1", &yuccawire.Ends{Ends: []*yuccawire.Ended{{Run: firstRun, End: yuccawire.RunEnd_RUN_END_LOST, MayStart: true}}})
 		},
+		"end forgotten": func(f *fixture) {
+			f.advance(3*time.Second, "s2")
+			f.relink("s1", f.sideClock())
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := newFixture(t, "s1")
--- a/yuccabroker/job.go
+++ b/yuccabroker/job.go
@@ -97,7 +97,8 @@
 	// sent on has been replaced. settled is set while nothing can start that run again.
 	order   uint64
 	settled bool
-	// lostBySide is set once the side has lost the run and the worker may still start it.
+	// lostBySide is set once the side will not report the end of the run any more, which the worker
+	// may still start.
 	lostBySide bool
 	// tier and rank determine its position in the queue, lower ones first.
 	tier int
--- a/yuccabroker/side.go
+++ b/yuccabroker/side.go
@@ -286,6 +286,7 @@
 		case t.sideIncarnation != s.Incarnation || t.lostBySide || present[runKey{task: t.name, run: t.run}]:
 		case t.mayBeForgotten(m):
 			b.metrics.Add("runs_forgotten", 1)
+			t.lostBySide = true
 			b.handleUnknownRun(now, t, "order never reached the side, or its end is forgotten")
 		default:
 			b.metrics.Add("runs_never_arrived", 1)
