worker: let the hold end runs of others whose stops have no effect

What callers saw: a worker that is not used. A side stops the runs that its worker lists and that it doesn't track, and takes the worker over once none is left. Its renewals extended the hold of the worker in the meantime, also of these runs. While their stops were lost, they went on for good, and the worker was never taken over. A tracked run whose stop has no answer keeps the hold from being extended; nothing did so for these.

Ruled out: a limit for each such run. Without runs of its own, the side has nothing to keep during a takeover, so its renewals state no deadline then, and the hold ends what its stops don't. Runs of its own still extend the hold until they have ended. A start states its own deadline.

TestTakeoverKeepsAnUnstoppedRunForGood failed: after 2 s, the run was running and the worker not taken over.

--- a/yuccaworker/hold.go
+++ b/yuccaworker/hold.go
@@ -33,7 +33,8 @@
 		wait = 0
 	}
 	deadline := int64(0)
-	if w.mayExtendHold(now) {
+	// While there are no runs to keep, the hold ends those whose stops have no effect.
+	if w.mayExtendHold(now) && (w.takenOver || len(w.runs) > 0) {
 		deadline = w.extendHold(now)
 	}
 	w.holdInFlight = true
