broker: number a resend after runs at a side that has restarted

What callers saw: a second run of a task while the first may be alive. The runs that were sent to an earlier process of a side count as alive until the next one has taken its worker over. While that one is heard without doing so, it goes on for longer than an outcome is saved. A job that was submitted again after that began with run 1, did not find the earlier run, and was placed at once.

The numbering goes on after these runs as it does after the lost ones, so that the task waits for them. Ruled out: looking at all runs with each submission, which costs more; the runs at other sides are reported or expire.

--- a/yuccabroker/lost.go
+++ b/yuccabroker/lost.go
@@ -178,14 +178,24 @@
 }
 
 // lastUnsettledRun returns the highest run number of the job's earlier submissions of which a
-// run that was lost may still start, which may last longer than their saved outcome.
+// run that was lost may still start, or may be alive at a side that has restarted. Both may last
+// longer than their saved outcome.
 func (b *Broker) lastUnsettledRun(id string) uint64 {
 	last := uint64(0)
 	for _, s := range b.sideList {
-		for t := range s.unsettled {
-			if t.job.ID == id {
-				last = max(last, t.job.lastRun)
-			}
+		last = max(last, lastRunOf(id, s.unsettled))
+		if s.hasOrphans {
+			last = max(last, lastRunOf(id, s.runs))
+		}
+	}
+	return last
+}
+
+func lastRunOf(id string, tasks map[*task]struct{}) uint64 {
+	last := uint64(0)
+	for t := range tasks {
+		if t.job.ID == id {
+			last = max(last, t.job.lastRun)
 		}
 	}
 	return last
