review: a failed run with an unanswered start runs beside the next one

TWICE: the first call that starts run 1 has no answer, the second is executed. Run 1 fails, run 2 starts elsewhere, the first worker restarts under its id behind a cut and carries the first call out. The earlier case is now the second.

--- a/review/standin/cluster.go
+++ b/review/standin/cluster.go
@@ -11,7 +11,6 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"syscall"
 	"time"
 )
 
@@ -160,15 +159,11 @@
 	return nil
 }
 
-func (c *cluster) signal(name string, s syscall.Signal) {
-	c.record.write("signal %s to %s", s, name)
-	_ = c.processes[name].command.Process.Signal(s)
-}
-
 // kill ends a process and waits for its end.
 func (c *cluster) kill(name string) {
-	c.signal(name, syscall.SIGKILL)
+	_ = c.processes[name].command.Process.Kill()
 	<-c.processes[name].done
+	c.record.write("killed %s", name)
 }
 
 func (c *cluster) hasEnded(name string) bool {
--- a/review/standin/twice.go
+++ b/review/standin/twice.go
@@ -27,23 +27,13 @@
 	const id = "5c0e7a21d94b36f8"
 	var wg sync.WaitGroup
 	if trouble {
-		var once sync.Once
-		for n, l := range c.links {
-			l.setLate(func(path string, body []byte) (time.Duration, bool) {
-				isLate := false
-				if path == "/-/run-start" && strings.Contains(string(body), id) {
-					once.Do(func() {
-						isLate = true
-						wg.Add(1)
-						go func() {
-							defer wg.Done()
-							c.trouble(n, labels[n-4])
-						}()
-					})
-				}
-				return 2200 * time.Millisecond, isLate
-			})
-		}
+		c.delayFirstStart(&wg, id, 2200*time.Millisecond, func(n int) {
+			time.Sleep(200 * time.Millisecond)
+			c.links[n].setCut(true)
+			c.kill(fmt.Sprintf("worker-%d", n))
+			c.kill("edge-1")
+			c.restartBehindCut(n, labels[n-4])
+		})
 	}
 	body := []byte(`{"spec":"{\"ms\":900}","bestEffort":true,"steps":[{"count":1,"cpu":1600,"memMb":64,"estimatedMs":900}]}`)
 	answered := c.submit(id, body, 3*time.Second, 1, 2, 3)
@@ -55,12 +45,30 @@
 	return c.neverTwice()
 }
 
-// trouble is what happens to the worker of machine n, and to the first entry, after the start.
-func (c *cluster) trouble(n int, labels string) {
-	time.Sleep(200 * time.Millisecond)
-	c.links[n].setCut(true)
-	c.kill(fmt.Sprintf("worker-%d", n))
-	c.kill("edge-1")
+// delayFirstStart leaves the first start of the job unanswered at whichever worker gets it, has it
+// carried out after the delay, and then calls happens with the number of the machine.
+func (c *cluster) delayFirstStart(wg *sync.WaitGroup, id string, delay time.Duration, happens func(n int)) {
+	var once sync.Once
+	for n, l := range c.links {
+		l.setLate(func(path string, body []byte) (time.Duration, bool) {
+			isLate := false
+			if path == "/-/run-start" && strings.Contains(string(body), id) {
+				once.Do(func() {
+					isLate = true
+					wg.Add(1)
+					go func() {
+						defer wg.Done()
+						happens(n)
+					}()
+				})
+			}
+			return delay, isLate
+		})
+	}
+}
+
+// restartBehindCut starts a worker again whose link is cut, and heals the link later.
+func (c *cluster) restartBehindCut(n int, labels string) {
 	time.Sleep(500 * time.Millisecond)
 	if err := c.startWorker(n, labels); err != nil {
 		c.record.write("worker not started: %v", err)
@@ -69,6 +77,39 @@
 	c.links[n].setCut(false)
 }
 
+// failedRun submits a job of one task, whose first run fails by its own fault. With the disruption, the
+// worker that is told to start it leaves the first call unanswered. Later, while the second run is on
+// at another worker, it is cut off from its side, crashes behind the cut and starts again under its id.
+// The unanswered start is carried out 2.2 s after it was sent.
+func failedRun(c *cluster, trouble bool) (bool, error) {
+	labels := []string{"a,r1-1", "a,r1-1", "a,r1-2", "a,r1-2", "a,r1-3", "a,r1-3"}
+	if err := c.startAll(labels); err != nil {
+		return false, err
+	}
+	if !c.configure(document(1, 5000), 20*time.Second) || !c.awaitReady(10*time.Second, 1, 2, 3) {
+		return false, errors.New("the deployment did not start")
+	}
+	time.Sleep(5 * time.Second)
+	const id = "5c0e7a21d94b36f8"
+	var wg sync.WaitGroup
+	if trouble {
+		c.delayFirstStart(&wg, id, 2200*time.Millisecond, func(n int) {
+			time.Sleep(600 * time.Millisecond)
+			c.links[n].setCut(true)
+			c.kill(fmt.Sprintf("worker-%d", n))
+			c.restartBehindCut(n, labels[n-4])
+		})
+	}
+	body := []byte(`{"spec":"{\"ms\":2500,\"failedRun\":1,\"failedAfterMs\":300}","bestEffort":true,"steps":[{"count":1,"cpu":1600,"memMb":64,"estimatedMs":2500}]}`)
+	answered := c.submit(id, body, 5*time.Second, 1, 2, 3)
+	time.Sleep(2 * time.Second)
+	wg.Wait()
+	if !answered && !trouble {
+		return false, errors.New("the job was not answered")
+	}
+	return c.neverTwice()
+}
+
 // submit sends a job as a client does: to the first of the entries, and after no response, a broken
 // connection, 502 or 504 again 1,300 ms later to the next one, until the deadline.
 func (c *cluster) submit(id string, body []byte, patience time.Duration, entries ...int) bool {
@@ -100,9 +141,9 @@
 	for s := bufio.NewScanner(file); s.Scan(); {
 		f := strings.Fields(s.Text())
 		switch {
-		case len(f) >= 5 && strings.HasPrefix(f[4], "worker-") && f[1] == "signal":
+		case len(f) == 3 && f[1] == "killed" && strings.HasPrefix(f[2], "worker-"):
 			for _, workers := range running {
-				delete(workers, "i-"+strings.TrimPrefix(f[4], "worker-"))
+				delete(workers, "i-"+strings.TrimPrefix(f[2], "worker-"))
 			}
 		case len(f) >= 6 && f[1] == "worker" && f[3] == "run":
 			worker := f[2]
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -19,7 +19,8 @@
 )
 
 // The stand-in of a worker follows PROTOCOL.md, "Running tasks" and "Service discovery". The
-// text of a job is JSON that says how long each of its tasks takes: {"ms": 900}.
+// text of a job is JSON that says how long each of its tasks takes, and which run of it fails after
+// how long: {"ms": 2500, "failedRun": 1, "failedAfterMs": 300}.
 type worker struct {
 	id, service, address, zone, control string
 	labels                              []string
@@ -42,6 +43,7 @@
 type run struct {
 	number uint64
 	until  int64
+	how    string
 }
 
 type end struct {
@@ -153,7 +155,7 @@
 			case now >= w.deadline:
 				w.finish(task, "lapsed")
 			case now >= r.until:
-				w.finish(task, "done")
+				w.finish(task, r.how)
 			}
 		}
 		w.mu.Unlock()
@@ -244,10 +246,14 @@
 		return
 	}
 	var spec struct {
-		Ms int64 `json:"ms"`
+		Ms, FailedRun, FailedAfterMs int64
 	}
 	_ = json.Unmarshal([]byte(c.Spec), &spec)
-	w.runs[c.Task] = &run{number: c.RunID, until: w.clock() + spec.Ms}
+	started := &run{number: c.RunID, until: w.clock() + spec.Ms, how: "done"}
+	if int64(c.RunID) == spec.FailedRun {
+		started.until, started.how = w.clock()+spec.FailedAfterMs, "failed"
+	}
+	w.runs[c.Task] = started
 	w.record.write("worker %s run %s/%d starts", w.id, c.Task, c.RunID)
 	w.answer(rw, http.StatusOK, map[string]any{})
 }
