review: a draining entry reads a request and never answers it

LOST: a request whose last byte arrives when the drain has ended is read and gets no answer until SIGKILL.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -9,7 +9,7 @@
 
 // A case returns whether the rule held. An error means that it could not run.
 var cases = map[string]func(c *cluster, trouble bool) (bool, error){
-	"late-start": lateStart, "failed-run": failedRun, "evacuation": evacuation, "cancelled": cancelled,
+	"late-start": lateStart, "failed-run": failedRun, "evacuation": evacuation, "cancelled": cancelled, "slow-request": slowRequest,
 }
 
 func main() {
