--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -e
 cd "$(dirname "$0")/standin"
 mkdir -p ../../target
-go build -o ../../target/review-standin .
+go build -buildvcs=false -o ../../target/review-standin .
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -5,6 +5,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 // A case returns whether the rule held. An error means that it could not run.
@@ -40,6 +42,13 @@
 		return 2
 	}
 	defer c.stop()
+	interrupts := make(chan os.Signal, 1)
+	signal.Notify(interrupts, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-interrupts
+		c.stop()
+		os.Exit(2)
+	}()
 	held, err := cases[name](c, os.Getenv("TROUBLE") != "0")
 	switch {
 	case err != nil:
