worker, broker: tell a worker that stood still from one that crashed or was suspended

A side now logs "worker answers again", with what the worker's clock did, and "side stood still"; an entry logs "entry stood still", and "run lost" says whether the run's start had been answered and how old the side's last report was.

--- a/yuccabroker/broker.go
+++ b/yuccabroker/broker.go
@@ -11,6 +11,7 @@
 	"github.com/yuccaturn/yuccaturn/yuccaestimate"
 	"github.com/yuccaturn/yuccaturn/yuccametric"
 	"github.com/yuccaturn/yuccaturn/yuccashare"
+	"github.com/yuccaturn/yuccaturn/yuccasuspend"
 	"github.com/yuccaturn/yuccaturn/yuccawire"
 )
 
@@ -68,6 +69,7 @@
 	reservations []*reservation
 	// needsPlacement is set when a change may allow a queued task to be placed.
 	needsPlacement bool
+	ticks          yuccasuspend.TickWatch
 	// stopAt is when this entry stops, zero unless a stop is scheduled.
 	stopAt time.Time
 
@@ -240,6 +242,10 @@
 // Tick handles everything that depends on time: deadlines, leases, heartbeats,
 // stragglers and retention. It has to be called every few tens of milliseconds.
 func (b *Broker) Tick(now time.Time) {
+	if stood := b.ticks.Advance(now); stood > 0 {
+		b.metrics.Add("standstills", 1)
+		b.options.Logger.Warn("entry stood still", "stood_ms", stood.Milliseconds(), "jobs", len(b.jobs), "runs", len(b.runs))
+	}
 	b.updateShares(now)
 	b.expireJobs(now)
 	b.rerank(now)
--- a/yuccabroker/lost.go
+++ b/yuccabroker/lost.go
@@ -51,7 +51,7 @@
 	}
 	b.metrics.Add("runs_lost", 1)
 	b.options.Logger.Info("run lost", "job", t.job.ID, "task", t.name, "run", t.run, "side", s.name, "why", reason,
-		"since_order_ms", now.Sub(t.sentAt).Milliseconds())
+		"settled", t.settled, "since_order_ms", now.Sub(t.sentAt).Milliseconds(), "report_age_ms", now.Sub(s.lastReport).Milliseconds())
 	t.avoid = s
 	b.enqueue(now, t)
 }
--- a/yuccaworker/worker.go
+++ b/yuccaworker/worker.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/yuccaturn/yuccaturn/yuccametric"
+	"github.com/yuccaturn/yuccaturn/yuccasuspend"
 	"github.com/yuccaturn/yuccaturn/yuccawire"
 )
 
@@ -40,6 +41,7 @@
 	// lastContactAt is when the worker last reported or answered a call.
 	lastContactAt time.Time
 	lastAnswerAt  time.Time
+	ticks         yuccasuspend.TickWatch
 	// unreachableSince is when the worker first refused a connection after its last
 	// answer, zero if it has not.
 	unreachableSince time.Time
@@ -376,6 +378,7 @@
 
 // recordAnswer records that the worker answered a call, and its clock.
 func (w *Worker) recordAnswer(now time.Time, clockMS int64) {
+	w.recordSilence(now, clockMS)
 	if clockMS > 0 && !w.clock.isPlausible(clockMS, now) {
 		w.metrics.Add("answers_with_other_clock", 1)
 		w.options.Logger.Warn("answer with another clock, the worker may have restarted", "worker", w.report.ID, "born", w.report.StartedAtMS,
@@ -461,6 +464,7 @@
 
 // Tick handles expired leases and timeouts, and starts and sends what is due.
 func (w *Worker) Tick(now time.Time) {
+	w.checkStandstill(now)
 	w.checkCrash(now)
 	w.expireOwners(now)
 	w.expireQueue(now)
