--- a/yuccamodel/worker_test.go
+++ b/yuccamodel/worker_test.go
@@ -74,6 +74,12 @@
 	reportSequence int64
 	// reportsFrom is when a restarted worker sends its first report.
 	reportsFrom time.Time
+	// standsStill is set while the worker does nothing, though its clock goes on. waiting are the
+	// calls that it has received since. isLate is set while it executes them, as nobody waits
+	// for the answers any more.
+	standsStill bool
+	waiting     []func()
+	isLate      bool
 }
 
 // modelRun is a run of a task; remainingMS is the work left.
@@ -113,7 +119,7 @@
 
 // advance simulates a millisecond of the worker's runs.
 func (m *modelWorker) advance() {
-	if m.isDown {
+	if m.isDown || m.standsStill {
 		return
 	}
 	if m.clock() > m.leaseUntilMS {
@@ -200,6 +206,7 @@
 // crash stops the worker and all its runs. It restarts as a new incarnation.
 func (m *modelWorker) crash() {
 	m.isDown = true
+	m.standsStill, m.waiting = false, nil
 	for key := range m.runs {
 		m.world.runningCount[key.Task]--
 		m.world.lostRuns[key.Task]++
--- a/yuccamodel/world_test.go
+++ b/yuccamodel/world_test.go
@@ -287,7 +287,7 @@
 
 func (w *world) reportAll() {
 	for _, s := range w.sides {
-		if !s.worker.isDown && !w.now.Before(s.worker.reportsFrom) {
+		if !s.worker.isDown && !s.worker.standsStill && !w.now.Before(s.worker.reportsFrom) {
 			s.handleReport()
 		}
 	}
@@ -365,7 +365,7 @@
 	s.incarnation++
 	s.isDown = false
 	s.core = yuccaworker.New(yuccaworker.Options{Name: s.name, Metrics: yuccametric.New(s.name), Logger: slog.New(slog.DiscardHandler)}, w.now)
-	if !s.worker.isDown && !w.now.Before(s.worker.reportsFrom) {
+	if !s.worker.isDown && !s.worker.standsStill && !w.now.Before(s.worker.reportsFrom) {
 		s.handleReport()
 	}
 	for _, e := range w.entries {
@@ -480,7 +480,11 @@
 		failLater()
 	case w.random.Float64() < m.delayedCallShare:
 		w.after(minLateness+time.Duration(w.random.IntN(int(m.delaySpread.Milliseconds())))*time.Millisecond, func() {
-			if !m.isDown {
+			switch {
+			case m.isDown:
+			case m.standsStill:
+				m.waiting = append(m.waiting, deliver)
+			default:
 				deliver()
 			}
 		})
@@ -488,6 +492,9 @@
 	default:
 		w.after(callDelay, func() {
 			switch {
+			case m.standsStill:
+				m.waiting = append(m.waiting, deliver)
+				failLater()
 			case !m.isDown:
 				deliver()
 			case m.refuses && s.incarnation == incarnation:
@@ -505,6 +512,9 @@
 func (s *modelSide) reply(deliver, onTimeout func(), timeout time.Duration) {
 	w := s.world
 	incarnation := s.incarnation
+	if s.worker.isLate {
+		return
+	}
 	if w.random.Float64() < s.worker.lostReplyShare {
 		deliver = onTimeout
 	} else {
