broker: place no task of a silent side again before its run's end is known

Cause: an entry took the end of two leases, by its own clock, for the end of the runs at a silent side. A worker that stands still with its side ends no run by its hold; it goes on with them later.

Now only news of the side counts: the end that it reports, or the takeover of the worker by its next process. Until then the task waits, and its job is answered with 504 at its deadline at the latest. Log message "run of a silent side may be in progress, its task waits for news of it", counter runs_silent.

--- a/yuccabroker/lost.go
+++ b/yuccabroker/lost.go
@@ -34,8 +34,8 @@
 		return
 	}
 	s.hasOrphans = false
-	for _, t := range s.sortedTasks() {
-		if t.sideIncarnation != s.Incarnation {
+	for _, t := range append(s.sortedTasks(), sortedByName(s.unsettled)...) {
+		if t.sideIncarnation != s.Incarnation && !t.lostBySide {
 			b.handleUnknownRun(now, t, "side restarted")
 		}
 	}
@@ -71,15 +71,16 @@
 	}
 }
 
-// runsExpireAt returns when no run sent to a silent side can be alive anymore:
-// after the expiry of this entry's lease at the side and, following it, of the
-// side's lease at the worker, allowing for clock drift.
+// runsExpireAt returns when the leases have expired that keep the runs at a silent side alive:
+// this entry's at the side and, following it, the side's at the worker, allowing for clock drift.
+// A machine that stands still or is suspended notices that only when it goes on.
 func (s *side) runsExpireAt() time.Time {
 	hold := time.Duration(float64(yuccaworker.Hold) * (1 + 2*yuccaworker.ClockDrift))
 	return s.leaseBase.Add(yuccaworker.OwnerLease + hold + lossSlack)
 }
 
-// expireRuns treats the runs at a side as lost once its leases have expired.
+// expireRuns holds the tasks with runs at a side back once its leases have expired. Only its side
+// can tell when a run has ended, so that no task is placed again before that is heard.
 func (b *Broker) expireRuns(now time.Time) {
 	for _, s := range b.sideList {
 		b.expireUnsettled(now, s)
@@ -87,13 +88,14 @@
 			continue
 		}
 		for _, t := range s.sortedTasks() {
-			b.handleUnknownRun(now, t, "side silent, leases expired")
+			t.job.mayHaveRun = true
+			b.holdBack(now, t, "side silent, leases expired")
 		}
 	}
 }
 
 // isHeldBack reports whether the task is not placed again since its latest run, which was lost,
-// may still start.
+// may be in progress or may still start.
 func (t *task) isHeldBack() bool {
 	if t.side == nil {
 		return false
@@ -124,8 +126,8 @@
 	b.holdBack(now, t, "side lost it")
 }
 
-// holdBack keeps the task of a run that was lost unsettled from being placed again. The side may
-// still report how the run ended.
+// holdBack keeps the task of a run that was lost from being placed again, while that may be in
+// progress or may still start. The side may still report how the run ended.
 func (b *Broker) holdBack(now time.Time, t *task, reason string) {
 	if t.isHeldBack() {
 		b.withdrawHopeless(now, t)
@@ -134,18 +136,27 @@
 	delete(t.side.runs, t)
 	t.side.unsettled[t] = struct{}{}
 	b.queueOf(t).runningCPU -= t.step.CPUMilli
-	b.metrics.Add("runs_lost_unsettled", 1)
-	b.options.Logger.Warn("run lost that may still start, its task is not placed again", "job", t.job.ID, "task", t.name, "run", t.run,
-		"side", t.side.name, "why", reason, "since_order_ms", now.Sub(t.sentAt).Milliseconds())
+	message, counter := "run lost that may still start, its task is not placed again", "runs_lost_unsettled"
+	if t.settled && !t.lostBySide {
+		message, counter = "run of a silent side may be in progress, its task waits for news of it", "runs_silent"
+	}
+	b.metrics.Add(counter, 1)
+	b.options.Logger.Warn(message, "job", t.job.ID, "task", t.name, "run", t.run, "side", t.side.name, "why", reason,
+		"since_order_ms", now.Sub(t.sentAt).Milliseconds(), "report_age_ms", now.Sub(t.side.lastReport).Milliseconds())
 	b.withdrawHopeless(now, t)
 }
 
+// mayBeHeardOf reports whether there may be news of a run that was lost: from the process of the side
+// that it was sent to, or from the next one, whose takeover shows that a settled run has ended.
+func (t *task) mayBeHeardOf() bool {
+	return !t.lostBySide && (t.settled || t.sideIncarnation == t.side.Incarnation)
+}
+
 // withdrawHopeless stops the other runs of a job that can't be completed, since no side will report
 // the end of a lost run of it. The job is answered at its deadline: a caller who comes again at
 // another entry would have the task run beside that run.
 func (b *Broker) withdrawHopeless(now time.Time, t *task) {
-	isKnown := t.sideIncarnation == t.side.Incarnation && !t.lostBySide
-	if isKnown || t.job.ended || t.job.withdrawReason != "" {
+	if t.mayBeHeardOf() || t.job.ended || t.job.withdrawReason != "" {
 		return
 	}
 	b.withdrawJob(now, t.job, "a run of it was lost that may still start")
--- a/yuccabroker/side.go
+++ b/yuccabroker/side.go
@@ -72,7 +72,8 @@
 	// runs holds the tasks whose latest run may be alive at the side, busySince is
 	// when the first of them was ordered.
 	runs map[*task]struct{}
-	// unsettled holds the tasks whose latest run was lost and may still be started by the worker.
+	// unsettled holds the tasks whose latest run was lost, and may be in progress or may still be
+	// started by the worker.
 	unsettled   map[*task]struct{}
 	busySince   time.Time
 	pausedUntil time.Time
@@ -142,7 +143,7 @@
 		b.options.Logger.Info("side restarted", "side", peer.Name, "runs", len(s.runs))
 		s.ready = false
 		b.forgetWorker(peer.Name, "side restarted")
-		s.hasOrphans = len(s.runs) > 0
+		s.hasOrphans = len(s.runs)+len(s.unsettled) > 0
 		s.clockMS = 0
 	}
 	if s == nil {
