worker: report no run of a standing worker as ended before it answers

A worker that stands still ends them only when it goes on, many of them as done.

Now such runs count as active until the worker's lists or its next incarnation tell what became of them, and queued tasks are refused at once, to be placed elsewhere. A worker whose process has ended refuses connections, and one whose machine is without power or cut off accepts none: their runs are lost with the hold, as before. The side finds out by connections of its own (CallConnect) after two unanswered renewals. The kernel of a machine accepts connections for a process that stands still.

Ruled out: that the kernel's answer is not needed.

--- a/yuccadriver/driver.go
+++ b/yuccadriver/driver.go
@@ -12,7 +12,9 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
+	"net"
 	"time"
 
 	"go.opentelemetry.io/otel/trace"
@@ -48,6 +50,9 @@
 	// Hold renews the worker's lease and returns its running and completed runs. The
 	// driver sets SentAt of the result.
 	Hold(ctx context.Context, c yuccaworker.CallHold) yuccaworker.HoldResult
+	// Connect opens a connection of its own to the worker and closes it. It returns that of
+	// [ResultOfConnect].
+	Connect(ctx context.Context, c yuccaworker.CallConnect) yuccaworker.Result
 }
 
 // ResultOfError returns the result of a call that failed with an error of
@@ -59,6 +64,20 @@
 	return yuccaworker.ResultUnknown
 }
 
+// ResultOfConnect returns the result of a [yuccajsonpost.Connect] that returned the error.
+func ResultOfConnect(err error) yuccaworker.Result {
+	var netError net.Error
+	switch {
+	case err == nil:
+		return yuccaworker.ResultOK
+	case yuccajsonpost.IsRefused(err):
+		return yuccaworker.ResultUnreachable
+	case errors.As(err, &netError) && netError.Timeout():
+		return yuccaworker.ResultUnknown
+	}
+	return yuccaworker.ResultInvalid
+}
+
 // Options configures a Driver. SuspendWatch is optional.
 type Options struct {
 	// Name is the name of the side.
@@ -80,7 +99,7 @@
 	entryPeers map[string]*yuccamesh.Peer // the newest link of each entry, by name
 }
 
-// event is an input of the event loop: a startReply, a stopReply, a
+// event is an input of the event loop: a startReply, a stopReply, a connectReply, a
 // [yuccaworker.HoldResult] or a [yuccaquery.Query].
 type event any
 
@@ -96,6 +115,11 @@
 	clock     int64
 }
 
+type connectReply struct {
+	call   yuccaworker.CallConnect
+	result yuccaworker.Result
+}
+
 // New returns a driver without a worker. The first [Driver.Report] adds one.
 func New(options Options) *Driver {
 	worker := yuccaworker.New(yuccaworker.Options{Name: options.Name, Metrics: options.Metrics, Logger: options.Logger}, time.Now())
@@ -164,6 +188,8 @@
 		d.worker.HandleStartReply(now, ev.call.Incarnation, ev.call.Key, ev.result, ev.clock)
 	case stopReply:
 		d.worker.HandleStopReply(now, ev.call.Incarnation, ev.call.Key, ev.confirmed, ev.clock)
+	case connectReply:
+		d.worker.HandleConnectReply(now, ev.call, ev.result)
 	case yuccaworker.HoldResult:
 		d.worker.HandleHoldReply(now, ev)
 	case yuccaquery.Query[*Driver]:
@@ -234,6 +260,9 @@
 		case yuccaworker.CallHold:
 			c := &holdCall{driver: d, call: a}
 			go c.run(ctx)
+		case yuccaworker.CallConnect:
+			c := &connectCall{driver: d, call: a}
+			go c.run(ctx)
 		}
 	}
 }
@@ -281,6 +310,16 @@
 	c.driver.post(ctx, result)
 }
 
+// connectCall is an attempt to connect to the worker.
+type connectCall struct {
+	driver *Driver
+	call   yuccaworker.CallConnect
+}
+
+func (c *connectCall) run(ctx context.Context) {
+	c.driver.post(ctx, connectReply{call: c.call, result: c.driver.options.Client.Connect(ctx, c.call)})
+}
+
 func (d *Driver) postQuery(ctx context.Context, query yuccaquery.Query[*Driver]) error {
 	select {
 	case d.events <- query:
--- a/yuccajsonpost/client.go
+++ b/yuccajsonpost/client.go
@@ -57,6 +57,17 @@
 // at the address. The request was not sent then.
 func IsRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
 
+// Connect opens a connection to the address, a host and port, and closes it. It uses none of
+// the connections of a [Client], which may all wait for responses.
+func Connect(ctx context.Context, address string, timeout time.Duration) error {
+	dialer := &net.Dialer{Timeout: timeout}
+	connection, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return err
+	}
+	return connection.Close()
+}
+
 // Post sends the body encoded as JSON and returns the status and the body of the
 // response. An error means that no complete response was received; the request
 // may have been processed nevertheless.
--- a/yuccamodel/world_test.go
+++ b/yuccamodel/world_test.go
@@ -454,6 +454,8 @@
 			s.callStop(a)
 		case yuccaworker.CallHold:
 			s.callHold(a)
+		case yuccaworker.CallConnect:
+			s.callConnect(a)
 		}
 	}
 }
@@ -564,6 +566,22 @@
 	}, fail(yuccaworker.ResultUnreachable), onTimeout, a.Timeout)
 }
 
+func (s *modelSide) callConnect(a yuccaworker.CallConnect) {
+	result, delay := yuccaworker.ResultOK, callDelay
+	switch {
+	case s.worker.refuses:
+		result = yuccaworker.ResultUnreachable
+	case s.worker.isDown:
+		result, delay = yuccaworker.ResultUnknown, a.Timeout
+	}
+	core, incarnation := s.core, s.incarnation
+	s.world.after(delay, func() {
+		if s.incarnation == incarnation {
+			s.handle(func() { core.HandleConnectReply(s.world.now, a, result) })
+		}
+	})
+}
+
 func (w *world) link(e *modelEntry, s *modelSide) *link {
 	key := [2]int{e.index, s.index}
 	if w.links[key] == nil {
--- a/yuccasized/simulatedworker.go
+++ b/yuccasized/simulatedworker.go
@@ -267,6 +267,14 @@
 	return keys
 }
 
+// Connect reports whether the worker is up.
+func (s *SimulatedWorker) Connect(context.Context, yuccaworker.CallConnect) yuccaworker.Result {
+	if s.hasCrashed() {
+		return yuccaworker.ResultUnreachable
+	}
+	return yuccaworker.ResultOK
+}
+
 // Stop ends a run. A start of the same run that arrives later is refused.
 func (s *SimulatedWorker) Stop(_ context.Context, c yuccaworker.CallStop) (bool, int64) {
 	s.mu.Lock()
--- a/yuccasized/worker.go
+++ b/yuccasized/worker.go
@@ -80,6 +80,11 @@
 	return true, reply.ClockMS
 }
 
+// Connect opens a connection to the worker and closes it.
+func (w *WorkerClient) Connect(ctx context.Context, c yuccaworker.CallConnect) yuccaworker.Result {
+	return yuccadriver.ResultOfConnect(yuccajsonpost.Connect(ctx, w.address, c.Timeout))
+}
+
 // Hold renews the worker's lease and returns the runs in progress and the
 // completions that the worker reports. An unknown outcome counts as a lost run.
 func (w *WorkerClient) Hold(ctx context.Context, c yuccaworker.CallHold) yuccaworker.HoldResult {
--- a/yuccaworker/hold.go
+++ b/yuccaworker/hold.go
@@ -321,22 +321,22 @@
 	return r.isSettled() || now.Sub(w.extendedAt) > longest
 }
 
-// checkHoldExpiry abandons the runs of an unresponsive worker once its hold has
-// certainly expired. Without any contact for reportTimeout, the worker has to be
+// checkHoldExpiry handles an unresponsive worker once the hold of runs has certainly expired. They have
+// ended if its process has, which refuses connections then, or if its machine is without power
+// or cut off: its clock goes on there. Without any contact for reportTimeout, the worker has to be
 // taken over again.
 func (w *Worker) checkHoldExpiry(now time.Time) {
 	if w.report == nil || w.gone || now.Sub(w.lastAnswerAt) < Hold {
 		return
 	}
-	if w.hasExpiredRuns(now) {
+	switch {
+	case !w.hasExpiredRuns(now):
+	case !w.isReachable() || w.isMachineUnreachable():
 		w.options.Logger.Warn("worker unresponsive, hold expired", "worker", w.report.ID, "runs", len(w.runs))
 		w.loseRuns(now, "hold expired", w.seemsCrashed(), func(r *run) bool { return w.hasExpired(now, r) })
-		// Fences the starts of these runs that are still on their way: the hold of later runs
-		// may let them start.
-		w.token = min(w.token+1, maxToken)
-		w.takenOver = false
-		w.nextTakeOverAt = now
-		w.markOwnersDirty()
+		w.fence(now)
+	case !w.isSilent:
+		w.awaitAnswer(now)
 	}
 	if now.Sub(w.lastContactAt) > reportTimeout && w.takenOver {
 		w.options.Logger.Warn("no contact with the worker", "worker", w.report.ID)
@@ -344,3 +344,12 @@
 		w.markOwnersDirty()
 	}
 }
+
+// fence keeps starts that are still on their way from being executed, as the hold of later runs may
+// let them start. The worker has to be taken over again.
+func (w *Worker) fence(now time.Time) {
+	w.token = min(w.token+1, maxToken)
+	w.takenOver = false
+	w.nextTakeOverAt = now
+	w.markOwnersDirty()
+}
--- a/yuccaworker/stop.go
+++ b/yuccaworker/stop.go
@@ -51,7 +51,11 @@
 	w.renewHold(now)
 }
 
+// retryStops sends unanswered stops again, but for those at a worker that answers nothing.
 func (w *Worker) retryStops(now time.Time) {
+	if w.isSilent {
+		return
+	}
 	for _, r := range w.sortedRuns() {
 		if !r.stopSentAt.IsZero() && r.stopAckedAt.IsZero() && now.Sub(r.stopSentAt) > stopRetry {
 			w.stopRun(now, r)
--- a/yuccaworker/types.go
+++ b/yuccaworker/types.go
@@ -109,7 +109,7 @@
 }
 
 // Action is a side effect that the embedding process has to execute: one of
-// CallStart, CallStop, CallHold, Send and ReleaseLink.
+// CallStart, CallStop, CallHold, CallConnect, Send and ReleaseLink.
 type Action any
 
 // CallStart starts a run at the worker.
@@ -150,6 +150,15 @@
 	SentAt time.Time
 }
 
+// CallConnect opens a connection to the worker and closes it again.
+type CallConnect struct {
+	Incarnation Incarnation
+	// Timeout is how long to wait for the connection.
+	Timeout time.Duration
+	// SentAt identifies the call; it is returned with the result.
+	SentAt time.Time
+}
+
 // Send sends a message to an owner.
 type Send struct {
 	Owner   Owner
--- a/yuccaworker/worker.go
+++ b/yuccaworker/worker.go
@@ -41,12 +41,20 @@
 	// lastContactAt is when the worker last reported or answered a call.
 	lastContactAt time.Time
 	lastAnswerAt  time.Time
-	ticks         yuccasuspend.TickWatch
+	// answeredMS is the worker's clock in its last answer.
+	answeredMS int64
+	ticks      yuccasuspend.TickWatch
 	// unreachableSince is when the worker first refused a connection after its last
 	// answer, zero if it has not.
 	unreachableSince time.Time
 	// unansweredHolds counts the renewals without an answer since the last answer.
 	unansweredHolds int
+	// isSilent is set while runs are active whose hold has expired since the worker last answered.
+	// acceptsConnections and failedConnects tell what became of the connections since then.
+	isSilent           bool
+	acceptsConnections bool
+	failedConnects     int
+	connectInFlight    bool
 	// crashReported is set once the crash of this incarnation has been reported.
 	crashReported   bool
 	retainedCrashes []retainedCrash
@@ -305,6 +313,7 @@
 	w.lastAnswerAt = now
 	w.unreachableSince = time.Time{}
 	w.unansweredHolds = 0
+	w.recordHeard()
 	w.crashReported = false
 	w.holdInFlight = false
 	w.clearSince = time.Time{}
@@ -379,6 +388,8 @@
 // recordAnswer records that the worker answered a call, and its clock.
 func (w *Worker) recordAnswer(now time.Time, clockMS int64) {
 	w.recordSilence(now, clockMS)
+	w.recordHeard()
+	w.answeredMS = clockMS
 	if clockMS > 0 && !w.clock.isPlausible(clockMS, now) {
 		w.metrics.Add("answers_with_other_clock", 1)
 		w.options.Logger.Warn("answer with another clock, the worker may have restarted", "worker", w.report.ID, "born", w.report.StartedAtMS,
@@ -470,6 +481,7 @@
 	w.expireQueue(now)
 	w.checkReservation(now)
 	w.retryStops(now)
+	w.checkConnection(now)
 	w.checkHoldExpiry(now)
 	w.checkUnconfirmedRestart(now)
 	w.checkReplacedWorker(now)
--- a/yuccaworker/worker_test.go
+++ b/yuccaworker/worker_test.go
@@ -36,6 +36,8 @@
 	unresponsive bool
 	silent       bool
 	refusing     bool
+	// standing accepts connections all the while.
+	standing bool
 	// dropStartReplies executes starts but drops the answers.
 	dropStartReplies bool
 	// holdsUnanswered leaves renewals without an answer. clockOffset is added to the
@@ -151,9 +153,21 @@
 		h.core.HandleStopReply(h.now, a.Incarnation, a.Key, !h.dropStopReplies, h.clock())
 	case yuccaworker.CallHold:
 		h.hold(a)
+	case yuccaworker.CallConnect:
+		h.core.HandleConnectReply(h.now, a, h.connect())
 	}
 }
 
+func (h *harness) connect() yuccaworker.Result {
+	switch {
+	case h.refusing:
+		return yuccaworker.ResultUnreachable
+	case (h.unresponsive || h.silent) && !h.standing:
+		return yuccaworker.ResultUnknown
+	}
+	return yuccaworker.ResultOK
+}
+
 func (h *harness) stop(key yuccaworker.Key) {
 	h.latestRun[key.Task] = max(h.latestRun[key.Task], key.Run)
 	switch {
@@ -502,6 +516,57 @@
 	}
 }
 
+// The worker's process accepts connections and answers nothing. Its runs may be in progress for any time.
+func TestRunOfAStandingWorkerIsNotReportedAsEnded(t *testing.T) {
+	for _, silence := range []time.Duration{1200 * time.Millisecond, 3 * time.Second, 20 * time.Second} {
+		h := newHarness(t)
+		h.order(entry, lease, task("a", 1, 1600), task("b", 1, 16000))
+		h.advanceWithLease(entry, 200*time.Millisecond)
+		h.unresponsive, h.standing = true, true
+		h.advanceWithLease(entry, silence)
+		if e := h.outcomeOf(entry, "a"); e != nil || h.states[entry].GetReady() {
+			t.Errorf("after %v: reported %v, ready %v, want neither", silence, e, h.states[entry].GetReady())
+		}
+		h.expectOutcome(entry, "b", yuccawire.RunEnd_RUN_END_REFUSED, yuccawire.RunRefusal_RUN_REFUSAL_NO_WORKER)
+		h.unresponsive = false
+		h.report(2, false)
+		h.advanceWithLease(entry, 400*time.Millisecond)
+		h.expectOutcome(entry, "a", yuccawire.RunEnd_RUN_END_LOST, 0)
+		if !h.states[entry].GetReady() {
+			t.Errorf("the worker is not used again after a silence of %v", silence)
+		}
+	}
+}
+
+func TestRunOfAStandingWorkerGoesOn(t *testing.T) {
+	h := newHarness(t)
+	h.order(entry, lease, task("a", 1, 1600))
+	h.advanceWithLease(entry, 200*time.Millisecond)
+	h.unresponsive, h.standing = true, true
+	h.holdUntilMS = h.clock() + time.Minute.Milliseconds()
+	h.advanceWithLease(entry, 1500*time.Millisecond)
+	h.unresponsive = false
+	h.advanceWithLease(entry, 400*time.Millisecond)
+	if !h.running[runA] || h.outcomeOf(entry, "a") != nil || !h.states[entry].GetReady() {
+		t.Errorf("running %v, reported %v, want the run in progress and the worker in use", h.running, h.outcomeOf(entry, "a"))
+	}
+	h.complete(runA, yuccawire.RunEnd_RUN_END_DONE)
+	h.advanceWithLease(entry, 200*time.Millisecond)
+	h.expectOutcome(entry, "a", yuccawire.RunEnd_RUN_END_DONE, 0)
+}
+
+// A worker whose process ends while it stands still refuses connections from then on.
+func TestRunOfAStandingWorkerIsLostWithItsProcess(t *testing.T) {
+	h := newHarness(t)
+	h.order(entry, lease, task("a", 1, 1600))
+	h.advanceWithLease(entry, 200*time.Millisecond)
+	h.unresponsive, h.standing = true, true
+	h.advanceWithLease(entry, 1500*time.Millisecond)
+	h.crash()
+	h.advanceWithLease(entry, 300*time.Millisecond)
+	h.expectOutcome(entry, "a", yuccawire.RunEnd_RUN_END_CRASHED, 0)
+}
+
 // A restarted side must stop the runs of its previous process, and fence that
 // process with a higher token.
 func TestTakeOver(t *testing.T) {
