--- a/yuccamodel/standing_test.go
+++ b/yuccamodel/standing_test.go
@@ -109,3 +109,35 @@
 		})
 	}
 }
+
+// The first entry is gone, or its caller's connection is. The caller comes again at the other one, which
+// knows nothing of the run.
+func TestResendAtAnotherEntryRunsBesideAStandingWorker(t *testing.T) {
+	for name, leave := range map[string]func(w *world, j *callerJob){
+		"entry is killed":      func(w *world, _ *callerJob) { w.killEntry(w.entries[0], false, time.Minute) },
+		"connection is closed": func(_ *world, j *callerJob) { j.disconnect() },
+		"entry is killed, late": func(w *world, _ *callerJob) {
+			w.after(time.Second, func() { w.killEntry(w.entries[0], false, time.Minute) })
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 1, 2, 2)
+			w.run(warmUp)
+			w.patience = 6 * time.Second
+			w.pickEntry = func() *modelEntry { return w.entries[0] }
+			job := w.submitOneTask(1600, 600*time.Millisecond)
+			w.run(200 * time.Millisecond)
+			w.pickEntry = func() *modelEntry { return w.entries[1] }
+			for _, s := range w.sides {
+				if !s.core.Idle() {
+					s.worker.standStill(4 * time.Second)
+				}
+			}
+			leave(w, job)
+			w.run(12 * time.Second)
+			if !job.isAnswered {
+				t.Error("the caller is not answered")
+			}
+		})
+	}
+}
