broker: count held-back runs for the spread of a step

A side that is heard again after its leases have expired gets orders, while a run of before may still be in progress there. That run didn't count for the limit of the step's tasks on one worker, so that a second one could start beside it (antiAffinity). TestHeldBackRunCountsForTheSpread failed before: both tasks were ordered at the side.

--- a/yuccabroker/lost_test.go
+++ b/yuccabroker/lost_test.go
@@ -185,3 +185,22 @@
 		})
 	}
 }
+
+// The side was silent for longer than its leases last, and has not told the end of its run yet.
+func TestHeldBackRunCountsForTheSpread(t *testing.T) {
+	f := newFixture(t, "s1")
+	submitted := job("a", 2)
+	submitted.Deadline = startTime.Add(8 * time.Second)
+	submitted.Steps[0].Spread = 1
+	f.submit(submitted, 1)
+	f.report("s1", fullCPU)
+	f.advance(2 * time.Second)
+	f.advance(100*time.Millisecond, "s1")
+	if len(f.sentRuns()) != 1 {
+		t.Errorf("sent %v, want one task at the side at a time", f.sentRuns())
+	}
+	f.endRun("s1", "a.0.0.0", 1, yuccawire.RunEnd_RUN_END_DONE, 0)
+	if f.sentRuns()["a.0.0.1/1"] == "" {
+		t.Errorf("sent %v, want the other task after the end of the first", f.sentRuns())
+	}
+}
--- a/yuccabroker/place.go
+++ b/yuccabroker/place.go
@@ -163,9 +163,11 @@
 		return true
 	}
 	n := 0
-	for other := range s.runs {
-		if other.step == t.step {
-			n++
+	for _, tasks := range []map[*task]struct{}{s.runs, s.unsettled} {
+		for other := range tasks {
+			if other.step == t.step {
+				n++
+			}
 		}
 	}
 	return n < t.step.Spread
