worker: show a run that is awaited for ever once a standing worker has ended

The side asks nothing any more 5 s after the last contact (reportTimeout), so that it never meets the refusal of a process that ends after that. Its run counts as active, its owner stays and the side isn't idle until another incarnation reports.

--- a/yuccaworker/worker_test.go
+++ b/yuccaworker/worker_test.go
@@ -796,3 +796,19 @@
 		}
 	}
 }
+
+// The process ends after it has stood still for longer than the side asks for its lists.
+func TestRunOfALongStandingWorkerIsLostWithItsProcess(t *testing.T) {
+	for _, stands := range []time.Duration{4 * time.Second, 6 * time.Second} {
+		h := newHarness(t)
+		h.order(entry, lease, task("a", 1, 1600))
+		h.advanceWithLease(entry, 200*time.Millisecond)
+		h.unresponsive, h.standing = true, true
+		h.advanceWithLease(entry, stands)
+		h.crash()
+		h.advanceWithLease(entry, 10*time.Second)
+		if h.outcomeOf(entry, "a") == nil || !h.core.Idle() {
+			t.Errorf("stood still for %v: reported %v, idle %v, want the end of the run", stands, h.outcomeOf(entry, "a"), h.core.Idle())
+		}
+	}
+}
