worker: ask a standing worker on while its runs are awaited

Its reports are ignored as outdated while runs are left, and no call met the new incarnation, so that the worker was out of use for ever.

--- a/yuccaworker/hold.go
+++ b/yuccaworker/hold.go
@@ -22,7 +22,7 @@
 		w.holdInFlight = false
 		return
 	}
-	if !w.takenOver && (now.Before(w.nextTakeOverAt) || now.Sub(w.lastContactAt) > reportTimeout) {
+	if !w.takenOver && (now.Before(w.nextTakeOverAt) || len(w.runs) == 0 && now.Sub(w.lastContactAt) > reportTimeout) {
 		return
 	}
 	if !w.takenOver {
--- a/yuccaworker/worker_test.go
+++ b/yuccaworker/worker_test.go
@@ -812,3 +812,25 @@
 		}
 	}
 }
+
+// The wall clock of the machine was set back before the worker restarted after a long standstill.
+func TestLongStandingWorkerIsUsedAgainAfterARestartWithAnEarlierStart(t *testing.T) {
+	for _, stands := range []time.Duration{4 * time.Second, 6 * time.Second} {
+		h := newHarness(t)
+		h.order(entry, lease, task("a", 1, 1600))
+		h.advanceWithLease(entry, 200*time.Millisecond)
+		h.unresponsive, h.standing = true, true
+		h.advanceWithLease(entry, stands)
+		h.unresponsive = false
+		h.restart(0)
+		h.incarnation.StartedAtMS -= 150
+		for n := range int64(20) {
+			h.report(n+1, false)
+			h.runActions()
+			h.advanceWithLease(entry, time.Second)
+		}
+		if h.outcomeOf(entry, "a") == nil || !h.states[entry].GetReady() {
+			t.Errorf("stood still for %v: reported %v, ready %v, want the end of the run and the worker in use", stands, h.outcomeOf(entry, "a"), h.states[entry].GetReady())
+		}
+	}
+}
