broker: keep the run numbers of a job while its runs may be alive

A caller that submits its job again more than 10 s after it had left could meet a run of the first submission at a worker that stands still beside a side that goes on: the outcome with the run numbers was forgotten, and run 1 was ordered at another side beside run 1 of before. An outcome is kept while its job has runs in flight. Reading all runs with each submission was ruled out as too dear.

--- a/yuccabroker/broker.go
+++ b/yuccabroker/broker.go
@@ -107,6 +107,8 @@
 	// lastRun is the highest run number used by any task of the job.
 	lastRun uint64
 	savedAt time.Time
+	// job is that of the latest submission.
+	job *job
 }
 
 // outcomeAge orders saved outcomes for eviction. A later submission of the job may have
@@ -274,12 +276,22 @@
 	}
 }
 
+// evictOutcomes removes old outcomes. That of a job whose runs may be alive is kept, since it holds the
+// run numbers that were used.
 func (b *Broker) evictOutcomes(now time.Time) {
 	for len(b.outcomeAges) > 0 && now.Sub(b.outcomeAges[0].savedAt) > outcomeRetention {
-		if id := b.outcomeAges[0].id; b.outcomes[id].savedAt.Equal(b.outcomeAges[0].savedAt) {
-			delete(b.outcomes, id)
-		}
+		oldest := b.outcomeAges[0]
 		b.outcomeAges = b.outcomeAges[1:]
+		saved := b.outcomes[oldest.id]
+		switch {
+		case !saved.savedAt.Equal(oldest.savedAt):
+		case saved.job.runsInFlight > 0:
+			saved.savedAt = now
+			b.outcomes[oldest.id] = saved
+			b.outcomeAges = append(b.outcomeAges, outcomeAge{id: oldest.id, savedAt: now})
+		default:
+			delete(b.outcomes, oldest.id)
+		}
 	}
 }
 
--- a/yuccabroker/job.go
+++ b/yuccabroker/job.go
@@ -351,7 +351,7 @@
 func (b *Broker) finish(now time.Time, j *job, o Outcome) {
 	j.ended = true
 	delete(b.jobs, j.ID)
-	b.outcomes[j.ID] = savedOutcome{outcome: o, queue: j.Queue.Name, lastRun: j.lastRun, savedAt: now}
+	b.outcomes[j.ID] = savedOutcome{outcome: o, queue: j.Queue.Name, lastRun: j.lastRun, savedAt: now, job: j}
 	b.outcomeAges = append(b.outcomeAges, outcomeAge{id: j.ID, savedAt: now})
 	b.stopRuns(j)
 	b.needsPlacement = true
--- a/yuccabroker/resend_test.go
+++ b/yuccabroker/resend_test.go
@@ -162,3 +162,27 @@
 		t.Errorf("ordered %v at another side, want the run of the first submission only", f.orders[other])
 	}
 }
+
+// The worker stands still beside its side, which reports all the while, and the caller comes again late.
+func TestRunNumberOfARunAtAStandingWorkerIsUsedAgain(t *testing.T) {
+	f := newFixture(t, "s1", "s2")
+	j := job("a", 1)
+	j.Deadline = startTime.Add(30 * time.Second)
+	f.submit(j, 1)
+	standing, other := f.onlySide(), "s2"
+	if standing == "s2" {
+		other = "s1"
+	}
+	f.broker.HandleDisconnect(f.now, "a", 1)
+	for range 550 {
+		f.reportState(standing, 0, func(m *yuccawire.WorkerState) {
+			m.Taken, m.Ready, m.OrdersSeen = false, false, f.lastOrder[standing]
+		})
+		f.advance(20*time.Millisecond, other)
+	}
+	f.submit(j, 2)
+	f.advance(time.Second, other)
+	if len(f.orders[other]) != 0 {
+		t.Errorf("ordered %v at another side, want the run of the first submission only", f.orders[other])
+	}
+}
