broker: keep a held-back run for callers that come again after the 504

A job whose run may be in progress at a silent side is answered with 504 at its deadline, after which a caller may submit it again with a deadline of its own. The run's record was dropped at the first deadline, so that the resend was placed beside it. TestResendAfterTheDeadlineWaitsForARunAtASilentSide failed before.

--- a/yuccabroker/lost.go
+++ b/yuccabroker/lost.go
@@ -163,7 +163,7 @@
 }
 
 // expireUnsettled removes the lost runs at a side whose jobs nobody submits again, as their
-// callers have stopped waiting.
+// callers have stopped waiting, and those that come again after an answer have had their time.
 func (b *Broker) expireUnsettled(now time.Time, s *side) {
 	if len(s.unsettled) == 0 {
 		return
@@ -172,7 +172,7 @@
 		if j := b.jobs[t.job.ID]; j != nil && j.Deadline.After(t.job.Deadline) {
 			t.job.Deadline = j.Deadline
 		}
-		if !now.Before(t.job.Deadline) {
+		if !now.Before(t.job.Deadline.Add(outcomeRetention)) {
 			b.handleLostRun(now, t, "its caller has stopped waiting")
 		}
 	}
--- a/yuccabroker/resend_test.go
+++ b/yuccabroker/resend_test.go
@@ -186,3 +186,22 @@
 		t.Errorf("ordered %v at another side, want the run of the first submission only", f.orders[other])
 	}
 }
+
+// The caller is answered at its deadline, as the side is silent, and submits again as after any such answer.
+func TestResendAfterTheDeadlineWaitsForARunAtASilentSide(t *testing.T) {
+	f := newFixture(t, "s1")
+	f.submit(job("a", 1), 1)
+	f.report("s1", fullCPU)
+	f.broker.HandleLinkUp(f.now, yuccabroker.Side{Name: "s2", Incarnation: 1, DataCentre: "puno"})
+	for f.answers[1].State != yuccabroker.Abandoned {
+		f.advance(20*time.Millisecond, "s2")
+	}
+	f.advance(1300*time.Millisecond, "s2")
+	again := job("a", 1)
+	again.Deadline = f.now.Add(3 * time.Second)
+	f.submit(again, 2)
+	f.advance(time.Second, "s2")
+	if len(f.orders["s2"]) != 0 {
+		t.Errorf("ordered %v at another side, want none while the first run may be in progress", f.orders["s2"])
+	}
+}
