broker: settle runs that are held back, too

A side that was silent and is back reports the start of a held-back run as executed. The entry passed over it, so that the takeover by the side's next process was no news of the run, and the job got 504 though its task could run. TestRunSettledAfterItsSideWasSilentIsPlacedAgain failed before.

--- a/yuccabroker/lost.go
+++ b/yuccabroker/lost.go
@@ -1,6 +1,7 @@
 package yuccabroker
 
 import (
+	"iter"
 	"time"
 
 	"github.com/yuccaturn/yuccaturn/yuccawire"
@@ -10,13 +11,26 @@
 // settleRuns marks the runs as settled that the report includes and doesn't list as unsettled. A
 // restart of the worker makes runs unsettled that the next incarnation may have started.
 func (s *side) settleRuns(m *yuccawire.WorkerState) {
-	for t := range s.runs {
-		if t.sideIncarnation == s.Incarnation && t.order <= m.GetOrdersSeen() {
+	for t := range s.allRuns() {
+		if t.sideIncarnation == s.Incarnation && t.order <= m.GetOrdersSeen() && !t.lostBySide {
 			t.settled = !t.isIn(m.GetUnsettled())
 		}
 	}
 }
 
+// allRuns returns the tasks with runs at the side, also those that are held back.
+func (s *side) allRuns() iter.Seq[*task] {
+	return func(yield func(*task) bool) {
+		for _, tasks := range []map[*task]struct{}{s.runs, s.unsettled} {
+			for t := range tasks {
+				if !yield(t) {
+					return
+				}
+			}
+		}
+	}
+}
+
 func (t *task) isIn(keys []*yuccawire.RunKey) bool {
 	for _, k := range keys {
 		if k.GetRun() == t.run && k.GetTask() == t.name {
--- a/yuccabroker/lost_test.go
+++ b/yuccabroker/lost_test.go
@@ -204,3 +204,20 @@
 		t.Errorf("sent %v, want the other task after the end of the first", f.sentRuns())
 	}
 }
+
+// The start is answered while the run is held back, and the side restarts afterwards.
+func TestRunSettledAfterItsSideWasSilentIsPlacedAgain(t *testing.T) {
+	f := newFixture(t, "s1")
+	j := job("a", 1)
+	j.Deadline = startTime.Add(30 * time.Second)
+	f.submit(j, 1)
+	f.broker.HandleLinkUp(f.now, yuccabroker.Side{Name: "s2", Incarnation: 1})
+	f.advance(2*time.Second, "s2")
+	f.relink("s1", f.sideClock(), firstRun)
+	f.advance(100*time.Millisecond, "s1", "s2")
+	f.restartSide("s1")
+	f.advance(100*time.Millisecond, "s2")
+	if f.sentRuns()["a.0.0.0/2"] == "" {
+		t.Errorf("sent %v, want a second run once the worker is taken over", f.sentRuns())
+	}
+}
--- a/yuccabroker/place.go
+++ b/yuccabroker/place.go
@@ -163,11 +163,9 @@
 		return true
 	}
 	n := 0
-	for _, tasks := range []map[*task]struct{}{s.runs, s.unsettled} {
-		for other := range tasks {
-			if other.step == t.step {
-				n++
-			}
+	for other := range s.allRuns() {
+		if other.step == t.step {
+			n++
 		}
 	}
 	return n < t.step.Spread
--- a/yuccabroker/side.go
+++ b/yuccabroker/side.go
@@ -162,7 +162,7 @@
 	s.lastReport = time.Time{}
 	s.intervals = reportIntervals{}
 	s.ordersSeen = 0
-	for t := range s.runs {
+	for t := range s.allRuns() {
 		t.order = 0
 	}
 }
