--- a/yuccaworker/silence.go
+++ b/yuccaworker/silence.go
@@ -40,10 +40,11 @@
 
 // checkConnection tries to connect to a worker with runs that answers nothing, until it succeeds.
 func (w *Worker) checkConnection(now time.Time) {
-	if len(w.runs) == 0 || w.gone || w.connectInFlight || w.acceptsConnections || w.isMachineUnreachable() || now.Sub(w.lastAnswerAt) < connectAfter {
+	isDue := now.Sub(w.lastAnswerAt) >= connectAfter && !now.Before(w.nextConnectAt)
+	if !isDue || len(w.runs) == 0 || w.gone || w.connectInFlight || w.acceptsConnections || w.isMachineUnreachable() {
 		return
 	}
-	w.connectInFlight = true
+	w.connectInFlight, w.nextConnectAt = true, now.Add(connectTimeout)
 	w.emit(CallConnect{Incarnation: w.incarnation(), Timeout: connectTimeout, SentAt: now})
 }
 
@@ -63,6 +64,7 @@
 	case ResultUnknown:
 		w.failedConnects++
 	default:
+		w.metrics.Add("connects_failed", 1)
 		w.options.Logger.Warn("could not try to connect to the worker", "worker", w.report.ID)
 	}
 }
--- a/yuccaworker/worker.go
+++ b/yuccaworker/worker.go
@@ -55,6 +55,7 @@
 	acceptsConnections bool
 	failedConnects     int
 	connectInFlight    bool
+	nextConnectAt      time.Time
 	// crashReported is set once the crash of this incarnation has been reported.
 	crashReported   bool
 	retainedCrashes []retainedCrash
--- a/yuccaworker/worker_test.go
+++ b/yuccaworker/worker_test.go
@@ -834,3 +834,26 @@
 		}
 	}
 }
+
+// The side has no file descriptor left, or the route to its worker is gone.
+func TestFailingAttemptsToConnectAreSpaced(t *testing.T) {
+	h := newHarness(t)
+	h.order(entry, lease, task("a", 1, 1600))
+	h.advanceWithLease(entry, 200*time.Millisecond)
+	h.unresponsive = true
+	connects := 0
+	for range 100 {
+		h.now = h.now.Add(10 * time.Millisecond)
+		h.heartbeat(entry)
+		h.core.Tick(h.now)
+		for _, a := range h.core.Actions() {
+			if c, isConnect := a.(yuccaworker.CallConnect); isConnect {
+				connects++
+				h.core.HandleConnectReply(h.now, c, yuccaworker.ResultInvalid)
+			}
+		}
+	}
+	if connects > 20 {
+		t.Errorf("%d attempts that fail at once in a second, want 20 at most", connects)
+	}
+}
