worker, jsonpost: count each connection to a silent worker as accepted

A worker that stands still and has a short queue of connections (5, as with many libraries) was taken for a machine without power: the side's own unanswered calls filled the queue before it tried to connect, three attempts timed out, and its runs were reported as crashed and placed again beside it.

The client remembers when it last opened a connection, for whichever call, and one that was opened since the worker's last answer is enough. The first of them finds the queue of a worker that has just answered empty.

--- a/yuccadriver/driver.go
+++ b/yuccadriver/driver.go
@@ -50,8 +50,8 @@
 	// Hold renews the worker's lease and returns its running and completed runs. The
 	// driver sets SentAt of the result.
 	Hold(ctx context.Context, c yuccaworker.CallHold) yuccaworker.HoldResult
-	// Connect opens a connection of its own to the worker and closes it. It returns that of
-	// [ResultOfConnect].
+	// Connect finds out whether the worker's machine accepts connections, or has accepted one since
+	// the time given. It returns that of [ResultOfConnect].
 	Connect(ctx context.Context, c yuccaworker.CallConnect) yuccaworker.Result
 }
 
@@ -64,7 +64,7 @@
 	return yuccaworker.ResultUnknown
 }
 
-// ResultOfConnect returns the result of a [yuccajsonpost.Connect] that returned the error.
+// ResultOfConnect returns the result of a [yuccajsonpost.Client.Connect] that returned the error.
 func ResultOfConnect(err error) yuccaworker.Result {
 	var netError net.Error
 	switch {
--- a/yuccajsonpost/client.go
+++ b/yuccajsonpost/client.go
@@ -16,6 +16,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -37,16 +38,32 @@
 	MaxConnections int
 }
 
-// Client posts JSON over a limited number of persistent connections.
-type Client struct{ http *http.Client }
+// Client posts JSON to a host over a limited number of persistent connections.
+type Client struct {
+	http   *http.Client
+	dialer *net.Dialer
+	// connectedAt is when a connection was last opened.
+	connectedAt atomic.Pointer[time.Time]
+}
 
 // NewClient returns a client, which opens connections on demand.
 func NewClient(options Options) *Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &Client{http: &http.Client{Transport: &http.Transport{
-		DialContext: dialer.DialContext, MaxIdleConnsPerHost: options.MaxConnections, MaxConnsPerHost: options.MaxConnections,
+	c := &Client{dialer: &net.Dialer{Timeout: dialTimeout}}
+	c.connectedAt.Store(new(time.Time))
+	c.http = &http.Client{Transport: &http.Transport{
+		DialContext: c.dial, MaxIdleConnsPerHost: options.MaxConnections, MaxConnsPerHost: options.MaxConnections,
 		DisableCompression: true,
-	}, CheckRedirect: returnRedirect}}
+	}, CheckRedirect: returnRedirect}
+	return c
+}
+
+func (c *Client) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	connection, err := c.dialer.DialContext(ctx, network, address)
+	if err == nil {
+		now := time.Now()
+		c.connectedAt.Store(&now)
+	}
+	return connection, err
 }
 
 // returnRedirect makes a redirect the response. The failure of a second request would say
@@ -57,11 +74,16 @@
 // at the address. The request was not sent then.
 func IsRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
 
-// Connect opens a connection to the address, a host and port, and closes it. It uses none of
-// the connections of a [Client], which may all wait for responses.
-func Connect(ctx context.Context, address string, timeout time.Duration) error {
-	dialer := &net.Dialer{Timeout: timeout}
-	connection, err := dialer.DialContext(ctx, "tcp", address)
+// Connect finds out whether the host accepts connections: it returns nil if one was opened after
+// since, and otherwise opens one more to the address, a host and port, and closes it. A process that
+// stands still has few connections accepted for it, which those of [Client.Post] may take up.
+func (c *Client) Connect(ctx context.Context, address string, since time.Time, timeout time.Duration) error {
+	if c.connectedAt.Load().After(since) {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	connection, err := c.dial(ctx, "tcp", address)
 	if err != nil {
 		return err
 	}
--- a/yuccasized/worker.go
+++ b/yuccasized/worker.go
@@ -80,9 +80,9 @@
 	return true, reply.ClockMS
 }
 
-// Connect opens a connection to the worker and closes it.
+// Connect finds out whether the worker's machine accepts connections.
 func (w *WorkerClient) Connect(ctx context.Context, c yuccaworker.CallConnect) yuccaworker.Result {
-	return yuccadriver.ResultOfConnect(yuccajsonpost.Connect(ctx, w.address, c.Timeout))
+	return yuccadriver.ResultOfConnect(w.client.Connect(ctx, w.address, c.Since, c.Timeout))
 }
 
 // Hold renews the worker's lease and returns the runs in progress and the
--- a/yuccaworker/silence.go
+++ b/yuccaworker/silence.go
@@ -8,7 +8,7 @@
 
 const (
 	// connectAfter is how long a worker with runs answers nothing before the side tries to connect to it:
-	// two renewals are unanswered then, and few connections wait to be accepted.
+	// two renewals are unanswered then.
 	connectAfter = 2 * holdTimeout
 	// connectTimeout is far longer than a connection within a host takes.
 	connectTimeout = 100 * time.Millisecond
@@ -45,7 +45,7 @@
 		return
 	}
 	w.connectInFlight, w.nextConnectAt = true, now.Add(connectTimeout)
-	w.emit(CallConnect{Incarnation: w.incarnation(), Timeout: connectTimeout, SentAt: now})
+	w.emit(CallConnect{Incarnation: w.incarnation(), Since: w.lastAnswerAt, Timeout: connectTimeout, SentAt: now})
 }
 
 // HandleConnectReply processes the result of a [CallConnect]: ResultOK if the connection was
--- a/yuccaworker/types.go
+++ b/yuccaworker/types.go
@@ -150,9 +150,11 @@
 	SentAt time.Time
 }
 
-// CallConnect opens a connection to the worker and closes it again.
+// CallConnect finds out whether the worker's machine accepts connections.
 type CallConnect struct {
 	Incarnation Incarnation
+	// Since is when the worker last answered. A connection that was accepted later is enough.
+	Since time.Time
 	// Timeout is how long to wait for the connection.
 	Timeout time.Duration
 	// SentAt identifies the call; it is returned with the result.
