worker: show a report of another worker that ends the runs of a standing one

Holding these runs back until the earlier worker answers would give up the jobs of each worker that comes back under a new ID after a crash.

--- a/yuccaworker/unconfirmed_test.go
+++ b/yuccaworker/unconfirmed_test.go
@@ -59,3 +59,20 @@
 		t.Error("no outcome of the run was reported")
 	}
 }
+
+// The known worker stands still and accepts connections at its address.
+func TestReportOfAnotherWorkerEndsRunsThatGoOn(t *testing.T) {
+	h := newHarness(t)
+	h.order(entry, lease, task("a", 1, 1600))
+	h.advanceWithLease(entry, 200*time.Millisecond)
+	h.unresponsive, h.standing = true, true
+	h.advanceWithLease(entry, 200*time.Millisecond)
+	report := h.newReport(1)
+	report.ID = "w-2"
+	report.StartedAtMS += 100
+	h.core.HandleReport(h.now, report)
+	h.advance(20 * time.Millisecond)
+	if e := h.outcomeOf(entry, "a"); e != nil {
+		t.Errorf("reported %v, want nothing before a worker has answered", e)
+	}
+}
