--- a/yuccabroker/doc.go
+++ b/yuccabroker/doc.go
@@ -4,10 +4,11 @@
 //
 // The entry that receives a job owns it. No record of the job is stored, and no
 // other process is involved. At most one run of a task is alive at any time. A
-// run counts as alive until its side has reported its end, or until both leases
-// that keep it alive have expired: that of this entry at the side, and that of
-// the side at the worker. Even then a run that its side had not reported as
-// settled may still start; its task is not placed again.
+// run counts as alive until its side has reported its end, or the next process of
+// the side has taken over the worker. The expiry of the leases that keep it alive
+// frees what it used here and proves no end: its machine may stand still. A run that
+// its side had not reported as settled may still start even after a takeover; its
+// task is not placed again.
 //
 // The core does no I/O and reads no clock. Its methods must be called from one
 // goroutine; they record events, and the resulting actions are fetched with
--- a/yuccaworker/doc.go
+++ b/yuccaworker/doc.go
@@ -8,8 +8,10 @@
 //
 // Two leases limit the lifetime of a run. The side stops the runs of an entry
 // whose owner lease expires, and the worker stops all its runs when the side no
-// longer renews the hold. Both leases are short, so that an entry that can reach
-// neither the side nor the worker can compute when its runs have ended.
+// longer renews the hold. A process that stands still does neither before it goes on:
+// the expiry of a lease by another clock is no proof that a run has ended. The side
+// reports the end of a run when the worker's lists or its next incarnation show it, or
+// when its process or its machine is gone.
 //
 // # Usage
 //
