worker: blame a task whose worker stands still for more than 5 s

Since a worker that accepts connections is no longer reported as crashed, a task that hangs the whole process of its worker never became suspect, and could hang one worker after the other. It is blamed once the worker has neither answered nor reported for the time after which it counts as out of contact; its runs are still awaited.

--- a/yuccaworker/hold.go
+++ b/yuccaworker/hold.go
@@ -337,6 +337,9 @@
 		w.fence(now)
 	case !w.isSilent:
 		w.awaitAnswer(now)
+	case now.Sub(w.lastContactAt) > reportTimeout && !w.report.Leaving && !w.deregistered:
+		// A task that hangs its worker has to become suspect before it hangs others.
+		w.reportCrash(now)
 	}
 	if now.Sub(w.lastContactAt) > reportTimeout && w.takenOver {
 		w.options.Logger.Warn("no contact with the worker", "worker", w.report.ID)
--- a/yuccaworker/worker_test.go
+++ b/yuccaworker/worker_test.go
@@ -555,6 +555,19 @@
 	h.expectOutcome(entry, "a", yuccawire.RunEnd_RUN_END_DONE, 0)
 }
 
+func TestTaskThatHangsItsWorkerIsBlamed(t *testing.T) {
+	for silence, want := range map[time.Duration]int{4 * time.Second: 0, 7 * time.Second: 1} {
+		h := newHarness(t)
+		h.order(entry, lease, task("a", 1, 1600))
+		h.advanceWithLease(entry, 200*time.Millisecond)
+		h.unresponsive, h.standing = true, true
+		h.advanceWithLease(entry, silence)
+		if crashes := h.crashes[entry]; len(crashes) != want || h.outcomeOf(entry, "a") != nil {
+			t.Errorf("after %v: crashes %v, reported %v, want %d crashes and no end", silence, crashes, h.outcomeOf(entry, "a"), want)
+		}
+	}
+}
+
 // A worker whose process ends while it stands still refuses connections from then on.
 func TestRunOfAStandingWorkerIsLostWithItsProcess(t *testing.T) {
 	h := newHarness(t)
