side: show a start that is sent after the side may start nothing

The gate checks the lease and whether the data centre is out when a start arrives. The request is sent later, once there is a connection to the target, and nothing is checked again: time passes if the target accepts late, or if the side stands still in between. A runner can now be made with another way to dial, for the test.

--- a/yuccaside/httprunner.go
+++ b/yuccaside/httprunner.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -34,9 +35,15 @@
 	noKeepAlive *http.Client
 }
 
+// dialFunc opens a connection to a target.
+type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
 // NewHTTPRunner returns a runner with its own connection pool.
-func NewHTTPRunner() *HTTPRunner {
+func NewHTTPRunner() *HTTPRunner { return newHTTPRunner((&net.Dialer{}).DialContext) }
+
+func newHTTPRunner(dial dialFunc) *HTTPRunner {
 	transport := &http.Transport{
+		DialContext:         dial,
 		MaxIdleConnsPerHost: idleConnections,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
@@ -44,7 +51,7 @@
 	return &HTTPRunner{
 		client: &http.Client{Transport: transport, CheckRedirect: returnRedirect},
 		noKeepAlive: &http.Client{
-			Transport:     &http.Transport{DisableKeepAlives: true, DisableCompression: true},
+			Transport:     &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true},
 			CheckRedirect: returnRedirect,
 		},
 	}
