side: ask before the request whether its task may still start

The gate checks the lease when the start arrives, but the request is sent once there is a connection: seconds later if the target accepts late, or if the side stands still in between.

Now the runner's connection asks before the first bytes of each request whether the last lease update permits starts: the lease is valid, the data centre is in, and the machine wasn't suspended since. If not, nothing is sent, and the result is unknown.

Ruled out: a timeout for the dial, which doesn't see a side that stands still; and to end the context of the run with the lease, which would also stop tasks that run. The fence isn't asked: a gathering entry has been told that this attempt runs. A trace of net/http alone can't stop a request that has its connection, so the connection does.

What remains is the time between the check and the write, and a target that stands still with a request in its socket.

The fake of yuccasystemtest doesn't ask, so that its tests go on proving the gate.

--- a/yuccaside/httprunner.go
+++ b/yuccaside/httprunner.go
@@ -7,8 +7,10 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -38,12 +40,47 @@
 // dialFunc opens a connection to a target.
 type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
+var errMayNotStart = merry.Sentinel("was not sent: its side may start nothing any more")
+
+// guardedConn is a connection to a target. It asks before the first bytes of a request
+// whether the attempt may still start.
+type guardedConn struct {
+	net.Conn
+	mayStart atomic.Pointer[func() bool]
+}
+
+// Write sends nothing and returns an error if the attempt may not start.
+func (c *guardedConn) Write(content []byte) (int, error) {
+	if mayStart := c.mayStart.Swap(nil); mayStart != nil && !(*mayStart)() {
+		return 0, errMayNotStart
+	}
+	return c.Conn.Write(content)
+}
+
+// dial opens a guarded connection.
+func (d dialFunc) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := d(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return &guardedConn{Conn: conn}, nil
+}
+
+// withGuard makes the connection that a request of the context gets ask mayStart.
+func withGuard(ctx context.Context, mayStart func() bool) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if conn, ok := info.Conn.(*guardedConn); ok {
+			conn.mayStart.Store(&mayStart)
+		}
+	}})
+}
+
 // NewHTTPRunner returns a runner with its own connection pool.
 func NewHTTPRunner() *HTTPRunner { return newHTTPRunner((&net.Dialer{}).DialContext) }
 
 func newHTTPRunner(dial dialFunc) *HTTPRunner {
 	transport := &http.Transport{
-		DialContext:         dial,
+		DialContext:         dial.dial,
 		MaxIdleConnsPerHost: idleConnections,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
@@ -51,7 +88,7 @@
 	return &HTTPRunner{
 		client: &http.Client{Transport: transport, CheckRedirect: returnRedirect},
 		noKeepAlive: &http.Client{
-			Transport:     &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true},
+			Transport:     &http.Transport{DialContext: dial.dial, DisableKeepAlives: true, DisableCompression: true},
 			CheckRedirect: returnRedirect,
 		},
 	}
@@ -70,9 +107,10 @@
 
 // Run sends the attempt to the target and returns its response. If the request
 // could not be built or sent, or its response is incomplete or larger than
-// [MaxResponseBytes], the state of the result is TASK_UNKNOWN.
-func (h *HTTPRunner) Run(ctx context.Context, address string, start *yuccawire.Start) *yuccawire.Finished {
-	request, err := newRequest(ctx, address, start)
+// [MaxResponseBytes], the state of the result is TASK_UNKNOWN. mayStart is asked once
+// the request has its connection.
+func (h *HTTPRunner) Run(ctx context.Context, address string, start *yuccawire.Start, mayStart func() bool) *yuccawire.Finished {
+	request, err := newRequest(withGuard(ctx, mayStart), address, start)
 	if err != nil {
 		return unknownResult(err)
 	}
--- a/yuccaside/httprunner_test.go
+++ b/yuccaside/httprunner_test.go
@@ -58,6 +58,8 @@
 	}
 }
 
+func mayAlwaysStart() bool { return true }
+
 func newStart(method string, body string, headers ...*yuccawire.Header) *yuccawire.Start {
 	return &yuccawire.Start{
 		Key:     &yuccawire.TaskKey{Job: &yuccawire.JobKey{Team: "parishes", Id: "toll"}, Task: "t", Attempt: 1},
@@ -84,8 +86,8 @@
 		t.Run(c.name, func(t *testing.T) {
 			server := newDroppingServer(t)
 			runner := yuccaside.NewHTTPRunner()
-			first := runner.Run(context.Background(), server.address, c.start)
-			second := runner.Run(context.Background(), server.address, c.start)
+			first := runner.Run(context.Background(), server.address, c.start, mayAlwaysStart)
+			second := runner.Run(context.Background(), server.address, c.start, mayAlwaysStart)
 			if first.GetState() != yuccawire.TaskState_TASK_FINISHED || second.GetState() != c.secondState {
 				t.Errorf("states are %s and %s, expected TASK_FINISHED and %s", first.GetState(), second.GetState(), c.secondState)
 			}
@@ -123,7 +125,7 @@
 	})}
 	go func() { _ = server.Serve(listener) }()
 	defer server.Close()
-	result := yuccaside.NewHTTPRunner().Run(context.Background(), "http://"+listener.Addr().String(), newStart("POST", "{}"))
+	result := yuccaside.NewHTTPRunner().Run(context.Background(), "http://"+listener.Addr().String(), newStart("POST", "{}"), mayAlwaysStart)
 	if result.GetStatus() != http.StatusTemporaryRedirect || requests.Load() != 1 {
 		t.Errorf("status %d after %d requests, expected 307 after 1", result.GetStatus(), requests.Load())
 	}
@@ -142,7 +144,7 @@
 	go func() { _ = server.Serve(listener) }()
 	defer server.Close()
 	for _, method := range []string{"POST", "PUT", "PATCH", "GET", "DELETE"} {
-		result := yuccaside.NewHTTPRunner().Run(context.Background(), "http://"+listener.Addr().String(), newStart(method, ""))
+		result := yuccaside.NewHTTPRunner().Run(context.Background(), "http://"+listener.Addr().String(), newStart(method, ""), mayAlwaysStart)
 		if result.GetStatus() != http.StatusOK {
 			t.Errorf("%s: %+v", method, result)
 		}
--- a/yuccaside/late_start_test.go
+++ b/yuccaside/late_start_test.go
@@ -49,12 +49,12 @@
 func startLate(t *testing.T, target *lateTarget, body string, renewed bool, drained []string, suspended time.Duration) {
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
-	var total time.Duration
+	var total atomic.Int64
 	s := New(Options{
 		Network: yuccamemnet.New(yuccamemnet.Options{}).Host("side-1"),
 		Self:    &yuccawire.Node{Name: "side-1", Incarnation: 1, DataCentre: "cusco"},
 		Runner:  newHTTPRunner(target.dial), Random: rand.New(rand.NewPCG(1, 1)), Metrics: yuccametric.New("side-1"),
-		Suspensions: yuccasuspend.NewMonitorOf(func() time.Duration { return total }),
+		Suspensions: yuccasuspend.NewMonitorOf(func() time.Duration { return time.Duration(total.Load()) }),
 	})
 	if err := s.addTarget(time.Now(), Announcement{Service: "regulation", Address: "http://127.0.0.1:1", Slots: 4, Connections: 4}); err != nil {
 		t.Fatal(err)
@@ -84,7 +84,7 @@
 	if renewed {
 		renew(2, drained)
 	}
-	total += suspended
+	total.Add(int64(suspended))
 	time.Sleep(2 * time.Second)
 	synctest.Wait()
 }
--- a/yuccaside/side.go
+++ b/yuccaside/side.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/thejerf/suture/v4"
@@ -35,8 +36,9 @@
 type Runner interface {
 	// Run sends the start to the target at the base URL address and waits for the
 	// response. If the response is lost, the state of the result is TASK_UNKNOWN.
-	// When the context ends, Run cancels the request and returns.
-	Run(ctx context.Context, address string, start *yuccawire.Start) *yuccawire.Finished
+	// When the context ends, Run cancels the request and returns. It asks mayStart last
+	// before it sends, and sends nothing if that is false.
+	Run(ctx context.Context, address string, start *yuccawire.Start, mayStart func() bool) *yuccawire.Finished
 }
 
 // Options configures a Side. All fields but Logger and Suspensions are required.
@@ -67,6 +69,7 @@
 	metrics *yuccametric.Set
 	lease   *yuccalease.Client
 	events  chan event
+	permit  atomic.Pointer[permit]
 
 	// The fields below are owned by the event loop.
 	gate           *yuccagate.Gate
@@ -80,6 +83,20 @@
 	suspensions    yuccasuspend.Suspensions
 }
 
+// permit is the permission of the last lease update to start tasks.
+type permit struct {
+	lease       yuccalease.Lease
+	suspensions int
+	isDrained   bool
+}
+
+// mayStart reports whether tasks may start now. The gate decides on each start by the same
+// rules, but the start is sent later. It may be called from any goroutine.
+func (s *Side) mayStart() bool {
+	p := s.permit.Load()
+	return !p.isDrained && p.suspensions == s.options.Suspensions.Check().Count && p.lease.Valid(time.Now())
+}
+
 // runKey identifies a running attempt.
 type runKey struct {
 	team, job, task string
@@ -104,6 +121,7 @@
 		running:       make(map[runKey]*run),
 		reportedSlots: make(map[string]int),
 	}
+	s.permit.Store(&permit{})
 	s.gate = yuccagate.New(yuccagate.Options{
 		Incarnation:    options.Self.GetIncarnation(),
 		DataCentre:     options.Self.GetDataCentre(),
@@ -209,6 +227,7 @@
 		s.gate.Fence(f.GetOwner(), f.GetIncarnation())
 	}
 	isDrained := u.View.IsDrained(s.options.Self.GetDataCentre())
+	s.permit.Store(&permit{lease: u.Lease, suspensions: u.Suspensions, isDrained: isDrained})
 	if isDrained != wasDrained {
 		s.options.Logger.Info("data centre drain state changed", "out", isDrained)
 		s.reportLoad()
--- a/yuccaside/suspension_test.go
+++ b/yuccaside/suspension_test.go
@@ -22,7 +22,7 @@
 	ended []string
 }
 
-func (r *blockingRunner) Run(ctx context.Context, _ string, start *yuccawire.Start) *yuccawire.Finished {
+func (r *blockingRunner) Run(ctx context.Context, _ string, start *yuccawire.Start, _ func() bool) *yuccawire.Finished {
 	<-ctx.Done()
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/yuccaside/tasks.go
+++ b/yuccaside/tasks.go
@@ -39,7 +39,7 @@
 	defer r.cancel()
 	startedAt := time.Now()
 	ctx, span := yuccatrace.StartRemote(ctx, "side.run", r.start.GetTraceparent(), trace.SpanKindClient)
-	result := r.side.options.Runner.Run(ctx, r.address, r.start)
+	result := r.side.options.Runner.Run(ctx, r.address, r.start, r.side.mayStart)
 	span.End()
 	result.Key = r.start.GetKey()
 	result.Service = r.start.GetService()
--- a/yuccasystemtest/cluster_test.go
+++ b/yuccasystemtest/cluster_test.go
@@ -310,7 +310,7 @@
 	ctx     context.Context
 }
 
-func (r *recordingRunner) Run(ctx context.Context, _ string, s *yuccawire.Start) *yuccawire.Finished {
+func (r *recordingRunner) Run(ctx context.Context, _ string, s *yuccawire.Start, _ func() bool) *yuccawire.Finished {
 	key := s.GetKey()
 	event := yuccahistory.Event{
 		Kind: yuccahistory.Started, Node: r.node.name, DataCentre: r.node.dataCentre,
