dispatch: go by the last attempt at a task when a job is taken over

What callers saw: two complete answers to one job with different results. A side that only stood still comes back with the result, which the entry drops, as it answers that of the last attempt. A second entry that takes the job over answered the result that it was told first. A request that passes all answers on showed this without any silence: its first attempt was answered 500, its second one 200.

Now a gathered attempt replaces those before it, finished or running, and one that is behind another is ignored. An owner sends an attempt only after it gave up the one before, so its answer can only be that of the last. What has failed or is unknown still makes the outcome undetermined, as before.

Ruled out: to call all such jobs undetermined, which takes results from callers that the sides have; and to await the silent side before a repeat, as callers have said that the task may run more than once.

Before: TestResultOfAnAttemptThatWasGivenUpIsTheOutcome failed in six of nine cases.

--- a/yuccadispatch/takeover.go
+++ b/yuccadispatch/takeover.go
@@ -115,13 +115,30 @@
 	d.checkGathering(now, j)
 }
 
+// beginGathered makes a gathered attempt the current one of its task, and returns the
+// task. It returns nil if the task has a later attempt, which the former owner has sent
+// after it gave this one up, or has failed.
+func (d *Dispatcher) beginGathered(j *job, name string, key *yuccawire.TaskKey) *task {
+	t := j.tasksByID[key.GetTask()]
+	if t == nil || key.GetAttempt() <= t.attempt || t.state == failed || t.state == unknown {
+		return nil
+	}
+	d.release(t)
+	if t.isSettled() {
+		j.remaining++
+	}
+	t.state = waiting
+	t.result = nil
+	t.side = name
+	t.attempt = key.GetAttempt()
+	return t
+}
+
 func (d *Dispatcher) applyGatheredResult(j *job, name string, f *yuccawire.Finished) {
-	t := j.tasksByID[f.GetKey().GetTask()]
-	if t == nil || t.isSettled() {
+	t := d.beginGathered(j, name, f.GetKey())
+	if t == nil {
 		return
 	}
-	t.side = name
-	t.attempt = f.GetKey().GetAttempt()
 	if f.GetState() == yuccawire.TaskState_TASK_FINISHED {
 		d.applyResult(t, f)
 		return
@@ -136,14 +153,15 @@
 // adoptRunningAttempt marks the task as sent, for an attempt of the former owner
 // that still runs. The side sends its result to this entry.
 func (d *Dispatcher) adoptRunningAttempt(j *job, name string, key *yuccawire.TaskKey) {
-	t := j.tasksByID[key.GetTask()]
 	s := d.sides[name]
-	if t == nil || s == nil || t.state != waiting {
+	if s == nil {
+		return
+	}
+	t := d.beginGathered(j, name, key)
+	if t == nil {
 		return
 	}
 	t.state = sent
-	t.side = name
-	t.attempt = key.GetAttempt()
 	t.endpoint = s.endpoints[j.Service]
 	s.outstanding[t] = struct{}{}
 	d.team(j.Key.Team).running++
