dispatch: show the result of a given up attempt as the outcome beside a lost side

The entry that takes a job over goes by the last attempt that the sides know. If the side of the last one is gone, that is an earlier one, which its owner gave up as its side had lost the lease. The owner may have answered the result of the other. The entry answers the earlier result as complete.

Not mended here: the entry would have to tell which results it can trust, by whether their side joined after the claim. An entry that has just started has seen all sides join, and would call every repeatable job undetermined beside a lost side.

TestGivenUpAttemptIsTheOutcomeBesideALostSide fails.

--- a/yuccadispatch/attempts_test.go
+++ b/yuccadispatch/attempts_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/yuccaturn/yuccaturn/yuccadispatch"
+	"github.com/yuccaturn/yuccaturn/yuccalease"
 	"github.com/yuccaturn/yuccaturn/yuccawire"
 )
 
@@ -78,3 +79,36 @@
 		})
 	}
 }
+
+// The side of the given up attempt stood still and is back; that of the last one is lost.
+func TestGivenUpAttemptIsTheOutcomeBesideALostSide(t *testing.T) {
+	now := time.Now()
+	d := newDispatcher(t, now)
+	now = now.Add(20 * time.Second)
+	s := submission(now, 1, 1)
+	s.Unnamed, s.Repeatable = false, true
+	update := func(version uint64, delta *yuccawire.MembersDelta) {
+		delta.Epoch, delta.Version = 1, version
+		d.HandleControlUpdate(now, yuccalease.Update{Lease: d.Lease(), View: d.View(), Members: delta})
+	}
+	update(2, &yuccawire.MembersDelta{Removed: []string{"side-0"}})
+	update(3, &yuccawire.MembersDelta{Changed: []*yuccawire.Member{{
+		Node:    &yuccawire.Node{Name: "side-0", Role: yuccawire.Role_ROLE_SIDE, DataCentre: "cusco", Incarnation: 1},
+		Targets: []*yuccawire.Target{{Service: s.Service, Slots: slotsPerWorker, Connections: 64}},
+	}}})
+	now = takeOver(now.Add(time.Second), d, s)
+	d.HandleGathered(now, "side-0", heldAttempt{1, 200, "given up"}.gathered(s))
+	update(4, &yuccawire.MembersDelta{Removed: []string{"side-1"}})
+	gatherNothing(now, d, s)
+	actions := d.Actions()
+	granted := &yuccawire.ClaimReply{Result: yuccawire.ClaimResult_CLAIM_GRANTED}
+	for _, action := range append(actions, replyToClaimsOf(now, d, actions, granted)...) {
+		if a, ok := action.(yuccadispatch.Answer); ok {
+			if !a.Outcome.GetUndetermined() {
+				t.Errorf("answered %+v, want an undetermined outcome", a.Outcome)
+			}
+			return
+		}
+	}
+	t.Error("the job was not answered")
+}
