entry: say of no job that it doesn't exist while its owner is silent

What callers saw: 404 job-unknown for a job that runs, when they asked for it or cancelled it at another entry than its owner. A fenced entry said the same of the jobs that it had just dropped.

Now these get 504 outcome-unknown. 404 is left for what somebody has said: control that it keeps no claim, or that the job of an entry that is gone has finished, or the owner that it doesn't have the job.

Ruled out: to wait longer, as a process may stand still for longer than any wait.

Before: TestJobOfAnOwnerThatStandsStillIsSaidNotToExist failed in three of six cases. Two cases of an owner that is gone are new. It passes, with all of yuccaentry under -race.

--- a/yuccadispatch/actions.go
+++ b/yuccadispatch/actions.go
@@ -51,6 +51,8 @@
 type WatchResult struct {
 	Key   Key
 	Known bool
+	// Undetermined is set if the job may be known to an entry that gave no answer.
+	Undetermined bool
 	// Outcome is nil until the job is settled.
 	Outcome *yuccawire.Outcome
 }
--- a/yuccadispatch/watch.go
+++ b/yuccadispatch/watch.go
@@ -43,6 +43,12 @@
 	d.emit(WatchResult{Key: key, Known: known, Outcome: outcome})
 }
 
+// abandonWatch answers a query whose job may be at an entry that gives no answer.
+func (d *Dispatcher) abandonWatch(key Key) {
+	delete(d.watches, key)
+	d.emit(WatchResult{Key: key, Undetermined: true})
+}
+
 // handleWatchReply forwards the query to the owner of the job.
 func (d *Dispatcher) handleWatchReply(reply *yuccawire.ClaimReply) {
 	key := KeyOf(reply.GetJob())
@@ -51,9 +57,13 @@
 		return
 	}
 	e := d.entries[reply.GetOwner()]
-	if reply.GetResult() != yuccawire.ClaimResult_CLAIM_HELD || e == nil || !e.linked {
+	switch {
+	case reply.GetResult() != yuccawire.ClaimResult_CLAIM_HELD || e == nil && reply.GetFinished():
 		d.finishWatch(key, false, nil)
 		return
+	case e == nil || !e.linked:
+		d.abandonWatch(key)
+		return
 	}
 	w.queriedOwner = reply.GetOwner()
 	join := &yuccawire.Join{Job: key.Wire(), Watch: true, Cancel: w.cancel}
@@ -74,7 +84,7 @@
 func (d *Dispatcher) expireWatches(now time.Time) {
 	for key, w := range d.watches {
 		if !now.Before(w.expiresAt) {
-			d.finishWatch(key, false, nil)
+			d.abandonWatch(key)
 		}
 	}
 }
--- a/yuccaentry/entry.go
+++ b/yuccaentry/entry.go
@@ -184,7 +184,7 @@
 	}
 	for key, watchers := range e.watchers {
 		for _, watcher := range watchers {
-			watcher <- yuccadispatch.WatchResult{Key: key}
+			watcher <- yuccadispatch.WatchResult{Key: key, Undetermined: true}
 		}
 		delete(e.watchers, key)
 	}
--- a/yuccaentry/jobs.go
+++ b/yuccaentry/jobs.go
@@ -231,6 +231,9 @@
 	switch {
 	case err != nil:
 		yuccaproblem.Write(w, rejectionProblem(yuccadispatch.OutcomeUnknown))
+	case result.Undetermined:
+		yuccaproblem.Write(w, yuccaproblem.New(http.StatusGatewayTimeout, yuccaproblem.OutcomeUnknown,
+			"control, or the entry that may have the job, gives no answer"))
 	case !result.Known:
 		yuccaproblem.Write(w, yuccaproblem.New(http.StatusNotFound, yuccaproblem.JobUnknown, "no entry that can be reached has the job"))
 	case result.Outcome == nil:
--- a/yuccaentry/watch_test.go
+++ b/yuccaentry/watch_test.go
@@ -69,6 +69,12 @@
 		{"owner stands still", true, held, nil, http.StatusGatewayTimeout},
 		{"no link to the owner", false, held, nil, http.StatusGatewayTimeout},
 		{"control stands still", true, nil, nil, http.StatusGatewayTimeout},
+		{"owner of a finished job is gone", true, &yuccawire.ClaimReply{
+			Job: job, Result: yuccawire.ClaimResult_CLAIM_HELD, Owner: "entry-3", Incarnation: 1, Finished: true,
+		}, nil, http.StatusNotFound},
+		{"owner is gone", true, &yuccawire.ClaimReply{
+			Job: job, Result: yuccawire.ClaimResult_CLAIM_HELD, Owner: "entry-3", Incarnation: 1,
+		}, nil, http.StatusGatewayTimeout},
 		{"no claim", true, &yuccawire.ClaimReply{Job: job, Result: yuccawire.ClaimResult_CLAIM_ABSENT}, nil, http.StatusNotFound},
 		{"owner doesn't have it", true, held, &yuccawire.Joined{Job: job, Watch: true}, http.StatusNotFound},
 		{"owner has it", true, held, &yuccawire.Joined{Job: job, Watch: true, Known: true}, http.StatusAccepted},
