side: hand no run over to an entry that is fenced itself

What callers saw: 504, or a failed job, at its deadline, though its tasks had run and their results were there. The sides then sent the results to it.

A side has the fence before the next owner gets its answer, as that asks with it. Now it answers no fenced entry, as it refuses its starts and ignores its cancellations. The fence that the message carries is still recorded: the leader committed it.

Ruled out: a check of the lease right before the entry sends, which leaves the time between the check and the send.

Before: TestEntryThatStoodStillTakesARunFromTheNextOwner failed.

--- a/yuccaside/owners.go
+++ b/yuccaside/owners.go
@@ -132,9 +132,14 @@
 
 // handleGather hands a job over to a new owner: it fences the old owner and sends
 // the state of the job's attempts to the new one, which also receives the results
-// of running attempts when they finish.
+// of running attempts when they finish. It answers no new owner that is fenced itself, as
+// another one may have the job.
 func (s *Side) handleGather(from *ownerLink, g *yuccawire.Gather) {
 	s.gate.Fence(g.GetFence().GetOwner(), g.GetFence().GetIncarnation())
+	if s.gate.IsFenced(from.node.GetName(), from.node.GetIncarnation()) {
+		s.metrics.Add("gathers_fenced", 1)
+		return
+	}
 	gathered := s.gate.Gather(g.GetJob())
 	for _, key := range gathered.GetRunning() {
 		if r := s.running[runKeyOf(key)]; r != nil {
