control: let nobody take a job over before all its sides are known

What callers may have seen: a task that started twice, of a request that may not be repeated. An entry that takes a job over asks the sides that it knows. After a change of the leader nobody is told of members for 3.15 s, but an owner that had started again was fenced at once, as its new incarnation counted as the end of the earlier one's tasks.

Now the leader fences no owner until its members are complete, and pushes the members that entries lack on the same links before it answers a take-over; a replica without its lease answers none. Sides that renew later get the fence with their lease.

Ruled out: to count a change of the leader as a gap in what an entry has seen, see design/claims.md. The price: a job whose owner starts again right after a change of the leader is taken over up to 3.15 s later than before.

The count of what was pushed starts anew with a term; otherwise the push could be left out if an earlier term of this replica had ended at the same count. No test shows that.

Before: TestJobIsTakenOverBeforeItsSidesAreKnown failed in both cases. Now it passes; without the push or the wait for complete members, one case each fails.

--- a/yuccacontrol/claims.go
+++ b/yuccacontrol/claims.go
@@ -1,6 +1,7 @@
 package yuccacontrol
 
 import (
+	"slices"
 	"time"
 
 	"github.com/yuccaturn/yuccaturn/yuccastate"
@@ -72,10 +73,11 @@
 	c.metrics.Add("claims_proposed", int64(len(merged.GetClaims())))
 	command := &yuccawire.Command{Body: &yuccawire.Command_Claims{Claims: merged}}
 	c.proposeCommand(now, command, func(result yuccastate.Result, err error) {
-		if err == nil {
-			c.omitUntrustedAges(result.Claims)
-			answerClaims(pending, result.Claims)
+		if err != nil || !c.pushMembersBeforeTakeOver(result.Claims) {
+			return
 		}
+		c.omitUntrustedAges(result.Claims)
+		answerClaims(pending, result.Claims)
 	})
 }
 
@@ -91,6 +93,22 @@
 	}
 }
 
+// pushMembersBeforeTakeOver sends the entries the members that they lack if a job is taken
+// over. A side that renews its lease later gets the fence of the former owner with it. It
+// returns false if this replica can't tell the members.
+func (c *Control) pushMembersBeforeTakeOver(replies []*yuccawire.ClaimReply) bool {
+	isTaken := func(r *yuccawire.ClaimReply) bool { return r.GetResult() == yuccawire.ClaimResult_CLAIM_TAKEN }
+	if !slices.ContainsFunc(replies, isTaken) {
+		return true
+	}
+	now := time.Now()
+	if !c.isActiveLeader(now) {
+		return false
+	}
+	c.pushMembers(now)
+	return true
+}
+
 // answerClaims sends each link the replies to its own claims. The replies are in
 // the order of the merged batch.
 func answerClaims(pending []pendingClaims, replies []*yuccawire.ClaimReply) {
@@ -105,8 +123,12 @@
 
 // fenceExpiredOwners proposes a fence for the owner of each job that the batch
 // wants to take over, unless the owner is fenced already or may still hold a
-// lease.
+// lease. It proposes none until the members are complete, as the next owner has to ask
+// all sides.
 func (c *Control) fenceExpiredOwners(now time.Time, batch *yuccawire.ClaimBatch) {
+	if !c.registry.IsComplete(now) {
+		return
+	}
 	for _, claim := range batch.GetClaims() {
 		if !claim.GetTakeOver() {
 			continue
--- a/yuccacontrol/loop.go
+++ b/yuccacontrol/loop.go
@@ -235,6 +235,7 @@
 	case c.core.IsLeader() && c.leadingTerm != c.core.Term():
 		c.leadingTerm = c.core.Term()
 		c.registry = yuccaregistry.New(c.leadingTerm, now, c.core.IsFirstLeader())
+		c.pushedVersion = 0
 		c.metrics.Add("leaderships", 1)
 		c.options.Logger.Info("became leader", "term", c.leadingTerm)
 	case !c.core.IsLeader() && c.leadingTerm != 0:
