side: drop no results for an entry that is fenced

What callers may have seen: 504 outcome-unknown for a job that was complete, from the entry that had taken it over.

Now a side ignores this from an entry that it knows to be fenced, as it does cancels. Results that nobody drops then go with the limit of bytes or the records' retention, as before for an owner that dies.

What remains: a side that hasn't heard of the fence yet drops the results, and the answer is outcome-unknown, as design/claims.md says.

Before: TestEntryThatStoodStillForgetsAResultOfTheNextOwner failed.

--- a/yuccaside/owners.go
+++ b/yuccaside/owners.go
@@ -101,7 +101,7 @@
 	case *yuccawire.Envelope_Cancel:
 		s.handleCancel(now, from, body.Cancel)
 	case *yuccawire.Envelope_Forget:
-		s.handleForget(body.Forget)
+		s.handleForget(from, body.Forget)
 	case *yuccawire.Envelope_Query:
 		s.handleQuery(now, from, body.Query)
 	case *yuccawire.Envelope_Gather:
@@ -109,7 +109,13 @@
 	}
 }
 
-func (s *Side) handleForget(f *yuccawire.Forget) {
+// handleForget drops results. It ignores a fenced owner, whose jobs may belong to another
+// one that needs them.
+func (s *Side) handleForget(from *ownerLink, f *yuccawire.Forget) {
+	if s.gate.IsFenced(from.node.GetName(), from.node.GetIncarnation()) {
+		s.metrics.Add("forgets_fenced", 1)
+		return
+	}
 	for _, job := range f.GetJobs() {
 		s.gate.Forget(job)
 	}
