--- a/yuccaside/owners.go
+++ b/yuccaside/owners.go
@@ -101,7 +101,7 @@
 	case *yuccawire.Envelope_Cancel:
 		s.handleCancel(now, from, body.Cancel)
 	case *yuccawire.Envelope_Forget:
-		s.handleForget(body.Forget)
+		s.handleForget(from, body.Forget)
 	case *yuccawire.Envelope_Query:
 		s.handleQuery(now, from, body.Query)
 	case *yuccawire.Envelope_Gather:
@@ -109,7 +109,13 @@
 	}
 }
 
-func (s *Side) handleForget(f *yuccawire.Forget) {
+// handleForget drops results. It ignores a fenced owner, whose jobs may belong to another
+// one that needs them.
+func (s *Side) handleForget(from *ownerLink, f *yuccawire.Forget) {
+	if s.gate.IsFenced(from.node.GetName(), from.node.GetIncarnation()) {
+		s.metrics.Add("forgets_fenced", 1)
+		return
+	}
 	for _, job := range f.GetJobs() {
 		s.gate.Forget(job)
 	}
@@ -132,9 +138,14 @@
 
 // handleGather hands a job over to a new owner: it fences the old owner and sends
 // the state of the job's attempts to the new one, which also receives the results
-// of running attempts when they finish.
+// of running attempts when they finish. It answers no new owner that is fenced itself, as
+// another one may have the job.
 func (s *Side) handleGather(from *ownerLink, g *yuccawire.Gather) {
 	s.gate.Fence(g.GetFence().GetOwner(), g.GetFence().GetIncarnation())
+	if s.gate.IsFenced(from.node.GetName(), from.node.GetIncarnation()) {
+		s.metrics.Add("gathers_fenced", 1)
+		return
+	}
 	gathered := s.gate.Gather(g.GetJob())
 	for _, key := range gathered.GetRunning() {
 		if r := s.running[runKeyOf(key)]; r != nil {
