model: suspend machines, whose clocks don't count the time

The side finds out before its next event (HandleSuspension), and calls that were on their way to the worker are executed before or after that. Its timers stop too. Entries are suspended likewise.

Not modelled: a suspended machine that loses power, kills of its processes meanwhile.

--- a/yuccamodel/caller_test.go
+++ b/yuccamodel/caller_test.go
@@ -144,7 +144,10 @@
 	submitted := j.job
 	w.logf("caller submits %s to %s, attempt %d", j.job.ID, e.name, j.attempts)
 	w.after(oneWay, func() {
-		e.handle(func() { e.broker.Submit(w.now, submitted, waiter) })
+		e.handle(func() {
+			submitted.Deadline = submitted.Deadline.Add(-e.suspensions.total)
+			e.broker.Submit(e.now(), submitted, waiter)
+		})
 	})
 }
 
@@ -175,7 +178,7 @@
 		return
 	}
 	delete(e.waiters, waiter)
-	j.world.after(oneWay, func() { e.handle(func() { e.broker.HandleDisconnect(j.world.now, j.job.ID, waiter) }) })
+	j.world.after(oneWay, func() { e.handle(func() { e.broker.HandleDisconnect(e.now(), j.job.ID, waiter) }) })
 	j.handleDisconnect(e, waiter)
 }
 
--- a/yuccamodel/crossing_test.go
+++ b/yuccamodel/crossing_test.go
@@ -93,10 +93,10 @@
 			c.entry.come(func() {
 				if l.atEntry != nil {
 					w.breakConnection(e, s, l.atEntry)
-					e.broker.HandleLinkDown(w.now, s.name)
+					e.broker.HandleLinkDown(e.now(), s.name)
 				}
 				l.atEntry = c
-				e.broker.HandleLinkUp(w.now, side)
+				e.broker.HandleLinkUp(e.now(), side)
 			}, func() { w.downAtEntry(e, s, c) })
 		})
 	})
@@ -110,7 +110,7 @@
 					w.breakConnection(e, s, l.atSide)
 				}
 				l.atSide = c
-				s.core.HandleLinkUp(w.now, id)
+				s.core.HandleLinkUp(s.now(), id)
 				s.performActions()
 			}, func() { w.downAtSide(e, s, c, id) })
 		})
@@ -148,7 +148,7 @@
 	c.entry.isDown = true
 	if l.atEntry == c && c.entry.isUp {
 		l.atEntry = nil
-		e.broker.HandleLinkDown(w.now, s.name)
+		e.broker.HandleLinkDown(e.now(), s.name)
 	}
 }
 
--- a/yuccamodel/demand_test.go
+++ b/yuccamodel/demand_test.go
@@ -99,7 +99,7 @@
 // exchangeDemand sends the peers what they do not know, when that is due.
 func (e *modelEntry) exchangeDemand() {
 	w, table := e.world, e.broker.Demand()
-	if !e.broker.ExchangesDemand() || !table.Due(w.now) {
+	if !e.broker.ExchangesDemand() || !table.Due(e.now()) {
 		return
 	}
 	for _, peer := range e.peers {
@@ -107,7 +107,7 @@
 		if !l.isUp {
 			continue
 		}
-		report := table.ReportFor(w.now, peer.name)
+		report := table.ReportFor(e.now(), peer.name)
 		if report == nil {
 			continue
 		}
@@ -116,8 +116,8 @@
 		w.transmit(l, func() {
 			if peer.incarnation == incarnation {
 				peer.handle(func() {
-					peer.broker.HandleDemand(w.now, report)
-					peer.broker.Demand().MarkKnown(w.now, e.name, report)
+					peer.broker.HandleDemand(peer.now(), report)
+					peer.broker.Demand().MarkKnown(peer.now(), e.name, report)
 				})
 			}
 		})
@@ -127,7 +127,7 @@
 // waitingMilli returns the waiting processors that an entry knows of, at all entries and
 // at itself.
 func (e *modelEntry) waitingMilli() (total, own float64) {
-	for _, f := range e.broker.Demand().Flows(e.world.now) {
+	for _, f := range e.broker.Demand().Flows(e.now()) {
 		total += f.Total.WaitingMilli
 		own += f.Own.WaitingMilli
 	}
--- a/yuccamodel/failing_test.go
+++ b/yuccamodel/failing_test.go
@@ -260,6 +260,6 @@
 			}
 		}
 		m.crash()
-		s.handle(func() { s.core.HandleDeregistration(w.now, m.incarnation.ID) })
+		s.handle(func() { s.core.HandleDeregistration(s.now(), m.incarnation.ID) })
 	})
 }
--- a/yuccamodel/restarted_test.go
+++ b/yuccamodel/restarted_test.go
@@ -85,7 +85,7 @@
 		if leaves {
 			w.after(late, func() {
 				w.logf("fault %s learns that its worker has left", s.name)
-				s.handle(func() { s.core.HandleDeregistration(w.now, m.incarnation.ID) })
+				s.handle(func() { s.core.HandleDeregistration(s.now(), m.incarnation.ID) })
 			})
 		}
 		w.after(downtime, func() { m.restartWithClock(clock, reportDelay) })
--- a/yuccamodel/unconfirmed_test.go
+++ b/yuccamodel/unconfirmed_test.go
@@ -12,7 +12,7 @@
 	r := s.worker.report()
 	r.StartedAtMS += 1 + int64(w.random.IntN(100_000))
 	w.logf("fault %s gets a report of a later start, %d", s.name, r.StartedAtMS)
-	s.handle(func() { s.core.HandleReport(w.now, r) })
+	s.handle(func() { s.core.HandleReport(s.now(), r) })
 }
 
 func TestFaultsOfReportsOfALaterStart(t *testing.T) {
--- a/yuccamodel/world_test.go
+++ b/yuccamodel/world_test.go
@@ -149,6 +149,7 @@
 	isDown      bool
 	isFrozen    bool
 	deferred    []func()
+	suspensions suspensions
 	waiters     map[uint64]*callerJob
 	lastWaiter  uint64
 	// peers are the linked entries.
@@ -170,6 +171,8 @@
 	isDown   bool
 	isFrozen bool
 	deferred []func()
+	// suspensions are those of the machine, with its worker.
+	suspensions suspensions
 }
 
 // link connects an entry and a side. A partition delays messages until it is
@@ -279,11 +282,11 @@
 }
 
 func (e *modelEntry) tick() {
-	e.broker.Tick(e.world.now)
+	e.broker.Tick(e.now())
 	e.exchangeDemand()
 }
 
-func (s *modelSide) tick() { s.core.Tick(s.world.now) }
+func (s *modelSide) tick() { s.core.Tick(s.now()) }
 
 func (w *world) reportAll() {
 	for _, s := range w.sides {
@@ -296,7 +299,7 @@
 // handleReport delivers a report of the worker to its side.
 func (s *modelSide) handleReport() {
 	r := s.worker.report()
-	s.handle(func() { s.core.HandleReport(s.world.now, r) })
+	s.handle(func() { s.core.HandleReport(s.now(), r) })
 }
 
 func (w *world) advanceAll() {
@@ -345,7 +348,7 @@
 func (e *modelEntry) start() {
 	w := e.world
 	e.incarnation++
-	e.isDown = false
+	e.isDown, e.suspensions.unnoticed = false, 0
 	e.waiters = make(map[uint64]*callerJob)
 	e.broker = yuccabroker.New(yuccabroker.Options{
 		Name: e.name, Incarnation: e.incarnation, DataCentre: e.dataCentre, Scheduling: w.scheduling, Random: rand.New(rand.NewPCG(w.seed, uint64(e.index)<<8|e.incarnation)),
@@ -363,8 +366,8 @@
 func (s *modelSide) start() {
 	w := s.world
 	s.incarnation++
-	s.isDown = false
-	s.core = yuccaworker.New(yuccaworker.Options{Name: s.name, Metrics: yuccametric.New(s.name), Logger: slog.New(slog.DiscardHandler)}, w.now)
+	s.isDown, s.suspensions.unnoticed = false, 0
+	s.core = yuccaworker.New(yuccaworker.Options{Name: s.name, Metrics: yuccametric.New(s.name), Logger: slog.New(slog.DiscardHandler)}, s.now())
 	if !s.worker.isDown && !s.worker.standsStill && !w.now.Before(s.worker.reportsFrom) {
 		s.handleReport()
 	}
@@ -385,8 +388,9 @@
 		e.deferred = append(e.deferred, handler)
 		return
 	}
+	e.checkSuspension()
 	handler()
-	e.broker.Place(e.world.now)
+	e.broker.Place(e.now())
 	e.performActions()
 }
 
@@ -417,7 +421,7 @@
 		incarnation := e.incarnation
 		w.after(oneWay, func() {
 			if e.incarnation == incarnation {
-				e.handle(func() { e.broker.HandleCrashReport(w.now, report) })
+				e.handle(func() { e.broker.HandleCrashReport(e.now(), report) })
 			}
 		})
 	}
@@ -431,6 +435,7 @@
 		s.deferred = append(s.deferred, handler)
 		return
 	}
+	s.checkSuspension()
 	handler()
 	s.performActions()
 }
@@ -471,7 +476,7 @@
 		if m.refuses {
 			onFailure, delay = onRefused, callDelay
 		}
-		w.after(delay, func() {
+		s.after(delay, func() {
 			if s.incarnation == incarnation {
 				s.handle(onFailure)
 			}
@@ -494,6 +499,8 @@
 	default:
 		w.after(callDelay, func() {
 			switch {
+			case s.suspensions.isSuspended():
+				m.waiting = append(m.waiting, deliver)
 			case m.standsStill:
 				m.waiting = append(m.waiting, deliver)
 				failLater()
@@ -522,7 +529,7 @@
 	} else {
 		timeout = callDelay
 	}
-	w.after(timeout, func() {
+	s.after(timeout, func() {
 		if s.incarnation == incarnation {
 			s.handle(deliver)
 		}
@@ -532,22 +539,22 @@
 func (s *modelSide) callStart(a yuccaworker.CallStart) {
 	core := s.core
 	s.world.logf("%s sends start %v", s.name, a.Key)
-	onTimeout := func() { core.HandleStartReply(s.world.now, a.Incarnation, a.Key, yuccaworker.ResultUnknown, 0) }
-	onRefused := func() { core.HandleStartReply(s.world.now, a.Incarnation, a.Key, yuccaworker.ResultUnreachable, 0) }
+	onTimeout := func() { core.HandleStartReply(s.now(), a.Incarnation, a.Key, yuccaworker.ResultUnknown, 0) }
+	onRefused := func() { core.HandleStartReply(s.now(), a.Incarnation, a.Key, yuccaworker.ResultUnreachable, 0) }
 	s.call(func() {
 		result, clock := s.worker.start(a), s.worker.clock()
-		s.reply(func() { core.HandleStartReply(s.world.now, a.Incarnation, a.Key, result, clock) }, onTimeout, a.Timeout)
+		s.reply(func() { core.HandleStartReply(s.now(), a.Incarnation, a.Key, result, clock) }, onTimeout, a.Timeout)
 	}, onRefused, onTimeout, a.Timeout)
 }
 
 func (s *modelSide) callStop(a yuccaworker.CallStop) {
 	core := s.core
 	s.world.logf("%s calls stop %v", s.name, a.Key)
-	onTimeout := func() { core.HandleStopReply(s.world.now, a.Incarnation, a.Key, false, 0) }
+	onTimeout := func() { core.HandleStopReply(s.now(), a.Incarnation, a.Key, false, 0) }
 	s.call(func() {
 		answered, clock := s.worker.stop(a), s.worker.clock()
 		s.world.logf("%s executes stop %v, accepted %v", s.worker.name, a.Key, answered)
-		s.reply(func() { core.HandleStopReply(s.world.now, a.Incarnation, a.Key, answered, clock) }, onTimeout, a.Timeout)
+		s.reply(func() { core.HandleStopReply(s.now(), a.Incarnation, a.Key, answered, clock) }, onTimeout, a.Timeout)
 	}, onTimeout, onTimeout, a.Timeout)
 }
 
@@ -555,13 +562,13 @@
 	core := s.core
 	fail := func(result yuccaworker.Result) func() {
 		return func() {
-			core.HandleHoldReply(s.world.now, yuccaworker.HoldResult{Incarnation: a.Incarnation, Result: result, SentAt: a.SentAt})
+			core.HandleHoldReply(s.now(), yuccaworker.HoldResult{Incarnation: a.Incarnation, Result: result, SentAt: a.SentAt})
 		}
 	}
 	onTimeout := fail(yuccaworker.ResultUnknown)
 	s.call(func() {
 		s.worker.hold(a, func(h yuccaworker.HoldResult) {
-			s.reply(func() { core.HandleHoldReply(s.world.now, h) }, onTimeout, a.Timeout)
+			s.reply(func() { core.HandleHoldReply(s.now(), h) }, onTimeout, a.Timeout)
 		})
 	}, fail(yuccaworker.ResultUnreachable), onTimeout, a.Timeout)
 }
@@ -575,9 +582,9 @@
 		result, delay = yuccaworker.ResultUnknown, a.Timeout
 	}
 	core, incarnation := s.core, s.incarnation
-	s.world.after(delay, func() {
+	s.after(delay, func() {
 		if s.incarnation == incarnation {
-			s.handle(func() { core.HandleConnectReply(s.world.now, a, result) })
+			s.handle(func() { core.HandleConnectReply(s.now(), a, result) })
 		}
 	})
 }
@@ -672,11 +679,11 @@
 			w.logf("%s receives from %s.%d %v", s.name, e.name, e.incarnation, m)
 			switch body := m.GetBody().(type) {
 			case *yuccawire.Envelope_Orders:
-				s.core.HandleOrders(w.now, id, body.Orders)
+				s.core.HandleOrders(s.now(), id, body.Orders)
 			case *yuccawire.Envelope_Beat:
-				s.core.HandleHeartbeat(w.now, id, body.Beat)
+				s.core.HandleHeartbeat(s.now(), id, body.Beat)
 			case *yuccawire.Envelope_Withdraw:
-				s.core.HandleWithdraw(w.now, id, body.Withdraw)
+				s.core.HandleWithdraw(s.now(), id, body.Withdraw)
 			}
 		})
 	})
@@ -696,12 +703,12 @@
 			}
 			switch body := m.GetBody().(type) {
 			case *yuccawire.Envelope_WorkerState:
-				e.broker.HandleWorkerState(w.now, s.name, body.WorkerState)
+				e.broker.HandleWorkerState(e.now(), s.name, body.WorkerState)
 			case *yuccawire.Envelope_CrashReport:
-				e.broker.HandleCrashReport(w.now, body.CrashReport)
+				e.broker.HandleCrashReport(e.now(), body.CrashReport)
 			case *yuccawire.Envelope_Ends:
 				w.logf("%s receives outcomes from %s.%d %v", e.name, s.name, s.incarnation, body.Ends)
-				e.broker.HandleEnds(w.now, s.name, body.Ends)
+				e.broker.HandleEnds(e.now(), s.name, body.Ends)
 			}
 		})
 	})
@@ -710,7 +717,7 @@
 // killEntry stops an entry for the given downtime. Its callers and sides notice
 // at once, or only after the downtime if the machine is unreachable.
 func (w *world) killEntry(e *modelEntry, unreachable bool, downtime time.Duration) {
-	if e.isDown {
+	if e.isDown || e.suspensions.isSuspended() {
 		return
 	}
 	waiters := maps.Clone(e.waiters)
@@ -766,7 +773,7 @@
 }
 
 func (w *world) killSide(s *modelSide, downtime time.Duration) {
-	if s.isDown {
+	if s.isDown || s.suspensions.isSuspended() {
 		return
 	}
 	for _, e := range w.entries {
@@ -776,7 +783,7 @@
 	s.isDown = true
 	s.isFrozen = false
 	s.deferred = nil
-	w.after(downtime, s.start)
+	s.after(downtime, s.start)
 }
 
 func (w *world) freezeSide(s *modelSide, d time.Duration) {
