--- a/yuccasized/simulatedworker.go
+++ b/yuccasized/simulatedworker.go
@@ -153,6 +153,7 @@
 	s.lastRun[c.Key.Task] = c.Key.Run
 	s.starts++
 	s.runs[c.Key] = time.AfterFunc(sleep, end)
+	s.options.Logger.Debug("run started", "task", c.Key.Task, "run", c.Key.Run)
 	s.renewLease(c.DeadlineMS)
 	return yuccaworker.ResultOK, s.clock()
 }
@@ -250,6 +251,7 @@
 	}
 	timer.Stop()
 	delete(s.runs, key)
+	s.options.Logger.Debug("run ended", "task", key.Task, "run", key.Run, "end", outcome.String())
 	s.lastCompletion++
 	s.completions = append(s.completions, yuccaworker.Completion{Number: s.lastCompletion, Key: key, Outcome: outcome})
 	close(s.completed)
