broker, edge: tell the other entries of tasks whose runs may go on

A caller whose connection breaks submits its job at another entry 1.3 s later. The design relied on leases that end within 1.3 s, which proves nothing about a machine that acts later.

An entry now tells the others, with HeldTasks, which of its tasks may have a run whose end it hasn't heard: 250 ms after the end of their job, at a side that is silent for 0.6 s or has restarted, or lost and held back. A submitted job keeps such a task waiting until the sender says that it is over, or is answered as abandoned at its deadline; it is never refused as not run. Lists are whole and sent on changes, again to an entry whose link comes up, and passed on once, as crash reports are, so that they reach entries without a link to the sender. What a process had said before it died counts until the callers' deadlines. Lists are limited to 1000 tasks and 1000 senders.

Ruled out: asking the other entries at each submission, which costs a round trip on every job and has no answer from a dead entry; deltas, as a lost one would never be made up for.

Before: all three cases of TestResendAtAnotherEntryRunsBesideAStandingWorker and TestResendAtAnotherEntryRunsBesideALateStart show two runs. Now the case with a closed connection passes, and the late start has no run beside it. The latter test stays red, as it also wants the job completed: no one can tell that no other try of the start is left, so the caller gets 504, which TestResendAtAnotherEntryWaitsForALateStart checks. The cases with a killed entry need the side's word and follow.

--- a/yuccabroker/admission.go
+++ b/yuccabroker/admission.go
@@ -96,7 +96,7 @@
 			if j.ended {
 				continue
 			}
-			if j.runsSent == 0 && j.withdrawReason == "" && now.Add(e.WaitFor(ahead)+j.path).After(j.usefulUntil) {
+			if j.runsSent == 0 && !j.mayHaveRun && j.withdrawReason == "" && now.Add(e.WaitFor(ahead)+j.path).After(j.usefulUntil) {
 				b.metrics.Add("jobs_refused_forecast", 1)
 				b.answer(now, j, Outcome{State: Rejected, Reason: excessReason, RetryAfter: b.retryAfter(now, j)})
 				continue
--- a/yuccabroker/broker.go
+++ b/yuccabroker/broker.go
@@ -53,6 +53,14 @@
 	// runs maps a run that may be alive to its task.
 	runs    map[runKey]*task
 	crashes *crashLog
+	// endingJobs are the ended jobs with runs that may be alive. held are the tasks that the
+	// other entries were told at heldAt to hold until the times given, heldElsewhere those
+	// that this entry was told of.
+	endingJobs    []*job
+	held          map[string]time.Time
+	heldSequence  uint64
+	heldAt        time.Time
+	heldElsewhere map[heldKey]*heldList
 	// culprits are the tasks that were lately found to crash their workers. downtime is
 	// the moving average of the time that a worker is down after a crash.
 	culprits     []culprit
@@ -135,6 +143,7 @@
 		shares:         yuccashare.New(),
 		runs:           make(map[runKey]*task),
 		crashes:        newCrashLog(),
+		heldElsewhere:  make(map[heldKey]*heldList),
 		downtime:       usualDowntime,
 		queueUses:      make(map[string]queueUse),
 		bulkheads:      make(map[string]*bulkhead),
@@ -251,6 +260,8 @@
 	b.rerank(now)
 	b.evictQueues()
 	b.expireRuns(now)
+	b.publishHeld(now)
+	b.evictHeld(now)
 	b.medianSlowdown = b.computeMedianSlowdown()
 	b.updateWantedRacks()
 	b.moveStragglers(now)
--- a/yuccabroker/broker_test.go
+++ b/yuccabroker/broker_test.go
@@ -27,6 +27,8 @@
 	heartbeats map[string]int
 	answers    map[uint64]yuccabroker.Outcome
 	lastOrder  map[string]uint64
+	// published are the lists of held tasks for the other entries.
+	published []*yuccawire.HeldTasks
 }
 
 func newFixture(t *testing.T, sides ...string) *fixture {
@@ -92,6 +94,10 @@
 			if a.Message.GetBeat() != nil {
 				f.heartbeats[a.Side]++
 			}
+		case yuccabroker.Publish:
+			if m := a.Message.GetHeldTasks(); m != nil {
+				f.published = append(f.published, m)
+			}
 		}
 	}
 }
--- /dev/null
+++ b/yuccabroker/held.go
@@ -0,0 +1,283 @@
+package yuccabroker
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/yuccaturn/yuccaturn/yuccawire"
+)
+
+const (
+	// heldAfter is how long the runs of an ended job may take to end before the other entries
+	// are told. The caller submits the job at one of them after 1.3 s at the earliest.
+	heldAfter = 250 * time.Millisecond
+	// heldInterval is the least time between two lists of this entry.
+	heldInterval = 100 * time.Millisecond
+	// heldSlack is how long before its time a task may be omitted for that time's sake.
+	heldSlack = 500 * time.Millisecond
+	// heldRetention is how long an empty list is known, so that an older one which comes
+	// later by another way is recognised.
+	heldRetention = 10 * time.Second
+	// maxHeldTasks limits the tasks of a list, maxHeldLists the lists that are known.
+	maxHeldTasks = 1000
+	maxHeldLists = 1000
+)
+
+// heldKey identifies a process that lists held tasks.
+type heldKey struct {
+	sender      string
+	incarnation uint64
+}
+
+// heldList is the last list of a process.
+type heldList struct {
+	sequence   uint64
+	receivedAt time.Time
+	tasks      map[string]heldTask
+}
+
+// heldTask is a task that is held until its sender says otherwise, or until a time: statedUntil
+// as its sender has said, or later if a caller who came again waits longer.
+type heldTask struct{ statedUntil, until time.Time }
+
+// heldHere returns the tasks with a run that may be in progress or may still start, although its
+// job has ended some time ago, its side is silent or has restarted, or it was lost, and when their
+// callers stop waiting.
+func (b *Broker) heldHere(now time.Time) map[string]time.Time {
+	var held map[string]time.Time
+	hold := func(t *task) {
+		if held == nil {
+			held = make(map[string]time.Time)
+		}
+		if now.Before(t.job.Deadline) && t.job.Deadline.After(held[t.name]) {
+			held[t.name] = t.job.Deadline
+		}
+	}
+	b.endingJobs = slices.DeleteFunc(b.endingJobs, func(j *job) bool { return j.runsInFlight == 0 })
+	for _, j := range b.endingJobs {
+		if now.Sub(j.endedAt) < heldAfter {
+			continue
+		}
+		for _, st := range j.steps {
+			for _, t := range st.tasks {
+				if b.runs[runKey{task: t.name, run: t.run}] == t {
+					hold(t)
+				}
+			}
+		}
+	}
+	for _, s := range b.sideList {
+		for t := range s.unsettled {
+			hold(t)
+		}
+		isSilent := now.Sub(s.lastHeard()) >= maxBusyReportAge+heldAfter
+		hasOrphans := s.hasOrphans && now.Sub(s.linkedAt) >= heldAfter
+		if !isSilent && !hasOrphans {
+			continue
+		}
+		for t := range s.runs {
+			if isSilent || t.sideIncarnation != s.Incarnation {
+				hold(t)
+			}
+		}
+	}
+	return held
+}
+
+// publishHeld tells the other entries which tasks must not be placed, after a change.
+func (b *Broker) publishHeld(now time.Time) {
+	if now.Sub(b.heldAt) < heldInterval {
+		return
+	}
+	held := b.heldHere(now)
+	if maps.Equal(held, b.held) {
+		return
+	}
+	before := len(b.held)
+	b.held, b.heldAt = held, now
+	b.heldSequence++
+	list := b.ownHeldList(now)
+	b.metrics.Add("held_lists_made", 1)
+	b.options.Logger.Warn("tasks with runs whose end is not known, telling the other entries", "tasks", len(held), "were", before, "first", firstHeld(list))
+	b.publishHeldList(list)
+}
+
+func (b *Broker) publishHeldList(list *yuccawire.HeldTasks) {
+	b.emit(Publish{Message: &yuccawire.Envelope{Body: &yuccawire.Envelope_HeldTasks{HeldTasks: list}}})
+}
+
+func (b *Broker) ownHeldList(now time.Time) *yuccawire.HeldTasks {
+	list := &yuccawire.HeldTasks{Sender: b.options.Name, Incarnation: b.options.Incarnation, Sequence: b.heldSequence}
+	addHeld(now, list, b.held)
+	return list
+}
+
+// addHeld adds the tasks to the list, as many as fit.
+func addHeld(now time.Time, list *yuccawire.HeldTasks, until map[string]time.Time) {
+	names := slices.Sorted(maps.Keys(until))
+	for _, name := range names[:min(len(names), maxHeldTasks)] {
+		remaining := min(max(until[name].Sub(now), 0).Milliseconds(), math.MaxUint32)
+		list.Tasks = append(list.Tasks, &yuccawire.HeldTask{Task: name, RemainingMs: uint32(remaining)})
+	}
+}
+
+func firstHeld(list *yuccawire.HeldTasks) string {
+	if len(list.GetTasks()) == 0 {
+		return ""
+	}
+	return list.GetTasks()[0].GetTask()
+}
+
+// HeldLists returns the known lists of held tasks for an entry that may not know them, and that
+// of this entry if there was one.
+func (b *Broker) HeldLists(now time.Time) []*yuccawire.HeldTasks {
+	var lists []*yuccawire.HeldTasks
+	if b.heldSequence > 0 {
+		lists = append(lists, b.ownHeldList(now))
+	}
+	keys := slices.SortedFunc(maps.Keys(b.heldElsewhere), func(x, y heldKey) int {
+		return cmp.Or(cmp.Compare(x.sender, y.sender), cmp.Compare(x.incarnation, y.incarnation))
+	})
+	for _, key := range keys {
+		lists = append(lists, b.heldElsewhere[key].toWire(now, key))
+	}
+	return lists
+}
+
+func (l *heldList) toWire(now time.Time, key heldKey) *yuccawire.HeldTasks {
+	list := &yuccawire.HeldTasks{Sender: key.sender, Incarnation: key.incarnation, Sequence: l.sequence}
+	until := make(map[string]time.Time, len(l.tasks))
+	for name, h := range l.tasks {
+		until[name] = h.until
+	}
+	addHeld(now, list, until)
+	return list
+}
+
+// HandleHeldBySide is HandleHeldTasks for the list of a linked side.
+func (b *Broker) HandleHeldBySide(now time.Time, name string, m *yuccawire.HeldTasks) {
+	if s := b.sides[name]; s != nil && m != nil {
+		m.Sender, m.Incarnation = s.name, s.Incarnation
+		b.HandleHeldTasks(now, m)
+	}
+}
+
+// HandleHeldTasks replaces the list of held tasks of another process, and passes it on. Tasks that
+// wait here are held with it, those that are over may be placed.
+func (b *Broker) HandleHeldTasks(now time.Time, m *yuccawire.HeldTasks) {
+	key := heldKey{sender: m.GetSender(), incarnation: m.GetIncarnation()}
+	l := b.heldElsewhere[key]
+	switch {
+	case key == heldKey{sender: b.options.Name, incarnation: b.options.Incarnation}:
+		return
+	case l != nil && m.GetSequence() <= l.sequence:
+		return
+	case l == nil && len(b.heldElsewhere) >= maxHeldLists:
+		b.metrics.Add("held_lists_ignored", 1)
+		b.options.Logger.Error("too many lists of held tasks, list ignored", "sender", key.sender, "tasks", len(m.GetTasks()))
+		return
+	case l == nil:
+		l = &heldList{}
+		b.heldElsewhere[key] = l
+	}
+	before := l.tasks
+	l.sequence, l.receivedAt = m.GetSequence(), now
+	l.tasks = make(map[string]heldTask)
+	for _, h := range m.GetTasks()[:min(len(m.GetTasks()), maxHeldTasks)] {
+		statedUntil := now.Add(time.Duration(h.GetRemainingMs()) * time.Millisecond)
+		l.tasks[h.GetTask()] = heldTask{statedUntil: statedUntil, until: later(statedUntil, before[h.GetTask()].until)}
+	}
+	over := 0
+	for name, h := range before {
+		if _, isHeld := l.tasks[name]; !isHeld && now.Before(h.until) && !now.Before(h.statedUntil.Add(-heldSlack)) {
+			l.tasks[name] = h
+		} else if !isHeld {
+			over++
+		}
+	}
+	b.metrics.Add("held_lists_received", 1)
+	b.options.Logger.Warn("tasks held for runs elsewhere", "sender", key.sender, "incarnation", key.incarnation, "tasks", len(l.tasks),
+		"first", firstHeld(m), "over", over)
+	jobs := make(map[string]bool)
+	for name := range before {
+		jobs[jobOf(name)] = true
+	}
+	for name := range l.tasks {
+		jobs[jobOf(name)] = true
+	}
+	for _, id := range slices.Sorted(maps.Keys(jobs)) {
+		if j := b.jobs[id]; j != nil {
+			b.holdWaiting(j)
+			b.enqueueReady(now, j)
+		}
+	}
+	b.publishHeldList(l.toWire(now, key))
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
+// isHeldElsewhere reports whether another process holds the task.
+func (b *Broker) isHeldElsewhere(name string) bool {
+	for _, l := range b.heldElsewhere {
+		if _, isHeld := l.tasks[name]; isHeld {
+			return true
+		}
+	}
+	return false
+}
+
+// holdWaiting holds the tasks of a job that other processes hold and that wait here, until its
+// caller stops waiting, unless they are over before.
+func (b *Broker) holdWaiting(j *job) {
+	if len(b.heldElsewhere) == 0 {
+		return
+	}
+	for _, st := range j.steps {
+		for _, t := range st.tasks {
+			if t.run > j.runsBefore || t.state == taskDone || !b.extendHeld(t) {
+				continue
+			}
+			if t.state == taskQueued {
+				b.queueOf(t).remove(t)
+				t.state = taskBlocked
+			}
+			if !j.mayHaveRun {
+				j.mayHaveRun = true
+				b.metrics.Add("jobs_held", 1)
+				b.options.Logger.Info("job waits for a run of an earlier submission elsewhere", "job", j.ID, "task", t.name)
+			}
+		}
+	}
+}
+
+// extendHeld lets the callers of the task's job decide how long it is held, if they wait longer. It
+// returns false if no process holds it.
+func (b *Broker) extendHeld(t *task) bool {
+	isHeld := false
+	for _, l := range b.heldElsewhere {
+		if h, listed := l.tasks[t.name]; listed {
+			h.until = later(h.until, t.job.Deadline)
+			l.tasks[t.name] = h
+			isHeld = true
+		}
+	}
+	return isHeld
+}
+
+// evictHeld removes the held tasks whose time is over.
+func (b *Broker) evictHeld(now time.Time) {
+	for key, l := range b.heldElsewhere {
+		maps.DeleteFunc(l.tasks, func(_ string, h heldTask) bool { return !now.Before(h.until) })
+		if len(l.tasks) == 0 && now.Sub(l.receivedAt) > heldRetention {
+			delete(b.heldElsewhere, key)
+		}
+	}
+}
--- a/yuccabroker/job.go
+++ b/yuccabroker/job.go
@@ -13,7 +13,7 @@
 
 const (
 	// taskBlocked: steps it depends on are not done, a run of an earlier submission may be
-	// alive, or its job is being withdrawn.
+	// alive, here or elsewhere, or its job is being withdrawn.
 	taskBlocked taskState = iota
 	// taskQueued: it is queued for placement.
 	taskQueued
@@ -48,7 +48,7 @@
 	dispatched bool
 	// runsSent counts the orders sent, runsInFlight those whose runs may be alive.
 	// mayHaveRun is set once a run has ended other than by a refusal, or was lost
-	// after it may have started.
+	// after it may have started, or a run of an earlier submission is held elsewhere.
 	runsSent     int
 	runsInFlight int
 	mayHaveRun   bool
@@ -59,8 +59,9 @@
 	// submitted again continues the numbering from there; runsBefore is that of the
 	// submissions before.
 	lastRun, runsBefore uint64
-	// ended is set once the outcome of the job is final.
-	ended bool
+	// ended is set once the outcome of the job is final, endedAt is since when.
+	ended   bool
+	endedAt time.Time
 }
 
 // step is a step of a job with its progress.
@@ -151,6 +152,7 @@
 		if submitted.Deadline.After(j.Deadline) {
 			j.Deadline = submitted.Deadline
 		}
+		b.holdWaiting(j)
 		return
 	}
 	b.queueUses[submitted.Queue.Name] = queueUse{service: submitted.Queue.Service, at: now}
@@ -167,7 +169,11 @@
 			b.extendEarlierRuns(t)
 		}
 	}
+	b.holdWaiting(j)
 	if refusal := b.admissionRefusal(now, j); refusal != nil {
+		if refusal.State == Rejected && j.mayHaveRun {
+			refusal = &Outcome{State: Abandoned, Reason: refusal.Reason}
+		}
 		b.metrics.Add("jobs_refused", 1)
 		b.options.Logger.Info("job refused", "job", j.ID, "queue", j.Queue.Name, "reason", refusal.Reason,
 			"retry_after_ms", refusal.RetryAfter.Milliseconds(), "waiting_tasks", b.queuedTasks(), "sides", len(b.sideList),
@@ -271,7 +277,7 @@
 			continue
 		}
 		for _, t := range st.tasks {
-			if t.state == taskBlocked && !b.hasEarlierRun(t) {
+			if t.state == taskBlocked && !b.hasEarlierRun(t) && !b.isHeldElsewhere(t.name) {
 				b.enqueue(now, t)
 			}
 		}
@@ -349,7 +355,10 @@
 
 // finish saves the outcome of a job and stops its remaining tasks.
 func (b *Broker) finish(now time.Time, j *job, o Outcome) {
-	j.ended = true
+	j.ended, j.endedAt = true, now
+	if j.runsInFlight > 0 {
+		b.endingJobs = append(b.endingJobs, j)
+	}
 	delete(b.jobs, j.ID)
 	b.outcomes[j.ID] = savedOutcome{outcome: o, queue: j.Queue.Name, lastRun: j.lastRun, savedAt: now}
 	b.outcomeAges = append(b.outcomeAges, outcomeAge{id: j.ID, savedAt: now})
@@ -426,9 +435,10 @@
 			b.withdrawJob(now, j, "the deadline is near")
 		case j.withdrawReason == "" && j.cannotFinish(now):
 			b.withdrawJob(now, j, "a task of it can't end before the deadline")
-		case j.runsSent == 0 && b.confinedRefusal(now, j) != nil:
+		case j.runsSent > 0 || j.mayHaveRun:
+		case b.confinedRefusal(now, j) != nil:
 			b.answer(now, j, *b.confinedRefusal(now, j))
-		case j.runsSent == 0 && now.Add(j.criticalPath()).After(j.usefulUntil):
+		case now.Add(j.criticalPath()).After(j.usefulUntil):
 			b.abandon(now, j, "it has waited in vain and can't be answered in three times its objective")
 		}
 	}
--- a/yuccabroker/side.go
+++ b/yuccabroker/side.go
@@ -41,13 +41,13 @@
 	Side
 	name   string
 	linked bool
-	// linkLostAt is when the last link was lost.
-	linkLostAt time.Time
-	service    string
-	worker     string
-	ready      bool
-	suspect    bool
-	capacity   resources
+	// linkedAt is when the last link came up, linkLostAt when the last one was lost.
+	linkedAt, linkLostAt time.Time
+	service              string
+	worker               string
+	ready                bool
+	suspect              bool
+	capacity             resources
 	// largest is the largest capacity that the worker has had.
 	largest resources
 	free    resources
@@ -156,7 +156,7 @@
 	for _, t := range sortedByName(s.unsettled) {
 		b.withdrawHopeless(now, t)
 	}
-	s.linked = true
+	s.linked, s.linkedAt = true, now
 	s.lastOrder = 0
 	s.unreported = nil
 	s.lastReport = time.Time{}
@@ -424,13 +424,12 @@
 	if len(s.unreported) > 0 && now.Sub(s.unreported[0].sentAt) > maxUnseenOrderAge {
 		return false
 	}
-	heard := s.lastReport
-	if s.busySince.After(heard) {
-		heard = s.busySince
-	}
-	return len(s.runs) == 0 || now.Sub(heard) < maxBusyReportAge
+	return len(s.runs) == 0 || now.Sub(s.lastHeard()) < maxBusyReportAge
 }
 
+// lastHeard returns since when a side with runs has not reported.
+func (s *side) lastHeard() time.Time { return later(s.lastReport, s.busySince) }
+
 // reportIntervals are the intervals at which a side is to report: changed while its
 // worker's state changes, idle while it does not.
 type reportIntervals struct{ changed, idle time.Duration }
--- a/yuccaedge/edge.go
+++ b/yuccaedge/edge.go
@@ -234,6 +234,8 @@
 			e.broker.HandleEnds(now, name, body.Ends)
 		case *yuccawire.Envelope_CrashReport:
 			e.broker.HandleCrashReport(now, body.CrashReport)
+		case *yuccawire.Envelope_HeldTasks:
+			e.broker.HandleHeldBySide(now, name, body.HeldTasks)
 		}
 	case yuccamesh.ReceivedSections:
 		e.applySections(m.Sections, time.Time{}, "a peer")
@@ -251,6 +253,9 @@
 		if report := e.broker.RecentCrashes(now); len(report.GetCrashes())+len(report.GetConfined()) > 0 {
 			p.Send(&yuccawire.Envelope{Body: &yuccawire.Envelope_CrashReport{CrashReport: report}})
 		}
+		for _, list := range e.broker.HeldLists(now) {
+			p.Send(&yuccawire.Envelope{Body: &yuccawire.Envelope_HeldTasks{HeldTasks: list}})
+		}
 	}
 	if node.GetRole() != yuccawire.Role_ROLE_SIDE {
 		return
--- a/yuccaedge/inquiry.go
+++ b/yuccaedge/inquiry.go
@@ -149,8 +149,8 @@
 	}
 }
 
-// handleEntryMessage handles an inquiry, a reply, a crash report or the demand of another
-// entry.
+// handleEntryMessage handles an inquiry, a reply, a crash report, the demand or the held
+// tasks of another entry.
 func (e *Edge) handleEntryMessage(now time.Time, from *yuccamesh.Peer, m *yuccawire.Envelope) {
 	switch body := m.GetBody().(type) {
 	case *yuccawire.Envelope_Inquiry:
@@ -161,6 +161,8 @@
 		e.broker.HandleCrashReport(now, body.CrashReport)
 	case *yuccawire.Envelope_Demand:
 		e.handleDemand(now, from, body.Demand)
+	case *yuccawire.Envelope_HeldTasks:
+		e.broker.HandleHeldTasks(now, body.HeldTasks)
 	}
 }
 
--- a/yuccaedge/links_test.go
+++ b/yuccaedge/links_test.go
@@ -57,6 +57,22 @@
 	return l.Link.Send(m)
 }
 
+// serveEdge serves the edge of entry e0 until the context ends.
+func serveEdge(ctx context.Context, network yuccawire.Network, metrics *yuccametric.Set) (*yuccaedge.Edge, <-chan error) {
+	logger := slog.New(slog.DiscardHandler)
+	self := &yuccawire.Node{Name: "e0", Role: yuccawire.Role_ROLE_ENTRY, Address: "e0:1", Incarnation: 1}
+	mesh := yuccamesh.New(yuccamesh.Options{Network: network, Self: self, Listen: true, Seeds: func() []string { return nil }, Metrics: metrics, Logger: logger})
+	edge := yuccaedge.New(yuccaedge.Options{
+		Mesh: mesh, Metrics: metrics, Logger: logger,
+		Lease:  yuccalease.New(yuccalease.Options{Network: network, Self: self, Random: rand.New(rand.NewPCG(1, 1)), Logger: logger}),
+		Broker: yuccabroker.New(yuccabroker.Options{Name: "e0", Random: rand.New(rand.NewPCG(2, 1)), Metrics: metrics, Logger: logger}),
+	})
+	supervisor := suture.NewSimple("entry")
+	supervisor.Add(mesh)
+	supervisor.Add(edge)
+	return edge, supervisor.ServeBackground(ctx)
+}
+
 // dialAs opens a link as an incarnation of a side, which tells the entry that it has a free worker and no runs.
 func dialAs(t *testing.T, network yuccawire.Network, incarnation uint64) yuccawire.Link {
 	link, err := network.Dial(t.Context(), "e0:1")
@@ -91,18 +107,8 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		fabric := yuccamemnet.New(yuccamemnet.Options{Delay: time.Millisecond, Seed: 1})
 		network := &slowNetwork{Network: fabric.Host("e0"), released: make(chan struct{})}
-		metrics, logger := yuccametric.New("e0"), slog.New(slog.DiscardHandler)
-		self := &yuccawire.Node{Name: "e0", Role: yuccawire.Role_ROLE_ENTRY, Address: "e0:1", Incarnation: 1}
-		mesh := yuccamesh.New(yuccamesh.Options{Network: network, Self: self, Listen: true, Seeds: func() []string { return nil }, Metrics: metrics, Logger: logger})
-		edge := yuccaedge.New(yuccaedge.Options{
-			Mesh: mesh, Metrics: metrics, Logger: logger,
-			Lease:  yuccalease.New(yuccalease.Options{Network: network, Self: self, Random: rand.New(rand.NewPCG(1, 1)), Logger: logger}),
-			Broker: yuccabroker.New(yuccabroker.Options{Name: "e0", Random: rand.New(rand.NewPCG(2, 1)), Metrics: metrics, Logger: logger}),
-		})
-		supervisor := suture.NewSimple("entry")
-		supervisor.Add(mesh)
-		supervisor.Add(edge)
-		stopped := supervisor.ServeBackground(ctx)
+		metrics := yuccametric.New("e0")
+		edge, stopped := serveEdge(ctx, network, metrics)
 		time.Sleep(100 * time.Millisecond)
 		early := dialAs(t, fabric.Host("s"), 1)
 		time.Sleep(100 * time.Millisecond)
--- a/yuccamodel/demand_test.go
+++ b/yuccamodel/demand_test.go
@@ -60,10 +60,24 @@
 			l.isUp = true
 			a.broker.Demand().ForgetPeer(b.name)
 			b.broker.Demand().ForgetPeer(a.name)
+			a.sendHeldLists(b)
+			b.sendHeldLists(a)
 		}
 	})
 }
 
+// sendHeldLists sends a peer the known lists of held tasks, as its link has come up.
+func (e *modelEntry) sendHeldLists(to *modelEntry) {
+	w, incarnation := e.world, to.incarnation
+	for _, list := range e.broker.HeldLists(w.now) {
+		w.transmit(w.entryLinks[pairOf(e, to)], func() {
+			if to.incarnation == incarnation {
+				to.handle(func() { to.handlePublished(&yuccawire.Envelope{Body: &yuccawire.Envelope_HeldTasks{HeldTasks: list}}) })
+			}
+		})
+	}
+}
+
 // connectPeers opens the links of an entry to its peers. What was on the earlier links is
 // lost.
 func (e *modelEntry) connectPeers() {
--- a/yuccamodel/resend_test.go
+++ b/yuccamodel/resend_test.go
@@ -3,10 +3,30 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/yuccaturn/yuccaturn/yuccabroker"
 )
 
 // The worker restarts before the late start arrives, its side afterwards.
 func TestResendAtAnotherEntryRunsBesideALateStart(t *testing.T) {
+	w, job := resendBesideALateStart(t)
+	w.run(5 * time.Second)
+	if !job.isCompleted() {
+		t.Errorf("the job ends as %v, want it completed", job.state)
+	}
+}
+
+// Nothing shows that no other try of the start is left, so that the caller is answered at the deadline.
+func TestResendAtAnotherEntryWaitsForALateStart(t *testing.T) {
+	w, job := resendBesideALateStart(t)
+	w.run(12 * time.Second)
+	if !job.isAnswered || job.wasRefused || job.state != yuccabroker.Abandoned {
+		t.Errorf("answered: %v, refused as not run: %v, as %v, want it given up", job.isAnswered, job.wasRefused, job.state)
+	}
+}
+
+// resendBesideALateStart submits a job whose first run starts late, at the next incarnation of the worker.
+func resendBesideALateStart(t *testing.T) (*world, *callerJob) {
 	w := newFleet(t, 1, 1, 2, 2)
 	w.isLinked = func(e *modelEntry, s *modelSide) bool { return e == w.entries[1] || s == w.sides[0] }
 	w.patience = 6 * time.Second
@@ -23,8 +43,5 @@
 	side.worker.delayedCallShare = 0
 	w.killSide(side, 2050*time.Millisecond)
 	w.after(1950*time.Millisecond, func() { side.worker.restartWithClock(0, 150*time.Millisecond) })
-	w.run(5 * time.Second)
-	if !job.isCompleted() {
-		t.Errorf("the job ends as %v, want it completed", job.state)
-	}
+	return w, job
 }
--- a/yuccamodel/standing_test.go
+++ b/yuccamodel/standing_test.go
@@ -121,23 +121,51 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			w := newWorld(t, 1, 2, 2)
-			w.run(warmUp)
-			w.patience = 6 * time.Second
-			w.pickEntry = func() *modelEntry { return w.entries[0] }
-			job := w.submitOneTask(1600, 600*time.Millisecond)
-			w.run(200 * time.Millisecond)
-			w.pickEntry = func() *modelEntry { return w.entries[1] }
-			for _, s := range w.sides {
-				if !s.core.Idle() {
-					s.worker.standStill(4 * time.Second)
-				}
-			}
-			leave(w, job)
-			w.run(12 * time.Second)
-			if !job.isAnswered {
-				t.Error("the caller is not answered")
-			}
+			resendBesideAStandingWorker(t, func(w *world, _ *modelSide, j *callerJob) { leave(w, j) })
 		})
 	}
 }
+
+// The side stands still with its worker, or is gone, and only the entry can tell of the run.
+func TestResendAtAnotherEntryRunsBesideAStandingMachine(t *testing.T) {
+	for name, disturbSide := range map[string]func(w *world, s *modelSide){
+		"machine":      func(w *world, s *modelSide) { w.freezeSide(s, 4*time.Second) },
+		"side is lost": func(w *world, s *modelSide) { w.killSide(s, time.Minute) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			resendBesideAStandingWorker(t, func(w *world, s *modelSide, j *callerJob) {
+				disturbSide(w, s)
+				j.disconnect()
+			})
+		})
+	}
+}
+
+// The entry is gone and the side stands still with its worker: nobody is left who can tell of the run.
+func TestResendAfterALostEntryRunsBesideAStandingMachine(t *testing.T) {
+	resendBesideAStandingWorker(t, func(w *world, s *modelSide, _ *callerJob) {
+		w.freezeSide(s, 4*time.Second)
+		w.killEntry(w.entries[0], false, time.Minute)
+	})
+}
+
+// resendBesideAStandingWorker brings about a disturbance while the worker of a run stands still.
+func resendBesideAStandingWorker(t *testing.T, disturb func(w *world, s *modelSide, j *callerJob)) {
+	w := newWorld(t, 1, 2, 2)
+	w.run(warmUp)
+	w.patience = 6 * time.Second
+	w.pickEntry = func() *modelEntry { return w.entries[0] }
+	job := w.submitOneTask(1600, 600*time.Millisecond)
+	w.run(200 * time.Millisecond)
+	w.pickEntry = func() *modelEntry { return w.entries[1] }
+	for _, s := range w.sides {
+		if !s.core.Idle() {
+			s.worker.standStill(4 * time.Second)
+			disturb(w, s, job)
+		}
+	}
+	w.run(12 * time.Second)
+	if !job.isAnswered {
+		t.Error("the caller is not answered")
+	}
+}
--- a/yuccamodel/world_test.go
+++ b/yuccamodel/world_test.go
@@ -111,9 +111,9 @@
 	scheduling yuccabroker.Scheduling
 	// pickEntry returns the entry for the next submission.
 	pickEntry func() *modelEntry
-	// messages counts the messages on links.
-	messages int
-	callers  map[string]*callerJob
+	// messages counts the messages on links, heldLists those received with held tasks.
+	messages, heldLists int
+	callers             map[string]*callerJob
 	// jobs holds all jobs in order of arrival.
 	jobs []*callerJob
 	// runningCount counts the current runs of each task.
@@ -397,7 +397,7 @@
 		case yuccabroker.Send:
 			w.sendToSide(e, w.sidesByName[a.Side], a.Message)
 		case yuccabroker.Publish:
-			w.publish(e, a.Message.GetCrashReport())
+			w.publish(e, a.Message)
 		case yuccabroker.Answer:
 			if j := e.waiters[a.Waiter]; j != nil {
 				delete(e.waiters, a.Waiter)
@@ -408,8 +408,8 @@
 	}
 }
 
-// publish sends a crash report to all other entries.
-func (w *world) publish(from *modelEntry, report *yuccawire.CrashReport) {
+// publish sends a crash report or a list of held tasks to all other entries.
+func (w *world) publish(from *modelEntry, m *yuccawire.Envelope) {
 	for _, e := range w.entries {
 		if e == from || e.isDown {
 			continue
@@ -417,12 +417,23 @@
 		incarnation := e.incarnation
 		w.after(oneWay, func() {
 			if e.incarnation == incarnation {
-				e.handle(func() { e.broker.HandleCrashReport(w.now, report) })
+				e.handle(func() { e.handlePublished(m) })
 			}
 		})
 	}
 }
 
+func (e *modelEntry) handlePublished(m *yuccawire.Envelope) {
+	switch body := m.GetBody().(type) {
+	case *yuccawire.Envelope_CrashReport:
+		e.broker.HandleCrashReport(e.world.now, body.CrashReport)
+	case *yuccawire.Envelope_HeldTasks:
+		e.world.heldLists++
+		e.world.logf("%s receives held tasks %v", e.name, body.HeldTasks)
+		e.broker.HandleHeldTasks(e.world.now, body.HeldTasks)
+	}
+}
+
 func (s *modelSide) handle(handler func()) {
 	if s.isDown {
 		return
@@ -699,6 +710,10 @@
 				e.broker.HandleWorkerState(w.now, s.name, body.WorkerState)
 			case *yuccawire.Envelope_CrashReport:
 				e.broker.HandleCrashReport(w.now, body.CrashReport)
+			case *yuccawire.Envelope_HeldTasks:
+				w.heldLists++
+				w.logf("%s receives held tasks from %s.%d %v", e.name, s.name, s.incarnation, body.HeldTasks)
+				e.broker.HandleHeldBySide(w.now, s.name, body.HeldTasks)
 			case *yuccawire.Envelope_Ends:
 				w.logf("%s receives outcomes from %s.%d %v", e.name, s.name, s.incarnation, body.Ends)
 				e.broker.HandleEnds(w.now, s.name, body.Ends)
