worker: tell all entries of the runs that can't be ended

An entry was killed while a worker with its run stood still.

A side now tells all its linked entries, with HeldTasks, the runs whose stop is unanswered for 0.2 s after their owner's lease has expired, those of a worker that accepts connections and answers nothing, and those that it has lost and that may still start; and when they are over. A run stays listed until it has ended, as an answer of the worker alone doesn't show that. With a lease of 0.55 s, the other entries know it 0.5 s before the caller comes again at the earliest. The list is repeated every 3 s while there is one, and sent on each new link. A lost run is listed until nobody waits for it.

Before: TestResendAtAnotherEntryRunsBesideAStandingWorker fails with a killed entry, at once or a second later. Now all its cases pass, and the caller is served once the worker goes on. The new tests of the side fail without the lists.

--- /dev/null
+++ b/yuccaworker/held_test.go
@@ -0,0 +1,77 @@
+package yuccaworker_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/yuccaturn/yuccaturn/yuccawire"
+	"github.com/yuccaturn/yuccaturn/yuccaworker"
+)
+
+// heldAt returns the tasks of the last list that an entry was sent, and whether there was one.
+func (h *harness) heldAt(o yuccaworker.Owner) ([]*yuccawire.HeldTask, bool) {
+	lists := h.held[o]
+	if len(lists) == 0 {
+		return nil, false
+	}
+	return lists[len(lists)-1].GetTasks(), true
+}
+
+// The other entry hears of runs that go on in spite of their owner's lease or their hold, and of their end.
+func TestOtherEntriesHearOfRunsThatCannotBeEnded(t *testing.T) {
+	for name, disturb := range map[string]func(h *harness){
+		"worker stands still": func(h *harness) {
+			h.silent, h.unresponsive, h.standing = true, true, true
+			h.advanceWithLease(entry, time.Second)
+		},
+		"stop without an answer": func(h *harness) {
+			h.dropStops = true
+			h.advance(lease + 250*time.Millisecond)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			h.order(entry, lease, task("a", 1, 1600))
+			h.advanceWithLease(entry, 200*time.Millisecond)
+			if _, isTold := h.heldAt(otherEntry); isTold {
+				t.Fatalf("told %v of a run in progress", h.held[otherEntry])
+			}
+			disturb(h)
+			tasks, _ := h.heldAt(otherEntry)
+			if len(tasks) != 1 || tasks[0].GetTask() != "a" || tasks[0].GetRemainingMs() < 10_000 {
+				t.Fatalf("told %v, want the task for as long as its caller waits", tasks)
+			}
+			third := yuccaworker.Owner{Name: "entry-3", Incarnation: 1}
+			h.core.HandleLinkUp(h.now, third)
+			h.runActions()
+			if tasks, _ := h.heldAt(third); len(tasks) != 1 {
+				t.Errorf("told %v on a new link, want the task", tasks)
+			}
+			h.silent, h.unresponsive, h.standing, h.dropStops, h.pendingHold = false, false, false, false, nil
+			h.advance(time.Second)
+			if tasks, _ := h.heldAt(otherEntry); len(tasks) != 0 || h.outcomeOf(entry, "a") == nil {
+				t.Errorf("told %v after the end of the run, want none", tasks)
+			}
+		})
+	}
+}
+
+// The worker restarts before it has answered the start, and may execute it later.
+func TestOtherEntriesHearOfALostRunThatMayStart(t *testing.T) {
+	h := newHarness(t)
+	h.advance(time.Second)
+	h.unresponsive = true
+	h.order(entry, lease, task("a", 1, 1600))
+	h.refusing = true
+	h.advance(4 * time.Second)
+	if ended := h.outcomeOf(entry, "a"); ended == nil || !ended.GetMayStart() {
+		t.Fatalf("the owner is told %v, want a run that may start", ended)
+	}
+	if tasks, _ := h.heldAt(otherEntry); len(tasks) != 1 || tasks[0].GetTask() != "a" {
+		t.Errorf("told %v, want the task", tasks)
+	}
+	h.advance(time.Minute)
+	if tasks, _ := h.heldAt(otherEntry); len(tasks) != 0 {
+		t.Errorf("told %v when nobody waits any more, want none", tasks)
+	}
+}
--- a/yuccaworker/owner.go
+++ b/yuccaworker/owner.go
@@ -79,6 +79,7 @@
 	o.stateSentAt = now
 	w.sendRecentCrashes(now, o)
 	w.emit(Send{Owner: id, Message: &yuccawire.Envelope{Body: &yuccawire.Envelope_Ends{Ends: message}}})
+	w.sendHeld(now, o)
 }
 
 // dropRetained drops the old outcomes. The owner may use the number of such a run again, for
--- a/yuccaworker/run.go
+++ b/yuccaworker/run.go
@@ -71,6 +71,8 @@
 	ranBeforeLoss time.Duration
 	// pendingCrash is the crash that the run may have been active in, nil if there is none.
 	pendingCrash *pendingCrash
+	// isHeld is set once all entries were told of the run, as it can't be ended.
+	isHeld bool
 	// withdrawnAt is when the owner first withdrew the run, zero if it did not.
 	withdrawnAt time.Time
 	// stopRequestedAt is when the first stop was sent, stopTries the number of stops.
@@ -294,6 +296,9 @@
 // worker may still execute a start of it.
 func (w *Worker) completeRunAfter(now time.Time, r *run, outcome yuccawire.RunEnd, ran time.Duration, mayStart bool) {
 	w.removeRun(r)
+	if mayStart {
+		w.holdLost(now, r)
+	}
 	w.recordOutcome(now, r, outcome, ran)
 	w.metrics.Add("ends_"+outcomeNames[outcome], 1)
 	w.queueOutcome(now, r, &yuccawire.Ended{End: outcome, RanMs: uint32(ran.Milliseconds()), MayStart: mayStart})
--- a/yuccaworker/worker.go
+++ b/yuccaworker/worker.go
@@ -122,6 +122,7 @@
 	reservation        *reservation
 	reservationEndedAt time.Time
 	health             health
+	held               heldRuns
 }
 
 // resources is the demand of a task, or the capacity of a worker.
@@ -487,6 +488,7 @@
 	w.checkReplacedWorker(now)
 	w.checkDeregistration(now)
 	w.checkHealth(now)
+	w.updateHeld(now)
 	if !w.holdInFlight || now.Sub(w.holdSentAt) > holdTimeout {
 		w.renewHold(now)
 	}
--- a/yuccaworker/worker_test.go
+++ b/yuccaworker/worker_test.go
@@ -60,6 +60,7 @@
 	states      map[yuccaworker.Owner]*yuccawire.WorkerState
 	stateCount  map[yuccaworker.Owner]int
 	crashes     map[yuccaworker.Owner][]*yuccawire.Crash
+	held        map[yuccaworker.Owner][]*yuccawire.HeldTasks
 	released    []yuccaworker.Owner
 	pendingHold *yuccaworker.CallHold
 	// timedOut are the results of renewals that time out at the timeouts.
@@ -79,6 +80,7 @@
 		running: make(map[yuccaworker.Key]bool), latestRun: make(map[string]uint64), stopping: make(map[yuccaworker.Key]int64),
 		delivered: make(map[yuccaworker.Owner][]*yuccawire.Ended), states: make(map[yuccaworker.Owner]*yuccawire.WorkerState),
 		stateCount: make(map[yuccaworker.Owner]int), crashes: make(map[yuccaworker.Owner][]*yuccawire.Crash),
+		held: make(map[yuccaworker.Owner][]*yuccawire.HeldTasks),
 	}
 	h.core = yuccaworker.New(yuccaworker.Options{Metrics: yuccametric.New(t.Name()), Logger: slog.New(slog.DiscardHandler)}, h.now)
 	h.report(1, false)
@@ -139,6 +141,9 @@
 			h.states[a.Owner] = state
 			h.stateCount[a.Owner]++
 		}
+		if list := a.Message.GetHeldTasks(); list != nil {
+			h.held[a.Owner] = append(h.held[a.Owner], list)
+		}
 		h.crashes[a.Owner] = append(h.crashes[a.Owner], a.Message.GetCrashReport().GetCrashes()...)
 	case yuccaworker.ReleaseLink:
 		h.released = append(h.released, a.Owner)
