broker: tell held tasks to linked entries only

Each new list was passed on once by each entry, for deployments where not all are linked: entries times links messages for each list. Where not all entries are linked, an entry that isn't linked with the sender doesn't hear of the run, as before.

--- a/yuccabroker/held.go
+++ b/yuccabroker/held.go
@@ -15,7 +15,7 @@
 	// are told. The caller submits the job at one of them after 1.3 s at the earliest.
 	heldAfter = 250 * time.Millisecond
 	// heldInterval is the least time between two lists of this entry.
-	heldInterval = 100 * time.Millisecond
+	heldInterval = 200 * time.Millisecond
 	// heldSlack is how long before its time a task may be omitted for that time's sake.
 	heldSlack = 500 * time.Millisecond
 	// heldRetention is how long an empty list is known, so that an older one which comes
@@ -102,10 +102,6 @@
 	list := b.ownHeldList(now)
 	b.metrics.Add("held_lists_made", 1)
 	b.options.Logger.Warn("tasks with runs whose end is not known, telling the other entries", "tasks", len(held), "were", before, "first", firstHeld(list))
-	b.publishHeldList(list)
-}
-
-func (b *Broker) publishHeldList(list *yuccawire.HeldTasks) {
 	b.emit(Publish{Message: &yuccawire.Envelope{Body: &yuccawire.Envelope_HeldTasks{HeldTasks: list}}})
 }
 
@@ -165,8 +161,8 @@
 	}
 }
 
-// HandleHeldTasks replaces the list of held tasks of another process, and passes it on. Tasks that
-// wait here are held with it, those that are over may be placed.
+// HandleHeldTasks replaces the list of held tasks of another process. Tasks that wait here are held
+// with it, those that are over may be placed.
 func (b *Broker) HandleHeldTasks(now time.Time, m *yuccawire.HeldTasks) {
 	key := heldKey{sender: m.GetSender(), incarnation: m.GetIncarnation()}
 	l := b.heldElsewhere[key]
@@ -214,7 +210,6 @@
 			b.enqueueReady(now, j)
 		}
 	}
-	b.publishHeldList(l.toWire(now, key))
 }
 
 func later(a, b time.Time) time.Time {
