--- a/yuccabroker/held_test.go
+++ b/yuccabroker/held_test.go
@@ -211,3 +211,15 @@
 		t.Errorf("sent %v, want nothing", f.sentRuns())
 	}
 }
+
+// The job was answered at its deadline, after which a caller may submit it again.
+func TestTaskIsHeldAfterTheAnswerOfItsJob(t *testing.T) {
+	f := newFixture(t, "s1")
+	f.submit(job("a", 1), 1)
+	f.report("s1", fullCPU)
+	f.advance(5 * time.Second)
+	f.wantState(1, yuccabroker.Abandoned)
+	if held := f.lastHeld(); !slices.Equal(held, []string{"a.0.0.0"}) {
+		t.Errorf("the other entries were told of %v, want the task", held)
+	}
+}
