--- a/yuccamodel/world_test.go
+++ b/yuccamodel/world_test.go
@@ -111,9 +111,9 @@
 	scheduling yuccabroker.Scheduling
 	// pickEntry returns the entry for the next submission.
 	pickEntry func() *modelEntry
-	// messages counts the messages on links.
-	messages int
-	callers  map[string]*callerJob
+	// messages counts the messages on links, heldLists those received with held tasks.
+	messages, heldLists int
+	callers             map[string]*callerJob
 	// jobs holds all jobs in order of arrival.
 	jobs []*callerJob
 	// runningCount counts the current runs of each task.
@@ -401,7 +401,7 @@
 		case yuccabroker.Send:
 			w.sendToSide(e, w.sidesByName[a.Side], a.Message)
 		case yuccabroker.Publish:
-			w.publish(e, a.Message.GetCrashReport())
+			w.publish(e, a.Message)
 		case yuccabroker.Answer:
 			if j := e.waiters[a.Waiter]; j != nil {
 				delete(e.waiters, a.Waiter)
@@ -412,8 +412,8 @@
 	}
 }
 
-// publish sends a crash report to all other entries.
-func (w *world) publish(from *modelEntry, report *yuccawire.CrashReport) {
+// publish sends a crash report or a list of held tasks to all other entries.
+func (w *world) publish(from *modelEntry, m *yuccawire.Envelope) {
 	for _, e := range w.entries {
 		if e == from || e.isDown {
 			continue
@@ -421,12 +421,23 @@
 		incarnation := e.incarnation
 		w.after(oneWay, func() {
 			if e.incarnation == incarnation {
-				e.handle(func() { e.broker.HandleCrashReport(e.now(), report) })
+				e.handle(func() { e.handlePublished(m) })
 			}
 		})
 	}
 }
 
+func (e *modelEntry) handlePublished(m *yuccawire.Envelope) {
+	switch body := m.GetBody().(type) {
+	case *yuccawire.Envelope_CrashReport:
+		e.broker.HandleCrashReport(e.now(), body.CrashReport)
+	case *yuccawire.Envelope_HeldTasks:
+		e.world.heldLists++
+		e.world.logf("%s receives held tasks %v", e.name, body.HeldTasks)
+		e.broker.HandleHeldTasks(e.now(), body.HeldTasks)
+	}
+}
+
 func (s *modelSide) handle(handler func()) {
 	if s.isDown {
 		return
@@ -706,6 +717,10 @@
 				e.broker.HandleWorkerState(e.now(), s.name, body.WorkerState)
 			case *yuccawire.Envelope_CrashReport:
 				e.broker.HandleCrashReport(e.now(), body.CrashReport)
+			case *yuccawire.Envelope_HeldTasks:
+				w.heldLists++
+				w.logf("%s receives held tasks from %s.%d %v", e.name, s.name, s.incarnation, body.HeldTasks)
+				e.broker.HandleHeldBySide(e.now(), s.name, body.HeldTasks)
 			case *yuccawire.Envelope_Ends:
 				w.logf("%s receives outcomes from %s.%d %v", e.name, s.name, s.incarnation, body.Ends)
 				e.broker.HandleEnds(e.now(), s.name, body.Ends)
