worker, broker: log ends of runs whose starts had no answer

From the logs it could not be told whether the earlier of two runs had ended before as failed or stopped, with a start that the worker had not answered, or was still going on. The side now says so beside the end, and the entry says of each run that did not succeed whether it was settled. No change of logic.

--- a/yuccabroker/side.go
+++ b/yuccabroker/side.go
@@ -367,7 +367,7 @@
 func (b *Broker) logRunEnd(now time.Time, t *task, s *side, e *yuccawire.Ended) {
 	b.options.Logger.Info("run did not succeed", "job", t.job.ID, "task", t.name, "run", t.run, "side", s.name, "worker", s.worker,
 		"end", e.GetEnd().String(), "refusal", e.GetRefusal().String(), "ran_ms", e.GetRanMs(), "since_order_ms", now.Sub(t.sentAt).Milliseconds(),
-		"failures", t.failures, "losses", t.losses, "crashes", len(b.crashes.byTask[t.name]))
+		"settled", t.settled, "failures", t.failures, "losses", t.losses, "crashes", len(b.crashes.byTask[t.name]))
 }
 
 // handleRefused requeues a task whose run was refused by the side before it
--- a/yuccaworker/run.go
+++ b/yuccaworker/run.go
@@ -296,6 +296,11 @@
 // worker may still execute a start of it.
 func (w *Worker) completeRunAfter(now time.Time, r *run, outcome yuccawire.RunEnd, ran time.Duration, mayStart bool) {
 	w.removeRun(r)
+	if r.mayStartLater() {
+		w.metrics.Add("ends_with_unanswered_start", 1)
+		w.options.Logger.Info("run has ended, a start of it had no answer", "task", r.key.Task, "run", r.key.Run, "owner", r.owner.id.Name,
+			"end", outcome.String(), "tries", r.tries, "since_start_ms", now.Sub(r.startSentAt).Milliseconds(), "may_start", mayStart)
+	}
 	if mayStart {
 		w.holdLost(now, r)
 	}
