broker, worker: run a task again only where a start of it may be left

Cause: a start has no answer and is sent again. The run ends: it fails, is moved from a leaving worker, refused at the second try, stopped after its caller or its owner has gone, or succeeds at an entry that dies. Sides said of lost runs only that a start may be left, so that the task was placed elsewhere. The worker restarts under its ID, with neither token nor ended runs, and executes the first start.

Now each end says whether a start may be left, and the task is pinned to the side: also for callers that come again, at any entry, as lists of held tasks name the side and the run number. Why that is enough: while the process of the worker lives, it refuses the start as one of a run that has ended or been stopped, or by the token of a takeover; a restart ends the later run before the start can be executed. So no wait and no evidence is needed, and the tasks of lost runs that may start, which were given up (504), are placed again at their side, too. Runs that aren't settled are neither moved as stragglers nor from a leaving worker.

--- a/yuccabroker/broker.go
+++ b/yuccabroker/broker.go
@@ -57,10 +57,12 @@
 	// other entries were told at heldAt to hold until the times given, heldElsewhere those
 	// that this entry was told of.
 	endingJobs    []*job
-	held          map[string]time.Time
+	held          map[string]heldTask
 	heldSequence  uint64
 	heldAt        time.Time
 	heldElsewhere map[heldKey]*heldList
+	// pinned are the tasks that may run at some sides only, until nobody submits them again.
+	pinned map[*task]struct{}
 	// culprits are the tasks that were lately found to crash their workers. downtime is
 	// the moving average of the time that a worker is down after a crash.
 	culprits     []culprit
@@ -146,6 +148,7 @@
 		runs:           make(map[runKey]*task),
 		crashes:        newCrashLog(),
 		heldElsewhere:  make(map[heldKey]*heldList),
+		pinned:         make(map[*task]struct{}),
 		downtime:       usualDowntime,
 		queueUses:      make(map[string]queueUse),
 		bulkheads:      make(map[string]*bulkhead),
@@ -262,6 +265,7 @@
 	b.rerank(now)
 	b.evictQueues()
 	b.expireRuns(now)
+	b.evictPinned(now)
 	b.publishHeld(now)
 	b.evictHeld(now)
 	b.medianSlowdown = b.computeMedianSlowdown()
@@ -287,8 +291,8 @@
 	}
 }
 
-// evictOutcomes removes old outcomes. That of a job whose runs may be alive is kept, since it holds the
-// run numbers that were used.
+// evictOutcomes removes old outcomes. That of a job whose runs may be alive or may start is kept, since
+// it holds the run numbers that were used, and the sides of these runs.
 func (b *Broker) evictOutcomes(now time.Time) {
 	for len(b.outcomeAges) > 0 && now.Sub(b.outcomeAges[0].savedAt) > outcomeRetention {
 		oldest := b.outcomeAges[0]
@@ -296,7 +300,7 @@
 		saved := b.outcomes[oldest.id]
 		switch {
 		case !saved.savedAt.Equal(oldest.savedAt):
-		case saved.job.runsInFlight > 0:
+		case saved.job.runsInFlight > 0 || b.hasPinned(saved.job):
 			saved.savedAt = now
 			b.outcomes[oldest.id] = saved
 			b.outcomeAges = append(b.outcomeAges, outcomeAge{id: oldest.id, savedAt: now})
--- a/yuccabroker/held.go
+++ b/yuccabroker/held.go
@@ -41,20 +41,32 @@
 
 // heldTask is a task that is held until its sender says otherwise, or until a time: statedUntil
 // as its sender has said, or later if a caller who came again waits longer.
-type heldTask struct{ statedUntil, until time.Time }
+type heldTask struct {
+	statedUntil, until time.Time
+	// side is the only one that can have runs of the task, empty if that is not known. run is the
+	// highest number of these runs.
+	side string
+	run  uint64
+}
 
 // heldHere returns the tasks with a run that may be in progress or may still start, although its
-// job has ended some time ago, its side is silent or has restarted, or it was lost, and when their
-// callers stop waiting.
-func (b *Broker) heldHere(now time.Time) map[string]time.Time {
-	var held map[string]time.Time
-	hold := func(t *task) {
+// job has ended some time ago, its side is silent or has restarted, or it was lost or has ended, and
+// until when their callers wait.
+func (b *Broker) heldHere(now time.Time) map[string]heldTask {
+	var held map[string]heldTask
+	hold := func(t *task, sideName string) {
+		until := t.job.Deadline.Add(outcomeRetention)
+		if !now.Before(until) {
+			return
+		}
 		if held == nil {
-			held = make(map[string]time.Time)
+			held = make(map[string]heldTask)
 		}
-		if until := t.job.Deadline.Add(outcomeRetention); now.Before(until) && until.After(held[t.name]) {
-			held[t.name] = until
+		h, isHeld := held[t.name]
+		if isHeld && h.side != sideName {
+			sideName = ""
 		}
+		held[t.name] = heldTask{until: later(h.until, until), side: sideName, run: max(h.run, t.run)}
 	}
 	b.endingJobs = slices.DeleteFunc(b.endingJobs, func(j *job) bool { return j.runsInFlight == 0 })
 	for _, j := range b.endingJobs {
@@ -64,14 +76,14 @@
 		for _, st := range j.steps {
 			for _, t := range st.tasks {
 				if b.runs[runKey{task: t.name, run: t.run}] == t {
-					hold(t)
+					hold(t, t.side.name)
 				}
 			}
 		}
 	}
 	for _, s := range b.sideList {
 		for t := range s.unsettled {
-			hold(t)
+			hold(t, s.name)
 		}
 		isSilent := now.Sub(s.lastHeard()) >= maxBusyReportAge+heldAfter
 		hasOrphans := s.hasOrphans && now.Sub(s.linkedAt) >= heldAfter
@@ -80,7 +92,14 @@
 		}
 		for t := range s.runs {
 			if isSilent || t.sideIncarnation != s.Incarnation {
-				hold(t)
+				hold(t, s.name)
+			}
+		}
+	}
+	for t := range b.pinned {
+		if t.state != taskDone || t.job.ended {
+			for _, sideName := range t.pinnedTo {
+				hold(t, sideName)
 			}
 		}
 	}
@@ -112,11 +131,12 @@
 }
 
 // addHeld adds the tasks to the list, as many as fit.
-func addHeld(now time.Time, list *yuccawire.HeldTasks, until map[string]time.Time) {
-	names := slices.Sorted(maps.Keys(until))
+func addHeld(now time.Time, list *yuccawire.HeldTasks, held map[string]heldTask) {
+	names := slices.Sorted(maps.Keys(held))
 	for _, name := range names[:min(len(names), maxHeldTasks)] {
-		remaining := min(max(until[name].Sub(now), 0).Milliseconds(), math.MaxUint32)
-		list.Tasks = append(list.Tasks, &yuccawire.HeldTask{Task: name, RemainingMs: uint32(remaining)})
+		h := held[name]
+		remaining := min(max(h.until.Sub(now), 0).Milliseconds(), math.MaxUint32)
+		list.Tasks = append(list.Tasks, &yuccawire.HeldTask{Task: name, RemainingMs: uint32(remaining), Side: h.side, Run: h.run})
 	}
 }
 
@@ -145,11 +165,7 @@
 
 func (l *heldList) toWire(now time.Time, key heldKey) *yuccawire.HeldTasks {
 	list := &yuccawire.HeldTasks{Sender: key.sender, Incarnation: key.incarnation, Sequence: l.sequence}
-	until := make(map[string]time.Time, len(l.tasks))
-	for name, h := range l.tasks {
-		until[name] = h.until
-	}
-	addHeld(now, list, until)
+	addHeld(now, list, l.tasks)
 	return list
 }
 
@@ -157,12 +173,15 @@
 func (b *Broker) HandleHeldBySide(now time.Time, name string, m *yuccawire.HeldTasks) {
 	if s := b.sides[name]; s != nil && m != nil {
 		m.Sender, m.Incarnation = s.name, s.Incarnation
+		for _, h := range m.GetTasks() {
+			h.Side = s.name
+		}
 		b.HandleHeldTasks(now, m)
 	}
 }
 
-// HandleHeldTasks replaces the list of held tasks of another process. Tasks that wait here are held
-// with it, those that are over may be placed.
+// HandleHeldTasks replaces the list of held tasks of another process. Tasks that wait here are placed
+// at the side that has their runs, those that are over anywhere.
 func (b *Broker) HandleHeldTasks(now time.Time, m *yuccawire.HeldTasks) {
 	key := heldKey{sender: m.GetSender(), incarnation: m.GetIncarnation()}
 	l := b.heldElsewhere[key]
@@ -184,7 +203,7 @@
 	l.tasks = make(map[string]heldTask)
 	for _, h := range m.GetTasks()[:min(len(m.GetTasks()), maxHeldTasks)] {
 		statedUntil := now.Add(time.Duration(h.GetRemainingMs()) * time.Millisecond)
-		l.tasks[h.GetTask()] = heldTask{statedUntil: statedUntil, until: later(statedUntil, before[h.GetTask()].until)}
+		l.tasks[h.GetTask()] = heldTask{statedUntil: statedUntil, until: later(statedUntil, before[h.GetTask()].until), side: h.GetSide(), run: h.GetRun()}
 	}
 	over := 0
 	for name, h := range before {
@@ -197,19 +216,12 @@
 	b.metrics.Add("held_lists_received", 1)
 	b.options.Logger.Warn("tasks held for runs elsewhere", "sender", key.sender, "incarnation", key.incarnation, "tasks", len(l.tasks),
 		"first", firstHeld(m), "over", over)
-	jobs := make(map[string]bool)
-	for name := range before {
-		jobs[jobOf(name)] = true
-	}
 	for name := range l.tasks {
-		jobs[jobOf(name)] = true
-	}
-	for _, id := range slices.Sorted(maps.Keys(jobs)) {
-		if j := b.jobs[id]; j != nil {
-			b.holdWaiting(j)
-			b.enqueueReady(now, j)
+		if j := b.jobs[jobOf(name)]; j != nil {
+			b.extendHeld(j)
 		}
 	}
+	b.needsPlacement = true
 }
 
 func later(a, b time.Time) time.Time {
@@ -229,33 +241,26 @@
 	return false
 }
 
-// holdWaiting holds the tasks of a job that other processes hold and that wait here, until its
-// caller stops waiting, unless they are over before.
-func (b *Broker) holdWaiting(j *job) {
+// extendHeld lets the callers of a job decide how long its tasks are held that wait here, if they wait
+// longer than the processes that hold them have said.
+func (b *Broker) extendHeld(j *job) {
 	if len(b.heldElsewhere) == 0 {
 		return
 	}
 	for _, st := range j.steps {
 		for _, t := range st.tasks {
-			if t.run > j.runsBefore || t.state == taskDone || !b.extendHeld(t) {
+			if t.run > j.runsBefore || t.state == taskDone || !b.extendHeldTask(t) || j.mayHaveRun {
 				continue
 			}
-			if t.state == taskQueued {
-				b.queueOf(t).remove(t)
-				t.state = taskBlocked
-			}
-			if !j.mayHaveRun {
-				j.mayHaveRun = true
-				b.metrics.Add("jobs_held", 1)
-				b.options.Logger.Info("job waits for a run of an earlier submission elsewhere", "job", j.ID, "task", t.name)
-			}
+			j.mayHaveRun = true
+			b.metrics.Add("jobs_held", 1)
+			b.options.Logger.Info("job has a run of an earlier submission elsewhere", "job", j.ID, "task", t.name)
 		}
 	}
 }
 
-// extendHeld lets the callers of the task's job decide how long it is held, if they wait longer. It
-// returns false if no process holds it.
-func (b *Broker) extendHeld(t *task) bool {
+// extendHeldTask is extendHeld for one task. It returns false if no process holds it.
+func (b *Broker) extendHeldTask(t *task) bool {
 	isHeld := false
 	for _, l := range b.heldElsewhere {
 		if h, listed := l.tasks[t.name]; listed {
--- a/yuccabroker/job.go
+++ b/yuccabroker/job.go
@@ -13,7 +13,7 @@
 
 const (
 	// taskBlocked: steps it depends on are not done, a run of an earlier submission may be
-	// alive, here or elsewhere, or its job is being withdrawn.
+	// alive, or its job is being withdrawn.
 	taskBlocked taskState = iota
 	// taskQueued: it is queued for placement.
 	taskQueued
@@ -59,9 +59,11 @@
 	// submitted again continues the numbering from there; runsBefore is that of the
 	// submissions before.
 	lastRun, runsBefore uint64
-	// ended is set once the outcome of the job is final, endedAt is since when.
+	// ended is set once this submission of the job has ended, endedAt is since when. isFinal is set
+	// if its callers were answered for good.
 	ended   bool
 	endedAt time.Time
+	isFinal bool
 }
 
 // step is a step of a job with its progress.
@@ -98,9 +100,8 @@
 	// sent on has been replaced. settled is set while nothing can start that run again.
 	order   uint64
 	settled bool
-	// lostBySide is set once the side will not report the end of the run any more, which the worker
-	// may still start.
-	lostBySide bool
+	// pinnedTo are the sides whose workers may still start earlier runs. The task runs nowhere else.
+	pinnedTo []string
 	// tier and rank determine its position in the queue, lower ones first.
 	tier int
 	rank time.Time
@@ -152,7 +153,7 @@
 		if submitted.Deadline.After(j.Deadline) {
 			j.Deadline = submitted.Deadline
 		}
-		b.holdWaiting(j)
+		b.extendHeld(j)
 		return
 	}
 	b.queueUses[submitted.Queue.Name] = queueUse{service: submitted.Queue.Service, at: now}
@@ -169,7 +170,8 @@
 			b.extendEarlierRuns(t)
 		}
 	}
-	b.holdWaiting(j)
+	b.inheritPins(j)
+	b.extendHeld(j)
 	if refusal := b.admissionRefusal(now, j); refusal != nil {
 		if refusal.State == Rejected && j.mayHaveRun {
 			refusal = &Outcome{State: Abandoned, Reason: refusal.Reason}
@@ -277,7 +279,7 @@
 			continue
 		}
 		for _, t := range st.tasks {
-			if t.state == taskBlocked && !b.hasEarlierRun(t) && !b.isHeldElsewhere(t.name) {
+			if t.state == taskBlocked && !b.hasEarlierRun(t) {
 				b.enqueue(now, t)
 			}
 		}
@@ -356,6 +358,7 @@
 // finish saves the outcome of a job and stops its remaining tasks.
 func (b *Broker) finish(now time.Time, j *job, o Outcome) {
 	j.ended, j.endedAt = true, now
+	j.isFinal = o.State == Completed || o.State == Failed
 	if j.runsInFlight > 0 {
 		b.endingJobs = append(b.endingJobs, j)
 	}
--- a/yuccabroker/leaving.go
+++ b/yuccabroker/leaving.go
@@ -47,9 +47,9 @@
 
 // outlasts reports whether the latest run of a task is expected to end after its worker
 // has left, and has not been withdrawn. The end of a run that takes longer than expected
-// is not known: it is left to end.
+// is not known: it is left to end, as is one that isn't settled and can't be placed elsewhere.
 func (b *Broker) outlasts(now time.Time, t *task, s *side) bool {
-	return t.withdrawnRun != t.run && !t.job.ended && t.job.withdrawReason == "" && now.Before(s.leavesAt) &&
+	return t.settled && t.withdrawnRun != t.run && !t.job.ended && t.job.withdrawReason == "" && now.Before(s.leavesAt) &&
 		t.sentAt.Add(b.expectedRunTime(t, s)).After(s.leavesAt)
 }
 
--- a/yuccabroker/lost.go
+++ b/yuccabroker/lost.go
@@ -12,7 +12,7 @@
 // restart of the worker makes runs unsettled that the next incarnation may have started.
 func (s *side) settleRuns(m *yuccawire.WorkerState) {
 	for t := range s.allRuns() {
-		if t.sideIncarnation == s.Incarnation && t.order <= m.GetOrdersSeen() && !t.lostBySide {
+		if t.sideIncarnation == s.Incarnation && t.order <= m.GetOrdersSeen() {
 			t.settled = !t.isIn(m.GetUnsettled())
 		}
 	}
@@ -49,7 +49,7 @@
 	}
 	s.hasOrphans = false
 	for _, t := range append(s.sortedTasks(), sortedByName(s.unsettled)...) {
-		if t.sideIncarnation != s.Incarnation && !t.lostBySide {
+		if t.sideIncarnation != s.Incarnation {
 			b.handleUnknownRun(now, t, "side restarted")
 		}
 	}
@@ -103,13 +103,13 @@
 		}
 		for _, t := range s.sortedTasks() {
 			t.job.mayHaveRun = true
-			b.holdBack(now, t, "side silent, leases expired")
+			b.holdBack(now, t)
 		}
 	}
 }
 
-// isHeldBack reports whether the task is not placed again since its latest run, which was lost,
-// may be in progress or may still start.
+// isHeldBack reports whether the task is not placed again since its latest run may be in progress at
+// a silent side.
 func (t *task) isHeldBack() bool {
 	if t.side == nil {
 		return false
@@ -118,62 +118,26 @@
 	return isHeldBack
 }
 
-// handleUnknownRun handles the loss of a run that may have started. If it is settled, its task
-// is placed again. A worker may execute a start that it left unanswered seconds later, also
-// after a restart, so no wait shows that another run doesn't start.
+// handleUnknownRun handles the loss of a run that may have started. A worker may execute a start that
+// it left unanswered seconds later, also after a restart: unless the run is settled, its task may only run
+// at the same worker.
 func (b *Broker) handleUnknownRun(now time.Time, t *task, reason string) {
 	t.job.mayHaveRun = true
-	if t.settled {
-		b.handleLostRun(now, t, reason)
-		return
-	}
-	b.holdBack(now, t, reason)
-}
-
-// handleLostBySide handles the loss of a run that the worker may still start, as its side reports.
-func (b *Broker) handleLostBySide(now time.Time, t *task, s *side, e *yuccawire.Ended) {
-	t.lostBySide = true
-	if !t.job.ended {
-		b.recordLoss(t)
-		b.logRunEnd(now, t, s, e)
+	if !t.settled {
+		b.pin(t, t.side.name)
 	}
-	b.holdBack(now, t, "side lost it")
+	b.handleLostRun(now, t, reason)
 }
 
-// holdBack keeps the task of a run that was lost from being placed again, while that may be in
-// progress or may still start. The side may still report how the run ended.
-func (b *Broker) holdBack(now time.Time, t *task, reason string) {
-	if t.isHeldBack() {
-		b.withdrawHopeless(now, t)
-		return
-	}
+// holdBack keeps the task of a run at a silent side from being placed again, while that may be in
+// progress. The side may still report how the run ended.
+func (b *Broker) holdBack(now time.Time, t *task) {
 	delete(t.side.runs, t)
 	t.side.unsettled[t] = struct{}{}
 	b.queueOf(t).runningCPU -= t.step.CPUMilli
-	message, counter := "run lost that may still start, its task is not placed again", "runs_lost_unsettled"
-	if t.settled && !t.lostBySide {
-		message, counter = "run of a silent side may be in progress, its task waits for news of it", "runs_silent"
-	}
-	b.metrics.Add(counter, 1)
-	b.options.Logger.Warn(message, "job", t.job.ID, "task", t.name, "run", t.run, "side", t.side.name, "why", reason,
-		"since_order_ms", now.Sub(t.sentAt).Milliseconds(), "report_age_ms", now.Sub(t.side.lastReport).Milliseconds())
-	b.withdrawHopeless(now, t)
-}
-
-// mayBeHeardOf reports whether there may be news of a run that was lost: from the process of the side
-// that it was sent to, or from the next one, whose takeover shows that a settled run has ended.
-func (t *task) mayBeHeardOf() bool {
-	return !t.lostBySide && (t.settled || t.sideIncarnation == t.side.Incarnation)
-}
-
-// withdrawHopeless stops the other runs of a job that can't be completed, since no side will report
-// the end of a lost run of it. The job is answered at its deadline: a caller who comes again at
-// another entry would have the task run beside that run.
-func (b *Broker) withdrawHopeless(now time.Time, t *task) {
-	if t.mayBeHeardOf() || t.job.ended || t.job.withdrawReason != "" {
-		return
-	}
-	b.withdrawJob(now, t.job, "a run of it was lost that may still start")
+	b.metrics.Add("runs_silent", 1)
+	b.options.Logger.Warn("run of a silent side may be in progress, its task waits for news of it", "job", t.job.ID, "task", t.name, "run", t.run,
+		"side", t.side.name, "settled", t.settled, "since_order_ms", now.Sub(t.sentAt).Milliseconds(), "report_age_ms", now.Sub(t.side.lastReport).Milliseconds())
 }
 
 // expireUnsettled removes the lost runs at a side whose jobs nobody submits again, as their
--- a/yuccabroker/place.go
+++ b/yuccabroker/place.go
@@ -45,8 +45,8 @@
 // placeQueues adds orders for the tasks of the queues to the batch until no worker can
 // accept the next one of any service. Tasks that are held back don't delay those of other
 // queues; suspect tasks, which may have to wait for each other, large ones, for which
-// capacity is reserved, and tasks that wait for a faster worker don't delay those behind
-// them.
+// capacity is reserved, pinned ones, and tasks that wait for a faster worker don't delay those
+// behind them.
 func (b *Broker) placeQueues(now time.Time, queues []*taskQueue, batch *orderBatch) {
 	var skipped, waiting []*task
 	suspects := 0
@@ -58,9 +58,10 @@
 		if (!suspect || suspects < maxSkippedSuspects) && !(t.heldBack && t.step.CPUMilli > batch.spareCPU(b, t.job.Queue.Service)) {
 			s = b.chooseSide(now, t)
 		}
-		waits := s == nil && t.step.waitedAt.Equal(now)
+		isPinned := b.isPinned(t)
+		waits := s == nil && (isPinned || t.step.waitedAt.Equal(now))
 		skip := suspect || waits
-		if !skip && !t.heldBack {
+		if !skip && !t.heldBack && !isPinned {
 			s, skip = b.reserve(now, t, s, len(skipped)-suspects)
 		}
 		if s == nil && !skip {
@@ -102,11 +103,11 @@
 func (b *Broker) addOrder(now time.Time, t *task, s *side, batch *orderBatch) {
 	j := t.job
 	t.state = taskSent
-	t.run++
+	t.run = b.nextRun(t)
 	j.lastRun = max(j.lastRun, t.run)
 	t.side = s
 	t.sideIncarnation = s.Incarnation
-	t.order, t.settled, t.lostBySide = s.lastOrder+1, false, false
+	t.order, t.settled = s.lastOrder+1, false
 	t.sentAt = now
 	t.orderedMS = s.clockAt(now)
 	// A task with a reservation waits for its start.
@@ -154,17 +155,18 @@
 func (b *Broker) isEligible(now time.Time, t *task, s *side) bool {
 	return s.linked && s.ready && s.service == t.job.Queue.Service && !b.drained[s.DataCentre] &&
 		s.isResponsive(now) && !now.Before(s.pausedUntil) && s.hasLabel(t.step.Label) &&
-		b.isOpenTo(t.job.Queue.Name, s) && b.withinSpread(t, s) && !s.hasTrial() && (!b.isSuspect(t) || !b.runsSuspect(s))
+		b.isOpenTo(t.job.Queue.Name, s) && b.withinSpread(t, s) && !s.hasTrial() && (!b.isSuspect(t) || !b.runsSuspect(s)) && b.mayRunAt(t, s)
 }
 
-// withinSpread reports whether the step may have one more task on the worker.
+// withinSpread reports whether the step may have one more task on the worker, which may start the
+// pinned ones at any time.
 func (b *Broker) withinSpread(t *task, s *side) bool {
 	if t.step.Spread == 0 {
 		return true
 	}
 	n := 0
-	for other := range s.allRuns() {
-		if other.step == t.step {
+	for _, other := range t.step.tasks {
+		if other != t && (other.state == taskSent && other.side == s || slices.Contains(other.pinnedTo, s.name)) {
 			n++
 		}
 	}
--- a/yuccabroker/reserve.go
+++ b/yuccabroker/reserve.go
@@ -151,7 +151,7 @@
 
 func (b *Broker) addReservation(now time.Time, t *task, s *side, start time.Time) {
 	// The order gets the next run number of the task.
-	r := &reservation{task: t, run: t.run + 1, side: s, number: s.lastOrder + 1, madeAt: now, start: start}
+	r := &reservation{task: t, run: b.nextRun(t), side: s, number: s.lastOrder + 1, madeAt: now, start: start}
 	t.reservation = r
 	b.reservations = append(b.reservations, r)
 	b.metrics.Add("reservations_made", 1)
--- a/yuccabroker/side.go
+++ b/yuccabroker/side.go
@@ -72,8 +72,8 @@
 	// runs holds the tasks whose latest run may be alive at the side, busySince is
 	// when the first of them was ordered.
 	runs map[*task]struct{}
-	// unsettled holds the tasks whose latest run was lost, and may be in progress or may still be
-	// started by the worker.
+	// unsettled holds the tasks whose latest run may be in progress at the silent side, or may still
+	// be started by its worker.
 	unsettled   map[*task]struct{}
 	busySince   time.Time
 	pausedUntil time.Time
@@ -153,9 +153,6 @@
 		b.options.Logger.Info("side discovered", "side", peer.Name, "data_centre", peer.DataCentre)
 	}
 	s.Side = peer
-	for _, t := range sortedByName(s.unsettled) {
-		b.withdrawHopeless(now, t)
-	}
 	s.linked, s.linkedAt = true, now
 	s.lastOrder = 0
 	s.unreported = nil
@@ -284,10 +281,9 @@
 	}
 	for _, t := range append(s.sortedTasks(), sortedByName(s.unsettled)...) {
 		switch {
-		case t.sideIncarnation != s.Incarnation || t.lostBySide || present[runKey{task: t.name, run: t.run}]:
+		case t.sideIncarnation != s.Incarnation || present[runKey{task: t.name, run: t.run}]:
 		case t.mayBeForgotten(m):
 			b.metrics.Add("runs_forgotten", 1)
-			t.lostBySide = true
 			b.handleUnknownRun(now, t, "order never reached the side, or its end is forgotten")
 		default:
 			b.metrics.Add("runs_never_arrived", 1)
@@ -320,17 +316,16 @@
 		if e.GetEnd() != yuccawire.RunEnd_RUN_END_REFUSED {
 			b.recordUnknownRun(s, key)
 		}
-		return
-	}
-	if t.lostBySide {
+		if other := b.jobs[jobOf(key.task)].task(key.task); other != nil && mayStartAgain(e) {
+			b.pin(other, s.name)
+		}
 		return
 	}
 	if e.GetEnd() != yuccawire.RunEnd_RUN_END_REFUSED {
 		t.job.mayHaveRun = true
 	}
-	if e.GetMayStart() {
-		b.handleLostBySide(now, t, s, e)
-		return
+	if mayStartAgain(e) {
+		b.pin(t, s.name)
 	}
 	b.removeRun(now, t)
 	b.observeRun(now, t, s, e)
@@ -364,6 +359,9 @@
 	}
 }
 
+// mayStartAgain reports whether the worker may still execute a start of the ended run.
+func mayStartAgain(e *yuccawire.Ended) bool { return e.GetMayStart() || e.GetUnanswered() }
+
 func (b *Broker) logRunEnd(now time.Time, t *task, s *side, e *yuccawire.Ended) {
 	b.options.Logger.Info("run did not succeed", "job", t.job.ID, "task", t.name, "run", t.run, "side", s.name, "worker", s.worker,
 		"end", e.GetEnd().String(), "refusal", e.GetRefusal().String(), "ran_ms", e.GetRanMs(), "since_order_ms", now.Sub(t.sentAt).Milliseconds(),
--- a/yuccabroker/straggler.go
+++ b/yuccabroker/straggler.go
@@ -46,10 +46,10 @@
 }
 
 // isStraggler reports whether a run takes much longer than the longest other run
-// of its step. If none has succeeded yet, runs on slow workers are compared with
+// of its step. One that isn't settled would have to start again at the same worker. If none has succeeded yet, runs on slow workers are compared with
 // their estimate times the median slowdown.
 func (t *task) isStraggler(now time.Time, medianSlowdown float64) bool {
-	if t.moved || t.reservation != nil || t.job.ended || t.job.withdrawReason != "" {
+	if t.moved || !t.settled || t.reservation != nil || t.job.ended || t.job.withdrawReason != "" {
 		return false
 	}
 	expected := t.step.longestRun
--- a/yuccaworker/held.go
+++ b/yuccaworker/held.go
@@ -15,33 +15,54 @@
 	// heldRefresh is the interval of lists without a change.
 	minHeldTime = 10 * time.Second
 	heldRefresh = 3 * time.Second
-	// maxLostRuns limits the lost runs that are listed.
-	maxLostRuns = 1000
+	// maxEndedRuns limits the ended runs that are listed, and those that are kept of an owner.
+	maxEndedRuns = 1000
 )
 
 // heldRuns are the runs that entries other than their owners were told of, as they can't be
-// ended, or were lost and may still start.
+// ended, or have ended and may still start.
 type heldRuns struct {
 	sequence uint64
 	listed   []Key
 	listedAt time.Time
-	lost     []lostRun
+	ended    []endedRun
 }
 
-// lostRun is a run that was lost and may still start, until nobody waits for it.
-type lostRun struct {
+// endedRun is a run that was lost or has ended and may still start, until nobody waits for it.
+type endedRun struct {
 	key   Key
 	until time.Time
 }
 
-// holdLost holds a lost run that may still start.
-func (w *Worker) holdLost(now time.Time, r *run) {
-	w.held.lost = append(w.held.lost, lostRun{key: r.key, until: r.heldUntil(now)})
-	if len(w.held.lost) > maxLostRuns {
-		w.metrics.Add("held_runs_dropped", 1)
-		w.options.Logger.Error("too many lost runs, one is held no longer", "task", w.held.lost[0].key.Task, "run", w.held.lost[0].key.Run)
-		w.held.lost = w.held.lost[1:]
+// holdEnded holds an ended run that may still start. The task of one that has succeeded is not
+// placed again while its owner is there.
+func (w *Worker) holdEnded(now time.Time, r *run, outcome yuccawire.RunEnd) {
+	e := endedRun{key: r.key, until: r.heldUntil(now)}
+	if outcome != yuccawire.RunEnd_RUN_END_DONE {
+		w.held.ended = w.limitEnded(append(w.held.ended, e))
+		return
+	}
+	r.owner.succeeded = w.limitEnded(append(withoutExpired(now, r.owner.succeeded), e))
+}
+
+// holdSucceeded holds the runs of an owner that have succeeded and may still start, as that may be
+// gone and its callers come again.
+func (w *Worker) holdSucceeded(o *owner) {
+	w.held.ended = w.limitEnded(append(w.held.ended, o.succeeded...))
+	o.succeeded = nil
+}
+
+func (w *Worker) limitEnded(runs []endedRun) []endedRun {
+	dropped := max(len(runs)-maxEndedRuns, 0)
+	if dropped > 0 {
+		w.metrics.Add("held_runs_dropped", int64(dropped))
+		w.options.Logger.Error("too many ended runs that may start, some are held no longer", "runs", dropped, "first", runs[0].key.Task, "run", runs[0].key.Run)
 	}
+	return runs[dropped:]
+}
+
+func withoutExpired(now time.Time, runs []endedRun) []endedRun {
+	return slices.DeleteFunc(runs, func(e endedRun) bool { return !now.Before(e.until) })
 }
 
 func (r *run) heldUntil(now time.Time) time.Time { return latest(r.expiresAt, now.Add(minHeldTime)) }
@@ -56,7 +77,7 @@
 // updateHeld tells all owners of the runs that can't be ended, after a change. A run stays among
 // them until it has ended.
 func (w *Worker) updateHeld(now time.Time) {
-	w.held.lost = slices.DeleteFunc(w.held.lost, func(l lostRun) bool { return !now.Before(l.until) })
+	w.held.ended = withoutExpired(now, w.held.ended)
 	var listed []Key
 	for _, r := range w.runs {
 		r.isHeld = r.isHeld || w.cannotEnd(now, r)
@@ -64,8 +85,8 @@
 			listed = append(listed, r.key)
 		}
 	}
-	for _, l := range w.held.lost {
-		listed = append(listed, l.key)
+	for _, e := range w.held.ended {
+		listed = append(listed, e.key)
 	}
 	slices.SortFunc(listed, func(a, b Key) int { return cmp.Or(cmp.Compare(a.Task, b.Task), cmp.Compare(a.Run, b.Run)) })
 	isSame := slices.Equal(listed, w.held.listed)
@@ -74,7 +95,7 @@
 	}
 	if !isSame {
 		w.metrics.Add("held_lists_made", 1)
-		w.options.Logger.Warn("runs that can't be ended, telling all entries", "runs", len(listed), "were", len(w.held.listed), "lost", len(w.held.lost), "silent", w.isSilent)
+		w.options.Logger.Warn("runs that can't be ended, telling all entries", "runs", len(listed), "were", len(w.held.listed), "lost", len(w.held.ended), "silent", w.isSilent)
 	}
 	w.held.sequence++
 	w.held.listed, w.held.listedAt = listed, now
@@ -95,10 +116,10 @@
 		until := now.Add(minHeldTime)
 		if r := w.runs[key]; r != nil {
 			until = r.heldUntil(now)
-		} else if i := slices.IndexFunc(w.held.lost, func(l lostRun) bool { return l.key == key }); i >= 0 {
-			until = w.held.lost[i].until
+		} else if i := slices.IndexFunc(w.held.ended, func(e endedRun) bool { return e.key == key }); i >= 0 {
+			until = w.held.ended[i].until
 		}
-		list.Tasks = append(list.Tasks, &yuccawire.HeldTask{Task: key.Task, RemainingMs: uint32(min(max(until.Sub(now), 0).Milliseconds(), math.MaxUint32))})
+		list.Tasks = append(list.Tasks, &yuccawire.HeldTask{Task: key.Task, Run: key.Run, RemainingMs: uint32(min(max(until.Sub(now), 0).Milliseconds(), math.MaxUint32))})
 	}
 	w.emit(Send{Owner: o.id, Message: &yuccawire.Envelope{Body: &yuccawire.Envelope_HeldTasks{HeldTasks: list}}})
 }
--- a/yuccaworker/held_test.go
+++ b/yuccaworker/held_test.go
@@ -75,3 +75,69 @@
 		t.Errorf("told %v when nobody waits any more, want none", tasks)
 	}
 }
+
+// orderWithLostStart orders a task. The first try of its start is lost on its way, the second one answered.
+func (h *harness) orderWithLostStart(t *yuccawire.TaskOrder) {
+	h.handleOrder(entry, lease, t)
+	for _, a := range h.core.Actions() {
+		if start, isStart := a.(yuccaworker.CallStart); isStart {
+			h.core.HandleStartReply(h.now, start.Incarnation, start.Key, yuccaworker.ResultUnknown, 0)
+			continue
+		}
+		h.runAction(a)
+	}
+	h.runActions()
+}
+
+// The run ends although the worker may still execute its first start, which it has not answered.
+func TestOtherEntriesHearOfAnEndedRunThatMayStart(t *testing.T) {
+	for name, c := range map[string]struct {
+		outcome yuccawire.RunEnd
+		// isTold is set if the other entry hears of it while the owner is there.
+		isTold bool
+	}{
+		"failed":    {yuccawire.RunEnd_RUN_END_FAILED, true},
+		"stopped":   {yuccawire.RunEnd_RUN_END_STOPPED, true},
+		"succeeded": {yuccawire.RunEnd_RUN_END_DONE, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			h.orderWithLostStart(task("a", 1, 1600))
+			h.advanceWithLease(entry, 200*time.Millisecond)
+			h.complete(runA, c.outcome)
+			h.advanceWithLease(entry, 200*time.Millisecond)
+			if ended := h.outcomeOf(entry, "a"); ended.GetEnd() != c.outcome || !ended.GetUnanswered() {
+				t.Fatalf("the owner is told %v, want that a start had no answer", ended)
+			}
+			if tasks, _ := h.heldAt(otherEntry); (len(tasks) == 1) != c.isTold {
+				t.Errorf("told %v while the owner is there, want the task: %v", tasks, c.isTold)
+			}
+			h.core.HandleLinkDown(entry)
+			h.advance(lease + 100*time.Millisecond)
+			if tasks, _ := h.heldAt(otherEntry); len(tasks) != 1 || tasks[0].GetTask() != "a" || tasks[0].GetRun() != 1 {
+				t.Errorf("told %v once the owner has gone, want the task and its run", tasks)
+			}
+			h.advance(time.Minute)
+			if tasks, _ := h.heldAt(otherEntry); len(tasks) != 0 {
+				t.Errorf("told %v when nobody waits any more, want none", tasks)
+			}
+		})
+	}
+}
+
+// The start of the run was answered, or lost with its answer and then listed, so that nothing starts it again.
+func TestNoListOfEndedRunsThatCannotStart(t *testing.T) {
+	for _, outcome := range []yuccawire.RunEnd{yuccawire.RunEnd_RUN_END_FAILED, yuccawire.RunEnd_RUN_END_STOPPED, yuccawire.RunEnd_RUN_END_DONE} {
+		h := newHarness(t)
+		h.order(entry, lease, task("a", 1, 1600))
+		h.advanceWithLease(entry, 200*time.Millisecond)
+		h.complete(runA, outcome)
+		h.advance(time.Second)
+		if ended := h.outcomeOf(entry, "a"); ended.GetEnd() != outcome || ended.GetUnanswered() {
+			t.Errorf("the owner is told %v, want no unanswered start", ended)
+		}
+		if _, isTold := h.heldAt(otherEntry); isTold {
+			t.Errorf("told %v of a run that has ended as %v", h.held[otherEntry], outcome)
+		}
+	}
+}
--- a/yuccaworker/hold.go
+++ b/yuccaworker/hold.go
@@ -194,6 +194,8 @@
 		}
 		w.cursor = e.Number
 		if r := w.runs[e.Key]; r != nil {
+			// A stop may be listed of a run that was not there yet.
+			r.listed = r.listed || e.Outcome != yuccawire.RunEnd_RUN_END_STOPPED
 			w.completeRun(now, r, e.Outcome)
 		}
 	}
@@ -227,6 +229,7 @@
 		}
 	}
 	w.stopUntracked(untracked)
+	forgotten := false
 	for _, r := range w.sortedRuns() {
 		if running[r.key] {
 			wasListed := r.listed
@@ -256,10 +259,16 @@
 		case isMissing && len(h.Completions) == 0:
 			// Neither running nor completed: the worker lost its record of the run.
 			w.settleCrash(now, r, false)
-			w.completeRunAfter(now, r, yuccawire.RunEnd_RUN_END_LOST, now.Sub(r.startSentAt), r.mayStartLater())
+			w.completeRunAfter(now, r, yuccawire.RunEnd_RUN_END_LOST, now.Sub(r.startSentAt))
+			forgotten = forgotten || r.mayStartLater()
 		}
 	}
 	isClear := w.noteUntracked(now, h.SentAt, len(untracked))
+	if forgotten {
+		// The worker doesn't know any more that the run has ended.
+		w.fence(now)
+		return
+	}
 	switch {
 	case !w.takenOver && isClear:
 		w.takenOver, w.tokenStep = true, 0
--- a/yuccaworker/restart.go
+++ b/yuccaworker/restart.go
@@ -69,7 +69,7 @@
 		"end", r.lostAs.String(), "ran_ms", r.ranBeforeLoss.Milliseconds(), "unreachable", !w.isReachable(), "why", reason)
 	w.metrics.Add("runs_lost", 1)
 	w.settleCrash(now, r, r.clockConfirmed)
-	w.completeRunAfter(now, r, r.lostAs, r.ranBeforeLoss, r.mayStartLater())
+	w.completeRunAfter(now, r, r.lostAs, r.ranBeforeLoss)
 }
 
 // carryOver prepares the takeover of a new incarnation for the runs that it may have
--- a/yuccaworker/run.go
+++ b/yuccaworker/run.go
@@ -289,24 +289,24 @@
 // completeRun removes an active run and queues its outcome for the owner.
 func (w *Worker) completeRun(now time.Time, r *run, outcome yuccawire.RunEnd) {
 	w.settleCrash(now, r, false)
-	w.completeRunAfter(now, r, outcome, now.Sub(r.startSentAt), false)
+	w.completeRunAfter(now, r, outcome, now.Sub(r.startSentAt))
 }
 
-// completeRunAfter is completeRun for a run that has ended before now. mayStart is set if the
-// worker may still execute a start of it.
-func (w *Worker) completeRunAfter(now time.Time, r *run, outcome yuccawire.RunEnd, ran time.Duration, mayStart bool) {
+// completeRunAfter is completeRun for a run that has ended before now.
+func (w *Worker) completeRunAfter(now time.Time, r *run, outcome yuccawire.RunEnd, ran time.Duration) {
 	w.removeRun(r)
+	ended := &yuccawire.Ended{End: outcome, RanMs: uint32(ran.Milliseconds())}
 	if r.mayStartLater() {
 		w.metrics.Add("ends_with_unanswered_start", 1)
 		w.options.Logger.Info("run has ended, a start of it had no answer", "task", r.key.Task, "run", r.key.Run, "owner", r.owner.id.Name,
-			"end", outcome.String(), "tries", r.tries, "since_start_ms", now.Sub(r.startSentAt).Milliseconds(), "may_start", mayStart)
-	}
-	if mayStart {
-		w.holdLost(now, r)
+			"end", outcome.String(), "tries", r.tries, "since_start_ms", now.Sub(r.startSentAt).Milliseconds())
+		w.holdEnded(now, r, outcome)
+		isLost := outcome == yuccawire.RunEnd_RUN_END_LOST || outcome == yuccawire.RunEnd_RUN_END_CRASHED
+		ended.MayStart, ended.Unanswered = isLost, !isLost
 	}
 	w.recordOutcome(now, r, outcome, ran)
 	w.metrics.Add("ends_"+outcomeNames[outcome], 1)
-	w.queueOutcome(now, r, &yuccawire.Ended{End: outcome, RanMs: uint32(ran.Milliseconds()), MayStart: mayStart})
+	w.queueOutcome(now, r, ended)
 }
 
 var outcomeNames = map[yuccawire.RunEnd]string{
