worker: ask the worker before another one's report ends its runs

A worker stands still while its machine accepts connections, and a worker of another ID reports to the same side. The runs of the first were reported as crashed, and its tasks placed again beside them.

Both have the same address, so an answer tells: the other worker refuses calls that name the known one. The runs stay active until then, or until the end of the hold shows that its process or machine is gone.

--- a/yuccaworker/unconfirmed.go
+++ b/yuccaworker/unconfirmed.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// unconfirmedRestart is a report of a later start of the worker. It is followed once an answer confirms
-// the restart, or no listed run of the known incarnation is left.
+// unconfirmedRestart is a report of a later start of the worker, or of another worker. It is followed once
+// an answer confirms that, or no listed run of the known incarnation is left.
 type unconfirmedRestart struct {
 	report Report
 	// arrivedAt is when the report arrived, askedAt when the first renewal after it was sent.
@@ -11,9 +11,9 @@
 	askedAt   time.Time
 }
 
-// isUnconfirmedRestart reports whether the report would end listed runs, by its start alone.
+// isUnconfirmedRestart reports whether the report would end listed runs, by its start or its ID alone.
 func (w *Worker) isUnconfirmedRestart(r Report) bool {
-	return w.report != nil && !w.gone && r.ID == w.report.ID && r.StartedAtMS > w.report.StartedAtMS && w.hasListedRuns()
+	return w.report != nil && !w.gone && (r.ID != w.report.ID || r.StartedAtMS > w.report.StartedAtMS) && w.hasListedRuns()
 }
 
 // hasListedRuns reports whether there are runs that a restart of the worker has certainly ended.
@@ -31,13 +31,13 @@
 
 // noteUnconfirmedRestart asks the worker which incarnation it is. Starts wait for the answer.
 func (w *Worker) noteUnconfirmedRestart(now time.Time, r Report) {
-	if w.unconfirmed != nil && w.unconfirmed.report.StartedAtMS == r.StartedAtMS {
+	if w.unconfirmed != nil && w.unconfirmed.report.ID == r.ID && w.unconfirmed.report.StartedAtMS == r.StartedAtMS {
 		if r.Sequence >= w.unconfirmed.report.Sequence {
 			w.unconfirmed.report, w.unconfirmed.arrivedAt = r, now
 		}
 		return
 	}
-	w.options.Logger.Warn("report of a later start, asking the worker", "worker", r.ID, "born", r.StartedAtMS, "known_born", w.report.StartedAtMS,
+	w.options.Logger.Warn("report of a later start, asking the worker", "worker", r.ID, "born", r.StartedAtMS, "known", w.report.ID, "known_born", w.report.StartedAtMS,
 		"sequence", r.Sequence, "runs", len(w.runs))
 	w.metrics.Add("restarts_unconfirmed", 1)
 	w.unconfirmed = &unconfirmedRestart{report: r, arrivedAt: now}
--- a/yuccaworker/unconfirmed_test.go
+++ b/yuccaworker/unconfirmed_test.go
@@ -76,3 +76,23 @@
 		t.Errorf("reported %v, want nothing before a worker has answered", e)
 	}
 }
+
+// The other worker answers at the address of the known one, whose process has ended.
+func TestReportOfAnotherWorkerThatAnswersEndsTheRuns(t *testing.T) {
+	h := newHarness(t)
+	h.order(entry, lease, task("a", 1, 1600))
+	h.advanceWithLease(entry, 200*time.Millisecond)
+	h.incarnation = yuccaworker.Incarnation{ID: "w-2", StartedAtMS: h.incarnation.StartedAtMS + 100}
+	h.token, h.latestRun, h.completions = 0, make(map[string]uint64), nil
+	delete(h.running, runA)
+	h.report(1, false)
+	h.runActions()
+	h.advanceWithLease(entry, 100*time.Millisecond)
+	if e := h.outcomeOf(entry, "a"); e.GetEnd() != yuccawire.RunEnd_RUN_END_CRASHED {
+		t.Errorf("reported %v within 100 ms, want the run as crashed with its worker", e)
+	}
+	h.order(entry, lease, task("b", 1, 1600))
+	if len(h.running) != 1 {
+		t.Error("no start was sent to the other worker")
+	}
+}
