worker: tell all entries of runs from their first unanswered start on

A run that may start again was told to other entries when it had failed, was stopped or lost, and one that had succeeded only once its owner was silent. Nobody was left to tell if the entry died together with the machine of the run (as in a data centre without power), if a machine fell silent beside a step that had succeeded and its entry died then, or if the answer of a completed job didn't reach its caller, who came again at another entry: the task ran there, beside the late start.

A side now lists each run from the first start that is not answered until 10 s after its end, every 250 ms at most, as callers come again after 1.3 s. That takes the place of the list of succeeded runs, which depended on who notices what first.

TestUnsettledRunStartsBesideThatOfAResendAfterEntryAndMachineWereLost, TestSucceededRunOfAnOpenJobStartsAgainAfterItsSideAndItsEntryWereLost and TestSucceededRunStartsAgainBesideThatOfAResendAfterALostAnswer failed before. TestOtherEntriesHearOfAnEndedRunThatMayStart wants the list earlier now, for all ends (...HearOfARunThatMayStartAgain). An entry logs the lists of a sender only when they begin and end, as they come more often.

--- a/yuccabroker/held.go
+++ b/yuccabroker/held.go
@@ -227,8 +227,10 @@
 		}
 	}
 	b.metrics.Add("held_lists_received", 1)
-	b.options.Logger.Warn("tasks held for runs elsewhere", "sender", key.sender, "incarnation", key.incarnation, "tasks", len(l.tasks),
-		"first", firstHeld(m), "over", over)
+	if len(before) == 0 || len(l.tasks) == 0 {
+		b.options.Logger.Info("tasks held for runs elsewhere", "sender", key.sender, "incarnation", key.incarnation, "tasks", len(l.tasks),
+			"first", firstHeld(m), "over", over)
+	}
 	for name := range l.tasks {
 		if j := b.jobs[jobOf(name)]; j != nil {
 			b.extendHeld(j)
--- a/yuccaworker/held.go
+++ b/yuccaworker/held.go
@@ -10,22 +10,25 @@
 )
 
 const (
-	// minHeldTime is how long a run that can't be ended is held at least, as stated in each
-	// list: an owner that stops lets its orders expire before their callers have gone.
-	// heldRefresh is the interval of lists without a change.
-	minHeldTime = 10 * time.Second
-	heldRefresh = 3 * time.Second
-	// maxEndedRuns limits the ended runs that are listed, and those that are kept of an owner.
+	// minHeldTime is how long a run is held at least, as stated in each list: an owner that stops
+	// lets its orders expire before their callers have gone. heldRefresh is the interval of lists without
+	// a change, minHeldInterval the least time between two: callers come again after 1.3 s.
+	minHeldTime     = 10 * time.Second
+	heldRefresh     = 3 * time.Second
+	minHeldInterval = 250 * time.Millisecond
+	// maxEndedRuns limits the ended runs that are listed.
 	maxEndedRuns = 1000
 )
 
-// heldRuns are the runs that entries other than their owners were told of, as they can't be
-// ended, or have ended and may still start.
+// heldRuns are the runs that entries other than their owners are told of, as they can't be
+// ended, or a start of them had no answer: the worker may still execute it once they have ended.
 type heldRuns struct {
 	sequence uint64
 	listed   []Key
 	listedAt time.Time
 	ended    []endedRun
+	// unstoppable is how many of the listed runs can't be ended.
+	unstoppable int
 }
 
 // endedRun is a run that was lost or has ended and may still start, until nobody waits for it.
@@ -34,35 +37,14 @@
 	until time.Time
 }
 
-// holdEnded holds an ended run that may still start. The task of one that has succeeded is not
-// placed again while its owner is there.
-func (w *Worker) holdEnded(now time.Time, r *run, outcome yuccawire.RunEnd) {
-	e := endedRun{key: r.key, until: r.heldUntil(now)}
-	if outcome != yuccawire.RunEnd_RUN_END_DONE {
-		w.held.ended = w.limitEnded(append(w.held.ended, e))
-		return
-	}
-	r.owner.succeeded = w.limitEnded(append(withoutExpired(now, r.owner.succeeded), e))
-}
-
-// holdSucceeded holds the runs of an owner that have succeeded and may still start, as that may be
-// gone and its callers come again.
-func (w *Worker) holdSucceeded(o *owner) {
-	w.held.ended = w.limitEnded(append(w.held.ended, o.succeeded...))
-	o.succeeded = nil
-}
-
-func (w *Worker) limitEnded(runs []endedRun) []endedRun {
-	dropped := max(len(runs)-maxEndedRuns, 0)
-	if dropped > 0 {
-		w.metrics.Add("held_runs_dropped", int64(dropped))
-		w.options.Logger.Error("too many ended runs that may start, some are held no longer", "runs", dropped, "first", runs[0].key.Task, "run", runs[0].key.Run)
+// holdEnded holds an ended run that may still start.
+func (w *Worker) holdEnded(now time.Time, r *run) {
+	w.held.ended = append(w.held.ended, endedRun{key: r.key, until: r.heldUntil(now)})
+	if len(w.held.ended) > maxEndedRuns {
+		w.metrics.Add("held_runs_dropped", 1)
+		w.options.Logger.Error("too many ended runs that may start, one is held no longer", "task", w.held.ended[0].key.Task, "run", w.held.ended[0].key.Run)
+		w.held.ended = w.held.ended[1:]
 	}
-	return runs[dropped:]
-}
-
-func withoutExpired(now time.Time, runs []endedRun) []endedRun {
-	return slices.DeleteFunc(runs, func(e endedRun) bool { return !now.Before(e.until) })
 }
 
 func (r *run) heldUntil(now time.Time) time.Time { return latest(r.expiresAt, now.Add(minHeldTime)) }
@@ -74,14 +56,18 @@
 	return w.isSilent || isStopLate && !now.Before(r.owner.leaseUntil)
 }
 
-// updateHeld tells all owners of the runs that can't be ended, after a change. A run stays among
+// updateHeld tells all owners of the held runs, after a change. One that can't be ended stays among
 // them until it has ended.
 func (w *Worker) updateHeld(now time.Time) {
-	w.held.ended = withoutExpired(now, w.held.ended)
+	w.held.ended = slices.DeleteFunc(w.held.ended, func(e endedRun) bool { return !now.Before(e.until) })
 	var listed []Key
+	unstoppable := 0
 	for _, r := range w.runs {
 		r.isHeld = r.isHeld || w.cannotEnd(now, r)
 		if r.isHeld {
+			unstoppable++
+		}
+		if r.isHeld || r.tries > 1 {
 			listed = append(listed, r.key)
 		}
 	}
@@ -90,13 +76,18 @@
 	}
 	slices.SortFunc(listed, func(a, b Key) int { return cmp.Or(cmp.Compare(a.Task, b.Task), cmp.Compare(a.Run, b.Run)) })
 	isSame := slices.Equal(listed, w.held.listed)
-	if isSame && (len(listed) == 0 || now.Sub(w.held.listedAt) < heldRefresh) {
+	since := now.Sub(w.held.listedAt)
+	if isSame && (len(listed) == 0 || since < heldRefresh) || since < minHeldInterval {
 		return
 	}
+	if unstoppable != w.held.unstoppable {
+		w.options.Logger.Warn("runs that can't be ended, telling all entries", "runs", unstoppable, "were", w.held.unstoppable, "listed", len(listed),
+			"lost", len(w.held.ended), "silent", w.isSilent)
+	}
 	if !isSame {
 		w.metrics.Add("held_lists_made", 1)
-		w.options.Logger.Warn("runs that can't be ended, telling all entries", "runs", len(listed), "were", len(w.held.listed), "lost", len(w.held.ended), "silent", w.isSilent)
 	}
+	w.held.unstoppable = unstoppable
 	w.held.sequence++
 	w.held.listed, w.held.listedAt = listed, now
 	for _, o := range w.ownerList {
--- a/yuccaworker/owner.go
+++ b/yuccaworker/owner.go
@@ -137,9 +137,6 @@
 		if now.Before(o.leaseUntil) {
 			continue
 		}
-		if !o.linked && len(o.succeeded) > 0 {
-			w.holdSucceeded(o)
-		}
 		if o.runCount > 0 {
 			w.stopOwnerRuns(now, o)
 			continue
--- a/yuccaworker/worker.go
+++ b/yuccaworker/worker.go
@@ -163,8 +163,6 @@
 	freeSent resources
 	unsent   []*yuccawire.Ended
 	retained []retainedOutcome
-	// succeeded holds the runs that have succeeded and may still start.
-	succeeded []endedRun
 	// runCount counts running and queued tasks.
 	runCount int
 }
