worker: have the worker answer before a pinned task starts

A pinned task was started at once. A side without runs calls its worker only when that reports, each 1.5 s. A worker that had restarted unnoticed in between, knowing no token, executed the start and the late one of the earlier run beside it.

Entries mark such orders, and sides send a renewal of the hold with a higher token first. Its answer names the incarnation: another one has to be taken over, which fences and ends all before. TestStartAtAWorkerThatHasRestarted- UnnoticedRunsBesideALateOne and TestPinnedRunStartsAtAWorkerThatHasRestarted- Unnoticed failed before. It costs one call in the machine for each pinned task.

--- a/yuccaworker/hold.go
+++ b/yuccaworker/hold.go
@@ -18,7 +18,8 @@
 		w.queryIncarnation(now)
 		return
 	}
-	if w.takenOver && len(w.runs) == 0 && w.ackedCursor == w.cursor {
+	awaitsConfirmation := w.awaitsConfirmation()
+	if w.takenOver && len(w.runs) == 0 && w.ackedCursor == w.cursor && !awaitsConfirmation {
 		w.holdInFlight = false
 		return
 	}
@@ -29,7 +30,7 @@
 		w.nextTakeOverAt = now.Add(takeOverRetry)
 	}
 	wait := min(holdWait, w.stopWait(now))
-	if !w.takenOver || len(w.runs) == 0 {
+	if !w.takenOver || len(w.runs) == 0 || awaitsConfirmation {
 		wait = 0
 	}
 	deadline := int64(0)
@@ -38,7 +39,7 @@
 		deadline = w.extendHold(now)
 	}
 	w.holdInFlight = true
-	w.holdSentAt = latest(now, w.holdSentAt.Add(1))
+	w.holdSentAt = w.nextHoldAt(now)
 	w.emit(CallHold{
 		Incarnation: w.incarnation(), DeadlineMS: deadline, Token: w.token, Cursor: w.cursorToAck(now), Wait: wait, Timeout: holdTimeout, SentAt: w.holdSentAt,
 	})
@@ -48,6 +49,9 @@
 // renewals were sent: the last of them was sent before it.
 func (w *Worker) afterHold(now time.Time) time.Time { return latest(now, w.holdSentAt) }
 
+// nextHoldAt returns the time of a renewal that is sent now. It differs between renewals.
+func (w *Worker) nextHoldAt(now time.Time) time.Time { return latest(now, w.holdSentAt.Add(1)) }
+
 func latest(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/yuccaworker/run.go
+++ b/yuccaworker/run.go
@@ -40,7 +40,10 @@
 	// suspect is set if a worker has crashed under an earlier run of the task.
 	suspect bool
 	// reserved is set while the run is queued beyond the usual limit.
-	reserved    bool
+	reserved bool
+	// confirmedBy is the renewal of the hold that has to be answered before a pinned run starts, zero
+	// for others.
+	confirmedBy time.Time
 	orderedAt   time.Time
 	state       runState
 	tries       int
@@ -92,6 +95,9 @@
 		}
 	}
 	o.dirty = true
+	if w.awaitsConfirmation() {
+		w.renewHold(now)
+	}
 	w.startQueued(now)
 	w.sendStates(now)
 }
@@ -111,6 +117,9 @@
 		return
 	}
 	o.runCount++
+	if task.GetPinned() {
+		w.confirmBeforeStart(now, r)
+	}
 	w.addQueued(now, r)
 	index, _ := slices.BinarySearchFunc(w.queue, r, func(q, r *run) int {
 		if c := cmp.Or(cmp.Compare(q.tier, r.tier), cmp.Compare(q.rankMS, r.rankMS)); c != 0 {
@@ -201,7 +210,7 @@
 			w.refuseQueued(now, r, reason)
 			continue
 		}
-		if !w.mayStart(now, r) {
+		if !w.mayStart(now, r) || !w.isConfirmed(r) {
 			i++
 			continue
 		}
--- a/yuccaworker/unconfirmed.go
+++ b/yuccaworker/unconfirmed.go
@@ -52,7 +52,7 @@
 // a new incarnation has completions of its own.
 func (w *Worker) queryIncarnation(now time.Time) {
 	w.holdInFlight = true
-	w.holdSentAt = latest(now, w.holdSentAt.Add(1))
+	w.holdSentAt = w.nextHoldAt(now)
 	w.emit(CallHold{Incarnation: w.incarnation(), Token: w.token, Timeout: holdTimeout, SentAt: w.holdSentAt})
 }
 
