worker: count only answers with the present token as a takeover

After the hold of a silent worker has expired, the side raises its token and takes the worker over again. The answer to a renewal with the former token counted as that: the next run was started though the worker had not seen the new token, so that a late start of the lost run could be executed before it.

A takeover now needs the answer to a renewal that was sent with the present token.

--- a/yuccaworker/hold.go
+++ b/yuccaworker/hold.go
@@ -185,6 +185,7 @@
 	w.token = max(w.token+min(w.tokenStep, maxToken-w.token), w.report.StartedAtMS+max(clockMS, w.clock.lowerBound(now)))
 	w.metrics.Add("fenced", 1)
 	w.options.Logger.Warn("fenced by the worker, taking it over again with a higher token", "worker", w.report.ID, "token", w.token)
+	w.fencedFrom = w.nextHoldAt(now)
 	w.takenOver = false
 	w.nextTakeOverAt = now
 }
@@ -274,7 +275,7 @@
 		return
 	}
 	switch {
-	case !w.takenOver && isClear:
+	case !w.takenOver && isClear && !h.SentAt.Before(w.fencedFrom):
 		w.takenOver, w.tokenStep = true, 0
 		w.options.Logger.Info("worker taken over", "worker", w.report.ID, "token", w.token)
 		w.markOwnersDirty()
@@ -365,6 +366,7 @@
 // let them start. The worker has to be taken over again.
 func (w *Worker) fence(now time.Time) {
 	w.token = min(w.token+1, maxToken)
+	w.fencedFrom = w.nextHoldAt(now)
 	w.takenOver = false
 	w.nextTakeOverAt = now
 	w.markOwnersDirty()
--- a/yuccaworker/worker.go
+++ b/yuccaworker/worker.go
@@ -85,6 +85,8 @@
 	// takenOver is set while the worker runs only what this process of the side tracks.
 	takenOver      bool
 	nextTakeOverAt time.Time
+	// fencedFrom is the first renewal with the present token.
+	fencedFrom time.Time
 	// deadlineMS is the latest deadline sent to the worker, on the worker's clock,
 	// holdUntilMS until when it keeps its runs at most: longer if it restarted under them.
 	// extendedAt is when a deadline was last sent.
@@ -268,34 +270,6 @@
 	return true
 }
 
-// isOutdated reports whether the report comes from an earlier incarnation, or
-// precedes the last one of this incarnation. If the known incarnation is gone or silent
-// and there are no runs to lose, an earlier start counts as that of a new one: the machine's
-// wall clock may have been set back.
-func (w *Worker) isOutdated(now time.Time, r Report) bool {
-	if r.StartedAtMS != w.report.StartedAtMS {
-		mayBeReplaced := len(w.runs) == 0 && (w.gone || w.isReportStale(now))
-		return r.StartedAtMS < w.report.StartedAtMS && !mayBeReplaced
-	}
-	return r.ID == w.report.ID && r.Sequence < w.report.Sequence && !w.provesSequenceWrong(now, r)
-}
-
-// provesSequenceWrong records a report with a low sequence, and reports whether that of the last
-// report can't be the worker's: no higher one has followed it since it is stale, but lower ones
-// that rise.
-func (w *Worker) provesSequenceWrong(now time.Time, r Report) bool {
-	if r.Sequence <= w.lowSequence || w.lowSince.Before(w.reportedAt) {
-		w.lowSince = now
-	}
-	w.lowSequence = r.Sequence
-	if !w.isReportStale(now) || now.Sub(w.lowSince) <= maxClockAge {
-		return false
-	}
-	w.options.Logger.Warn("report with a high sequence was wrong, following the lower ones", "worker", r.ID, "born", r.StartedAtMS,
-		"sequence", r.Sequence, "was_sequence", w.report.Sequence)
-	return true
-}
-
 // takeOver begins the takeover of a new incarnation of the worker.
 func (w *Worker) takeOver(now time.Time, r Report, sameID bool) {
 	silent := int64(0)
@@ -310,6 +284,7 @@
 	w.clock, w.clockAnswered = workerClock{lastMS: r.ClockMS, observedAt: now}, false
 	// Fences the starts that were sent to an earlier incarnation with this ID.
 	w.token = max(min(w.token+1, maxToken), r.StartedAtMS+r.ClockMS)
+	w.fencedFrom = w.nextHoldAt(now)
 	w.takenOver = false
 	w.nextTakeOverAt = now
 	w.lastAnswerAt = now
