broker: choose the side of a pinned task without a comparison

A large one was never reserved either, so that smaller tasks took what became free at its side until its callers had gone; TestPinnedLargeTaskIsReserved failed before.

TestSideRestartsWithReservation wanted no second run of a task that the lost side may have started. It wants it reserved at the same side now, once.

--- a/yuccabroker/choose.go
+++ b/yuccabroker/choose.go
@@ -32,6 +32,9 @@
 	if len(b.sideList) == 0 {
 		return nil
 	}
+	if only, isPinned := b.onlySide(t); isPinned {
+		return b.choosePinned(now, t, only)
+	}
 	if b.options.Scheduling.LearnedRunTimes {
 		return b.chooseByEnd(now, t)
 	}
--- a/yuccabroker/pin.go
+++ b/yuccabroker/pin.go
@@ -59,22 +59,35 @@
 	return nil
 }
 
-// isPinned reports whether the task may run at some sides only, or at none.
-func (b *Broker) isPinned(t *task) bool {
-	_, isHeld := b.heldTaskElsewhere(t.name)
-	return isHeld || len(t.pinnedTo) > 0
+// onlySide returns the only side that may run the task, nil if there is none at present. It returns
+// false if the task isn't pinned.
+func (b *Broker) onlySide(t *task) (*side, bool) {
+	sides := t.pinnedTo
+	if h, isHeld := b.heldTaskElsewhere(t.name); isHeld && !slices.Contains(sides, h.side) {
+		sides = append(slices.Clip(sides), h.side)
+	}
+	if len(sides) != 1 {
+		return nil, len(sides) > 0
+	}
+	return b.sides[sides[0]], true
 }
 
-// mayRunAt reports whether the side is the only one that may start an earlier run of the task, if
-// there is any.
-func (b *Broker) mayRunAt(t *task, s *side) bool {
-	for _, sideName := range t.pinnedTo {
-		if sideName != s.name {
-			return false
-		}
+// choosePinned returns the only side that may run the task if that has room for it, or nil.
+func (b *Broker) choosePinned(now time.Time, t *task, only *side) *side {
+	if only == nil || !b.isEligible(now, t, only) {
+		return nil
 	}
-	h, isHeld := b.heldTaskElsewhere(t.name)
-	return !isHeld || h.side == s.name
+	available, size := only.available(t.tier), demand(t.step.Step)
+	if !size.fitsIn(available.plus(only.queueLimit())) || t.heldBack && !t.mayStart(available, size, only.capacity) {
+		return nil
+	}
+	return only
+}
+
+// mayRunAt reports whether the side may run the task, which may be pinned to another one.
+func (b *Broker) mayRunAt(t *task, s *side) bool {
+	only, isPinned := b.onlySide(t)
+	return !isPinned || only == s
 }
 
 // nextRun returns the number of the next run of the task. A worker refuses one that isn't higher than
--- a/yuccabroker/place.go
+++ b/yuccabroker/place.go
@@ -58,12 +58,15 @@
 		if (!suspect || suspects < maxSkippedSuspects) && !(t.heldBack && t.step.CPUMilli > batch.spareCPU(b, t.job.Queue.Service)) {
 			s = b.chooseSide(now, t)
 		}
-		isPinned := b.isPinned(t)
-		waits := s == nil && (isPinned || t.step.waitedAt.Equal(now))
+		only, isPinned := b.onlySide(t)
+		waits := s == nil && t.step.waitedAt.Equal(now)
 		skip := suspect || waits
-		if !skip && !t.heldBack && !isPinned {
+		if !skip && !t.heldBack && (!isPinned || only != nil && only.isLarge(t)) {
 			s, skip = b.reserve(now, t, s, len(skipped)-suspects)
 		}
+		if s == nil && isPinned {
+			skip, waits = true, true
+		}
 		if s == nil && !skip {
 			queues = slices.DeleteFunc(queues, func(q *taskQueue) bool {
 				return q == queue || !t.heldBack && q.Len() > 0 && q.peek().job.Queue.Service == t.job.Queue.Service
@@ -137,10 +140,11 @@
 		})
 		n++
 	}
+	_, isPinned := b.onlySide(t)
 	order := &yuccawire.TaskOrder{
 		Task: t.name, Run: t.run, CpuMilli: uint32(t.step.CPUMilli), MemoryMb: uint32(t.step.MemoryMB),
 		Accelerators: uint32(t.step.Accelerators), EstimateMs: uint32(t.step.Estimate.Milliseconds()), Failures: t.failures, Suspect: b.isSuspect(t), Reserved: t.reservation != nil,
-		Pinned: b.isPinned(t),
+		Pinned: isPinned,
 	}
 	m.Jobs[n-1].Tasks = append(m.Jobs[n-1].Tasks, order)
 	s.unreported = append(s.unreported, unreportedOrder{number: s.lastOrder + 1, sentAt: now, tier: t.tier, size: demand(t.step.Step)})
