broker: raise the limit of held tasks, and log what is beyond it

A list was cut at 1,000 tasks by name, without a line in the log: the others could run twice. A job has up to 1,600 tasks, and 1,100 sides send lists of their own, of which 1,000 were known at most.

--- a/yuccabroker/held.go
+++ b/yuccabroker/held.go
@@ -22,8 +22,8 @@
 	// later by another way is recognised.
 	heldRetention = 10 * time.Second
 	// maxHeldTasks limits the tasks of a list, maxHeldLists the lists that are known.
-	maxHeldTasks = 1000
-	maxHeldLists = 1000
+	maxHeldTasks = 16_384
+	maxHeldLists = 4096
 )
 
 // heldKey identifies a process that lists held tasks.
@@ -129,6 +129,13 @@
 		return
 	}
 	before := len(b.held)
+	if len(held) > maxHeldTasks {
+		b.metrics.Add("held_tasks_dropped", int64(len(held)-maxHeldTasks))
+		b.options.Logger.Error("too many tasks with runs whose end is not known, other entries don't hear of all", "tasks", len(held), "limit", maxHeldTasks)
+		for _, name := range slices.Sorted(maps.Keys(held))[maxHeldTasks:] {
+			delete(held, name)
+		}
+	}
 	b.held, b.heldAt = held, now
 	b.heldSequence++
 	list := b.ownHeldList(now)
@@ -145,8 +152,7 @@
 
 // addHeld adds the tasks to the list, as many as fit.
 func addHeld(now time.Time, list *yuccawire.HeldTasks, held map[string]heldTask) {
-	names := slices.Sorted(maps.Keys(held))
-	for _, name := range names[:min(len(names), maxHeldTasks)] {
+	for _, name := range slices.Sorted(maps.Keys(held)) {
 		h := held[name]
 		remaining := min(max(h.until.Sub(now), 0).Milliseconds(), math.MaxUint32)
 		list.Tasks = append(list.Tasks, &yuccawire.HeldTask{Task: name, RemainingMs: uint32(remaining), Side: h.side, Run: h.run})
