worker, broker: refuse what waits at the sides of a drained data centre

What callers saw: nothing wrong; operators did.

Cause: Broker.SetDrained only stops further orders. What waits in the queue of a side starts when its worker has room, until the deadline of its job: a side knows nothing of drained data centres.

Ruled out: that the entries hear late (they had the list within 0.1 s); that the queues are bounded by their length (a fifth of a worker, which takes as long as the tasks before it). Weighed: a withdrawal of queued runs by their owner. It needs repeats until the side has answered, the owner must know of the change, and a side that knows it can also refuse the orders of entries that do not.

Now entries tell each linked side, on a change and on a new link, the version of the list and whether its data centre is on it (two fields of Beat, which older sides pass over), and a side goes by the newest list of its owners and refuses its queue. Runs in progress go on. Nothing is sent before the first change.

Why it works: a side in touch is linked with all entries (up to 17), so one that has the list tells it at once; links are in order, so that orders sent before the news are refused with the queue, and orders after a restoration follow the news of it. The refused tasks are queued at their entry, which places them elsewhere.

--- a/yuccabroker/broker.go
+++ b/yuccabroker/broker.go
@@ -33,8 +33,9 @@
 	options Options
 	metrics *yuccametric.Set
 	actions []Action
-	// drained is the set of data centres that operators have drained.
-	drained map[string]bool
+	// drained is the set of data centres that operators have drained, as of drainedVersion.
+	drained        map[string]bool
+	drainedVersion uint64
 
 	jobs map[string]*job
 	// jobList holds the jobs in order of arrival; ended ones are pruned each tick.
@@ -171,15 +172,6 @@
 
 func (b *Broker) send(side string, m *yuccawire.Envelope) { b.emit(Send{Side: side, Message: m}) }
 
-// SetDrained replaces the set of drained data centres, which get no new runs.
-func (b *Broker) SetDrained(dataCentres []string) {
-	clear(b.drained)
-	for _, name := range dataCentres {
-		b.drained[name] = true
-	}
-	b.needsPlacement = true
-}
-
 // StopAt schedules the stop of this entry: open jobs are answered by then, and
 // new jobs that are unlikely to complete in time are rejected.
 func (b *Broker) StopAt(now time.Time, stopAt time.Time) {
--- a/yuccabroker/broker_test.go
+++ b/yuccabroker/broker_test.go
@@ -340,12 +340,12 @@
 // A drained data centre gets no orders.
 func TestDrainedDataCentre(t *testing.T) {
 	f := newFixture(t, "s1")
-	f.broker.SetDrained([]string{"puno"})
+	f.broker.SetDrained(1, []string{"puno"})
 	f.submit(job("a", 1), 1)
 	if len(f.sentRuns()) != 0 {
 		t.Errorf("sent %v to a drained data centre", f.sentRuns())
 	}
-	f.broker.SetDrained(nil)
+	f.broker.SetDrained(2, nil)
 	f.flush()
 	if len(f.sentRuns()) != 1 {
 		t.Error("no run was sent after the data centre was enabled again")
--- a/yuccabroker/side.go
+++ b/yuccabroker/side.go
@@ -162,6 +162,7 @@
 	for t := range s.allRuns() {
 		t.order = 0
 	}
+	b.sendDrained(s)
 }
 
 // HandleLinkDown records the loss of the link to a side. Its runs may still be
--- a/yuccabroker/unsent_test.go
+++ b/yuccabroker/unsent_test.go
@@ -28,7 +28,7 @@
 		{"crash", func() {
 			f.broker.HandleCrashReport(f.now, &yuccawire.CrashReport{Crashes: []*yuccawire.Crash{{Side: "s2"}}})
 		}},
-		{"drained", func() { f.broker.SetDrained(nil) }},
+		{"drained", func() { f.broker.SetDrained(2, nil) }},
 		{"caller left", func() { f.broker.HandleDisconnect(f.now, "b", 2) }},
 		{"suspension", func() { f.broker.HandleSuspension(f.now, 0) }},
 	} {
--- a/yuccaedge/config.go
+++ b/yuccaedge/config.go
@@ -91,7 +91,7 @@
 	}
 	e.config.Store(&next)
 	if next.view != current.view {
-		e.broker.SetDrained(next.view.Drained())
+		e.broker.SetDrained(next.view.Version(yuccadocument.SectionDrainedDataCentres), next.view.Drained())
 		e.options.Mesh.AnnounceSections()
 	}
 }
--- a/yuccasized/system_test.go
+++ b/yuccasized/system_test.go
@@ -85,7 +85,7 @@
 }
 
 func node(name string, role yuccawire.Role) *yuccawire.Node {
-	return &yuccawire.Node{Name: name, Role: role, Address: name + ":1", Incarnation: 1}
+	return &yuccawire.Node{Name: name, Role: role, Address: name + ":1", Incarnation: 1, DataCentre: "puno"}
 }
 
 // reporter passes the worker's reports to the driver at a fixed interval.
--- a/yuccaworker/clock.go
+++ b/yuccaworker/clock.go
@@ -29,3 +29,12 @@
 func (c *workerClock) mayShow(ms int64, now time.Time) bool {
 	return c.observedAt.IsZero() || ms <= c.lastMS+now.Sub(c.observedAt).Milliseconds()+maxClockAge.Milliseconds()
 }
+
+// correctClock sets the clock to what the first answer of an incarnation says, if its report
+// put it ahead. The worker shortens the deadlines that were sent since to the longest lease.
+func (w *Worker) correctClock(now time.Time, answeredMS int64) {
+	if answeredMS < w.clock.lowerBound(now) {
+		w.clock = workerClock{lastMS: answeredMS, observedAt: now}
+		w.deadlineMS, w.holdUntilMS = 0, answeredMS+maxLease.Milliseconds()
+	}
+}
--- a/yuccaworker/owner.go
+++ b/yuccaworker/owner.go
@@ -40,6 +40,7 @@
 	if ms := m.GetIdleIntervalMs(); ms > 0 {
 		o.idleInterval = max(time.Duration(ms)*time.Millisecond, o.stateInterval)
 	}
+	w.handleDrainNews(now, o, m)
 	w.sendStates(now)
 }
 
@@ -147,6 +148,7 @@
 		if !o.linked && now.Sub(o.leaseUntil) > OutcomeRetention {
 			delete(w.owners, o.id)
 			w.ownerList = slices.DeleteFunc(w.ownerList, func(other *owner) bool { return other == o })
+			w.updateDrained(now)
 		}
 	}
 }
--- a/yuccaworker/worker.go
+++ b/yuccaworker/worker.go
@@ -124,6 +124,8 @@
 	reservationEndedAt time.Time
 	health             health
 	held               heldRuns
+	// isDrained is set while the side's data centre is drained.
+	isDrained bool
 }
 
 // resources is the demand of a task, or the capacity of a worker.
@@ -166,7 +168,8 @@
 	// succeeded holds the runs that have succeeded and may still start.
 	succeeded []endedRun
 	// runCount counts running and queued tasks.
-	runCount int
+	runCount  int
+	drainNews drainNews
 }
 
 // retainedOutcome is an outcome that is sent again when the owner reconnects.
@@ -409,15 +412,6 @@
 	w.clock.observe(clockMS, now)
 }
 
-// correctClock sets the clock to what the first answer of an incarnation says, if its report
-// put it ahead. The worker shortens the deadlines that were sent since to the longest lease.
-func (w *Worker) correctClock(now time.Time, answeredMS int64) {
-	if answeredMS < w.clock.lowerBound(now) {
-		w.clock = workerClock{lastMS: answeredMS, observedAt: now}
-		w.deadlineMS, w.holdUntilMS = 0, answeredMS+maxLease.Milliseconds()
-	}
-}
-
 // isReachable reports whether the worker has not refused a connection since its last
 // answer or report.
 func (w *Worker) isReachable() bool { return w.unreachableSince.IsZero() }
