worker: refuse orders of entries that don't know of a drained data centre

Cause: only the entries looked at the list. An entry without news of control goes on to place tasks.

Ruled out: that such an entry stops: it takes jobs and places them by what it knows (it isn't in touch, so that CONFIG allows it), and its links to the sides renew its leases there.

A side now refuses orders while its data centre is drained by the newest list that it has heard.

--- a/yuccabroker/drain_test.go
+++ b/yuccabroker/drain_test.go
@@ -4,8 +4,10 @@
 	"fmt"
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/yuccaturn/yuccaturn/yuccabroker"
+	"github.com/yuccaturn/yuccaturn/yuccawire"
 )
 
 func TestSideDoesNotHearThatItsDataCentreIsDrained(t *testing.T) {
@@ -41,3 +43,17 @@
 		}
 	}
 }
+
+func TestOrdersGoToAndFroWithADrainedSide(t *testing.T) {
+	f := newFixture(t, "s1")
+	f.submit(job("a", 1), 1)
+	for range 5 {
+		for run := range f.sentRuns() {
+			f.endRun("s1", "a.0.0.0", uint64(run[len(run)-1]-'0'), yuccawire.RunEnd_RUN_END_REFUSED, yuccawire.RunRefusal_RUN_REFUSAL_DRAINED)
+		}
+		f.advance(80*time.Millisecond, "s1")
+	}
+	if len(f.sentRuns()) != 1 {
+		t.Errorf("a side that refuses all as drained got %d orders in 400ms, want 1", len(f.sentRuns()))
+	}
+}
--- a/yuccabroker/side.go
+++ b/yuccabroker/side.go
@@ -378,6 +378,9 @@
 		s.hasSuspectRun = true
 	case yuccawire.RunRefusal_RUN_REFUSAL_NO_ROOM, yuccawire.RunRefusal_RUN_REFUSAL_RESERVED:
 		s.pausedUntil = now.Add(refusalBackoff)
+	case yuccawire.RunRefusal_RUN_REFUSAL_DRAINED:
+		b.logRunEnd(now, t, s, e)
+		s.pausedUntil = now.Add(drainedBackoff)
 	default:
 		b.logRunEnd(now, t, s, e)
 		t.avoid = s
--- a/yuccasized/drained_test.go
+++ b/yuccasized/drained_test.go
@@ -38,3 +38,22 @@
 		}
 	})
 }
+
+func TestEntryThatIsCutOffStartsTasksInADrainedDataCentre(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem(t)
+		s.fabric.Partition("e0", "e1")
+		s.setDrained(1, 1, "puno")
+		sub := s.submit("late", `{"deadline": "3s", "payload": {"sleep": "60ms"}, "steps": [{"tasks": 1, "cpu": 1, "estimate": "60ms"}]}`)
+		<-sub.done
+		if sub.status == http.StatusOK || s.worker.Starts() != 0 {
+			t.Errorf("response %d %v after %d starts, want none", sub.status, sub.answer, s.worker.Starts())
+		}
+		s.setDrained(1, 2)
+		again := s.submit("again", `{"deadline": "3s", "payload": {"sleep": "60ms"}, "steps": [{"tasks": 1, "cpu": 1, "estimate": "60ms"}]}`)
+		<-again.done
+		if again.status != http.StatusOK {
+			t.Errorf("after the data centre was restored: response %d %v, want 200", again.status, again.answer)
+		}
+	})
+}
--- a/yuccaworker/run.go
+++ b/yuccaworker/run.go
@@ -127,6 +127,8 @@
 		return yuccawire.RunRefusal_RUN_REFUSAL_NO_WORKER
 	case w.stopping || w.report.Leaving || r.owner.closing:
 		return yuccawire.RunRefusal_RUN_REFUSAL_LEAVING
+	case w.isDrained:
+		return yuccawire.RunRefusal_RUN_REFUSAL_DRAINED
 	case r.staleReason(now) != yuccawire.RunRefusal_RUN_REFUSAL_UNSPECIFIED:
 		return r.staleReason(now)
 	case w.isReportStale(now):
