worker: refuse tasks whose label the worker lacks

A worker crashes idle, and one of another kind takes its place within the 4 s in which the last report counts; the side takes it over within milliseconds of its report, and an entry hears of the new labels 15 ms and a delay of the link later. An order sent in between is started.

The side checks the service and the size of what it is sent, but an order didn't name the label.

Ruled out: queued tasks at a new worker, which the takeover refuses; antiAffinity, as a new worker has no runs, and the entry counts its own.

Orders now name the label (a few bytes, only for steps that have one; older sides pass over it), and the side refuses orders, and what waits, if its worker doesn't suit.

--- a/yuccabroker/broker_test.go
+++ b/yuccabroker/broker_test.go
@@ -376,6 +376,16 @@
 	f.wantState(2, yuccabroker.Failed)
 }
 
+func TestOrderDoesNotNameTheLabel(t *testing.T) {
+	f := newFixture(t, "s1")
+	j := job("a", 1)
+	j.Steps[0].Label = "a"
+	f.submit(j, 1)
+	if order := f.orders["s1"][0].GetJobs()[0].GetTasks()[0]; order.GetLabel() != "a" {
+		t.Errorf("the order is %v, want the label for the side to check", order)
+	}
+}
+
 // Urgent tasks are placed first, regardless of less urgent ones queued at the side.
 func TestUrgentFirst(t *testing.T) {
 	f := newFixture(t, "s1")
--- a/yuccabroker/place.go
+++ b/yuccabroker/place.go
@@ -140,6 +140,7 @@
 	order := &yuccawire.TaskOrder{
 		Task: t.name, Run: t.run, CpuMilli: uint32(t.step.CPUMilli), MemoryMb: uint32(t.step.MemoryMB),
 		Accelerators: uint32(t.step.Accelerators), EstimateMs: uint32(t.step.Estimate.Milliseconds()), Failures: t.failures, Suspect: b.isSuspect(t), Reserved: t.reservation != nil,
+		Label: t.step.Label,
 	}
 	m.Jobs[n-1].Tasks = append(m.Jobs[n-1].Tasks, order)
 	s.unreported = append(s.unreported, unreportedOrder{number: s.lastOrder + 1, sentAt: now, tier: t.tier, size: demand(t.step.Step)})
--- a/yuccaworker/run.go
+++ b/yuccaworker/run.go
@@ -28,6 +28,7 @@
 	key           Key
 	owner         *owner
 	service       string
+	label         string
 	queue         string
 	payload       []byte
 	traceparent   string
@@ -98,7 +99,7 @@
 
 func (w *Worker) admit(now time.Time, o *owner, job *yuccawire.JobOrder, task *yuccawire.TaskOrder) {
 	r := &run{
-		key: Key{Task: task.GetTask(), Run: task.GetRun()}, owner: o, service: job.GetService(), queue: job.GetQueue(), payload: job.GetPayload(), traceparent: job.GetTraceparent(),
+		key: Key{Task: task.GetTask(), Run: task.GetRun()}, owner: o, service: job.GetService(), label: task.GetLabel(), queue: job.GetQueue(), payload: job.GetPayload(), traceparent: job.GetTraceparent(),
 		demand:    resources{cpuMilli: int(task.GetCpuMilli()), memoryMB: int(task.GetMemoryMb()), accelerators: int(task.GetAccelerators())},
 		tier:      min(int(job.GetTier()), tierCount-1),
 		rankMS:    job.GetRankMs(),
@@ -123,7 +124,7 @@
 
 func (w *Worker) refusalFor(now time.Time, r *run) yuccawire.RunRefusal {
 	switch {
-	case w.report == nil || w.gone || w.deregistered || !w.isReachable() || !w.takenOver || r.service != w.report.Service:
+	case w.report == nil || w.gone || w.deregistered || !w.isReachable() || !w.takenOver || !w.report.suits(r):
 		return yuccawire.RunRefusal_RUN_REFUSAL_NO_WORKER
 	case w.stopping || w.report.Leaving || r.owner.closing:
 		return yuccawire.RunRefusal_RUN_REFUSAL_LEAVING
@@ -258,6 +259,19 @@
 	}
 }
 
+// refuseUnsuited refuses the queued tasks that the worker doesn't suit any more.
+func (w *Worker) refuseUnsuited(now time.Time) {
+	for i := 0; i < len(w.queue); {
+		r := w.queue[i]
+		if w.report.suits(r) {
+			i++
+			continue
+		}
+		w.dequeue(i)
+		w.refuseQueued(now, r, yuccawire.RunRefusal_RUN_REFUSAL_NO_WORKER)
+	}
+}
+
 func (w *Worker) expireQueue(now time.Time) {
 	for i := 0; i < len(w.queue); {
 		r := w.queue[i]
--- a/yuccaworker/types.go
+++ b/yuccaworker/types.go
@@ -34,6 +34,11 @@
 	return resources{cpuMilli: r.CPUMilli, memoryMB: r.MemoryMB, accelerators: r.Accelerators}
 }
 
+// suits reports whether the worker is of the service and has the label that a run needs.
+func (r Report) suits(run *run) bool {
+	return run.service == r.Service && (run.label == "" || slices.Contains(r.Labels, run.label))
+}
+
 // sameSpec reports whether both reports agree in the fields that seldom change.
 func (r Report) sameSpec(other Report) bool {
 	return r.ID == other.ID && r.Service == other.Service && r.CPUMilli == other.CPUMilli && r.MemoryMB == other.MemoryMB &&
--- a/yuccaworker/worker.go
+++ b/yuccaworker/worker.go
@@ -258,6 +258,7 @@
 	}
 	if sameIncarnation {
 		w.recordReachable(now)
+		w.refuseUnsuited(now)
 		w.handleCapacity(now, previous)
 		if previous.Remaining != r.Remaining {
 			w.markOwnersDirty()
