--- a/yuccabroker/broker_test.go
+++ b/yuccabroker/broker_test.go
@@ -340,12 +340,12 @@
 // A drained data centre gets no orders.
 func TestDrainedDataCentre(t *testing.T) {
 	f := newFixture(t, "s1")
-	f.broker.SetDrained([]string{"puno"})
+	f.broker.SetDrained(1, []string{"puno"})
 	f.submit(job("a", 1), 1)
 	if len(f.sentRuns()) != 0 {
 		t.Errorf("sent %v to a drained data centre", f.sentRuns())
 	}
-	f.broker.SetDrained(nil)
+	f.broker.SetDrained(2, nil)
 	f.flush()
 	if len(f.sentRuns()) != 1 {
 		t.Error("no run was sent after the data centre was enabled again")
@@ -376,6 +376,16 @@
 	f.wantState(2, yuccabroker.Failed)
 }
 
+func TestOrderDoesNotNameTheLabel(t *testing.T) {
+	f := newFixture(t, "s1")
+	j := job("a", 1)
+	j.Steps[0].Label = "a"
+	f.submit(j, 1)
+	if order := f.orders["s1"][0].GetJobs()[0].GetTasks()[0]; order.GetLabel() != "a" {
+		t.Errorf("the order is %v, want the label for the side to check", order)
+	}
+}
+
 // Urgent tasks are placed first, regardless of less urgent ones queued at the side.
 func TestUrgentFirst(t *testing.T) {
 	f := newFixture(t, "s1")
