broker, worker: fail no job for starts that no worker has executed

Callers were answered `failed, task ... crashed 2 workers`, though no run of the task had failed or been lost with two workers.

Cause: a run whose start has no answer counts as active in a crash, as it may be the cause. Where calls are late and the worker ends for another reason, the start was never executed, and its time until the crash is near zero as that of other such starts: the same point. And once a restarted worker had answered a start, the run counted for the earlier incarnation if the clock of the next one was ahead ().

Now the side says of each crashed run whether its start is unconfirmed: the crashed incarnation has neither answered it nor listed the run; only listed if the crash was noticed by the restart. Its task is suspect as before and repeated apart, but only confirmed runs are compared and counted.

A task that crashes its workers before they can answer would go on without end: four crashes of any kind end it, one more than at different points. Until now two did. The window is that of one call, and a delayed call looks the same to the side, so more can't be told. A job can still be failed without cause by a fourth unanswered start in a minute.

Ruled out: leaving unanswered starts out of the crash (such tasks would be neither suspect nor ended); trusting the clock of an answer, as a restarted worker's clock may be ahead.

An old side sets no field, so that its runs count as before; an old entry ignores the field.

--- a/yuccabroker/crash.go
+++ b/yuccabroker/crash.go
@@ -13,6 +13,9 @@
 	// given up. Two are enough if they crashed at the same point of its runs: that is
 	// the task's doing, not that of another one on the same worker.
 	maxCrashes = 3
+	// maxAnyCrashes is the same with the crashes that the task may not have been there for.
+	// Workers that crash before they can answer a start show no others.
+	maxAnyCrashes = 4
 	// Crashes happened at the same point if the run times until then differ by at most
 	// samePointShare of the longer one and samePointSlack, with which the side sees
 	// starts and crashes.
@@ -126,17 +129,19 @@
 // crashesWorkers reports whether a task is the likely cause of the crashes under its
 // runs.
 func crashesWorkers(runs []crashedRun) bool {
-	if len(runs) >= maxCrashes {
-		return true
-	}
+	confirmed := 0
 	for i, a := range runs {
+		if a.isUnconfirmed {
+			continue
+		}
+		confirmed++
 		for _, b := range runs[:i] {
-			if !a.isExplained && !b.isExplained && isSamePoint(a.ran, b.ran) {
+			if !b.isUnconfirmed && !a.isExplained && !b.isExplained && isSamePoint(a.ran, b.ran) {
 				return true
 			}
 		}
 	}
-	return false
+	return confirmed >= maxCrashes || len(runs) >= maxAnyCrashes
 }
 
 func isSamePoint(a, b time.Duration) bool {
--- a/yuccabroker/crash_test.go
+++ b/yuccabroker/crash_test.go
@@ -168,3 +168,29 @@
 		t.Errorf("%d tasks are repeated, want all four at once", n)
 	}
 }
+
+// Starts without an answer may not have been executed: their crashes at the same point are
+// no proof, beside one another or a confirmed one. They end with the fourth.
+func TestJobIsFailedForStartsThatWereNotExecuted(t *testing.T) {
+	for name, confirmed := range map[string]int{"none confirmed": 0, "the first confirmed": 1} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, "s1", "s2", "s3", "s4")
+			f.submit(job("a", 1), 1)
+			for run := range 4 {
+				if _, answered := f.answers[1]; answered {
+					t.Fatalf("the job is given up after %d crashes", run)
+				}
+				f.now = f.now.Add(100 * time.Millisecond)
+				report := crashReport(fmt.Sprint("w", run), "a.0.0.0", 12*time.Millisecond)
+				report.GetCrashes()[0].GetRuns()[0].Unconfirmed = run >= confirmed
+				side := f.sentRuns()[fmt.Sprintf("a.0.0.0/%d", run+1)]
+				f.broker.HandleCrashReport(f.now, report)
+				f.endRunAfter(side, "a.0.0.0", uint64(run+1), crashed, 12*time.Millisecond)
+				if again := f.sentRuns()[fmt.Sprintf("a.0.0.0/%d", run+2)]; again != "" && !f.orders[again][len(f.orders[again])-1].GetJobs()[0].GetTasks()[0].GetSuspect() {
+					t.Error("the task is repeated without suspicion")
+				}
+			}
+			f.wantState(1, yuccabroker.Failed)
+		})
+	}
+}
--- a/yuccabroker/crashlog.go
+++ b/yuccabroker/crashlog.go
@@ -48,6 +48,8 @@
 	ran   time.Duration
 	// isExplained is set if the crash is put down to another queue.
 	isExplained bool
+	// isUnconfirmed is set if the start may not have been executed.
+	isUnconfirmed bool
 }
 
 func newCrashLog() *crashLog {
@@ -76,7 +78,7 @@
 	l.inOrder = append(l.inOrder, c)
 	for _, r := range m.GetRuns() {
 		l.byTask[r.GetTask()] = append(l.byTask[r.GetTask()], crashedRun{
-			crash: c, ran: runTime(r), isExplained: isExplained && !isConfined(r.GetQueue()),
+			crash: c, ran: runTime(r), isExplained: isExplained && !isConfined(r.GetQueue()), isUnconfirmed: r.GetUnconfirmed(),
 		})
 	}
 	return true
--- a/yuccaworker/crash.go
+++ b/yuccaworker/crash.go
@@ -41,7 +41,7 @@
 	if w.crashReported {
 		return
 	}
-	crash := w.newCrash(now)
+	crash := w.newCrash(now, func(r *run) bool { return r.listed || r.state == started })
 	if len(crash.GetRuns()) == 0 {
 		return
 	}
@@ -51,12 +51,16 @@
 
 // newCrash returns the crash of this incarnation with the runs that were active. A start
 // without an answer may have been the cause, unless the lists show that it was not executed.
-func (w *Worker) newCrash(now time.Time) *yuccawire.Crash {
+// isConfirmed tells the runs that this incarnation has executed from these.
+func (w *Worker) newCrash(now time.Time, isConfirmed func(r *run) bool) *yuccawire.Crash {
 	crashedAt := w.crashTime(now)
 	crash := &yuccawire.Crash{Worker: w.report.ID, Service: w.report.Service, StartedUnixMs: w.report.StartedAtMS}
 	for _, r := range w.sortedRuns() {
 		if !r.startSentAt.After(crashedAt) && r.lostAs == yuccawire.RunEnd_RUN_END_UNSPECIFIED && (r.state == started || !r.absent) {
-			crash.Runs = append(crash.Runs, &yuccawire.CrashedRun{Task: r.key.Task, Queue: r.queue, CpuMilli: uint32(r.demand.cpuMilli), RanMs: uint32(crashedAt.Sub(r.startSentAt).Milliseconds())})
+			crash.Runs = append(crash.Runs, &yuccawire.CrashedRun{
+				Task: r.key.Task, Queue: r.queue, CpuMilli: uint32(r.demand.cpuMilli),
+				RanMs: uint32(crashedAt.Sub(r.startSentAt).Milliseconds()), Unconfirmed: !isConfirmed(r),
+			})
 		}
 	}
 	return crash
--- a/yuccaworker/crash_test.go
+++ b/yuccaworker/crash_test.go
@@ -249,3 +249,43 @@
 		t.Errorf("crashes %v were reported, want one with both runs", h.crashes[entry])
 	}
 }
+
+// Only a run that the crashed incarnation has answered or listed was there for certain.
+func TestUnansweredStartIsReportedAsConfirmed(t *testing.T) {
+	restart := func(h *harness) {
+		h.restart(0)
+		h.core.HandleHoldReply(h.now, yuccaworker.HoldResult{
+			Incarnation: yuccaworker.Incarnation{ID: "w-1", StartedAtMS: 100}, Result: yuccaworker.ResultOtherIncarnation, SentAt: h.now,
+		})
+	}
+	for name, c := range map[string]struct {
+		loseStart   bool
+		crashAfter  time.Duration
+		crash       func(h *harness)
+		unconfirmed bool
+	}{
+		"answered":                        {crashAfter: 10 * time.Millisecond, crash: (*harness).crash},
+		"unanswered":                      {loseStart: true, crashAfter: 10 * time.Millisecond, crash: (*harness).crash, unconfirmed: true},
+		"listed":                          {crashAfter: 300 * time.Millisecond, crash: restart},
+		"answered, maybe by the next one": {crashAfter: 10 * time.Millisecond, crash: restart, unconfirmed: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			h.handleOrder(entry, lease, task("a", 1, 1600))
+			for _, a := range h.core.Actions() {
+				if _, isStart := a.(yuccaworker.CallStart); !isStart || !c.loseStart {
+					h.runAction(a)
+				}
+			}
+			h.advanceWithLease(entry, c.crashAfter)
+			c.crash(h)
+			h.advanceWithLease(entry, 2*time.Second)
+			if len(h.crashes[entry]) != 1 || len(h.crashes[entry][0].GetRuns()) != 1 {
+				t.Fatalf("crashes %v were reported, want one with the run", h.crashes[entry])
+			}
+			if got := h.crashes[entry][0].GetRuns()[0].GetUnconfirmed(); got != c.unconfirmed {
+				t.Errorf("the run is reported as unconfirmed: %v, want %v", got, c.unconfirmed)
+			}
+		})
+	}
+}
--- a/yuccaworker/restart.go
+++ b/yuccaworker/restart.go
@@ -25,7 +25,8 @@
 	var pending *pendingCrash
 	if crashed && !w.crashReported {
 		w.crashReported = true
-		pending = &pendingCrash{crash: w.newCrash(now), crashedAt: endedAt}
+		// The next incarnation may have answered a start.
+		pending = &pendingCrash{crash: w.newCrash(now, func(r *run) bool { return r.listed }), crashedAt: endedAt}
 	}
 	lost, unconfirmed := 0, 0
 	for _, r := range w.sortedRuns() {
