broker: answer no job with that of another queue with the same id

A caller who sent a job to one queue while a job of another queue with the same id was open at the entry was answered with the outcome of that one. Its own job was never run.

Cause: Submit joined an open job by its id alone, while the retained outcome, JobState and Cancel compare the queue, too.

What users expect: the address names queue and id, and a query or a DELETE finds a job in its queue only, so the same id in another queue is another job. Tasks are named by the id, so the two can't run at the same time: the second is refused as rejected, which is true, and may come again a second later. A job with the same service, steps and payload may be a resend whose queue the document has renamed; it may have run, so the refusal would be false. It is answered as given up (504).

Ruled out: task names with the queue in them, as workers, sides and other versions see these names; to join a job of the same content, which is the fault again for callers who send one content to two queues.

It holds at one entry. Two entries that have open jobs with one id don't know it of each other, as before; and the later of two jobs with one id that end within 10 s replaces the retained outcome of the earlier.

--- a/yuccabroker/job.go
+++ b/yuccabroker/job.go
@@ -133,7 +133,7 @@
 	reservation   *reservation
 }
 
-// Submit accepts or refuses a job. A resend joins the open job with its ID, or
+// Submit accepts or refuses a job. A resend joins the open job with its ID and queue, or
 // is answered with the retained outcome if the job has completed or failed. The
 // outcome is returned by an [Answer] for the waiter.
 func (b *Broker) Submit(now time.Time, submitted Job, waiter uint64) {
@@ -146,6 +146,10 @@
 		return
 	}
 	if j := b.jobs[submitted.ID]; j != nil {
+		if j.Queue.Name != submitted.Queue.Name {
+			b.refuseSameID(j, submitted, waiter)
+			return
+		}
 		b.metrics.Add("jobs_joined", 1)
 		b.options.Logger.Info("resend joined the open job", "job", j.ID, "waiters", len(j.waiters)+1)
 		j.waiters = append(j.waiters, waiter)
