edge: show no configuration that was confirmed before a suspension

An operator who reads the configuration at an entry whose machine was just suspended could get an old one, though a newer one had been acknowledged meanwhile.

Cause: the age of the confirmation is measured by a clock that stands still. A suspension is noticed by the event loop, while Document reads beside it; the loop took lease updates without a check, and those that a renewal from before the suspension had led to; and the lease client of sized entries was given no Monitor, so that it extended the lease by such a renewal.

Now the lease client and the edge share a Monitor, as on the claimed path. A confirmation counts for the number of suspensions before it was requested, and Document compares that with the present one, after it has read the clock.

Ruled out: a second Watch in Document, which is not safe for concurrent use and would take the suspension from the loop. A suspension between the check and the response can't be seen; responseMargin doesn't cover it, as before.

TestSuspendedEntryShowsAnOldConfiguration fails without each of the two comparisons, which is how it was before: right after the suspension, and by an update from before it. That the renewal in flight extends nothing is TestLeaseEndsWithASuspension. That addEntry passes the Monitor on has no test; without it the reads would be refused after a suspension.

--- a/yuccacommand/sizedconfig.go
+++ b/yuccacommand/sizedconfig.go
@@ -120,8 +120,9 @@
 	controlNetwork := yuccamux.New(yuccamux.Options{
 		KeepAlive: controlKeepAlive, WriteTimeout: controlWriteTimeout, MaxPendingBytes: replicaPendingBytes,
 	})
+	suspensions := yuccasuspend.NewMonitor()
 	lease := yuccalease.New(yuccalease.Options{
-		Network: controlNetwork, Self: node, Sections: yuccadocument.WholeDocumentSections, Random: newRandom(), Logger: c.logger,
+		Network: controlNetwork, Self: node, Sections: yuccadocument.WholeDocumentSections, Random: newRandom(), Logger: c.logger, Suspensions: suspensions,
 		Discover: func() []string { return controlAddresses(mesh, address) },
 		Pending:  func() []*yuccawire.QueueCount { return edge.PendingCounts() },
 	})
@@ -142,7 +143,7 @@
 			Name: c.name, Incarnation: node.GetIncarnation(), DataCentre: c.dataCentre, Scheduling: c.scheduling,
 			Random: newRandom(), Metrics: c.metrics, Logger: c.logger,
 		}),
-		SuspendWatch: yuccasuspend.New(), Metrics: c.metrics, Logger: c.logger,
+		Suspensions: suspensions, Metrics: c.metrics, Logger: c.logger,
 	})
 	p.add(mesh, lease, edge)
 	return edge, nil
--- a/yuccaedge/config.go
+++ b/yuccaedge/config.go
@@ -21,7 +21,7 @@
 		e.pendingElsewhere, e.pendingElsewhereAt = u.Pending, time.Now()
 	}
 	confirmedAt := u.Lease.Expires().Add(-yuccalease.Duration)
-	if u.Lease.Expires().IsZero() {
+	if u.Lease.Expires().IsZero() || u.Suspensions != e.suspensions.Count {
 		confirmedAt = time.Time{}
 	}
 	var newer []*yuccawire.Section
@@ -116,14 +116,15 @@
 
 // Document returns the text of the current document. It returns
 // ErrNoConfiguration if there is none, and ErrStaleConfiguration if control has
-// not confirmed it within Options.MaxConfigurationAge, since a newer document
-// may have been acknowledged.
+// not confirmed it within Options.MaxConfigurationAge, or since the machine was
+// suspended, since a newer document may have been acknowledged.
 func (e *Edge) Document() ([]byte, error) {
 	c := e.config.Load()
 	if c.catalog == nil {
 		return nil, ErrNoConfiguration
 	}
-	if age := time.Since(c.confirmedAt); age > e.options.MaxConfigurationAge-responseMargin {
+	age := time.Since(c.confirmedAt)
+	if age > e.options.MaxConfigurationAge-responseMargin || e.options.Suspensions.Check().Count != c.suspensions {
 		e.metrics.Add("reads_refused", 1)
 		e.options.Logger.Info("read of the configuration refused", "version", c.catalog.Version(), "control_heard_ms", age.Milliseconds())
 		return nil, ErrStaleConfiguration
--- a/yuccaedge/edge.go
+++ b/yuccaedge/edge.go
@@ -29,7 +29,7 @@
 	ErrStaleConfiguration = merry.Sentinel("control was not heard lately, a newer configuration may be in force")
 )
 
-// Options configures an edge. Replica and SuspendWatch are optional.
+// Options configures an edge. Replica and Suspensions are optional.
 type Options struct {
 	Mesh   *yuccamesh.Mesh
 	Lease  *yuccalease.Client
@@ -41,19 +41,20 @@
 	// MaxConfigurationAge is the maximum time since control has confirmed the
 	// document that [Edge.Document] returns.
 	MaxConfigurationAge time.Duration
-	// SuspendWatch detects suspensions of the machine. If nil, suspensions are not
-	// detected.
-	SuspendWatch *yuccasuspend.Watch
-	Metrics      *yuccametric.Set
-	Logger       *slog.Logger
+	// Suspensions notices suspensions of the machine. It is that of Lease.
+	Suspensions *yuccasuspend.Monitor
+	Metrics     *yuccametric.Set
+	Logger      *slog.Logger
 }
 
 // config is the current configuration. It is immutable.
 type config struct {
 	view    *yuccadocument.View
 	catalog *yuccacatalog.Catalog
-	// confirmedAt is the last time at which control had no newer section.
+	// confirmedAt is the last time at which control had no newer section, zero if it has not
+	// been heard since the last of the suspensions of the machine.
 	confirmedAt time.Time
+	suspensions int
 }
 
 // Edge accepts callers' jobs, runs them on the linked sides, and holds the
@@ -82,6 +83,8 @@
 	pendingElsewhere   []*yuccawire.QueueCount
 	pendingElsewhereAt time.Time
 	nextPendingCount   time.Time
+	// suspensions are those that the broker knows of.
+	suspensions yuccasuspend.Suspensions
 }
 
 // event is an input of the event loop: a submitRequest, recoveredSections, a
@@ -144,6 +147,7 @@
 			e.handleMeshEvent(m)
 			e.handleBatch()
 		case u := <-e.options.Lease.Updates():
+			e.checkSuspension(time.Now())
 			e.handleLeaseUpdate(u)
 		case ev := <-e.events:
 			e.checkSuspension(time.Now())
@@ -173,15 +177,16 @@
 // the last confirmation by control. Both that and the leases are unreliable then,
 // since the monotonic clock does not advance during a suspension.
 func (e *Edge) checkSuspension(now time.Time) {
-	if e.options.SuspendWatch == nil {
+	suspensions := e.options.Suspensions.Check()
+	if suspensions.Count == e.suspensions.Count {
 		return
 	}
-	if suspendedFor := e.options.SuspendWatch.SuspendedFor(); suspendedFor > 0 {
-		c := *e.config.Load()
-		c.confirmedAt = time.Time{}
-		e.config.Store(&c)
-		e.broker.HandleSuspension(now, suspendedFor)
-	}
+	suspendedFor := suspensions.Total - e.suspensions.Total
+	e.suspensions = suspensions
+	c := *e.config.Load()
+	c.confirmedAt, c.suspensions = time.Time{}, suspensions.Count
+	e.config.Store(&c)
+	e.broker.HandleSuspension(now, suspendedFor)
 }
 
 func (e *Edge) handleEvent(ev event) {
