mesh: let links among entries take the largest document

Operators may send documents of up to 8 MiB. An entry that has one of more than 2 MiB closes each link to an entry that lacks it when it sends the document, and the new link asks for it again. By reading, the two have no link until the other one has got the document from control.

Cause: meshPendingBytes, the limit of what is queued for a slow peer, counts the documents, and was chosen for orders only.

It now takes two of the largest documents beside the orders: a new link asks for the document, and an announcement more than 200 ms later asks again (by reading). A peer that takes nothing loses its link after 5 s as before; until then up to 18 MiB are kept for it.

Ruled out: to let one message pass a limit of 2 MiB. The next order behind it would close the link.

--- a/yuccacommand/sizedconfig.go
+++ b/yuccacommand/sizedconfig.go
@@ -33,8 +33,9 @@
 	// replicaPendingBytes limits the data queued for a slow replica.
 	replicaPendingBytes = 16 << 20
 	// meshPendingBytes limits the data queued for a slow peer. It is enough for the
-	// orders of several seconds.
-	meshPendingBytes = 2 << 20
+	// orders of several seconds, and for the largest document (8 MiB) twice, as a peer that
+	// waits for it may request it again.
+	meshPendingBytes = 18<<20 + 128<<10
 	// sectionPushes is the number of entries that the leader pushes a new section to;
 	// they announce it to the entries that they are linked to. It covers all entries of
 	// small deployments.
