--- a/yuccacommand/sizedconfig.go
+++ b/yuccacommand/sizedconfig.go
@@ -33,8 +33,9 @@
 	// replicaPendingBytes limits the data queued for a slow replica.
 	replicaPendingBytes = 16 << 20
 	// meshPendingBytes limits the data queued for a slow peer. It is enough for the
-	// orders of several seconds.
-	meshPendingBytes = 2 << 20
+	// orders of several seconds, and for the largest document (8 MiB) twice, as a peer that
+	// waits for it may request it again.
+	meshPendingBytes = 18<<20 + 128<<10
 	// sectionPushes is the number of entries that the leader pushes a new section to;
 	// they announce it to the entries that they are linked to. It covers all entries of
 	// small deployments.
@@ -120,8 +121,9 @@
 	controlNetwork := yuccamux.New(yuccamux.Options{
 		KeepAlive: controlKeepAlive, WriteTimeout: controlWriteTimeout, MaxPendingBytes: replicaPendingBytes,
 	})
+	suspensions := yuccasuspend.NewMonitor()
 	lease := yuccalease.New(yuccalease.Options{
-		Network: controlNetwork, Self: node, Sections: yuccadocument.WholeDocumentSections, Random: newRandom(), Logger: c.logger,
+		Network: controlNetwork, Self: node, Sections: yuccadocument.WholeDocumentSections, Random: newRandom(), Logger: c.logger, Suspensions: suspensions,
 		Discover: func() []string { return controlAddresses(mesh, address) },
 		Pending:  func() []*yuccawire.QueueCount { return edge.PendingCounts() },
 	})
@@ -142,7 +144,7 @@
 			Name: c.name, Incarnation: node.GetIncarnation(), DataCentre: c.dataCentre, Scheduling: c.scheduling,
 			Random: newRandom(), Metrics: c.metrics, Logger: c.logger,
 		}),
-		SuspendWatch: yuccasuspend.New(), Metrics: c.metrics, Logger: c.logger,
+		Suspensions: suspensions, Metrics: c.metrics, Logger: c.logger,
 	})
 	p.add(mesh, lease, edge)
 	return edge, nil
