edge, broker: tell all entries of a cancelled job

A job was cancelled, its caller was answered `failed`, and four seconds later its request came again at another entry, which ran it in full and answered `completed`. The tests show three more: a job that had reached two entries and was cancelled at one of them went on at the other, and one ran whose DELETE had been answered with 410 before its request arrived, or after its caller had left.

Cause: that a job was cancelled is known to the entry that had it open only, as its outcome. A cancelling is passed on only if the entry that is asked hasn't the job open, and the entries that haven't it open either forget it.

Now each entry records a cancelling that it is asked for, whether it has the job or not, for 10 s (outcomeRetention), and the entry that is asked for one of its own jobs tells all linked entries before the answer is written. These end the job, too, if they have it open. So no entry that has been told starts a task of the job, whenever its request arrives. A record is dropped after 10 s, or as the oldest of 10,000.

Ruled out: to ask the other entries at each submission; to wait for their replies before a cancelling is acknowledged, as requests come again seconds later; to show such a job to a GET, as it may never have been submitted.

Entries that are linked later, or not at all, are not told yet.

--- a/yuccabroker/broker.go
+++ b/yuccabroker/broker.go
@@ -103,6 +103,9 @@
 	compared []candidate
 	// wantedRacks are the racks that queued tasks want because of their data.
 	wantedRacks map[string]bool
+	// ended are the jobs whose answer other entries know too, endedAges orders them for eviction.
+	ended     map[endedKey]endedJob
+	endedAges []endedAge
 }
 
 type runKey struct {
@@ -142,6 +145,7 @@
 		drained:        make(map[string]bool),
 		jobs:           make(map[string]*job),
 		outcomes:       make(map[string]savedOutcome),
+		ended:          make(map[endedKey]endedJob),
 		sides:          make(map[string]*side),
 		queues:         make(map[string]*taskQueue),
 		shares:         yuccashare.New(),
@@ -276,6 +280,7 @@
 	b.expireFailures(now)
 	b.sendHeartbeats(now)
 	b.evictOutcomes(now)
+	b.evictEnded(now)
 	b.crashes.evict(now)
 	if now.Sub(b.bulkheadsUpdatedAt) >= bulkheadInterval {
 		b.updateBulkheads(now)
--- a/yuccabroker/job.go
+++ b/yuccabroker/job.go
@@ -139,10 +139,10 @@
 func (b *Broker) Submit(now time.Time, submitted Job, waiter uint64) {
 	b.metrics.Add("jobs_submitted", 1)
 	submitted.Deadline = earlier(submitted.Deadline, now.Add(maxSpan))
-	if saved, ok := b.outcomes[submitted.ID]; ok && saved.queue == submitted.Queue.Name && saved.outcome.State != Abandoned && saved.outcome.State != Rejected {
+	if outcome, ok := b.retainedOutcome(now, submitted.Queue.Name, submitted.ID); ok {
 		b.metrics.Add("jobs_answered_again", 1)
-		b.options.Logger.Info("resend answered with the saved outcome", "job", submitted.ID, "state", saved.outcome.State.String())
-		b.emit(Answer{Waiter: waiter, Outcome: saved.outcome})
+		b.options.Logger.Info("resend answered with the saved outcome", "job", submitted.ID, "state", outcome.State.String(), "reason", outcome.Reason)
+		b.emit(Answer{Waiter: waiter, Outcome: outcome})
 		return
 	}
 	if j := b.jobs[submitted.ID]; j != nil {
@@ -342,16 +342,22 @@
 	b.finish(now, j, Outcome{State: Abandoned, Reason: "the caller has gone"})
 }
 
-// Cancel ends a job at the request of a caller. It returns false if this entry
-// has no such open job.
+// Cancel ends a job at the request of a caller, and answers its requests that arrive later. It
+// returns false if this entry has no such open job.
 func (b *Broker) Cancel(now time.Time, queue, id string) bool {
+	return b.cancel(now, endedKey{queue: queue, id: id}, now.Add(outcomeRetention))
+}
+
+func (b *Broker) cancel(now time.Time, key endedKey, until time.Time) bool {
+	queue, id := key.queue, key.id
+	b.recordEnded(key, endedJob{reason: cancelledReason, isCancelled: true, until: until})
 	j := b.jobs[id]
 	if j == nil || j.Queue.Name != queue {
 		return false
 	}
 	b.metrics.Add("jobs_cancelled", 1)
 	b.options.Logger.Info("job cancelled", "job", id, "age_ms", now.Sub(j.arrivedAt).Milliseconds(), "left", j.remaining)
-	b.answer(now, j, Outcome{State: Failed, Reason: "cancelled"})
+	b.answer(now, j, Outcome{State: Failed, Reason: cancelledReason})
 	return true
 }
 
--- a/yuccaedge/inquiry.go
+++ b/yuccaedge/inquiry.go
@@ -51,6 +51,9 @@
 	i := &inquiry{request: request, deadline: now.Add(inquiryTimeout), pendingReplies: make(map[string]bool)}
 	i.merge(reply)
 	if e.isAnsweredLocally(now, request.inquiry, i) {
+		if request.inquiry.GetKind() == yuccawire.InquiryKind_INQUIRY_KIND_CANCEL {
+			e.tellCancelled(now, request.inquiry)
+		}
 		request.done <- i.result
 		return
 	}
@@ -84,6 +87,15 @@
 	return true
 }
 
+// tellCancelled tells the other entries of a job that was cancelled here: its request may come again
+// there, or have come already.
+func (e *Edge) tellCancelled(now time.Time, q *yuccawire.Inquiry) {
+	m := &yuccawire.Envelope{Body: &yuccawire.Envelope_EndedJobs{EndedJobs: e.broker.Cancellation(now, q.GetQueue(), q.GetJob())}}
+	for p := range e.entryPeers {
+		p.Send(m)
+	}
+}
+
 // askUnlinked opens links to the entries that may own the job and are not linked.
 // They are sent the inquiry once their links are up.
 func (e *Edge) askUnlinked(i *inquiry) {
@@ -149,8 +161,8 @@
 	}
 }
 
-// handleEntryMessage handles an inquiry, a reply, a crash report, the demand or the held
-// tasks of another entry.
+// handleEntryMessage handles an inquiry, a reply, a crash report, the demand, the held tasks
+// or the ended jobs of another entry.
 func (e *Edge) handleEntryMessage(now time.Time, from *yuccamesh.Peer, m *yuccawire.Envelope) {
 	switch body := m.GetBody().(type) {
 	case *yuccawire.Envelope_Inquiry:
@@ -163,6 +175,8 @@
 		e.handleDemand(now, from, body.Demand)
 	case *yuccawire.Envelope_HeldTasks:
 		e.broker.HandleHeldTasks(now, body.HeldTasks)
+	case *yuccawire.Envelope_EndedJobs:
+		e.broker.HandleEndedJobs(now, body.EndedJobs)
 	}
 }
 
