edge: tell entries of cancelled jobs once they are linked

An entry that was not linked with the one that cancelled a job accepted its request when it came again: in a deployment of 24 entries, 20 did. So did one that had restarted, or had been cut off, as the job was cancelled.

Cause: the message goes over the links that are up at that moment.

Now links to all entries are opened for 10 s, as for an inquiry, and each end of a new link tells the other what it knows to have ended, with the time that is left. That doesn't need the entry that was asked: any other has recorded it.

Ruled out: each entry passing the news on to its peers, as for crashes: n times the messages for entries that a link reaches as well. What that would cover isn't: an entry cut off from the one that cancels only, while others reach both.

--- a/yuccabroker/ended.go
+++ b/yuccabroker/ended.go
@@ -72,6 +72,17 @@
 	return &yuccawire.EndedJobs{Jobs: []*yuccawire.EndedJob{b.ended[key].toWire(now, key)}}
 }
 
+// EndedJobs returns the known ended jobs for an entry that may not know them.
+func (b *Broker) EndedJobs(now time.Time) *yuccawire.EndedJobs {
+	m := &yuccawire.EndedJobs{}
+	for _, age := range b.endedAges {
+		if e := b.ended[age.key]; e.until.Equal(age.until) && now.Before(e.until) {
+			m.Jobs = append(m.Jobs, e.toWire(now, age.key))
+		}
+	}
+	return m
+}
+
 func (e endedJob) toWire(now time.Time, key endedKey) *yuccawire.EndedJob {
 	return &yuccawire.EndedJob{
 		Queue: key.queue, Job: key.id, RemainingMs: uint32(max(e.until.Sub(now), 0).Milliseconds()), Cancelled: e.isCancelled, Reason: e.reason,
--- a/yuccaedge/inquiry.go
+++ b/yuccaedge/inquiry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -88,12 +89,16 @@
 }
 
 // tellCancelled tells the other entries of a job that was cancelled here: its request may come again
-// there, or have come already.
+// there, or have come already. Those that are not linked are told once their links are up.
 func (e *Edge) tellCancelled(now time.Time, q *yuccawire.Inquiry) {
 	m := &yuccawire.Envelope{Body: &yuccawire.Envelope_EndedJobs{EndedJobs: e.broker.Cancellation(now, q.GetQueue(), q.GetJob())}}
 	for p := range e.entryPeers {
 		p.Send(m)
 	}
+	isUnlinked := func(n *yuccawire.Node) bool { return e.entryPeer(n.GetName()) == nil }
+	if slices.ContainsFunc(e.options.Mesh.RecentNodes(ownerMemory), isUnlinked) {
+		e.options.Mesh.LinkAll(inquiryLinkPeriod)
+	}
 }
 
 // askUnlinked opens links to the entries that may own the job and are not linked.
