broker: tell linked entries of completed and failed jobs

A job that had completed, or had failed, ran in full once more when its request came again at another entry, after its answer or as that had been lost; its caller could get another answer than the first. It breaks no rule for such jobs, but the users ask for a discount once, and the work is paid for twice.

Cause: the outcome is retained by the entry that answered only.

Now an entry tells the linked ones every 250 ms which jobs it has completed, or answered as failed, and these answer a request that comes again with the same outcome, for 10 s. A request comes again after 1.3 s at the earliest. A job that is open at the other entry goes on there; answers that may be followed by a run (503, 504) are told to nobody. What is known is limited to 100,000 jobs, apart from the cancelled ones, which it can't push out.

Ruled out: a message for each job (34 bytes each, where 125 jobs in one take 2,268); to ask at each submission; to tell only what may not have reached its caller: a small answer is handed to the kernel, a connection that breaks later is not told from one that is closed, and requests come again after answers that arrived.

Evidence: TestJobThatHasEndedRunsAgainAtAnotherEntry fails before (4 starts of the completed job, 2 of the failed one) and passes.

--- a/yuccabroker/broker.go
+++ b/yuccabroker/broker.go
@@ -103,9 +103,11 @@
 	compared []candidate
 	// wantedRacks are the racks that queued tasks want because of their data.
 	wantedRacks map[string]bool
-	// ended are the jobs whose answer other entries know too, endedAges orders them for eviction.
-	ended     map[endedKey]endedJob
-	endedAges []endedAge
+	// cancelled are the cancelled jobs, answered those that other entries have answered. endedNews are
+	// those that this entry has answered since it last told the others, at endedAt.
+	cancelled, answered *endedLog
+	endedNews           *yuccawire.EndedJobs
+	endedAt             time.Time
 }
 
 type runKey struct {
@@ -145,7 +147,9 @@
 		drained:        make(map[string]bool),
 		jobs:           make(map[string]*job),
 		outcomes:       make(map[string]savedOutcome),
-		ended:          make(map[endedKey]endedJob),
+		cancelled:      newEndedLog(maxCancelledJobs),
+		answered:       newEndedLog(maxAnsweredJobs),
+		endedNews:      &yuccawire.EndedJobs{},
 		sides:          make(map[string]*side),
 		queues:         make(map[string]*taskQueue),
 		shares:         yuccashare.New(),
@@ -280,7 +284,9 @@
 	b.expireFailures(now)
 	b.sendHeartbeats(now)
 	b.evictOutcomes(now)
-	b.evictEnded(now)
+	b.cancelled.evict(now)
+	b.answered.evict(now)
+	b.publishEnded(now)
 	b.crashes.evict(now)
 	if now.Sub(b.bulkheadsUpdatedAt) >= bulkheadInterval {
 		b.updateBulkheads(now)
--- a/yuccabroker/ended.go
+++ b/yuccabroker/ended.go
@@ -1,6 +1,7 @@
 package yuccabroker
 
 import (
+	"slices"
 	"time"
 
 	"github.com/yuccaturn/yuccaturn/yuccawire"
@@ -8,16 +9,20 @@
 
 const (
 	cancelledReason = "cancelled"
-	// maxEndedJobs limits the ended jobs that are known: 1,000 cancellations a second.
-	maxEndedJobs = 10_000
+	// maxCancelledJobs limits the cancelled jobs that are known, maxAnsweredJobs those that other
+	// entries have answered: 1,000 and 10,000 a second.
+	maxCancelledJobs = 10_000
+	maxAnsweredJobs  = 100_000
+	// endedInterval is the least time between two messages with the jobs that were answered here.
+	// A request comes again 1.3 s after its connection has broken at the earliest.
+	endedInterval = 250 * time.Millisecond
 )
 
 type endedKey struct{ queue, id string }
 
-// endedJob is a job of any entry that has ended for good.
+// endedJob is a job that has ended for good.
 type endedJob struct {
-	reason      string
-	isCancelled bool
+	outcome Outcome
 	// until is how long its request may come again.
 	until time.Time
 }
@@ -28,64 +33,113 @@
 	until time.Time
 }
 
+// endedLog holds a limited number of ended jobs.
+type endedLog struct {
+	limit int
+	jobs  map[endedKey]endedJob
+	ages  []endedAge
+}
+
+func newEndedLog(limit int) *endedLog {
+	return &endedLog{limit: limit, jobs: make(map[endedKey]endedJob)}
+}
+
+// add records a job. It returns false if that made another one forgotten too early.
+func (l *endedLog) add(key endedKey, e endedJob) bool {
+	if known, ok := l.jobs[key]; ok && !e.until.After(known.until) {
+		return true
+	}
+	hasSpace := len(l.ages) < l.limit
+	if !hasSpace {
+		l.evictFirst()
+	}
+	l.jobs[key] = e
+	l.ages = append(l.ages, endedAge{key: key, until: e.until})
+	return hasSpace
+}
+
+func (l *endedLog) evict(now time.Time) {
+	for len(l.ages) > 0 && !now.Before(l.ages[0].until) {
+		l.evictFirst()
+	}
+}
+
+func (l *endedLog) evictFirst() {
+	oldest := l.ages[0]
+	l.ages = l.ages[1:]
+	if l.jobs[oldest.key].until.Equal(oldest.until) {
+		delete(l.jobs, oldest.key)
+	}
+}
+
 // retainedOutcome returns the answer to a request that comes again after its job has ended for good.
 func (b *Broker) retainedOutcome(now time.Time, queue, id string) (Outcome, bool) {
 	if saved, ok := b.outcomes[id]; ok && saved.queue == queue && saved.outcome.State != Abandoned && saved.outcome.State != Rejected {
 		return saved.outcome, true
 	}
-	e, ok := b.ended[endedKey{queue: queue, id: id}]
-	return Outcome{State: Failed, Reason: e.reason}, ok && now.Before(e.until) && b.jobs[id] == nil
+	for _, l := range []*endedLog{b.answered, b.cancelled} {
+		if e, ok := l.jobs[endedKey{queue: queue, id: id}]; ok && now.Before(e.until) && b.jobs[id] == nil {
+			return e.outcome, true
+		}
+	}
+	return Outcome{}, false
 }
 
-// recordEnded records an ended job for its requests that come again here. One that was cancelled stays so.
-func (b *Broker) recordEnded(key endedKey, e endedJob) {
-	known, ok := b.ended[key]
-	isNews := e.until.After(known.until) || e.isCancelled && !known.isCancelled
-	if ok && (!isNews || known.isCancelled && !e.isCancelled) {
-		return
-	}
-	if len(b.endedAges) >= maxEndedJobs {
+func (b *Broker) recordEnded(l *endedLog, key endedKey, e endedJob) {
+	if !l.add(key, e) {
 		b.metrics.Add("ended_jobs_forgotten", 1)
-		b.evictFirstEnded()
 	}
-	b.ended[key] = e
-	b.endedAges = append(b.endedAges, endedAge{key: key, until: e.until})
 }
 
-func (b *Broker) evictEnded(now time.Time) {
-	for len(b.endedAges) > 0 && !now.Before(b.endedAges[0].until) {
-		b.evictFirstEnded()
+// announce lets the other entries know of a job that was answered for good here.
+func (b *Broker) announce(queue, id string, o Outcome) {
+	if _, isCancelled := b.cancelled.jobs[endedKey{queue: queue, id: id}]; isCancelled {
+		return
 	}
+	if o.State == Failed {
+		b.endedNews.Jobs = append(b.endedNews.Jobs, &yuccawire.EndedJob{
+			Queue: queue, Job: id, RemainingMs: uint32(outcomeRetention.Milliseconds()), Reason: o.Reason,
+		})
+		return
+	}
+	i := slices.IndexFunc(b.endedNews.Completed, func(c *yuccawire.CompletedJobs) bool { return c.GetQueue() == queue })
+	if i < 0 {
+		i = len(b.endedNews.Completed)
+		b.endedNews.Completed = append(b.endedNews.Completed, &yuccawire.CompletedJobs{Queue: queue})
+	}
+	b.endedNews.Completed[i].Jobs = append(b.endedNews.Completed[i].Jobs, id)
 }
 
-func (b *Broker) evictFirstEnded() {
-	oldest := b.endedAges[0]
-	b.endedAges = b.endedAges[1:]
-	if b.ended[oldest.key].until.Equal(oldest.until) {
-		delete(b.ended, oldest.key)
+// publishEnded tells the other entries of the jobs that were answered for good here.
+func (b *Broker) publishEnded(now time.Time) {
+	if len(b.endedNews.Jobs)+len(b.endedNews.Completed) == 0 || now.Sub(b.endedAt) < endedInterval {
+		return
 	}
+	b.emit(Publish{Message: &yuccawire.Envelope{Body: &yuccawire.Envelope_EndedJobs{EndedJobs: b.endedNews}}})
+	b.endedNews, b.endedAt = &yuccawire.EndedJobs{}, now
 }
 
 // Cancellation returns the message that tells another entry of a cancelled job.
 func (b *Broker) Cancellation(now time.Time, queue, id string) *yuccawire.EndedJobs {
 	key := endedKey{queue: queue, id: id}
-	return &yuccawire.EndedJobs{Jobs: []*yuccawire.EndedJob{b.ended[key].toWire(now, key)}}
+	return &yuccawire.EndedJobs{Jobs: []*yuccawire.EndedJob{b.cancelled.jobs[key].toWire(now, key)}}
 }
 
-// EndedJobs returns the known ended jobs for an entry that may not know them.
-func (b *Broker) EndedJobs(now time.Time) *yuccawire.EndedJobs {
+// Cancellations returns the known cancelled jobs for an entry that may not know them.
+func (b *Broker) Cancellations(now time.Time) *yuccawire.EndedJobs {
 	m := &yuccawire.EndedJobs{}
-	for _, age := range b.endedAges {
-		if e := b.ended[age.key]; e.until.Equal(age.until) && now.Before(e.until) {
+	for _, age := range b.cancelled.ages {
+		if e := b.cancelled.jobs[age.key]; e.until.Equal(age.until) && now.Before(e.until) {
 			m.Jobs = append(m.Jobs, e.toWire(now, age.key))
 		}
 	}
 	return m
 }
 
+// toWire returns the message on a cancelled job.
 func (e endedJob) toWire(now time.Time, key endedKey) *yuccawire.EndedJob {
 	return &yuccawire.EndedJob{
-		Queue: key.queue, Job: key.id, RemainingMs: uint32(max(e.until.Sub(now), 0).Milliseconds()), Cancelled: e.isCancelled, Reason: e.reason,
+		Queue: key.queue, Job: key.id, RemainingMs: uint32(max(e.until.Sub(now), 0).Milliseconds()), Cancelled: true, Reason: e.outcome.Reason,
 	}
 }
 
@@ -97,6 +151,14 @@
 		until := now.Add(min(time.Duration(j.GetRemainingMs())*time.Millisecond, outcomeRetention))
 		if j.GetCancelled() {
 			b.cancel(now, key, until)
+			continue
+		}
+		b.recordEnded(b.answered, key, endedJob{outcome: Outcome{State: Failed, Reason: j.GetReason()}, until: until})
+	}
+	for _, c := range m.GetCompleted() {
+		b.metrics.Add("ended_jobs_received", int64(len(c.GetJobs())))
+		for _, id := range c.GetJobs() {
+			b.recordEnded(b.answered, endedKey{queue: c.GetQueue(), id: id}, endedJob{outcome: Outcome{State: Completed}, until: now.Add(outcomeRetention)})
 		}
 	}
 }
--- a/yuccabroker/job.go
+++ b/yuccabroker/job.go
@@ -350,7 +350,7 @@
 
 func (b *Broker) cancel(now time.Time, key endedKey, until time.Time) bool {
 	queue, id := key.queue, key.id
-	b.recordEnded(key, endedJob{reason: cancelledReason, isCancelled: true, until: until})
+	b.recordEnded(b.cancelled, key, endedJob{outcome: Outcome{State: Failed, Reason: cancelledReason}, until: until})
 	j := b.jobs[id]
 	if j == nil || j.Queue.Name != queue {
 		return false
@@ -369,6 +369,9 @@
 		b.endingJobs = append(b.endingJobs, j)
 	}
 	delete(b.jobs, j.ID)
+	if j.isFinal {
+		b.announce(j.Queue.Name, j.ID, o)
+	}
 	b.outcomes[j.ID] = savedOutcome{outcome: o, queue: j.Queue.Name, lastRun: j.lastRun, savedAt: now, job: j}
 	b.outcomeAges = append(b.outcomeAges, outcomeAge{id: j.ID, savedAt: now})
 	b.stopRuns(j)
--- a/yuccaedge/edge.go
+++ b/yuccaedge/edge.go
@@ -256,7 +256,7 @@
 		for _, list := range e.broker.HeldLists(now) {
 			p.Send(&yuccawire.Envelope{Body: &yuccawire.Envelope_HeldTasks{HeldTasks: list}})
 		}
-		if ended := e.broker.EndedJobs(now); len(ended.GetJobs()) > 0 {
+		if ended := e.broker.Cancellations(now); len(ended.GetJobs()) > 0 {
 			p.Send(&yuccawire.Envelope{Body: &yuccawire.Envelope_EndedJobs{EndedJobs: ended}})
 		}
 	}
--- a/yuccamodel/world_test.go
+++ b/yuccamodel/world_test.go
@@ -412,7 +412,7 @@
 	}
 }
 
-// publish sends a crash report or a list of held tasks to all other entries.
+// publish sends a crash report, a list of held tasks or the jobs that have ended to all other entries.
 func (w *world) publish(from *modelEntry, m *yuccawire.Envelope) {
 	for _, e := range w.entries {
 		if e == from || e.isDown {
@@ -435,6 +435,8 @@
 		e.world.heldLists++
 		e.world.logf("%s receives held tasks %v", e.name, body.HeldTasks)
 		e.broker.HandleHeldTasks(e.now(), body.HeldTasks)
+	case *yuccawire.Envelope_EndedJobs:
+		e.broker.HandleEndedJobs(e.now(), body.EndedJobs)
 	}
 }
 
--- a/yuccasized/cancelled_test.go
+++ b/yuccasized/ended_test.go
@@ -9,7 +9,7 @@
 	"time"
 )
 
-const cancelledJob = "/v1/queues/trim/jobs/j1"
+const endedJob = "/v1/queues/trim/jobs/j1"
 
 func TestCancelledJobRunsAtAnotherEntry(t *testing.T) {
 	for name, tc := range map[string]struct {
@@ -27,10 +27,10 @@
 			synctest.Test(t, func(t *testing.T) {
 				s := newSystem(t)
 				for _, entry := range tc.openAt {
-					go s.call(entry, http.MethodPost, cancelledJob, twoSteps("600ms"))
+					go s.call(entry, http.MethodPost, endedJob, twoSteps("600ms"))
 				}
 				time.Sleep(100 * time.Millisecond)
-				if status, answer := s.call(tc.cancelledAt, http.MethodDelete, cancelledJob, ""); status != tc.status {
+				if status, answer := s.call(tc.cancelledAt, http.MethodDelete, endedJob, ""); status != tc.status {
 					t.Errorf("the cancelling is answered with %d %v, want %d", status, answer, tc.status)
 				}
 				starts := s.worker.Starts()
@@ -49,8 +49,33 @@
 func (s *system) wantCancelled(entries ...int) {
 	s.t.Helper()
 	for _, entry := range entries {
-		if status, answer := s.call(entry, http.MethodPost, cancelledJob, twoSteps("600ms")); status != http.StatusBadGateway || !strings.Contains(fmt.Sprint(answer), "cancelled") {
+		if status, answer := s.call(entry, http.MethodPost, endedJob, twoSteps("600ms")); status != http.StatusBadGateway || !strings.Contains(fmt.Sprint(answer), "cancelled") {
 			s.t.Errorf("entry %d answers the request that comes again with %d %v, want it cancelled", entry, status, answer)
 		}
 	}
 }
+
+// The request comes again after its answer, or as that was lost.
+func TestJobThatHasEndedRunsAgainAtAnotherEntry(t *testing.T) {
+	for name, body := range map[string]string{
+		"completed": twoSteps("60ms"),
+		"failed":    `{"payload": {"sleep": "10ms", "fail": true}, "steps": [{"tasks": 1, "cpu": 1, "estimate": "10ms"}]}`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newSystem(t)
+				status, answer := s.call(0, http.MethodPost, endedJob, body)
+				starts := s.worker.Starts()
+				for _, wait := range []time.Duration{1300 * time.Millisecond, 4 * time.Second} {
+					time.Sleep(wait)
+					if again, other := s.call(1, http.MethodPost, endedJob, body); again != status || fmt.Sprint(other) != fmt.Sprint(answer) {
+						t.Errorf("the other entry answers %d %v, want %d %v as before", again, other, status, answer)
+					}
+				}
+				if s.worker.Starts() != starts {
+					t.Errorf("%d starts after the job had ended, want none", s.worker.Starts()-starts)
+				}
+			})
+		})
+	}
+}
