broker: retain the answer of jobs that are refused for good

A job that no worker could run was answered `failed`; its request came again at the same entry after a large enough worker had joined, and the job ran, though its caller had been told that it has failed.

Cause: outcomes are retained for jobs that were accepted. A refusal on arrival is of two kinds: 503, which the caller may try again, and `failed`, which is an answer for good.

It is kept apart from the outcomes, which also hold the runs and pins of earlier submissions.

Looked through for the same, and left: 503 and 504 are not retained on purpose, as such jobs may run when they are sent again; what is known of crashing tasks and their queues is passed on by all entries already.

Evidence: TestJobThatWasRefusedForGoodRunsWhenItComesAgain fails before (the job is accepted and ordered) and passes.

--- a/yuccabroker/broker.go
+++ b/yuccabroker/broker.go
@@ -103,8 +103,9 @@
 	compared []candidate
 	// wantedRacks are the racks that queued tasks want because of their data.
 	wantedRacks map[string]bool
-	// cancelled are the cancelled jobs, answered those that other entries have answered. endedNews are
-	// those that this entry has answered since it last told the others, at endedAt.
+	// cancelled are the cancelled jobs, answered those that other entries have answered or this one has
+	// refused for good. endedNews are those that this entry has answered since it last told the others,
+	// at endedAt.
 	cancelled, answered *endedLog
 	endedNews           *yuccawire.EndedJobs
 	endedAt             time.Time
--- a/yuccabroker/broker_test.go
+++ b/yuccabroker/broker_test.go
@@ -29,6 +29,8 @@
 	lastOrder  map[string]uint64
 	// published are the lists of held tasks for the other entries.
 	published []*yuccawire.HeldTasks
+	// ended is the last list of ended jobs for them.
+	ended *yuccawire.EndedJobs
 }
 
 func newFixture(t *testing.T, sides ...string) *fixture {
@@ -98,6 +100,9 @@
 			if m := a.Message.GetHeldTasks(); m != nil {
 				f.published = append(f.published, m)
 			}
+			if m := a.Message.GetEndedJobs(); m != nil {
+				f.ended = m
+			}
 		}
 	}
 }
--- a/yuccabroker/ended_test.go
+++ b/yuccabroker/ended_test.go
@@ -49,3 +49,22 @@
 		t.Errorf("sent %v, want the run before the cancelling only", f.sentRuns())
 	}
 }
+
+// A worker that is large enough joins before the request comes again.
+func TestJobThatWasRefusedForGoodRunsWhenItComesAgain(t *testing.T) {
+	f := newFixture(t, "s1")
+	large := job("a", 1)
+	large.Steps[0].CPUMilli = 2 * fullCPU
+	f.submit(large, 1)
+	f.wantState(1, yuccabroker.Failed)
+	f.broker.HandleLinkUp(f.now, yuccabroker.Side{Name: "s2", Incarnation: 1, DataCentre: "puno"})
+	state := f.workerState(2 * fullCPU)
+	state.CpuMilli = 2 * fullCPU
+	f.broker.HandleWorkerState(f.now, "s2", state)
+	f.submit(large, 2)
+	f.wantState(2, yuccabroker.Failed)
+	f.advance(100*time.Millisecond, "s1")
+	if len(f.sentRuns()) != 0 || len(f.ended.GetJobs()) != 1 {
+		t.Errorf("sent %v and told the others of %v, want no run and the failed job", f.sentRuns(), f.ended)
+	}
+}
--- a/yuccabroker/job.go
+++ b/yuccabroker/job.go
@@ -180,6 +180,10 @@
 		b.options.Logger.Info("job refused", "job", j.ID, "queue", j.Queue.Name, "reason", refusal.Reason,
 			"retry_after_ms", refusal.RetryAfter.Milliseconds(), "waiting_tasks", b.queuedTasks(), "sides", len(b.sideList),
 			"forecast_ms", b.forecastWait(now, j).Milliseconds())
+		if refusal.State == Failed {
+			b.recordEnded(b.answered, endedKey{queue: j.Queue.Name, id: j.ID}, endedJob{outcome: *refusal, until: now.Add(outcomeRetention)})
+			b.announce(j.Queue.Name, j.ID, *refusal)
+		}
 		b.emit(Answer{Waiter: waiter, Outcome: *refusal})
 		return
 	}
