--- a/yuccabroker/held.go
+++ b/yuccabroker/held.go
@@ -237,8 +237,10 @@
 		b.options.Logger.Info("tasks held for runs elsewhere", "sender", key.sender, "incarnation", key.incarnation, "tasks", len(l.tasks),
 			"first", firstHeld(m), "over", over)
 	}
+	jobs := make(map[*job]bool)
 	for name := range l.tasks {
-		if j := b.jobs[jobOf(name)]; j != nil {
+		if j := b.jobs[jobOf(name)]; j != nil && !jobs[j] {
+			jobs[j] = true
 			b.extendHeld(j)
 		}
 	}
--- a/yuccabroker/pinbench_test.go
+++ b/yuccabroker/pinbench_test.go
@@ -56,3 +56,23 @@
 		})
 	}
 }
+
+// BenchmarkHeldListOfOneJob measures the handling of a list that names all tasks of an open job, while lists
+// of 130 sides are known. The job must be gone through once.
+func BenchmarkHeldListOfOneJob(b *testing.B) {
+	broker := benchBroker(startTime)
+	list := func(sender string, sequence uint64, tasks int) *yuccawire.HeldTasks {
+		m := &yuccawire.HeldTasks{Sender: sender, Incarnation: 1, Sequence: sequence}
+		for n := range tasks {
+			m.Tasks = append(m.Tasks, &yuccawire.HeldTask{Task: fmt.Sprintf("%s.0.0.%d", sender, n), RemainingMs: 1e6, Side: "s1"})
+		}
+		return m
+	}
+	for i := range 130 {
+		broker.HandleHeldTasks(startTime, list(fmt.Sprint("side-", i), 1, 10))
+	}
+	broker.Submit(startTime, job("a", 200), 1)
+	for n := uint64(1); b.Loop(); n++ {
+		broker.HandleHeldTasks(startTime, list("a", n, 200))
+	}
+}
