server, command: answer or refuse each request before the process ends

One whose header was being read got a closed connection, on a kept connection a reset.

Cause: once no job was open all services were cancelled at once, so that the event loop ended while the HTTP server still read. Server.Shutdown and SetKeepAlivesEnabled(false) drop requests whose header is being read, as they take the connection for idle or return after the header. What was not read in 5 s was cut off without a response.

Ruled out: a longer drain of the entry alone. It would not see requests that aren't submitted yet, and Shutdown would still drop headers.

Servers now finish before the other services stop. A connection knows how far its request is: unused ones are closed, others waited for up to the end of the drain, unread ones get 503 with Retry-After. A handler whose body is refused gets an error from Read, so it has passed nothing on.

--- a/yuccacommand/serve.go
+++ b/yuccacommand/serve.go
@@ -7,12 +7,15 @@
 	"math/rand/v2"
 	"os"
 	"os/signal"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/ansel1/merry/v2"
 	"github.com/thejerf/suture/v4"
 
+	"github.com/yuccaturn/yuccaturn/yuccaserver"
 	"github.com/yuccaturn/yuccaturn/yuccasettings"
 	"github.com/yuccaturn/yuccaturn/yuccatrace"
 )
@@ -29,6 +32,8 @@
 	settings *yuccasettings.Settings
 	logger   *slog.Logger
 	services []suture.Service
+	// servers stop before the services that their requests need.
+	servers []*yuccaserver.Server
 	// drain finishes the work in progress and returns zero. If the context ends
 	// first, it returns the number of jobs or tasks that are still open, or 1 if that
 	// is not known. Optional.
@@ -42,7 +47,15 @@
 }
 
 // add registers services that run starts.
-func (p *process) add(services ...suture.Service) { p.services = append(p.services, services...) }
+func (p *process) add(services ...suture.Service) {
+	for _, s := range services {
+		if server, ok := s.(*yuccaserver.Server); ok {
+			p.servers = append(p.servers, server)
+			continue
+		}
+		p.services = append(p.services, s)
+	}
+}
 
 func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
@@ -75,6 +88,10 @@
 	for _, s := range p.services {
 		supervisor.Add(s)
 	}
+	tokens := make([]suture.ServiceToken, 0, len(p.servers))
+	for _, s := range p.servers {
+		tokens = append(tokens, supervisor.Add(s))
+	}
 	stopped := supervisor.ServeBackground(ctx)
 	p.logger.Info("started")
 	select {
@@ -84,29 +101,28 @@
 		p.logger.Info("stopping", "signal", s.String())
 	}
 	p.drainUntilSignal(signals)
+	for _, token := range tokens {
+		_ = supervisor.RemoveAndWait(token, serviceStopTimeout)
+	}
 	cancel()
 	<-stopped
 	p.logger.Info("stopped")
 	return nil
 }
 
-// drainUntilSignal drains the process. A second signal or the drain timeout of
-// the settings aborts the remaining work.
+// drainUntilSignal drains the process and answers the requests in progress. A second
+// signal or the drain timeout of the settings aborts the remaining work.
 func (p *process) drainUntilSignal(signals <-chan os.Signal) {
-	if p.drain == nil {
-		return
-	}
 	ctx, cancel := context.WithTimeout(context.Background(), p.settings.Process.DrainTimeout)
 	defer cancel()
-	d := &drainer{drain: p.drain, done: make(chan int, 1)}
+	d := &drainer{process: p, done: make(chan struct{})}
 	go d.run(ctx)
 	select {
-	case aborted := <-d.done:
-		p.logDrained(aborted)
+	case <-d.done:
 	case s := <-signals:
 		p.logger.Warn("second signal received, aborting the drain", "signal", s.String())
 		cancel()
-		p.logDrained(<-d.done)
+		<-d.done
 	}
 }
 
@@ -118,13 +134,31 @@
 	p.logger.Info("drained")
 }
 
-// drainer runs a drain in a goroutine and delivers its result.
+// drainer drains a process in a goroutine.
 type drainer struct {
-	drain func(ctx context.Context) int
-	done  chan int
+	process *process
+	done    chan struct{}
 }
 
-func (d *drainer) run(ctx context.Context) { d.done <- d.drain(ctx) }
+func (d *drainer) run(ctx context.Context) {
+	defer close(d.done)
+	p := d.process
+	for _, s := range p.servers {
+		s.CloseAfterResponse()
+	}
+	if p.drain != nil {
+		p.logDrained(p.drain(ctx))
+	}
+	var finishing sync.WaitGroup
+	var refused atomic.Int64
+	for _, s := range p.servers {
+		finishing.Go(func() { refused.Add(int64(s.Finish(ctx))) })
+	}
+	finishing.Wait()
+	if n := refused.Load(); n > 0 {
+		p.logger.Warn("requests refused that were not read to their end in time", "count", n)
+	}
+}
 
 func (p *process) logEvent(e suture.Event) {
 	switch e := e.(type) {
--- /dev/null
+++ b/yuccaserver/conn.go
@@ -0,0 +1,199 @@
+package yuccaserver
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/yuccaturn/yuccaturn/yuccaproblem"
+)
+
+// phase is how far a connection is with its current request.
+type phase int
+
+const (
+	// accepted connections have not sent a byte yet.
+	accepted phase = iota
+	// idle connections have had a response and not sent a byte since.
+	idle
+	readingHeader
+	handling
+	readingBody
+	// refused connections have got a refusal. What they still send is discarded.
+	refused
+	closed
+)
+
+// errRefused is returned to a handler that reads the body of a refused request.
+var errRefused = errors.New("the process ends before the request was read")
+
+// connKey is the key of the *conn in the context of a request.
+type connKey struct{}
+
+// conn is an accepted connection that knows its phase.
+type conn struct {
+	*net.TCPConn
+	raw        syscall.RawConn
+	server     *Server
+	acceptedAt time.Time
+
+	mu    sync.Mutex
+	phase phase
+}
+
+func newConn(c *net.TCPConn, s *Server) (*conn, error) {
+	raw, err := c.SyscallConn()
+	return &conn{TCPConn: c, raw: raw, server: s, acceptedAt: time.Now()}, err
+}
+
+func connOf(ctx context.Context) *conn { return ctx.Value(connKey{}).(*conn) }
+
+// Read reads and takes note of it in one step, so that no connection is closed as unused
+// that has been read from.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := 0, error(nil)
+	waitErr := c.raw.Read(func(descriptor uintptr) bool {
+		n, err = c.readNow(int(descriptor), p)
+		return !errors.Is(err, syscall.EAGAIN)
+	})
+	switch {
+	case waitErr != nil:
+		return 0, waitErr
+	case err != nil:
+		return 0, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: err}
+	case n == 0 && len(p) > 0:
+		return 0, io.EOF
+	}
+	return n, nil
+}
+
+// readNow reads what is there. It discards what a refused connection sends, as closing it
+// with unread data would take the refusal back.
+func (c *conn) readNow(descriptor int, p []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase == closed {
+		return 0, net.ErrClosed
+	}
+	for {
+		n, err := syscall.Read(descriptor, p)
+		switch {
+		case errors.Is(err, syscall.EINTR) || err == nil && n > 0 && c.phase == refused:
+			continue
+		case err == nil && n > 0 && (c.phase == accepted || c.phase == idle):
+			c.phase = readingHeader
+		}
+		return n, err
+	}
+}
+
+// SetReadDeadline does not move the deadline of a refused connection.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase == refused {
+		return nil
+	}
+	return c.TCPConn.SetReadDeadline(t)
+}
+
+// Close closes the connection. It must not hold the mutex meanwhile, as it waits for Read.
+func (c *conn) Close() error {
+	c.mu.Lock()
+	c.phase = closed
+	c.mu.Unlock()
+	c.server.forget(c)
+	return c.TCPConn.Close()
+}
+
+// enter enters the next phase, unless the connection was refused or closed.
+func (c *conn) enter(next phase) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase >= refused {
+		return false
+	}
+	c.phase = next
+	return true
+}
+
+// closeUnused closes the connection if it has no request.
+func (c *conn) closeUnused(acceptedBefore time.Time) {
+	c.mu.Lock()
+	isUnused := (c.phase == idle || c.phase == accepted && c.acceptedAt.Before(acceptedBefore)) && !c.hasUnreadBytes()
+	if isUnused {
+		c.phase = closed
+	}
+	c.mu.Unlock()
+	if isUnused {
+		_ = c.Close()
+	}
+}
+
+// hasUnreadBytes reports whether the client has sent bytes that Read has yet to return.
+func (c *conn) hasUnreadBytes() bool {
+	n := 0
+	_ = c.raw.Control(func(descriptor uintptr) {
+		n, _, _ = syscall.Recvfrom(int(descriptor), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	return n > 0
+}
+
+// refuseUnread refuses a request that has not been read to its end, so that its handler
+// has passed nothing on. It reports whether there is one.
+func (c *conn) refuseUnread() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	hasBegun := c.phase == readingHeader || c.phase == readingBody
+	if !hasBegun && (c.phase > idle || !c.hasUnreadBytes()) {
+		return false
+	}
+	c.phase = refused
+	_ = c.SetWriteDeadline(time.Now().Add(lingerTimeout))
+	_, _ = c.Write(refusal)
+	_ = c.CloseWrite()
+	_ = c.TCPConn.SetReadDeadline(time.Now().Add(lingerTimeout))
+	return true
+}
+
+// refusal is the response to a request that was not read to its end.
+var refusal = encodeRefusal(yuccaproblem.NotRunf(http.StatusServiceUnavailable, yuccaproblem.Draining, "%v", errRefused))
+
+func encodeRefusal(p *yuccaproblem.Problem) []byte {
+	text, err := json.Marshal(p)
+	if err != nil {
+		panic(err) // unreachable: all fields are strings, numbers and booleans
+	}
+	response := &http.Response{
+		StatusCode: p.Status, ProtoMajor: 1, ProtoMinor: 1, Close: true, ContentLength: int64(len(text)), Body: io.NopCloser(bytes.NewReader(text)),
+		Header: http.Header{"Content-Type": {yuccaproblem.ContentType}, "Retry-After": {strconv.Itoa(refusalRetryAfter)}},
+	}
+	var encoded bytes.Buffer
+	_ = response.Write(&encoded)
+	return encoded.Bytes()
+}
+
+// body tells the connection when the handler waits for the rest of a request.
+type body struct {
+	io.ReadCloser
+	conn *conn
+}
+
+func (b *body) Read(p []byte) (int, error) {
+	if !b.conn.enter(readingBody) {
+		return 0, errRefused
+	}
+	n, err := b.ReadCloser.Read(p)
+	if !b.conn.enter(handling) {
+		return 0, errRefused
+	}
+	return n, err
+}
