query, edge, entry, side, control, driver: end waits for an event loop that has ended

Cause: the callers waited for their context only, and the channel of events, which nobody read any more, took what they sent.

Ruled out: answering what is queued when the loop ends, as events are still sent after that.

A loop has a lifetime now. Waits end with it, a result that was sent before counts. A job that the broker never got is rejected, one that it has got is abandoned (504), as tasks of it may have run.

--- a/yuccacontrol/control.go
+++ b/yuccacontrol/control.go
@@ -88,13 +88,14 @@
 
 // Control runs one replica of the control group. It implements suture.Service.
 type Control struct {
-	options Options
-	self    *yuccawire.ReplicaAddress
-	node    *yuccawire.Node
-	metrics *yuccametric.Set
-	events  chan event
-	disk    *writer
-	writes  writeQueue
+	options  Options
+	self     *yuccawire.ReplicaAddress
+	node     *yuccawire.Node
+	metrics  *yuccametric.Set
+	events   chan event
+	lifetime *yuccaquery.Lifetime
+	disk     *writer
+	writes   writeQueue
 
 	// The fields below are owned by the goroutine that runs loop.
 	//
@@ -157,6 +158,7 @@
 		},
 		metrics:    options.Metrics,
 		events:     make(chan event, eventQueueCapacity),
+		lifetime:   yuccaquery.NewLifetime(),
 		state:      yuccastate.New(),
 		peers:      make(map[string]*peer),
 		replyLinks: make(map[uint64]*conn),
@@ -222,26 +224,18 @@
 // ErrNotLeader, ErrNotUTF8 or ErrUnknownOutcome if the result isn't available.
 func (c *Control) Apply(ctx context.Context, command *yuccawire.Command) (*yuccastate.ChangeResult, error) {
 	replies := make(chan changeReply, 1)
-	select {
-	case c.events <- changeRequest{command: command, replies: replies}:
-	case <-ctx.Done():
+	if yuccaquery.Post(ctx, c.lifetime, c.events, event(changeRequest{command: command, replies: replies})) != nil {
 		return nil, ErrNotLeader
 	}
-	select {
-	case reply := <-replies:
-		return reply.result, reply.err
-	case <-ctx.Done():
+	reply, err := yuccaquery.Await(ctx, c.lifetime, replies)
+	if err != nil {
 		return nil, ErrUnknownOutcome
 	}
+	return reply.result, reply.err
 }
 
-func (c *Control) postQuery(ctx context.Context, query yuccaquery.Query[*Control]) error {
-	select {
-	case c.events <- query:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+func (c *Control) postQuery(ctx context.Context, query yuccaquery.Query[*Control]) (*yuccaquery.Lifetime, error) {
+	return c.lifetime, yuccaquery.Post(ctx, c.lifetime, c.events, event(query))
 }
 
 // fatalError logs a disk error and returns an error that terminates the
--- a/yuccacontrol/loop.go
+++ b/yuccacontrol/loop.go
@@ -13,6 +13,7 @@
 )
 
 func (c *Control) loop(ctx context.Context) error {
+	defer c.lifetime.End()
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	c.updatePeers(ctx)
--- a/yuccadriver/driver.go
+++ b/yuccadriver/driver.go
@@ -96,6 +96,7 @@
 	options    Options
 	worker     *yuccaworker.Worker
 	events     chan event
+	lifetime   *yuccaquery.Lifetime
 	entryPeers map[string]*yuccamesh.Peer // the newest link of each entry, by name
 }
 
@@ -127,12 +128,14 @@
 		options:    options,
 		worker:     worker,
 		events:     make(chan event, eventQueueCapacity),
+		lifetime:   yuccaquery.NewLifetime(),
 		entryPeers: make(map[string]*yuccamesh.Peer),
 	}
 }
 
 // Serve processes events until the context ends.
 func (d *Driver) Serve(ctx context.Context) error {
+	defer d.lifetime.End()
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
@@ -320,13 +323,8 @@
 	c.driver.post(ctx, connectReply{call: c.call, result: c.driver.options.Client.Connect(ctx, c.call)})
 }
 
-func (d *Driver) postQuery(ctx context.Context, query yuccaquery.Query[*Driver]) error {
-	select {
-	case d.events <- query:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+func (d *Driver) postQuery(ctx context.Context, query yuccaquery.Query[*Driver]) (*yuccaquery.Lifetime, error) {
+	return d.lifetime, yuccaquery.Post(ctx, d.lifetime, d.events, event(query))
 }
 
 // Report processes a report of the worker. It returns false and ignores the report
--- a/yuccaedge/change.go
+++ b/yuccaedge/change.go
@@ -10,6 +10,7 @@
 
 	"github.com/yuccaturn/yuccaturn/yuccacontrol"
 	"github.com/yuccaturn/yuccaturn/yuccadocument"
+	"github.com/yuccaturn/yuccaturn/yuccaquery"
 	"github.com/yuccaturn/yuccaturn/yuccastate"
 	"github.com/yuccaturn/yuccaturn/yuccawire"
 )
@@ -101,23 +102,20 @@
 // propose passes a command on to the leader and waits for the result.
 func (e *Edge) propose(ctx context.Context, command *yuccawire.Command) (*yuccastate.ChangeResult, error) {
 	p := proposalRequest{command: command, number: make(chan uint64, 1), reply: make(chan *yuccawire.ProposalReply, 1)}
-	select {
-	case e.events <- p:
-	case <-ctx.Done():
+	if yuccaquery.Post(ctx, e.lifetime, e.events, event(p)) != nil {
 		return nil, ErrNoLeader
 	}
-	number := <-p.number
-	if number == 0 {
+	number, err := yuccaquery.Await(context.Background(), e.lifetime, p.number)
+	if err != nil || number == 0 {
 		return nil, ErrNoLeader
 	}
 	e.metrics.Add("changes_passed_on", 1)
-	select {
-	case reply := <-p.reply:
-		return decodeProposalReply(reply)
-	case <-ctx.Done():
-		e.events <- proposalExpired{number: number}
+	reply, err := yuccaquery.Await(ctx, e.lifetime, p.reply)
+	if err != nil {
+		_ = yuccaquery.Post(context.Background(), e.lifetime, e.events, event(proposalExpired{number: number}))
 		return nil, yuccacontrol.ErrUnknownOutcome
 	}
+	return decodeProposalReply(reply)
 }
 
 func decodeProposalReply(reply *yuccawire.ProposalReply) (*yuccastate.ChangeResult, error) {
--- a/yuccaedge/config.go
+++ b/yuccaedge/config.go
@@ -100,7 +100,7 @@
 // process. Control may have newer ones, so [Edge.Document] does not return them
 // until control confirms them.
 func (e *Edge) ApplyRecovered(sections []*yuccawire.Section) {
-	e.events <- recoveredSections{sections: sections}
+	_ = yuccaquery.Post(context.Background(), e.lifetime, e.events, event(recoveredSections{sections: sections}))
 }
 
 // Links returns the links of this entry to sides and other entries.
--- a/yuccaedge/doc.go
+++ b/yuccaedge/doc.go
@@ -18,7 +18,10 @@
 
 const (
 	eventQueueCapacity = 4096
-	tickInterval       = 20 * time.Millisecond
+	// stoppedReason is why a job is not done that is submitted after the event loop has
+	// ended, or was open then.
+	stoppedReason = "this entry has stopped"
+	tickInterval  = 20 * time.Millisecond
 	// maxBatchedEvents limits the number of events that are handled before tasks are
 	// placed.
 	maxBatchedEvents = 256
--- a/yuccaedge/edge.go
+++ b/yuccaedge/edge.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"sync/atomic"
 	"time"
@@ -63,6 +64,7 @@
 	metrics    *yuccametric.Set
 	broker     *yuccabroker.Broker
 	events     chan event
+	lifetime   *yuccaquery.Lifetime
 	config     atomic.Pointer[config]
 	readySides atomic.Int64
 	// pending are the pending jobs of this entry, for its lease.
@@ -113,6 +115,7 @@
 		metrics:   options.Metrics,
 		broker:    options.Broker,
 		events:    make(chan event, eventQueueCapacity),
+		lifetime:  yuccaquery.NewLifetime(),
 		sidePeers: make(map[string]*yuccamesh.Peer),
 		lastLinks: make(map[string]uint64),
 		waiters:   make(map[uint64]chan<- yuccabroker.Outcome),
@@ -127,6 +130,7 @@
 
 // Serve processes events until the context ends.
 func (e *Edge) Serve(ctx context.Context) error {
+	defer e.lifetime.End()
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
@@ -303,33 +307,38 @@
 }
 
 // Submit submits a job and waits for its outcome. If the context ends first, it
-// returns the error of the context and informs the broker that the caller left.
+// returns the error of the context and informs the broker that the caller left. If the
+// event loop has ended, a job that has not reached the broker is rejected.
 func (e *Edge) Submit(ctx context.Context, job yuccabroker.Job) (yuccabroker.Outcome, error) {
 	ctx, span := yuccatrace.Start(ctx, "entry.sized_job")
 	defer span.End()
 	job.Traceparent = yuccatrace.Traceparent(ctx)
 	s := submitRequest{job: job, outcome: make(chan yuccabroker.Outcome, 1), waiterID: make(chan uint64, 1)}
-	select {
-	case e.events <- s:
-	case <-ctx.Done():
-		return yuccabroker.Outcome{}, ctx.Err()
+	rejected := yuccabroker.Outcome{State: yuccabroker.Rejected, Reason: stoppedReason, RetryAfter: time.Second}
+	err := yuccaquery.Post(ctx, e.lifetime, e.events, event(s))
+	switch {
+	case errors.Is(err, yuccaquery.ErrEnded):
+		return rejected, nil
+	case err != nil:
+		return yuccabroker.Outcome{}, err
 	}
-	select {
-	case outcome := <-s.outcome:
+	outcome, err := yuccaquery.Await(ctx, e.lifetime, s.outcome)
+	if err == nil {
 		return outcome, nil
-	case <-ctx.Done():
-		e.events <- callerLeft{jobID: job.ID, waiterID: <-s.waiterID}
-		return yuccabroker.Outcome{}, ctx.Err()
 	}
+	waiterID, waiterErr := yuccaquery.Await(context.Background(), e.lifetime, s.waiterID)
+	switch {
+	case waiterErr != nil:
+		return rejected, nil
+	case errors.Is(err, yuccaquery.ErrEnded):
+		return yuccabroker.Outcome{State: yuccabroker.Abandoned, Reason: stoppedReason}, nil
+	}
+	_ = yuccaquery.Post(context.Background(), e.lifetime, e.events, event(callerLeft{jobID: job.ID, waiterID: waiterID}))
+	return yuccabroker.Outcome{}, err
 }
 
-func (e *Edge) postQuery(ctx context.Context, query yuccaquery.Query[*Edge]) error {
-	select {
-	case e.events <- query:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+func (e *Edge) postQuery(ctx context.Context, query yuccaquery.Query[*Edge]) (*yuccaquery.Lifetime, error) {
+	return e.lifetime, yuccaquery.Post(ctx, e.lifetime, e.events, event(query))
 }
 
 // Ready reports whether the entry can serve jobs: it is not draining, and it has
--- a/yuccaedge/inquiry.go
+++ b/yuccaedge/inquiry.go
@@ -8,6 +8,7 @@
 
 	"github.com/yuccaturn/yuccaturn/yuccabroker"
 	"github.com/yuccaturn/yuccaturn/yuccamesh"
+	"github.com/yuccaturn/yuccaturn/yuccaquery"
 	"github.com/yuccaturn/yuccaturn/yuccawire"
 )
 
@@ -258,17 +259,11 @@
 // inquire starts an inquiry and waits for its result.
 func (e *Edge) inquire(ctx context.Context, kind yuccawire.InquiryKind, queue, id string) (inquiryResult, error) {
 	done := make(chan inquiryResult, 1)
-	select {
-	case e.events <- inquiryRequest{inquiry: &yuccawire.Inquiry{Kind: kind, Queue: queue, Job: id}, done: done}:
-	case <-ctx.Done():
-		return inquiryResult{}, ctx.Err()
-	}
-	select {
-	case result := <-done:
-		return result, nil
-	case <-ctx.Done():
-		return inquiryResult{}, ctx.Err()
+	request := inquiryRequest{inquiry: &yuccawire.Inquiry{Kind: kind, Queue: queue, Job: id}, done: done}
+	if err := yuccaquery.Post(ctx, e.lifetime, e.events, event(request)); err != nil {
+		return inquiryResult{}, err
 	}
+	return yuccaquery.Await(ctx, e.lifetime, done)
 }
 
 // JobState returns the state of a job of any entry, and false if no entry has the
--- a/yuccaentry/entry.go
+++ b/yuccaentry/entry.go
@@ -56,6 +56,7 @@
 	metrics  *yuccametric.Set
 	lease    *yuccalease.Client
 	events   chan event
+	lifetime *yuccaquery.Lifetime
 	ready    atomic.Bool
 	draining atomic.Bool
 	self     atomic.Pointer[yuccawire.Node]
@@ -79,6 +80,7 @@
 		options:  options,
 		metrics:  options.Metrics,
 		events:   make(chan event, eventQueueCapacity),
+		lifetime: yuccaquery.NewLifetime(),
 		dialers:  make(map[string]*dialer),
 		waiters:  make(map[yuccadispatch.Key][]chan<- yuccadispatch.Answer),
 		watchers: make(map[yuccadispatch.Key][]chan<- yuccadispatch.WatchResult),
@@ -121,6 +123,7 @@
 }
 
 func (e *Entry) loop(ctx context.Context) error {
+	defer e.lifetime.End()
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
@@ -328,15 +331,14 @@
 // its answer.
 func (e *Entry) Submit(ctx context.Context, s yuccadispatch.Submission) (yuccadispatch.Answer, error) {
 	answer := make(chan yuccadispatch.Answer, 1)
-	if err := e.post(ctx, submitRequest{submission: s, answer: answer}); err != nil {
+	err := e.post(ctx, submitRequest{submission: s, answer: answer})
+	switch {
+	case errors.Is(err, yuccaquery.ErrEnded):
+		return yuccadispatch.Answer{Key: s.Key, Rejection: yuccadispatch.Draining, RetryAfter: time.Second}, nil
+	case err != nil:
 		return yuccadispatch.Answer{}, err
 	}
-	select {
-	case a := <-answer:
-		return a, nil
-	case <-ctx.Done():
-		return yuccadispatch.Answer{}, ctx.Err()
-	}
+	return yuccaquery.Await(ctx, e.lifetime, answer)
 }
 
 // Watch returns the state of a job and, if cancel is set, cancels it.
@@ -345,12 +347,7 @@
 	if err := e.post(ctx, watchRequest{key: key, cancel: cancel, result: result}); err != nil {
 		return yuccadispatch.WatchResult{}, err
 	}
-	select {
-	case r := <-result:
-		return r, nil
-	case <-ctx.Done():
-		return yuccadispatch.WatchResult{}, ctx.Err()
-	}
+	return yuccaquery.Await(ctx, e.lifetime, result)
 }
 
 // Drain rejects new jobs and waits until all others are answered. It returns the
@@ -363,13 +360,11 @@
 	if e.post(ctx, drainRequest{done: done}) != nil {
 		return 0
 	}
-	select {
-	case <-done:
-		e.flush(ctx)
-		return 0
-	case <-ctx.Done():
+	if _, err := yuccaquery.Await(ctx, e.lifetime, done); err != nil {
 		return e.unsettledJobs()
 	}
+	e.flush(ctx)
+	return 0
 }
 
 // flush waits until the last messages have been sent: outcomes to record and
--- a/yuccaentry/events.go
+++ b/yuccaentry/events.go
@@ -55,14 +55,9 @@
 
 // post sends an event to the event loop.
 func (e *Entry) post(ctx context.Context, ev event) error {
-	select {
-	case e.events <- ev:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	return yuccaquery.Post(ctx, e.lifetime, e.events, ev)
 }
 
-func (e *Entry) postQuery(ctx context.Context, query yuccaquery.Query[*Entry]) error {
-	return e.post(ctx, query)
+func (e *Entry) postQuery(ctx context.Context, query yuccaquery.Query[*Entry]) (*yuccaquery.Lifetime, error) {
+	return e.lifetime, e.post(ctx, query)
 }
--- a/yuccaside/drain.go
+++ b/yuccaside/drain.go
@@ -32,12 +32,11 @@
 	if s.post(ctx, drain{done: done, deadline: deadline}) != nil {
 		return 0
 	}
-	select {
-	case interrupted := <-done:
-		return interrupted
-	case <-ctx.Done():
+	interrupted, err := yuccaquery.Await(ctx, s.lifetime, done)
+	if err != nil {
 		return s.countRunning()
 	}
+	return interrupted
 }
 
 // countRunning returns the number of running attempts, or zero if the event loop
--- a/yuccaside/events.go
+++ b/yuccaside/events.go
@@ -45,14 +45,9 @@
 
 // post sends an event to the event loop.
 func (s *Side) post(ctx context.Context, e event) error {
-	select {
-	case s.events <- e:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	return yuccaquery.Post(ctx, s.lifetime, s.events, e)
 }
 
-func (s *Side) postQuery(ctx context.Context, query yuccaquery.Query[*Side]) error {
-	return s.post(ctx, query)
+func (s *Side) postQuery(ctx context.Context, query yuccaquery.Query[*Side]) (*yuccaquery.Lifetime, error) {
+	return s.lifetime, s.post(ctx, query)
 }
--- a/yuccaside/side.go
+++ b/yuccaside/side.go
@@ -65,11 +65,12 @@
 // Side executes attempts at the targets of one host. It is a suture service. The
 // client returned by [Side.Lease] must be served alongside it.
 type Side struct {
-	options Options
-	metrics *yuccametric.Set
-	lease   *yuccalease.Client
-	events  chan event
-	permit  atomic.Pointer[permit]
+	options  Options
+	metrics  *yuccametric.Set
+	lease    *yuccalease.Client
+	events   chan event
+	lifetime *yuccaquery.Lifetime
+	permit   atomic.Pointer[permit]
 
 	// The fields below are owned by the event loop.
 	gate           *yuccagate.Gate
@@ -116,6 +117,7 @@
 		options:       options,
 		metrics:       options.Metrics,
 		events:        make(chan event, eventQueueCapacity),
+		lifetime:      yuccaquery.NewLifetime(),
 		owners:        make(map[string]*ownerLink),
 		targets:       make(map[string]*target),
 		running:       make(map[runKey]*run),
@@ -156,6 +158,7 @@
 }
 
 func (s *Side) loop(ctx context.Context) error {
+	defer s.lifetime.End()
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
--- a/yuccaside/targets.go
+++ b/yuccaside/targets.go
@@ -11,6 +11,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"github.com/yuccaturn/yuccaturn/yuccaquery"
 	"github.com/yuccaturn/yuccaturn/yuccawire"
 )
 
@@ -97,12 +98,11 @@
 	if err := s.post(ctx, targetAnnounced{announcement: a, done: done}); err != nil {
 		return err
 	}
-	select {
-	case err := <-done:
+	result, err := yuccaquery.Await(ctx, s.lifetime, done)
+	if err != nil {
 		return err
-	case <-ctx.Done():
-		return ctx.Err()
 	}
+	return result
 }
 
 // Withdraw removes the target of a service.
@@ -111,12 +111,8 @@
 	if err := s.post(ctx, targetWithdrawn{service: service, done: done}); err != nil {
 		return err
 	}
-	select {
-	case <-done:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	_, err := yuccaquery.Await(ctx, s.lifetime, done)
+	return err
 }
 
 // addTarget adds or renews a target. The address of a service can't change while
