command: install the handler of SIGHUP before the settings are read

Seen (review, no case): a process that got SIGHUP in its first milliseconds ended, and its callers and links with it.

Cause: the watcher of the settings installed the handler when its service started, after the settings and the disk were read. Until then the default action holds.

Ruled out: ignoring the signal until the watcher runs, which would lose a change of the settings that had just been read.

The handler is now the first thing that a deployed process does; a signal waits in its channel for the watcher. SIGTERM still ends a process that has not begun to serve at once.

--- a/yuccacommand/deployed.go
+++ b/yuccacommand/deployed.go
@@ -81,6 +81,8 @@
 }
 
 func newDeployedProcess(o *output) (*deployedProcess, error) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP) // before anything that takes time, as a SIGHUP would end the process
 	settings, err := yuccaplatform.LoadSettings()
 	if err != nil {
 		return nil, err
@@ -100,7 +102,7 @@
 		}},
 		logger: logger,
 	}
-	watcher := &settingsWatcher{settings: settings, logger: logger}
+	watcher := &settingsWatcher{settings: settings, hangups: hangups, logger: logger}
 	p.add(writer, watcher, yuccaserver.New(settings.MetricsAddress(), metricsHandler()))
 	return &deployedProcess{process: p, settings: watcher, metrics: metrics, logger: logger}, nil
 }
@@ -114,7 +116,8 @@
 // settingsWatcher reloads the settings file when it changes and on SIGHUP. While
 // the process runs, only changed seeds take effect.
 type settingsWatcher struct {
-	logger *slog.Logger
+	hangups <-chan os.Signal
+	logger  *slog.Logger
 
 	mu       sync.Mutex
 	settings *yuccaplatform.Settings
@@ -131,14 +134,11 @@
 func (w *settingsWatcher) Serve(ctx context.Context) error {
 	ticker := time.NewTicker(settingsPollInterval)
 	defer ticker.Stop()
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-hangups:
+		case <-w.hangups:
 			w.logger.Info("reloading the settings", "signal", "hangup")
 			w.modTime = time.Time{}
 			w.reload()
