worker: confirm answered starts in crashes that a restart shows

A task that crashes a worker before its first list, up to 50 ms after the start, then took down four workers where it was two, if the workers are back before a connection was refused for 20 ms.

The case "answered, restarted at once" of TestUnansweredStartIsReportedAsConfirmed failed before, "answered by the next one" fails without the look at the clock. The latter mends the former case "answered, maybe by the next one", which did not restart the worker before the start; it is as strict for the fault.

--- a/yuccaworker/clock.go
+++ b/yuccaworker/clock.go
@@ -7,9 +7,13 @@
 type workerClock struct {
 	lastMS     int64
 	observedAt time.Time
+	// hasJumped is set once a reading was ahead of the clock: it may be that of another
+	// incarnation.
+	hasJumped bool
 }
 
 func (c *workerClock) observe(ms int64, at time.Time) {
+	c.hasJumped = c.hasJumped || !c.mayShow(ms, at)
 	if c.observedAt.IsZero() || ms > c.lowerBound(at) {
 		c.lastMS, c.observedAt = ms, at
 	}
--- a/yuccaworker/restart.go
+++ b/yuccaworker/restart.go
@@ -25,8 +25,9 @@
 	var pending *pendingCrash
 	if crashed && !w.crashReported {
 		w.crashReported = true
-		// The next incarnation may have answered a start.
-		pending = &pendingCrash{crash: w.newCrash(now, func(r *run) bool { return r.listed }), crashedAt: endedAt}
+		// The next incarnation may have answered a start, which its clock shows unless it is close.
+		isConfirmed := func(r *run) bool { return r.listed || r.clockConfirmed && !w.clock.hasJumped }
+		pending = &pendingCrash{crash: w.newCrash(now, isConfirmed), crashedAt: endedAt}
 	}
 	lost, unconfirmed := 0, 0
 	for _, r := range w.sortedRuns() {
