--- a/yuccaserver/conn.go
+++ b/yuccaserver/conn.go
@@ -47,11 +47,19 @@
 
 	mu    sync.Mutex
 	phase phase
+	// readNow as a function, and the arguments and results of its call: there is one
+	// Read at a time, and none of them has to be allocated then.
+	read    func(descriptor uintptr) bool
+	buffer  []byte
+	readN   int
+	readErr error
 }
 
 func newConn(c *net.TCPConn, s *Server) (*conn, error) {
 	raw, err := c.SyscallConn()
-	return &conn{TCPConn: c, raw: raw, server: s, acceptedAt: time.Now()}, err
+	tracked := &conn{TCPConn: c, raw: raw, server: s, acceptedAt: time.Now()}
+	tracked.read = tracked.readNow
+	return tracked, err
 }
 
 func connOf(ctx context.Context) *conn { return ctx.Value(connKey{}).(*conn) }
@@ -59,11 +67,9 @@
 // Read reads and takes note of it in one step, so that no connection is closed as unused
 // that has been read from.
 func (c *conn) Read(p []byte) (int, error) {
-	n, err := 0, error(nil)
-	waitErr := c.raw.Read(func(descriptor uintptr) bool {
-		n, err = c.readNow(int(descriptor), p)
-		return !errors.Is(err, syscall.EAGAIN)
-	})
+	c.buffer = p
+	waitErr := c.raw.Read(c.read)
+	n, err := c.readN, c.readErr
 	switch {
 	case waitErr != nil:
 		return 0, waitErr
@@ -75,23 +81,25 @@
 	return n, nil
 }
 
-// readNow reads what is there. It discards what a refused connection sends, as closing it
-// with unread data would take the refusal back.
-func (c *conn) readNow(descriptor int, p []byte) (int, error) {
+// readNow reads what is there, and returns false if that is nothing. It discards what a
+// refused connection sends, as closing it with unread data would take the refusal back.
+func (c *conn) readNow(descriptor uintptr) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.phase == closed {
-		return 0, net.ErrClosed
+		c.readN, c.readErr = 0, net.ErrClosed
+		return true
 	}
 	for {
-		n, err := syscall.Read(descriptor, p)
+		c.readN, c.readErr = syscall.Read(int(descriptor), c.buffer)
+		isRead := c.readErr == nil && c.readN > 0
 		switch {
-		case errors.Is(err, syscall.EINTR) || err == nil && n > 0 && c.phase == refused:
+		case errors.Is(c.readErr, syscall.EINTR) || isRead && c.phase == refused:
 			continue
-		case err == nil && n > 0 && (c.phase == accepted || c.phase == idle):
+		case isRead && (c.phase == accepted || c.phase == idle):
 			c.phase = readingHeader
 		}
-		return n, err
+		return !errors.Is(c.readErr, syscall.EAGAIN)
 	}
 }
 
