edge: log which version a read shows, and how old its confirmation is

A report of an older configuration names the version that an entry showed. Only refused reads were logged, so that the log told neither when control had confirmed the version that was shown, nor whether the machine had been suspended since: three hypotheses looked alike.

--- a/yuccaedge/config.go
+++ b/yuccaedge/config.go
@@ -124,10 +124,14 @@
 		return nil, ErrNoConfiguration
 	}
 	age := time.Since(c.confirmedAt)
-	if age > e.options.MaxConfigurationAge-responseMargin || e.options.Suspensions.Check().Count != c.suspensions {
+	wasSuspended := e.options.Suspensions.Check().Count != c.suspensions
+	logger := e.options.Logger.With("version", c.catalog.Version(), "control_heard_ms", age.Milliseconds(), "was_suspended", wasSuspended)
+	if age > e.options.MaxConfigurationAge-responseMargin || wasSuspended {
 		e.metrics.Add("reads_refused", 1)
-		e.options.Logger.Info("read of the configuration refused", "version", c.catalog.Version(), "control_heard_ms", age.Milliseconds())
+		logger.Info("read of the configuration refused")
 		return nil, ErrStaleConfiguration
 	}
+	e.metrics.Add("reads", 1)
+	logger.Info("configuration read")
 	return c.view.WholeDocument(), nil
 }
