suspend: notice a suspension after a standstill between the readings of the clocks

What callers could see: an entry, a control or a side whose machine is suspended doesn't notice it, and goes on with leases and confirmations that have run out (an older configuration, a second leader's answers).

Cause: the time of suspensions is the difference of two clocks, read one after the other. A process that stood still between the two readings took the standstill for a suspension, and kept the difference as the highest total so far. The next suspension that was shorter than that standstill was below that total, and not noticed.

The monotonic clock is now read before and after the other one, and both are read again if that took over 10 ms; the result is never too high. The monotonic clock is that of the runtime, so that a check takes one system call in place of two.

--- a/yuccasuspend/watch.go
+++ b/yuccasuspend/watch.go
@@ -23,6 +23,13 @@
 // the time between the readings of the two clocks.
 const minSuspension = 50 * time.Millisecond
 
+const (
+	// maxReadingTime is how long reading the clocks may take for the result to count.
+	maxReadingTime = minSuspension / 5
+	// maxReadings limits how often the clocks are read again.
+	maxReadings = 100
+)
+
 // Watch detects suspensions of the machine by comparing CLOCK_BOOTTIME, which
 // advances during a suspension, with CLOCK_MONOTONIC, which does not. It is not safe
 // for concurrent use.
@@ -52,12 +59,37 @@
 	return suspended
 }
 
-// totalSuspended returns the total time that the machine was suspended since boot,
-// or zero if a clock can't be read.
+// processStart is read with a monotonic reading, from which the time since then is known
+// without a system call.
+var processStart = time.Now()
+
+// totalSuspended returns the total time that the machine was suspended, up to a constant.
 func totalSuspended() time.Duration {
-	var monotonic, boot unix.Timespec
-	if unix.ClockGettime(unix.CLOCK_MONOTONIC, &monotonic) != nil || unix.ClockGettime(unix.CLOCK_BOOTTIME, &boot) != nil {
+	return measureSuspended(func() time.Duration { return time.Since(processStart) }, readBootClock)
+}
+
+// readBootClock returns the reading of CLOCK_BOOTTIME, or zero if it can't be read.
+func readBootClock() time.Duration {
+	var reading unix.Timespec
+	if unix.ClockGettime(unix.CLOCK_BOOTTIME, &reading) != nil {
 		return 0
 	}
-	return time.Duration(boot.Nano() - monotonic.Nano())
+	return time.Duration(reading.Nano())
+}
+
+// measureSuspended returns the difference of the two clocks. If the process stands still
+// between the readings, they are repeated. The result is never too high, as a suspension that
+// is shorter than the excess would go unnoticed later.
+func measureSuspended(readMonotonic, readBoot func() time.Duration) time.Duration {
+	var suspended time.Duration
+	for range maxReadings {
+		before := readMonotonic()
+		boot := readBoot()
+		after := readMonotonic()
+		suspended = boot - after
+		if after-before < maxReadingTime {
+			break
+		}
+	}
+	return suspended
 }
