control, driver: notice suspensions by a monitor, as entries and sides do

No change of behaviour. Control and driver had watches of their own, whose source of time tests can't replace. There is now one way to ask for suspensions, and the entry of a machine and its control ask the same monitor.

--- a/yuccacommand/control.go
+++ b/yuccacommand/control.go
@@ -48,7 +48,7 @@
 		Random:             newRandom(),
 		Metrics:            metrics,
 		Logger:             p.logger,
-		SuspendWatch:       yuccasuspend.New(),
+		Suspensions:        yuccasuspend.NewMonitor(),
 	})
 	if err != nil {
 		return err
--- a/yuccacommand/sizedconfig.go
+++ b/yuccacommand/sizedconfig.go
@@ -90,7 +90,7 @@
 // addSide adds a side to the process. The side drives its worker through client.
 func (c sizedConfig) addSide(p *process, client yuccadriver.WorkerClient) *yuccadriver.Driver {
 	mesh := c.newMesh(yuccamesh.Options{Self: c.newNode(yuccawire.Role_ROLE_SIDE)})
-	driver := yuccadriver.New(yuccadriver.Options{Name: c.name, Mesh: mesh, Client: client, SuspendWatch: yuccasuspend.New(), Metrics: c.metrics, Logger: c.logger})
+	driver := yuccadriver.New(yuccadriver.Options{Name: c.name, Mesh: mesh, Client: client, Suspensions: yuccasuspend.NewMonitor(), Metrics: c.metrics, Logger: c.logger})
 	p.drain = driver.Drain
 	p.add(mesh, driver)
 	return driver
@@ -134,7 +134,7 @@
 			yuccacontrol.Options{
 				Network: controlNetwork, Self: address, DataCentre: c.dataCentre, Discover: mesh.Replicas, CanFormGroup: f.canFormGroup,
 				OnRecovered: func(sections []*yuccawire.Section) { edge.ApplyRecovered(sections) }, Voters: 2*c.toleratedFailures + 1,
-				SectionPushes: sectionPushes, MaxLogEntries: sizedMaxLogEntries, MaxLogBytes: sizedMaxLogBytes, Random: newRandom(), SuspendWatch: yuccasuspend.New(), Metrics: c.metrics, Logger: c.logger,
+				SectionPushes: sectionPushes, MaxLogEntries: sizedMaxLogEntries, MaxLogBytes: sizedMaxLogBytes, Random: newRandom(), Suspensions: suspensions, Metrics: c.metrics, Logger: c.logger,
 			})
 		p.add(replica)
 	}
--- a/yuccacontrol/control.go
+++ b/yuccacontrol/control.go
@@ -71,8 +71,8 @@
 	// OnRecovered receives the sections restored from the disk, before a leader
 	// is known. Optional.
 	OnRecovered func(sections []*yuccawire.Section)
-	// SuspendWatch detects that the machine was suspended. Optional.
-	SuspendWatch *yuccasuspend.Watch
+	// Suspensions notices suspensions of the machine. Optional.
+	Suspensions *yuccasuspend.Monitor
 	// MaxLogEntries is the number of log entries at which the log is compacted
 	// into a snapshot. Zero means the default of 20,000.
 	MaxLogEntries int
@@ -122,6 +122,8 @@
 	nextExpiry    time.Time
 	nextBalance   time.Time
 	diskErr       error
+	// suspensions are those after which this replica has stepped down.
+	suspensions yuccasuspend.Suspensions
 	// leaderLastSeen is when this replica last had a leader.
 	leaderLastSeen time.Time
 }
@@ -164,6 +166,8 @@
 		replyLinks: make(map[uint64]*conn),
 		sessions:   make(map[*session]struct{}),
 		waiters:    make(map[uint64]waiter),
+
+		suspensions: options.Suspensions.Check(),
 	}
 	c.disk = newWriter(options.Storage)
 	stored := options.Storage.Stored()
--- a/yuccacontrol/loop.go
+++ b/yuccacontrol/loop.go
@@ -58,10 +58,13 @@
 // of the leader's lease stops during suspension, so another replica may have
 // become leader.
 func (c *Control) checkSuspension() {
-	if c.options.SuspendWatch == nil {
+	suspensions := c.options.Suspensions.Check()
+	if suspensions.Count == c.suspensions.Count {
 		return
 	}
-	if suspendedFor := c.options.SuspendWatch.SuspendedFor(); suspendedFor > 0 && c.core != nil {
+	suspendedFor := suspensions.Total - c.suspensions.Total
+	c.suspensions = suspensions
+	if c.core != nil {
 		c.options.Logger.Warn("machine was suspended, stepping down", "stood_ms", suspendedFor.Milliseconds())
 		c.core.StepDown(time.Now())
 	}
--- a/yuccadriver/driver.go
+++ b/yuccadriver/driver.go
@@ -78,17 +78,17 @@
 	return yuccaworker.ResultInvalid
 }
 
-// Options configures a Driver. SuspendWatch is optional.
+// Options configures a Driver. Suspensions is optional.
 type Options struct {
 	// Name is the name of the side.
 	Name   string
 	Mesh   *yuccamesh.Mesh
 	Client WorkerClient
-	// SuspendWatch detects suspensions of the machine, after which the leases of
-	// all owners are expired. If nil, suspensions are not detected.
-	SuspendWatch *yuccasuspend.Watch
-	Metrics      *yuccametric.Set
-	Logger       *slog.Logger
+	// Suspensions notices suspensions of the machine, after which the leases of
+	// all owners are expired.
+	Suspensions *yuccasuspend.Monitor
+	Metrics     *yuccametric.Set
+	Logger      *slog.Logger
 }
 
 // Driver is the event loop of a side that drives a worker. It is a suture service.
@@ -98,6 +98,8 @@
 	events     chan event
 	lifetime   *yuccaquery.Lifetime
 	entryPeers map[string]*yuccamesh.Peer // the newest link of each entry, by name
+	// suspensions are those that the worker knows of.
+	suspensions yuccasuspend.Suspensions
 }
 
 // event is an input of the event loop: a startReply, a stopReply, a connectReply, a
@@ -130,6 +132,8 @@
 		events:     make(chan event, eventQueueCapacity),
 		lifetime:   yuccaquery.NewLifetime(),
 		entryPeers: make(map[string]*yuccamesh.Peer),
+
+		suspensions: options.Suspensions.Check(),
 	}
 }
 
@@ -176,12 +180,13 @@
 
 // checkSuspension expires the leases of all owners if the machine was suspended.
 func (d *Driver) checkSuspension() {
-	if d.options.SuspendWatch == nil {
+	suspensions := d.options.Suspensions.Check()
+	if suspensions.Count == d.suspensions.Count {
 		return
 	}
-	if suspendedFor := d.options.SuspendWatch.SuspendedFor(); suspendedFor > 0 {
-		d.worker.HandleSuspension(time.Now(), suspendedFor)
-	}
+	suspendedFor := suspensions.Total - d.suspensions.Total
+	d.suspensions = suspensions
+	d.worker.HandleSuspension(time.Now(), suspendedFor)
 }
 
 func (d *Driver) handleEvent(ev event) {
--- a/yuccasuspend/monitor.go
+++ b/yuccasuspend/monitor.go
@@ -11,12 +11,12 @@
 	Total time.Duration
 }
 
-// Monitor is a Watch that several goroutines share. They compare counts to find out
+// Monitor notices suspensions for several goroutines. They compare counts to find out
 // which of them knows of the latest suspension. A nil Monitor notices none.
 type Monitor struct {
 	total   func() time.Duration
 	mu      sync.Mutex
-	watch   Watch
+	watch   watch
 	noticed Suspensions
 }
 
@@ -26,7 +26,7 @@
 // NewMonitorOf is NewMonitor for a source of the time that the machine was suspended
 // in total.
 func NewMonitorOf(total func() time.Duration) *Monitor {
-	return &Monitor{total: total, watch: Watch{lastTotal: total()}}
+	return &Monitor{total: total, watch: watch{lastTotal: total()}}
 }
 
 // Check returns the suspensions up to now.
--- a/yuccasuspend/watch.go
+++ b/yuccasuspend/watch.go
@@ -7,9 +7,10 @@
 //
 // # Usage
 //
-//	watch := yuccasuspend.New()
-//	if suspended := watch.SuspendedFor(); suspended > 0 {
-//		// treat all leases as expired
+//	monitor := yuccasuspend.NewMonitor()
+//	granted, at := monitor.Check().Count, time.Now() // with the lease
+//	if monitor.Check().Count != granted || time.Since(at) > leaseDuration {
+//		// treat the lease as expired
 //	}
 package yuccasuspend
 
@@ -30,27 +31,17 @@
 	maxReadings = 100
 )
 
-// Watch detects suspensions of the machine by comparing CLOCK_BOOTTIME, which
+// watch detects suspensions of the machine by comparing CLOCK_BOOTTIME, which
 // advances during a suspension, with CLOCK_MONOTONIC, which does not. It is not safe
 // for concurrent use.
-type Watch struct {
-	// lastTotal is the result of totalSuspended when the last suspension was
-	// detected.
+type watch struct {
+	// lastTotal is the total when the last suspension was detected.
 	lastTotal time.Duration
 }
 
-// New returns a watch that ignores suspensions before the call.
-func New() *Watch {
-	w := &Watch{}
-	w.lastTotal = totalSuspended()
-	return w
-}
-
-// SuspendedFor returns how long the machine was suspended since the last detected
+// advance returns how long the machine was suspended since the last detected
 // suspension, or zero if it is shorter than minSuspension.
-func (w *Watch) SuspendedFor() time.Duration { return w.advance(totalSuspended()) }
-
-func (w *Watch) advance(total time.Duration) time.Duration {
+func (w *watch) advance(total time.Duration) time.Duration {
 	suspended := total - w.lastTotal
 	if suspended < minSuspension {
 		return 0
--- a/yuccasuspend/watch_test.go
+++ b/yuccasuspend/watch_test.go
@@ -30,7 +30,7 @@
 func TestStandstillBetweenReadingsHidesALaterSuspension(t *testing.T) {
 	for reading := 1; reading <= 4; reading++ {
 		m := &machine{boot: time.Hour, standsStillAt: reading, standsStillUntil: 3 * time.Second}
-		w := &Watch{lastTotal: time.Hour}
+		w := &watch{lastTotal: time.Hour}
 		if got := w.advance(measureSuspended(m.readMonotonic, m.readBoot)); got != 0 {
 			t.Errorf("standstill before reading %d: got a suspension of %v, want none", reading, got)
 		}
