control: ask for a suspension before each answer of a leader

What callers could see: an entry shows an older configuration for up to 1.6 s after the leader's machine was suspended, or a status that names two leaders.

Cause: the loop of a control asked for a suspension before it handled a batch of up to 2,048 events, and not at all after a sync. A leader that was suspended in between, by whose clock its lease hadn't run out, answered the rest of the batch: it granted leases and confirmed that there was no newer configuration, although another leader may have acknowledged one.

Evidence: TestLeaderSuspendedWithinABatchGrantsLeases failed before: a leader that was suspended for 5 s within a batch replied `lease_ms:3000` to a renewal from that time.

Why the fix works: whatever relies on the leader's lease calls isActiveLeader, which now asks for suspensions itself. A renewal was sent before that, and the entry counts the age of the answer from when it was sent; what happens to the machine after the check can't make the answer wrong.

--- a/yuccacontrol/discover_test.go
+++ b/yuccacontrol/discover_test.go
@@ -16,6 +16,7 @@
 	"github.com/yuccaturn/yuccaturn/yuccametric"
 	"github.com/yuccaturn/yuccaturn/yuccareplica"
 	"github.com/yuccaturn/yuccaturn/yuccastate"
+	"github.com/yuccaturn/yuccaturn/yuccasuspend"
 	"github.com/yuccaturn/yuccaturn/yuccawire"
 )
 
@@ -57,8 +58,10 @@
 	controls  map[string]*yuccacontrol.Control
 	cancels   map[string]context.CancelFunc
 	storages  map[string]*memoryStorage
-	mu        sync.Mutex
-	recovered map[string][]*yuccawire.Section
+	// suspensions are those of the machines of all controls.
+	suspensions *yuccasuspend.Monitor
+	mu          sync.Mutex
+	recovered   map[string][]*yuccawire.Section
 }
 
 func newDeployment(t *testing.T) *deployment {
@@ -96,7 +99,7 @@
 			}
 			return replicas
 		},
-		CanFormGroup: func() (bool, bool) { return canForm, true },
+		CanFormGroup: func() (bool, bool) { return canForm, true }, Suspensions: d.suspensions,
 		OnRecovered: func(sections []*yuccawire.Section) {
 			d.mu.Lock()
 			defer d.mu.Unlock()
--- a/yuccacontrol/loop.go
+++ b/yuccacontrol/loop.go
@@ -266,8 +266,10 @@
 }
 
 // isActiveLeader reports whether this replica can answer reads and grant leases:
-// its leader lease is valid and it has applied an entry of its own term.
+// its leader lease is valid and it has applied an entry of its own term. The machine may
+// have been suspended since the event loop has last asked, even within a batch.
 func (c *Control) isActiveLeader(now time.Time) bool {
+	c.checkSuspension()
 	return c.core != nil && c.leadingTerm != 0 && c.core.LeaseValid(now) && c.core.HasAppliedOwnTerm()
 }
 
