lease, edge, side: take no lease for the confirmation of a section that isn't held

What callers could see: one entry goes on showing an older configuration for as long as no further change is made, or a side goes on starting tasks in a data centre that has been drained.

Cause: a process that can't decode a section that control has sent keeps the previous version and logs `invalid section` or `invalid document`. The reply that brought it still extended the lease, and with it the confirmation that there is no newer configuration than the one held.

An update now says whether the view lacks a section. An entry doesn't count it as a confirmation, a side takes no lease from it. Both go on with the next version that they can decode.

--- a/yuccaedge/config.go
+++ b/yuccaedge/config.go
@@ -21,7 +21,7 @@
 		e.pendingElsewhere, e.pendingElsewhereAt = u.Pending, time.Now()
 	}
 	confirmedAt := u.Lease.Expires().Add(-yuccalease.Duration)
-	if u.Lease.Expires().IsZero() || u.Suspensions != e.suspensions.Count {
+	if u.Lease.Expires().IsZero() || u.Suspensions != e.suspensions.Count || u.Incomplete {
 		confirmedAt = time.Time{}
 	}
 	var newer []*yuccawire.Section
@@ -61,13 +61,15 @@
 // applySections replaces the current sections by those that are newer, and announces
 // them to the linked entries.
 // confirmedAt is the last time at which control had no newer section, or zero if
-// control has not confirmed them. source is logged.
+// control has not confirmed them; it counts only if all of them can be decoded. source
+// is logged.
 func (e *Edge) applySections(sections []*yuccawire.Section, confirmedAt time.Time, source string) {
 	current := e.config.Load()
 	next := *current
 	for _, s := range sections {
 		view, err := next.view.With(s)
 		if err != nil {
+			confirmedAt = time.Time{}
 			e.options.Logger.Error("invalid section, keeping the previous version", "section", s.GetName(), "version", s.GetVersion(), "error", err)
 			continue
 		}
@@ -77,6 +79,7 @@
 		if s.GetName() == yuccadocument.SectionWholeDocument {
 			catalog, err := e.options.Decode(s.GetBody())
 			if err != nil {
+				confirmedAt = time.Time{}
 				e.options.Logger.Error("invalid document, keeping the previous version", "version", s.GetVersion(), "error", err)
 				continue
 			}
--- a/yuccalease/client.go
+++ b/yuccalease/client.go
@@ -61,6 +61,9 @@
 	Suspensions int
 	// View is the current configuration.
 	View *yuccadocument.View
+	// Incomplete is set while View lacks a section that control has sent, since it can't be
+	// decoded. The lease then confirms nothing about that section.
+	Incomplete bool
 	// Members is the change of the members, or nil.
 	Members *yuccawire.MembersDelta
 	// Fences are the new fences, if any.
@@ -93,12 +96,14 @@
 	leaving bool
 
 	// Owned by Serve.
-	nextControl    int
-	leaderHint     string
-	sessionNode    *yuccawire.Node
-	lease          Lease
-	suspensions    int
-	view           *yuccadocument.View
+	nextControl int
+	leaderHint  string
+	sessionNode *yuccawire.Node
+	lease       Lease
+	suspensions int
+	view        *yuccadocument.View
+	// undecodable holds the latest version of each section that can't be decoded.
+	undecodable    map[string]uint64
 	membersEpoch   uint64
 	membersVersion uint64
 	fencesVersion  uint64
@@ -119,6 +124,8 @@
 		outbox:   make(chan *yuccawire.Envelope, outboxCapacity),
 		renewNow: make(chan struct{}, 1),
 		view:     yuccadocument.NewView(),
+
+		undecodable: make(map[string]uint64),
 	}
 }
 
--- a/yuccalease/session.go
+++ b/yuccalease/session.go
@@ -264,12 +264,24 @@
 		next, err := c.view.With(section)
 		if err != nil {
 			c.options.Logger.Error("invalid section, keeping the previous version", "section", section.GetName(), "error", err)
+			c.undecodable[section.GetName()] = max(c.undecodable[section.GetName()], section.GetVersion())
 			continue
 		}
 		c.view = next
 	}
 }
 
+// isIncomplete reports whether the view lacks a section that can't be decoded. A later version
+// of the section can replace it.
+func (c *Client) isIncomplete() bool {
+	for name, version := range c.undecodable {
+		if version > c.view.Version(name) {
+			return true
+		}
+	}
+	return false
+}
+
 // applyMembers returns a copy of the delta if it is newer than the members of
 // the process and applies to them, and otherwise nil.
 func (s *session) applyMembers(delta *yuccawire.MembersDelta) *yuccawire.MembersDelta {
@@ -293,6 +305,7 @@
 	update.Suspensions = s.client.suspensions
 	update.Lease = s.client.lease
 	update.View = s.client.view
+	update.Incomplete = s.client.isIncomplete()
 	select {
 	case s.client.updates <- update:
 		return nil
--- a/yuccaside/side.go
+++ b/yuccaside/side.go
@@ -220,7 +220,7 @@
 
 func (s *Side) handleLeaseUpdate(u yuccalease.Update) {
 	s.checkSuspension(time.Now())
-	if u.Suspensions != s.suspensions.Count {
+	if u.Suspensions != s.suspensions.Count || u.Incomplete {
 		u.Lease = yuccalease.Lease{}
 	}
 	wasDrained := s.gate.View().IsDrained(s.options.Self.GetDataCentre())
