edge, lease: count pending jobs by control's sums from after a suspension only

What callers could see: the number of pending jobs of a queue leaves out the jobs of other entries that were submitted while this entry's machine was suspended, and for up to 1.5 s after; or it is older than it may be.

Events that are handled in one batch were handled without asking in between.

Evidence: TestSuspendedEntryAddsPendingJobsFromBefore got the counts from before a suspension within a batch, by an update from before it, and by a renewal of 3 s ago (3 pending jobs, want 0). The update now says when it was requested, and a suspension discards the counts.

--- a/yuccaedge/config.go
+++ b/yuccaedge/config.go
@@ -17,8 +17,8 @@
 	if u.Proposal != nil {
 		e.finishProposal(u.Proposal)
 	}
-	if u.PendingKnown {
-		e.pendingElsewhere, e.pendingElsewhereAt = u.Pending, time.Now()
+	if !u.PendingAt.IsZero() && u.Suspensions == e.suspensions.Count {
+		e.pendingElsewhere, e.pendingElsewhereAt = u.Pending, u.PendingAt
 	}
 	confirmedAt := u.Lease.Expires().Add(-yuccalease.Duration)
 	if u.Lease.Expires().IsZero() || u.Suspensions != e.suspensions.Count || u.Incomplete {
--- a/yuccaedge/edge.go
+++ b/yuccaedge/edge.go
@@ -81,7 +81,7 @@
 	inquiries  map[uint64]*inquiry                   // inquiries that wait for replies, by number
 	proposals  map[uint64]proposalRequest            // proposals that wait for the leader's reply, by number
 	// pendingElsewhere are the pending jobs of the other entries, as control has
-	// summed them at pendingElsewhereAt.
+	// summed them since pendingElsewhereAt.
 	pendingElsewhere   []*yuccawire.QueueCount
 	pendingElsewhereAt time.Time
 	nextPendingCount   time.Time
@@ -168,8 +168,10 @@
 	for range maxBatchedEvents {
 		select {
 		case m := <-e.options.Mesh.Events():
+			e.checkSuspension(time.Now())
 			e.handleMeshEvent(m)
 		case ev := <-e.events:
+			e.checkSuspension(time.Now())
 			e.handleEvent(ev)
 		default:
 			return
@@ -178,7 +180,7 @@
 }
 
 // checkSuspension reports a suspension of the machine to the broker and discards
-// the last confirmation by control. Both that and the leases are unreliable then,
+// what control has told last. Both that and the leases are unreliable then,
 // since the monotonic clock does not advance during a suspension.
 func (e *Edge) checkSuspension(now time.Time) {
 	suspensions := e.options.Suspensions.Check()
@@ -190,6 +192,7 @@
 	c := *e.config.Load()
 	c.confirmedAt, c.suspensions = time.Time{}, suspensions.Count
 	e.config.Store(&c)
+	e.pendingElsewhereAt = time.Time{}
 	e.broker.HandleSuspension(now, suspendedFor)
 }
 
--- a/yuccaedge/suspension_test.go
+++ b/yuccaedge/suspension_test.go
@@ -12,6 +12,7 @@
 	"github.com/yuccaturn/yuccaturn/yuccalease"
 	"github.com/yuccaturn/yuccaturn/yuccametric"
 	"github.com/yuccaturn/yuccaturn/yuccasuspend"
+	"github.com/yuccaturn/yuccaturn/yuccawire"
 )
 
 // A configuration is read after a suspension, before the entry has heard of control again. An
@@ -46,3 +47,37 @@
 		}
 	}
 }
+
+// The counts of the other entries' pending jobs are from before a suspension, which strikes
+// within a batch of events, or came with an update from before it.
+func TestSuspendedEntryAddsPendingJobsFromBefore(t *testing.T) {
+	var total time.Duration
+	e := newTestEdge(Options{Suspensions: yuccasuspend.NewMonitorOf(func() time.Duration { return total })})
+	inquiry := &yuccawire.Inquiry{Kind: yuccawire.InquiryKind_INQUIRY_KIND_PENDING, Queue: "trim"}
+	pending := func() int {
+		done := make(chan inquiryResult, 1)
+		e.events <- inquiryRequest{inquiry: inquiry, done: done}
+		e.handleBatch()
+		return (<-done).pendingJobs
+	}
+	count := func(requestedAt time.Time, suspensions int) {
+		counts := []*yuccawire.QueueCount{{Queue: "trim", Jobs: 3}}
+		e.handleLeaseUpdate(yuccalease.Update{View: yuccadocument.NewView(), Pending: counts, PendingAt: requestedAt, Suspensions: suspensions})
+	}
+	for _, step := range []struct {
+		name  string
+		event func()
+		want  int
+	}{
+		{"counted", func() { count(time.Now(), 0) }, 3},
+		{"suspended", func() { total = 5 * time.Second }, 0},
+		{"counted before the suspension", func() { count(time.Now(), 0) }, 0},
+		{"counted since", func() { count(time.Now(), 1) }, 3},
+		{"requested long ago", func() { count(time.Now().Add(-2*maxPendingAge), 1) }, 0},
+	} {
+		step.event()
+		if got := pending(); got != step.want {
+			t.Errorf("%s: %d pending jobs, want %d", step.name, got, step.want)
+		}
+	}
+}
--- a/yuccalease/client.go
+++ b/yuccalease/client.go
@@ -70,10 +70,10 @@
 	Fences []*yuccawire.Fence
 	// Claims are replies to claims, if any.
 	Claims []*yuccawire.ClaimReply
-	// Pending are the pending jobs of the other entries, by queue, valid if
-	// PendingKnown is set.
-	Pending      []*yuccawire.QueueCount
-	PendingKnown bool
+	// Pending are the pending jobs of the other entries, by queue, as control knew them
+	// at PendingAt or later. PendingAt is zero if the update brings none.
+	Pending   []*yuccawire.QueueCount
+	PendingAt time.Time
 	// Proposal is the reply to a proposal, or nil.
 	Proposal *yuccawire.ProposalReply
 	// Fenced is set if this incarnation can never hold a lease again. The
--- a/yuccalease/session.go
+++ b/yuccalease/session.go
@@ -187,10 +187,10 @@
 	s.client.leaderAddress.Store(&s.address)
 	s.applySections(r.GetSections())
 	s.checkSuspension()
-	s.extendLease(r)
-	update := Update{
-		Members: s.applyMembers(r.GetMembers()), Fences: r.GetFences(), Connected: !s.connected,
-		Pending: r.GetPending(), PendingKnown: r.GetPendingKnown(),
+	requestedAt := s.extendLease(r)
+	update := Update{Members: s.applyMembers(r.GetMembers()), Fences: r.GetFences(), Connected: !s.connected}
+	if r.GetPendingKnown() {
+		update.Pending, update.PendingAt = r.GetPending(), requestedAt
 	}
 	c.fencesVersion = max(c.fencesVersion, r.GetFencesVersion())
 	s.connected = true
@@ -239,12 +239,13 @@
 	}
 }
 
-// extendLease extends the lease as granted by the reply to a renewal. Replies
-// with sequence zero are unsolicited pushes and do not extend it.
-func (s *session) extendLease(r *yuccawire.Renewed) {
+// extendLease extends the lease as granted by the reply to a renewal, and returns when that
+// was sent. Replies with sequence zero are unsolicited pushes and do not extend it. It returns
+// zero for these, and for renewals from before a suspension.
+func (s *session) extendLease(r *yuccawire.Renewed) time.Time {
 	requested, ok := s.sentAt[r.GetSequence()]
 	if !ok {
-		return
+		return time.Time{}
 	}
 	for sequence := range s.sentAt {
 		if sequence <= r.GetSequence() {
@@ -252,10 +253,11 @@
 		}
 	}
 	if requested.suspensions != s.client.suspensions {
-		return
+		return time.Time{}
 	}
 	duration := time.Duration(r.GetLeaseMs()) * time.Millisecond
 	s.client.lease = s.client.lease.Extend(requested.at, min(duration, Duration))
+	return requested.at
 }
 
 func (s *session) applySections(sections []*yuccawire.Section) {
