entry: read the clock for each event of a batch

What callers could see: after its process has stood still, an entry of claimed jobs admits or answers a job under a lease that has run out, and a caller of another entry may hear another outcome.

Cause: the time was read once for a batch of events. A standstill within the batch, a kill -STOP for example, left the rest of the batch with the time from before, by which the lease was valid.

--- a/yuccaentry/entry.go
+++ b/yuccaentry/entry.go
@@ -225,10 +225,9 @@
 // handleBatch handles the event and those queued behind it, so that their claims
 // are sent in one message.
 func (e *Entry) handleBatch(ev event) {
-	now := time.Now()
-	e.handleEvent(now, ev)
+	e.handleEvent(time.Now(), ev)
 	for range min(len(e.events), maxBatchedEvents) {
-		e.handleEvent(now, <-e.events)
+		e.handleEvent(time.Now(), <-e.events)
 	}
 }
 
--- a/yuccaentry/suspension_test.go
+++ b/yuccaentry/suspension_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/yuccaturn/yuccaturn/yuccadispatch"
@@ -60,3 +61,32 @@
 		t.Errorf("the deadline is %d ms after the hello, want 8000", got)
 	}
 }
+
+// slowCaller takes its answer after the duration of a lease.
+type slowCaller struct{ answer chan yuccadispatch.Answer }
+
+func (c *slowCaller) run() {
+	time.Sleep(yuccalease.Duration)
+	<-c.answer
+}
+
+// The process stands still within a batch of events for longer than the lease lasts.
+func TestEntryUsesAnExpiredLeaseAfterAStandstillWithinABatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := New(Options{
+			Network: yuccamemnet.New(yuccamemnet.Options{}).Host("entry-1"), Self: &yuccawire.Node{Name: "entry-1", Incarnation: 1},
+			Random: rand.New(rand.NewPCG(1, 1)), Metrics: yuccametric.New("entry-1"),
+		})
+		e.handleLeaseUpdate(yuccalease.Update{
+			Incarnation: 1, View: yuccadocument.NewView(), Lease: yuccalease.Lease{}.Extend(time.Now(), yuccalease.Duration),
+		})
+		held, answer := &slowCaller{answer: make(chan yuccadispatch.Answer)}, make(chan yuccadispatch.Answer, 1)
+		go held.run()
+		unnamed := yuccadispatch.Submission{Unnamed: true}
+		e.events <- submitRequest{submission: unnamed, answer: answer}
+		e.handleBatch(submitRequest{submission: unnamed, answer: held.answer})
+		if a := <-answer; a.Rejection != yuccadispatch.NoLease {
+			t.Errorf("after the standstill a job was rejected as %v, want %v", a.Rejection, yuccadispatch.NoLease)
+		}
+	})
+}
