dispatch: answer no attempt that may have been repeated at a lost side

What callers saw: two outcomes of one job. A job of repeatable tasks was taken over by another entry, and the side of the last attempt was lost. The new owner answered the result of an earlier attempt, which the former owner had given up as its side stood still, as complete; the former owner may have answered that of the last one.

Cause: where not all sides can be asked, tasks that no side knows count as undetermined, but what one side knows was taken for the last attempt. For tasks that may be repeated that doesn't follow.

Evidence: TestGivenUpAttemptIsTheOutcomeBesideALostSide, red until now, and its sibling with an attempt that still runs: both answered `complete:true ... body:"given up"`. Tasks that may not be repeated are answered as before: a second attempt of theirs follows only one that has provably not run. The price: a repeatable job whose entry is lost together with a side of its service, or soon after one has joined or left, is answered as undetermined where its results are known; its caller may send it again under another id.

--- a/yuccadispatch/attempts_test.go
+++ b/yuccadispatch/attempts_test.go
@@ -82,6 +82,14 @@
 
 // The side of the given up attempt stood still and is back; that of the last one is lost.
 func TestGivenUpAttemptIsTheOutcomeBesideALostSide(t *testing.T) {
+	answerBesideALostSide(t, heldAttempt{1, 200, "given up"})
+}
+
+func TestGivenUpAttemptThatRunsIsTheOutcomeBesideALostSide(t *testing.T) {
+	answerBesideALostSide(t, heldAttempt{1, 0, ""})
+}
+
+func answerBesideALostSide(t *testing.T, held heldAttempt) {
 	now := time.Now()
 	d := newDispatcher(t, now)
 	now = now.Add(20 * time.Second)
@@ -97,9 +105,12 @@
 		Targets: []*yuccawire.Target{{Service: s.Service, Slots: slotsPerWorker, Connections: 64}},
 	}}})
 	now = takeOver(now.Add(time.Second), d, s)
-	d.HandleGathered(now, "side-0", heldAttempt{1, 200, "given up"}.gathered(s))
+	d.HandleGathered(now, "side-0", held.gathered(s))
 	update(4, &yuccawire.MembersDelta{Removed: []string{"side-1"}})
 	gatherNothing(now, d, s)
+	if held.body == "" {
+		d.HandleFinished(now, "side-0", heldAttempt{held.number, 200, "given up"}.finished(s))
+	}
 	actions := d.Actions()
 	granted := &yuccawire.ClaimReply{Result: yuccawire.ClaimResult_CLAIM_GRANTED}
 	for _, action := range append(actions, replyToClaimsOf(now, d, actions, granted)...) {
--- a/yuccadispatch/takeover.go
+++ b/yuccadispatch/takeover.go
@@ -205,15 +205,28 @@
 	d.placeService(now, sv)
 }
 
+const (
+	mayHaveStarted  = "the former owner may have started it at a side that is gone or keeps no record of it"
+	mayHaveRepeated = "the former owner may have repeated it at a side that is gone or keeps no record of it"
+)
+
 // settleUndetermined settles the waiting tasks as unknown, because the former
-// owner may have started them at a side that did not reply.
+// owner may have started them at a side that did not reply. The attempts that other
+// sides reported are the last ones only if the former owner can't have repeated them.
 func (d *Dispatcher) settleUndetermined(j *job) {
 	for _, t := range j.tasks {
-		if t.state != waiting {
+		switch {
+		case t.state == waiting:
+			t.settle(unknown)
+			t.failure = mayHaveStarted
+		case j.Repeatable && !t.startedHere && t.state == succeeded:
+			t.settle(unknown)
+			t.failure = mayHaveRepeated
+		case j.Repeatable && !t.startedHere && t.state == sent:
+			t.failure = mayHaveRepeated
+		default:
 			continue
 		}
-		t.settle(unknown)
-		t.failure = "the former owner may have started it at a side that is gone or keeps no record of it"
 		if j.failReason == "" {
 			j.failReason = t.failure
 		}
