sized: have a stopping simulated worker report that it leaves until its side has answered

What users saw: a simulated worker that is told to stop ends without its side knowing, which then waits for it as for one that is silent.

Cause: the report that the worker is leaving was sent once, with a timeout of 0.5 s. If it got no answer, an idle worker ended all the same.

Evidence: TestDrainIsReportedAgain, in which the side refuses two reports, failed before (`the side does not know that the worker is leaving, after 1 reports`). A report without success is now sent again, up to six times.

--- a/yuccasized/doc.go
+++ b/yuccasized/doc.go
@@ -44,6 +44,10 @@
 	maxConnections = 4
 	// reportInterval is the interval between the reports of a simulated worker.
 	reportInterval = 500 * time.Millisecond
+	// drainReports is how often a simulated worker reports at most that it is leaving,
+	// drainReportDelay the time after a report without success.
+	drainReports     = 6
+	drainReportDelay = 100 * time.Millisecond
 	// simulatedDowntime is how long a simulated worker is down after a crash.
 	simulatedDowntime = time.Second
 	// maxLease limits how long the runs of a simulated worker continue without a
--- a/yuccasized/registry_test.go
+++ b/yuccasized/registry_test.go
@@ -37,6 +37,27 @@
 	}
 }
 
+// Guards against a simulated worker that ends without its side knowing, as a report got no answer.
+func TestDrainIsReportedAgain(t *testing.T) {
+	requests, known := 0, false
+	side := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		if requests++; requests < 3 {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		known = strings.Contains(string(body), `"leaving":true`)
+	}))
+	t.Cleanup(side.Close)
+	worker := yuccasized.NewSimulatedWorker(yuccasized.SimulatedWorkerOptions{
+		ID: "w", Service: "belfry", CPU: 4, Side: strings.TrimPrefix(side.URL, "http://"), Logger: slog.New(slog.DiscardHandler),
+	})
+	worker.Drain(t.Context())
+	if !known {
+		t.Errorf("the side does not know that the worker is leaving, after %d reports", requests)
+	}
+}
+
 // Guards against a report of a negative time being taken in, and its fault lacking a place.
 func TestNegativeRemainingTime(t *testing.T) {
 	registry := yuccasized.NewRegistry(nil, slog.New(slog.DiscardHandler))
--- a/yuccasized/simulatedworker.go
+++ b/yuccasized/simulatedworker.go
@@ -441,6 +441,23 @@
 	return nil
 }
 
+// reportDrain reports to the side until that succeeds, at most drainReports times. An idle
+// worker ends after it.
+func (s *SimulatedWorker) reportDrain(ctx context.Context) {
+	for range drainReports {
+		err := s.sendReport(ctx)
+		if err == nil {
+			return
+		}
+		s.options.Logger.Warn("reporting the drain to the side failed", "error", err)
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(drainReportDelay):
+		}
+	}
+}
+
 // Drain reports to the side that the worker is leaving, at the context's deadline if it
 // has one, and waits until no runs are in progress. If the context ends first, it returns the number of remaining
 // runs.
@@ -449,9 +466,7 @@
 	s.leaving = true
 	s.leavesAt, _ = ctx.Deadline()
 	s.mu.Unlock()
-	if err := s.sendReport(ctx); err != nil {
-		s.options.Logger.Warn("reporting the drain to the side failed", "error", err)
-	}
+	s.reportDrain(ctx)
 	for {
 		s.mu.Lock()
 		remaining, completed := len(s.runs), s.completed
