worker, broker: fence late starts also where the wall clock was set back

What callers saw: two runs of one task. Side and worker lose power together, and the machine comes back with its wall clock set back. A start from before is executed late, beside the next run.

Cause: the fencing token of a new process of a side is the wall time of its takeover, as the worker tells it. The process before is forgotten with its memory, so that nothing keeps the new token above the one before if that time has gone back.

Nothing else knows the former token but the entries: a side now tells them its token after each change of it (6 bytes in the first state of a link and after a change), and an entry that knows of a higher one tells the new process, on the link and before any order that follows. The side takes the worker over again above that, with a margin for raises that it hadn't told. What remains: an entry that wasn't linked with the former process doesn't know its token, and may order before the others are linked.

--- a/yuccabroker/side.go
+++ b/yuccabroker/side.go
@@ -45,9 +45,11 @@
 	linkedAt, linkLostAt time.Time
 	service              string
 	worker               string
-	ready                bool
-	suspect              bool
-	capacity             resources
+	// token is the highest fencing token that a process of the side has sent its worker.
+	token    int64
+	ready    bool
+	suspect  bool
+	capacity resources
 	// largest is the largest capacity that the worker has had.
 	largest resources
 	free    resources
@@ -208,11 +210,13 @@
 	if m.GetWorker() != "" {
 		if m.GetWorker() != s.worker {
 			s.largest = resources{}
+			s.token = 0
 		}
 		s.worker, s.service, s.labels = m.GetWorker(), m.GetService(), m.GetLabels()
 		s.capacity = resources{cpuMilli: int(m.GetCpuMilli()), memoryMB: int(m.GetMemoryMb()), accelerators: int(m.GetAccelerators())}
 		s.largest = s.largest.max(s.capacity)
 	}
+	b.recordToken(s, m.GetToken())
 	s.free = resources{cpuMilli: int(m.GetFreeCpuMilli()), memoryMB: int(m.GetFreeMemoryMb()), accelerators: int(m.GetFreeAccelerators())}
 	s.queuedCPU = [tierCount]int{}
 	for tier, cpu := range m.GetQueuedCpuMilli() {
--- a/yuccacontrol/discover_test.go
+++ b/yuccacontrol/discover_test.go
@@ -53,11 +53,11 @@
 // deployment is a set of controls that find each other by discovery. cancels stops
 // a control, and recovered holds the sections that OnRecovered received.
 type deployment struct {
-	t         *testing.T
-	fabric    *yuccamemnet.Fabric
-	controls  map[string]*yuccacontrol.Control
-	cancels   map[string]context.CancelFunc
-	storages  map[string]*memoryStorage
+	t        *testing.T
+	fabric   *yuccamemnet.Fabric
+	controls map[string]*yuccacontrol.Control
+	cancels  map[string]context.CancelFunc
+	storages map[string]*memoryStorage
 	// suspensions are those of the machines of all controls.
 	suspensions *yuccasuspend.Monitor
 	mu          sync.Mutex
--- a/yuccaworker/faults.go
+++ b/yuccaworker/faults.go
@@ -20,6 +20,9 @@
 	maxSequence = 1<<53 - 1
 	// maxToken is far above the sum of a start and a clock.
 	maxToken = 1 << 62
+	// tokenMargin is above the number of times that a process raises its token before it
+	// tells its owners.
+	tokenMargin = 1000
 	// maxNameBytes limits an ID, a service and a label, maxLabels the number of labels.
 	maxNameBytes = 200
 	maxLabels    = 100
--- a/yuccaworker/hold.go
+++ b/yuccaworker/hold.go
@@ -190,6 +190,19 @@
 	w.nextTakeOverAt = now
 }
 
+// raiseTokenAbove takes the worker over again with a higher token than one that an owner
+// knows of an earlier process of this side, whose starts may still arrive. That process may
+// have raised the token since.
+func (w *Worker) raiseTokenAbove(now time.Time, known int64) {
+	if w.report == nil || known == 0 || known < w.token {
+		return
+	}
+	w.token = min(known, maxToken-tokenMargin) + tokenMargin
+	w.metrics.Add("tokens_raised", 1)
+	w.options.Logger.Warn("an owner knows of a higher token, taking the worker over again", "worker", w.report.ID, "known", known, "token", w.token)
+	w.fence(now)
+}
+
 // applyCompletions records the outcomes that are listed for the first time.
 func (w *Worker) applyCompletions(now time.Time, h HoldResult) {
 	w.ackedCursor = max(w.ackedCursor, w.ackedUpTo(h))
--- a/yuccaworker/owner.go
+++ b/yuccaworker/owner.go
@@ -41,6 +41,7 @@
 		o.idleInterval = max(time.Duration(ms)*time.Millisecond, o.stateInterval)
 	}
 	w.handleDrainNews(now, o, m)
+	w.raiseTokenAbove(now, m.GetToken())
 	w.sendStates(now)
 }
 
@@ -60,7 +61,7 @@
 	o.linked = true
 	o.closing = false
 	o.ordersSeen = 0
-	o.specSent = 0
+	o.specSent, o.tokenSent = 0, 0
 	o.unsent = nil
 	o.dropRetained(now)
 	message := &yuccawire.Ends{Full: true, State: w.workerState(now, o)}
@@ -252,6 +253,9 @@
 		state.QueuedCpuMilli = append(state.QueuedCpuMilli, int32(queued.cpuMilli))
 	}
 	w.addForecast(now, state)
+	if w.report != nil && o.tokenSent != w.token {
+		o.tokenSent, state.Token = w.token, w.token
+	}
 	if w.report != nil && o.specSent != w.specVersion {
 		o.specSent = w.specVersion
 		total := w.capacity()
--- a/yuccaworker/worker.go
+++ b/yuccaworker/worker.go
@@ -163,6 +163,8 @@
 	closing bool
 	// specSent is the specVersion that the owner has received, 0 for none.
 	specSent uint64
+	// tokenSent is the fencing token that the owner has received, 0 for none.
+	tokenSent int64
 	// freeSent is the free capacity in the last state message.
 	freeSent resources
 	unsent   []*yuccawire.Ended
