edge: strike the played configuration at the steps of control, behind cuts, without power

Now a machine stands still or is suspended right after a renewal or at a check of its control, which comes within batches too, also behind a cut and beside an entry that reaches no other machine; disks differ in speed, a loss of power takes what was not synced, disks are lost right after an acknowledgement three times a run; and after a calm a change has to be acknowledged within 4 s, and each entry has to answer.

Not tried in this form: several membership changes at a time, a leader that serves before its own term is applied. The first two of these have tests of their own, and the others those of yuccareplica.

--- a/yuccaedge/configuration_test.go
+++ b/yuccaedge/configuration_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -27,9 +28,10 @@
 	// recoveryBound is how long after the last fault each entry shows what was acknowledged.
 	recoveryBound = 12 * time.Second
 	readInterval  = 40 * time.Millisecond
-	faultsPerRun  = 14
-	// wipeMargin is the calm before and after a lost disk.
-	wipeMargin = 8 * time.Second
+	// contactBound is the calm after which changes are acknowledged within ackTimeout.
+	contactBound = 3 * time.Second
+	faultsPerRun = 16
+	wipesPerRun  = 3
 )
 
 // configurationGroup runs machines whose configuration an operator changes, and judges what
@@ -59,7 +61,7 @@
 	for i := range 5 {
 		m := &machine{group: g, index: uint64(i), name: fmt.Sprintf("m%d", i), gate: &gate{}}
 		if i < 3 {
-			m.disk = &disk{path: t.TempDir()}
+			m.disk = g.newDisk()
 		}
 		g.machines = append(g.machines, m)
 	}
@@ -70,9 +72,14 @@
 	return g
 }
 
+// newDisk returns an empty disk, which may be slow.
+func (g *configurationGroup) newDisk() *disk {
+	return &disk{path: g.t.TempDir(), slowdown: time.Duration(1 + g.random.IntN(6))}
+}
+
 func (g *configurationGroup) close() {
 	for _, m := range g.machines {
-		m.stop()
+		m.stop(true)
 	}
 	synctest.Wait()
 }
@@ -91,10 +98,11 @@
 	return replicas
 }
 
-func (g *configurationGroup) others(m *machine) []string {
+// others returns the names of all other machines.
+func (g *configurationGroup) others(except ...*machine) []string {
 	var names []string
 	for _, other := range g.machines {
-		if other != m {
+		if !slices.Contains(except, other) {
 			names = append(names, other.name)
 		}
 	}
@@ -211,25 +219,55 @@
 	machine  *machine
 	kind     int
 	duration time.Duration
-	notices  bool
+	// checks is the number of checks of the machine's control until it stands still, and
+	// controlDelay how long after its network the control goes on.
+	checks       int
+	controlDelay time.Duration
+	// island is a machine that is linked with this one only, if the kind has one.
+	island *machine
 }
 
 const (
 	suspension = iota
 	standstill
+	suspensionBehindCut
+	standstillBehindCut
+	suspensionWithIsland
+	standstillWithIsland
 	cutOff
 	cutOneWay
 	restart
+	powerLoss
 	faultKinds
 )
 
+const (
+	// cutMargin is how long a machine remains cut off after it has stood still.
+	cutMargin = 2500 * time.Millisecond
+	// islandMargin is how long an island has to find the only control that it reaches.
+	islandMargin = 2500 * time.Millisecond
+)
+
 func (f *fault) run() {
 	defer f.machine.group.faults.Done()
 	m, others := f.machine, f.machine.group.others(f.machine)
 	fabric := m.group.fabric
+	isSuspended := f.kind == suspension || f.kind == suspensionBehindCut || f.kind == suspensionWithIsland
 	switch f.kind {
 	case suspension, standstill:
-		m.standStill(f.duration, f.kind == suspension, f.notices)
+		m.standStill(f.duration, isSuspended, f.checks, f.controlDelay)
+	case suspensionBehindCut, standstillBehindCut:
+		fabric.Isolate(m.name, others...)
+		m.standStill(f.duration, isSuspended, f.checks, f.controlDelay)
+		time.Sleep(cutMargin)
+		fabric.Rejoin(m.name, others...)
+	case suspensionWithIsland, standstillWithIsland:
+		away := m.group.others(f.island, m)
+		fabric.Isolate(f.island.name, away...)
+		time.Sleep(islandMargin)
+		m.standStill(f.duration, isSuspended, f.checks, f.controlDelay)
+		time.Sleep(cutMargin)
+		fabric.Rejoin(f.island.name, away...)
 	case cutOff:
 		fabric.Isolate(m.name, others...)
 		time.Sleep(f.duration)
@@ -242,49 +280,85 @@
 		for _, other := range others {
 			fabric.Heal(m.name, other)
 		}
-	case restart:
-		m.stop()
+	case restart, powerLoss:
+		m.stop(f.kind == restart)
 		time.Sleep(f.duration)
 		m.start()
 	}
 }
 
-// drawFaults brings about faults of one or two machines at a time.
+// drawFaults brings about faults of one or two machines at a time, mostly of those with a control.
 func (g *configurationGroup) drawFaults() {
 	for range faultsPerRun {
-		overlapping := 1 + g.random.IntN(2)
-		for _, i := range g.random.Perm(len(g.machines))[:overlapping] {
+		drawn := g.random.Perm(len(g.machines))
+		if g.random.IntN(3) > 0 {
+			drawn = g.random.Perm(3)
+		}
+		for _, i := range drawn[:1+min(g.random.IntN(3), 1)] {
 			f := &fault{
-				machine: g.machines[i], kind: g.random.IntN(faultKinds), notices: g.random.IntN(2) == 0,
-				duration: time.Duration(300+g.random.IntN(5000)) * time.Millisecond,
+				machine: g.machines[i], kind: g.random.IntN(faultKinds), checks: 1 + g.random.IntN(40), island: g.machines[3+g.random.IntN(2)],
+				// Two machines that go on at the same instant would call synctest.Wait at once.
+				duration:     300*time.Millisecond + time.Duration(g.random.Int64N(int64(5*time.Second))),
+				controlDelay: time.Duration(g.random.IntN(40)) * time.Millisecond,
 			}
 			g.faults.Add(1)
 			go f.run()
-			time.Sleep(time.Duration(g.random.IntN(400)) * time.Millisecond)
+			time.Sleep(time.Duration(g.random.IntN(1200)) * time.Millisecond)
 		}
 		g.faults.Wait()
-		time.Sleep(time.Duration(g.random.IntN(3000)) * time.Millisecond)
+		time.Sleep(time.Duration(g.random.IntN(2000)) * time.Millisecond)
+		if g.random.IntN(4) == 0 {
+			g.checkService()
+		}
+	}
+}
+
+// checkService checks that after a calm, an operator's change is acknowledged and each entry
+// shows the configuration.
+func (g *configurationGroup) checkService() {
+	time.Sleep(contactBound)
+	before := g.acknowledgedChanges()
+	time.Sleep(ackTimeout)
+	if g.acknowledgedChanges() == before {
+		g.t.Errorf("no change was acknowledged within %v after a calm of %v", ackTimeout, contactBound)
+	}
+	g.checkReads()
+}
+
+func (g *configurationGroup) checkReads() {
+	for _, m := range g.machines {
+		if err := g.read(m); err != nil {
+			g.t.Errorf("%s shows nothing after a calm: %v", m.name, err)
+		}
 	}
 }
 
-// wipeAfterAcknowledgement restarts a machine with an empty disk, while all others restart.
+// wipeAfterAcknowledgement makes a machine lose its disk right after a change was acknowledged,
+// while all others lose power.
 func (g *configurationGroup) wipeAfterAcknowledgement() {
-	time.Sleep(wipeMargin)
+	time.Sleep(recoveryBound)
 	for before := g.acknowledgedChanges(); g.acknowledgedChanges() == before; {
-		time.Sleep(time.Millisecond)
+		time.Sleep(100 * time.Microsecond)
+	}
+	for _, m := range g.machines {
+		if m.disk != nil {
+			m.disk.losePower()
+		}
 	}
 	for _, m := range g.machines {
-		m.stop()
+		m.stop(false)
 	}
-	g.machines[g.random.IntN(3)].disk.path = g.t.TempDir()
+	wiped := g.machines[g.random.IntN(3)]
+	wiped.disk = g.newDisk()
 	for _, m := range g.machines {
 		m.start()
 	}
-	time.Sleep(wipeMargin)
+	time.Sleep(recoveryBound)
+	g.checkReads()
 }
 
-// Machines are suspended, stand still, are cut off and restart while an operator changes the
-// configuration; at last one loses its disk while all others restart.
+// Machines are suspended, stand still, are cut off, restart and lose power while an operator
+// changes the configuration; at last disks are lost while all others lose power.
 func TestNoEntryShowsAnOlderConfiguration(t *testing.T) {
 	for seed := *firstSeed; seed < *firstSeed+uint64(*seedCount); seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
@@ -301,14 +375,10 @@
 	clients.Go(func() { g.run(ctx, rand.New(rand.NewPCG(seed, 2))) })
 	clients.Go(func() { g.runReads(ctx) })
 	g.drawFaults()
-	g.wipeAfterAcknowledgement()
+	for range wipesPerRun {
+		g.wipeAfterAcknowledgement()
+	}
 	cancel()
 	clients.Wait()
-	time.Sleep(recoveryBound)
-	for _, m := range g.machines {
-		if err := g.read(m); err != nil {
-			t.Errorf("%s shows nothing %v after the last fault: %v", m.name, recoveryBound, err)
-		}
-	}
 	t.Logf("%d changes acknowledged, %d reads answered", len(g.acknowledged), g.reads)
 }
--- a/yuccaedge/disk_test.go
+++ b/yuccaedge/disk_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -38,6 +39,47 @@
 	room      int
 	failsSync bool
 	capacity  atomic.Int64
+	// slowdown is how many times as long as usual a sync takes, zero for once.
+	slowdown time.Duration
+
+	mu sync.Mutex
+	// synced holds the size of each file at its last sync, by path.
+	synced map[string]int64
+	// hasNoPower makes writes and syncs fail.
+	hasNoPower bool
+}
+
+// losePower takes from each file what was written since its last sync.
+func (d *disk) losePower() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.hasNoPower = true
+	for path, size := range d.synced {
+		if info, err := os.Stat(path); err == nil && info.Size() > size {
+			_ = os.Truncate(path, size)
+		}
+	}
+}
+
+func (d *disk) restorePower() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.hasNoPower = false
+}
+
+func (d *disk) isPowered() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return !d.hasNoPower
+}
+
+func (d *disk) setSynced(path string, size int64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.synced == nil {
+		d.synced = make(map[string]int64)
+	}
+	d.synced[path] = size
 }
 
 func (d *disk) isFull() bool {
@@ -67,6 +109,9 @@
 }
 
 func (f *diskFile) Write(data []byte) (int, error) {
+	if !f.disk.isPowered() {
+		return 0, syscall.EIO
+	}
 	if !f.disk.isFull() || len(data) <= f.disk.room {
 		return f.File.Write(data)
 	}
@@ -76,10 +121,16 @@
 
 // Sync takes the time of a sync, or fails for lack of room.
 func (f *diskFile) Sync() error {
-	time.Sleep(syncDelay)
+	time.Sleep(syncDelay * max(f.disk.slowdown, 1))
 	if f.disk.isFull() && f.disk.failsSync {
 		return syscall.ENOSPC
 	}
+	if !f.disk.isPowered() {
+		return syscall.EIO
+	}
+	if info, err := f.Stat(); err == nil && !info.IsDir() {
+		f.disk.setSynced(strings.TrimSuffix(f.Name(), ".part"), info.Size())
+	}
 	return nil
 }
 
--- a/yuccaedge/machine_test.go
+++ b/yuccaedge/machine_test.go
@@ -25,56 +25,97 @@
 	"github.com/yuccaturn/yuccaturn/yuccawire"
 )
 
-// gate holds up a machine that stands still: the calls to its network, and the checks for
-// suspensions of its control, which begin each of the control's steps.
+// gate holds up a machine that stands still: the calls to its network, and its control at a
+// check for suspensions, which come before each batch of events and each answer of a leader. It
+// closes at such a check, or right after a renewal was sent.
 type gate struct {
-	mu     sync.Mutex
-	opened chan struct{}
-	// notices makes the checks that were held up notice the suspension. Otherwise it began
-	// just after them.
-	notices bool
-	total   time.Duration
+	mu sync.Mutex
+	// network and control are closed when these may go on, nil while nothing holds them up.
+	network, control chan struct{}
+	// checksLeft and renewalsLeft are the numbers of checks and renewals until the machine stands
+	// still, zero if it doesn't.
+	checksLeft, renewalsLeft int
+	struck                   chan struct{}
+	total                    time.Duration
 }
 
-func (g *gate) close(notices bool) {
+// closeAfter makes the machine stand still at a later check of its control or renewal of its
+// lease, or after a second at the latest, and waits for that.
+func (g *gate) closeAfter(checks, renewals int) {
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.opened, g.notices = make(chan struct{}), notices
+	struck := make(chan struct{})
+	g.checksLeft, g.renewalsLeft, g.struck = checks, renewals, struck
+	g.mu.Unlock()
+	select {
+	case <-struck:
+	case <-time.After(time.Second):
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		if g.checksLeft+g.renewalsLeft > 0 {
+			g.checksLeft, g.renewalsLeft = 0, 0
+			g.network, g.control = make(chan struct{}), make(chan struct{})
+		}
+	}
+}
+
+// countDown closes the gate when the number reaches zero. The caller holds the mutex.
+func (g *gate) countDown(left *int) {
+	if *left == 0 {
+		return
+	}
+	if *left--; *left == 0 {
+		g.network, g.control = make(chan struct{}), make(chan struct{})
+		close(g.struck)
+	}
 }
 
-func (g *gate) open() {
+func (g *gate) countRenewal() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	close(g.opened)
-	g.opened = nil
+	g.countDown(&g.renewalsLeft)
 }
 
-func (g *gate) state() (opened <-chan struct{}, notices bool, total time.Duration) {
+// open lets the network go on, and the control a while later.
+func (g *gate) open(delay time.Duration) {
+	g.mu.Lock()
+	close(g.network)
+	g.network = nil
+	g.mu.Unlock()
+	time.Sleep(delay)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.opened, g.notices, g.total
+	close(g.control)
+	g.control = nil
 }
 
 func (g *gate) wait() {
-	if opened, _, _ := g.state(); opened != nil {
+	g.mu.Lock()
+	opened := g.network
+	g.mu.Unlock()
+	if opened != nil {
 		<-opened
 	}
 }
 
 // suspended returns how long the machine was suspended.
 func (g *gate) suspended() time.Duration {
-	_, _, total := g.state()
-	return total
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.total
 }
 
-// suspendedAtStep is suspended for the control, which does nothing while the gate is closed.
+// suspendedAtStep is suspended for the control. A suspension that strikes there does so just
+// after the clocks have been read.
 func (g *gate) suspendedAtStep() time.Duration {
-	_, notices, before := g.state()
-	g.wait()
-	if !notices {
-		return before
+	total := g.suspended()
+	g.mu.Lock()
+	g.countDown(&g.checksLeft)
+	opened := g.control
+	g.mu.Unlock()
+	if opened != nil {
+		<-opened
 	}
-	return g.suspended()
+	return total
 }
 
 func (g *gate) addSuspension(d time.Duration) {
@@ -124,7 +165,11 @@
 
 func (l *gatedLink) Send(m *yuccawire.Envelope) error {
 	l.gate.wait()
-	return l.Link.Send(m)
+	err := l.Link.Send(m)
+	if m.GetRenew() != nil {
+		l.gate.countRenewal()
+	}
+	return err
 }
 
 func (l *gatedLink) Receive() (*yuccawire.Envelope, error) {
@@ -182,6 +227,7 @@
 	}
 	supervisor := suture.NewSimple(m.name)
 	if m.disk != nil {
+		m.disk.restorePower()
 		folder, err := m.disk.open()
 		if err != nil {
 			g.t.Fatal(err)
@@ -210,8 +256,11 @@
 	m.cancel, m.stopped = cancel, supervisor.ServeBackground(ctx)
 }
 
-// stop kills the process.
-func (m *machine) stop() {
+// stop kills the process. Without power, its disk loses what was not synced.
+func (m *machine) stop(hasPower bool) {
+	if !hasPower && m.disk != nil {
+		m.disk.losePower()
+	}
 	m.mu.Lock()
 	m.edge = nil
 	m.mu.Unlock()
@@ -236,11 +285,16 @@
 	m.standing = standing
 }
 
-// standStill holds the machine up for a time. If it is suspended, its monotonic clock does not
-// advance meanwhile, and a read arrives before anything else happens.
-func (m *machine) standStill(d time.Duration, isSuspended, notices bool) {
+// standStill holds the machine up for a time, from one of the next checks of its control or
+// renewals on. If it is suspended, its monotonic clock does not advance meanwhile. A read arrives
+// before anything else happens, and others before the control goes on.
+func (m *machine) standStill(d time.Duration, isSuspended bool, checks int, controlDelay time.Duration) {
+	if m.disk != nil {
+		m.gate.closeAfter(checks, 0)
+	} else {
+		m.gate.closeAfter(0, 1)
+	}
 	m.setStanding(true)
-	m.gate.close(notices)
 	time.Sleep(d)
 	synctest.Wait()
 	if isSuspended {
@@ -248,8 +302,8 @@
 		m.gate.addSuspension(d)
 	}
 	m.setStanding(false)
-	m.group.read(m)
-	m.gate.open()
+	_ = m.group.read(m)
+	m.gate.open(controlDelay)
 }
 
 // shiftTimes adds d to each time that the owner of an event loop holds, as if its clock had stood
