server, frontend: refuse requests whose client has closed the connection

Cause: at entries with more than they can do, requests wait in their sockets for over a second. Their callers give up and send them again at other entries. An entry that read such a request accepted the job and ordered its tasks; it noticed 88 and 126 ms later that its caller had left, since the goroutine of net/http that reads the end of the connection runs after the event loop on a busy processor. Ruled out: late orders (run 1 at both sides, each by its own entry within 33 ms of accepting the job), a lost lease.

Evidence: TestRequestOfAClientThatHasLeftIsHandled failed before. The kernel knows of the end by the time the body has been read, whoever gets the processor, so that the handler gets an error in place of the end of the body, and nothing is ordered.

--- a/yuccaserver/conn.go
+++ b/yuccaserver/conn.go
@@ -35,6 +35,10 @@
 // errRefused is returned to a handler that reads the body of a refused request.
 var errRefused = errors.New("the process ends before the request was read")
 
+// ErrClientLeft is returned to a handler at the end of the body of a request whose client has
+// closed the connection.
+var ErrClientLeft = errors.New("the client closed the connection before its request was handled")
+
 // connKey is the key of the *conn in the context of a request.
 type connKey struct{}
 
@@ -148,13 +152,25 @@
 
 // hasUnreadBytes reports whether the client has sent bytes that Read has yet to return.
 func (c *conn) hasUnreadBytes() bool {
-	n := 0
-	_ = c.raw.Control(func(descriptor uintptr) {
-		n, _, _ = syscall.Recvfrom(int(descriptor), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	})
+	n, _ := c.peek()
 	return n > 0
 }
 
+// hasEnded reports whether the client has closed the connection, and all that it sent was read.
+func (c *conn) hasEnded() bool {
+	n, err := c.peek()
+	return n == 0 && err == nil || errors.Is(err, syscall.ECONNRESET)
+}
+
+// peek returns how many bytes, at most one, are there to be read. If the client has closed the
+// connection, there are none and no error.
+func (c *conn) peek() (n int, err error) {
+	controlErr := c.raw.Control(func(descriptor uintptr) {
+		n, _, err = syscall.Recvfrom(int(descriptor), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	return n, errors.Join(controlErr, err)
+}
+
 // refuseUnread refuses a request that has not been read to its end, so that its handler
 // has passed nothing on. It reports whether there is one.
 func (c *conn) refuseUnread() bool {
@@ -189,7 +205,9 @@
 	return encoded.Bytes()
 }
 
-// body tells the connection when the handler waits for the rest of a request.
+// body tells the connection when the handler waits for the rest of a request. Its end is an
+// error if the client has closed the connection: a request that waited in the socket may have been
+// sent again elsewhere.
 type body struct {
 	io.ReadCloser
 	conn *conn
@@ -203,5 +221,8 @@
 	if !b.conn.enter(handling) {
 		return 0, errRefused
 	}
+	if errors.Is(err, io.EOF) && b.conn.hasEnded() {
+		return n, ErrClientLeft
+	}
 	return n, err
 }
--- a/yuccaserver/server_test.go
+++ b/yuccaserver/server_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"testing"
@@ -133,3 +134,42 @@
 	cancel()
 	<-run.done
 }
+
+// The request waits in the socket while the process is busy, and its client closes the connection.
+func TestRequestOfAClientThatHasLeftIsHandled(t *testing.T) {
+	read, closed := make(chan error, 1), make(chan struct{})
+	server := yuccaserver.New("127.0.0.1:0", http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/left" {
+			<-closed
+		}
+		_, err := io.ReadAll(r.Body)
+		read <- err
+	}))
+	ctx, cancel := context.WithCancel(t.Context())
+	run := &serverRun{server: server, done: make(chan error, 1)}
+	go run.run(ctx)
+	defer func() { cancel(); <-run.done }()
+	address, err := server.Address(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	send := func(path string) net.Conn {
+		c, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.WriteString(c, "POST "+path+" HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: 2\r\n\r\n{}")
+		return c
+	}
+	waiting := send("/waits")
+	defer waiting.Close()
+	if err := <-read; err != nil {
+		t.Errorf("the client waits: got %v", err)
+	}
+	_ = send("/left").Close()
+	time.Sleep(50 * time.Millisecond)
+	close(closed)
+	if err := <-read; err == nil {
+		t.Error("the client has left: its request was read without an error")
+	}
+}
