--- a/yuccamesh/mesh.go
+++ b/yuccamesh/mesh.go
@@ -137,7 +137,7 @@
 
 // Release closes a surplus link.
 func (m *Mesh) Release(p *Peer) {
-	m.options.Logger.Info("closing surplus link", "peer", p.node.GetName())
+	m.options.Logger.Info("closing surplus link", "peer", p.node.GetName(), "known_entries", len(m.Nodes()))
 	m.options.Metrics.Add("mesh_links_released", 1)
 	p.Close()
 }
--- a/yuccaworker/held.go
+++ b/yuccaworker/held.go
@@ -114,3 +114,14 @@
 	}
 	w.emit(Send{Owner: o.id, Message: &yuccawire.Envelope{Body: &yuccawire.Envelope_HeldTasks{HeldTasks: list}}})
 }
+
+// linkedEntries returns how many entries are told of the held runs.
+func (w *Worker) linkedEntries() int {
+	n := 0
+	for _, o := range w.ownerList {
+		if o.linked {
+			n++
+		}
+	}
+	return n
+}
