model: send lists of held tasks over the links of entries only

The model delivered an entry's list to all other entries. The program sends it to those that it is linked with, of 17 entries or more a part of them. Sides of an entry that is down for 1.5 s now link with another one, as their topology does, where they aren't linked with all. A share of the first starts only can be late, and killed entries stand in the trace.

--- a/yuccamodel/demand_test.go
+++ b/yuccamodel/demand_test.go
@@ -17,7 +17,7 @@
 }
 
 // chooseEntryPeers links the entries as their topology chooses, for the exchange of
-// demand. Crash reports reach all entries at once, see publish.
+// demand and of held tasks. Crash reports reach all entries at once, see publish.
 func (w *world) chooseEntryPeers() {
 	nodes := w.entryNodes()
 	for i, e := range w.entries {
--- a/yuccamodel/world_test.go
+++ b/yuccamodel/world_test.go
@@ -28,8 +28,10 @@
 	// reconnectDelay the minimum delay before the next link.
 	linkTimeout    = 1300 * time.Millisecond
 	reconnectDelay = 60 * time.Millisecond
-	tickInterval   = 20 * time.Millisecond
-	reportInterval = 1500 * time.Millisecond
+	// unreachableAfter is when sides replace an entry that is down.
+	unreachableAfter = 1500 * time.Millisecond
+	tickInterval     = 20 * time.Millisecond
+	reportInterval   = 1500 * time.Millisecond
 	// capacityGrace is when a smaller capacity counts: one report and some slack.
 	capacityGrace = reportInterval + 100*time.Millisecond
 	// resubmitDelay is how long a caller waits before it retries after its
@@ -104,6 +106,10 @@
 	// jobs.
 	meanCPUMilli float64
 	kinds        []jobKind
+	// lateFirstStarts is the share of the tasks whose first start is executed late. firstStarts are those
+	// that were sent.
+	lateFirstStarts float64
+	firstStarts     map[string]bool
 	// noticeSpread is how much later one end may notice that a link is up or down. If it is
 	// zero, both notice it at once.
 	noticeSpread time.Duration
@@ -206,7 +212,7 @@
 		crashingShare: make(map[string]float64), crashes: make(map[string]int), lostRuns: make(map[string]int), lostEnds: make(map[string]int), maxCrashes: maxCrashes, onCrash: func(*callerJob) {},
 		isLinked:  func(*modelEntry, *modelSide) bool { return true },
 		entriesOf: make(map[string][]*modelEntry), sidesByName: make(map[string]*modelSide),
-		meanCPUMilli: firstMeanCPUMilli, kinds: jobKinds, patience: callerPatience, scheduling: scheduling(),
+		firstStarts: make(map[string]bool), meanCPUMilli: firstMeanCPUMilli, kinds: jobKinds, patience: callerPatience, scheduling: scheduling(),
 	}
 	w.pickEntry = func() *modelEntry { return w.entries[w.random.IntN(len(w.entries))] }
 	speeds := []float64{0.8, 1, 1.25}
@@ -412,18 +418,25 @@
 	}
 }
 
-// publish sends a crash report, a list of held tasks or the jobs that have ended to all other entries.
+// publish sends a list of held tasks to the linked entries. Crash reports and the jobs that have ended reach
+// those that aren't linked, too.
 func (w *world) publish(from *modelEntry, m *yuccawire.Envelope) {
+	isFlooded := m.GetHeldTasks() == nil
 	for _, e := range w.entries {
 		if e == from || e.isDown {
 			continue
 		}
 		incarnation := e.incarnation
-		w.after(oneWay, func() {
+		deliver := func() {
 			if e.incarnation == incarnation {
 				e.handle(func() { e.handlePublished(m) })
 			}
-		})
+		}
+		if isFlooded {
+			w.after(oneWay, deliver)
+		} else if l := w.entryLinks[pairOf(from, e)]; l != nil {
+			w.transmit(l, deliver)
+		}
 	}
 }
 
@@ -482,6 +495,11 @@
 // seconds late without an answer, or never if the worker is down. If only its process
 // is down, the connection is refused.
 func (s *modelSide) call(deliver, onRefused, onTimeout func(), timeout time.Duration) {
+	s.callLate(0, deliver, onRefused, onTimeout, timeout)
+}
+
+// callLate is call, of which a share is late at least.
+func (s *modelSide) callLate(lateShare float64, deliver, onRefused, onTimeout func(), timeout time.Duration) {
 	w, m := s.world, s.worker
 	incarnation := s.incarnation
 	failLater := func() {
@@ -498,7 +516,7 @@
 	switch {
 	case m.isDown:
 		failLater()
-	case w.random.Float64() < m.delayedCallShare:
+	case w.random.Float64() < max(m.delayedCallShare, lateShare):
 		w.after(minLateness+time.Duration(w.random.IntN(int(m.delaySpread.Milliseconds())))*time.Millisecond, func() {
 			switch {
 			case m.isDown:
@@ -554,7 +572,11 @@
 	s.world.logf("%s sends start %v", s.name, a.Key)
 	onTimeout := func() { core.HandleStartReply(s.now(), a.Incarnation, a.Key, yuccaworker.ResultUnknown, 0) }
 	onRefused := func() { core.HandleStartReply(s.now(), a.Incarnation, a.Key, yuccaworker.ResultUnreachable, 0) }
-	s.call(func() {
+	lateShare := 0.0
+	if !s.world.firstStarts[a.Key.Task] {
+		lateShare, s.world.firstStarts[a.Key.Task] = s.world.lateFirstStarts, true
+	}
+	s.callLate(lateShare, func() {
 		result, clock := s.worker.start(a), s.worker.clock()
 		s.reply(func() { core.HandleStartReply(s.now(), a.Incarnation, a.Key, result, clock) }, onTimeout, a.Timeout)
 	}, onRefused, onTimeout, a.Timeout)
@@ -638,6 +660,15 @@
 	w.breakConnection(e, s, l.newest)
 }
 
+// openRequested opens the link that an entry has requested, if there is none.
+func (w *world) openRequested(s *modelSide, entry string) {
+	for _, e := range w.entries {
+		if l := w.link(e, s); e.name == entry && !l.isUp && l.epoch == 0 {
+			w.connect(e, s)
+		}
+	}
+}
+
 func (w *world) partitionLink(e *modelEntry, s *modelSide, d time.Duration) {
 	l := w.link(e, s)
 	l.isPartitioned = true
@@ -737,6 +768,8 @@
 	if e.isDown || e.suspensions.isSuspended() {
 		return
 	}
+	w.logf("fault %s is killed for %v", e.name, downtime)
+	incarnation := e.incarnation
 	waiters := maps.Clone(e.waiters)
 	order := slices.Sorted(maps.Keys(waiters))
 	for _, s := range w.sides {
@@ -755,6 +788,7 @@
 	e.isDown = true
 	e.isFrozen = false
 	e.deferred = nil
+	w.after(unreachableAfter, func() { w.replaceUnreachable(e, incarnation) })
 	for _, waiter := range order {
 		if j := waiters[waiter]; !unreachable {
 			j.handleDisconnect(e, waiter)
@@ -768,6 +802,20 @@
 	})
 }
 
+// replaceUnreachable links the sides of an entry that is still down with one that they aren't linked with, if
+// there is any, as their topology does.
+func (w *world) replaceUnreachable(e *modelEntry, incarnation uint64) {
+	if e.incarnation != incarnation {
+		return
+	}
+	for _, s := range w.sides {
+		unlinked := slices.IndexFunc(w.entries, func(other *modelEntry) bool { return !other.isDown && !w.isLinked(other, s) })
+		if w.isLinked(e, s) && unlinked >= 0 {
+			w.openRequested(s, w.entries[unlinked].name)
+		}
+	}
+}
+
 func (w *world) freezeEntry(e *modelEntry, d time.Duration) {
 	if e.isDown || e.isFrozen {
 		return
