broker: pass what may still run on to entries that its side isn't linked with

Cause: a side tells the entries that it is linked with, an entry those that it is linked with, and each took that for all. A cut is enough to make that wrong, or a replaced entry in a deployment of 16: 17 are known then, and sides keep 12 links.

Now each list names the entries that it reaches. An entry passes what is new to it on to the others that it is linked with, with the names of all that it then reaches. That needs no more than a path over links that are up. Where all are linked nothing is passed on. Only tasks that are new, or held for 2 s longer, are passed on, as a part of a list, which ends nothing; parts and whole lists may overtake each other.

--- a/yuccabroker/broker.go
+++ b/yuccabroker/broker.go
@@ -64,6 +64,8 @@
 	heldElsewhere map[heldKey]*heldList
 	// heldByTask combines these lists by task, nil if it has to be made again.
 	heldByTask map[string]heldTask
+	// peers are the names of the linked entries.
+	peers []string
 	// pinned are the tasks that may run at some sides only, until nobody submits them again.
 	pinned map[*task]struct{}
 	// culprits are the tasks that were lately found to crash their workers. downtime is
--- a/yuccabroker/held.go
+++ b/yuccabroker/held.go
@@ -18,6 +18,9 @@
 	heldInterval = 200 * time.Millisecond
 	// heldSlack is how long before its time a task may be omitted for that time's sake.
 	heldSlack = 500 * time.Millisecond
+	// heldExtension is by how much the time of a held task has to be extended for other entries to
+	// be told.
+	heldExtension = 2 * time.Second
 	// heldRetention is how long an empty list is known, so that an older one which comes
 	// later by another way is recognised.
 	heldRetention = 10 * time.Second
@@ -32,17 +35,24 @@
 	incarnation uint64
 }
 
-// heldList is the last list of a process.
+// heldList is the last list of a process, with the tasks of later ones that other entries have passed on.
 type heldList struct {
-	sequence   uint64
-	receivedAt time.Time
-	tasks      map[string]heldTask
+	// sequence is the number of the last whole list, partialSequence the highest number of those of
+	// which only a part was received.
+	sequence, partialSequence uint64
+	receivedAt                time.Time
+	tasks                     map[string]heldTask
+	// reached are the entries to which the last list was sent, as its sender or those that passed it on
+	// have said.
+	reached []string
 }
 
 // heldTask is a task that is held until its sender says otherwise, or until a time: statedUntil
 // as its sender has said, or later if a caller who came again waits longer.
 type heldTask struct {
 	statedUntil, until time.Time
+	// passedOnUntil is the time that other entries were last told, if they may not be told by the sender.
+	passedOnUntil time.Time
 	// side is the only one that can have runs of the task, empty if that is not known. run is the
 	// highest number of these runs.
 	side string
@@ -145,7 +155,7 @@
 }
 
 func (b *Broker) ownHeldList(now time.Time) *yuccawire.HeldTasks {
-	list := &yuccawire.HeldTasks{Sender: b.options.Name, Incarnation: b.options.Incarnation, Sequence: b.heldSequence}
+	list := &yuccawire.HeldTasks{Sender: b.options.Name, Incarnation: b.options.Incarnation, Sequence: b.heldSequence, Reached: b.withPeers(nil)}
 	addHeld(now, list, b.held)
 	return list
 }
@@ -177,17 +187,70 @@
 		return cmp.Or(cmp.Compare(x.sender, y.sender), cmp.Compare(x.incarnation, y.incarnation))
 	})
 	for _, key := range keys {
-		lists = append(lists, b.heldElsewhere[key].toWire(now, key))
+		list := b.heldElsewhere[key].toWire(now, key)
+		list.Reached = b.withPeers([]string{key.sender})
+		lists = append(lists, list)
 	}
 	return lists
 }
 
 func (l *heldList) toWire(now time.Time, key heldKey) *yuccawire.HeldTasks {
-	list := &yuccawire.HeldTasks{Sender: key.sender, Incarnation: key.incarnation, Sequence: l.sequence}
+	list := &yuccawire.HeldTasks{
+		Sender: key.sender, Incarnation: key.incarnation,
+		Sequence: max(l.sequence, l.partialSequence), Partial: l.partialSequence > l.sequence,
+	}
 	addHeld(now, list, l.tasks)
 	return list
 }
 
+// update applies a list of the process, whole or in part. It returns the tasks that other entries have
+// to be told, and how many are over.
+func (l *heldList) update(now time.Time, m *yuccawire.HeldTasks) (news map[string]heldTask, over int) {
+	stated := make(map[string]heldTask)
+	for _, h := range m.GetTasks()[:min(len(m.GetTasks()), maxHeldTasks)] {
+		until := now.Add(time.Duration(h.GetRemainingMs()) * time.Millisecond)
+		stated[h.GetTask()] = heldTask{statedUntil: until, until: until, side: h.GetSide(), run: h.GetRun()}
+	}
+	before := l.tasks
+	l.receivedAt = now
+	isPartial := m.GetPartial() || m.GetSequence() < l.partialSequence
+	if isPartial {
+		l.partialSequence = max(l.partialSequence, m.GetSequence())
+		l.tasks = maps.Clone(before)
+	} else {
+		l.sequence = m.GetSequence()
+		l.tasks = nil
+	}
+	if l.tasks == nil {
+		l.tasks = make(map[string]heldTask)
+	}
+	news = make(map[string]heldTask)
+	for name, h := range stated {
+		known, isKnown := before[name]
+		h.until = later(h.until, known.until)
+		if isPartial {
+			h.statedUntil, h.run = later(h.statedUntil, known.statedUntil), max(h.run, known.run)
+		}
+		h.passedOnUntil = known.passedOnUntil
+		if !isKnown || h.run != known.run || h.side != known.side || h.statedUntil.Sub(known.passedOnUntil) >= heldExtension {
+			h.passedOnUntil = h.statedUntil
+			news[name] = h
+		}
+		l.tasks[name] = h
+	}
+	if isPartial {
+		return news, 0
+	}
+	for name, h := range before {
+		if _, isHeld := l.tasks[name]; !isHeld && now.Before(h.until) && !now.Before(h.statedUntil.Add(-heldSlack)) {
+			l.tasks[name] = h
+		} else if !isHeld {
+			over++
+		}
+	}
+	return news, over
+}
+
 // HandleHeldBySide is HandleHeldTasks for the list of a linked side.
 func (b *Broker) HandleHeldBySide(now time.Time, name string, m *yuccawire.HeldTasks) {
 	if s := b.sides[name]; s != nil && m != nil {
@@ -199,8 +262,9 @@
 	}
 }
 
-// HandleHeldTasks replaces the list of held tasks of another process. Tasks that wait here are placed
-// at the side that has their runs, those that are over anywhere.
+// HandleHeldTasks replaces the list of held tasks of another process, or adds to it. Tasks that wait here
+// are placed at the side that has their runs, those that are over anywhere. What is new is passed on to
+// the linked entries that the list has not reached.
 func (b *Broker) HandleHeldTasks(now time.Time, m *yuccawire.HeldTasks) {
 	key := heldKey{sender: m.GetSender(), incarnation: m.GetIncarnation()}
 	l := b.heldElsewhere[key]
@@ -217,26 +281,14 @@
 		l = &heldList{}
 		b.heldElsewhere[key] = l
 	}
-	before := l.tasks
-	l.sequence, l.receivedAt = m.GetSequence(), now
-	l.tasks = make(map[string]heldTask)
-	for _, h := range m.GetTasks()[:min(len(m.GetTasks()), maxHeldTasks)] {
-		statedUntil := now.Add(time.Duration(h.GetRemainingMs()) * time.Millisecond)
-		l.tasks[h.GetTask()] = heldTask{statedUntil: statedUntil, until: later(statedUntil, before[h.GetTask()].until), side: h.GetSide(), run: h.GetRun()}
-	}
-	over := 0
-	for name, h := range before {
-		if _, isHeld := l.tasks[name]; !isHeld && now.Before(h.until) && !now.Before(h.statedUntil.Add(-heldSlack)) {
-			l.tasks[name] = h
-		} else if !isHeld {
-			over++
-		}
-	}
+	before := len(l.tasks)
+	news, over := l.update(now, m)
 	b.metrics.Add("held_lists_received", 1)
-	if len(before) == 0 || len(l.tasks) == 0 {
+	if before == 0 || len(l.tasks) == 0 {
 		b.options.Logger.Info("tasks held for runs elsewhere", "sender", key.sender, "incarnation", key.incarnation, "tasks", len(l.tasks),
-			"first", firstHeld(m), "over", over)
+			"first", firstHeld(m), "over", over, "passed_on", m.GetPartial())
 	}
+	b.passOnHeld(now, l, m, news)
 	jobs := make(map[*job]bool)
 	for name := range l.tasks {
 		if j := b.jobs[jobOf(name)]; j != nil && !jobs[j] {
--- /dev/null
+++ b/yuccabroker/relay_test.go
@@ -0,0 +1,90 @@
+package yuccabroker_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/yuccaturn/yuccaturn/yuccabroker"
+	"github.com/yuccaturn/yuccaturn/yuccawire"
+)
+
+// newRelay returns an entry that is linked with the named ones and with the side s1.
+func newRelay(t *testing.T, peers ...string) *fixture {
+	f := newFixture(t, "s1")
+	f.broker.SetPeers(peers)
+	return f
+}
+
+// receiveHeld handles a list of the side and returns what is passed on.
+func (f *fixture) receiveHeld(list *yuccawire.HeldTasks, reached ...string) []yuccabroker.Publish {
+	list.Reached = reached
+	f.broker.HandleHeldBySide(f.now, "s1", list)
+	var passedOn []yuccabroker.Publish
+	for _, a := range f.broker.Actions() {
+		if p, isPublish := a.(yuccabroker.Publish); isPublish {
+			passedOn = append(passedOn, p)
+		}
+	}
+	return passedOn
+}
+
+func checkPassedOn(t *testing.T, passedOn []yuccabroker.Publish, to string, tasks ...string) {
+	t.Helper()
+	if len(passedOn) != 1 || !slices.Equal(passedOn[0].To, []string{to}) {
+		t.Fatalf("passed on %v, want one list to %s", passedOn, to)
+	}
+	list := passedOn[0].Message.GetHeldTasks()
+	var names []string
+	for _, h := range list.GetTasks() {
+		names = append(names, h.GetTask())
+		if h.GetSide() != "s1" {
+			t.Errorf("%s is held at %q, want s1", h.GetTask(), h.GetSide())
+		}
+	}
+	if !slices.Equal(names, tasks) || list.GetSender() != "s1" || !list.GetPartial() || !slices.Contains(list.GetReached(), to) {
+		t.Errorf("passed on %v, want %v of s1, in part, with %s among those reached", list, tasks, to)
+	}
+}
+
+func TestEntryThatASideDoesNotReachIsToldOfItsHeldTasks(t *testing.T) {
+	f := newRelay(t, "other", "unlinked")
+	checkPassedOn(t, f.receiveHeld(heldTasks(1, 10*time.Second, "a.0.0.0"), "entry", "other"), "unlinked", "a.0.0.0")
+	f.now = f.now.Add(250 * time.Millisecond)
+	checkPassedOn(t, f.receiveHeld(heldTasks(2, 10*time.Second, "a.0.0.0", "a.0.0.1"), "entry", "other"), "unlinked", "a.0.0.1")
+	if p := f.receiveHeld(heldTasks(3, 10*time.Second, "a.0.0.0", "a.0.0.1"), "entry", "other"); len(p) > 0 {
+		t.Errorf("passed on %v, which is known", p)
+	}
+	f.now = f.now.Add(3 * time.Second)
+	checkPassedOn(t, f.receiveHeld(heldTasks(4, 10*time.Second, "a.0.0.0"), "entry", "other"), "unlinked", "a.0.0.0")
+}
+
+func TestEntryThatMayNotHaveReceivedAListIsToldOfAllItsTasks(t *testing.T) {
+	f := newRelay(t, "other")
+	if p := f.receiveHeld(heldTasks(1, 10*time.Second, "a.0.0.0", "a.0.0.1"), "entry", "other"); len(p) > 0 {
+		t.Errorf("passed on %v, want nothing where the side reaches all", p)
+	}
+	checkPassedOn(t, f.receiveHeld(heldTasks(2, 10*time.Second, "a.0.0.0", "a.0.0.1", "b.0.0.0"), "entry"), "other", "a.0.0.0", "a.0.0.1", "b.0.0.0")
+}
+
+// A list that is passed on may come before or after those of its sender.
+func TestPartOfAListEndsNoHeldTask(t *testing.T) {
+	f := newRelay(t)
+	held := func(sequence uint64, isPartial bool, tasks ...string) {
+		list := heldTasks(sequence, 10*time.Second, tasks...)
+		list.Partial = isPartial
+		f.broker.HandleHeldTasks(f.now, list)
+	}
+	held(1, false, "a.0.0.0")
+	held(3, true, "a.0.0.1")
+	held(2, false, "a.0.0.2")
+	f.submit(job("a", 4), 1)
+	if runs := f.sentRuns(); len(runs) != 1 || runs["a.0.0.3/1"] == "" {
+		t.Errorf("sent %v, want only the task that no list has named", runs)
+	}
+	held(3, false, "a.0.0.1")
+	f.advance(20*time.Millisecond, "s1")
+	if runs := f.sentRuns(); len(runs) != 3 || runs["a.0.0.1/1"] != "" {
+		t.Errorf("sent %v, want all but the one that the last whole list names", runs)
+	}
+}
--- a/yuccabroker/types.go
+++ b/yuccabroker/types.go
@@ -116,8 +116,11 @@
 	Message *yuccawire.Envelope
 }
 
-// Publish is the action that sends a message to all linked entries.
-type Publish struct{ Message *yuccawire.Envelope }
+// Publish is the action that sends a message to the linked entries named in To, or to all if that is nil.
+type Publish struct {
+	Message *yuccawire.Envelope
+	To      []string
+}
 
 // Action is an [Answer], a [Send] or a [Publish].
 type Action any
--- a/yuccaedge/edge.go
+++ b/yuccaedge/edge.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -261,6 +262,7 @@
 	node := p.Node()
 	if node.GetRole() == yuccawire.Role_ROLE_ENTRY {
 		e.entryPeers[p] = struct{}{}
+		e.updatePeers()
 		e.sendInquiries(p)
 		if report := e.broker.RecentCrashes(now); len(report.GetCrashes())+len(report.GetConfined()) > 0 {
 			p.Send(&yuccawire.Envelope{Body: &yuccawire.Envelope_CrashReport{CrashReport: report}})
@@ -292,6 +294,16 @@
 	})
 }
 
+// updatePeers tells the broker which entries are linked.
+func (e *Edge) updatePeers() {
+	names := make([]string, 0, len(e.entryPeers))
+	for p := range e.entryPeers {
+		names = append(names, p.Node().GetName())
+	}
+	slices.Sort(names)
+	e.broker.SetPeers(slices.Compact(names))
+}
+
 // isCurrent reports whether the link is the current one of its side.
 func (e *Edge) isCurrent(p *yuccamesh.Peer) bool { return e.sidePeers[p.Node().GetName()] == p }
 
@@ -304,7 +316,9 @@
 			}
 		case yuccabroker.Publish:
 			for p := range e.entryPeers {
-				p.Send(a.Message)
+				if a.To == nil || slices.Contains(a.To, p.Node().GetName()) {
+					p.Send(a.Message)
+				}
 			}
 		case yuccabroker.Answer:
 			if waiter := e.waiters[a.Waiter]; waiter != nil {
--- a/yuccaedge/held_test.go
+++ b/yuccaedge/held_test.go
@@ -59,3 +59,24 @@
 		fabric.Crash("e0")
 	})
 }
+
+func TestListOfASideReachesAnEntryThatTheSideIsNotLinkedWith(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		fabric := yuccamemnet.New(yuccamemnet.Options{Delay: time.Millisecond, Seed: 1})
+		_, stopped := serveEdge(ctx, fabric.Host("e0"), yuccametric.New("e0"))
+		time.Sleep(100 * time.Millisecond)
+		side := dialAs(t, fabric.Host("s"), 7)
+		unlinked := dialAsEntry(t, fabric.Host("e1"), "e1")
+		time.Sleep(100 * time.Millisecond)
+		list := &yuccawire.HeldTasks{Sequence: 3, Tasks: []*yuccawire.HeldTask{{Task: "a.0.0.0", RemainingMs: 9000}}, Reached: []string{"e0"}}
+		_ = side.Send(&yuccawire.Envelope{Body: &yuccawire.Envelope_HeldTasks{HeldTasks: list}})
+		held := receiveHeld(t, unlinked)
+		if held.GetSender() != "s" || held.GetIncarnation() != 7 || !held.GetPartial() || len(held.GetTasks()) != 1 || held.GetTasks()[0].GetSide() != "s" {
+			t.Errorf("received %v, want the task of the side", held)
+		}
+		cancel()
+		<-stopped
+		fabric.Crash("e0")
+	})
+}
--- a/yuccaedge/inquiry.go
+++ b/yuccaedge/inquiry.go
@@ -216,6 +216,7 @@
 		return
 	}
 	delete(e.entryPeers, p)
+	e.updatePeers()
 	name := p.Node().GetName()
 	e.broker.Demand().ForgetPeer(name)
 	for _, i := range e.inquiries {
--- a/yuccamodel/demand_test.go
+++ b/yuccamodel/demand_test.go
@@ -58,6 +58,8 @@
 			w.connectEntries(a, b)
 		default:
 			l.isUp = true
+			a.updatePeers()
+			b.updatePeers()
 			a.broker.Demand().ForgetPeer(b.name)
 			b.broker.Demand().ForgetPeer(a.name)
 			a.sendHeldLists(b)
@@ -66,6 +68,17 @@
 	})
 }
 
+// updatePeers tells the broker which entries are linked.
+func (e *modelEntry) updatePeers() {
+	var names []string
+	for _, peer := range e.peers {
+		if e.world.entryLinks[pairOf(e, peer)].isUp {
+			names = append(names, peer.name)
+		}
+	}
+	e.broker.SetPeers(names)
+}
+
 // sendHeldLists sends a peer the known lists of held tasks, as its link has come up.
 func (e *modelEntry) sendHeldLists(to *modelEntry) {
 	w, incarnation := e.world, to.incarnation
--- a/yuccamodel/world_test.go
+++ b/yuccamodel/world_test.go
@@ -407,7 +407,7 @@
 		case yuccabroker.Send:
 			w.sendToSide(e, w.sidesByName[a.Side], a.Message)
 		case yuccabroker.Publish:
-			w.publish(e, a.Message)
+			w.publish(e, a.Message, a.To)
 		case yuccabroker.Answer:
 			if j := e.waiters[a.Waiter]; j != nil {
 				delete(e.waiters, a.Waiter)
@@ -418,9 +418,9 @@
 	}
 }
 
-// publish sends a list of held tasks to the linked entries. Crash reports and the jobs that have ended reach
-// those that aren't linked, too.
-func (w *world) publish(from *modelEntry, m *yuccawire.Envelope) {
+// publish sends a message to the linked entries named, or to all. Crash reports and the jobs that have ended
+// reach those that aren't linked, too.
+func (w *world) publish(from *modelEntry, m *yuccawire.Envelope, to []string) {
 	isFlooded := m.GetHeldTasks() == nil
 	for _, e := range w.entries {
 		if e == from || e.isDown {
@@ -434,7 +434,7 @@
 		}
 		if isFlooded {
 			w.after(oneWay, deliver)
-		} else if l := w.entryLinks[pairOf(from, e)]; l != nil {
+		} else if l := w.entryLinks[pairOf(from, e)]; l != nil && (to == nil || slices.Contains(to, e.name)) {
 			w.transmit(l, deliver)
 		}
 	}
@@ -784,6 +784,7 @@
 		l := w.entryLinks[pairOf(e, peer)]
 		l.isUp = false
 		l.delayed = nil
+		peer.updatePeers()
 	}
 	e.isDown = true
 	e.isFrozen = false
--- a/yuccaworker/held.go
+++ b/yuccaworker/held.go
@@ -102,7 +102,7 @@
 	if w.held.sequence == 0 {
 		return
 	}
-	list := &yuccawire.HeldTasks{Sequence: w.held.sequence}
+	list := &yuccawire.HeldTasks{Sequence: w.held.sequence, Reached: w.linkedEntries()}
 	for _, key := range w.held.listed {
 		until := now.Add(minHeldTime)
 		if r := w.runs[key]; r != nil {
@@ -115,13 +115,13 @@
 	w.emit(Send{Owner: o.id, Message: &yuccawire.Envelope{Body: &yuccawire.Envelope_HeldTasks{HeldTasks: list}}})
 }
 
-// linkedEntries returns how many entries are told of the held runs.
-func (w *Worker) linkedEntries() int {
-	n := 0
+// linkedEntries returns the names of the entries that are told of the held runs.
+func (w *Worker) linkedEntries() []string {
+	var names []string
 	for _, o := range w.ownerList {
 		if o.linked {
-			n++
+			names = append(names, o.id.Name)
 		}
 	}
-	return n
+	return names
 }
