worker, broker: tell entries which others have received a side's list

Cause: the list named the entries that it was sent to as those that it reaches. What is sent on a link that is cut is not received.

Entries now say which list they have received (HeldSeen, about 10 bytes). 150 ms after a list that an entry has not acknowledged, the side sends it again and doesn't name that entry. The others tell it of all the side's tasks.

Ruled out: taking an entry as reached only once it has acknowledged, which has every list passed on 15 times in a full mesh; a shorter silence, which closes links under load.

--- a/yuccabroker/held.go
+++ b/yuccabroker/held.go
@@ -251,7 +251,7 @@
 	return news, over
 }
 
-// HandleHeldBySide is HandleHeldTasks for the list of a linked side.
+// HandleHeldBySide is HandleHeldTasks for the list of a linked side, which is told that it was received.
 func (b *Broker) HandleHeldBySide(now time.Time, name string, m *yuccawire.HeldTasks) {
 	if s := b.sides[name]; s != nil && m != nil {
 		m.Sender, m.Incarnation = s.name, s.Incarnation
@@ -259,6 +259,7 @@
 			h.Side = s.name
 		}
 		b.HandleHeldTasks(now, m)
+		b.send(name, &yuccawire.Envelope{Body: &yuccawire.Envelope_HeldSeen{HeldSeen: &yuccawire.HeldSeen{Sequence: m.GetSequence()}}})
 	}
 }
 
--- a/yuccadriver/driver.go
+++ b/yuccadriver/driver.go
@@ -245,6 +245,8 @@
 		d.worker.HandleHeartbeat(now, from, body.Beat)
 	case *yuccawire.Envelope_Withdraw:
 		d.worker.HandleWithdraw(now, from, body.Withdraw)
+	case *yuccawire.Envelope_HeldSeen:
+		d.worker.HandleHeldSeen(now, from, body.HeldSeen)
 	}
 }
 
--- a/yuccamodel/world_test.go
+++ b/yuccamodel/world_test.go
@@ -728,6 +728,8 @@
 				s.core.HandleHeartbeat(s.now(), id, body.Beat)
 			case *yuccawire.Envelope_Withdraw:
 				s.core.HandleWithdraw(s.now(), id, body.Withdraw)
+			case *yuccawire.Envelope_HeldSeen:
+				s.core.HandleHeldSeen(s.now(), id, body.HeldSeen)
 			}
 		})
 	})
--- a/yuccaworker/held.go
+++ b/yuccaworker/held.go
@@ -16,6 +16,9 @@
 	minHeldTime     = 10 * time.Second
 	heldRefresh     = 3 * time.Second
 	minHeldInterval = 250 * time.Millisecond
+	// heldSeenTimeout is how long an owner may take to say that it has received a list. After that,
+	// the others are told that it may not have.
+	heldSeenTimeout = 150 * time.Millisecond
 	// maxEndedRuns limits the ended runs that are listed.
 	maxEndedRuns = 1000
 )
@@ -29,6 +32,8 @@
 	ended    []endedRun
 	// unstoppable is how many of the listed runs can't be ended.
 	unstoppable int
+	// reached are the names of the owners that the last list has named as those that it reaches.
+	reached []string
 }
 
 // endedRun is a run that was lost or has ended and may still start, until nobody waits for it.
@@ -75,7 +80,9 @@
 		listed = append(listed, e.key)
 	}
 	slices.SortFunc(listed, func(a, b Key) int { return cmp.Or(cmp.Compare(a.Task, b.Task), cmp.Compare(a.Run, b.Run)) })
-	isSame := slices.Equal(listed, w.held.listed)
+	reached := w.reachedEntries(now)
+	isUnreached := func(name string) bool { return !slices.Contains(reached, name) }
+	isSame := slices.Equal(listed, w.held.listed) && (len(listed) == 0 || !slices.ContainsFunc(w.held.reached, isUnreached))
 	since := now.Sub(w.held.listedAt)
 	if isSame && (len(listed) == 0 || since < heldRefresh) || since < minHeldInterval {
 		return
@@ -89,7 +96,7 @@
 	}
 	w.held.unstoppable = unstoppable
 	w.held.sequence++
-	w.held.listed, w.held.listedAt = listed, now
+	w.held.listed, w.held.listedAt, w.held.reached = listed, now, reached
 	for _, o := range w.ownerList {
 		if o.linked {
 			w.sendHeld(now, o)
@@ -102,7 +109,7 @@
 	if w.held.sequence == 0 {
 		return
 	}
-	list := &yuccawire.HeldTasks{Sequence: w.held.sequence, Reached: w.linkedEntries()}
+	list := &yuccawire.HeldTasks{Sequence: w.held.sequence, Reached: w.held.reached}
 	for _, key := range w.held.listed {
 		until := now.Add(minHeldTime)
 		if r := w.runs[key]; r != nil {
@@ -112,16 +119,28 @@
 		}
 		list.Tasks = append(list.Tasks, &yuccawire.HeldTask{Task: key.Task, Run: key.Run, RemainingMs: uint32(min(max(until.Sub(now), 0).Milliseconds(), math.MaxUint32))})
 	}
+	if o.heldSeen >= o.heldSent {
+		o.heldUnseenSince = now
+	}
+	o.heldSent = w.held.sequence
 	w.emit(Send{Owner: o.id, Message: &yuccawire.Envelope{Body: &yuccawire.Envelope_HeldTasks{HeldTasks: list}}})
 }
 
-// linkedEntries returns the names of the entries that are told of the held runs.
-func (w *Worker) linkedEntries() []string {
+// reachedEntries returns the names of the linked owners, without those that take too long to say that they have
+// received the last lists.
+func (w *Worker) reachedEntries(now time.Time) []string {
 	var names []string
 	for _, o := range w.ownerList {
-		if o.linked {
+		if o.linked && (o.heldSeen >= o.heldSent || now.Sub(o.heldUnseenSince) < heldSeenTimeout) {
 			names = append(names, o.id.Name)
 		}
 	}
 	return names
 }
+
+// HandleHeldSeen processes the news that an owner has received a list of held runs.
+func (w *Worker) HandleHeldSeen(now time.Time, id Owner, m *yuccawire.HeldSeen) {
+	if o := w.owners[id]; o != nil && m.GetSequence() > o.heldSeen {
+		o.heldSeen, o.heldUnseenSince = m.GetSequence(), now
+	}
+}
--- a/yuccaworker/held_test.go
+++ b/yuccaworker/held_test.go
@@ -1,6 +1,7 @@
 package yuccaworker_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -132,3 +133,19 @@
 		}
 	}
 }
+
+func TestEntriesHearThatAnotherOneHasNotReceivedTheList(t *testing.T) {
+	h := newHarness(t)
+	h.orderWithLostStart(task("a", 1, 1600))
+	h.advanceWithLease(entry, 100*time.Millisecond)
+	first := h.held[entry][0]
+	if !slices.Equal(slices.Sorted(slices.Values(first.GetReached())), []string{entry.Name, otherEntry.Name}) {
+		t.Fatalf("the first list reaches %v, want both entries", first.GetReached())
+	}
+	h.core.HandleHeldSeen(h.now, entry, &yuccawire.HeldSeen{Sequence: first.GetSequence()})
+	h.advanceWithLease(entry, 400*time.Millisecond)
+	lists := h.held[entry]
+	if last := lists[len(lists)-1]; !slices.Equal(last.GetReached(), []string{entry.Name}) || len(last.GetTasks()) != 1 {
+		t.Errorf("told %v, want the task, and that only %s has received the first list", last, entry.Name)
+	}
+}
--- a/yuccaworker/run.go
+++ b/yuccaworker/run.go
@@ -325,7 +325,7 @@
 		w.metrics.Add("ends_with_unanswered_start", 1)
 		w.options.Logger.Info("run has ended, a start of it had no answer", "task", r.key.Task, "run", r.key.Run, "owner", r.owner.id.Name,
 			"end", outcome.String(), "tries", r.tries, "since_start_ms", now.Sub(r.startSentAt).Milliseconds(),
-			"linked_entries", len(w.linkedEntries()))
+			"linked_entries", len(w.reachedEntries(now)))
 		w.holdEnded(now, r)
 		isLost := outcome == yuccawire.RunEnd_RUN_END_LOST || outcome == yuccawire.RunEnd_RUN_END_CRASHED
 		ended.MayStart, ended.Unanswered = isLost, !isLost
--- a/yuccaworker/worker.go
+++ b/yuccaworker/worker.go
@@ -165,6 +165,10 @@
 	specSent uint64
 	// tokenSent is the fencing token that the owner has received, 0 for none.
 	tokenSent int64
+	// heldSent and heldSeen are the numbers of the last lists of held runs that were sent on this link and
+	// that the owner has received. If these differ, the owner has received none since heldUnseenSince.
+	heldSent, heldSeen uint64
+	heldUnseenSince    time.Time
 	// freeSent is the free capacity in the last state message.
 	freeSent resources
 	unsent   []*yuccawire.Ended
