broker, mesh: request a link with the only side that may run a task

Callers of jobs whose tasks may run at one side only got 504 if they came again at an entry that isn't linked with that side: since entries are told of such tasks by others, they know where the task belongs, and sides choose their links by themselves.

An entry with such a task now asks for the link (LinkRequest), once a second while the task waits. Entries that are linked with the side pass the request on to it, others to those that it has not reached. The side keeps the link for 10 s, then it is surplus as usual.

Ruled out: links of each side with all entries while it has runs that may start (220 for each of 1,100 sides, under load); running the task through another entry, which would have two owners of a run.

TestTaskIsGivenUpForWantOfALinkWithTheOnlySideThatMayRunIt: given up before, completed now.

--- a/yuccabroker/broker.go
+++ b/yuccabroker/broker.go
@@ -64,8 +64,10 @@
 	heldElsewhere map[heldKey]*heldList
 	// heldByTask combines these lists by task, nil if it has to be made again.
 	heldByTask map[string]heldTask
-	// peers are the names of the linked entries.
-	peers []string
+	// peers are the names of the linked entries. linkRequests holds when the links that entries need to
+	// sides were last requested.
+	peers        []string
+	linkRequests map[linkRequest]time.Time
 	// pinned are the tasks that may run at some sides only, until nobody submits them again.
 	pinned map[*task]struct{}
 	// culprits are the tasks that were lately found to crash their workers. downtime is
@@ -163,6 +165,7 @@
 		crashes:        newCrashLog(),
 		heldElsewhere:  make(map[heldKey]*heldList),
 		pinned:         make(map[*task]struct{}),
+		linkRequests:   make(map[linkRequest]time.Time),
 		downtime:       usualDowntime,
 		queueUses:      make(map[string]queueUse),
 		bulkheads:      make(map[string]*bulkhead),
@@ -273,6 +276,7 @@
 	b.evictPinned(now)
 	b.publishHeld(now)
 	b.evictHeld(now)
+	b.evictLinkRequests(now)
 	b.medianSlowdown = b.computeMedianSlowdown()
 	b.updateWantedRacks()
 	b.moveStragglers(now)
--- a/yuccabroker/pin.go
+++ b/yuccabroker/pin.go
@@ -62,19 +62,31 @@
 // onlySide returns the only side that may run the task, nil if there is none at present. It returns
 // false if the task isn't pinned.
 func (b *Broker) onlySide(t *task) (*side, bool) {
+	name, isPinned := b.onlySideName(t)
+	return b.sides[name], isPinned
+}
+
+// onlySideName is onlySide for the name of the side, which may not be known to this entry.
+func (b *Broker) onlySideName(t *task) (string, bool) {
 	sides := t.pinnedTo
 	if h, isHeld := b.heldTaskElsewhere(t.name); isHeld && !slices.Contains(sides, h.side) {
 		sides = append(slices.Clip(sides), h.side)
 	}
 	if len(sides) != 1 {
-		return nil, len(sides) > 0
+		return "", len(sides) > 0
 	}
-	return b.sides[sides[0]], true
+	return sides[0], true
 }
 
-// choosePinned returns the only side that may run the task if that has room for it, or nil.
+// choosePinned returns the only side that may run the task if that has room for it, or nil. It requests
+// a link if there is none.
 func (b *Broker) choosePinned(now time.Time, t *task, only *side) *side {
-	if only == nil || !b.isEligible(now, t, only) {
+	if only == nil || !only.linked {
+		name, _ := b.onlySideName(t)
+		b.requestLink(now, name)
+		return nil
+	}
+	if !b.isEligible(now, t, only) {
 		return nil
 	}
 	available, size := only.available(t.tier), demand(t.step.Step)
--- a/yuccabroker/relay.go
+++ b/yuccabroker/relay.go
@@ -1,12 +1,19 @@
 package yuccabroker
 
 import (
+	"maps"
 	"slices"
 	"time"
 
 	"github.com/yuccaturn/yuccaturn/yuccawire"
 )
 
+// linkRequestInterval is the time between two requests for the same link.
+const linkRequestInterval = time.Second
+
+// linkRequest is a link that an entry needs, as a task of its may run at that side only.
+type linkRequest struct{ entry, side string }
+
 // SetPeers sets the names of the entries that this one is linked with.
 func (b *Broker) SetPeers(names []string) { b.peers = slices.Clone(names) }
 
@@ -47,3 +54,49 @@
 	b.metrics.Add("held_tasks_passed_on", int64(len(tasks)))
 	b.emit(Publish{Message: &yuccawire.Envelope{Body: &yuccawire.Envelope_HeldTasks{HeldTasks: list}}, To: to})
 }
+
+// requestLink asks a side for a link, unless that was done lately. A side with a link that was lost
+// opens the next one by itself, but not if the link was surplus.
+func (b *Broker) requestLink(now time.Time, sideName string) {
+	r := linkRequest{entry: b.options.Name, side: sideName}
+	if s := b.sides[sideName]; sideName == "" || s != nil && now.Sub(s.linkLostAt) < linkRequestInterval || !b.recordLinkRequest(now, r) {
+		return
+	}
+	b.metrics.Add("side_links_requested", 1)
+	b.options.Logger.Info("no link with the only side that may run a task, requesting one", "side", sideName, "entries", len(b.peers))
+	b.publishLinkRequest(r, nil, nil)
+}
+
+// HandleLinkRequest passes the request of another entry on to the side, or towards it.
+func (b *Broker) HandleLinkRequest(now time.Time, m *yuccawire.LinkRequest) {
+	r := linkRequest{entry: m.GetEntry(), side: m.GetSide()}
+	if r.entry == b.options.Name || !b.recordLinkRequest(now, r) {
+		return
+	}
+	if s := b.sides[r.side]; s != nil && s.linked {
+		b.options.Logger.Info("side asked for a link with another entry", "side", r.side, "entry", r.entry)
+		b.send(r.side, &yuccawire.Envelope{Body: &yuccawire.Envelope_LinkRequest{LinkRequest: m}})
+		return
+	}
+	if to := b.unreached(m.GetReached()); len(to) > 0 {
+		b.publishLinkRequest(r, m.GetReached(), to)
+	}
+}
+
+func (b *Broker) publishLinkRequest(r linkRequest, reached, to []string) {
+	m := &yuccawire.LinkRequest{Side: r.side, Entry: r.entry, Reached: b.withPeers(reached)}
+	b.emit(Publish{Message: &yuccawire.Envelope{Body: &yuccawire.Envelope_LinkRequest{LinkRequest: m}}, To: to})
+}
+
+// recordLinkRequest returns false if the same link was requested within linkRequestInterval.
+func (b *Broker) recordLinkRequest(now time.Time, r linkRequest) bool {
+	if _, isRecent := b.linkRequests[r]; isRecent {
+		return false
+	}
+	b.linkRequests[r] = now
+	return true
+}
+
+func (b *Broker) evictLinkRequests(now time.Time) {
+	maps.DeleteFunc(b.linkRequests, func(_ linkRequest, at time.Time) bool { return now.Sub(at) >= linkRequestInterval })
+}
--- a/yuccabroker/relay_test.go
+++ b/yuccabroker/relay_test.go
@@ -88,3 +88,33 @@
 		t.Errorf("sent %v, want all but the one that the last whole list names", runs)
 	}
 }
+
+func TestLinkIsRequestedWithTheOnlySideThatMayRunATask(t *testing.T) {
+	f := newRelay(t, "other")
+	list := heldTasks(1, 10*time.Second, "a.0.0.0")
+	list.Tasks[0].Side = otherSide
+	f.broker.HandleHeldTasks(f.now, list)
+	f.broker.Submit(f.now, job("a", 1), 1)
+	f.broker.Place(f.now)
+	var request *yuccawire.LinkRequest
+	for _, a := range f.broker.Actions() {
+		if p, isPublish := a.(yuccabroker.Publish); isPublish && p.Message.GetLinkRequest() != nil {
+			request = p.Message.GetLinkRequest()
+		}
+	}
+	if request.GetEntry() != "entry" || request.GetSide() != otherSide {
+		t.Fatalf("requested %v, want a link of entry with %s", request, otherSide)
+	}
+	linked := newOtherEntry(t)
+	linked.broker.HandleLinkRequest(linked.now, request)
+	linked.broker.HandleLinkRequest(linked.now, request)
+	if actions := linked.broker.Actions(); len(actions) != 1 || actions[0].(yuccabroker.Send).Side != otherSide {
+		t.Errorf("actions are %v, want one request to the side", actions)
+	}
+	between := newFixtureWith(t, func(o *yuccabroker.Options) { o.Name = "between" })
+	between.broker.SetPeers([]string{"entry", "linked", "other"})
+	between.broker.HandleLinkRequest(between.now, request)
+	if actions := between.broker.Actions(); len(actions) != 1 || !slices.Equal(actions[0].(yuccabroker.Publish).To, []string{"linked"}) {
+		t.Errorf("actions are %v, want the request passed on to the entry that it has not reached", actions)
+	}
+}
--- a/yuccadriver/driver.go
+++ b/yuccadriver/driver.go
@@ -36,6 +36,9 @@
 	// maxBatchedEvents limits the number of events that are handled before actions
 	// are executed.
 	maxBatchedEvents = 128
+	// requestedLinkPeriod is how long a link is kept that an entry has requested. Its callers stop
+	// waiting before, or it requests the link again.
+	requestedLinkPeriod = 10 * time.Second
 )
 
 // WorkerClient calls the worker. Its methods are called concurrently. They return
@@ -247,6 +250,9 @@
 		d.worker.HandleWithdraw(now, from, body.Withdraw)
 	case *yuccawire.Envelope_HeldSeen:
 		d.worker.HandleHeldSeen(now, from, body.HeldSeen)
+	case *yuccawire.Envelope_LinkRequest:
+		d.options.Logger.Info("opening a link that an entry needs", "entry", body.LinkRequest.GetEntry(), "from", from.Name)
+		d.options.Mesh.LinkTo(body.LinkRequest.GetEntry(), requestedLinkPeriod)
 	}
 }
 
--- a/yuccaedge/inquiry.go
+++ b/yuccaedge/inquiry.go
@@ -167,8 +167,8 @@
 	}
 }
 
-// handleEntryMessage handles an inquiry, a reply, a crash report, the demand, the held tasks
-// or the ended jobs of another entry.
+// handleEntryMessage handles an inquiry, a reply, a crash report, the demand, the held tasks,
+// the ended jobs or the link request of another entry.
 func (e *Edge) handleEntryMessage(now time.Time, from *yuccamesh.Peer, m *yuccawire.Envelope) {
 	switch body := m.GetBody().(type) {
 	case *yuccawire.Envelope_Inquiry:
@@ -183,6 +183,8 @@
 		e.broker.HandleHeldTasks(now, body.HeldTasks)
 	case *yuccawire.Envelope_EndedJobs:
 		e.broker.HandleEndedJobs(now, body.EndedJobs)
+	case *yuccawire.Envelope_LinkRequest:
+		e.broker.HandleLinkRequest(now, body.LinkRequest)
 	}
 }
 
--- a/yuccamesh/fleet_test.go
+++ b/yuccamesh/fleet_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"log/slog"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -251,3 +252,25 @@
 		synctest.Wait()
 	})
 }
+
+func TestLinkToAnEntryIsOpenedAndKeptForItsTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		f := newFleet(ctx, 4, 20, 1)
+		time.Sleep(10 * time.Second)
+		side := f.sides[0]
+		i := slices.IndexFunc(f.entries, func(e *fleetMember) bool { return !side.isLinked(e.name) })
+		side.mesh.LinkTo(f.entries[i].name, 5*time.Second)
+		for _, c := range []struct {
+			after time.Duration
+			want  bool
+		}{{200 * time.Millisecond, true}, {9 * time.Second, true}, {3 * time.Second, false}} {
+			time.Sleep(c.after)
+			if got := side.isLinked(f.entries[i].name); got != c.want {
+				t.Errorf("linked with %s: %v, want %v", f.entries[i].name, got, c.want)
+			}
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/yuccamesh/mesh.go
+++ b/yuccamesh/mesh.go
@@ -135,6 +135,14 @@
 	m.wakeUp()
 }
 
+// LinkTo opens a link to the named entry, and keeps it for the given time.
+func (m *Mesh) LinkTo(entry string, d time.Duration) {
+	m.mu.Lock()
+	m.topology.Want(time.Now(), entry, d)
+	m.mu.Unlock()
+	m.wakeUp()
+}
+
 // Release closes a surplus link.
 func (m *Mesh) Release(p *Peer) {
 	m.options.Logger.Info("closing surplus link", "peer", p.node.GetName(), "known_entries", len(m.Nodes()))
--- a/yuccamesh/traffic.go
+++ b/yuccamesh/traffic.go
@@ -18,7 +18,7 @@
 type counter struct{ messages, bytes *expvar.Int }
 
 // messageTypes are the names of the types in metrics.
-var messageTypes = []string{"roster", "heartbeat", "beat", "orders", "withdraw", "worker_state", "ends", "inquiry", "inquiry_reply", "crash_report", "demand", "held_tasks", "ended_jobs", "held_seen", "other"}
+var messageTypes = []string{"roster", "heartbeat", "beat", "orders", "withdraw", "worker_state", "ends", "inquiry", "inquiry_reply", "crash_report", "demand", "held_tasks", "ended_jobs", "link_request", "held_seen", "other"}
 
 func newTraffic(metrics *yuccametric.Set) *traffic {
 	t := &traffic{sent: make(map[string]*counter), received: make(map[string]*counter)}
@@ -57,6 +57,8 @@
 		return "held_tasks"
 	case *yuccawire.Envelope_EndedJobs:
 		return "ended_jobs"
+	case *yuccawire.Envelope_LinkRequest:
+		return "link_request"
 	case *yuccawire.Envelope_HeldSeen:
 		return "held_seen"
 	}
--- a/yuccamodel/unlinked_test.go
+++ b/yuccamodel/unlinked_test.go
@@ -33,6 +33,22 @@
 	}
 }
 
+// The caller leaves and comes again at an entry that isn't linked with the only side that may run its task.
+func TestTaskIsGivenUpForWantOfALinkWithTheOnlySideThatMayRunIt(t *testing.T) {
+	w := newFleet(t, 1, 1, 3, 3)
+	w.isLinked = func(e *modelEntry, s *modelSide) bool { return e != w.entries[1] || s != w.sides[2] }
+	w.start()
+	w.run(warmUp)
+	job, side := w.submitLateStart(2500 * time.Millisecond)
+	w.pickEntry = func() *modelEntry { return w.entries[1] }
+	w.run(300 * time.Millisecond)
+	job.disconnect()
+	w.run(12 * time.Second)
+	if side != w.sides[2] || !job.isCompleted() {
+		t.Errorf("run at %s, answered: %v, as %v, want the job completed", side.name, job.isAnswered, job.state)
+	}
+}
+
 // The owner of a run at a machine that stands still is linked with some entries only, and the caller comes again
 // at another one.
 func TestResendAtAnEntryUnlinkedWithTheOwnerRunsBesideAStandingMachine(t *testing.T) {
--- a/yuccamodel/world_test.go
+++ b/yuccamodel/world_test.go
@@ -421,7 +421,7 @@
 // publish sends a message to the linked entries named, or to all. Crash reports and the jobs that have ended
 // reach those that aren't linked, too.
 func (w *world) publish(from *modelEntry, m *yuccawire.Envelope, to []string) {
-	isFlooded := m.GetHeldTasks() == nil
+	isFlooded := m.GetHeldTasks() == nil && m.GetLinkRequest() == nil
 	for _, e := range w.entries {
 		if e == from || e.isDown {
 			continue
@@ -450,6 +450,9 @@
 		e.broker.HandleHeldTasks(e.now(), body.HeldTasks)
 	case *yuccawire.Envelope_EndedJobs:
 		e.broker.HandleEndedJobs(e.now(), body.EndedJobs)
+	case *yuccawire.Envelope_LinkRequest:
+		e.world.logf("%s receives link request %v", e.name, body.LinkRequest)
+		e.broker.HandleLinkRequest(e.now(), body.LinkRequest)
 	}
 }
 
@@ -730,6 +733,8 @@
 				s.core.HandleWithdraw(s.now(), id, body.Withdraw)
 			case *yuccawire.Envelope_HeldSeen:
 				s.core.HandleHeldSeen(s.now(), id, body.HeldSeen)
+			case *yuccawire.Envelope_LinkRequest:
+				w.openRequested(s, body.LinkRequest.GetEntry())
 			}
 		})
 	})
--- a/yuccatopology/topology.go
+++ b/yuccatopology/topology.go
@@ -26,6 +26,8 @@
 	byAddress map[string]*entry
 	// allUntil is the time until which links to all entries are wanted.
 	allUntil time.Time
+	// wantedUntil holds the entries that are targets until a time, by name.
+	wantedUntil map[string]time.Time
 	// surplusSince holds, for each dialled address that is no longer a target, since
 	// when.
 	surplusSince map[string]time.Time
@@ -50,7 +52,7 @@
 func New(self *yuccawire.Node) *Topology {
 	return &Topology{
 		self: self, failedSeeds: make(map[string]bool), entries: make(map[string]*entry), byAddress: make(map[string]*entry),
-		surplusSince: make(map[string]time.Time),
+		surplusSince: make(map[string]time.Time), wantedUntil: make(map[string]time.Time),
 	}
 }
 
@@ -129,6 +131,14 @@
 	}
 }
 
+// Want makes the named entry a target for the given time, or longer if it was wanted for longer.
+func (t *Topology) Want(now time.Time, name string, d time.Duration) {
+	maps.DeleteFunc(t.wantedUntil, func(_ string, until time.Time) bool { return !now.Before(until) })
+	if until := now.Add(d); until.After(t.wantedUntil[name]) {
+		t.wantedUntil[name] = until
+	}
+}
+
 // Targets returns the addresses that the process has to dial, or to which it has
 // to keep the link that it has dialled, in order.
 func (t *Topology) Targets(now time.Time) []string {
@@ -190,6 +200,9 @@
 	var chosen []*entry
 	for _, e := range all {
 		left := perDataCentre[e.node.GetDataCentre()]
+		if left == 0 && now.Before(t.wantedUntil[e.node.GetName()]) {
+			chosen = append(chosen, e)
+		}
 		if left == 0 {
 			continue
 		}
--- a/yuccatopology/topology_test.go
+++ b/yuccatopology/topology_test.go
@@ -284,3 +284,19 @@
 		t.Errorf("%d targets afterwards, want %d", got, few)
 	}
 }
+
+func TestWantedEntryIsATargetForItsTime(t *testing.T) {
+	f := newFleet(4, 40, 4)
+	topology := f.topology(f.sides[0])
+	usual := topology.Targets(startTime)
+	unlinked := slices.IndexFunc(f.entries, func(e *yuccawire.Node) bool { return !slices.Contains(usual, e.GetAddress()) })
+	wanted := f.entries[unlinked]
+	topology.Want(startTime, wanted.GetName(), 10*time.Second)
+	topology.Want(startTime, wanted.GetName(), time.Second)
+	if targets := topology.Targets(startTime.Add(9 * time.Second)); len(targets) != len(usual)+1 || !slices.Contains(targets, wanted.GetAddress()) {
+		t.Errorf("targets are %v, want the usual ones and %s", targets, wanted.GetAddress())
+	}
+	if targets := topology.Targets(startTime.Add(10 * time.Second)); !slices.Equal(targets, usual) {
+		t.Errorf("targets are %v after the time, want %v", targets, usual)
+	}
+}
