worker, broker: treat entries that don't confirm lists as reached

Each entry now says on a new link that it confirms lists. One that doesn't is taken as reached, as before.

--- a/yuccabroker/held.go
+++ b/yuccabroker/held.go
@@ -259,10 +259,15 @@
 			h.Side = s.name
 		}
 		b.HandleHeldTasks(now, m)
-		b.send(name, &yuccawire.Envelope{Body: &yuccawire.Envelope_HeldSeen{HeldSeen: &yuccawire.HeldSeen{Sequence: m.GetSequence()}}})
+		b.confirmHeld(name, m.GetSequence())
 	}
 }
 
+// confirmHeld tells a side which of its lists was received, or on a new link that this will be told.
+func (b *Broker) confirmHeld(sideName string, sequence uint64) {
+	b.send(sideName, &yuccawire.Envelope{Body: &yuccawire.Envelope_HeldSeen{HeldSeen: &yuccawire.HeldSeen{Sequence: sequence}}})
+}
+
 // HandleHeldTasks replaces the list of held tasks of another process, or adds to it. Tasks that wait here
 // are placed at the side that has their runs, those that are over anywhere. What is new is passed on to
 // the linked entries that the list has not reached.
--- a/yuccabroker/relay_test.go
+++ b/yuccabroker/relay_test.go
@@ -106,6 +106,7 @@
 		t.Fatalf("requested %v, want a link of entry with %s", request, otherSide)
 	}
 	linked := newOtherEntry(t)
+	linked.flush()
 	linked.broker.HandleLinkRequest(linked.now, request)
 	linked.broker.HandleLinkRequest(linked.now, request)
 	if actions := linked.broker.Actions(); len(actions) != 1 || actions[0].(yuccabroker.Send).Side != otherSide {
--- a/yuccabroker/side.go
+++ b/yuccabroker/side.go
@@ -165,6 +165,7 @@
 		t.order = 0
 	}
 	b.sendDrained(s)
+	b.confirmHeld(s.name, 0)
 }
 
 // HandleLinkDown records the loss of the link to a side. Its runs may still be
--- a/yuccaworker/held.go
+++ b/yuccaworker/held.go
@@ -131,16 +131,23 @@
 func (w *Worker) reachedEntries(now time.Time) []string {
 	var names []string
 	for _, o := range w.ownerList {
-		if o.linked && (o.heldSeen >= o.heldSent || now.Sub(o.heldUnseenSince) < heldSeenTimeout) {
+		isLate := o.confirmsHeld && o.heldSeen < o.heldSent && now.Sub(o.heldUnseenSince) >= heldSeenTimeout
+		if o.linked && !isLate {
 			names = append(names, o.id.Name)
 		}
 	}
 	return names
 }
 
-// HandleHeldSeen processes the news that an owner has received a list of held runs.
+// HandleHeldSeen processes the news that an owner has received a list of held runs. The first on a link, of no
+// list, only says that there will be more.
 func (w *Worker) HandleHeldSeen(now time.Time, id Owner, m *yuccawire.HeldSeen) {
-	if o := w.owners[id]; o != nil && m.GetSequence() > o.heldSeen {
+	o := w.owners[id]
+	if o == nil {
+		return
+	}
+	o.confirmsHeld = true
+	if m.GetSequence() > o.heldSeen {
 		o.heldSeen, o.heldUnseenSince = m.GetSequence(), now
 	}
 }
--- a/yuccaworker/held_test.go
+++ b/yuccaworker/held_test.go
@@ -136,6 +136,9 @@
 
 func TestEntriesHearThatAnotherOneHasNotReceivedTheList(t *testing.T) {
 	h := newHarness(t)
+	for _, o := range []yuccaworker.Owner{entry, otherEntry} {
+		h.core.HandleHeldSeen(h.now, o, &yuccawire.HeldSeen{})
+	}
 	h.orderWithLostStart(task("a", 1, 1600))
 	h.advanceWithLease(entry, 100*time.Millisecond)
 	first := h.held[entry][0]
@@ -149,3 +152,18 @@
 		t.Errorf("told %v, want the task, and that only %s has received the first list", last, entry.Name)
 	}
 }
+
+func TestEntryThatDoesNotConfirmListsCountsAsReached(t *testing.T) {
+	h := newHarness(t)
+	h.core.HandleHeldSeen(h.now, entry, &yuccawire.HeldSeen{})
+	h.orderWithLostStart(task("a", 1, 1600))
+	h.advanceWithLease(entry, 100*time.Millisecond)
+	h.core.HandleHeldSeen(h.now, entry, &yuccawire.HeldSeen{Sequence: h.held[entry][0].GetSequence()})
+	h.advanceWithLease(entry, 4*time.Second)
+	for _, list := range h.held[entry] {
+		if !slices.Contains(list.GetReached(), otherEntry.Name) {
+			t.Errorf("told %v, want %s among those reached", list, otherEntry.Name)
+		}
+		h.core.HandleHeldSeen(h.now, entry, &yuccawire.HeldSeen{Sequence: list.GetSequence()})
+	}
+}
--- a/yuccaworker/owner.go
+++ b/yuccaworker/owner.go
@@ -62,7 +62,7 @@
 	o.closing = false
 	o.ordersSeen = 0
 	o.specSent, o.tokenSent = 0, 0
-	o.heldSent, o.heldSeen = 0, 0
+	o.heldSent, o.heldSeen, o.confirmsHeld = 0, 0, false
 	o.unsent = nil
 	o.dropRetained(now)
 	message := &yuccawire.Ends{Full: true, State: w.workerState(now, o)}
--- a/yuccaworker/worker.go
+++ b/yuccaworker/worker.go
@@ -169,6 +169,8 @@
 	// that the owner has received. If these differ, the owner has received none since heldUnseenSince.
 	heldSent, heldSeen uint64
 	heldUnseenSince    time.Time
+	// confirmsHeld is set if the owner says which lists it has received. One of an earlier version doesn't.
+	confirmsHeld bool
 	// freeSent is the free capacity in the last state message.
 	freeSent resources
 	unsent   []*yuccawire.Ended
