worker: tell entries at once of runs that may start

Cause: a side sends a list of the runs that may start at most each 250 ms, as it names all of them. With many late calls a list is nearly always due later.

Runs that are new are now sent with the next tick (20 ms), as a part of the list. Whole lists, which say what is over, follow each second, or after 250 ms if a run has ended that could not be ended before. An entry that doesn't confirm lists gets whole ones.

--- a/yuccaworker/held.go
+++ b/yuccaworker/held.go
@@ -11,10 +11,14 @@
 
 const (
 	// minHeldTime is how long a run is held at least, as stated in each list: an owner that stops
-	// lets its orders expire before their callers have gone. heldRefresh is the interval of lists without
-	// a change, minHeldInterval the least time between two: callers come again after 1.3 s.
-	minHeldTime     = 10 * time.Second
-	heldRefresh     = 3 * time.Second
+	// lets its orders expire before their callers have gone.
+	minHeldTime = 10 * time.Second
+	// heldRefresh is the interval of lists without a change, heldInterval that of lists from which runs
+	// are gone. Runs that are new are sent at once, without the others.
+	heldRefresh  = 3 * time.Second
+	heldInterval = time.Second
+	// minHeldInterval is the least time between two lists, also if a run has ended that could not be ended,
+	// or an owner may not have received the last one. Callers come again after 1.3 s.
 	minHeldInterval = 250 * time.Millisecond
 	// heldSeenTimeout is how long an owner may take to say that it has received a list. After that,
 	// the others are told that it may not have.
@@ -79,12 +83,23 @@
 	for _, e := range w.held.ended {
 		listed = append(listed, e.key)
 	}
-	slices.SortFunc(listed, func(a, b Key) int { return cmp.Or(cmp.Compare(a.Task, b.Task), cmp.Compare(a.Run, b.Run)) })
+	slices.SortFunc(listed, compareKeys)
+	w.sendHeldChanges(now, listed, unstoppable)
+}
+
+func compareKeys(a, b Key) int { return cmp.Or(cmp.Compare(a.Task, b.Task), cmp.Compare(a.Run, b.Run)) }
+
+// sendHeldChanges sends the linked owners the list of held runs, or only those that are new, if that is due.
+func (w *Worker) sendHeldChanges(now time.Time, listed []Key, unstoppable int) {
+	isKnown := func(k Key) bool { _, found := slices.BinarySearchFunc(w.held.listed, k, compareKeys); return found }
+	added := slices.DeleteFunc(slices.Clone(listed), isKnown)
 	reached := w.reachedEntries(now)
 	isUnreached := func(name string) bool { return !slices.Contains(reached, name) }
-	isSame := slices.Equal(listed, w.held.listed) && (len(listed) == 0 || !slices.ContainsFunc(w.held.reached, isUnreached))
+	isUrgent := unstoppable < w.held.unstoppable || len(listed) > 0 && slices.ContainsFunc(w.held.reached, isUnreached)
+	isSame := !isUrgent && slices.Equal(listed, w.held.listed)
 	since := now.Sub(w.held.listedAt)
-	if isSame && (len(listed) == 0 || since < heldRefresh) || since < minHeldInterval {
+	isDue := since >= heldInterval || since >= minHeldInterval && isUrgent
+	if isSame && (len(listed) == 0 || since < heldRefresh) || !isDue && len(added) == 0 {
 		return
 	}
 	if unstoppable != w.held.unstoppable {
@@ -94,23 +109,36 @@
 	if !isSame {
 		w.metrics.Add("held_lists_made", 1)
 	}
-	w.held.unstoppable = unstoppable
+	w.held.unstoppable, w.held.reached = unstoppable, reached
 	w.held.sequence++
-	w.held.listed, w.held.listedAt, w.held.reached = listed, now, reached
+	if isDue {
+		w.held.listed, w.held.listedAt = listed, now
+	} else {
+		w.held.listed = append(w.held.listed, added...)
+		slices.SortFunc(w.held.listed, compareKeys)
+	}
 	for _, o := range w.ownerList {
-		if o.linked {
+		switch {
+		case !o.linked:
+		case isDue || !o.confirmsHeld:
 			w.sendHeld(now, o)
+		default:
+			w.sendHeldRuns(now, o, added, true)
 		}
 	}
 }
 
 // sendHeld sends an owner the last list of held runs, if there was one.
 func (w *Worker) sendHeld(now time.Time, o *owner) {
-	if w.held.sequence == 0 {
-		return
+	if w.held.sequence > 0 {
+		w.sendHeldRuns(now, o, w.held.listed, false)
 	}
-	list := &yuccawire.HeldTasks{Sequence: w.held.sequence, Reached: w.held.reached}
-	for _, key := range w.held.listed {
+}
+
+// sendHeldRuns sends an owner held runs: the whole list, or a part of it.
+func (w *Worker) sendHeldRuns(now time.Time, o *owner, keys []Key, isPartial bool) {
+	list := &yuccawire.HeldTasks{Sequence: w.held.sequence, Reached: w.held.reached, Partial: isPartial}
+	for _, key := range keys {
 		until := now.Add(minHeldTime)
 		if r := w.runs[key]; r != nil {
 			until = r.heldUntil(now)
--- a/yuccaworker/held_test.go
+++ b/yuccaworker/held_test.go
@@ -167,3 +167,28 @@
 		h.core.HandleHeldSeen(h.now, entry, &yuccawire.HeldSeen{Sequence: list.GetSequence()})
 	}
 }
+
+// Callers come again 1.3 s after their entry is lost, which may be just after the start.
+func TestEntriesHearAtOnceOfAnotherRunThatMayStart(t *testing.T) {
+	h := newHarness(t)
+	h.core.HandleHeldSeen(h.now, entry, &yuccawire.HeldSeen{})
+	h.orderWithLostStart(task("a", 1, 1600))
+	h.advanceWithLease(entry, 100*time.Millisecond)
+	h.orderWithLostStart(task("b", 1, 1600))
+	h.advanceWithLease(entry, 100*time.Millisecond)
+	lists := h.held[entry]
+	if last := lists[len(lists)-1]; !last.GetPartial() || len(last.GetTasks()) != 1 || last.GetTasks()[0].GetTask() != "b" {
+		t.Errorf("told %v, want the new task only", last)
+	}
+	lists = h.held[otherEntry]
+	if last := lists[len(lists)-1]; last.GetPartial() || len(last.GetTasks()) != 2 {
+		t.Errorf("an entry of an earlier version is told %v, want both tasks", last)
+	}
+	h.advanceWithLease(entry, time.Second)
+	h.core.HandleLinkUp(h.now, entry)
+	h.runActions()
+	lists = h.held[entry]
+	if last := lists[len(lists)-1]; last.GetPartial() || len(last.GetTasks()) != 2 {
+		t.Errorf("told %v on a new link, want both tasks", last)
+	}
+}
--- a/yuccaworker/worker.go
+++ b/yuccaworker/worker.go
@@ -169,7 +169,8 @@
 	// that the owner has received. If these differ, the owner has received none since heldUnseenSince.
 	heldSent, heldSeen uint64
 	heldUnseenSince    time.Time
-	// confirmsHeld is set if the owner says which lists it has received. One of an earlier version doesn't.
+	// confirmsHeld is set if the owner says which lists it has received, and takes parts of them. One of
+	// an earlier version does neither.
 	confirmsHeld bool
 	// freeSent is the free capacity in the last state message.
 	freeSent resources
