broker: tell entries of all tasks of a side from three others, and once

Found by reading the fix: each part of a list that another entry passes on names other entries as reached. An entry that got two of them told those of the first that the second doesn't name of all tasks of the side, with each part. And where one entry of 16 confirms lists late, the 15 others each sent it all tasks of all sides.

Only the lists that a side sends itself now count for what it has ceased to reach, and of the entries that know each other three tell the other one of all tasks. What is new still comes from all, as that is what a task that comes again needs. A side waits 400 ms for the confirmation, in place of 150 ms: callers come again after 1.3 s, and a busy entry takes longer than 150 ms.

TestTasksThatWerePassedOnAreNotPassedOnAgain and TestThreeEntriesTellAnotherOneOfAllTasksOfASide hold it.

--- a/yuccabroker/held.go
+++ b/yuccabroker/held.go
@@ -42,9 +42,6 @@
 	sequence, partialSequence uint64
 	receivedAt                time.Time
 	tasks                     map[string]heldTask
-	// reached are the entries to which the last list was sent, as its sender or those that passed it on
-	// have said.
-	reached []string
 }
 
 // heldTask is a task that is held until its sender says otherwise, or until a time: statedUntil
@@ -258,7 +255,7 @@
 		for _, h := range m.GetTasks() {
 			h.Side = s.name
 		}
-		b.HandleHeldTasks(now, m)
+		b.handleHeldTasks(now, m, b.unconfirmed(s, m))
 		b.confirmHeld(name, m.GetSequence())
 	}
 }
@@ -272,6 +269,11 @@
 // are placed at the side that has their runs, those that are over anywhere. What is new is passed on to
 // the linked entries that the list has not reached.
 func (b *Broker) HandleHeldTasks(now time.Time, m *yuccawire.HeldTasks) {
+	b.handleHeldTasks(now, m, nil)
+}
+
+// handleHeldTasks is HandleHeldTasks, and tells the entries named of all tasks of the list.
+func (b *Broker) handleHeldTasks(now time.Time, m *yuccawire.HeldTasks, unconfirmed []string) {
 	key := heldKey{sender: m.GetSender(), incarnation: m.GetIncarnation()}
 	l := b.heldElsewhere[key]
 	switch {
@@ -294,7 +296,7 @@
 		b.options.Logger.Info("tasks held for runs elsewhere", "sender", key.sender, "incarnation", key.incarnation, "tasks", len(l.tasks),
 			"first", firstHeld(m), "over", over, "passed_on", m.GetPartial())
 	}
-	b.passOnHeld(now, l, m, news)
+	b.passOnHeld(now, m, news, l.tasks, unconfirmed)
 	jobs := make(map[*job]bool)
 	for name := range l.tasks {
 		if j := b.jobs[jobOf(name)]; j != nil && !jobs[j] {
--- a/yuccabroker/relay.go
+++ b/yuccabroker/relay.go
@@ -5,11 +5,16 @@
 	"slices"
 	"time"
 
+	"github.com/yuccaturn/yuccaturn/yuccaplacement"
 	"github.com/yuccaturn/yuccaturn/yuccawire"
 )
 
-// linkRequestInterval is the time between two requests for the same link.
-const linkRequestInterval = time.Second
+const (
+	// linkRequestInterval is the time between two requests for the same link.
+	linkRequestInterval = time.Second
+	// maxRelays is how many of the entries that know each other tell another one of all tasks of a side.
+	maxRelays = 3
+)
 
 // linkRequest is a link that an entry needs, as a task of its may run at that side only.
 type linkRequest struct{ entry, side string }
@@ -29,18 +34,37 @@
 	return slices.DeleteFunc(slices.Clone(b.peers), func(name string) bool { return slices.Contains(reached, name) })
 }
 
-// passOnHeld tells the linked entries that a list has not reached of the tasks that are new, and those that
-// earlier ones were said to have reached of all. A sender that doesn't say whom it reaches is of a version
-// that expects nothing to be passed on.
-func (b *Broker) passOnHeld(now time.Time, l *heldList, m *yuccawire.HeldTasks, news map[string]heldTask) {
-	before := l.reached
-	if l.reached = m.GetReached(); len(l.reached) == 0 {
+// passOnHeld tells the linked entries that a list has not reached of the tasks that are new, and those
+// named of all. A sender that doesn't say whom it reaches is of a version that expects nothing to be passed on.
+func (b *Broker) passOnHeld(now time.Time, m *yuccawire.HeldTasks, news, all map[string]heldTask, toTellAll []string) {
+	if len(m.GetReached()) == 0 {
 		return
 	}
-	unreached := b.unreached(l.reached)
-	left := slices.DeleteFunc(slices.Clone(unreached), func(name string) bool { return !slices.Contains(before, name) })
-	b.passOn(now, m, news, slices.DeleteFunc(unreached, func(name string) bool { return slices.Contains(left, name) }))
-	b.passOn(now, m, l.tasks, left)
+	isToldAll := func(name string) bool { return slices.Contains(toTellAll, name) }
+	b.passOn(now, m, news, slices.DeleteFunc(b.unreached(m.GetReached()), isToldAll))
+	b.passOn(now, m, all, toTellAll)
+}
+
+// unconfirmed returns the entries that the side named as reached before, and does no longer, as far as
+// this one is to tell them of all its tasks: they may not have received its last lists.
+func (b *Broker) unconfirmed(s *side, m *yuccawire.HeldTasks) []string {
+	before := s.heldReached
+	s.heldReached = m.GetReached()
+	return slices.DeleteFunc(b.unreached(s.heldReached), func(name string) bool {
+		return !slices.Contains(before, name) || !b.isRelayFor(name, s.heldReached)
+	})
+}
+
+// isRelayFor reports whether this entry is among the first maxRelays of those reached, in an order that
+// depends on the entry to be told. Those that this entry isn't linked with don't count.
+func (b *Broker) isRelayFor(entry string, reached []string) bool {
+	before := 0
+	for _, name := range b.peers {
+		if slices.Contains(reached, name) && yuccaplacement.Weight(entry, name) > yuccaplacement.Weight(entry, b.options.Name) {
+			before++
+		}
+	}
+	return before < maxRelays
 }
 
 func (b *Broker) passOn(now time.Time, m *yuccawire.HeldTasks, tasks map[string]heldTask, to []string) {
--- a/yuccabroker/relay_test.go
+++ b/yuccabroker/relay_test.go
@@ -67,6 +67,36 @@
 	checkPassedOn(t, f.receiveHeld(heldTasks(2, 10*time.Second, "a.0.0.0", "a.0.0.1", "b.0.0.0"), "entry"), "other", "a.0.0.0", "a.0.0.1", "b.0.0.0")
 }
 
+// Each of several entries has told this one, with others that it has reached.
+func TestTasksThatWerePassedOnAreNotPassedOnAgain(t *testing.T) {
+	f := newRelay(t, "first", "second", "third")
+	for i, reached := range [][]string{{"first", "entry"}, {"second", "entry"}, {"first", "third", "entry"}} {
+		list := heldTasks(1, 10*time.Second, "a.0.0.0")
+		list.Partial, list.Reached = true, reached
+		f.broker.HandleHeldTasks(f.now, list)
+		if actions := f.broker.Actions(); len(actions) > 0 != (i == 0) {
+			t.Errorf("list %d: actions are %v, want the task passed on once", i, actions)
+		}
+	}
+}
+
+// An entry that is slow to confirm lists would get all tasks of a side from each of the others.
+func TestThreeEntriesTellAnotherOneOfAllTasksOfASide(t *testing.T) {
+	names := []string{"e0", "e1", "e2", "e3", "e4", "e5", "e6", "slow"}
+	relays := 0
+	for _, name := range names[:7] {
+		f := newFixtureWith(t, func(o *yuccabroker.Options) { o.Name = name })
+		f.broker.HandleLinkUp(f.now, yuccabroker.Side{Name: "s1", Incarnation: 1})
+		f.broker.SetPeers(slices.DeleteFunc(slices.Clone(names), func(other string) bool { return other == name }))
+		f.broker.Actions()
+		f.receiveHeld(heldTasks(1, 10*time.Second, "a.0.0.0"), names...)
+		relays += len(f.receiveHeld(heldTasks(2, 10*time.Second, "a.0.0.0"), names[:7]...))
+	}
+	if relays != 3 {
+		t.Errorf("%d entries tell it, want 3", relays)
+	}
+}
+
 // A list that is passed on may come before or after those of its sender.
 func TestPartOfAListEndsNoHeldTask(t *testing.T) {
 	f := newRelay(t)
--- a/yuccaworker/held.go
+++ b/yuccaworker/held.go
@@ -22,7 +22,7 @@
 	minHeldInterval = 250 * time.Millisecond
 	// heldSeenTimeout is how long an owner may take to say that it has received a list. After that,
 	// the others are told that it may not have.
-	heldSeenTimeout = 150 * time.Millisecond
+	heldSeenTimeout = 400 * time.Millisecond
 	// maxEndedRuns limits the ended runs that are listed.
 	maxEndedRuns = 1000
 )
