broker: pass lists of held tasks on over each link once at most

In a fleet with more than 24 entries, one list of a side is multiplied until the entries do nothing else.

Cause: a copy that another entry passes on names other entries as reached than the copy before, as each adds those that it is linked with itself. An entry took each difference for entries which the side reaches no longer, and passed the whole list on to them, also when the copy had no news. Each of these copies did the same.

Only what comes from the sender says which entries it reaches no longer. What others pass on is passed on further if it is news, which it is once. Ruled out: link requests, which are recorded for a second, and the extension by refreshed lists, which needs two seconds.

--- /dev/null
+++ b/yuccabroker/flood_test.go
@@ -0,0 +1,96 @@
+package yuccabroker_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/yuccaturn/yuccaturn/yuccabroker"
+	"github.com/yuccaturn/yuccaturn/yuccatopology"
+	"github.com/yuccaturn/yuccaturn/yuccawire"
+)
+
+// relayFleet is a fleet of entries and one side, which are linked as their topology chooses.
+type relayFleet struct {
+	entries map[string]*fixture
+	reached []string
+	queue   []relayed
+	// delivered counts the lists and the tasks in them that entries receive from others.
+	delivered, tasks int
+	// ends counts the ends of the links between entries.
+	ends int
+}
+
+type relayed struct {
+	to   string
+	list *yuccawire.HeldTasks
+}
+
+func newRelayFleet(t *testing.T, dataCentres, entries int) *relayFleet {
+	f := &relayFleet{entries: make(map[string]*fixture)}
+	var nodes []*yuccawire.Node
+	for i := range entries {
+		name := fmt.Sprintf("e%03d", i)
+		nodes = append(nodes, &yuccawire.Node{Name: name, Role: yuccawire.Role_ROLE_ENTRY, Address: name, DataCentre: fmt.Sprint("dc", i%dataCentres)})
+	}
+	peers := make(map[string][]string)
+	for _, n := range nodes {
+		topology := yuccatopology.New(n)
+		topology.SetMembers(nodes, nil)
+		for _, target := range topology.Targets(time.Now()) {
+			peers[n.GetName()] = append(peers[n.GetName()], target)
+			peers[target] = append(peers[target], n.GetName())
+		}
+	}
+	side := yuccatopology.New(&yuccawire.Node{Name: "s1", Role: yuccawire.Role_ROLE_SIDE, DataCentre: "dc0"})
+	side.SetMembers(nodes, nil)
+	f.reached = side.Targets(time.Now())
+	for _, n := range nodes {
+		e := newFixtureWith(t, func(o *yuccabroker.Options) { o.Name = n.GetName() })
+		slices.Sort(peers[n.GetName()])
+		linked := slices.Compact(peers[n.GetName()])
+		e.broker.SetPeers(linked)
+		f.ends += len(linked)
+		f.entries[n.GetName()] = e
+	}
+	return f
+}
+
+// tell sends the list to the entries that the side is linked with, and delivers what they pass on.
+func (f *relayFleet) tell(sequence uint64, isPartial bool, tasks ...string) {
+	for _, name := range f.reached {
+		list := heldTasks(sequence, 10*time.Second, tasks...)
+		list.Sender, list.Incarnation, list.Partial, list.Reached = "s1", 1, isPartial, f.reached
+		f.queue = append(f.queue, relayed{to: name, list: list})
+	}
+	f.delivered, f.tasks = -len(f.queue), -len(f.queue)*len(tasks)
+	for len(f.queue) > 0 && f.delivered < 100_000 {
+		next := f.queue[0]
+		f.queue = f.queue[1:]
+		f.delivered++
+		f.tasks += len(next.list.GetTasks())
+		e := f.entries[next.to]
+		e.broker.HandleHeldTasks(e.now, next.list)
+		for _, a := range e.broker.Actions() {
+			if p, isPublish := a.(yuccabroker.Publish); isPublish {
+				for _, to := range p.To {
+					f.queue = append(f.queue, relayed{to: to, list: p.Message.GetHeldTasks()})
+				}
+			}
+		}
+	}
+}
+
+func TestListIsPassedOnOverEachLinkOnceAtMost(t *testing.T) {
+	for _, c := range []struct{ dataCentres, entries int }{{4, 17}, {4, 18}, {4, 24}, {4, 40}, {4, 100}, {10, 220}} {
+		f := newRelayFleet(t, c.dataCentres, c.entries)
+		for sequence, tasks := range [][]string{{"a.0.0.0", "a.0.0.1"}, {"b.0.0.0"}, {"a.0.0.0", "a.0.0.1", "b.0.0.0"}} {
+			isPartial := sequence == 1
+			f.tell(uint64(sequence+1), isPartial, tasks...)
+			if f.delivered > f.ends || f.tasks > f.ends*len(tasks) {
+				t.Errorf("%d entries, list %d: %d messages with %d tasks are passed on over %d ends of links", c.entries, sequence+1, f.delivered, f.tasks, f.ends)
+			}
+		}
+	}
+}
--- a/yuccabroker/held.go
+++ b/yuccabroker/held.go
@@ -42,6 +42,8 @@
 	sequence, partialSequence uint64
 	receivedAt                time.Time
 	tasks                     map[string]heldTask
+	// reached are the entries to which the last list was sent, as its sender has said.
+	reached []string
 }
 
 // heldTask is a task that is held until its sender says otherwise, or until a time: statedUntil
@@ -255,7 +257,7 @@
 		for _, h := range m.GetTasks() {
 			h.Side = s.name
 		}
-		b.handleHeldTasks(now, m, b.unconfirmed(s, m))
+		b.handleHeld(now, m, true)
 		b.confirmHeld(name, m.GetSequence())
 	}
 }
@@ -269,11 +271,11 @@
 // are placed at the side that has their runs, those that are over anywhere. What is new is passed on to
 // the linked entries that the list has not reached.
 func (b *Broker) HandleHeldTasks(now time.Time, m *yuccawire.HeldTasks) {
-	b.handleHeldTasks(now, m, nil)
+	b.handleHeld(now, m, !m.GetPartial())
 }
 
-// handleHeldTasks is HandleHeldTasks, and tells the entries named of all tasks of the list.
-func (b *Broker) handleHeldTasks(now time.Time, m *yuccawire.HeldTasks, unconfirmed []string) {
+// handleHeld is HandleHeldTasks for a list that comes from its sender, or from an entry that passes it on.
+func (b *Broker) handleHeld(now time.Time, m *yuccawire.HeldTasks, isFromSender bool) {
 	key := heldKey{sender: m.GetSender(), incarnation: m.GetIncarnation()}
 	l := b.heldElsewhere[key]
 	switch {
@@ -296,7 +298,7 @@
 		b.options.Logger.Info("tasks held for runs elsewhere", "sender", key.sender, "incarnation", key.incarnation, "tasks", len(l.tasks),
 			"first", firstHeld(m), "over", over, "passed_on", m.GetPartial())
 	}
-	b.passOnHeld(now, m, news, l.tasks, unconfirmed)
+	b.passOnHeld(now, l, m, news, isFromSender)
 	jobs := make(map[*job]bool)
 	for name := range l.tasks {
 		if j := b.jobs[jobOf(name)]; j != nil && !jobs[j] {
--- a/yuccabroker/relay.go
+++ b/yuccabroker/relay.go
@@ -12,7 +12,7 @@
 const (
 	// linkRequestInterval is the time between two requests for the same link.
 	linkRequestInterval = time.Second
-	// maxRelays is how many of the entries that know each other tell another one of all tasks of a side.
+	// maxRelays is how many of the entries that know each other tell another one of all tasks of a process.
 	maxRelays = 3
 )
 
@@ -34,25 +34,27 @@
 	return slices.DeleteFunc(slices.Clone(b.peers), func(name string) bool { return slices.Contains(reached, name) })
 }
 
-// passOnHeld tells the linked entries that a list has not reached of the tasks that are new, and those
-// named of all. A sender that doesn't say whom it reaches is of a version that expects nothing to be passed on.
-func (b *Broker) passOnHeld(now time.Time, m *yuccawire.HeldTasks, news, all map[string]heldTask, toTellAll []string) {
+// passOnHeld tells the linked entries that a list has not reached of the tasks that are new, and those that
+// earlier ones were said to have reached of all. The latter only the sender can say: what is passed on names
+// other entries on each way, so that each copy would be passed on again. A sender that doesn't say whom it
+// reaches is of a version that expects nothing to be passed on.
+func (b *Broker) passOnHeld(now time.Time, l *heldList, m *yuccawire.HeldTasks, news map[string]heldTask, isFromSender bool) {
 	if len(m.GetReached()) == 0 {
+		l.reached = nil
 		return
 	}
-	isToldAll := func(name string) bool { return slices.Contains(toTellAll, name) }
-	b.passOn(now, m, news, slices.DeleteFunc(b.unreached(m.GetReached()), isToldAll))
-	b.passOn(now, m, all, toTellAll)
-}
-
-// unconfirmed returns the entries that the side named as reached before, and does no longer, as far as
-// this one is to tell them of all its tasks: they may not have received its last lists.
-func (b *Broker) unconfirmed(s *side, m *yuccawire.HeldTasks) []string {
-	before := s.heldReached
-	s.heldReached = m.GetReached()
-	return slices.DeleteFunc(b.unreached(s.heldReached), func(name string) bool {
-		return !slices.Contains(before, name) || !b.isRelayFor(name, s.heldReached)
+	unreached := b.unreached(m.GetReached())
+	if !isFromSender {
+		b.passOn(now, m, news, unreached)
+		return
+	}
+	before := l.reached
+	l.reached = m.GetReached()
+	left := slices.DeleteFunc(slices.Clone(unreached), func(name string) bool {
+		return !slices.Contains(before, name) || !b.isRelayFor(name, l.reached)
 	})
+	b.passOn(now, m, news, slices.DeleteFunc(unreached, func(name string) bool { return slices.Contains(left, name) }))
+	b.passOn(now, m, l.tasks, left)
 }
 
 // isRelayFor reports whether this entry is among the first maxRelays of those reached, in an order that
--- a/yuccabroker/side.go
+++ b/yuccabroker/side.go
@@ -100,8 +100,6 @@
 	reserved   bool
 	releases   []yuccaforecast.Release
 	ordersSeen uint64
-	// heldReached are the entries that its last list of held tasks has named as reached.
-	heldReached []string
 }
 
 // unreportedOrder is the capacity used by an order that the side's last report
