broker: keep the side that the newer of two parts of a list names

Callers saw: nothing yet. A task that its entry has moved to another side, or that may run nowhere any more, could be placed at its former side, beside a run.

Cause: parts of a list come by several ways. A slow one that is older than what is known was merged by time and run, but its side replaced that of the newer part.

Ruled out: whole lists, where an older number is ignored, or taken for a part if a newer part is known (same rule now); parts of lists of sides, which name the side itself.

Each task keeps the number of the list that named its side. Known limit: an extract that a new link tells carries the highest number for all of its tasks.

--- a/yuccabroker/held.go
+++ b/yuccabroker/held.go
@@ -56,6 +56,8 @@
 	// highest number of these runs.
 	side string
 	run  uint64
+	// sequence is the number of the list that has named the side.
+	sequence uint64
 }
 
 // merge combines what is known of a task twice. It runs nowhere if its runs are at several sides.
@@ -208,7 +210,7 @@
 	stated := make(map[string]heldTask)
 	for _, h := range m.GetTasks()[:min(len(m.GetTasks()), maxHeldTasks)] {
 		until := now.Add(time.Duration(h.GetRemainingMs()) * time.Millisecond)
-		stated[h.GetTask()] = heldTask{statedUntil: until, until: until, side: h.GetSide(), run: h.GetRun()}
+		stated[h.GetTask()] = heldTask{statedUntil: until, until: until, side: h.GetSide(), run: h.GetRun(), sequence: m.GetSequence()}
 	}
 	before := l.tasks
 	l.receivedAt = now
@@ -230,6 +232,9 @@
 		if isPartial {
 			h.statedUntil, h.run = later(h.statedUntil, known.statedUntil), max(h.run, known.run)
 		}
+		if isPartial && known.sequence > h.sequence {
+			h.side, h.sequence = known.side, known.sequence
+		}
 		h.passedOnUntil = known.passedOnUntil
 		if !isKnown || h.run != known.run || h.side != known.side || h.statedUntil.Sub(known.passedOnUntil) >= heldExtension {
 			h.passedOnUntil = h.statedUntil
