broker: pass each repeated link request on

Cause: an entry repeats its request each second, and others forgot a request after a second, with their next tick. A repetition that came a little sooner than the first had, or before that tick, was taken for a copy.

Others know a request for half of the interval now, which is enough for the copies that come by other ways. Ruled out: more requests at the side, as LinkTo only extends its time.

--- a/yuccabroker/relay.go
+++ b/yuccabroker/relay.go
@@ -14,6 +14,8 @@
 	linkRequestInterval = time.Second
 	// maxRelays is how many of the entries that know each other tell another one of all tasks of a process.
 	maxRelays = 3
+	// linkRequestMemory is how long a request is known, so that it is passed on once: until before the next.
+	linkRequestMemory = linkRequestInterval / 2
 )
 
 // linkRequest is a link that an entry needs, as a task of its may run at that side only.
@@ -85,7 +87,7 @@
 // opens the next one by itself, but not if the link was surplus.
 func (b *Broker) requestLink(now time.Time, sideName string) {
 	r := linkRequest{entry: b.options.Name, side: sideName}
-	if s := b.sides[sideName]; sideName == "" || s != nil && now.Sub(s.linkLostAt) < linkRequestInterval || !b.recordLinkRequest(now, r) {
+	if s := b.sides[sideName]; sideName == "" || s != nil && now.Sub(s.linkLostAt) < linkRequestInterval || !b.recordLinkRequest(now, r, linkRequestInterval) {
 		return
 	}
 	b.metrics.Add("side_links_requested", 1)
@@ -96,7 +98,7 @@
 // HandleLinkRequest passes the request of another entry on to the side, or towards it.
 func (b *Broker) HandleLinkRequest(now time.Time, m *yuccawire.LinkRequest) {
 	r := linkRequest{entry: m.GetEntry(), side: m.GetSide()}
-	if r.entry == b.options.Name || !b.recordLinkRequest(now, r) {
+	if r.entry == b.options.Name || !b.recordLinkRequest(now, r, linkRequestMemory) {
 		return
 	}
 	if s := b.sides[r.side]; s != nil && s.linked {
@@ -114,9 +116,9 @@
 	b.emit(Publish{Message: &yuccawire.Envelope{Body: &yuccawire.Envelope_LinkRequest{LinkRequest: m}}, To: to})
 }
 
-// recordLinkRequest returns false if the same link was requested within linkRequestInterval.
-func (b *Broker) recordLinkRequest(now time.Time, r linkRequest) bool {
-	if _, isRecent := b.linkRequests[r]; isRecent {
+// recordLinkRequest returns false if the same link was requested within the interval.
+func (b *Broker) recordLinkRequest(now time.Time, r linkRequest, interval time.Duration) bool {
+	if at, isKnown := b.linkRequests[r]; isKnown && now.Sub(at) < interval {
 		return false
 	}
 	b.linkRequests[r] = now
--- a/yuccabroker/relay_test.go
+++ b/yuccabroker/relay_test.go
@@ -149,3 +149,21 @@
 		t.Errorf("actions are %v, want the request passed on to the entry that it has not reached", actions)
 	}
 }
+
+func TestRepeatedLinkRequestIsPassedOnEachTime(t *testing.T) {
+	linked := newOtherEntry(t)
+	linked.flush()
+	sent := 0
+	for range 4 {
+		linked.broker.HandleLinkRequest(linked.now.Add(1500*time.Microsecond), &yuccawire.LinkRequest{Side: otherSide, Entry: "entry"})
+		for _, a := range linked.broker.Actions() {
+			if m, isSend := a.(yuccabroker.Send); isSend && m.Message.GetLinkRequest() != nil {
+				sent++
+			}
+		}
+		linked.advance(980*time.Millisecond, otherSide)
+	}
+	if sent != 4 {
+		t.Errorf("%d of 4 requests, one each second with other delays, are sent to the side", sent)
+	}
+}
