broker: combine held tasks by what a list changes

Since sides tell of new runs with each tick, an entry gets up to 50 lists a second of each side, and a copy from each entry that passes them on. For each it copied the whole list, went through all of its jobs, and combined all tasks of all lists again with the next placement, also for a copy without news.

Now a part touches its tasks only, a whole list what differs, and a copy that says nothing new starts no placement. Tasks whose time is over are removed one by one.

Ruled out: other results, by the tests of held tasks and a new one, in which a task is held by two lists of which one ends or lapses while a task waits.

--- a/yuccabroker/held.go
+++ b/yuccabroker/held.go
@@ -204,20 +204,22 @@
 	return list
 }
 
-// update applies a list of the process, whole or in part. It returns the tasks that other entries have
-// to be told, and how many are over.
-func (l *heldList) update(now time.Time, m *yuccawire.HeldTasks) (news map[string]heldTask, over int) {
-	stated := make(map[string]heldTask)
-	for _, h := range m.GetTasks()[:min(len(m.GetTasks()), maxHeldTasks)] {
-		until := now.Add(time.Duration(h.GetRemainingMs()) * time.Millisecond)
-		stated[h.GetTask()] = heldTask{statedUntil: until, until: until, side: h.GetSide(), run: h.GetRun(), sequence: m.GetSequence()}
-	}
+// heldChange is what a list changes: the tasks that other entries have to be told, the names of those for which
+// something else follows than before, and how many are over.
+type heldChange struct {
+	news  map[string]heldTask
+	names []string
+	over  int
+}
+
+// update applies a list of the process, whole or in part.
+func (l *heldList) update(now time.Time, m *yuccawire.HeldTasks) heldChange {
+	change := heldChange{news: make(map[string]heldTask)}
 	before := l.tasks
 	l.receivedAt = now
 	isPartial := m.GetPartial() || m.GetSequence() < l.partialSequence
 	if isPartial {
 		l.partialSequence = max(l.partialSequence, m.GetSequence())
-		l.tasks = maps.Clone(before)
 	} else {
 		l.sequence = m.GetSequence()
 		l.tasks = nil
@@ -225,8 +227,9 @@
 	if l.tasks == nil {
 		l.tasks = make(map[string]heldTask)
 	}
-	news = make(map[string]heldTask)
-	for name, h := range stated {
+	for _, stated := range m.GetTasks()[:min(len(m.GetTasks()), maxHeldTasks)] {
+		name, until := stated.GetTask(), now.Add(time.Duration(stated.GetRemainingMs())*time.Millisecond)
+		h := heldTask{statedUntil: until, until: until, side: stated.GetSide(), run: stated.GetRun(), sequence: m.GetSequence()}
 		known, isKnown := before[name]
 		h.until = later(h.until, known.until)
 		if isPartial {
@@ -236,23 +239,28 @@
 			h.side, h.sequence = known.side, known.sequence
 		}
 		h.passedOnUntil = known.passedOnUntil
-		if !isKnown || h.run != known.run || h.side != known.side || h.statedUntil.Sub(known.passedOnUntil) >= heldExtension {
+		isChanged := !isKnown || h.run != known.run || h.side != known.side
+		if isChanged {
+			change.names = append(change.names, name)
+		}
+		if isChanged || h.statedUntil.Sub(known.passedOnUntil) >= heldExtension {
 			h.passedOnUntil = h.statedUntil
-			news[name] = h
+			change.news[name] = h
 		}
 		l.tasks[name] = h
 	}
 	if isPartial {
-		return news, 0
+		return change
 	}
 	for name, h := range before {
 		if _, isHeld := l.tasks[name]; !isHeld && now.Before(h.until) && !now.Before(h.statedUntil.Add(-heldSlack)) {
 			l.tasks[name] = h
 		} else if !isHeld {
-			over++
+			change.names = append(change.names, name)
+			change.over++
 		}
 	}
-	return news, over
+	return change
 }
 
 // HandleHeldBySide is HandleHeldTasks for the list of a linked side, which is told that it was received.
@@ -297,21 +305,37 @@
 		b.heldElsewhere[key] = l
 	}
 	before := len(l.tasks)
-	news, over := l.update(now, m)
+	change := l.update(now, m)
 	b.metrics.Add("held_lists_received", 1)
 	if before == 0 || len(l.tasks) == 0 {
 		b.options.Logger.Info("tasks held for runs elsewhere", "sender", key.sender, "incarnation", key.incarnation, "tasks", len(l.tasks),
-			"first", firstHeld(m), "over", over, "passed_on", m.GetPartial())
+			"first", firstHeld(m), "over", change.over, "passed_on", m.GetPartial())
 	}
-	b.passOnHeld(now, l, m, news, isFromSender)
+	b.passOnHeld(now, l, m, change.news, isFromSender)
 	jobs := make(map[*job]bool)
-	for name := range l.tasks {
-		if j := b.jobs[jobOf(name)]; j != nil && !jobs[j] {
+	for _, h := range m.GetTasks() {
+		if j := b.jobs[jobOf(h.GetTask())]; j != nil && !jobs[j] {
 			jobs[j] = true
 			b.extendHeld(j)
 		}
 	}
-	b.heldByTask, b.needsPlacement = nil, true
+	for _, name := range change.names {
+		b.updateHeldByTask(name)
+	}
+	b.needsPlacement = b.needsPlacement || len(change.names) > 0
+}
+
+// updateHeldByTask combines again what is known of a task.
+func (b *Broker) updateHeldByTask(name string) {
+	if b.heldByTask == nil {
+		return
+	}
+	delete(b.heldByTask, name)
+	for _, l := range b.heldElsewhere {
+		if h, isHeld := l.tasks[name]; isHeld {
+			addHeldTask(b.heldByTask, name, h)
+		}
+	}
 }
 
 func later(a, b time.Time) time.Time {
@@ -369,10 +393,11 @@
 // evictHeld removes the held tasks whose time is over.
 func (b *Broker) evictHeld(now time.Time) {
 	for key, l := range b.heldElsewhere {
-		before := len(l.tasks)
-		maps.DeleteFunc(l.tasks, func(_ string, h heldTask) bool { return !now.Before(h.until) })
-		if len(l.tasks) < before {
-			b.heldByTask = nil
+		for name, h := range l.tasks {
+			if !now.Before(h.until) {
+				delete(l.tasks, name)
+				b.updateHeldByTask(name)
+			}
 		}
 		if len(l.tasks) == 0 && now.Sub(l.receivedAt) > heldRetention {
 			delete(b.heldElsewhere, key)
--- a/yuccabroker/oldpart_test.go
+++ b/yuccabroker/oldpart_test.go
@@ -39,3 +39,39 @@
 		t.Errorf("sent %v, want nothing", runs)
 	}
 }
+
+func TestTaskIsPlacedByWhatRemainsOfSeveralLists(t *testing.T) {
+	f := newFixture(t, "s1", otherSide)
+	held := func(sender string, sequence uint64, remaining time.Duration, side string, tasks ...string) {
+		list := heldTasks(sequence, remaining, tasks...)
+		list.Sender = sender
+		for _, h := range list.GetTasks() {
+			h.Side = side
+		}
+		f.broker.HandleHeldTasks(f.now, list)
+	}
+	held("x", 1, 10*time.Second, "s1", "a.0.0.0", "b.0.0.0", "c.0.0.0")
+	held("y", 1, 10*time.Second, otherSide, "a.0.0.0")
+	held("z", 1, time.Second, otherSide, "b.0.0.0")
+	for i, id := range []string{"a", "b", "c"} {
+		j := job(id, 1)
+		j.Deadline = f.now.Add(800 * time.Millisecond)
+		f.submit(j, uint64(i+1))
+	}
+	runs := f.sentRuns()
+	if len(runs) != 1 || runs["c.0.0.0/1"] != "s1" {
+		t.Fatalf("sent %v, want the task that one side holds", runs)
+	}
+	held("x", 2, 10*time.Second, "s1", "b.0.0.0", "c.0.0.0")
+	f.advance(20*time.Millisecond, "s1", otherSide)
+	if runs := f.sentRuns(); len(runs) != 2 || runs["a.0.0.0/1"] != otherSide {
+		t.Errorf("sent %v, want the task that one list still holds at its side", runs)
+	}
+	f.advance(time.Second, "s1", otherSide)
+	j := job("b", 1)
+	j.Deadline = f.now.Add(time.Second)
+	f.submit(j, 4)
+	if runs := f.sentRuns(); len(runs) != 3 || runs["b.0.0.0/1"] != "s1" {
+		t.Errorf("sent %v, want the task whose other list is over at its side", runs)
+	}
+}
