broker, edge: confirm the lists of held tasks of entries, too

The machine of a run stands still, its caller comes again at an entry that has just been cut from the owner of the run, and a third entry is linked with both.

Cause: an entry's own list names all linked entries as reached, so that nobody passes it on. The cut is noticed 1.3 to 2.8 s later only, and then the list hadn't changed, so that it was not sent again.

Entries confirm each other's lists as they do those of sides (HeldSeen). If one doesn't within 150 ms, the list is sent again without it, and the others pass it on. An entry of an earlier version doesn't confirm, and counts as reached. Nothing is sent while there are no held tasks.

Ruled out: to confirm what is passed on, as each entry may get that from several others; a confirmation of a list of an earlier process of the sender, which other entries may tell, as its numbers are higher.

--- a/yuccabroker/broker.go
+++ b/yuccabroker/broker.go
@@ -68,6 +68,10 @@
 	// sides were last requested.
 	peers        []string
 	linkRequests map[linkRequest]time.Time
+	// seenByPeer is what the linked entries have received of the own lists, heldReached are those that the last
+	// one has named as reached.
+	seenByPeer  map[string]*heldSeen
+	heldReached []string
 	// pinned are the tasks that may run at some sides only, until nobody submits them again.
 	pinned map[*task]struct{}
 	// culprits are the tasks that were lately found to crash their workers. downtime is
@@ -166,6 +170,7 @@
 		heldElsewhere:  make(map[heldKey]*heldList),
 		pinned:         make(map[*task]struct{}),
 		linkRequests:   make(map[linkRequest]time.Time),
+		seenByPeer:     make(map[string]*heldSeen),
 		downtime:       usualDowntime,
 		queueUses:      make(map[string]queueUse),
 		bulkheads:      make(map[string]*bulkhead),
--- a/yuccabroker/held.go
+++ b/yuccabroker/held.go
@@ -24,6 +24,9 @@
 	// heldRetention is how long an empty list is known, so that an older one which comes
 	// later by another way is recognised.
 	heldRetention = 10 * time.Second
+	// heldSeenTimeout is how long a linked entry may take to say that it has received a list. After that, the
+	// others are told that it may not have.
+	heldSeenTimeout = 150 * time.Millisecond
 	// maxHeldTasks limits the tasks of a list, maxHeldLists the lists that are known.
 	maxHeldTasks = 16_384
 	maxHeldLists = 4096
@@ -135,8 +138,10 @@
 	if now.Sub(b.heldAt) < heldInterval {
 		return
 	}
-	held := b.heldHere(now)
-	if maps.Equal(held, b.held) {
+	held, reached := b.heldHere(now), b.reachedPeers(now)
+	isUnreached := func(name string) bool { return !slices.Contains(reached, name) }
+	isUrgent := len(held) > 0 && slices.ContainsFunc(b.heldReached, isUnreached)
+	if !isUrgent && maps.Equal(held, b.held) {
 		return
 	}
 	before := len(b.held)
@@ -147,7 +152,12 @@
 			delete(held, name)
 		}
 	}
-	b.held, b.heldAt = held, now
+	for _, seen := range b.seenByPeer {
+		if seen.sequence >= b.heldSequence {
+			seen.unseenSince = now
+		}
+	}
+	b.held, b.heldAt, b.heldReached = held, now, reached
 	b.heldSequence++
 	list := b.ownHeldList(now)
 	b.metrics.Add("held_lists_made", 1)
@@ -156,7 +166,7 @@
 }
 
 func (b *Broker) ownHeldList(now time.Time) *yuccawire.HeldTasks {
-	list := &yuccawire.HeldTasks{Sender: b.options.Name, Incarnation: b.options.Incarnation, Sequence: b.heldSequence, Reached: b.withPeers(nil)}
+	list := &yuccawire.HeldTasks{Sender: b.options.Name, Incarnation: b.options.Incarnation, Sequence: b.heldSequence, Reached: append(slices.Clone(b.heldReached), b.options.Name)}
 	addHeld(now, list, b.held)
 	return list
 }
--- a/yuccabroker/relay.go
+++ b/yuccabroker/relay.go
@@ -21,8 +21,40 @@
 // linkRequest is a link that an entry needs, as a task of its may run at that side only.
 type linkRequest struct{ entry, side string }
 
+// heldSeen is the number of the last own list that a linked entry has received. If there are later ones, it has
+// received none since unseenSince.
+type heldSeen struct {
+	sequence    uint64
+	unseenSince time.Time
+}
+
 // SetPeers sets the names of the entries that this one is linked with.
-func (b *Broker) SetPeers(names []string) { b.peers = slices.Clone(names) }
+func (b *Broker) SetPeers(names []string) {
+	b.peers = slices.Clone(names)
+	maps.DeleteFunc(b.seenByPeer, func(name string, _ *heldSeen) bool { return !slices.Contains(names, name) })
+}
+
+// HandleHeldSeen processes the news that a linked entry has received a list of this one. The first on a link, of
+// no list, only says that there will be more.
+func (b *Broker) HandleHeldSeen(now time.Time, peer string, m *yuccawire.HeldSeen) {
+	seen := b.seenByPeer[peer]
+	if seen == nil {
+		seen = &heldSeen{unseenSince: now}
+		b.seenByPeer[peer] = seen
+	}
+	if m.GetSequence() > seen.sequence {
+		seen.sequence, seen.unseenSince = m.GetSequence(), now
+	}
+}
+
+// reachedPeers returns the linked entries, without those that take too long to say that they have received the
+// last lists.
+func (b *Broker) reachedPeers(now time.Time) []string {
+	return slices.DeleteFunc(slices.Clone(b.peers), func(name string) bool {
+		seen := b.seenByPeer[name]
+		return seen != nil && seen.sequence < b.heldSequence && now.Sub(seen.unseenSince) >= heldSeenTimeout
+	})
+}
 
 // withPeers adds this entry and those that it is linked with to the names.
 func (b *Broker) withPeers(names []string) []string {
--- a/yuccabroker/relay_test.go
+++ b/yuccabroker/relay_test.go
@@ -167,3 +167,51 @@
 		t.Errorf("%d of 4 requests, one each second with other delays, are sent to the side", sent)
 	}
 }
+
+func TestEntriesHearThatAnotherOneHasNotReceivedTheListOfAnEntry(t *testing.T) {
+	f := newRelay(t, "cut", "earlier", "other")
+	f.broker.HandleHeldSeen(f.now, "cut", &yuccawire.HeldSeen{})
+	f.broker.HandleHeldSeen(f.now, "other", &yuccawire.HeldSeen{})
+	f.submit(job("a", 1), 1)
+	f.broker.HandleDisconnect(f.now, "a", 1)
+	f.advance(260*time.Millisecond, "s1")
+	if len(f.published) != 1 || !slices.Equal(f.published[0].GetReached(), []string{"cut", "earlier", "other", "entry"}) {
+		t.Fatalf("published %v, want one list that reaches all", f.published)
+	}
+	f.broker.HandleHeldSeen(f.now, "other", &yuccawire.HeldSeen{Sequence: 1})
+	f.advance(240*time.Millisecond, "s1")
+	if len(f.published) != 2 || !slices.Equal(f.published[1].GetReached(), []string{"earlier", "other", "entry"}) || len(f.published[1].GetTasks()) != 1 {
+		t.Fatalf("published %v, want the task again, without the entry that has not received it", f.published)
+	}
+	f.broker.HandleHeldSeen(f.now, "other", &yuccawire.HeldSeen{Sequence: 2})
+	f.advance(400*time.Millisecond, "s1")
+	f.broker.SetPeers([]string{"earlier", "other"})
+	f.broker.SetPeers([]string{"cut", "earlier", "other"})
+	f.advance(400*time.Millisecond, "s1")
+	if len(f.published) != 2 {
+		t.Errorf("published %v, want nothing more while nothing changes", f.published)
+	}
+	f.endRun("s1", "a.0.0.0", 1, yuccawire.RunEnd_RUN_END_STOPPED, 0)
+	f.advance(100*time.Millisecond, "s1")
+	if len(f.published) != 3 || !slices.Contains(f.published[2].GetReached(), "cut") {
+		t.Errorf("published %v, want the end, and that it reaches the entry whose link is new", f.published)
+	}
+}
+
+// What was passed on before is known to the entry until its link comes up again.
+func TestEntryThatIsLateOnceCountsAsReachedAgain(t *testing.T) {
+	f := newRelay(t, "late")
+	f.broker.HandleHeldSeen(f.now, "late", &yuccawire.HeldSeen{})
+	f.submit(job("a", 2), 1)
+	f.broker.HandleDisconnect(f.now, "a", 1)
+	f.advance(800*time.Millisecond, "s1")
+	if len(f.published) != 2 {
+		t.Fatalf("published %v, want the list and that it has not been received", f.published)
+	}
+	f.broker.HandleHeldSeen(f.now, "late", &yuccawire.HeldSeen{Sequence: 2})
+	f.endRun("s1", "a.0.0.0", 1, yuccawire.RunEnd_RUN_END_STOPPED, 0)
+	f.advance(100*time.Millisecond, "s1")
+	if len(f.published) != 3 || !slices.Contains(f.published[2].GetReached(), "late") {
+		t.Errorf("published %v, want a third list that reaches the entry", f.published)
+	}
+}
--- a/yuccaedge/edge.go
+++ b/yuccaedge/edge.go
@@ -267,6 +267,7 @@
 		if report := e.broker.RecentCrashes(now); len(report.GetCrashes())+len(report.GetConfined()) > 0 {
 			p.Send(&yuccawire.Envelope{Body: &yuccawire.Envelope_CrashReport{CrashReport: report}})
 		}
+		p.Send(&yuccawire.Envelope{Body: &yuccawire.Envelope_HeldSeen{HeldSeen: &yuccawire.HeldSeen{}}})
 		for _, list := range e.broker.HeldLists(now) {
 			p.Send(&yuccawire.Envelope{Body: &yuccawire.Envelope_HeldTasks{HeldTasks: list}})
 		}
--- a/yuccaedge/held_test.go
+++ b/yuccaedge/held_test.go
@@ -80,3 +80,38 @@
 		fabric.Crash("e0")
 	})
 }
+
+func TestEntryConfirmsTheListsOfAnotherOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		fabric := yuccamemnet.New(yuccamemnet.Options{Delay: time.Millisecond, Seed: 1})
+		_, stopped := serveEdge(ctx, fabric.Host("e0"), yuccametric.New("e0"))
+		time.Sleep(100 * time.Millisecond)
+		other := dialAsEntry(t, fabric.Host("e1"), "e1")
+		for i, list := range []*yuccawire.HeldTasks{{Sender: "e2", Incarnation: 1}, {Sender: "e1"}, {Sender: "e1", Incarnation: 1, Partial: true}, {Sender: "e1", Incarnation: 1}} {
+			list.Sequence, list.Tasks = uint64(i+1), []*yuccawire.HeldTask{{Task: "a.0.0.0", RemainingMs: 9000}}
+			_ = other.Send(&yuccawire.Envelope{Body: &yuccawire.Envelope_HeldTasks{HeldTasks: list}})
+		}
+		for _, want := range []uint64{0, 4} {
+			if seen := receiveSeen(t, other); seen.GetSequence() != want {
+				t.Errorf("confirmed list %d, want %d", seen.GetSequence(), want)
+			}
+		}
+		cancel()
+		<-stopped
+		fabric.Crash("e0")
+	})
+}
+
+// receiveSeen returns the next confirmation of a list on the link.
+func receiveSeen(t *testing.T, link yuccawire.Link) *yuccawire.HeldSeen {
+	for {
+		m, err := link.Receive()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if seen := m.GetHeldSeen(); seen != nil {
+			return seen
+		}
+	}
+}
--- a/yuccaedge/inquiry.go
+++ b/yuccaedge/inquiry.go
@@ -168,7 +168,7 @@
 }
 
 // handleEntryMessage handles an inquiry, a reply, a crash report, the demand, the held tasks,
-// the ended jobs or the link request of another entry.
+// the ended jobs or the link request of another entry, or that it has received a list.
 func (e *Edge) handleEntryMessage(now time.Time, from *yuccamesh.Peer, m *yuccawire.Envelope) {
 	switch body := m.GetBody().(type) {
 	case *yuccawire.Envelope_Inquiry:
@@ -181,6 +181,12 @@
 		e.handleDemand(now, from, body.Demand)
 	case *yuccawire.Envelope_HeldTasks:
 		e.broker.HandleHeldTasks(now, body.HeldTasks)
+		list, sender := body.HeldTasks, from.Node()
+		if list.GetSender() == sender.GetName() && list.GetIncarnation() == sender.GetIncarnation() && !list.GetPartial() {
+			from.Send(&yuccawire.Envelope{Body: &yuccawire.Envelope_HeldSeen{HeldSeen: &yuccawire.HeldSeen{Sequence: list.GetSequence()}}})
+		}
+	case *yuccawire.Envelope_HeldSeen:
+		e.broker.HandleHeldSeen(now, from.Node().GetName(), body.HeldSeen)
 	case *yuccawire.Envelope_EndedJobs:
 		e.broker.HandleEndedJobs(now, body.EndedJobs)
 	case *yuccawire.Envelope_LinkRequest:
--- a/yuccamodel/cutentries_test.go
+++ b/yuccamodel/cutentries_test.go
@@ -28,3 +28,26 @@
 		t.Errorf("run at %s, answered: %v, as %v, want the job completed", side.name, job.isAnswered, job.state)
 	}
 }
+
+// The owner of a run at a machine that stands still is cut from the entry to which the caller comes.
+func TestResendRunsBesideAStandingMachineAsItsOwnerIsCutFromTheEntry(t *testing.T) {
+	w := newWorld(t, 1, 3, 3)
+	w.run(warmUp)
+	w.patience = 6 * time.Second
+	w.pickEntry = func() *modelEntry { return w.entries[0] }
+	job := w.submitOneTask(1600, 600*time.Millisecond)
+	w.run(200 * time.Millisecond)
+	w.pickEntry = func() *modelEntry { return w.entries[1] }
+	w.partitionEntries(w.entries[0], w.entries[1], 6*time.Second)
+	for _, s := range w.sides {
+		if !s.core.Idle() {
+			s.worker.standStill(4 * time.Second)
+			w.freezeSide(s, 4*time.Second)
+			job.disconnect()
+		}
+	}
+	w.run(12 * time.Second)
+	if !job.isAnswered {
+		t.Error("the caller is not answered")
+	}
+}
--- a/yuccamodel/demand_test.go
+++ b/yuccamodel/demand_test.go
@@ -82,10 +82,13 @@
 // sendHeldLists sends a peer the known lists of held tasks, as its link has come up.
 func (e *modelEntry) sendHeldLists(to *modelEntry) {
 	w, incarnation := e.world, to.incarnation
+	e.confirmHeld(to, 0)
 	for _, list := range e.broker.HeldLists(e.now()) {
 		w.transmit(w.entryLinks[pairOf(e, to)], func() {
 			if to.incarnation == incarnation {
-				to.handle(func() { to.handlePublished(&yuccawire.Envelope{Body: &yuccawire.Envelope_HeldTasks{HeldTasks: list}}) })
+				to.handle(func() {
+					to.handlePublished(e, &yuccawire.Envelope{Body: &yuccawire.Envelope_HeldTasks{HeldTasks: list}})
+				})
 			}
 		})
 	}
--- a/yuccamodel/world_test.go
+++ b/yuccamodel/world_test.go
@@ -429,7 +429,7 @@
 		incarnation := e.incarnation
 		deliver := func() {
 			if e.incarnation == incarnation {
-				e.handle(func() { e.handlePublished(m) })
+				e.handle(func() { e.handlePublished(from, m) })
 			}
 		}
 		if isFlooded {
@@ -440,7 +440,7 @@
 	}
 }
 
-func (e *modelEntry) handlePublished(m *yuccawire.Envelope) {
+func (e *modelEntry) handlePublished(from *modelEntry, m *yuccawire.Envelope) {
 	switch body := m.GetBody().(type) {
 	case *yuccawire.Envelope_CrashReport:
 		e.broker.HandleCrashReport(e.now(), body.CrashReport)
@@ -448,6 +448,9 @@
 		e.world.heldLists++
 		e.world.logf("%s receives held tasks %v", e.name, body.HeldTasks)
 		e.broker.HandleHeldTasks(e.now(), body.HeldTasks)
+		if body.HeldTasks.GetSender() == from.name && body.HeldTasks.GetIncarnation() == from.incarnation && !body.HeldTasks.GetPartial() {
+			e.confirmHeld(from, body.HeldTasks.GetSequence())
+		}
 	case *yuccawire.Envelope_EndedJobs:
 		e.broker.HandleEndedJobs(e.now(), body.EndedJobs)
 	case *yuccawire.Envelope_LinkRequest:
@@ -456,6 +459,16 @@
 	}
 }
 
+// confirmHeld tells a linked entry that its list has come.
+func (e *modelEntry) confirmHeld(to *modelEntry, sequence uint64) {
+	incarnation := to.incarnation
+	e.world.transmit(e.world.entryLinks[pairOf(e, to)], func() {
+		if to.incarnation == incarnation {
+			to.handle(func() { to.broker.HandleHeldSeen(to.now(), e.name, &yuccawire.HeldSeen{Sequence: sequence}) })
+		}
+	})
+}
+
 func (s *modelSide) handle(handler func()) {
 	if s.isDown {
 		return
