--- a/yuccabroker/flood_test.go
+++ b/yuccabroker/flood_test.go
@@ -14,8 +14,10 @@
 // relayFleet is a fleet of entries and one side, which are linked as their topology chooses.
 type relayFleet struct {
 	entries map[string]*fixture
-	reached []string
-	queue   []relayed
+	// reached are the entries that the side tells, claimed those that it says it does.
+	reached, claimed []string
+	peers            map[string][]string
+	queue            []relayed
 	// delivered counts the lists and the tasks in them that entries receive from others.
 	delivered, tasks int
 	// ends counts the ends of the links between entries.
@@ -28,7 +30,7 @@
 }
 
 func newRelayFleet(t *testing.T, dataCentres, entries int) *relayFleet {
-	f := &relayFleet{entries: make(map[string]*fixture)}
+	f := &relayFleet{entries: make(map[string]*fixture), peers: make(map[string][]string)}
 	var nodes []*yuccawire.Node
 	for i := range entries {
 		name := fmt.Sprintf("e%03d", i)
@@ -46,12 +48,14 @@
 	side := yuccatopology.New(&yuccawire.Node{Name: "s1", Role: yuccawire.Role_ROLE_SIDE, DataCentre: "dc0"})
 	side.SetMembers(nodes, nil)
 	f.reached = side.Targets(time.Now())
+	f.claimed = f.reached
 	for _, n := range nodes {
 		e := newFixtureWith(t, func(o *yuccabroker.Options) { o.Name = n.GetName() })
 		slices.Sort(peers[n.GetName()])
 		linked := slices.Compact(peers[n.GetName()])
 		e.broker.SetPeers(linked)
 		f.ends += len(linked)
+		f.peers[n.GetName()] = linked
 		f.entries[n.GetName()] = e
 	}
 	return f
@@ -61,7 +65,7 @@
 func (f *relayFleet) tell(sequence uint64, isPartial bool, tasks ...string) {
 	for _, name := range f.reached {
 		list := heldTasks(sequence, 10*time.Second, tasks...)
-		list.Sender, list.Incarnation, list.Partial, list.Reached = "s1", 1, isPartial, f.reached
+		list.Sender, list.Incarnation, list.Partial, list.Reached = "s1", 1, isPartial, f.claimed
 		f.queue = append(f.queue, relayed{to: name, list: list})
 	}
 	f.delivered, f.tasks = -len(f.queue), -len(f.queue)*len(tasks)
@@ -94,3 +98,24 @@
 		}
 	}
 }
+
+// An entry that the side has named as reached has not received the list: its link was cut. It is linked with
+// entries that the side does not reach.
+func TestEntryThatWasNotReachedIsNotToldByEntriesThatTheSideDoesNotReach(t *testing.T) {
+	f := newRelayFleet(t, 4, 100)
+	cut := slices.IndexFunc(f.reached, func(name string) bool {
+		return !slices.ContainsFunc(f.peers[name], func(peer string) bool { return slices.Contains(f.reached, peer) })
+	})
+	if cut < 0 {
+		t.Fatal("each entry that the side reaches is linked with another one")
+	}
+	name, claimed := f.reached[cut], f.reached
+	f.reached = slices.Delete(slices.Clone(f.reached), cut, cut+1)
+	f.claimed = claimed
+	f.tell(1, false, "a.0.0.0")
+	f.claimed = f.reached
+	f.tell(2, false, "a.0.0.0")
+	if lists := f.entries[name].broker.HeldLists(f.entries[name].now); len(lists) == 0 {
+		t.Errorf("%s has not been told, although it is linked with %v, which have", name, f.peers[name])
+	}
+}
--- a/yuccamodel/cutentries_test.go
+++ b/yuccamodel/cutentries_test.go
@@ -51,3 +51,43 @@
 		t.Error("the caller is not answered")
 	}
 }
+
+// The caller comes again at an entry that is just up, and is linked with the idle sides first.
+func TestResendAtAnEntryThatIsLinkedWithOtherSidesFirstRunsBesideALateStart(t *testing.T) {
+	w := newWorld(t, 1, 3, 3)
+	w.run(warmUp)
+	job, side := w.submitLateStart(2500 * time.Millisecond)
+	restarted := w.entries[1]
+	w.pickEntry = func() *modelEntry { return restarted }
+	w.run(100 * time.Millisecond)
+	w.killEntry(w.entries[0], false, time.Minute)
+	w.losePower(side, 900*time.Millisecond, 800*time.Millisecond)
+	w.after(500*time.Millisecond, func() { w.killEntry(restarted, false, 700*time.Millisecond) })
+	w.after(1150*time.Millisecond, func() {
+		w.partitionEntries(restarted, w.entries[2], 300*time.Millisecond)
+		w.partitionLink(restarted, side, 300*time.Millisecond)
+	})
+	w.run(12 * time.Second)
+	if !job.isAnswered {
+		t.Error("the caller is not answered")
+	}
+}
+
+// The entry to which the caller comes reaches neither the side of the run nor any other entry.
+func TestResendAtAnEntryThatIsCutFromTheOthersRunsBesideALateStart(t *testing.T) {
+	w := newWorld(t, 1, 3, 3)
+	w.run(warmUp)
+	cut := w.entries[1]
+	w.partitionLink(cut, w.sides[2], 6*time.Second)
+	w.partitionEntries(cut, w.entries[0], 6*time.Second)
+	w.partitionEntries(cut, w.entries[2], 6*time.Second)
+	job, side := w.submitLateStart(2500 * time.Millisecond)
+	w.pickEntry = func() *modelEntry { return cut }
+	w.run(100 * time.Millisecond)
+	w.killEntry(w.entries[0], false, time.Minute)
+	w.losePower(side, 900*time.Millisecond, 800*time.Millisecond)
+	w.run(12 * time.Second)
+	if side != w.sides[2] || !job.isAnswered {
+		t.Errorf("run at %s, answered: %v", side.name, job.isAnswered)
+	}
+}
