broker: wait 400 ms for an entry's confirmation of a list

A busy entry confirms later than after 150 ms, and each time that it does the list is sent again and passed on. Callers come again after 1.3 s.

--- a/yuccabroker/held.go
+++ b/yuccabroker/held.go
@@ -26,7 +26,7 @@
 	heldRetention = 10 * time.Second
 	// heldSeenTimeout is how long a linked entry may take to say that it has received a list. After that, the
 	// others are told that it may not have.
-	heldSeenTimeout = 150 * time.Millisecond
+	heldSeenTimeout = 400 * time.Millisecond
 	// maxHeldTasks limits the tasks of a list, maxHeldLists the lists that are known.
 	maxHeldTasks = 16_384
 	maxHeldLists = 4096
