--- a/yuccaworker/held_test.go
+++ b/yuccaworker/held_test.go
@@ -192,3 +192,97 @@
 		t.Errorf("told %v on a new link, want both tasks", last)
 	}
 }
+
+func TestOwnerWhoseLinkIsLostCountsAsNotReached(t *testing.T) {
+	h := newHarness(t)
+	h.orderWithLostStart(task("a", 1, 1600))
+	h.advanceWithLease(entry, 100*time.Millisecond)
+	h.core.HandleLinkDown(entry)
+	h.advance(300 * time.Millisecond)
+	lists := h.held[otherEntry]
+	if last := lists[len(lists)-1]; !slices.Equal(last.GetReached(), []string{otherEntry.Name}) || len(last.GetTasks()) != 1 {
+		t.Errorf("told %v, want the task, and that only %s is told of it", last, otherEntry.Name)
+	}
+}
+
+// tellOften has a list sent each 40 ms, of which each entry confirms those that are older than its delay.
+func (h *harness) tellOften(delays map[yuccaworker.Owner]time.Duration) {
+	sentAt := make(map[uint64]time.Time)
+	for _, name := range []string{"a", "b", "c", "d", "e", "f", "g", "h", "i", "j"} {
+		h.orderWithLostStart(task(name, 1, 1600))
+		h.advance(40 * time.Millisecond)
+		for o, delay := range delays {
+			for _, list := range h.held[o] {
+				if _, isKnown := sentAt[list.GetSequence()]; !isKnown {
+					sentAt[list.GetSequence()] = h.now
+				}
+				if h.now.Sub(sentAt[list.GetSequence()]) >= delay {
+					h.core.HandleHeldSeen(h.now, o, &yuccawire.HeldSeen{Sequence: list.GetSequence()})
+				}
+			}
+		}
+	}
+}
+
+func TestEntryThatConfirmsNoneOfManyListsIsNotReached(t *testing.T) {
+	h := newHarness(t)
+	h.core.HandleHeldSeen(h.now, otherEntry, &yuccawire.HeldSeen{})
+	h.tellOften(map[yuccaworker.Owner]time.Duration{entry: 0})
+	lists := h.held[entry]
+	if last := lists[len(lists)-1]; slices.Contains(last.GetReached(), otherEntry.Name) {
+		t.Errorf("told %v, want that %s is not reached", last, otherEntry.Name)
+	}
+}
+
+func TestEntryThatConfirmsManyListsLaterIsReached(t *testing.T) {
+	h := newHarness(t)
+	h.core.HandleHeldSeen(h.now, otherEntry, &yuccawire.HeldSeen{})
+	h.tellOften(map[yuccaworker.Owner]time.Duration{entry: 0, otherEntry: 120 * time.Millisecond})
+	for _, list := range h.held[entry] {
+		if !slices.Contains(list.GetReached(), otherEntry.Name) {
+			t.Errorf("told %v, want %s among those reached", list, otherEntry.Name)
+		}
+	}
+}
+
+func TestEntryWithANewLinkHasItsTimeToConfirm(t *testing.T) {
+	h := newHarness(t)
+	for _, o := range []yuccaworker.Owner{entry, otherEntry} {
+		h.core.HandleHeldSeen(h.now, o, &yuccawire.HeldSeen{})
+	}
+	h.orderWithLostStart(task("a", 1, 1600))
+	h.advanceWithLease(entry, 600*time.Millisecond)
+	h.core.HandleLinkUp(h.now, otherEntry)
+	h.core.HandleHeldSeen(h.now, otherEntry, &yuccawire.HeldSeen{})
+	h.orderWithLostStart(task("b", 1, 1600))
+	h.advance(60 * time.Millisecond)
+	lists := h.held[otherEntry]
+	if last := lists[len(lists)-1]; !slices.Contains(last.GetReached(), otherEntry.Name) {
+		t.Errorf("told %v, want %s among those reached", last, otherEntry.Name)
+	}
+}
+
+func TestNewRunIsToldAtOnceButOnce(t *testing.T) {
+	h := newHarness(t)
+	for _, o := range []yuccaworker.Owner{entry, otherEntry} {
+		h.core.HandleHeldSeen(h.now, o, &yuccawire.HeldSeen{})
+	}
+	for _, name := range []string{"d", "c", "b", "a"} {
+		h.orderWithLostStart(task(name, 1, 1600))
+		h.advance(20 * time.Millisecond)
+	}
+	told := make(map[string]int)
+	for _, list := range h.held[entry] {
+		for _, held := range list.GetTasks() {
+			told[held.GetTask()]++
+		}
+	}
+	for name, count := range told {
+		if count != 1 {
+			t.Errorf("%s is told %d times in 80 ms, want once", name, count)
+		}
+	}
+	if len(told) != 4 {
+		t.Errorf("told %v, want four tasks", told)
+	}
+}
