worker: make a list of held runs once for all entries

Callers saw nothing. Now it is made once; entries share it, as they share what is published. The result is the same, so that the present tests hold it.

--- a/yuccaworker/held.go
+++ b/yuccaworker/held.go
@@ -117,13 +117,15 @@
 		w.held.listed = append(w.held.listed, added...)
 		slices.SortFunc(w.held.listed, compareKeys)
 	}
+	whole, part := w.heldList(now, w.held.listed), w.heldList(now, added)
+	part.Partial = true
 	for _, o := range w.ownerList {
 		switch {
 		case !o.linked:
 		case isDue || !o.confirmsHeld:
-			w.sendHeld(now, o)
+			w.sendHeldList(now, o, whole)
 		default:
-			w.sendHeldRuns(now, o, added, true)
+			w.sendHeldList(now, o, part)
 		}
 	}
 }
@@ -131,13 +133,13 @@
 // sendHeld sends an owner the last list of held runs, if there was one.
 func (w *Worker) sendHeld(now time.Time, o *owner) {
 	if w.held.sequence > 0 {
-		w.sendHeldRuns(now, o, w.held.listed, false)
+		w.sendHeldList(now, o, w.heldList(now, w.held.listed))
 	}
 }
 
-// sendHeldRuns sends an owner held runs: the whole list, or a part of it.
-func (w *Worker) sendHeldRuns(now time.Time, o *owner, keys []Key, isPartial bool) {
-	list := &yuccawire.HeldTasks{Sequence: w.held.sequence, Reached: w.held.reached, Partial: isPartial}
+// heldList returns the list of the held runs with the given keys.
+func (w *Worker) heldList(now time.Time, keys []Key) *yuccawire.HeldTasks {
+	list := &yuccawire.HeldTasks{Sequence: w.held.sequence, Reached: w.held.reached}
 	for _, key := range keys {
 		until := now.Add(minHeldTime)
 		if r := w.runs[key]; r != nil {
@@ -147,6 +149,11 @@
 		}
 		list.Tasks = append(list.Tasks, &yuccawire.HeldTask{Task: key.Task, Run: key.Run, RemainingMs: uint32(min(max(until.Sub(now), 0).Milliseconds(), math.MaxUint32))})
 	}
+	return list
+}
+
+// sendHeldList sends an owner a list of held runs, which several may share.
+func (w *Worker) sendHeldList(now time.Time, o *owner, list *yuccawire.HeldTasks) {
 	if o.heldSeen >= o.heldSent {
 		o.heldUnseenSince = now
 	}
