--- a/yuccabroker/oldpart_test.go
+++ b/yuccabroker/oldpart_test.go
@@ -75,3 +75,33 @@
 		t.Errorf("sent %v, want the task whose other list is over at its side", runs)
 	}
 }
+
+func TestOlderPartDoesNotMakeAnOlderListWhole(t *testing.T) {
+	f := newFixture(t, "s1")
+	held := func(sequence uint64, isPartial bool, tasks ...string) {
+		list := heldTasks(sequence, 10*time.Second, tasks...)
+		list.Partial = isPartial
+		f.broker.HandleHeldTasks(f.now, list)
+	}
+	held(5, true, "a.0.0.0")
+	held(3, true, "b.0.0.0")
+	held(4, false, "b.0.0.0")
+	f.submit(job("a", 1), 1)
+	if runs := f.sentRuns(); len(runs) > 0 {
+		t.Errorf("sent %v, want nothing: only the newest part names the task", runs)
+	}
+}
+
+func TestTaskIsOverThoughALaterPartStatesLessTime(t *testing.T) {
+	f := newFixture(t, "s1")
+	for sequence, remaining := range []time.Duration{10 * time.Second, 100 * time.Millisecond} {
+		list := heldTasks(uint64(sequence+1), remaining, "a.0.0.0")
+		list.Partial = true
+		f.broker.HandleHeldTasks(f.now, list)
+	}
+	f.broker.HandleHeldTasks(f.now, heldTasks(3, 0))
+	f.submit(job("a", 1), 1)
+	if runs := f.sentRuns(); len(runs) != 1 {
+		t.Errorf("sent %v, want the task, which the whole list does not name", runs)
+	}
+}
--- a/yuccabroker/relay_test.go
+++ b/yuccabroker/relay_test.go
@@ -215,3 +215,111 @@
 		t.Errorf("published %v, want a third list that reaches the entry", f.published)
 	}
 }
+
+func TestKnownListIsToldOnANewLinkAsWhatItIs(t *testing.T) {
+	f := newRelay(t, "other")
+	part := heldTasks(2, 10*time.Second, "b.0.0.0")
+	part.Partial = true
+	for i, list := range []*yuccawire.HeldTasks{heldTasks(1, 10*time.Second, "a.0.0.0"), part, heldTasks(3, 10*time.Second, "b.0.0.0")} {
+		f.receiveHeld(list, "entry", "other")
+		lists := f.broker.HeldLists(f.now)
+		if len(lists) != 1 || lists[0].GetSequence() != uint64(i+1) || lists[0].GetPartial() != list.GetPartial() {
+			t.Fatalf("told %v after list %d, want that number, in part: %v", lists, i+1, list.GetPartial())
+		}
+		if reached := lists[0].GetReached(); !slices.Equal(reached, []string{"entry", "other", "s1"}) {
+			t.Errorf("told that %v are reached, want the side, the entry and its peer", reached)
+		}
+	}
+}
+
+func TestListIsNotPassedOnWithoutNeed(t *testing.T) {
+	f := newRelay(t, "other")
+	if p := f.receiveHeld(heldTasks(1, 10*time.Second, "a.0.0.0")); len(p) > 0 {
+		t.Errorf("passed on %v of a side that doesn't say whom it reaches", p)
+	}
+	f = newRelay(t, "other")
+	if p := f.receiveHeld(heldTasks(1, 10*time.Second), "entry"); len(p) > 0 {
+		t.Errorf("passed on %v of a list without tasks", p)
+	}
+}
+
+// linkRequests returns the link requests to other entries and to sides, by side.
+func (f *fixture) linkRequests() (published, sent []string) {
+	for _, a := range f.broker.Actions() {
+		switch a := a.(type) {
+		case yuccabroker.Publish:
+			if m := a.Message.GetLinkRequest(); m != nil {
+				published = append(published, m.GetSide())
+			}
+		case yuccabroker.Send:
+			if a.Message.GetLinkRequest() != nil {
+				sent = append(sent, a.Side)
+			}
+		}
+	}
+	return published, sent
+}
+
+func TestNoLinkIsRequestedForATaskOfTwoSides(t *testing.T) {
+	f := newRelay(t, "other")
+	for _, side := range []string{otherSide, "s3"} {
+		list := heldTasks(1, 10*time.Second, "a.0.0.0")
+		list.Sender, list.Tasks[0].Side = side, side
+		f.broker.HandleHeldTasks(f.now, list)
+	}
+	f.broker.Submit(f.now, job("a", 1), 1)
+	f.broker.Place(f.now)
+	if published, _ := f.linkRequests(); len(published) > 0 {
+		t.Errorf("requested links with %q, want none", published)
+	}
+}
+
+func TestLostLinkIsRequestedAfterASecond(t *testing.T) {
+	f := newRelay(t, "other")
+	f.receiveHeld(heldTasks(1, 10*time.Second, "a.0.0.0"), "entry", "other")
+	f.broker.HandleLinkDown(f.now, "s1")
+	f.broker.Submit(f.now, job("a", 1), 1)
+	for _, want := range []int{0, 1} {
+		f.broker.Tick(f.now)
+		f.broker.Place(f.now)
+		if published, _ := f.linkRequests(); len(published) != want {
+			t.Errorf("%v after the link was lost links with %q are requested, want %d", f.now.Sub(startTime), published, want)
+		}
+		f.now = f.now.Add(time.Second)
+	}
+}
+
+func TestLinkRequestGoesOnWhereTheLinkWithTheSideIsLost(t *testing.T) {
+	f := newRelay(t, "other")
+	f.broker.HandleLinkDown(f.now, "s1")
+	f.linkRequests()
+	f.broker.HandleLinkRequest(f.now, &yuccawire.LinkRequest{Side: "s1", Entry: "far"})
+	if published, sent := f.linkRequests(); len(published) != 1 || len(sent) > 0 {
+		t.Errorf("request is passed on to %d and sent to %q, want one that is passed on", len(published), sent)
+	}
+	f.broker.HandleLinkRequest(f.now, &yuccawire.LinkRequest{Side: "s1", Entry: "entry"})
+	if published, sent := f.linkRequests(); len(published)+len(sent) > 0 {
+		t.Error("an own request is passed on")
+	}
+}
+
+func TestLaterRunAndOtherSideOfAHeldTaskAreNews(t *testing.T) {
+	f := newRelay(t, "unlinked")
+	for i, c := range []struct {
+		side string
+		run  uint64
+	}{{"x", 1}, {"x", 2}, {"y", 2}} {
+		list := heldTasks(uint64(i+1), 10*time.Second, "a.0.0.0")
+		list.Reached, list.Tasks[0].Side, list.Tasks[0].Run = []string{"entry"}, c.side, c.run
+		f.broker.HandleHeldTasks(f.now, list)
+		var passedOn []*yuccawire.HeldTask
+		for _, a := range f.broker.Actions() {
+			if p, isPublish := a.(yuccabroker.Publish); isPublish {
+				passedOn = append(passedOn, p.Message.GetHeldTasks().GetTasks()...)
+			}
+		}
+		if len(passedOn) != 1 || passedOn[0].GetSide() != c.side || passedOn[0].GetRun() != c.run {
+			t.Errorf("passed on %v, want run %d at %s", passedOn, c.run, c.side)
+		}
+	}
+}
