worker: have the tests of confirmed lists go by the time that a side waits for them

They send lists for 640 ms now, in place of 400, and the slower entry confirms after 320 ms, in place of 120.

--- a/yuccaworker/held_test.go
+++ b/yuccaworker/held_test.go
@@ -208,8 +208,8 @@
 // tellOften has a list sent each 40 ms, of which each entry confirms those that are older than its delay.
 func (h *harness) tellOften(delays map[yuccaworker.Owner]time.Duration) {
 	sentAt := make(map[uint64]time.Time)
-	for _, name := range []string{"a", "b", "c", "d", "e", "f", "g", "h", "i", "j"} {
-		h.orderWithLostStart(task(name, 1, 1600))
+	for name := 'a'; name <= 'p'; name++ {
+		h.orderWithLostStart(task(string(name), 1, 1000))
 		h.advance(40 * time.Millisecond)
 		for o, delay := range delays {
 			for _, list := range h.held[o] {
@@ -237,7 +237,7 @@
 func TestEntryThatConfirmsManyListsLaterIsReached(t *testing.T) {
 	h := newHarness(t)
 	h.core.HandleHeldSeen(h.now, otherEntry, &yuccawire.HeldSeen{})
-	h.tellOften(map[yuccaworker.Owner]time.Duration{entry: 0, otherEntry: 120 * time.Millisecond})
+	h.tellOften(map[yuccaworker.Owner]time.Duration{entry: 0, otherEntry: 320 * time.Millisecond})
 	for _, list := range h.held[entry] {
 		if !slices.Contains(list.GetReached(), otherEntry.Name) {
 			t.Errorf("told %v, want %s among those reached", list, otherEntry.Name)
