worker: fence a restarted worker before it reports

Callers would see a task run twice at the same time: late starts of two runs of it, or one beside the run of a resend elsewhere, are executed by a worker that has restarted.

Cause: a restarted worker knows no token.

A side without a worker that it can take over now calls it each 40 ms, for 15 s, under a higher token than that of any start before: the address is in the settings, and a call that names no incarnation is executed by any. It extends no hold and acknowledges nothing. If the worker knows a higher token, the next call has one, too. The protocol doesn't say that a worker executes a call without Expected-Instance; not tried there. If one refuses it, nothing changes.

The new model test has the side back 50 ms after the worker.

--- a/yuccamodel/latestart_test.go
+++ b/yuccamodel/latestart_test.go
@@ -175,3 +175,19 @@
 		t.Errorf("answered: %v, as %v, want the job completed", job.isAnswered, job.state)
 	}
 }
+
+// The side is back with its worker, which reports 1.5 s later.
+func TestLateStartsOfTwoRunsRunBesideEachOtherBeforeTheirWorkerReports(t *testing.T) {
+	w := newWorld(t, 1, 1, 3)
+	w.run(warmUp)
+	job, side := w.submitTwoLateStarts()
+	w.after(600*time.Millisecond, func() {
+		side.worker.crash()
+		w.killSide(side, 950*time.Millisecond)
+	})
+	w.after(1500*time.Millisecond, func() { side.worker.restartWithClock(0, maxReportDelay) })
+	w.run(12 * time.Second)
+	if !job.isCompleted() {
+		t.Errorf("answered: %v, as %v, want the job completed", job.isAnswered, job.state)
+	}
+}
--- a/yuccaworker/hold.go
+++ b/yuccaworker/hold.go
@@ -127,6 +127,10 @@
 // HandleHoldReply processes the answer to a renewal. If another incarnation of the
 // worker answers, the side waits for its report.
 func (w *Worker) HandleHoldReply(now time.Time, h HoldResult) {
+	if h.Incarnation == (Incarnation{}) {
+		w.handleUnreportedReply(h.Result)
+		return
+	}
 	if h.Incarnation != w.incarnation() || w.gone {
 		return
 	}
@@ -152,6 +156,7 @@
 		w.metrics.Add("other_life", 1)
 		w.options.Logger.Warn("worker address answered by another incarnation, waiting for its report", "worker", w.report.ID)
 		w.gone, w.goneAt = true, now
+		w.fenceUnreported(now)
 		w.endIncarnation(now, "another incarnation answers at the worker's address")
 		w.refuseQueue(now, yuccawire.RunRefusal_RUN_REFUSAL_NO_WORKER)
 		w.markOwnersDirty()
--- a/yuccaworker/types.go
+++ b/yuccaworker/types.go
@@ -141,6 +141,7 @@
 
 // CallHold renews the hold and queries the running and completed runs.
 type CallHold struct {
+	// Incarnation is zero if any may execute the call.
 	Incarnation Incarnation
 	DeadlineMS  int64
 	Token       int64
--- a/yuccaworker/worker.go
+++ b/yuccaworker/worker.go
@@ -73,6 +73,9 @@
 	// ended yet. An earlier incarnation with the same ID may have sent the announcement.
 	deregistered bool
 	stopping     bool
+	// unreportedSince is since when no incarnation has reported that can be taken over, zero if one
+	// has, unreportedFencedAt when the worker was last fenced without a report.
+	unreportedSince, unreportedFencedAt time.Time
 	// token is the fencing token sent with each call: the wall time of the takeover in
 	// milliseconds, as told by the worker. A worker rejects calls with a lower token than
 	// the highest one it has received.
@@ -469,6 +472,7 @@
 	w.checkDeregistration(now)
 	w.checkHealth(now)
 	w.updateHeld(now)
+	w.fenceUnreported(now)
 	if !w.holdInFlight || now.Sub(w.holdSentAt) > holdTimeout {
 		w.renewHold(now)
 	}
