edge: test that lists and link requests go where they are needed

It fails if what is passed on goes to all linked entries, if an entry whose link is closed still counts as linked, and if link requests of other entries are ignored.

--- a/yuccaedge/held_test.go
+++ b/yuccaedge/held_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -115,3 +116,57 @@
 		}
 	}
 }
+
+func TestListAndLinkRequestGoWhereTheyAreNeeded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		fabric := yuccamemnet.New(yuccamemnet.Options{Delay: time.Millisecond, Seed: 1})
+		_, stopped := serveEdge(ctx, fabric.Host("e0"), yuccametric.New("e0"))
+		time.Sleep(100 * time.Millisecond)
+		side := dialAs(t, fabric.Host("s"), 7)
+		told, gone, untold := dialAsEntry(t, fabric.Host("e1"), "e1"), dialAsEntry(t, fabric.Host("e2"), "e2"), dialAsEntry(t, fabric.Host("e3"), "e3")
+		time.Sleep(100 * time.Millisecond)
+		_ = gone.Close()
+		time.Sleep(100 * time.Millisecond)
+		list := &yuccawire.HeldTasks{Sequence: 3, Tasks: []*yuccawire.HeldTask{{Task: "a.0.0.0", RemainingMs: 9000}}, Reached: []string{"e0", "e1"}}
+		_ = side.Send(&yuccawire.Envelope{Body: &yuccawire.Envelope_HeldTasks{HeldTasks: list}})
+		time.Sleep(100 * time.Millisecond)
+		if held := receiveHeld(t, untold); held.GetSender() != "s" {
+			t.Errorf("told %v, want the list of the side", held)
+		}
+		_ = told.Send(&yuccawire.Envelope{Body: &yuccawire.Envelope_HeldTasks{HeldTasks: &yuccawire.HeldTasks{Sender: "e1", Incarnation: 1, Sequence: 9}}})
+		for isSeen := false; !isSeen; {
+			m, err := told.Receive()
+			if err != nil {
+				t.Fatalf("the entry has received no confirmation: %v", err)
+			}
+			isSeen = m.GetHeldSeen().GetSequence() == 9
+			if m.GetHeldTasks() != nil {
+				t.Errorf("the entry that the side reaches is told %v, too", m)
+			}
+		}
+		for _, name := range []string{"far", "s"} {
+			_ = told.Send(&yuccawire.Envelope{Body: &yuccawire.Envelope_LinkRequest{LinkRequest: &yuccawire.LinkRequest{Side: name, Entry: "e1", Reached: []string{"e1"}}}})
+		}
+		for requested := false; !requested; {
+			m, err := untold.Receive()
+			if err != nil {
+				t.Fatalf("the other entry has received no link request: %v", err)
+			}
+			requested = m.GetLinkRequest().GetSide() == "far"
+			if slices.Contains(m.GetLinkRequest().GetReached(), "e2") {
+				t.Errorf("told %v, want no entry among those reached whose link is closed", m)
+			}
+		}
+		for requested := false; !requested; {
+			m, err := side.Receive()
+			if err != nil {
+				t.Fatalf("the side has received no link request: %v", err)
+			}
+			requested = m.GetLinkRequest().GetEntry() == "e1"
+		}
+		cancel()
+		<-stopped
+		fabric.Crash("e0")
+	})
+}
