model: enumerate where single faults strike in the life of a job

TestEverySingleFault plays a job without faults, numbers the events that concern its runs, and then plays each of 30 kinds of faults at each event for each length: just under and just over each lease, hold, timeout and resend time, and for good. After each event the world's rules hold; at the end the caller is answered, and a job whose fault ends is completed 6.1 s later at the latest.

The plays go through the world, which announces these events, and can now cut a link or a worker in one direction, execute one call late and lose one answer. What strikes after an event does so once for its points with the same entry and side, as such plays are equal. Events are no longer boxed twice in the queue.

--- a/yuccamodel/caller_test.go
+++ b/yuccamodel/caller_test.go
@@ -144,6 +144,7 @@
 	submitted := j.job
 	w.logf("caller submits %s to %s, attempt %d", j.job.ID, e.name, j.attempts)
 	w.after(oneWay, func() {
+		e.touch("job arrives")
 		e.handle(func() {
 			submitted.Deadline = submitted.Deadline.Add(-e.suspensions.total)
 			e.broker.Submit(e.now(), submitted, waiter)
--- a/yuccamodel/crossing_test.go
+++ b/yuccamodel/crossing_test.go
@@ -36,14 +36,14 @@
 	}
 }
 
-// transmitOn sends a message on a connection to the other end.
-func (w *world) transmitOn(l *link, c *connection, to func(c *connection) *connectionEnd, deliver func()) {
+// transmitOn sends a message on a connection to the other end, where it waits if that direction is cut.
+func (w *world) transmitOn(l *link, c *connection, to func(c *connection) *connectionEnd, isCut bool, deliver func()) {
 	if c == nil || c.isBroken {
 		return
 	}
 	w.messages++
 	arrive := func() { c.arrive(to(c), deliver) }
-	if l.isPartitioned {
+	if l.isPartitioned || isCut {
 		l.delayed = append(l.delayed, arrive)
 		return
 	}
--- a/yuccamodel/demand_test.go
+++ b/yuccamodel/demand_test.go
@@ -84,11 +84,13 @@
 	w, incarnation := e.world, to.incarnation
 	e.confirmHeld(to, 0)
 	for _, list := range e.broker.HeldLists(e.now()) {
+		m := w.alter(&yuccawire.Envelope{Body: &yuccawire.Envelope_HeldTasks{HeldTasks: list}})
+		if m == nil {
+			continue
+		}
 		w.transmit(w.entryLinks[pairOf(e, to)], func() {
 			if to.incarnation == incarnation {
-				to.handle(func() {
-					to.handlePublished(e, &yuccawire.Envelope{Body: &yuccawire.Envelope_HeldTasks{HeldTasks: list}})
-				})
+				to.handle(func() { to.handlePublished(e, m) })
 			}
 		})
 	}
--- a/yuccamodel/doc.go
+++ b/yuccamodel/doc.go
@@ -5,4 +5,5 @@
 // # Usage
 //
 //	go test ./yuccamodel -run TestFaults -seeds 200 -first-seed 1000
+//	go test ./yuccamodel -run TestEverySingleFault -v
 package yuccamodel
--- a/yuccamodel/worker_test.go
+++ b/yuccamodel/worker_test.go
@@ -80,6 +80,8 @@
 	standsStill bool
 	waiting     []func()
 	isLate      bool
+	// isUnreachable is set while no call arrives, isUnheard while neither answers nor reports leave the machine.
+	isUnreachable, isUnheard bool
 }
 
 // modelRun is a run of a task; remainingMS is the work left.
@@ -122,11 +124,15 @@
 	if m.isDown || m.standsStill {
 		return
 	}
-	if m.clock() > m.leaseUntilMS {
+	if len(m.runs) > 0 && m.clock() > m.leaseUntilMS {
 		for _, key := range m.runKeys() {
 			m.complete(key, yuccawire.RunEnd_RUN_END_LOST)
 		}
 	}
+	if len(m.runs) == 0 {
+		m.answerHolds()
+		return
+	}
 	for _, key := range m.runKeys() {
 		r := m.runs[key]
 		if !m.hangs {
@@ -146,7 +152,8 @@
 }
 
 func (m *modelWorker) runKeys() []yuccaworker.Key {
-	return slices.SortedFunc(maps.Keys(m.runs), func(a, b yuccaworker.Key) int {
+	keys := slices.AppendSeq(make([]yuccaworker.Key, 0, len(m.runs)), maps.Keys(m.runs))
+	slices.SortFunc(keys, func(a, b yuccaworker.Key) int {
 		if a.Task != b.Task {
 			if a.Task < b.Task {
 				return -1
@@ -155,6 +162,7 @@
 		}
 		return int(a.Run) - int(b.Run)
 	})
+	return keys
 }
 
 // listedKeys returns the runs that the worker lists as running.
@@ -180,6 +188,7 @@
 	m.world.logf("%s completes %v %v", m.name, key, outcome)
 	r := m.runs[key]
 	delete(m.runs, key)
+	m.world.sidesByName[m.name].touch("end of the run")
 	m.world.runningCount[key.Task]--
 	m.lastCompletion++
 	m.lastRun[key.Task] = max(m.lastRun[key.Task], key.Run)
@@ -312,6 +321,17 @@
 	return yuccaworker.ResultOK
 }
 
+// receiveLate executes a call that nobody waits for any more.
+func (m *modelWorker) receiveLate(deliver func()) {
+	switch {
+	case m.isDown:
+	case m.standsStill:
+		m.waiting = append(m.waiting, deliver)
+	default:
+		deliver()
+	}
+}
+
 func (m *modelWorker) stop(c yuccaworker.CallStop) bool {
 	if c.Incarnation.ID != m.incarnation.ID || c.Token < m.token {
 		return false
--- a/yuccamodel/world_test.go
+++ b/yuccamodel/world_test.go
@@ -56,7 +56,7 @@
 	action   func()
 }
 
-type eventQueue []event
+type eventQueue []*event
 
 func (e eventQueue) Len() int { return len(e) }
 func (e eventQueue) Less(i, j int) bool {
@@ -66,9 +66,10 @@
 	return e[i].sequence < e[j].sequence
 }
 func (e eventQueue) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *eventQueue) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *eventQueue) Push(x any)   { *e = append(*e, x.(*event)) }
 func (e *eventQueue) Pop() any {
 	last := (*e)[len(*e)-1]
+	(*e)[len(*e)-1] = nil
 	*e = (*e)[:len(*e)-1]
 	return last
 }
@@ -76,15 +77,17 @@
 // world is a simulated deployment of entries and sides, with simulated time and
 // an event queue.
 type world struct {
-	t            *testing.T
+	t            testing.TB
 	seed         uint64
 	random       *rand.Rand
 	now          time.Time
 	queue        eventQueue
 	lastSequence int
-	entries      []*modelEntry
-	sides        []*modelSide
-	links        map[[2]int]*link
+	// handled counts the events that were handled.
+	handled int
+	entries []*modelEntry
+	sides   []*modelSide
+	links   map[[2]int]*link
 	// entryLinks are the links between entries. demandReports counts the reports of demand
 	// on them.
 	entryLinks    map[entryPair]*link
@@ -140,8 +143,15 @@
 	workDone float64
 	starts   int
 	jobCount int
-	// log is the trace that is printed with a violation.
-	log []string
+	// log is the trace that is printed with a violation, unless isQuiet is set.
+	log     []string
+	isQuiet bool
+	// alter changes a message that is sent, or drops it by returning nil. connectResult changes the result of a
+	// connection to a worker.
+	alter         func(m *yuccawire.Envelope) *yuccawire.Envelope
+	connectResult func(r yuccaworker.Result) yuccaworker.Result
+	// onTouch is called before each event that concerns a run, if it is set.
+	onTouch func(t touch)
 }
 
 // modelEntry is a simulated entry. While it is frozen, its events are deferred.
@@ -172,11 +182,16 @@
 	incarnation uint64
 	core        *yuccaworker.Worker
 	// state is what the side last told an entry of its worker.
-	state    *yuccawire.WorkerState
-	worker   *modelWorker
-	isDown   bool
-	isFrozen bool
-	deferred []func()
+	state  *yuccawire.WorkerState
+	worker *modelWorker
+	// nextLateness is how late the next call is executed, losesNextReply whether the next answer is lost. lateCalls
+	// counts the calls that are still on their way.
+	nextLateness   time.Duration
+	lateCalls      int
+	losesNextReply bool
+	isDown         bool
+	isFrozen       bool
+	deferred       []func()
 	// suspensions are those of the machine, with its worker.
 	suspensions suspensions
 }
@@ -187,6 +202,8 @@
 	isUp          bool
 	epoch         int
 	isPartitioned bool
+	// isCutToSide and isCutToEntry are set while messages in that direction are delayed.
+	isCutToSide, isCutToEntry bool
 	// newest is the last connection, atEntry and atSide those that the ends use, or nil.
 	newest, atEntry, atSide *connection
 	// opened counts the connections, lastAtEntry is the number of the newest that has come up at the entry.
@@ -205,7 +222,7 @@
 
 // newFleet returns a deployment that is spread evenly over data centres. Every entry
 // is linked to every side, unless isLinked is replaced before start.
-func newFleet(t *testing.T, seed uint64, dataCentres, entries, sides int) *world {
+func newFleet(t testing.TB, seed uint64, dataCentres, entries, sides int) *world {
 	w := &world{
 		t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 7)), now: startTime,
 		links: make(map[[2]int]*link), entryLinks: make(map[entryPair]*link), callers: make(map[string]*callerJob), runningCount: make(map[string]int),
@@ -214,6 +231,8 @@
 		entriesOf: make(map[string][]*modelEntry), sidesByName: make(map[string]*modelSide),
 		firstStarts: make(map[string]bool), meanCPUMilli: firstMeanCPUMilli, kinds: jobKinds, patience: callerPatience, scheduling: scheduling(),
 	}
+	w.alter = func(m *yuccawire.Envelope) *yuccawire.Envelope { return m }
+	w.connectResult = func(r yuccaworker.Result) yuccaworker.Result { return r }
 	w.pickEntry = func() *modelEntry { return w.entries[w.random.IntN(len(w.entries))] }
 	speeds := []float64{0.8, 1, 1.25}
 	for i := range sides {
@@ -254,21 +273,24 @@
 
 func (w *world) after(d time.Duration, action func()) {
 	w.lastSequence++
-	heap.Push(&w.queue, event{at: w.now.Add(d), sequence: w.lastSequence, action: action})
+	heap.Push(&w.queue, &event{at: w.now.Add(d), sequence: w.lastSequence, action: action})
 }
 
 func (w *world) every(d time.Duration, action func()) {
-	w.after(d, func() {
+	var repeat func()
+	repeat = func() {
 		action()
-		w.every(d, action)
-	})
+		w.after(d, repeat)
+	}
+	w.after(d, repeat)
 }
 
 func (w *world) run(d time.Duration) {
 	end := w.now.Add(d)
 	for len(w.queue) > 0 && !w.queue[0].at.After(end) && !w.t.Failed() {
-		e := heap.Pop(&w.queue).(event)
+		e := heap.Pop(&w.queue).(*event)
 		w.now = e.at
+		w.handled++
 		e.action()
 	}
 	w.now = end
@@ -296,7 +318,7 @@
 
 func (w *world) reportAll() {
 	for _, s := range w.sides {
-		if !s.worker.isDown && !s.worker.standsStill && !w.now.Before(s.worker.reportsFrom) {
+		if !s.worker.isDown && !s.worker.standsStill && !s.worker.isUnheard && !w.now.Before(s.worker.reportsFrom) {
 			s.handleReport()
 		}
 	}
@@ -305,6 +327,7 @@
 // handleReport delivers a report of the worker to its side.
 func (s *modelSide) handleReport() {
 	r := s.worker.report()
+	s.touch("report")
 	s.handle(func() { s.core.HandleReport(s.now(), r) })
 }
 
@@ -316,6 +339,9 @@
 
 // logf appends a line to the log.
 func (w *world) logf(format string, args ...any) {
+	if w.isQuiet {
+		return
+	}
 	w.log = append(w.log, fmt.Sprintf("%v ", w.now.Sub(startTime))+fmt.Sprintf(format, args...))
 }
 
@@ -374,7 +400,7 @@
 	s.incarnation++
 	s.isDown, s.suspensions.unnoticed = false, 0
 	s.core = yuccaworker.New(yuccaworker.Options{Name: s.name, Metrics: yuccametric.New(s.name), Logger: slog.New(slog.DiscardHandler)}, s.now())
-	if !s.worker.isDown && !s.worker.standsStill && !w.now.Before(s.worker.reportsFrom) {
+	if !s.worker.isDown && !s.worker.standsStill && !s.worker.isUnheard && !w.now.Before(s.worker.reportsFrom) {
 		s.handleReport()
 	}
 	for _, e := range w.entries {
@@ -412,6 +438,7 @@
 			if j := e.waiters[a.Waiter]; j != nil {
 				delete(e.waiters, a.Waiter)
 				waiter := a.Waiter
+				e.touch("answer sent")
 				w.after(oneWay, func() { j.handleAnswer(e, waiter, a.Outcome) })
 			}
 		}
@@ -421,6 +448,9 @@
 // publish sends a message to the linked entries named, or to all. Crash reports and the jobs that have ended
 // reach those that aren't linked, too.
 func (w *world) publish(from *modelEntry, m *yuccawire.Envelope, to []string) {
+	if m = w.alter(m); m == nil {
+		return
+	}
 	isFlooded := m.GetHeldTasks() == nil && m.GetLinkRequest() == nil
 	for _, e := range w.entries {
 		if e == from || e.isDown {
@@ -529,20 +559,21 @@
 			}
 		})
 	}
+	lateness := s.nextLateness
+	s.nextLateness = 0
 	switch {
-	case m.isDown:
+	case m.isDown || m.isUnreachable:
 		failLater()
-	case w.random.Float64() < max(m.delayedCallShare, lateShare):
-		w.after(minLateness+time.Duration(w.random.IntN(int(m.delaySpread.Milliseconds())))*time.Millisecond, func() {
-			switch {
-			case m.isDown:
-			case m.standsStill:
-				m.waiting = append(m.waiting, deliver)
-			default:
-				deliver()
-			}
+	case lateness > 0:
+		s.lateCalls++
+		w.after(lateness, func() {
+			s.lateCalls--
+			m.receiveLate(deliver)
 		})
 		failLater()
+	case w.random.Float64() < max(m.delayedCallShare, lateShare):
+		w.after(minLateness+time.Duration(w.random.IntN(int(m.delaySpread.Milliseconds())))*time.Millisecond, func() { m.receiveLate(deliver) })
+		failLater()
 	default:
 		w.after(callDelay, func() {
 			switch {
@@ -565,13 +596,16 @@
 
 // reply simulates the reply to a call, which is lost with the probability
 // lostReplyShare.
-func (s *modelSide) reply(deliver, onTimeout func(), timeout time.Duration) {
+func (s *modelSide) reply(call string, deliver, onTimeout func(), timeout time.Duration) {
 	w := s.world
 	incarnation := s.incarnation
 	if s.worker.isLate {
 		return
 	}
-	if w.random.Float64() < s.worker.lostReplyShare {
+	s.touch(call + " answered")
+	isLost := s.losesNextReply || s.worker.isUnheard
+	s.losesNextReply = false
+	if isLost || w.random.Float64() < s.worker.lostReplyShare {
 		deliver = onTimeout
 	} else {
 		timeout = callDelay
@@ -592,9 +626,11 @@
 	if !s.world.firstStarts[a.Key.Task] {
 		lateShare, s.world.firstStarts[a.Key.Task] = s.world.lateFirstStarts, true
 	}
+	s.touch("start sent")
 	s.callLate(lateShare, func() {
+		s.touch("start executed")
 		result, clock := s.worker.start(a), s.worker.clock()
-		s.reply(func() { core.HandleStartReply(s.now(), a.Incarnation, a.Key, result, clock) }, onTimeout, a.Timeout)
+		s.reply("start", func() { core.HandleStartReply(s.now(), a.Incarnation, a.Key, result, clock) }, onTimeout, a.Timeout)
 	}, onRefused, onTimeout, a.Timeout)
 }
 
@@ -602,10 +638,12 @@
 	core := s.core
 	s.world.logf("%s calls stop %v", s.name, a.Key)
 	onTimeout := func() { core.HandleStopReply(s.now(), a.Incarnation, a.Key, false, 0) }
+	s.touch("stop sent")
 	s.call(func() {
+		s.touch("stop executed")
 		answered, clock := s.worker.stop(a), s.worker.clock()
 		s.world.logf("%s executes stop %v, accepted %v", s.worker.name, a.Key, answered)
-		s.reply(func() { core.HandleStopReply(s.now(), a.Incarnation, a.Key, answered, clock) }, onTimeout, a.Timeout)
+		s.reply("stop", func() { core.HandleStopReply(s.now(), a.Incarnation, a.Key, answered, clock) }, onTimeout, a.Timeout)
 	}, onTimeout, onTimeout, a.Timeout)
 }
 
@@ -617,9 +655,11 @@
 		}
 	}
 	onTimeout := fail(yuccaworker.ResultUnknown)
+	s.touch("renewal sent")
 	s.call(func() {
+		s.touch("renewal executed")
 		s.worker.hold(a, func(h yuccaworker.HoldResult) {
-			s.reply(func() { core.HandleHoldReply(s.now(), h) }, onTimeout, a.Timeout)
+			s.reply("renewal", func() { core.HandleHoldReply(s.now(), h) }, onTimeout, a.Timeout)
 		})
 	}, fail(yuccaworker.ResultUnreachable), onTimeout, a.Timeout)
 }
@@ -629,9 +669,10 @@
 	switch {
 	case s.worker.refuses:
 		result = yuccaworker.ResultUnreachable
-	case s.worker.isDown:
+	case s.worker.isDown || s.worker.isUnreachable || s.worker.isUnheard:
 		result, delay = yuccaworker.ResultUnknown, a.Timeout
 	}
+	result = s.world.connectResult(result)
 	core, incarnation := s.core, s.incarnation
 	s.after(delay, func() {
 		if s.incarnation == incarnation {
@@ -659,7 +700,7 @@
 	w.after(reconnectDelay+time.Duration(w.random.IntN(40))*time.Millisecond, func() {
 		switch {
 		case l.epoch != epoch:
-		case e.isDown || s.isDown || e.isFrozen || s.isFrozen || l.isPartitioned:
+		case e.isDown || s.isDown || e.isFrozen || s.isFrozen || l.isPartitioned || l.isCutToSide || l.isCutToEntry:
 			w.connect(e, s)
 		default:
 			w.open(e, s)
@@ -686,17 +727,22 @@
 }
 
 func (w *world) partitionLink(e *modelEntry, s *modelSide, d time.Duration) {
+	w.cutLink(e, s, d, &w.link(e, s).isPartitioned)
+}
+
+// cutLink delays the messages of the directions that a flag of the link stands for.
+func (w *world) cutLink(e *modelEntry, s *modelSide, d time.Duration, isCut *bool) {
 	l := w.link(e, s)
-	l.isPartitioned = true
+	*isCut = true
 	l.partitionedAt = w.now
 	epoch := l.epoch
 	w.after(linkTimeout, func() {
-		if l.isPartitioned && l.epoch == epoch {
+		if *isCut && l.epoch == epoch {
 			w.closeLink(e, s)
 		}
 	})
 	w.after(d, func() {
-		l.isPartitioned = false
+		*isCut = false
 		delayed := l.delayed
 		l.delayed = nil
 		for _, deliver := range delayed {
@@ -724,14 +770,19 @@
 }
 
 func (w *world) sendToSide(e *modelEntry, s *modelSide, m *yuccawire.Envelope) {
+	if m = w.alter(m); m == nil {
+		return
+	}
 	id := yuccaworker.Owner{Name: e.name, Incarnation: e.incarnation}
 	incarnation := s.incarnation
 	l := w.link(e, s)
 	c := l.atEntry
-	w.transmitOn(l, c, (*connection).sideEnd, func() {
+	w.touch(e, s, m, "sent")
+	w.transmitOn(l, c, (*connection).sideEnd, l.isCutToSide, func() {
 		if s.incarnation != incarnation {
 			return
 		}
+		w.touch(e, s, m, "arrives")
 		s.handle(func() {
 			if l.atSide != c {
 				return
@@ -754,13 +805,18 @@
 }
 
 func (w *world) sendToEntry(s *modelSide, e *modelEntry, m *yuccawire.Envelope) {
+	if m = w.alter(m); m == nil {
+		return
+	}
 	incarnation := e.incarnation
 	l := w.link(e, s)
 	c := l.atSide
-	w.transmitOn(l, c, (*connection).entryEnd, func() {
+	w.touch(e, s, m, "sent")
+	w.transmitOn(l, c, (*connection).entryEnd, l.isCutToEntry, func() {
 		if e.incarnation != incarnation {
 			return
 		}
+		w.touch(e, s, m, "arrives")
 		e.handle(func() {
 			if l.atEntry != c {
 				return
