--- a/yuccamodel/doc.go
+++ b/yuccamodel/doc.go
@@ -6,4 +6,5 @@
 //
 //	go test ./yuccamodel -run TestFaults -seeds 200 -first-seed 1000
 //	go test ./yuccamodel -run TestEverySingleFault -v
+//	go test ./yuccamodel -run TestPairsOfFaults -first-faults 1000 -first-seed 1000 -v
 package yuccamodel
