broker, edge: pass parts of lists on only to entries that take them as such

Parts go only to entries that have said that they confirm lists, on the link or before. What is known in part is told on a new link once its entry has said so. An entry of an earlier version hears what its links tell it, as before.

The fixtures of the tests now link entries that confirm lists.

--- a/yuccabroker/held.go
+++ b/yuccabroker/held.go
@@ -187,20 +187,30 @@
 	return list.GetTasks()[0].GetTask()
 }
 
-// HeldLists returns the known lists of held tasks for an entry that may not know them, and that
+// HeldLists returns the known whole lists of held tasks for an entry that may not know them, and that
 // of this entry if there was one.
 func (b *Broker) HeldLists(now time.Time) []*yuccawire.HeldTasks {
-	var lists []*yuccawire.HeldTasks
+	lists := b.heldLists(now, false)
 	if b.heldSequence > 0 {
 		lists = append(lists, b.ownHeldList(now))
 	}
+	return lists
+}
+
+// HeldParts returns the parts of lists that are known, for an entry that has said that it confirms lists.
+func (b *Broker) HeldParts(now time.Time) []*yuccawire.HeldTasks { return b.heldLists(now, true) }
+
+func (b *Broker) heldLists(now time.Time, isPartial bool) []*yuccawire.HeldTasks {
+	var lists []*yuccawire.HeldTasks
 	keys := slices.SortedFunc(maps.Keys(b.heldElsewhere), func(x, y heldKey) int {
 		return cmp.Or(cmp.Compare(x.sender, y.sender), cmp.Compare(x.incarnation, y.incarnation))
 	})
 	for _, key := range keys {
 		list := b.heldElsewhere[key].toWire(now, key)
 		list.Reached = b.withPeers([]string{key.sender})
-		lists = append(lists, list)
+		if list.GetPartial() == isPartial {
+			lists = append(lists, list)
+		}
 	}
 	return lists
 }
--- a/yuccabroker/relay.go
+++ b/yuccabroker/relay.go
@@ -103,7 +103,10 @@
 	return before < maxRelays
 }
 
+// passOn sends tasks of a list to linked entries, without those of an earlier version, which would take them for
+// the whole list.
 func (b *Broker) passOn(now time.Time, m *yuccawire.HeldTasks, tasks map[string]heldTask, to []string) {
+	to = slices.DeleteFunc(slices.Clone(to), func(name string) bool { return b.seenByPeer[name] == nil })
 	if len(tasks) == 0 || len(to) == 0 {
 		return
 	}
--- a/yuccaedge/held_test.go
+++ b/yuccaedge/held_test.go
@@ -21,6 +21,7 @@
 	if _, err := yuccawire.SayHello(t.Context(), link, &yuccawire.Node{Name: name, Role: yuccawire.Role_ROLE_ENTRY, Incarnation: 1}); err != nil {
 		t.Fatal(err)
 	}
+	_ = link.Send(&yuccawire.Envelope{Body: &yuccawire.Envelope_HeldSeen{HeldSeen: &yuccawire.HeldSeen{}}})
 	return link
 }
 
--- a/yuccaedge/inquiry.go
+++ b/yuccaedge/inquiry.go
@@ -187,6 +187,11 @@
 		}
 	case *yuccawire.Envelope_HeldSeen:
 		e.broker.HandleHeldSeen(now, from.Node().GetName(), body.HeldSeen)
+		if body.HeldSeen.GetSequence() == 0 {
+			for _, part := range e.broker.HeldParts(now) {
+				from.Send(&yuccawire.Envelope{Body: &yuccawire.Envelope_HeldTasks{HeldTasks: part}})
+			}
+		}
 	case *yuccawire.Envelope_EndedJobs:
 		e.broker.HandleEndedJobs(now, body.EndedJobs)
 	case *yuccawire.Envelope_LinkRequest:
