log, broker: keep the lines that tell how a task came to its second run

A process drops all lines beyond 400 a second, warnings too, and says so in a line without a time.

Each refusal logs `run did not succeed` with its reason. Warnings and errors have a limit of their own, 100 a second, and `log lines dropped` has a time.

TestWarningIsWrittenAfterABurstOfOtherLines failed before.

--- a/yuccabroker/side.go
+++ b/yuccabroker/side.go
@@ -378,16 +378,15 @@
 // started.
 func (b *Broker) handleRefused(now time.Time, t *task, s *side, e *yuccawire.Ended) {
 	b.metrics.Add("orders_refused", 1)
+	b.logRunEnd(now, t, s, e)
 	switch e.GetRefusal() {
 	case yuccawire.RunRefusal_RUN_REFUSAL_OTHER_SUSPECT:
 		s.hasSuspectRun = true
 	case yuccawire.RunRefusal_RUN_REFUSAL_NO_ROOM, yuccawire.RunRefusal_RUN_REFUSAL_RESERVED:
 		s.pausedUntil = now.Add(refusalBackoff)
 	case yuccawire.RunRefusal_RUN_REFUSAL_DRAINED:
-		b.logRunEnd(now, t, s, e)
 		s.pausedUntil = now.Add(drainedBackoff)
 	default:
-		b.logRunEnd(now, t, s, e)
 		t.avoid = s
 		s.pausedUntil = now.Add(refusalBackoff)
 	}
--- a/yuccalog/writer.go
+++ b/yuccalog/writer.go
@@ -2,7 +2,8 @@
 //
 // Lines pass through a bounded queue to one goroutine. If the output is slow, or
 // the rate exceeds MaxLinesPerSecond, lines are dropped and counted. The number
-// of dropped lines is logged after the next lines that are written.
+// of dropped lines is logged after the next lines that are written. Warnings and errors have a limit of their
+// own, so that a burst of other lines doesn't displace them.
 //
 // # Usage
 //
@@ -29,6 +30,8 @@
 	// MaxLinesPerSecond limits the rate of a process's log. In the first
 	// deployments an entry wrote about 40 lines per second under normal load.
 	MaxLinesPerSecond = 400
+	// MaxWarningsPerSecond limits the rate of its warnings and errors.
+	MaxWarningsPerSecond = 100
 	// flushDelay is the pause between two writes, which batches lines.
 	flushDelay = 50 * time.Millisecond
 )
@@ -43,7 +46,9 @@
 	mu          sync.Mutex
 	windowStart time.Time
 	windowLines int
-	dropped     int64
+	// windowWarnings counts the warnings and errors, which windowLines leaves out.
+	windowWarnings int
+	dropped        int64
 }
 
 // New returns a writer that queues lines until Serve runs, and counts dropped lines
@@ -54,7 +59,7 @@
 
 // Write queues one line or drops it. It never returns an error.
 func (w *Writer) Write(line []byte) (int, error) {
-	if !w.admit(time.Now()) {
+	if !w.admit(time.Now(), isWarning(line)) {
 		return len(line), nil
 	}
 	select {
@@ -65,16 +70,25 @@
 	return len(line), nil
 }
 
-// admit reports whether a line is within MaxLinesPerSecond. If it is not, it counts
-// as dropped.
-func (w *Writer) admit(now time.Time) bool {
+// isWarning reports whether a line of slog's JSON handler is a warning or an error.
+func isWarning(line []byte) bool {
+	_, rest, found := bytes.Cut(line, []byte(`"level":"`))
+	return found && (bytes.HasPrefix(rest, []byte("WARN")) || bytes.HasPrefix(rest, []byte("ERROR")))
+}
+
+// admit reports whether a line is within the limit of its kind. If it is not, it counts as dropped.
+func (w *Writer) admit(now time.Time, isWarning bool) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if now.Sub(w.windowStart) >= time.Second {
-		w.windowStart, w.windowLines = now, 0
+		w.windowStart, w.windowLines, w.windowWarnings = now, 0, 0
+	}
+	lines, limit := &w.windowLines, MaxLinesPerSecond
+	if isWarning {
+		lines, limit = &w.windowWarnings, MaxWarningsPerSecond
 	}
-	w.windowLines++
-	if w.windowLines > MaxLinesPerSecond {
+	*lines++
+	if *lines > limit {
 		w.dropped++
 		w.metrics.Add("log_lines_dropped", 1)
 		return false
@@ -123,7 +137,7 @@
 		b.Write(<-w.lines)
 	}
 	if n := w.takeDropped(); n > 0 {
-		fmt.Fprintf(&b, "{\"level\":\"WARN\",\"msg\":\"log lines dropped\",\"count\":%d}\n", n)
+		fmt.Fprintf(&b, "{\"time\":%q,\"level\":\"WARN\",\"msg\":\"log lines dropped\",\"count\":%d}\n", time.Now().UTC().Format(time.RFC3339Nano), n)
 	}
 	if b.Len() == 0 {
 		return nil
--- a/yuccalog/writer_test.go
+++ b/yuccalog/writer_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"log/slog"
 	"strings"
 	"sync"
 	"testing"
@@ -71,3 +72,25 @@
 		}
 	})
 }
+
+// A burst of other lines comes before a warning.
+func TestWarningIsWrittenAfterABurstOfOtherLines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out bytes.Buffer
+		writer := yuccalog.New(&out, yuccametric.New("log"))
+		ctx, cancel := context.WithCancel(t.Context())
+		run := &writerRun{writer: writer, done: make(chan struct{})}
+		go run.run(ctx)
+		logger := slog.New(slog.NewJSONHandler(writer, nil))
+		for range 2 * yuccalog.MaxLinesPerSecond {
+			logger.Info("job accepted")
+		}
+		logger.Warn("job is open at two entries", "job", "a")
+		time.Sleep(time.Second)
+		cancel()
+		<-run.done
+		if !strings.Contains(out.String(), `"msg":"job is open at two entries","job":"a"`) {
+			t.Error("the warning was dropped")
+		}
+	})
+}
