server, broker: know how long a request has waited in its socket

What callers saw: an entry that stood still takes each request that has waited in a socket meanwhile for new, and gives it a deadline from then on.

Placing does not depend on it yet.

--- a/yuccabroker/job.go
+++ b/yuccabroker/job.go
@@ -59,6 +59,8 @@
 	// submitted again continues the numbering from there; runsBefore is that of the
 	// submissions before.
 	lastRun, runsBefore uint64
+	// receivedAt is when its last request reached this machine.
+	receivedAt time.Time
 	// ended is set once this submission of the job has ended, endedAt is since when. isFinal is set
 	// if its callers were answered for good.
 	ended   bool
@@ -194,13 +196,13 @@
 	b.jobs[j.ID] = j
 	b.jobList = append(b.jobList, j)
 	b.options.Logger.Info("job accepted", "job", j.ID, "queue", j.Queue.Name, "tasks", j.taskCount, "chain_ms", j.criticalPath().Milliseconds(),
-		"deadline_ms", j.answerBy.Sub(now).Milliseconds(), "waiting_tasks", b.queuedTasks())
+		"deadline_ms", j.answerBy.Sub(now).Milliseconds(), "waiting_tasks", b.queuedTasks(), "received_ms", now.Sub(j.receivedAt).Milliseconds())
 	b.enqueueReady(now, j)
 	b.needsPlacement = true
 }
 
 func newJob(now time.Time, submitted Job, waiter uint64) *job {
-	j := &job{Job: submitted, arrivedAt: now, waiters: []uint64{waiter}}
+	j := &job{Job: submitted, arrivedAt: now, receivedAt: earlier(now, submitted.ReceivedAt), waiters: []uint64{waiter}}
 	for i, spec := range submitted.Steps {
 		spec.Estimate = min(spec.Estimate, maxEstimate)
 		st := &step{Step: spec, remaining: spec.Count}
--- a/yuccabroker/types.go
+++ b/yuccabroker/types.go
@@ -33,6 +33,8 @@
 	Queue   Queue
 	Payload []byte
 	Steps   []Step
+	// ReceivedAt is when the request reached this machine, if that was before it was submitted.
+	ReceivedAt time.Time
 	// Deadline is when the caller stops waiting.
 	Deadline time.Time
 	// Traceparent identifies the span of the job, empty if it is not traced.
--- a/yuccasized/callers.go
+++ b/yuccasized/callers.go
@@ -15,6 +15,7 @@
 	"github.com/yuccaturn/yuccaturn/yuccajsonc"
 	"github.com/yuccaturn/yuccaturn/yuccametric"
 	"github.com/yuccaturn/yuccaturn/yuccaproblem"
+	"github.com/yuccaturn/yuccaturn/yuccaserver"
 	"github.com/yuccaturn/yuccaturn/yuccatrace"
 )
 
@@ -100,7 +101,8 @@
 	if timeout == 0 {
 		timeout = route.Timeout
 	}
-	job.ID, job.Queue, job.Deadline = id, route.Queue, received.Add(timeout)
+	job.ReceivedAt = yuccaserver.ReceivedAt(r.Context())
+	job.ID, job.Queue, job.Deadline = id, route.Queue, job.ReceivedAt.Add(timeout)
 	outcome, err := c.edge.Submit(yuccatrace.Extract(r.Context(), r.Header), job)
 	if err != nil {
 		return
