broker: keep a task at the side that has another run of it

What callers saw: a second run of a task 3 to 180 ms after the first one, with the next number. A side that has a run of another entry refuses the order as BUSY, and the entry placed the task at another side, beside that run.

Cause: a refusal for a run that exists was taken for one for want of room. The task is pinned to that side now, which accepts the next order once the other run has ended; pins are told to the other entries. A run that the entry itself has lost track of is covered, too. It mends the second half of the pairs only: entries with the same job still order different sides at the same time.

--- a/yuccabroker/doc.go
+++ b/yuccabroker/doc.go
@@ -112,6 +112,8 @@
 	// refusalBackoff is how long a side that refused an order gets no new ones, so
 	// that it can report its state first.
 	refusalBackoff = 20 * time.Millisecond
+	// busyBackoff is how long a task waits at least that was refused as its side has another run of it.
+	busyBackoff = 50 * time.Millisecond
 	// drainedBackoff is the same for a side that says that its data centre is drained, which
 	// this entry has not heard. Its idle worker would be chosen first each time.
 	drainedBackoff = 500 * time.Millisecond
--- a/yuccabroker/job.go
+++ b/yuccabroker/job.go
@@ -104,6 +104,8 @@
 	settled bool
 	// pinnedTo are the sides whose workers may still start earlier runs. The task runs nowhere else.
 	pinnedTo []string
+	// notBefore is until when it is not placed again at the side that has another run of it.
+	notBefore time.Time
 	// tier and rank determine its position in the queue, lower ones first.
 	tier int
 	rank time.Time
--- a/yuccabroker/pin.go
+++ b/yuccabroker/pin.go
@@ -86,7 +86,7 @@
 		b.requestLink(now, name)
 		return nil
 	}
-	if !b.isEligible(now, t, only) {
+	if !b.isEligible(now, t, only) || now.Before(t.notBefore) {
 		return nil
 	}
 	available, size := only.available(t.tier), demand(t.step.Step)
--- a/yuccabroker/side.go
+++ b/yuccabroker/side.go
@@ -384,6 +384,10 @@
 		s.hasSuspectRun = true
 	case yuccawire.RunRefusal_RUN_REFUSAL_NO_ROOM, yuccawire.RunRefusal_RUN_REFUSAL_RESERVED:
 		s.pausedUntil = now.Add(refusalBackoff)
+	case yuccawire.RunRefusal_RUN_REFUSAL_BUSY:
+		// The side has a run of the task by another entry, or one that this entry has lost track of.
+		b.pin(t, s.name)
+		t.notBefore = now.Add(busyBackoff)
 	case yuccawire.RunRefusal_RUN_REFUSAL_DRAINED:
 		s.pausedUntil = now.Add(drainedBackoff)
 	default:
