broker, edge: tell the other entries of jobs that may come to them

What callers saw: TWICE. A job waited at an entry whose client had left without the entry's kernel knowing, and ran there beside its resend at another entry.

Cause: an accepted job, or a connection that seems open, was taken as proof that no other entry has the job (hypothesis 1). Entries listed tasks whose runs had not ended, and no job that waits.

Now an entry tells the others of each job that is open for 0.6 s by the time at which its request reached the machine, and they confirm it (OpenJobs, OpenJobsSeen). From 1 s on, no task of a job is placed unless each other entry has confirmed it; an order that was sent before expires at 1.25 s at its side. An entry that gets a job that is open elsewhere waits for its end there, and answers alike. Where two entries have a job, the one that received it later has the client, and the other one gives it up. An entry that has started or stood still places nothing until it has the lists of the others, 0.6 s at most. One that is not linked with most of the entries that it was linked with places no job older than 1 s. What an entry has told is over once it has restarted and its leases have expired, or its job can't be answered anymore.

Why it works: a job comes again 1.3 s after its connection broke at the earliest, so that it has no copy before; afterwards each start needs the confirmation of those who may have one, and who confirms places nothing.

Ruled out: that one of the entries lost an order (hypothesis 2): each pair that was traced has `job accepted` at two entries, and no `run lost`.

Not covered, and open: the two entries are cut from each other while both reach the sides, for runs that began before; entries that are not linked with all others.

--- a/yuccabroker/broker.go
+++ b/yuccabroker/broker.go
@@ -118,8 +118,19 @@
 	// refused for good. endedNews are those that this entry has answered since it last told the others,
 	// at endedAt.
 	cancelled, answered *endedLog
-	endedNews           *yuccawire.EndedJobs
-	endedAt             time.Time
+	// open are the jobs that the other entries are told of, openElsewhere those that they have told of, and
+	// contested those of this entry that wait for them.
+	open          *openJobs
+	openElsewhere map[entryKey]*openList
+	contested     map[*job]struct{}
+	// incarnations are those of the last links of the other entries, members are those that were ever known. awaited
+	// are those whose open jobs this entry waits for, until the times given.
+	incarnations map[string]uint64
+	members      map[string]bool
+	awaited      map[string]time.Time
+	startedAt    time.Time
+	endedNews    *yuccawire.EndedJobs
+	endedAt      time.Time
 }
 
 type runKey struct {
@@ -168,6 +179,12 @@
 		runs:           make(map[runKey]*task),
 		crashes:        newCrashLog(),
 		heldElsewhere:  make(map[heldKey]*heldList),
+		open:           newOpenJobs(),
+		openElsewhere:  make(map[entryKey]*openList),
+		contested:      make(map[*job]struct{}),
+		incarnations:   make(map[string]uint64),
+		members:        make(map[string]bool),
+		awaited:        make(map[string]time.Time),
 		pinned:         make(map[*task]struct{}),
 		linkRequests:   make(map[linkRequest]time.Time),
 		seenByPeer:     make(map[string]*heldSeen),
@@ -272,6 +289,9 @@
 	if stood := b.ticks.Advance(now); stood > 0 {
 		b.metrics.Add("standstills", 1)
 		b.options.Logger.Warn("entry stood still", "stood_ms", stood.Milliseconds(), "jobs", len(b.jobs), "runs", len(b.runs))
+		if stood >= minMissedLists {
+			b.awaitLists(now)
+		}
 	}
 	b.updateShares(now)
 	b.expireJobs(now)
@@ -281,6 +301,8 @@
 	b.evictPinned(now)
 	b.publishHeld(now)
 	b.evictHeld(now)
+	b.evictElsewhere(now)
+	b.updateOpenJobs(now)
 	b.evictLinkRequests(now)
 	b.medianSlowdown = b.computeMedianSlowdown()
 	b.updateWantedRacks()
@@ -344,4 +366,5 @@
 		}
 		b.abandon(now, j, "the entry stood still")
 	}
+	b.awaitLists(now)
 }
--- a/yuccabroker/ended.go
+++ b/yuccabroker/ended.go
@@ -153,12 +153,21 @@
 			b.cancel(now, key, until)
 			continue
 		}
-		b.recordEnded(b.answered, key, endedJob{outcome: Outcome{State: Failed, Reason: j.GetReason()}, until: until})
+		b.recordAnswered(now, key, endedJob{outcome: Outcome{State: Failed, Reason: j.GetReason()}, until: until})
 	}
 	for _, c := range m.GetCompleted() {
 		b.metrics.Add("ended_jobs_received", int64(len(c.GetJobs())))
 		for _, id := range c.GetJobs() {
-			b.recordEnded(b.answered, endedKey{queue: c.GetQueue(), id: id}, endedJob{outcome: Outcome{State: Completed}, until: now.Add(outcomeRetention)})
+			b.recordAnswered(now, endedKey{queue: c.GetQueue(), id: id}, endedJob{outcome: Outcome{State: Completed}, until: now.Add(outcomeRetention)})
 		}
 	}
 }
+
+// recordAnswered records a job that another entry has answered, and answers its callers here alike.
+func (b *Broker) recordAnswered(now time.Time, key endedKey, e endedJob) {
+	b.recordEnded(b.answered, key, e)
+	if j := b.jobs[key.id]; j != nil && j.Queue.Name == key.queue {
+		b.metrics.Add("jobs_answered_elsewhere", 1)
+		b.answer(now, j, e.outcome)
+	}
+}
--- a/yuccabroker/job.go
+++ b/yuccabroker/job.go
@@ -59,8 +59,13 @@
 	// submitted again continues the numbering from there; runsBefore is that of the
 	// submissions before.
 	lastRun, runsBefore uint64
-	// receivedAt is when its last request reached this machine.
-	receivedAt time.Time
+	// receivedAt is when its last request reached this machine. openSequence is the number of the message that
+	// has told the other entries of the job, zero if none has. isContested is set while it waits for other
+	// entries, follows while it is open at one.
+	receivedAt   time.Time
+	openSequence uint64
+	isContested  bool
+	follows      bool
 	// ended is set once this submission of the job has ended, endedAt is since when. isFinal is set
 	// if its callers were answered for good.
 	ended   bool
@@ -161,6 +166,10 @@
 		if submitted.Deadline.After(j.Deadline) {
 			j.Deadline = submitted.Deadline
 		}
+		j.receivedAt = earlier(now, submitted.ReceivedAt)
+		if j.openSequence > 0 {
+			b.open.list(j)
+		}
 		b.extendHeld(j)
 		return
 	}
@@ -180,6 +189,7 @@
 	}
 	b.inheritPins(j)
 	b.extendHeld(j)
+	j.follows = b.isOpenElsewhere(j.ID)
 	if refusal := b.admissionRefusal(now, j); refusal != nil {
 		if refusal.State == Rejected && j.mayHaveRun {
 			refusal = &Outcome{State: Abandoned, Reason: refusal.Reason}
@@ -199,6 +209,7 @@
 	b.jobList = append(b.jobList, j)
 	b.options.Logger.Info("job accepted", "job", j.ID, "queue", j.Queue.Name, "tasks", j.taskCount, "chain_ms", j.criticalPath().Milliseconds(),
 		"deadline_ms", j.answerBy.Sub(now).Milliseconds(), "waiting_tasks", b.queuedTasks(), "received_ms", now.Sub(j.receivedAt).Milliseconds())
+	b.updateContested(now, j)
 	b.enqueueReady(now, j)
 	b.needsPlacement = true
 }
@@ -241,6 +252,9 @@
 
 // admissionRefusal returns the outcome for a job that is not accepted, or nil.
 func (b *Broker) admissionRefusal(now time.Time, j *job) *Outcome {
+	if j.follows {
+		return nil
+	}
 	if refusal := b.crashRefusal(j); refusal != nil {
 		return refusal
 	}
@@ -286,6 +300,9 @@
 // enqueueReady queues the blocked tasks of the steps whose dependencies are done, but for
 // those with a run of an earlier submission that may be alive.
 func (b *Broker) enqueueReady(now time.Time, j *job) {
+	if j.isContested {
+		return
+	}
 	for _, st := range j.steps {
 		if st.remaining == 0 || !j.canStart(st) {
 			continue
@@ -317,11 +334,11 @@
 	return true
 }
 
-// enqueue queues a task for placement. Tasks of a job that is being withdrawn
-// are blocked instead.
+// enqueue queues a task for placement. Tasks of a job that is being withdrawn, or waits for other
+// entries, are blocked instead.
 func (b *Broker) enqueue(now time.Time, t *task) {
 	t.side = nil
-	if t.job.withdrawReason != "" {
+	if t.job.withdrawReason != "" || t.job.isContested {
 		t.state = taskBlocked
 		return
 	}
@@ -379,6 +396,9 @@
 	j.isFinal = o.State == Completed || o.State == Failed
 	if j.runsInFlight > 0 {
 		b.endingJobs = append(b.endingJobs, j)
+		if !j.isFinal {
+			b.open.list(j)
+		}
 	}
 	delete(b.jobs, j.ID)
 	if j.isFinal {
@@ -457,7 +477,7 @@
 			b.abandon(now, j, "the deadline has passed")
 		case j.withdrawReason == "" && !now.Before(j.answerBy.Add(-withdrawMargin)):
 			b.withdrawJob(now, j, "the deadline is near")
-		case j.withdrawReason == "" && j.cannotFinish(now):
+		case j.withdrawReason == "" && !j.follows && j.cannotFinish(now):
 			b.withdrawJob(now, j, "a task of it can't end before the deadline")
 		case j.runsSent > 0 || j.mayHaveRun:
 		case b.confinedRefusal(now, j) != nil:
--- a/yuccabroker/place.go
+++ b/yuccabroker/place.go
@@ -12,7 +12,7 @@
 func (b *Broker) Place(now time.Time) {
 	b.moveFromLeaving(now)
 	b.settleReservations(now)
-	if !b.needsPlacement || b.queuedTasks() == 0 {
+	if !b.needsPlacement || b.queuedTasks() == 0 || !b.isInformed(now) {
 		return
 	}
 	b.needsPlacement = false
@@ -136,7 +136,7 @@
 			Job: j.ID, Queue: j.Queue.Name, Service: j.Queue.Service, Payload: j.Payload, Traceparent: j.Traceparent,
 			Tier:      uint32(t.tier),
 			RankMs:    s.toSideClock(t.rank),
-			ExpiresMs: uint64(max(s.toSideClock(j.answerBy), 0)),
+			ExpiresMs: uint64(max(s.toSideClock(b.expiryOf(t)), 0)),
 		})
 		n++
 	}
@@ -151,6 +151,15 @@
 	s.unreported = append(s.unreported, unreportedOrder{number: s.lastOrder + 1, sentAt: now, tier: t.tier, size: demand(t.step.Step)})
 }
 
+// expiryOf returns when an order of the task has to be started at the latest. Other entries may not know by then
+// that its job is open here, unless they have confirmed it. A reserved order waits at its side longer.
+func (b *Broker) expiryOf(t *task) time.Time {
+	if t.reservation != nil || b.open.isConfirmed(t.job) {
+		return t.job.answerBy
+	}
+	return earlier(t.job.answerBy, t.job.receivedAt.Add(resendAfter))
+}
+
 // toSideClock converts a local time to the side's clock, based on its last report.
 func (s *side) toSideClock(at time.Time) int64 {
 	return int64(s.clockMS) + at.Sub(s.lastReport).Milliseconds()
--- a/yuccaedge/doc.go
+++ b/yuccaedge/doc.go
@@ -25,6 +25,8 @@
 	// maxBatchedEvents limits the number of events that are handled before tasks are
 	// placed.
 	maxBatchedEvents = 256
+	// memberDiscovery is how long after its start an entry may learn of others that hold jobs.
+	memberDiscovery = time.Second
 	// responseMargin is subtracted from Options.MaxConfigurationAge, since the
 	// response takes time to arrive.
 	responseMargin = 400 * time.Millisecond
--- a/yuccaedge/edge.go
+++ b/yuccaedge/edge.go
@@ -86,6 +86,8 @@
 	pendingElsewhere   []*yuccawire.QueueCount
 	pendingElsewhereAt time.Time
 	nextPendingCount   time.Time
+	// startedAt is the time of the first tick.
+	startedAt time.Time
 	// suspensions are those that the broker knows of.
 	suspensions yuccasuspend.Suspensions
 }
@@ -143,6 +145,7 @@
 			return ctx.Err()
 		case now := <-ticker.C:
 			e.checkSuspension(now)
+			e.updateMembers(time.Now())
 			e.broker.Tick(time.Now())
 			e.expireInquiries(time.Now())
 			e.countPending(time.Now())
@@ -263,6 +266,8 @@
 	if node.GetRole() == yuccawire.Role_ROLE_ENTRY {
 		e.entryPeers[p] = struct{}{}
 		e.updatePeers()
+		e.broker.HandleEntryUp(now, node.GetName(), node.GetIncarnation())
+		p.Send(&yuccawire.Envelope{Body: &yuccawire.Envelope_OpenJobs{OpenJobs: e.broker.ListOpenJobs(now)}})
 		e.sendInquiries(p)
 		if report := e.broker.RecentCrashes(now); len(report.GetCrashes())+len(report.GetConfined()) > 0 {
 			p.Send(&yuccawire.Envelope{Body: &yuccawire.Envelope_CrashReport{CrashReport: report}})
@@ -305,6 +310,21 @@
 	e.broker.SetPeers(slices.Compact(names))
 }
 
+// updateMembers tells the broker in its first seconds which other entries there are, as they are discovered.
+func (e *Edge) updateMembers(now time.Time) {
+	if e.startedAt.IsZero() {
+		e.startedAt = now
+	}
+	if now.Sub(e.startedAt) > memberDiscovery {
+		return
+	}
+	var names []string
+	for _, node := range e.options.Mesh.Nodes() {
+		names = append(names, node.GetName())
+	}
+	e.broker.SetMembers(now, names)
+}
+
 // isCurrent reports whether the link is the current one of its side.
 func (e *Edge) isCurrent(p *yuccamesh.Peer) bool { return e.sidePeers[p.Node().GetName()] == p }
 
--- a/yuccaedge/inquiry.go
+++ b/yuccaedge/inquiry.go
@@ -194,6 +194,10 @@
 		}
 	case *yuccawire.Envelope_EndedJobs:
 		e.broker.HandleEndedJobs(now, body.EndedJobs)
+	case *yuccawire.Envelope_OpenJobs:
+		e.broker.HandleOpenJobs(now, from.Node().GetName(), from.Node().GetIncarnation(), body.OpenJobs)
+	case *yuccawire.Envelope_OpenJobsSeen:
+		e.broker.HandleOpenJobsSeen(now, from.Node().GetName(), body.OpenJobsSeen)
 	case *yuccawire.Envelope_LinkRequest:
 		e.broker.HandleLinkRequest(now, body.LinkRequest)
 	}
--- a/yuccamodel/demand_test.go
+++ b/yuccamodel/demand_test.go
@@ -64,6 +64,8 @@
 			b.broker.Demand().ForgetPeer(a.name)
 			a.sendHeldLists(b)
 			b.sendHeldLists(a)
+			a.sendOpenJobs(b)
+			b.sendOpenJobs(a)
 		}
 	})
 }
@@ -85,6 +87,25 @@
 	e.sendLists(to, e.broker.HeldLists(e.now()))
 }
 
+// sendOpenJobs sends a peer the open jobs, as its link has come up.
+func (e *modelEntry) sendOpenJobs(to *modelEntry) {
+	e.broker.HandleEntryUp(e.now(), to.name, to.incarnation)
+	m := e.world.alter(&yuccawire.Envelope{Body: &yuccawire.Envelope_OpenJobs{OpenJobs: e.broker.ListOpenJobs(e.now())}})
+	if m != nil {
+		e.world.sendToPeer(e, to, m)
+	}
+}
+
+// sendToPeer sends a message over the link of two entries.
+func (w *world) sendToPeer(from, to *modelEntry, m *yuccawire.Envelope) {
+	incarnation, sender := to.incarnation, from.incarnation
+	w.transmit(w.entryLinks[pairOf(from, to)], func() {
+		if to.incarnation == incarnation {
+			to.handle(func() { to.handleFrom(from, sender, m) })
+		}
+	})
+}
+
 func (e *modelEntry) sendLists(to *modelEntry, lists []*yuccawire.HeldTasks) {
 	w, incarnation := e.world, to.incarnation
 	for _, list := range lists {
--- a/yuccamodel/world_test.go
+++ b/yuccamodel/world_test.go
@@ -391,9 +391,19 @@
 			w.connect(e, s)
 		}
 	}
+	e.setMembers()
 	e.connectPeers()
 }
 
+// setMembers tells the broker which other entries there are.
+func (e *modelEntry) setMembers() {
+	var names []string
+	for _, peer := range e.peers {
+		names = append(names, peer.name)
+	}
+	e.broker.SetMembers(e.now(), names)
+}
+
 // start starts a new incarnation of the side.
 func (s *modelSide) start() {
 	w := s.world
@@ -451,15 +461,15 @@
 	if m = w.alter(m); m == nil {
 		return
 	}
-	isFlooded := m.GetHeldTasks() == nil && m.GetLinkRequest() == nil
+	isFlooded := m.GetHeldTasks() == nil && m.GetLinkRequest() == nil && m.GetOpenJobs() == nil && m.GetOpenJobsSeen() == nil
 	for _, e := range w.entries {
 		if e == from || e.isDown {
 			continue
 		}
-		incarnation := e.incarnation
+		incarnation, sender := e.incarnation, from.incarnation
 		deliver := func() {
 			if e.incarnation == incarnation {
-				e.handle(func() { e.handlePublished(from, m) })
+				e.handle(func() { e.handleFrom(from, sender, m) })
 			}
 		}
 		if isFlooded {
@@ -470,6 +480,20 @@
 	}
 }
 
+// handleFrom handles a message of an incarnation of another entry.
+func (e *modelEntry) handleFrom(from *modelEntry, incarnation uint64, m *yuccawire.Envelope) {
+	switch body := m.GetBody().(type) {
+	case *yuccawire.Envelope_OpenJobs:
+		e.world.logf("%s receives from %s.%d open jobs %v", e.name, from.name, incarnation, body.OpenJobs)
+		e.broker.HandleOpenJobs(e.now(), from.name, incarnation, body.OpenJobs)
+	case *yuccawire.Envelope_OpenJobsSeen:
+		e.world.logf("%s receives from %s.%d open jobs seen %v", e.name, from.name, incarnation, body.OpenJobsSeen)
+		e.broker.HandleOpenJobsSeen(e.now(), from.name, body.OpenJobsSeen)
+	default:
+		e.handlePublished(from, m)
+	}
+}
+
 func (e *modelEntry) handlePublished(from *modelEntry, m *yuccawire.Envelope) {
 	switch body := m.GetBody().(type) {
 	case *yuccawire.Envelope_CrashReport:
--- a/yuccasuspend/tickwatch.go
+++ b/yuccasuspend/tickwatch.go
@@ -10,6 +10,11 @@
 // time between its ticks. It is not safe for concurrent use.
 type TickWatch struct{ lastTick time.Time }
 
+// IsOverdue reports whether the next tick is due for so long that the process has stood still.
+func (w *TickWatch) IsOverdue(now time.Time) bool {
+	return !w.lastTick.IsZero() && now.Sub(w.lastTick) >= minStandstill
+}
+
 // Advance records a tick. It returns the time since the last one if the process stood still
 // meanwhile, and zero otherwise.
 func (w *TickWatch) Advance(now time.Time) time.Duration {
