broker, edge: keep the order of the links of an entry, and one number of what is confirmed

The list of a process that has ended may be read after that of its successor, whose messages would be ignored then. Found by reading. What all entries have confirmed is one number now, as each tick asked it for each open job.

--- a/yuccabroker/elsewhere.go
+++ b/yuccabroker/elsewhere.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/yuccaturn/yuccaturn/yuccawire"
@@ -87,13 +88,18 @@
 func (b *Broker) HandleEntryUp(now time.Time, name string, incarnation uint64) {
 	if r := b.open.readers[name]; r != nil {
 		r.sequence = 0
+		b.open.updateConfirmed()
 	}
 	if b.incarnations[name] == incarnation {
 		return
 	}
 	b.incarnations[name] = incarnation
 	for key, l := range b.openElsewhere {
-		if key.name == name && key.incarnation != incarnation {
+		switch {
+		case key.name != name:
+		case key.incarnation == incarnation:
+			l.endsAt = time.Time{}
+		default:
 			l.endsAt = now.Add(ordersEndAfter)
 		}
 	}
@@ -112,6 +118,7 @@
 	}
 	if b.open.readers[name] == nil {
 		b.open.readers[name] = &reader{}
+		b.open.updateConfirmed()
 	}
 	switch {
 	case m.GetSequence() < l.sequence, !m.GetWhole() && m.GetSequence() == l.sequence:
@@ -124,15 +131,20 @@
 		b.options.Logger.Error("too many open jobs of an entry, list ignored", "entry", name, "jobs", len(l.jobs)+len(m.GetOpened()))
 		return
 	}
-	before := maps.Clone(l.jobs)
+	before := l.jobs
 	taken := l.update(now, m, func(id string, receivedAt time.Time) bool { return b.takes(now, name, id, receivedAt) })
 	b.reply(name, &yuccawire.OpenJobsSeen{Sequence: l.sequence, Taken: taken})
 	if m.GetWhole() {
 		delete(b.awaited, name)
+		for id, known := range before {
+			if _, isOpen := l.jobs[id]; !isOpen {
+				b.handleClosed(now, id, known.lastRun)
+			}
+		}
 	}
-	for id, known := range before {
-		if _, isOpen := l.jobs[id]; !isOpen {
-			b.handleClosed(now, id, known.lastRun)
+	for _, opened := range m.GetOpened() {
+		if j := b.jobs[opened.GetJob()]; j != nil {
+			b.updateContested(now, j)
 		}
 	}
 	for _, c := range m.GetClosed() {
@@ -246,6 +258,9 @@
 			continue
 		}
 		maps.DeleteFunc(l.jobs, func(_ string, open openJob) bool { return !now.Before(open.until) })
+		if len(l.jobs) == 0 && !slices.Contains(b.peers, key.name) {
+			delete(b.openElsewhere, key)
+		}
 	}
 	b.updateAllContested(now)
 }
--- a/yuccabroker/openjobs.go
+++ b/yuccabroker/openjobs.go
@@ -35,6 +35,8 @@
 	// readers are the entries that have to know of these jobs, by name: the linked ones, without those of an
 	// earlier version, which send no such lists, and those that were linked lately.
 	readers map[string]*reader
+	// confirmed is the last sequence that all of them have confirmed.
+	confirmed uint64
 	// linkedWithMostSince is since when this entry has been linked with most of them, zero if it is not.
 	linkedWithMostSince time.Time
 }
@@ -61,15 +63,14 @@
 
 // isConfirmed reports whether each other entry that may receive the job knows that the job is open here.
 func (o *openJobs) isConfirmed(j *job) bool {
-	if j.openSequence == 0 || j.openSequence > o.sequence {
-		return false
-	}
+	return j.openSequence > 0 && j.openSequence <= o.confirmed
+}
+
+func (o *openJobs) updateConfirmed() {
+	o.confirmed = o.sequence
 	for _, r := range o.readers {
-		if r.sequence < j.openSequence {
-			return false
-		}
+		o.confirmed = min(o.confirmed, r.sequence)
 	}
-	return true
 }
 
 // updateOpenJobs tells the other entries of jobs that have been open for some time, and of those whose
@@ -83,11 +84,13 @@
 	b.closeJobs()
 	b.open.updateReaders(now, b.peers)
 	b.publishOpenJobs(now)
+	b.open.updateConfirmed()
 	for _, j := range b.jobList {
-		if !j.ended {
+		if !j.ended && now.Sub(j.receivedAt) >= unconfirmedAge && !b.open.isConfirmed(j) {
 			b.updateContested(now, j)
 		}
 	}
+	b.updateAllContested(now)
 }
 
 // updateReaders notes which entries are linked. Those whose link was lost may receive a job that is open here, so
@@ -199,6 +202,7 @@
 func (b *Broker) HandleOpenJobsSeen(now time.Time, peer string, m *yuccawire.OpenJobsSeen) {
 	if r := b.open.readers[peer]; r != nil {
 		r.sequence = max(r.sequence, m.GetSequence())
+		b.open.updateConfirmed()
 	}
 	for _, id := range m.GetTaken() {
 		if j := b.jobs[id]; j != nil && !b.isOpenElsewhere(id) {
--- a/yuccaedge/edge.go
+++ b/yuccaedge/edge.go
@@ -75,7 +75,7 @@
 
 	// The fields below are owned by the event loop.
 	sidePeers  map[string]*yuccamesh.Peer            // the newest link of each side, by name
-	lastLinks  map[string]uint64                     // the number of the newest link of each side so far, by name
+	lastLinks  map[string]uint64                     // the number of the newest link of each side and entry so far, by name
 	waiters    map[uint64]chan<- yuccabroker.Outcome // waiting callers, by waiterID
 	lastID     uint64                                // the last waiterID or inquiry number
 	entryPeers map[*yuccamesh.Peer]struct{}          // all links to other entries
@@ -266,8 +266,10 @@
 	if node.GetRole() == yuccawire.Role_ROLE_ENTRY {
 		e.entryPeers[p] = struct{}{}
 		e.updatePeers()
-		e.broker.HandleEntryUp(now, node.GetName(), node.GetIncarnation())
-		p.Send(&yuccawire.Envelope{Body: &yuccawire.Envelope_OpenJobs{OpenJobs: e.broker.ListOpenJobs(now)}})
+		if p.Number() == 0 || p.Number() > e.lastLinks[node.GetName()] {
+			e.lastLinks[node.GetName()] = max(e.lastLinks[node.GetName()], p.Number())
+			e.exchangeOpenJobs(now, p)
+		}
 		e.sendInquiries(p)
 		if report := e.broker.RecentCrashes(now); len(report.GetCrashes())+len(report.GetConfined()) > 0 {
 			p.Send(&yuccawire.Envelope{Body: &yuccawire.Envelope_CrashReport{CrashReport: report}})
@@ -325,6 +327,12 @@
 	e.broker.SetMembers(now, names)
 }
 
+// exchangeOpenJobs tells the other end of a link the open jobs, as it is the current process of that entry.
+func (e *Edge) exchangeOpenJobs(now time.Time, p *yuccamesh.Peer) {
+	e.broker.HandleEntryUp(now, p.Node().GetName(), p.Node().GetIncarnation())
+	p.Send(&yuccawire.Envelope{Body: &yuccawire.Envelope_OpenJobs{OpenJobs: e.broker.ListOpenJobs(now)}})
+}
+
 // isCurrent reports whether the link is the current one of its side.
 func (e *Edge) isCurrent(p *yuccamesh.Peer) bool { return e.sidePeers[p.Node().GetName()] == p }
 
