mesh, broker: take an entry whose machine refuses connections as ended

What callers saw: a job that was open for 0.6 s at an entry that is killed and stays down wasn't served by another one before its deadline. Eight tests of the model failed for it after (given up, want the job completed), among them TestSucceededRunStartsAgainBesideThatOfAResend and TestEverySingleFault.

Cause: what an entry has told was over only once it had restarted. A machine that doesn't answer proves nothing, as before.

The order of events in the model is as before, too: a list without news places nothing.

--- a/yuccabroker/elsewhere.go
+++ b/yuccabroker/elsewhere.go
@@ -105,6 +105,21 @@
 	}
 }
 
+// HandleEntryGone processes the end of the process of another entry. Nobody else may receive a job there: its next
+// process places nothing before it knows the open jobs.
+func (b *Broker) HandleEntryGone(now time.Time, name string, incarnation uint64) {
+	if l := b.openElsewhere[entryKey{name: name, incarnation: incarnation}]; l != nil && l.endsAt.IsZero() {
+		l.endsAt = now.Add(ordersEndAfter)
+		b.options.Logger.Info("entry has ended, its open jobs are over when its leases have expired", "entry", name, "incarnation", incarnation, "jobs", len(l.jobs))
+	}
+	if b.incarnations[name] == incarnation {
+		delete(b.open.readers, name)
+		delete(b.awaited, name)
+		b.open.updateConfirmed()
+		b.updateAllContested(now)
+	}
+}
+
 // HandleOpenJobs processes the open jobs of a linked entry, and confirms them. Their tasks aren't placed here.
 func (b *Broker) HandleOpenJobs(now time.Time, name string, incarnation uint64, m *yuccawire.OpenJobs) {
 	if b.incarnations[name] != incarnation {
@@ -151,7 +166,6 @@
 		b.handleClosed(now, c.GetJob(), c.GetLastRun())
 	}
 	b.updateAllContested(now)
-	b.needsPlacement = true
 }
 
 func (b *Broker) reply(entry string, m *yuccawire.OpenJobsSeen) {
--- a/yuccaedge/edge.go
+++ b/yuccaedge/edge.go
@@ -253,6 +253,8 @@
 		case *yuccawire.Envelope_HeldTasks:
 			e.broker.HandleHeldBySide(now, name, body.HeldTasks)
 		}
+	case yuccamesh.EntryGone:
+		e.broker.HandleEntryGone(now, m.Node.GetName(), m.Node.GetIncarnation())
 	case yuccamesh.ReceivedSections:
 		e.applySections(m.Sections, time.Time{}, "a peer")
 	}
--- a/yuccamesh/link.go
+++ b/yuccamesh/link.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"syscall"
 	"time"
 
 	"github.com/yuccaturn/yuccaturn/yuccawire"
@@ -36,12 +38,16 @@
 	m := d.mesh
 	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
+	node := m.entryAt(d.address)
 	link, err := m.options.Network.Dial(dialCtx, d.address)
 	if err != nil {
 		m.recordDialFailure(d.address)
+		if node != nil && errors.Is(err, syscall.ECONNREFUSED) {
+			m.emit(EntryGone{Node: node})
+		}
 		return false
 	}
-	node, err := yuccawire.SayHello(dialCtx, link, m.options.Self)
+	node, err = yuccawire.SayHello(dialCtx, link, m.options.Self)
 	if err != nil || node.GetName() == m.options.Self.GetName() {
 		m.recordDialFailure(d.address)
 		m.disconnect(&Peer{link: link, address: d.address})
@@ -51,6 +57,18 @@
 	return true
 }
 
+// entryAt returns the known entry at an address, or nil.
+func (m *Mesh) entryAt(address string) *yuccawire.Node {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, node := range m.roster.Nodes(time.Now()) {
+		if node.GetAddress() == address {
+			return node
+		}
+	}
+	return nil
+}
+
 // acceptor starts a handshake for each accepted link.
 type acceptor struct {
 	mesh     *Mesh
--- a/yuccamesh/mesh.go
+++ b/yuccamesh/mesh.go
@@ -49,6 +49,10 @@
 // calls [Mesh.Release] once the link is not in use.
 type LinkSurplus struct{ Peer *Peer }
 
+// EntryGone is the event of an entry whose machine refuses connections, as its process has ended. Node
+// is the process.
+type EntryGone struct{ Node *yuccawire.Node }
+
 // Received is the event of a message other than a roster or heartbeat.
 type Received struct {
 	Peer    *Peer
@@ -58,7 +62,7 @@
 // ReceivedSections is the event of configuration sections sent by a peer.
 type ReceivedSections struct{ Sections []*yuccawire.Section }
 
-// Event is one of LinkUp, LinkDown, LinkSurplus, Received and ReceivedSections.
+// Event is one of LinkUp, LinkDown, LinkSurplus, EntryGone, Received and ReceivedSections.
 type Event any
 
 // Mesh maintains the links of one process. It is a suture service.
--- a/yuccamodel/world_test.go
+++ b/yuccamodel/world_test.go
@@ -890,6 +890,9 @@
 		l.isUp = false
 		l.delayed = nil
 		peer.updatePeers()
+		if !unreachable {
+			w.after(reconnectDelay, func() { peer.noticeEnd(e, incarnation) })
+		}
 	}
 	e.isDown = true
 	e.isFrozen = false
@@ -908,6 +911,14 @@
 	})
 }
 
+// noticeEnd has the machine of an entry that was killed refuse a connection.
+func (e *modelEntry) noticeEnd(killed *modelEntry, incarnation uint64) {
+	l := e.world.entryLinks[pairOf(e, killed)]
+	if killed.isDown && !l.isPartitioned && !e.isDown {
+		e.handle(func() { e.broker.HandleEntryGone(e.now(), killed.name, incarnation) })
+	}
+}
+
 // replaceUnreachable links the sides of an entry that is still down with one that they aren't linked with, if
 // there is any, as their topology does.
 func (w *world) replaceUnreachable(e *modelEntry, incarnation uint64) {
