--- a/yuccabroker/broker.go
+++ b/yuccabroker/broker.go
@@ -127,10 +127,13 @@
 	// are those whose open jobs this entry waits for, until the times given.
 	incarnations map[string]uint64
 	members      map[string]bool
-	awaited      map[string]time.Time
-	startedAt    time.Time
-	endedNews    *yuccawire.EndedJobs
-	endedAt      time.Time
+	// openers counts the other entries at which each job is open.
+	openers            map[string]int
+	evictedElsewhereAt time.Time
+	awaited            map[string]time.Time
+	startedAt          time.Time
+	endedNews          *yuccawire.EndedJobs
+	endedAt            time.Time
 }
 
 type runKey struct {
@@ -183,6 +186,7 @@
 		openElsewhere:  make(map[entryKey]*openList),
 		contested:      make(map[*job]struct{}),
 		incarnations:   make(map[string]uint64),
+		openers:        make(map[string]int),
 		members:        make(map[string]bool),
 		awaited:        make(map[string]time.Time),
 		pinned:         make(map[*task]struct{}),
@@ -302,6 +306,7 @@
 	b.publishHeld(now)
 	b.evictHeld(now)
 	b.evictElsewhere(now)
+	b.publishEnded(now)
 	b.updateOpenJobs(now)
 	b.evictLinkRequests(now)
 	b.medianSlowdown = b.computeMedianSlowdown()
@@ -314,7 +319,6 @@
 	b.evictOutcomes(now)
 	b.cancelled.evict(now)
 	b.answered.evict(now)
-	b.publishEnded(now)
 	b.crashes.evict(now)
 	if now.Sub(b.bulkheadsUpdatedAt) >= bulkheadInterval {
 		b.updateBulkheads(now)
--- a/yuccabroker/elsewhere.go
+++ b/yuccabroker/elsewhere.go
@@ -1,6 +1,7 @@
 package yuccabroker
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -10,9 +11,9 @@
 )
 
 const (
-	// listsTimeout is how long an entry that has started or stood still waits for the open jobs of the
-	// others. The lease of an entry that tells nothing has expired by then.
-	listsTimeout = 600 * time.Millisecond
+	// startTimeout is how long an entry that has started waits for the open jobs of the others, readerTimeout
+	// how long one that has stood still does. Neither proves anything of an entry that is cut off.
+	startTimeout = 600 * time.Millisecond
 	// minMissedLists is how long an entry must have stood still to have missed them: a job is told that
 	// much earlier than it is submitted again.
 	minMissedLists = 500 * time.Millisecond
@@ -45,35 +46,56 @@
 
 // isOpenElsewhere reports whether another entry may have tasks of the job started.
 func (b *Broker) isOpenElsewhere(id string) bool {
-	for _, l := range b.openElsewhere {
-		if _, isOpen := l.jobs[id]; isOpen {
-			return true
-		}
+	return b.openers[id] > 0
+}
+
+// set records an open job of another entry. openers counts the entries at which each job is open.
+func (l *openList) set(openers map[string]int, id string, job openJob) {
+	if _, isKnown := l.jobs[id]; !isKnown {
+		openers[id]++
+	}
+	l.jobs[id] = job
+}
+
+func (l *openList) remove(openers map[string]int, id string) {
+	if _, isKnown := l.jobs[id]; !isKnown {
+		return
+	}
+	delete(l.jobs, id)
+	if openers[id]--; openers[id] == 0 {
+		delete(openers, id)
 	}
-	return false
 }
 
 // SetMembers tells the broker which other entries there are. One that has just started places nothing
-// until it knows their open jobs, or listsTimeout has passed.
+// until it knows their open jobs, or startTimeout has passed.
 func (b *Broker) SetMembers(now time.Time, names []string) {
 	if b.startedAt.IsZero() {
 		b.startedAt = now
 	}
+	members := make(map[string]bool, len(names))
 	for _, name := range names {
+		members[name] = true
 		if !b.members[name] {
-			b.members[name] = true
-			b.await(name, b.startedAt.Add(listsTimeout))
+			b.await(name, b.startedAt.Add(startTimeout))
+		}
+	}
+	for name := range b.members {
+		if !members[name] {
+			delete(b.incarnations, name)
+			b.removeReader(now, name)
 		}
 	}
+	b.members = members
 }
 
 func (b *Broker) await(entry string, until time.Time) { b.awaited[entry] = until }
 
 // awaitLists requests the open jobs of the linked entries, as some of their messages may be unread.
 func (b *Broker) awaitLists(now time.Time) {
-	b.open.linkedWithMostSince = time.Time{}
+	b.open.linkedWithHalfSince = time.Time{}
 	for name := range b.open.readers {
-		b.await(name, now.Add(listsTimeout))
+		b.await(name, now.Add(readerTimeout))
 	}
 	b.emit(Publish{Message: &yuccawire.Envelope{Body: &yuccawire.Envelope_OpenJobsSeen{OpenJobsSeen: &yuccawire.OpenJobsSeen{WantsWhole: true}}}})
 }
@@ -84,16 +106,15 @@
 	return len(b.awaited) == 0 && !b.ticks.IsOverdue(now)
 }
 
-// HandleEntryUp processes a new link to another entry. The jobs of its earlier incarnations are over.
+// HandleEntryUp processes a new link to another entry. The jobs of its earlier incarnations are over. The link of
+// one of these may come up late, and is ignored.
 func (b *Broker) HandleEntryUp(now time.Time, name string, incarnation uint64) {
-	if r := b.open.readers[name]; r != nil {
-		r.sequence = 0
-		b.open.updateConfirmed()
-	}
-	if b.incarnations[name] == incarnation {
+	if b.incarnations[name] >= incarnation {
 		return
 	}
 	b.incarnations[name] = incarnation
+	// Its list, which comes next, makes it a reader again, unless it is of an earlier version.
+	b.removeReader(now, name)
 	for key, l := range b.openElsewhere {
 		switch {
 		case key.name != name:
@@ -105,6 +126,15 @@
 	}
 }
 
+// HandleEntryReplaced processes the end of the links to an incarnation of another entry, while those to one with a
+// lower number last: the clock of its machine was set back.
+func (b *Broker) HandleEntryReplaced(now time.Time, name string, incarnation uint64) {
+	if b.incarnations[name] > incarnation {
+		delete(b.incarnations, name)
+		b.HandleEntryUp(now, name, incarnation)
+	}
+}
+
 // HandleEntryGone processes the end of the process of another entry. Nobody else may receive a job there: its next
 // process places nothing before it knows the open jobs.
 func (b *Broker) HandleEntryGone(now time.Time, name string, incarnation uint64) {
@@ -113,13 +143,18 @@
 		b.options.Logger.Info("entry has ended, its open jobs are over when its leases have expired", "entry", name, "incarnation", incarnation, "jobs", len(l.jobs))
 	}
 	if b.incarnations[name] == incarnation {
-		delete(b.open.readers, name)
-		delete(b.awaited, name)
-		b.open.updateConfirmed()
-		b.updateAllContested(now)
+		b.removeReader(now, name)
 	}
 }
 
+// removeReader removes an entry that can't have received a job.
+func (b *Broker) removeReader(now time.Time, name string) {
+	delete(b.open.readers, name)
+	delete(b.awaited, name)
+	b.open.updateConfirmed()
+	b.updateAllContested(now)
+}
+
 // HandleOpenJobs processes the open jobs of a linked entry, and confirms them. Their tasks aren't placed here.
 func (b *Broker) HandleOpenJobs(now time.Time, name string, incarnation uint64, m *yuccawire.OpenJobs) {
 	if b.incarnations[name] != incarnation {
@@ -146,63 +181,68 @@
 		b.options.Logger.Error("too many open jobs of an entry, list ignored", "entry", name, "jobs", len(l.jobs)+len(m.GetOpened()))
 		return
 	}
-	before := l.jobs
-	taken := l.update(now, m, func(id string, receivedAt time.Time) bool { return b.takes(now, name, id, receivedAt) })
+	// What was sent during a standstill says nothing of an age, the list that was requested does.
+	_, isAwaited := b.awaited[name]
+	taken, closed := l.update(now, m, b.openers, func(id string, receivedAt time.Time) bool {
+		return (m.GetWhole() || !isAwaited && !b.ticks.IsOverdue(now)) && b.takes(now, name, id, receivedAt)
+	})
 	b.reply(name, &yuccawire.OpenJobsSeen{Sequence: l.sequence, Taken: taken})
 	if m.GetWhole() {
 		delete(b.awaited, name)
-		for id, known := range before {
-			if _, isOpen := l.jobs[id]; !isOpen {
-				b.handleClosed(now, id, known.lastRun)
-			}
-		}
 	}
 	for _, opened := range m.GetOpened() {
 		if j := b.jobs[opened.GetJob()]; j != nil {
 			b.updateContested(now, j)
 		}
 	}
-	for _, c := range m.GetClosed() {
-		b.handleClosed(now, c.GetJob(), c.GetLastRun())
+	for _, id := range slices.Sorted(maps.Keys(closed)) {
+		b.handleClosed(now, id, closed[id])
 	}
-	b.updateAllContested(now)
 }
 
 func (b *Broker) reply(entry string, m *yuccawire.OpenJobsSeen) {
 	b.emit(Publish{Message: &yuccawire.Envelope{Body: &yuccawire.Envelope_OpenJobsSeen{OpenJobsSeen: m}}, To: []string{entry}})
 }
 
-// update applies a list, and returns the jobs for which takes returns true.
-func (l *openList) update(now time.Time, m *yuccawire.OpenJobs, takes func(id string, receivedAt time.Time) bool) []string {
-	var taken []string
+// update applies a list, and returns the jobs for which takes returns true, and those that are closed, with their
+// last runs.
+func (l *openList) update(now time.Time, m *yuccawire.OpenJobs, openers map[string]int, takes func(id string, receivedAt time.Time) bool) (taken []string, closed map[string]uint64) {
+	closed = make(map[string]uint64)
 	l.sequence = m.GetSequence()
 	if m.GetWhole() {
-		l.jobs = make(map[string]openJob)
+		for id, known := range l.jobs {
+			closed[id] = known.lastRun
+		}
 	}
 	for _, opened := range m.GetOpened() {
+		id := opened.GetJob()
+		delete(closed, id)
 		until := now.Add(time.Duration(opened.GetRemainingMs())*time.Millisecond + ordersEndAfter)
-		l.jobs[opened.GetJob()] = openJob{until: until, lastRun: opened.GetLastRun()}
-		if takes(opened.GetJob(), now.Add(-time.Duration(opened.GetAgeMs())*time.Millisecond)) {
-			taken = append(taken, opened.GetJob())
+		l.set(openers, id, openJob{until: until, lastRun: opened.GetLastRun()})
+		if takes(id, now.Add(-time.Duration(opened.GetAgeMs())*time.Millisecond)) {
+			taken = append(taken, id)
 		}
 	}
-	for _, closed := range m.GetClosed() {
-		delete(l.jobs, closed.GetJob())
+	for _, c := range m.GetClosed() {
+		closed[c.GetJob()] = c.GetLastRun()
+	}
+	for id := range closed {
+		l.remove(openers, id)
 	}
-	return taken
+	return taken, closed
 }
 
 // takes decides who keeps a job that is open here and at another entry: the one that has received it
 // later, as callers send one request after the other. It returns true if that is this entry.
 func (b *Broker) takes(now time.Time, entry, id string, receivedAt time.Time) bool {
 	j := b.jobs[id]
-	if j == nil || j.follows {
+	if j == nil || j.follows && !j.isTold {
 		return false
 	}
 	b.metrics.Add("jobs_open_twice", 1)
 	b.options.Logger.Warn("job is open at two entries", "job", id, "entry", entry, "age_ms", now.Sub(j.receivedAt).Milliseconds(),
 		"age_there_ms", now.Sub(receivedAt).Milliseconds(), "runs", j.runsInFlight, "orders", j.runsSent)
-	if receivedAt.After(j.receivedAt) {
+	if receivedAt.After(j.lastReceivedAt) {
 		b.giveUp(now, j, entry)
 		return false
 	}
@@ -212,7 +252,11 @@
 // handleClosed continues the numbering of the runs of a job that another entry has closed.
 func (b *Broker) handleClosed(now time.Time, id string, lastRun uint64) {
 	j := b.jobs[id]
-	if j == nil || j.runsSent > 0 {
+	switch {
+	case j == nil:
+		return
+	case j.runsSent > 0:
+		b.updateContested(now, j)
 		return
 	}
 	j.runsBefore, j.lastRun = max(j.runsBefore, lastRun), max(j.lastRun, lastRun)
@@ -229,6 +273,7 @@
 // or may have received the job and doesn't know that it is open here.
 func (b *Broker) updateContested(now time.Time, j *job) {
 	j.follows = b.isOpenElsewhere(j.ID)
+	j.mayHaveRun = j.mayHaveRun || j.follows
 	isContested := j.follows || now.Sub(j.receivedAt) >= unconfirmedAge && !b.open.isConfirmed(j)
 	if isContested == j.isContested {
 		return
@@ -242,7 +287,6 @@
 	}
 	b.contested[j] = struct{}{}
 	b.metrics.Add("jobs_contested", 1)
-	j.mayHaveRun = j.mayHaveRun || j.follows
 	b.options.Logger.Info("job waits for other entries", "job", j.ID, "open_there", j.follows, "age_ms", now.Sub(j.receivedAt).Milliseconds(), "runs", j.runsInFlight)
 	for _, st := range j.steps {
 		for _, t := range st.tasks {
@@ -254,8 +298,10 @@
 	}
 }
 
+// updateAllContested lets the jobs go on whose confirmation has come, in order.
 func (b *Broker) updateAllContested(now time.Time) {
-	for j := range b.contested {
+	waiting := slices.SortedFunc(maps.Keys(b.contested), func(x, y *job) int { return cmp.Compare(x.ID, y.ID) })
+	for _, j := range waiting {
 		if j.ended {
 			delete(b.contested, j)
 			continue
@@ -266,15 +312,20 @@
 
 // evictElsewhere removes the jobs that other entries have no right to anymore.
 func (b *Broker) evictElsewhere(now time.Time) {
+	if now.Sub(b.evictedElsewhereAt) < closedInterval {
+		return
+	}
+	b.evictedElsewhereAt = now
 	for key, l := range b.openElsewhere {
-		if !l.endsAt.IsZero() && !now.Before(l.endsAt) {
-			delete(b.openElsewhere, key)
-			continue
+		isOver := !l.endsAt.IsZero() && !now.Before(l.endsAt)
+		for id, open := range l.jobs {
+			if isOver || !now.Before(open.until) {
+				l.remove(b.openers, id)
+				b.handleClosed(now, id, open.lastRun)
+			}
 		}
-		maps.DeleteFunc(l.jobs, func(_ string, open openJob) bool { return !now.Before(open.until) })
-		if len(l.jobs) == 0 && !slices.Contains(b.peers, key.name) {
+		if len(l.jobs) == 0 && (isOver || !slices.Contains(b.peers, key.name)) {
 			delete(b.openElsewhere, key)
 		}
 	}
-	b.updateAllContested(now)
 }
--- a/yuccabroker/job.go
+++ b/yuccabroker/job.go
@@ -59,13 +59,16 @@
 	// submitted again continues the numbering from there; runsBefore is that of the
 	// submissions before.
 	lastRun, runsBefore uint64
-	// receivedAt is when its last request reached this machine. openSequence is the number of the message that
-	// has told the other entries of the job, zero if none has. isContested is set while it waits for other
+	// receivedAt is when its first request reached this machine, lastReceivedAt when its last one did. openSequence is
+	// the number of the message that has told the other entries of the job, or will, zero if none has. isTold is set
+	// once they were told. isContested is set while it waits for other
 	// entries, follows while it is open at one.
-	receivedAt   time.Time
-	openSequence uint64
-	isContested  bool
-	follows      bool
+	receivedAt     time.Time
+	lastReceivedAt time.Time
+	openSequence   uint64
+	isTold         bool
+	isContested    bool
+	follows        bool
 	// ended is set once this submission of the job has ended, endedAt is since when. isFinal is set
 	// if its callers were answered for good.
 	ended   bool
@@ -166,7 +169,7 @@
 		if submitted.Deadline.After(j.Deadline) {
 			j.Deadline = submitted.Deadline
 		}
-		j.receivedAt = earlier(now, submitted.ReceivedAt)
+		j.lastReceivedAt = earlier(now, submitted.ReceivedAt)
 		if j.openSequence > 0 {
 			b.open.list(j)
 		}
@@ -216,6 +219,7 @@
 
 func newJob(now time.Time, submitted Job, waiter uint64) *job {
 	j := &job{Job: submitted, arrivedAt: now, receivedAt: earlier(now, submitted.ReceivedAt), waiters: []uint64{waiter}}
+	j.lastReceivedAt = j.receivedAt
 	for i, spec := range submitted.Steps {
 		spec.Estimate = min(spec.Estimate, maxEstimate)
 		st := &step{Step: spec, remaining: spec.Count}
--- a/yuccabroker/openjobs.go
+++ b/yuccabroker/openjobs.go
@@ -21,6 +21,10 @@
 	unconfirmedAge = time.Second
 	// readerTimeout is how long an entry may be unlinked until it counts as gone.
 	readerTimeout = 2 * time.Second
+	// isolationTimeout is the same for an entry that is linked with few of the others, longer than callers wait.
+	isolationTimeout = 15 * time.Second
+	// fullMeshEntries is the number of other entries up to which all are linked.
+	fullMeshEntries = 16
 	// closedInterval is the least time between two messages that only tell of closed jobs.
 	closedInterval = 100 * time.Millisecond
 )
@@ -37,8 +41,8 @@
 	readers map[string]*reader
 	// confirmed is the last sequence that all of them have confirmed.
 	confirmed uint64
-	// linkedWithMostSince is since when this entry has been linked with most of them, zero if it is not.
-	linkedWithMostSince time.Time
+	// linkedWithHalfSince is since when this entry has been one of at least half of them that are linked, zero if it is not.
+	linkedWithHalfSince time.Time
 }
 
 // reader is another entry, with the last sequence that it has confirmed.
@@ -82,7 +86,7 @@
 		}
 	}
 	b.closeJobs()
-	b.open.updateReaders(now, b.peers)
+	b.open.updateReaders(now, b.peers, len(b.members) <= fullMeshEntries)
 	b.publishOpenJobs(now)
 	b.open.updateConfirmed()
 	for _, j := range b.jobList {
@@ -94,9 +98,10 @@
 }
 
 // updateReaders notes which entries are linked. Those whose link was lost may receive a job that is open here, so
-// that they count until this entry has been linked with most of the others for readerTimeout: one that is cut off
-// does not go on without them.
-func (o *openJobs) updateReaders(now time.Time, linked []string) {
+// that they count until this entry has been among at least half of them for readerTimeout: one that is cut off
+// does not go on without them before its jobs have ended. Where entries are linked with some others only, a lost
+// link says nothing.
+func (o *openJobs) updateReaders(now time.Time, linked []string, isFullMesh bool) {
 	n := 0
 	for name, r := range o.readers {
 		switch {
@@ -108,15 +113,19 @@
 		}
 	}
 	switch {
-	case 2*n < len(o.readers):
-		o.linkedWithMostSince = time.Time{}
-	case o.linkedWithMostSince.IsZero():
-		o.linkedWithMostSince = now
+	case 2*(n+1) < len(o.readers)+1:
+		o.linkedWithHalfSince = time.Time{}
+	case o.linkedWithHalfSince.IsZero():
+		o.linkedWithHalfSince = now
 	}
-	if o.linkedWithMostSince.IsZero() || now.Sub(o.linkedWithMostSince) < readerTimeout {
-		return
+	timeout := readerTimeout
+	switch {
+	case !isFullMesh:
+		timeout = 0
+	case o.linkedWithHalfSince.IsZero() || now.Sub(o.linkedWithHalfSince) < readerTimeout:
+		timeout = isolationTimeout
 	}
-	maps.DeleteFunc(o.readers, func(_ string, r *reader) bool { return !r.lostAt.IsZero() && now.Sub(r.lostAt) >= readerTimeout })
+	maps.DeleteFunc(o.readers, func(_ string, r *reader) bool { return !r.lostAt.IsZero() && now.Sub(r.lostAt) >= timeout })
 }
 
 func (b *Broker) publishOpenJobs(now time.Time) {
@@ -128,6 +137,7 @@
 	m := &yuccawire.OpenJobs{Sequence: o.sequence}
 	for _, j := range o.opened {
 		if o.listed[j.ID] == j {
+			j.isTold = true
 			m.Opened = append(m.Opened, j.toOpenJob(now))
 		}
 	}
@@ -142,15 +152,19 @@
 // closeJobs removes the ended jobs from the list whose runs have ended, or are told as held tasks.
 func (b *Broker) closeJobs() {
 	o := b.open
-	for id, j := range o.listed {
+	for _, id := range slices.Sorted(maps.Keys(o.listed)) {
+		j := o.listed[id]
 		next := b.jobs[id]
 		switch {
 		case !j.ended || !b.areRunsTold(j):
+		case j.isFinal && len(b.endedNews.GetJobs())+len(b.endedNews.GetCompleted()) > 0 && !b.endedAt.After(j.endedAt):
+			// The others would start it again before they hear of its outcome.
 		case next != nil && !b.isOpenElsewhere(id):
+			next.isTold = j.isTold
 			o.list(next)
 		default:
 			delete(o.listed, id)
-			if j.openSequence <= o.sequence {
+			if j.isTold {
 				o.closed = append(o.closed, j)
 			}
 		}
@@ -181,7 +195,7 @@
 	if j.ended {
 		until = j.Deadline.Add(outcomeRetention)
 	}
-	return &yuccawire.OpenJob{Job: j.ID, AgeMs: toMilliseconds(now.Sub(j.receivedAt)), RemainingMs: toMilliseconds(until.Sub(now)), LastRun: j.lastRun}
+	return &yuccawire.OpenJob{Job: j.ID, AgeMs: toMilliseconds(now.Sub(j.lastReceivedAt)), RemainingMs: toMilliseconds(until.Sub(now)), LastRun: j.lastRun}
 }
 
 // toMilliseconds rounds up, within what a message holds.
@@ -193,6 +207,7 @@
 func (b *Broker) ListOpenJobs(now time.Time) *yuccawire.OpenJobs {
 	m := &yuccawire.OpenJobs{Sequence: b.open.sequence, Whole: true}
 	for _, id := range slices.Sorted(maps.Keys(b.open.listed)) {
+		b.open.listed[id].isTold = true
 		m.Opened = append(m.Opened, b.open.listed[id].toOpenJob(now))
 	}
 	return m
@@ -200,6 +215,7 @@
 
 // HandleOpenJobsSeen processes the confirmation of a linked entry.
 func (b *Broker) HandleOpenJobsSeen(now time.Time, peer string, m *yuccawire.OpenJobsSeen) {
+	before := b.open.confirmed
 	if r := b.open.readers[peer]; r != nil {
 		r.sequence = max(r.sequence, m.GetSequence())
 		b.open.updateConfirmed()
@@ -212,7 +228,9 @@
 	if m.GetWantsWhole() {
 		b.emit(Publish{Message: &yuccawire.Envelope{Body: &yuccawire.Envelope_OpenJobs{OpenJobs: b.ListOpenJobs(now)}}, To: []string{peer}})
 	}
-	b.updateAllContested(now)
+	if b.open.confirmed > before {
+		b.updateAllContested(now)
+	}
 }
 
 // giveUp ends a job that another entry has received later: its caller waits there.
--- a/yuccabroker/place.go
+++ b/yuccabroker/place.go
@@ -152,9 +152,9 @@
 }
 
 // expiryOf returns when an order of the task has to be started at the latest. Other entries may not know by then
-// that its job is open here, unless they have confirmed it. A reserved order waits at its side longer.
+// that its job is open here, unless they have confirmed it.
 func (b *Broker) expiryOf(t *task) time.Time {
-	if t.reservation != nil || b.open.isConfirmed(t.job) {
+	if b.open.isConfirmed(t.job) {
 		return t.job.answerBy
 	}
 	return earlier(t.job.answerBy, t.job.receivedAt.Add(resendAfter))
--- a/yuccaedge/doc.go
+++ b/yuccaedge/doc.go
@@ -27,6 +27,8 @@
 	maxBatchedEvents = 256
 	// memberDiscovery is how long after its start an entry may learn of others that hold jobs.
 	memberDiscovery = time.Second
+	// membersInterval is the time between two updates of the other entries that are known.
+	membersInterval = 500 * time.Millisecond
 	// responseMargin is subtracted from Options.MaxConfigurationAge, since the
 	// response takes time to arrive.
 	responseMargin = 400 * time.Millisecond
--- a/yuccaedge/edge.go
+++ b/yuccaedge/edge.go
@@ -75,7 +75,7 @@
 
 	// The fields below are owned by the event loop.
 	sidePeers  map[string]*yuccamesh.Peer            // the newest link of each side, by name
-	lastLinks  map[string]uint64                     // the number of the newest link of each side and entry so far, by name
+	lastLinks  map[string]uint64                     // the number of the newest link of each side so far, by name
 	waiters    map[uint64]chan<- yuccabroker.Outcome // waiting callers, by waiterID
 	lastID     uint64                                // the last waiterID or inquiry number
 	entryPeers map[*yuccamesh.Peer]struct{}          // all links to other entries
@@ -88,6 +88,8 @@
 	nextPendingCount   time.Time
 	// startedAt is the time of the first tick.
 	startedAt time.Time
+	// membersUpdatedAt is when the broker was last told which other entries there are.
+	membersUpdatedAt time.Time
 	// suspensions are those that the broker knows of.
 	suspensions yuccasuspend.Suspensions
 }
@@ -268,10 +270,6 @@
 	if node.GetRole() == yuccawire.Role_ROLE_ENTRY {
 		e.entryPeers[p] = struct{}{}
 		e.updatePeers()
-		if p.Number() == 0 || p.Number() > e.lastLinks[node.GetName()] {
-			e.lastLinks[node.GetName()] = max(e.lastLinks[node.GetName()], p.Number())
-			e.exchangeOpenJobs(now, p)
-		}
 		e.sendInquiries(p)
 		if report := e.broker.RecentCrashes(now); len(report.GetCrashes())+len(report.GetConfined()) > 0 {
 			p.Send(&yuccawire.Envelope{Body: &yuccawire.Envelope_CrashReport{CrashReport: report}})
@@ -283,6 +281,7 @@
 		if ended := e.broker.Cancellations(now); len(ended.GetJobs()) > 0 {
 			p.Send(&yuccawire.Envelope{Body: &yuccawire.Envelope_EndedJobs{EndedJobs: ended}})
 		}
+		e.exchangeOpenJobs(now, p)
 	}
 	if node.GetRole() != yuccawire.Role_ROLE_SIDE {
 		return
@@ -314,14 +313,15 @@
 	e.broker.SetPeers(slices.Compact(names))
 }
 
-// updateMembers tells the broker in its first seconds which other entries there are, as they are discovered.
+// updateMembers tells the broker which other entries there are, in its first second as they are discovered.
 func (e *Edge) updateMembers(now time.Time) {
 	if e.startedAt.IsZero() {
 		e.startedAt = now
 	}
-	if now.Sub(e.startedAt) > memberDiscovery {
+	if now.Sub(e.startedAt) > memberDiscovery && now.Sub(e.membersUpdatedAt) < membersInterval {
 		return
 	}
+	e.membersUpdatedAt = now
 	var names []string
 	for _, node := range e.options.Mesh.Nodes() {
 		names = append(names, node.GetName())
@@ -329,7 +329,8 @@
 	e.broker.SetMembers(now, names)
 }
 
-// exchangeOpenJobs tells the other end of a link the open jobs, as it is the current process of that entry.
+// exchangeOpenJobs tells the other end of a link the open jobs. They
+// come last, as its jobs may start once it knows that they aren't open here.
 func (e *Edge) exchangeOpenJobs(now time.Time, p *yuccamesh.Peer) {
 	e.broker.HandleEntryUp(now, p.Node().GetName(), p.Node().GetIncarnation())
 	p.Send(&yuccawire.Envelope{Body: &yuccawire.Envelope_OpenJobs{OpenJobs: e.broker.ListOpenJobs(now)}})
--- a/yuccaedge/inquiry.go
+++ b/yuccaedge/inquiry.go
@@ -236,9 +236,8 @@
 	e.updatePeers()
 	name := p.Node().GetName()
 	e.broker.Demand().ForgetPeer(name)
-	// The link of an earlier process of the entry may have come up last.
-	if other := e.entryPeer(name); other != nil && other.Node().GetIncarnation() != p.Node().GetIncarnation() {
-		e.exchangeOpenJobs(time.Now(), other)
+	if other := e.entryPeer(name); other != nil && other.Node().GetIncarnation() < p.Node().GetIncarnation() {
+		e.broker.HandleEntryReplaced(time.Now(), name, other.Node().GetIncarnation())
 		other.Send(&yuccawire.Envelope{Body: &yuccawire.Envelope_OpenJobsSeen{OpenJobsSeen: &yuccawire.OpenJobsSeen{WantsWhole: true}}})
 	}
 	for _, i := range e.inquiries {
