model: callers that leave an entry unseen

A caller breaks its connection without the entry being told, and submits again elsewhere. A request that waits in a socket has the time of its arrival. Entries notice links to others that time out, which only killed entries did before.

--- a/yuccamodel/caller_test.go
+++ b/yuccamodel/caller_test.go
@@ -145,6 +145,7 @@
 	w.logf("caller submits %s to %s, attempt %d", j.job.ID, e.name, j.attempts)
 	w.after(oneWay, func() {
 		e.touch("job arrives")
+		submitted.ReceivedAt = e.now()
 		e.handle(func() {
 			submitted.Deadline = submitted.Deadline.Add(-e.suspensions.total)
 			e.broker.Submit(e.now(), submitted, waiter)
@@ -183,6 +184,16 @@
 	j.handleDisconnect(e, waiter)
 }
 
+// leaveUnseen is disconnect without the entry being told, as behind a forwarder.
+func (j *callerJob) leaveUnseen() {
+	if j.isAnswered || j.entry == nil {
+		return
+	}
+	j.world.logf("caller of %s leaves %s unseen", j.job.ID, j.entry.name)
+	delete(j.entry.waiters, j.waiter)
+	j.handleDisconnect(j.entry, j.waiter)
+}
+
 func (j *callerJob) handleAnswer(e *modelEntry, waiter uint64, o yuccabroker.Outcome) {
 	if j.isAnswered || j.entry != e || j.waiter != waiter {
 		return
--- a/yuccamodel/demand_test.go
+++ b/yuccamodel/demand_test.go
@@ -141,6 +141,8 @@
 	w.after(linkTimeout, func() {
 		if l.isPartitioned && l.epoch == epoch {
 			w.connectEntries(a, b)
+			a.updatePeers()
+			b.updatePeers()
 		}
 	})
 	w.after(d, func() {
