edge: test that entries tell each other of open jobs

Two entries with real links, and a side that reports to both: a job that is open at one of them runs nowhere else, and both callers get its outcome; an entry that is linked later knows it; a restart frees it after the leases; one that has waited is placed only once the other entry has confirmed it.

Tried by scratch edits in yuccaedge, restored: without the handling of OpenJobs, or without HandleEntryUp at a new link, all four fail; without the list on a new link TestEntryThatIsLinkedLaterRunsAnOpenJob and TestWaitingJobIsPlacedBeforeTheOtherEntryKnowsOfIt; without the handling of OpenJobsSeen the latter. Without updateMembers none fails: what an entry does just after its start has no test here.

serveEdge and dialAs take their parts from serveEntry and dialSideOf, with the same values; waitingCaller can have a request that was received earlier. 20 runs passed, and the package with -race.

--- a/yuccaedge/links_test.go
+++ b/yuccaedge/links_test.go
@@ -59,13 +59,21 @@
 
 // serveEdge serves the edge of entry e0 until the context ends.
 func serveEdge(ctx context.Context, network yuccawire.Network, metrics *yuccametric.Set) (*yuccaedge.Edge, <-chan error) {
+	return serveEntry(ctx, network, entryNode("e0", 1), nil, metrics)
+}
+
+func entryNode(name string, incarnation uint64) *yuccawire.Node {
+	return &yuccawire.Node{Name: name, Role: yuccawire.Role_ROLE_ENTRY, Address: name + ":1", Incarnation: incarnation}
+}
+
+// serveEntry serves the edge of an entry until the context ends.
+func serveEntry(ctx context.Context, network yuccawire.Network, self *yuccawire.Node, seeds []string, metrics *yuccametric.Set) (*yuccaedge.Edge, <-chan error) {
 	logger := slog.New(slog.DiscardHandler)
-	self := &yuccawire.Node{Name: "e0", Role: yuccawire.Role_ROLE_ENTRY, Address: "e0:1", Incarnation: 1}
-	mesh := yuccamesh.New(yuccamesh.Options{Network: network, Self: self, Listen: true, Seeds: func() []string { return nil }, Metrics: metrics, Logger: logger})
+	mesh := yuccamesh.New(yuccamesh.Options{Network: network, Self: self, Listen: true, Seeds: func() []string { return seeds }, Metrics: metrics, Logger: logger})
 	edge := yuccaedge.New(yuccaedge.Options{
 		Mesh: mesh, Metrics: metrics, Logger: logger,
 		Lease:  yuccalease.New(yuccalease.Options{Network: network, Self: self, Random: rand.New(rand.NewPCG(1, 1)), Logger: logger}),
-		Broker: yuccabroker.New(yuccabroker.Options{Name: "e0", Random: rand.New(rand.NewPCG(2, 1)), Metrics: metrics, Logger: logger}),
+		Broker: yuccabroker.New(yuccabroker.Options{Name: self.GetName(), Random: rand.New(rand.NewPCG(2, 1)), Metrics: metrics, Logger: logger}),
 	})
 	supervisor := suture.NewSimple("entry")
 	supervisor.Add(mesh)
@@ -75,27 +83,37 @@
 
 // dialAs opens a link as an incarnation of a side, which tells the entry that it has a free worker and no runs.
 func dialAs(t *testing.T, network yuccawire.Network, incarnation uint64) yuccawire.Link {
-	link, err := network.Dial(t.Context(), "e0:1")
+	return dialSideOf(t, network, "e0:1", incarnation)
+}
+
+// dialSideOf is dialAs for the entry at an address.
+func dialSideOf(t *testing.T, network yuccawire.Network, address string, incarnation uint64) yuccawire.Link {
+	link, err := network.Dial(t.Context(), address)
 	if err != nil {
 		t.Fatal(err)
 	}
 	if _, err := yuccawire.SayHello(t.Context(), link, &yuccawire.Node{Name: "s", Role: yuccawire.Role_ROLE_SIDE, Incarnation: incarnation}); err != nil {
 		t.Fatal(err)
 	}
-	state := &yuccawire.WorkerState{ClockMs: 1000, Worker: "w", Service: "belfry", Ready: true, Taken: true, CpuMilli: 16000, FreeCpuMilli: 16000, PacePercent: 100}
-	_ = link.Send(&yuccawire.Envelope{Body: &yuccawire.Envelope_Ends{Ends: &yuccawire.Ends{Full: true, State: state}}})
+	_ = link.Send(&yuccawire.Envelope{Body: &yuccawire.Envelope_Ends{Ends: &yuccawire.Ends{Full: true, State: workerState(1000)}}})
 	return link
 }
 
+func workerState(clockMS uint64) *yuccawire.WorkerState {
+	return &yuccawire.WorkerState{ClockMs: clockMS, Worker: "w", Service: "belfry", Ready: true, Taken: true, CpuMilli: 16000, FreeCpuMilli: 16000, PacePercent: 100}
+}
+
 // waitingCaller submits a job of one task and waits for its outcome.
 type waitingCaller struct {
-	edge    *yuccaedge.Edge
-	outcome chan yuccabroker.Outcome
+	edge *yuccaedge.Edge
+	// receivedAt is when the request has reached the machine, if that was before it is submitted.
+	receivedAt time.Time
+	outcome    chan yuccabroker.Outcome
 }
 
 func (c *waitingCaller) run(ctx context.Context) {
 	outcome, _ := c.edge.Submit(ctx, yuccabroker.Job{
-		ID: "a", Deadline: time.Now().Add(3 * time.Second), Queue: yuccabroker.Queue{Name: "q", Service: "belfry", MaxAttempts: 1, Stretch: 2},
+		ID: "a", ReceivedAt: c.receivedAt, Deadline: time.Now().Add(3 * time.Second), Queue: yuccabroker.Queue{Name: "q", Service: "belfry", MaxAttempts: 1, Stretch: 2},
 		Steps: []yuccabroker.Step{{Count: 1, CPUMilli: 1000, Estimate: 200 * time.Millisecond}},
 	})
 	c.outcome <- outcome
