broker, edge: reach other entries over third ones where links are cut

What callers would have seen: TWICE, as two entries that are cut from each other, and both reach the sides, each have the job of a client that has left unseen.

An entry that doesn't confirm what it was told for 0.2 s, or whose link is lost, is told over three linked entries (Forward), and confirms the same way. One that answers so is not taken for gone. If the machine of the entry refuses the third one's connections, the sender hears that it has ended. So three entries or more with any path of two links between the two are as if they were linked.

Beside it: a request that reaches a machine shortly after a suspension may have been sent before, as its sender retransmits it; its age counts with the suspension (TestRequestToASuspendedEntryRunsBesideItsResend was red).

Not covered: two entries in all, or one that is cut from all others.

--- a/yuccabroker/broker.go
+++ b/yuccabroker/broker.go
@@ -91,6 +91,9 @@
 	// needsPlacement is set when a change may allow a queued task to be placed.
 	needsPlacement bool
 	ticks          yuccasuspend.TickWatch
+	// lastSuspension is the length of the last suspension of the machine, which ended at resumedAt.
+	lastSuspension time.Duration
+	resumedAt      time.Time
 	// stopAt is when this entry stops, zero unless a stop is scheduled.
 	stopAt time.Time
 
@@ -127,6 +130,8 @@
 	// are those whose open jobs this entry waits for, until the times given.
 	incarnations map[string]uint64
 	members      map[string]bool
+	// gone are the incarnations of other entries that have ended.
+	gone map[string]uint64
 	// openers counts the other entries at which each job is open.
 	openers            map[string]int
 	evictedElsewhereAt time.Time
@@ -187,6 +192,7 @@
 		contested:      make(map[*job]struct{}),
 		incarnations:   make(map[string]uint64),
 		openers:        make(map[string]int),
+		gone:           make(map[string]uint64),
 		members:        make(map[string]bool),
 		awaited:        make(map[string]time.Time),
 		pinned:         make(map[*task]struct{}),
@@ -371,4 +377,15 @@
 		b.abandon(now, j, "the entry stood still")
 	}
 	b.awaitLists(now)
+	b.lastSuspension, b.resumedAt = suspendedFor, now
+}
+
+// receivedAt returns when the request of a job reached this machine. What was sent during a suspension arrives
+// after it, as late as the sender's retransmission.
+func (b *Broker) receivedAt(now time.Time, j Job) time.Time {
+	received := earlier(now, j.ReceivedAt)
+	if now.Sub(b.resumedAt) < b.lastSuspension {
+		received = received.Add(-b.lastSuspension)
+	}
+	return received
 }
--- a/yuccabroker/elsewhere.go
+++ b/yuccabroker/elsewhere.go
@@ -83,6 +83,7 @@
 	for name := range b.members {
 		if !members[name] {
 			delete(b.incarnations, name)
+			delete(b.gone, name)
 			b.removeReader(now, name)
 		}
 	}
@@ -93,7 +94,7 @@
 
 // awaitLists requests the open jobs of the linked entries, as some of their messages may be unread.
 func (b *Broker) awaitLists(now time.Time) {
-	b.open.linkedWithHalfSince = time.Time{}
+	b.open.linkedWithMostSince = time.Time{}
 	for name := range b.open.readers {
 		b.await(name, now.Add(readerTimeout))
 	}
@@ -113,6 +114,7 @@
 		return
 	}
 	b.incarnations[name] = incarnation
+	delete(b.gone, name)
 	// Its list, which comes next, makes it a reader again, unless it is of an earlier version.
 	b.removeReader(now, name)
 	for key, l := range b.openElsewhere {
@@ -143,6 +145,7 @@
 		b.options.Logger.Info("entry has ended, its open jobs are over when its leases have expired", "entry", name, "incarnation", incarnation, "jobs", len(l.jobs))
 	}
 	if b.incarnations[name] == incarnation {
+		b.gone[name] = incarnation
 		b.removeReader(now, name)
 	}
 }
@@ -201,6 +204,10 @@
 }
 
 func (b *Broker) reply(entry string, m *yuccawire.OpenJobsSeen) {
+	if !slices.Contains(b.peers, entry) {
+		b.forward(&yuccawire.Forward{To: entry, OpenJobsSeen: m})
+		return
+	}
 	b.emit(Publish{Message: &yuccawire.Envelope{Body: &yuccawire.Envelope_OpenJobsSeen{OpenJobsSeen: m}}, To: []string{entry}})
 }
 
--- a/yuccabroker/job.go
+++ b/yuccabroker/job.go
@@ -169,7 +169,7 @@
 		if submitted.Deadline.After(j.Deadline) {
 			j.Deadline = submitted.Deadline
 		}
-		j.lastReceivedAt = earlier(now, submitted.ReceivedAt)
+		j.lastReceivedAt = b.receivedAt(now, submitted)
 		if j.openSequence > 0 {
 			b.open.list(j)
 		}
@@ -178,6 +178,8 @@
 	}
 	b.queueUses[submitted.Queue.Name] = queueUse{service: submitted.Queue.Service, at: now}
 	j := newJob(now, submitted, waiter)
+	j.receivedAt = b.receivedAt(now, submitted)
+	j.lastReceivedAt = j.receivedAt
 	if b.options.Scheduling.LearnedRunTimes {
 		j.estimator = b.estimator
 	}
@@ -218,8 +220,7 @@
 }
 
 func newJob(now time.Time, submitted Job, waiter uint64) *job {
-	j := &job{Job: submitted, arrivedAt: now, receivedAt: earlier(now, submitted.ReceivedAt), waiters: []uint64{waiter}}
-	j.lastReceivedAt = j.receivedAt
+	j := &job{Job: submitted, arrivedAt: now, waiters: []uint64{waiter}}
 	for i, spec := range submitted.Steps {
 		spec.Estimate = min(spec.Estimate, maxEstimate)
 		st := &step{Step: spec, remaining: spec.Count}
--- a/yuccabroker/openjobs.go
+++ b/yuccabroker/openjobs.go
@@ -41,8 +41,8 @@
 	readers map[string]*reader
 	// confirmed is the last sequence that all of them have confirmed.
 	confirmed uint64
-	// linkedWithHalfSince is since when this entry has been one of at least half of them that are linked, zero if it is not.
-	linkedWithHalfSince time.Time
+	// linkedWithMostSince is since when this entry has been linked with most of them, zero if it is not.
+	linkedWithMostSince time.Time
 }
 
 // reader is another entry, with the last sequence that it has confirmed.
@@ -50,6 +50,11 @@
 	sequence uint64
 	// lostAt is when its link was found lost, zero while it is linked.
 	lostAt time.Time
+	// behindSince is since when it has not confirmed the last sequence, zero if it has. forwardedAt is when
+	// it was last told over other entries.
+	behindSince, forwardedAt time.Time
+	// answeredAt is when it last confirmed anything.
+	answeredAt time.Time
 }
 
 func newOpenJobs() *openJobs {
@@ -88,6 +93,7 @@
 	b.closeJobs()
 	b.open.updateReaders(now, b.peers, len(b.members) <= fullMeshEntries)
 	b.publishOpenJobs(now)
+	b.forwardOpenJobs(now)
 	b.open.updateConfirmed()
 	for _, j := range b.jobList {
 		if !j.ended && now.Sub(j.receivedAt) >= unconfirmedAge && !b.open.isConfirmed(j) {
@@ -98,7 +104,7 @@
 }
 
 // updateReaders notes which entries are linked. Those whose link was lost may receive a job that is open here, so
-// that they count until this entry has been among at least half of them for readerTimeout: one that is cut off
+// that they count until this entry has been linked with most of the others, and heard nothing of them, for readerTimeout: one that is cut off
 // does not go on without them before its jobs have ended. Where entries are linked with some others only, a lost
 // link says nothing.
 func (o *openJobs) updateReaders(now time.Time, linked []string, isFullMesh bool) {
@@ -113,19 +119,21 @@
 		}
 	}
 	switch {
-	case 2*(n+1) < len(o.readers)+1:
-		o.linkedWithHalfSince = time.Time{}
-	case o.linkedWithHalfSince.IsZero():
-		o.linkedWithHalfSince = now
+	case 2*n < len(o.readers):
+		o.linkedWithMostSince = time.Time{}
+	case o.linkedWithMostSince.IsZero():
+		o.linkedWithMostSince = now
 	}
 	timeout := readerTimeout
 	switch {
 	case !isFullMesh:
 		timeout = 0
-	case o.linkedWithHalfSince.IsZero() || now.Sub(o.linkedWithHalfSince) < readerTimeout:
+	case o.linkedWithMostSince.IsZero() || now.Sub(o.linkedWithMostSince) < readerTimeout:
 		timeout = isolationTimeout
 	}
-	maps.DeleteFunc(o.readers, func(_ string, r *reader) bool { return !r.lostAt.IsZero() && now.Sub(r.lostAt) >= timeout })
+	maps.DeleteFunc(o.readers, func(_ string, r *reader) bool {
+		return !r.lostAt.IsZero() && now.Sub(later(r.lostAt, r.answeredAt)) >= timeout
+	})
 }
 
 func (b *Broker) publishOpenJobs(now time.Time) {
@@ -217,6 +225,7 @@
 func (b *Broker) HandleOpenJobsSeen(now time.Time, peer string, m *yuccawire.OpenJobsSeen) {
 	before := b.open.confirmed
 	if r := b.open.readers[peer]; r != nil {
+		r.answeredAt = now
 		r.sequence = max(r.sequence, m.GetSequence())
 		b.open.updateConfirmed()
 	}
--- a/yuccamodel/world_test.go
+++ b/yuccamodel/world_test.go
@@ -461,7 +461,7 @@
 	if m = w.alter(m); m == nil {
 		return
 	}
-	isFlooded := m.GetHeldTasks() == nil && m.GetLinkRequest() == nil && m.GetOpenJobs() == nil && m.GetOpenJobsSeen() == nil
+	isFlooded := m.GetHeldTasks() == nil && m.GetLinkRequest() == nil && m.GetOpenJobs() == nil && m.GetOpenJobsSeen() == nil && m.GetForward() == nil
 	for _, e := range w.entries {
 		if e == from || e.isDown {
 			continue
@@ -489,6 +489,9 @@
 	case *yuccawire.Envelope_OpenJobsSeen:
 		e.world.logf("%s receives from %s.%d open jobs seen %v", e.name, from.name, incarnation, body.OpenJobsSeen)
 		e.broker.HandleOpenJobsSeen(e.now(), from.name, body.OpenJobsSeen)
+	case *yuccawire.Envelope_Forward:
+		e.world.logf("%s receives from %s.%d forwarded %v", e.name, from.name, incarnation, body.Forward)
+		e.broker.HandleForward(e.now(), body.Forward)
 	default:
 		e.handlePublished(from, m)
 	}
