worker, broker: count a silent worker as crashed only once its process has ended

What callers saw: a job failed as "task crashed 2 workers" though only one worker had crashed under it. The other run had ended at a worker that could not be called for 1.1 s, or its worker had stood still for 5 s.

Cause: the side reported a crash when the hold had expired and no connection was accepted, or when nothing was heard for 5 s. A silence stood in the place of evidence. Both crashes were seen at the same point of the task's runs, so that two were enough.

Now a silence is reported as an unproven crash (Crash.unproven). Its tasks are suspect and repeated one at a time as before, but it counts neither against a task nor for the confinement of a queue. Refused connections or another incarnation prove it: the side reports it again with the runs and ages at the last answer, and entries replace the suspicion. A list of the same incarnation, or a report whose clock is past the hold, refutes it, and a later crash of that incarnation is that of its own runs. Runs that end with an unproven crash are RUN_END_LOST, which entries handle as RUN_END_CRASHED.

Why it works: what counts shows that the incarnation has ended, which a cut or a standstill never does.

Ruled out: reporting nothing before the proof (a task that hangs one worker after the other would not be suspect); the flag for unconfirmed starts in place of a new one (four of them fail a job).

The price: a task whose workers fall silent with their machines is found only when these are back.

TestTaskThatHangsItsWorkerIsBlamed wants the same beyond what it did.

--- a/yuccabroker/bulkhead.go
+++ b/yuccabroker/bulkhead.go
@@ -193,7 +193,7 @@
 func (b *Broker) unexplainedCrashes(now time.Time) []*yuccawire.Crash {
 	var crashes []*yuccawire.Crash
 	for i := len(b.crashes.inOrder) - 1; i >= 0 && len(crashes) < maxCrashesCompared; i-- {
-		if c := b.crashes.inOrder[i]; !c.isExplained && now.Sub(c.at) <= culpritWindow {
+		if c := b.crashes.inOrder[i]; !c.isExplained && !c.message.GetUnproven() && now.Sub(c.at) <= culpritWindow {
 			crashes = append(crashes, c.message)
 		}
 	}
@@ -253,7 +253,7 @@
 func (b *Broker) shareOf(now time.Time, queue string) float64 {
 	own, total, runs := 0.0, 0.0, 0
 	for _, c := range b.crashes.inOrder {
-		if now.Sub(c.at) > culpritWindow {
+		if c.message.GetUnproven() || now.Sub(c.at) > culpritWindow {
 			continue
 		}
 		suspect := jobOf(youngestRun(c.message, queue).GetTask())
--- a/yuccabroker/crash.go
+++ b/yuccabroker/crash.go
@@ -41,6 +41,12 @@
 			continue
 		}
 		news.Crashes = append(news.Crashes, c)
+		if c.GetUnproven() {
+			b.metrics.Add("worker_crashes_suspected", 1)
+			b.options.Logger.Info("worker may have crashed", "side", c.GetSide(), "worker", c.GetWorker(), "born", c.GetStartedUnixMs(),
+				"age_ms", c.GetAgeMs(), "runs", len(c.GetRuns()))
+			continue
+		}
 		b.metrics.Add("worker_crashes", 1)
 		b.options.Logger.Info("worker crashed", "side", c.GetSide(), "worker", c.GetWorker(), "born", c.GetStartedUnixMs(),
 			"age_ms", c.GetAgeMs(), "runs", len(c.GetRuns()))
@@ -74,7 +80,7 @@
 // the likely cause.
 func (b *Broker) checkCrashes(now time.Time, c culprit) {
 	name := c.task
-	crashes := b.crashes.byTask[name]
+	crashes := b.crashes.provenUnder(name)
 	if !crashesWorkers(crashes) {
 		return
 	}
@@ -89,7 +95,7 @@
 	}
 }
 
-// isSuspect reports whether a worker has crashed under an earlier run of a task. If
+// isSuspect reports whether a worker has crashed under an earlier run of a task, or may have. If
 // several crashed at the same moment, as after a loss of power, no task is the cause.
 func (b *Broker) isSuspect(t *task) bool {
 	return slices.ContainsFunc(b.crashes.byTask[t.name], func(r crashedRun) bool { return !r.crash.isSimultaneous })
@@ -117,7 +123,7 @@
 func (b *Broker) crashRefusal(j *job) *Outcome {
 	for _, st := range j.steps {
 		for _, t := range st.tasks {
-			if crashes := b.crashes.byTask[t.name]; crashesWorkers(crashes) {
+			if crashes := b.crashes.provenUnder(t.name); crashesWorkers(crashes) {
 				outcome := crashOutcome(t.name, crashes)
 				return &outcome
 			}
--- a/yuccabroker/crash_test.go
+++ b/yuccabroker/crash_test.go
@@ -194,3 +194,44 @@
 		})
 	}
 }
+
+// Silent workers are no proof: the task stays under suspicion. They count once their crashes are proven.
+func TestJobIsFailedForSilentWorkers(t *testing.T) {
+	f := newFixture(t, "s1", "s2")
+	f.submit(job("a", 1), 1)
+	published := 0
+	report := func(worker int, unproven bool) {
+		report := crashReport(fmt.Sprint("w", worker), "a.0.0.0", 12*time.Millisecond)
+		report.GetCrashes()[0].Unproven = unproven
+		f.broker.HandleCrashReport(f.now, report)
+		for _, a := range f.broker.Actions() {
+			switch a := a.(type) {
+			case yuccabroker.Publish:
+				published += len(a.Message.GetCrashReport().GetCrashes())
+			case yuccabroker.Answer:
+				f.answers[a.Waiter] = a.Outcome
+			}
+		}
+		f.now = f.now.Add(100 * time.Millisecond)
+	}
+	for worker := range 6 {
+		report(worker, true)
+		report(worker, true)
+	}
+	f.endRunAfter(f.sentRuns()["a.0.0.0/1"], "a.0.0.0", 1, yuccawire.RunEnd_RUN_END_LOST, 12*time.Millisecond)
+	again := f.sentRuns()["a.0.0.0/2"]
+	if again == "" || !f.orders[again][len(f.orders[again])-1].GetJobs()[0].GetTasks()[0].GetSuspect() {
+		t.Fatalf("sent %v, want the second run, under suspicion", f.sentRuns())
+	}
+	report(0, false)
+	report(0, true)
+	report(0, false)
+	if _, answered := f.answers[1]; answered || published != 7 {
+		t.Errorf("answered: %v, published %d times, want the job to continue, and six suspicions and a crash", answered, published)
+	}
+	if n := len(f.broker.RecentCrashes(f.now).GetCrashes()); n != 6 {
+		t.Errorf("%d crashes are known, want 6", n)
+	}
+	report(1, false)
+	f.wantState(1, yuccabroker.Failed)
+}
--- a/yuccabroker/crashlog.go
+++ b/yuccabroker/crashlog.go
@@ -58,13 +58,20 @@
 
 // add records a crash. isExplained is set if it is put down to a confined queue, and
 // isConfined tells these from the others. It returns false if the crash is known, or too
-// old.
+// old. One that is proven replaces the suspicion.
 func (l *crashLog) add(now time.Time, m *yuccawire.Crash, isExplained bool, isConfined func(queue string) bool) bool {
 	key := crashKey{side: m.GetSide(), worker: m.GetWorker(), startedAtMS: m.GetStartedUnixMs()}
 	at := now.Add(-time.Duration(m.GetAgeMs()) * time.Millisecond)
-	if l.known[key] != nil || now.Sub(at) > crashRetention {
+	if now.Sub(at) > crashRetention {
 		return false
 	}
+	if known := l.known[key]; known != nil {
+		if m.GetUnproven() || !known.message.GetUnproven() {
+			return false
+		}
+		l.inOrder = slices.DeleteFunc(l.inOrder, func(c *crash) bool { return c == known })
+		l.forget(known)
+	}
 	if len(l.inOrder) >= maxKnownCrashes {
 		l.evictFirst()
 	}
@@ -94,6 +101,21 @@
 func (l *crashLog) evictFirst() {
 	c := l.inOrder[0]
 	l.inOrder = l.inOrder[1:]
+	l.forget(c)
+}
+
+// provenUnder returns the crashes under a task that count.
+func (l *crashLog) provenUnder(task string) []crashedRun {
+	var proven []crashedRun
+	for _, r := range l.byTask[task] {
+		if !r.crash.message.GetUnproven() {
+			proven = append(proven, r)
+		}
+	}
+	return proven
+}
+
+func (l *crashLog) forget(c *crash) {
 	delete(l.known, c.key)
 	for _, r := range c.message.GetRuns() {
 		runs := slices.DeleteFunc(l.byTask[r.GetTask()], func(r crashedRun) bool { return r.crash == c })
@@ -112,6 +134,7 @@
 		report.Crashes = append(report.Crashes, &yuccawire.Crash{
 			Side: c.key.side, Worker: c.key.worker, StartedUnixMs: c.key.startedAtMS,
 			AgeMs: uint64(now.Sub(c.at).Milliseconds()), Runs: c.message.GetRuns(), Service: c.message.GetService(),
+			Unproven: c.message.GetUnproven(),
 		})
 	}
 	return report
--- a/yuccaworker/crash.go
+++ b/yuccaworker/crash.go
@@ -12,7 +12,7 @@
 	// is reported.
 	crashConfirmation = 20 * time.Millisecond
 	// minUnansweredHolds is how many renewals in a row a worker must leave unanswered
-	// for the expiry of its hold to count as a crash. There are fewer if the side
+	// to be suspected of a crash when its hold has expired. There are fewer if the side
 	// itself stood still.
 	minUnansweredHolds = 4
 	// crashRetention is how long crashes are reported on new links, maxRetainedCrashes
@@ -41,20 +41,69 @@
 	if w.crashReported {
 		return
 	}
-	crash := w.newCrash(now, func(r *run) bool { return r.listed || r.state == started })
-	if len(crash.GetRuns()) == 0 {
+	p := w.newCrash(w.crashTime(now), func(r *run) bool { return r.listed || r.state == started })
+	if len(p.crash.GetRuns()) == 0 {
 		return
 	}
-	w.crashReported = true
-	w.publishCrash(now, &pendingCrash{crash: crash, crashedAt: w.crashTime(now)})
+	w.crashReported, w.unproven = true, nil
+	w.publishCrash(now, p)
 }
 
-// newCrash returns the crash of this incarnation with the runs that were active. A start
-// without an answer may have been the cause, unless the lists show that it was not executed.
-// isConfirmed tells the runs that this incarnation has executed from these.
-func (w *Worker) newCrash(now time.Time, isConfirmed func(r *run) bool) *yuccawire.Crash {
-	crashedAt := w.crashTime(now)
+// reportSilence tells all owners which runs were active when a worker last answered that has been silent
+// for so long that it may have crashed. They suspect their tasks, which count as the cause of a crash
+// only once proveCrash has reported it.
+func (w *Worker) reportSilence(now time.Time) {
+	if w.crashReported || w.unproven != nil || w.report.Leaving || w.deregistered {
+		return
+	}
+	p := w.newCrash(w.lastAnswerAt, w.isConfirmedByClock)
+	if len(p.crash.GetRuns()) == 0 {
+		return
+	}
+	p.crash.Unproven = true
+	w.unproven = p
+	w.publishCrash(now, p)
+}
+
+// proveCrash reports the crash that the incarnation was suspected of, as it has ended.
+func (w *Worker) proveCrash(now time.Time) {
+	if w.unproven != nil && !w.report.Leaving && !w.deregistered {
+		w.reportCrash(now)
+	}
+}
+
+// refuteCrash drops the suspicion of a crash, as the incarnation goes on. Owners that know of it
+// keep suspecting its tasks.
+func (w *Worker) refuteCrash() {
+	if w.unproven != nil {
+		w.metrics.Add("crashes_refuted", 1)
+		w.dropUnproven(w.unproven.crash)
+		w.unproven = nil
+	}
+}
+
+// dropUnproven keeps the suspicion of a crash from new links.
+func (w *Worker) dropUnproven(crash *yuccawire.Crash) {
+	w.retainedCrashes = slices.DeleteFunc(w.retainedCrashes, func(c retainedCrash) bool {
+		return c.crash.GetUnproven() && c.crash.GetWorker() == crash.GetWorker() && c.crash.GetStartedUnixMs() == crash.GetStartedUnixMs()
+	})
+}
+
+// isConfirmedByClock reports whether this incarnation has executed the run, if the next one may have answered
+// its start. The clock shows that unless it is close.
+func (w *Worker) isConfirmedByClock(r *run) bool {
+	return r.listed || r.clockConfirmed && !w.clock.hasJumped
+}
+
+// newCrash returns the crash of this incarnation with the runs that were active, at the beginning of its
+// silence if it was suspected for that. A start without an answer may have been the cause, unless the lists show that
+// it was not executed. isConfirmed tells the runs that this incarnation has executed from these.
+func (w *Worker) newCrash(crashedAt time.Time, isConfirmed func(r *run) bool) *pendingCrash {
 	crash := &yuccawire.Crash{Worker: w.report.ID, Service: w.report.Service, StartedUnixMs: w.report.StartedAtMS}
+	if w.unproven != nil {
+		crash.Runs = slices.Clone(w.unproven.crash.GetRuns())
+		return &pendingCrash{crash: crash, crashedAt: w.unproven.crashedAt}
+	}
 	for _, r := range w.sortedRuns() {
 		if !r.startSentAt.After(crashedAt) && r.lostAs == yuccawire.RunEnd_RUN_END_UNSPECIFIED && (r.state == started || !r.absent) {
 			crash.Runs = append(crash.Runs, &yuccawire.CrashedRun{
@@ -63,7 +112,7 @@
 			})
 		}
 	}
-	return crash
+	return &pendingCrash{crash: crash, crashedAt: crashedAt}
 }
 
 // pendingCrash is a crash that was noticed only by the restart. It is not reported while
@@ -94,7 +143,12 @@
 	if p.unconfirmed > 0 || len(p.crash.GetRuns()) == 0 {
 		return
 	}
-	w.metrics.Add("crashes_reported", 1)
+	if p.crash.GetUnproven() {
+		w.metrics.Add("crashes_suspected", 1)
+	} else {
+		w.metrics.Add("crashes_reported", 1)
+		w.dropUnproven(p.crash)
+	}
 	w.retainedCrashes = append(w.retainedCrashes, retainedCrash{crash: p.crash, crashedAt: p.crashedAt})
 	if len(w.retainedCrashes) > maxRetainedCrashes {
 		w.retainedCrashes = w.retainedCrashes[1:]
@@ -138,6 +192,7 @@
 		report.Crashes = append(report.Crashes, &yuccawire.Crash{
 			Side: w.options.Name, Worker: c.crash.GetWorker(), StartedUnixMs: c.crash.GetStartedUnixMs(),
 			AgeMs: uint64(now.Sub(c.crashedAt).Milliseconds()), Runs: c.crash.GetRuns(), Service: c.crash.GetService(),
+			Unproven: c.crash.GetUnproven(),
 		})
 	}
 	w.emit(Send{Owner: o.id, Message: &yuccawire.Envelope{Body: &yuccawire.Envelope_CrashReport{CrashReport: report}}})
--- a/yuccaworker/hold.go
+++ b/yuccaworker/hold.go
@@ -148,6 +148,7 @@
 		w.lastListAt, w.listSentAt = now, latest(w.listSentAt, h.SentAt)
 		w.boundHold(h.ClockMS)
 		w.refuteRestart(h.SentAt)
+		w.refuteCrash()
 		w.applyCompletions(now, h)
 		w.reconcileRuns(now, h)
 	case ResultFenced:
@@ -365,13 +366,16 @@
 	case !w.hasExpiredRuns(now):
 	case !w.isReachable() || w.isMachineUnreachable():
 		w.options.Logger.Warn("worker unresponsive, hold expired", "worker", w.report.ID, "runs", len(w.runs))
-		w.loseRuns(now, "hold expired", w.seemsCrashed(), func(r *run) bool { return w.hasExpired(now, r) })
+		if w.isReachable() && w.seemsCrashed() {
+			w.reportSilence(now)
+		}
+		w.loseRuns(now, "hold expired", !w.isReachable(), func(r *run) bool { return w.hasExpired(now, r) })
 		w.fence(now)
 	case !w.isSilent:
 		w.awaitAnswer(now)
-	case now.Sub(w.lastContactAt) > reportTimeout && !w.report.Leaving && !w.deregistered:
+	case now.Sub(w.lastContactAt) > reportTimeout:
 		// A task that hangs its worker has to become suspect before it hangs others.
-		w.reportCrash(now)
+		w.reportSilence(now)
 	}
 	if now.Sub(w.lastContactAt) > reportTimeout && w.takenOver {
 		w.options.Logger.Warn("no contact with the worker", "worker", w.report.ID)
--- a/yuccaworker/restart.go
+++ b/yuccaworker/restart.go
@@ -18,16 +18,15 @@
 // all leases, prove otherwise.
 func (w *Worker) endIncarnation(now time.Time, reason string) {
 	if len(w.runs) == 0 {
+		w.proveCrash(now)
 		return
 	}
 	crashed := !w.report.Leaving && !w.deregistered
 	endedAt := w.crashTime(now)
 	var pending *pendingCrash
 	if crashed && !w.crashReported {
-		w.crashReported = true
-		// The next incarnation may have answered a start, which its clock shows unless it is close.
-		isConfirmed := func(r *run) bool { return r.listed || r.clockConfirmed && !w.clock.hasJumped }
-		pending = &pendingCrash{crash: w.newCrash(now, isConfirmed), crashedAt: endedAt}
+		pending = w.newCrash(endedAt, w.isConfirmedByClock)
+		w.crashReported, w.unproven = true, nil
 	}
 	lost, unconfirmed := 0, 0
 	for _, r := range w.sortedRuns() {
--- a/yuccaworker/run.go
+++ b/yuccaworker/run.go
@@ -370,6 +370,9 @@
 // loseRuns is loseAllRuns for the runs that have ended.
 func (w *Worker) loseRuns(now time.Time, reason string, crashed bool, hasEnded func(r *run) bool) {
 	if len(w.runs) == 0 {
+		if crashed {
+			w.proveCrash(now)
+		}
 		return
 	}
 	crashed = crashed && !w.report.Leaving && !w.deregistered
--- a/yuccaworker/worker.go
+++ b/yuccaworker/worker.go
@@ -59,6 +59,8 @@
 	// crashReported is set once the crash of this incarnation has been reported.
 	crashReported   bool
 	retainedCrashes []retainedCrash
+	// unproven is the crash that this incarnation is suspected of for its silence, nil if it is not.
+	unproven *pendingCrash
 	// lastListAt is when the lists of running and completed runs were last
 	// received.
 	lastListAt time.Time
@@ -269,6 +271,9 @@
 		w.clock.observe(r.ClockMS, now)
 	}
 	if sameIncarnation {
+		if r.ClockMS > w.holdUntilMS {
+			w.refuteCrash()
+		}
 		w.recordReachable(now)
 		w.refuseUnsuited(now)
 		w.handleCapacity(now, previous)
@@ -307,7 +312,7 @@
 	w.unreachableSince = time.Time{}
 	w.unansweredHolds = 0
 	w.recordHeard()
-	w.crashReported = false
+	w.crashReported, w.unproven = false, nil
 	w.holdInFlight = false
 	w.clearSince = time.Time{}
 	w.deadlineMS, w.holdUntilMS = 0, 0
--- a/yuccaworker/worker_test.go
+++ b/yuccaworker/worker_test.go
@@ -560,6 +560,7 @@
 	h.expectOutcome(entry, "a", yuccawire.RunEnd_RUN_END_DONE, 0)
 }
 
+// The task is under suspicion, and blamed for a crash only if the process ends.
 func TestTaskThatHangsItsWorkerIsBlamed(t *testing.T) {
 	for silence, want := range map[time.Duration]int{4 * time.Second: 0, 7 * time.Second: 1} {
 		h := newHarness(t)
@@ -570,6 +571,14 @@
 		if crashes := h.crashes[entry]; len(crashes) != want || h.outcomeOf(entry, "a") != nil {
 			t.Errorf("after %v: crashes %v, reported %v, want %d crashes and no end", silence, crashes, h.outcomeOf(entry, "a"), want)
 		}
+		if want == 0 {
+			continue
+		}
+		h.expectCrash(entry, 1, true)
+		h.crash()
+		h.advanceWithLease(entry, 300*time.Millisecond)
+		h.expectCrash(entry, 2, false)
+		h.expectOutcome(entry, "a", yuccawire.RunEnd_RUN_END_CRASHED, 0)
 	}
 }
 
