--- a/yuccamodel/unseen_test.go
+++ b/yuccamodel/unseen_test.go
@@ -235,7 +235,7 @@
 	for _, entries := range []int{2, 3, 4} {
 		for name, disturb := range map[string]func(w *world, s *modelSide){
 			"undisturbed": func(*world, *modelSide) {},
-			"run fails": func(w *world, s *modelSide) {
+			"run fails": func(_ *world, s *modelSide) {
 				s.worker.hasFailed = true
 				for _, key := range s.worker.runKeys() {
 					s.worker.complete(key, yuccawire.RunEnd_RUN_END_FAILED)
