model: a task that takes down machine after machine is started a third time

The workers of TestCrashingTaskTakesDownWorkerAfterWorker refuse connections.

Holding such a task back until its suspicions are settled was tried: it passes then, and TestJobIsFailedForOneCrash gives its job up, since entries aren't told when a suspicion is refuted.

--- a/yuccamodel/crash_test.go
+++ b/yuccamodel/crash_test.go
@@ -48,6 +48,16 @@
 	})
 }
 
+// The workers fall silent with their machines, which refuse no connections.
+func TestCrashingTaskTakesDownMachineAfterMachine(t *testing.T) {
+	t.Parallel()
+	playFewCrashingTasks(t, func(w *world, _ *callerJob) {
+		for _, s := range w.sides {
+			s.worker.refuses = false
+		}
+	})
+}
+
 // servedShare returns the share of the jobs of the kinds that were completed.
 func (w *world) servedShare(kinds ...string) float64 {
 	jobs, served := 0, 0
