--- a/yuccabroker/broker.go
+++ b/yuccabroker/broker.go
@@ -126,7 +126,7 @@
 	open          *openJobs
 	openElsewhere map[entryKey]*openList
 	contested     map[*job]struct{}
-	// incarnations are those of the last links of the other entries, members are those that were ever known. awaited
+	// incarnations are those of the last links of the other entries, members are those of the roster. awaited
 	// are those whose open jobs this entry waits for, until the times given.
 	incarnations map[string]uint64
 	members      map[string]bool
@@ -135,10 +135,14 @@
 	// openers counts the other entries at which each job is open.
 	openers            map[string]int
 	evictedElsewhereAt time.Time
-	awaited            map[string]time.Time
-	startedAt          time.Time
-	endedNews          *yuccawire.EndedJobs
-	endedAt            time.Time
+	// awaitedRequestedAt is when awaited lists were last requested over other entries.
+	awaitedRequestedAt time.Time
+	// forwards counts the messages to other entries over third ones.
+	forwards  int
+	awaited   map[string]time.Time
+	startedAt time.Time
+	endedNews *yuccawire.EndedJobs
+	endedAt   time.Time
 }
 
 type runKey struct {
--- a/yuccabroker/elsewhere.go
+++ b/yuccabroker/elsewhere.go
@@ -110,7 +110,11 @@
 // HandleEntryUp processes a new link to another entry. The jobs of its earlier incarnations are over. The link of
 // one of these may come up late, and is ignored.
 func (b *Broker) HandleEntryUp(now time.Time, name string, incarnation uint64) {
-	if b.incarnations[name] >= incarnation {
+	switch {
+	case b.incarnations[name] > incarnation:
+		return
+	case b.incarnations[name] == incarnation:
+		b.recordAlive(entryKey{name: name, incarnation: incarnation})
 		return
 	}
 	b.incarnations[name] = incarnation
@@ -128,6 +132,14 @@
 	}
 }
 
+// recordAlive undoes what a refused connection has said of a process that is heard.
+func (b *Broker) recordAlive(key entryKey) {
+	delete(b.gone, key.name)
+	if l := b.openElsewhere[key]; l != nil {
+		l.endsAt = time.Time{}
+	}
+}
+
 // HandleEntryReplaced processes the end of the links to an incarnation of another entry, while those to one with a
 // lower number last: the clock of its machine was set back.
 func (b *Broker) HandleEntryReplaced(now time.Time, name string, incarnation uint64) {
@@ -169,6 +181,7 @@
 		l = &openList{jobs: make(map[string]openJob)}
 		b.openElsewhere[key] = l
 	}
+	b.recordAlive(key)
 	if b.open.readers[name] == nil {
 		b.open.readers[name] = &reader{}
 		b.open.updateConfirmed()
@@ -179,17 +192,18 @@
 	case !m.GetWhole() && m.GetSequence() != l.sequence+1:
 		b.reply(name, &yuccawire.OpenJobsSeen{WantsWhole: true})
 		return
-	case len(l.jobs)+len(m.GetOpened()) > maxOpenJobs:
+	case len(m.GetOpened()) > maxOpenJobs || !m.GetWhole() && len(l.jobs)+len(m.GetOpened()) > maxOpenJobs:
 		b.metrics.Add("open_jobs_ignored", 1)
 		b.options.Logger.Error("too many open jobs of an entry, list ignored", "entry", name, "jobs", len(l.jobs)+len(m.GetOpened()))
 		return
 	}
 	// What was sent during a standstill says nothing of an age, the list that was requested does.
 	_, isAwaited := b.awaited[name]
+	isDelayed := !m.GetWhole() && (isAwaited || b.ticks.IsOverdue(now))
 	taken, closed := l.update(now, m, b.openers, func(id string, receivedAt time.Time) bool {
-		return (m.GetWhole() || !isAwaited && !b.ticks.IsOverdue(now)) && b.takes(now, name, id, receivedAt)
+		return !isDelayed && b.takes(now, name, id, receivedAt)
 	})
-	b.reply(name, &yuccawire.OpenJobsSeen{Sequence: l.sequence, Taken: taken})
+	b.reply(name, &yuccawire.OpenJobsSeen{Sequence: l.sequence, Taken: taken, WantsWhole: isDelayed})
 	if m.GetWhole() {
 		delete(b.awaited, name)
 	}
@@ -325,8 +339,8 @@
 	b.evictedElsewhereAt = now
 	for key, l := range b.openElsewhere {
 		isOver := !l.endsAt.IsZero() && !now.Before(l.endsAt)
-		for id, open := range l.jobs {
-			if isOver || !now.Before(open.until) {
+		for _, id := range slices.Sorted(maps.Keys(l.jobs)) {
+			if open := l.jobs[id]; isOver || !now.Before(open.until) {
 				l.remove(b.openers, id)
 				b.handleClosed(now, id, open.lastRun)
 			}
--- a/yuccabroker/forward.go
+++ b/yuccabroker/forward.go
@@ -1,6 +1,7 @@
 package yuccabroker
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -12,14 +13,15 @@
 	forwardAfter = 200 * time.Millisecond
 	// forwardInterval is the time between two tries.
 	forwardInterval = 500 * time.Millisecond
-	// maxForwarders is how many linked entries are asked to pass a message on.
+	// maxForwarders is how many linked entries are asked to pass a message on, others each time.
 	maxForwarders = 3
 )
 
 // forwardOpenJobs tells the readers that don't confirm what they were told, or whose links are lost, over other
 // entries, as the links to them may be cut.
 func (b *Broker) forwardOpenJobs(now time.Time) {
-	for name, r := range b.open.readers {
+	for _, name := range slices.Sorted(maps.Keys(b.open.readers)) {
+		r := b.open.readers[name]
 		switch {
 		case r.sequence >= b.open.sequence:
 			r.behindSince = time.Time{}
@@ -33,15 +35,33 @@
 			b.forward(&yuccawire.Forward{To: name, OpenJobs: b.ListOpenJobs(now)})
 		}
 	}
+	b.requestAwaited(now)
+}
+
+// requestAwaited requests the lists that are awaited of entries that aren't linked, over other ones.
+func (b *Broker) requestAwaited(now time.Time) {
+	if len(b.awaited) == 0 || now.Sub(b.awaitedRequestedAt) < forwardAfter {
+		return
+	}
+	b.awaitedRequestedAt = now
+	for _, name := range slices.Sorted(maps.Keys(b.awaited)) {
+		if !slices.Contains(b.peers, name) {
+			b.forward(&yuccawire.Forward{To: name, OpenJobsSeen: &yuccawire.OpenJobsSeen{WantsWhole: true}})
+		}
+	}
 }
 
 // forward sends a message over linked entries.
 func (b *Broker) forward(m *yuccawire.Forward) {
 	m.From, m.Incarnation = b.options.Name, b.options.Incarnation
 	to := slices.DeleteFunc(slices.Clone(b.peers), func(name string) bool { return name == m.GetTo() })
-	if len(to) > 0 {
-		b.publishForward(m, to[:min(len(to), maxForwarders)])
+	n := len(to)
+	if n == 0 {
+		return
 	}
+	b.forwards++
+	first := b.forwards * maxForwarders % n
+	b.publishForward(m, slices.Concat(to[first:], to[:first])[:min(n, maxForwarders)])
 }
 
 func (b *Broker) publishForward(m *yuccawire.Forward, to []string) {
@@ -51,6 +71,9 @@
 // HandleForward processes a message that an entry has passed on, or passes it on itself. If the process that it is
 // for has ended, the sender is told so.
 func (b *Broker) HandleForward(now time.Time, m *yuccawire.Forward) {
+	if m.GetTo() == b.options.Name && !m.GetGone() {
+		b.HandleEntryUp(now, m.GetFrom(), m.GetIncarnation())
+	}
 	switch {
 	case m.GetTo() == b.options.Name && m.GetGone():
 		b.HandleEntryGone(now, m.GetFrom(), m.GetIncarnation())
--- a/yuccabroker/openjobs.go
+++ b/yuccabroker/openjobs.go
@@ -92,8 +92,8 @@
 	}
 	b.closeJobs()
 	b.open.updateReaders(now, b.peers, len(b.members) <= fullMeshEntries)
-	b.publishOpenJobs(now)
 	b.forwardOpenJobs(now)
+	b.publishOpenJobs(now)
 	b.open.updateConfirmed()
 	for _, j := range b.jobList {
 		if !j.ended && now.Sub(j.receivedAt) >= unconfirmedAge && !b.open.isConfirmed(j) {
@@ -104,9 +104,9 @@
 }
 
 // updateReaders notes which entries are linked. Those whose link was lost may receive a job that is open here, so
-// that they count until this entry has been linked with most of the others, and heard nothing of them, for readerTimeout: one that is cut off
-// does not go on without them before its jobs have ended. Where entries are linked with some others only, a lost
-// link says nothing.
+// that they count until this entry has been linked with most of the others, and heard nothing of them, for
+// readerTimeout: one that is cut off does not go on without them before its jobs have ended. Where entries are
+// linked with some others only, a lost link says nothing.
 func (o *openJobs) updateReaders(now time.Time, linked []string, isFullMesh bool) {
 	n := 0
 	for name, r := range o.readers {
@@ -226,22 +226,34 @@
 	before := b.open.confirmed
 	if r := b.open.readers[peer]; r != nil {
 		r.answeredAt = now
-		r.sequence = max(r.sequence, m.GetSequence())
+		// A higher number was sent by an earlier incarnation.
+		if m.GetSequence() <= b.open.sequence {
+			r.sequence = max(r.sequence, m.GetSequence())
+		}
 		b.open.updateConfirmed()
 	}
 	for _, id := range m.GetTaken() {
-		if j := b.jobs[id]; j != nil && !b.isOpenElsewhere(id) {
+		if j := b.jobs[id]; j != nil && j.isTold {
 			b.giveUp(now, j, peer)
 		}
 	}
 	if m.GetWantsWhole() {
-		b.emit(Publish{Message: &yuccawire.Envelope{Body: &yuccawire.Envelope_OpenJobs{OpenJobs: b.ListOpenJobs(now)}}, To: []string{peer}})
+		b.sendOpenJobs(now, peer)
 	}
 	if b.open.confirmed > before {
 		b.updateAllContested(now)
 	}
 }
 
+// sendOpenJobs sends another entry all open jobs.
+func (b *Broker) sendOpenJobs(now time.Time, entry string) {
+	if !slices.Contains(b.peers, entry) {
+		b.forward(&yuccawire.Forward{To: entry, OpenJobs: b.ListOpenJobs(now)})
+		return
+	}
+	b.emit(Publish{Message: &yuccawire.Envelope{Body: &yuccawire.Envelope_OpenJobs{OpenJobs: b.ListOpenJobs(now)}}, To: []string{entry}})
+}
+
 // giveUp ends a job that another entry has received later: its caller waits there.
 func (b *Broker) giveUp(now time.Time, j *job, peer string) {
 	b.metrics.Add("jobs_given_up", 1)
--- a/yuccaedge/edge.go
+++ b/yuccaedge/edge.go
@@ -323,7 +323,7 @@
 	}
 	e.membersUpdatedAt = now
 	var names []string
-	for _, node := range e.options.Mesh.Nodes() {
+	for _, node := range e.options.Mesh.RecentNodes(ownerMemory) {
 		names = append(names, node.GetName())
 	}
 	e.broker.SetMembers(now, names)
