--- a/yuccabroker/job.go
+++ b/yuccabroker/job.go
@@ -12,7 +12,7 @@
 
 const (
 	// taskBlocked: steps it depends on are not done, a run of an earlier submission may be
-	// alive, or its job is being withdrawn.
+	// alive, or its job is being withdrawn or waits for other entries.
 	taskBlocked taskState = iota
 	// taskQueued: it is queued for placement.
 	taskQueued
