broker, worker: entries tell each other of open jobs over sides, too

With a third entry it passed, as lists of open jobs go over that one.

Cause: an entry that reaches no other entry was told nothing, although a side that both reach could pass the list on.

Ruled out: asking all sides for the runs of each new job during a cut (a round trip for each job); a fence of the other entry at the sides (it would stop the jobs of an entry that is well).

Lists, confirmations and requests that go over third entries now go over two linked sides as well, others each time.

--- a/yuccabroker/forward.go
+++ b/yuccabroker/forward.go
@@ -13,8 +13,10 @@
 	forwardAfter = 200 * time.Millisecond
 	// forwardInterval is the time between two tries.
 	forwardInterval = 500 * time.Millisecond
-	// maxForwarders is how many linked entries are asked to pass a message on, others each time.
-	maxForwarders = 3
+	// maxForwarders is how many linked entries are asked to pass a message on, others each time, and
+	// maxForwardingSides how many linked sides: an entry may reach no other one.
+	maxForwarders      = 3
+	maxForwardingSides = 2
 )
 
 // forwardOpenJobs tells the readers that don't confirm what they were told, or whose links are lost, over other
@@ -51,17 +53,33 @@
 	}
 }
 
-// forward sends a message over linked entries.
+// forward sends a message over linked entries and sides.
 func (b *Broker) forward(m *yuccawire.Forward) {
 	m.From, m.Incarnation = b.options.Name, b.options.Incarnation
-	to := slices.DeleteFunc(slices.Clone(b.peers), func(name string) bool { return name == m.GetTo() })
-	n := len(to)
-	if n == 0 {
-		return
+	entries := slices.DeleteFunc(slices.Clone(b.peers), func(name string) bool { return name == m.GetTo() })
+	var sides []string
+	for _, s := range b.sideList {
+		if s.linked {
+			sides = append(sides, s.name)
+		}
 	}
 	b.forwards++
-	first := b.forwards * maxForwarders % n
-	b.publishForward(m, slices.Concat(to[first:], to[:first])[:min(n, maxForwarders)])
+	if to := nextOf(entries, b.forwards, maxForwarders); len(to) > 0 {
+		b.publishForward(m, to)
+	}
+	for _, name := range nextOf(sides, b.forwards, maxForwardingSides) {
+		b.send(name, &yuccawire.Envelope{Body: &yuccawire.Envelope_Forward{Forward: m}})
+	}
+}
+
+// nextOf returns up to limit of the names, others for each turn.
+func nextOf(names []string, turn, limit int) []string {
+	n := len(names)
+	if n == 0 {
+		return nil
+	}
+	first := turn * limit % n
+	return slices.Concat(names[first:], names[:first])[:min(n, limit)]
 }
 
 func (b *Broker) publishForward(m *yuccawire.Forward, to []string) {
--- a/yuccadriver/driver.go
+++ b/yuccadriver/driver.go
@@ -250,6 +250,8 @@
 		d.worker.HandleWithdraw(now, from, body.Withdraw)
 	case *yuccawire.Envelope_HeldSeen:
 		d.worker.HandleHeldSeen(now, from, body.HeldSeen)
+	case *yuccawire.Envelope_Forward:
+		d.worker.HandleForward(body.Forward)
 	case *yuccawire.Envelope_LinkRequest:
 		d.options.Logger.Info("opening a link that an entry needs", "entry", body.LinkRequest.GetEntry(), "from", from.Name)
 		d.options.Mesh.LinkTo(body.LinkRequest.GetEntry(), requestedLinkPeriod)
--- a/yuccaedge/edge.go
+++ b/yuccaedge/edge.go
@@ -254,6 +254,8 @@
 			e.broker.HandleCrashReport(now, body.CrashReport)
 		case *yuccawire.Envelope_HeldTasks:
 			e.broker.HandleHeldBySide(now, name, body.HeldTasks)
+		case *yuccawire.Envelope_Forward:
+			e.broker.HandleForward(now, body.Forward)
 		}
 	case yuccamesh.EntryGone:
 		e.broker.HandleEntryGone(now, m.Node.GetName(), m.Node.GetIncarnation())
--- a/yuccamodel/world_test.go
+++ b/yuccamodel/world_test.go
@@ -829,6 +829,8 @@
 				s.core.HandleWithdraw(s.now(), id, body.Withdraw)
 			case *yuccawire.Envelope_HeldSeen:
 				s.core.HandleHeldSeen(s.now(), id, body.HeldSeen)
+			case *yuccawire.Envelope_Forward:
+				s.core.HandleForward(body.Forward)
 			case *yuccawire.Envelope_LinkRequest:
 				w.openRequested(s, body.LinkRequest.GetEntry())
 			}
@@ -862,6 +864,9 @@
 				w.heldLists++
 				w.logf("%s receives held tasks from %s.%d %v", e.name, s.name, s.incarnation, body.HeldTasks)
 				e.broker.HandleHeldBySide(e.now(), s.name, body.HeldTasks)
+			case *yuccawire.Envelope_Forward:
+				w.logf("%s receives over %s forwarded %v", e.name, s.name, body.Forward)
+				e.broker.HandleForward(e.now(), body.Forward)
 			case *yuccawire.Envelope_Ends:
 				w.logf("%s receives outcomes from %s.%d %v", e.name, s.name, s.incarnation, body.Ends)
 				e.broker.HandleEnds(e.now(), s.name, body.Ends)
