broker: a refused connection alone isn't the end of an entry

Cause: a refused connection was taken as proof that the other process had ended. It proves that something refuses connections.

Ruled out: no use of refused connections at all, as the callers of an entry that was killed would wait until it has restarted.

TestListOverAThirdEntryIsDroppedAsTheMachineRefusesConnections is changed: it submitted its job before the list had come, and a fresh job is placed at once, whatever is refused elsewhere, so that it failed by that and not by what it is named for. The job is submitted after the first list now. A second job that is older than 1 s is added, which must not be placed without the confirmation of the entry that was heard of: that fails on the code before.

--- a/yuccabroker/broker.go
+++ b/yuccabroker/broker.go
@@ -130,8 +130,9 @@
 	// are those whose open jobs this entry waits for, until the times given.
 	incarnations map[string]uint64
 	members      map[string]bool
-	// gone are the incarnations of other entries that have ended.
-	gone map[string]uint64
+	// gone are the incarnations of other entries that have ended, refusals those whose machines refuse connections.
+	gone     map[string]uint64
+	refusals map[string]refusal
 	// openers counts the other entries at which each job is open.
 	openers            map[string]int
 	evictedElsewhereAt time.Time
@@ -197,6 +198,7 @@
 		incarnations:   make(map[string]uint64),
 		openers:        make(map[string]int),
 		gone:           make(map[string]uint64),
+		refusals:       make(map[string]refusal),
 		members:        make(map[string]bool),
 		awaited:        make(map[string]time.Time),
 		pinned:         make(map[*task]struct{}),
@@ -303,6 +305,7 @@
 	if stood := b.ticks.Advance(now); stood > 0 {
 		b.metrics.Add("standstills", 1)
 		b.options.Logger.Warn("entry stood still", "stood_ms", stood.Milliseconds(), "jobs", len(b.jobs), "runs", len(b.runs))
+		b.restartRefusals(now)
 		if stood >= minMissedLists {
 			b.awaitLists(now)
 		}
@@ -315,6 +318,7 @@
 	b.evictPinned(now)
 	b.publishHeld(now)
 	b.evictHeld(now)
+	b.checkRefusals(now)
 	b.evictElsewhere(now)
 	b.publishEnded(now)
 	b.updateOpenJobs(now)
--- a/yuccabroker/elsewhere.go
+++ b/yuccabroker/elsewhere.go
@@ -84,6 +84,7 @@
 		if !members[name] {
 			delete(b.incarnations, name)
 			delete(b.gone, name)
+			delete(b.refusals, name)
 			b.removeReader(now, name)
 		}
 	}
@@ -119,6 +120,7 @@
 	}
 	b.incarnations[name] = incarnation
 	delete(b.gone, name)
+	delete(b.refusals, name)
 	// Its list, which comes next, makes it a reader again, unless it is of an earlier version.
 	b.removeReader(now, name)
 	for key, l := range b.openElsewhere {
@@ -132,14 +134,6 @@
 	}
 }
 
-// recordAlive undoes what a refused connection has said of a process that is heard.
-func (b *Broker) recordAlive(key entryKey) {
-	delete(b.gone, key.name)
-	if l := b.openElsewhere[key]; l != nil {
-		l.endsAt = time.Time{}
-	}
-}
-
 // HandleEntryReplaced processes the end of the links to an incarnation of another entry, while those to one with a
 // lower number last: the clock of its machine was set back.
 func (b *Broker) HandleEntryReplaced(now time.Time, name string, incarnation uint64) {
@@ -149,19 +143,6 @@
 	}
 }
 
-// HandleEntryGone processes the end of the process of another entry. Nobody else may receive a job there: its next
-// process places nothing before it knows the open jobs.
-func (b *Broker) HandleEntryGone(now time.Time, name string, incarnation uint64) {
-	if l := b.openElsewhere[entryKey{name: name, incarnation: incarnation}]; l != nil && l.endsAt.IsZero() {
-		l.endsAt = now.Add(ordersEndAfter)
-		b.options.Logger.Info("entry has ended, its open jobs are over when its leases have expired", "entry", name, "incarnation", incarnation, "jobs", len(l.jobs))
-	}
-	if b.incarnations[name] == incarnation {
-		b.gone[name] = incarnation
-		b.removeReader(now, name)
-	}
-}
-
 // removeReader removes an entry that can't have received a job.
 func (b *Broker) removeReader(now time.Time, name string) {
 	delete(b.open.readers, name)
--- a/yuccabroker/forward_test.go
+++ b/yuccabroker/forward_test.go
@@ -38,14 +38,18 @@
 	f := newOpenPeers(t, "b", "c")
 	f.broker.SetPeers([]string{"c"})
 	f.broker.HandleEntryGone(f.now, "b", 1)
-	f.submit(f.received("a", 0), 1)
+	f.submit(f.received("d", 1100*time.Millisecond), 1)
 	for i := range 6 {
 		f.broker.HandleForward(f.now, &yuccawire.Forward{To: "entry", From: "b", Incarnation: 1, OpenJobs: &yuccawire.OpenJobs{Sequence: uint64(i + 1), Whole: true, Opened: open(1, 2*time.Second, "a").GetOpened()}})
+		if i == 0 {
+			f.submit(f.received("a", 0), 2)
+		}
 		f.broker.HandleEntryGone(f.now, "b", 1)
 		f.step(500 * time.Millisecond)
+		f.confirm("c")
 	}
 	if len(f.sentRuns()) > 0 {
-		t.Errorf("sent %v, b has told over c that a is open", f.sentRuns())
+		t.Errorf("sent %v, b has told over c that a is open, and has not confirmed that d is open here", f.sentRuns())
 	}
 }
 
