broker: wait for the open jobs of others after having had no link at all

What callers saw: an entry that was cut off from all entries and sides for 1.9 s got a job again just before the cut healed, and placed it as soon as its links to the sides were up, 3 ms before those to the entries, one of which had the job running (TestFaultsOfUnseenDepartures).

Cause: a link that was lost was no reason to wait for the lists of its other end, which come with the next link, but later than those of the sides.

The entry waits for the lists of all entries that it has known once it has a link again after having had none. A list comes with the link, and an entry that is gone costs 2 s at most, as after a standstill.

--- a/yuccabroker/broker.go
+++ b/yuccabroker/broker.go
@@ -142,8 +142,10 @@
 	forwards  int
 	awaited   map[string]time.Time
 	startedAt time.Time
-	endedNews *yuccawire.EndedJobs
-	endedAt   time.Time
+	// isIsolated is set while this entry has no link at all.
+	isIsolated bool
+	endedNews  *yuccawire.EndedJobs
+	endedAt    time.Time
 }
 
 type runKey struct {
@@ -318,6 +320,7 @@
 	b.evictPinned(now)
 	b.publishHeld(now)
 	b.evictHeld(now)
+	b.updateIsolation(now)
 	b.checkRefusals(now)
 	b.evictElsewhere(now)
 	b.publishEnded(now)
--- a/yuccabroker/elsewhere.go
+++ b/yuccabroker/elsewhere.go
@@ -102,6 +102,16 @@
 	b.emit(Publish{Message: &yuccawire.Envelope{Body: &yuccawire.Envelope_OpenJobsSeen{OpenJobsSeen: &yuccawire.OpenJobsSeen{WantsWhole: true}}}})
 }
 
+// updateIsolation has an entry that had no link at all wait for the open jobs of the others once it has one again. What
+// comes to it now may have come to them meanwhile.
+func (b *Broker) updateIsolation(now time.Time) {
+	isIsolated := len(b.peers) == 0 && !slices.ContainsFunc(b.sideList, func(s *side) bool { return s.linked })
+	if b.isIsolated && !isIsolated {
+		b.awaitLists(now)
+	}
+	b.isIsolated = isIsolated
+}
+
 // isInformed reports whether this entry knows the open jobs of the others, as far as they can tell.
 func (b *Broker) isInformed(now time.Time) bool {
 	maps.DeleteFunc(b.awaited, func(_ string, until time.Time) bool { return !now.Before(until) })
--- a/yuccabroker/side.go
+++ b/yuccabroker/side.go
@@ -166,6 +166,7 @@
 	}
 	b.sendDrained(s)
 	b.confirmHeld(s.name, 0)
+	b.updateIsolation(now)
 }
 
 // HandleLinkDown records the loss of the link to a side. Its runs may still be
@@ -175,6 +176,7 @@
 		s.linked = false
 		s.linkLostAt = now
 		b.metrics.Add("side_links_lost", 1)
+		b.updateIsolation(now)
 		b.options.Logger.Info("side link lost", "side", name, "runs", len(s.runs), "stamp_age_ms", now.Sub(s.lastReport).Milliseconds())
 	}
 }
