broker: a list that came with a link during a standstill isn't the one that was requested

What callers saw: an entry that had stood still for 2.4 s took the list of another one that had restarted meanwhile for its answer, although that list was sent with the link, before the job had come there. It placed its task beside the run there (TestFaultsOfUnseenDepartures).

Cause: any whole list ended the wait, also one that was read late.

If the link of an entry comes up while its list is awaited, the list is requested once more, and the first one doesn't end the wait.

TestListThatCameDuringAStandstillIsTakenForTheOneThatWasRequested fails on the code before.

--- a/yuccabroker/broker.go
+++ b/yuccabroker/broker.go
@@ -139,9 +139,11 @@
 	// awaitedRequestedAt is when awaited lists were last requested over other entries.
 	awaitedRequestedAt time.Time
 	// forwards counts the messages to other entries over third ones.
-	forwards  int
-	awaited   map[string]time.Time
-	startedAt time.Time
+	forwards int
+	awaited  map[string]time.Time
+	// awaitedTwice are those of them of which the first list says nothing.
+	awaitedTwice map[string]bool
+	startedAt    time.Time
 	// isIsolated is set while this entry has no link at all.
 	isIsolated bool
 	endedNews  *yuccawire.EndedJobs
@@ -203,6 +205,7 @@
 		refusals:       make(map[string]refusal),
 		members:        make(map[string]bool),
 		awaited:        make(map[string]time.Time),
+		awaitedTwice:   make(map[string]bool),
 		pinned:         make(map[*task]struct{}),
 		linkRequests:   make(map[linkRequest]time.Time),
 		seenByPeer:     make(map[string]*heldSeen),
--- a/yuccabroker/elsewhere.go
+++ b/yuccabroker/elsewhere.go
@@ -102,6 +102,23 @@
 	b.emit(Publish{Message: &yuccawire.Envelope{Body: &yuccawire.Envelope_OpenJobsSeen{OpenJobsSeen: &yuccawire.OpenJobsSeen{WantsWhole: true}}}})
 }
 
+// awaitSecondList requests the open jobs of an entry whose link has come up meanwhile: the list that came with it may have
+// been sent while this entry stood still.
+func (b *Broker) awaitSecondList(name string, until time.Time) {
+	b.await(name, until)
+	b.awaitedTwice[name] = true
+	b.emit(Publish{Message: &yuccawire.Envelope{Body: &yuccawire.Envelope_OpenJobsSeen{OpenJobsSeen: &yuccawire.OpenJobsSeen{WantsWhole: true}}}, To: []string{name}})
+}
+
+// recordAwaited notes that an entry has sent all of its open jobs.
+func (b *Broker) recordAwaited(name string) {
+	if b.awaitedTwice[name] {
+		delete(b.awaitedTwice, name)
+		return
+	}
+	delete(b.awaited, name)
+}
+
 // updateIsolation has an entry that had no link at all wait for the open jobs of the others once it has one again. What
 // comes to it now may have come to them meanwhile.
 func (b *Broker) updateIsolation(now time.Time) {
@@ -131,8 +148,12 @@
 	b.incarnations[name] = incarnation
 	delete(b.gone, name)
 	delete(b.refusals, name)
+	until, isAwaited := b.awaited[name]
 	// Its list, which comes next, makes it a reader again, unless it is of an earlier version.
 	b.removeReader(now, name)
+	if isAwaited {
+		b.awaitSecondList(name, until)
+	}
 	for key, l := range b.openElsewhere {
 		switch {
 		case key.name != name:
@@ -157,6 +178,7 @@
 func (b *Broker) removeReader(now time.Time, name string) {
 	delete(b.open.readers, name)
 	delete(b.awaited, name)
+	delete(b.awaitedTwice, name)
 	b.open.updateConfirmed()
 	b.updateAllContested(now)
 }
@@ -196,7 +218,7 @@
 	})
 	b.reply(name, &yuccawire.OpenJobsSeen{Sequence: l.sequence, Taken: taken, WantsWhole: isDelayed})
 	if m.GetWhole() {
-		delete(b.awaited, name)
+		b.recordAwaited(name)
 	}
 	for _, opened := range m.GetOpened() {
 		if j := b.jobs[opened.GetJob()]; j != nil {
--- a/yuccabroker/isolation_test.go
+++ b/yuccabroker/isolation_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/yuccaturn/yuccaturn/yuccabroker"
+	"github.com/yuccaturn/yuccaturn/yuccawire"
 )
 
 // The links to the sides are up before those to the other entries.
@@ -32,3 +33,25 @@
 		t.Errorf("sent %v, b has told that a is open there", f.sentRuns())
 	}
 }
+
+// The entry restarts meanwhile, and gets the job after it has sent the list that comes with the link.
+func TestListThatCameDuringAStandstillIsTakenForTheOneThatWasRequested(t *testing.T) {
+	f := newOpenPeers(t, "b")
+	f.submit(f.received("a", 900*time.Millisecond), 1)
+	f.step(20 * time.Millisecond)
+	f.confirm("b")
+	f.now = f.now.Add(2 * time.Second)
+	f.step(0)
+	f.linkUp("b", 2)
+	f.submit(f.received("d", 0), 2)
+	before := len(f.sentRuns())
+	f.collect()
+	if sent := f.sentRuns(); len(sent) > before {
+		t.Fatalf("sent %v by a list of unknown age", sent)
+	}
+	f.broker.HandleOpenJobs(f.now, "b", 2, &yuccawire.OpenJobs{Sequence: 1, Whole: true, Opened: open(1, 700*time.Millisecond, "d").GetOpened()})
+	f.step(time.Second)
+	if _, isSent := f.sentRuns()["d.0.0.0/1"]; isSent {
+		t.Error("d is sent, b has told that it is open there")
+	}
+}
