broker: don't give a job up by the age in a list that was forwarded

What callers saw: 504 from the entry that they waited at.

Cause: an age in a message that may be late is a lower bound, and was taken as exact. It proves that the other entry received the job before a time, and not that it did so after one.

Ruled out: a time for the whole way in each message, as clocks of machines differ; dropping what waits at a process that stood still, which leaves other delays.

By a forwarded list an entry keeps a job that the other one received earlier, and says so; it doesn't give its own up. The one that received it later has the same proof, as callers come again 1.3 s later.

--- a/yuccabroker/elsewhere.go
+++ b/yuccabroker/elsewhere.go
@@ -185,6 +185,11 @@
 
 // HandleOpenJobs processes the open jobs of a linked entry, and confirms them. Their tasks aren't placed here.
 func (b *Broker) HandleOpenJobs(now time.Time, name string, incarnation uint64, m *yuccawire.OpenJobs) {
+	b.handleOpenJobs(now, name, incarnation, m, false)
+}
+
+// handleOpenJobs is HandleOpenJobs for a list that comes from the entry itself, or over another process.
+func (b *Broker) handleOpenJobs(now time.Time, name string, incarnation uint64, m *yuccawire.OpenJobs, isForwarded bool) {
 	if b.incarnations[name] != incarnation {
 		return
 	}
@@ -214,7 +219,7 @@
 	_, isAwaited := b.awaited[name]
 	isDelayed := !m.GetWhole() && (isAwaited || b.ticks.IsOverdue(now))
 	taken, closed := l.update(now, m, b.openers, func(id string, receivedAt time.Time) bool {
-		return !isDelayed && b.takes(now, name, id, receivedAt)
+		return !isDelayed && b.takes(now, name, id, receivedAt, isForwarded)
 	})
 	b.reply(name, &yuccawire.OpenJobsSeen{Sequence: l.sequence, Taken: taken, WantsWhole: isDelayed})
 	if m.GetWhole() {
@@ -267,8 +272,9 @@
 }
 
 // takes decides who keeps a job that is open here and at another entry: the one that has received it
-// later, as callers send one request after the other. It returns true if that is this entry.
-func (b *Broker) takes(now time.Time, entry, id string, receivedAt time.Time) bool {
+// later, as callers send one request after the other. It returns true if that is this entry. A list that
+// was forwarded may be late, so that the other one has received the job earlier than it seems: that one decides.
+func (b *Broker) takes(now time.Time, entry, id string, receivedAt time.Time, isForwarded bool) bool {
 	j := b.jobs[id]
 	if j == nil || j.follows && !j.isTold {
 		return false
@@ -276,11 +282,13 @@
 	b.metrics.Add("jobs_open_twice", 1)
 	b.options.Logger.Warn("job is open at two entries", "job", id, "entry", entry, "age_ms", now.Sub(j.receivedAt).Milliseconds(),
 		"age_there_ms", now.Sub(receivedAt).Milliseconds(), "runs", j.runsInFlight, "orders", j.runsSent)
-	if receivedAt.After(j.lastReceivedAt) {
+	switch {
+	case !receivedAt.After(j.lastReceivedAt):
+		return true
+	case !isForwarded:
 		b.giveUp(now, j, entry)
-		return false
 	}
-	return true
+	return false
 }
 
 // handleClosed continues the numbering of the runs of a job that another entry has closed.
--- a/yuccabroker/forward.go
+++ b/yuccabroker/forward.go
@@ -96,7 +96,7 @@
 	case m.GetTo() == b.options.Name && m.GetGone():
 		b.HandleEntryGone(now, m.GetFrom(), m.GetIncarnation())
 	case m.GetTo() == b.options.Name && m.GetOpenJobs() != nil:
-		b.HandleOpenJobs(now, m.GetFrom(), m.GetIncarnation(), m.GetOpenJobs())
+		b.handleOpenJobs(now, m.GetFrom(), m.GetIncarnation(), m.GetOpenJobs(), true)
 	case m.GetTo() == b.options.Name && b.incarnations[m.GetFrom()] == m.GetIncarnation():
 		b.HandleOpenJobsSeen(now, m.GetFrom(), m.GetOpenJobsSeen())
 	case slices.Contains(b.peers, m.GetTo()):
