broker: a lost link counts with any number of known entries

What callers saw: with more than 16 names of other entries, most of them of machines that were replaced within 15 s, an entry whose link was lost counted as gone at once, so that a job older than 1 s was placed that it had never confirmed (TestNamesThatNobodyHasAnymoreStopTheWaitForALostEntry, KNOWN-RED).

Cause: the number of names was taken as proof that links are released as surplus. Where they are, the entry at the other end confirms over others, or counts for 2 s more.

--- a/yuccabroker/openjobs.go
+++ b/yuccabroker/openjobs.go
@@ -23,8 +23,6 @@
 	readerTimeout = 2 * time.Second
 	// isolationTimeout is the same for an entry that is linked with few of the others, longer than callers wait.
 	isolationTimeout = 15 * time.Second
-	// fullMeshEntries is the number of other entries up to which all are linked.
-	fullMeshEntries = 16
 	// closedInterval is the least time between two messages that only tell of closed jobs.
 	closedInterval = 100 * time.Millisecond
 )
@@ -91,7 +89,7 @@
 		}
 	}
 	b.closeJobs()
-	b.open.updateReaders(now, b.peers, len(b.members) <= fullMeshEntries)
+	b.open.updateReaders(now, b.peers)
 	b.forwardOpenJobs(now)
 	b.publishOpenJobs(now)
 	b.open.updateConfirmed()
@@ -105,9 +103,8 @@
 
 // updateReaders notes which entries are linked. Those whose link was lost may receive a job that is open here, so
 // that they count until this entry has been linked with most of the others, and heard nothing of them, for
-// readerTimeout: one that is cut off does not go on without them before its jobs have ended. Where entries are
-// linked with some others only, a lost link says nothing.
-func (o *openJobs) updateReaders(now time.Time, linked []string, isFullMesh bool) {
+// readerTimeout: one that is cut off does not go on without them before its jobs have ended.
+func (o *openJobs) updateReaders(now time.Time, linked []string) {
 	n := 0
 	for name, r := range o.readers {
 		switch {
@@ -125,10 +122,7 @@
 		o.linkedWithMostSince = now
 	}
 	timeout := readerTimeout
-	switch {
-	case !isFullMesh:
-		timeout = 0
-	case o.linkedWithMostSince.IsZero() || now.Sub(o.linkedWithMostSince) < readerTimeout:
+	if o.linkedWithMostSince.IsZero() || now.Sub(o.linkedWithMostSince) < readerTimeout {
 		timeout = isolationTimeout
 	}
 	maps.DeleteFunc(o.readers, func(_ string, r *reader) bool {
