model: a worker that restarts while it is up loses its runs

Traced: two faults overlapped, so that a worker restarted that was up. Its runs ended with it and weren't counted; the task had ended with two incarnations, 858 and 806 ms after its starts, which is a cause to fail the job. The restart counts as a crash now.

--- a/yuccamodel/worker_test.go
+++ b/yuccamodel/worker_test.go
@@ -257,7 +257,11 @@
 	})
 }
 
+// restart starts the next incarnation. If the worker is up, as an earlier fault has overlapped, its runs end with it.
 func (m *modelWorker) restart() {
+	if !m.isDown {
+		m.crash()
+	}
 	m.isDown, m.refuses = false, false
 	m.incarnation.StartedAtMS = max(m.incarnation.StartedAtMS+1, m.world.now.UnixMilli())
 	m.startedAt = m.world.now
