broker: keep a job open while its runs are told to linked entries only

A job that had ended was closed as soon as its runs were told as held tasks. Held tasks go to linked entries, open jobs go over third ones and sides, too, so that an entry whose link is lost heard that the job was closed, and not that a run of it was in progress.

While the link to an entry is lost, a job is closed once its runs have ended.

TestJobIsClosedBeforeAnEntryThatIsNotLinkedHearsOfItsRun fails on the code before.

--- a/yuccabroker/openjobs.go
+++ b/yuccabroker/openjobs.go
@@ -73,6 +73,16 @@
 	return j.openSequence > 0 && j.openSequence <= o.confirmed
 }
 
+// areReadersLinked reports whether the link to no other entry is lost.
+func (o *openJobs) areReadersLinked() bool {
+	for _, r := range o.readers {
+		if !r.lostAt.IsZero() {
+			return false
+		}
+	}
+	return true
+}
+
 func (o *openJobs) updateConfirmed() {
 	o.confirmed = o.sequence
 	for _, r := range o.readers {
@@ -174,7 +184,7 @@
 }
 
 // areRunsTold reports whether the other entries have been told of each task of an ended job that may still
-// run or start.
+// run or start. Those that aren't linked may hear of these later than that the job is closed.
 func (b *Broker) areRunsTold(j *job) bool {
 	if j.runsInFlight == 0 && j.isFinal {
 		return true
@@ -182,7 +192,7 @@
 	for _, st := range j.steps {
 		for _, t := range st.tasks {
 			mayRun := b.runs[runKey{task: t.name, run: t.run}] == t || len(t.pinnedTo) > 0 && !j.isFinal
-			if _, isTold := b.held[t.name]; mayRun && !isTold {
+			if _, isTold := b.held[t.name]; mayRun && !(isTold && b.open.areReadersLinked()) {
 				return false
 			}
 		}
--- a/yuccabroker/openjobsfaults_test.go
+++ b/yuccabroker/openjobsfaults_test.go
@@ -235,6 +235,27 @@
 	}
 }
 
+// The list of held tasks reaches linked entries only, that of open jobs goes over others.
+func TestJobIsClosedBeforeAnEntryThatIsNotLinkedHearsOfItsRun(t *testing.T) {
+	f := newOpenPeers(t, "b", "c")
+	f.submit(f.received("a", 0), 1)
+	f.step(700 * time.Millisecond)
+	f.confirm("b", "c")
+	f.broker.SetPeers([]string{"c"})
+	f.broker.HandleDisconnect(f.now, "a", 1)
+	f.step(time.Second)
+	if !f.isOpen("a") {
+		t.Error("closed, a run of it is in progress and b, whose link is lost, doesn't know that")
+	}
+	for run, side := range f.sentRuns() {
+		f.endRun(side, run[:len(run)-2], 1, yuccawire.RunEnd_RUN_END_STOPPED, 0)
+	}
+	f.step(500 * time.Millisecond)
+	if f.isOpen("a") {
+		t.Error("not closed, its run has ended")
+	}
+}
+
 func notReady(f *openPeers) *yuccawire.WorkerState {
 	state := f.workerState(0)
 	state.Ready = false
