--- a/yuccaedge/openjobs_test.go
+++ b/yuccaedge/openjobs_test.go
@@ -192,3 +192,21 @@
 		checkCompleted(t, caller)
 	})
 }
+
+// The link to the entry at which the job is open is cut, that to a side that both reach is not.
+func TestJobIsPlacedThoughASideTellsThatItIsOpenAtAnotherEntry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fabric := yuccamemnet.New(yuccamemnet.Options{Delay: time.Millisecond, Seed: 1})
+		e0 := startOpenEntry(t, fabric, "e0", 1)
+		defer e0.stop()
+		time.Sleep(2 * time.Second)
+		list := &yuccawire.OpenJobs{Sequence: 1, Whole: true, Opened: []*yuccawire.OpenJob{{Job: "a", AgeMs: 1500, RemainingMs: 500, LastRun: 1}}}
+		_ = e0.side.Send(&yuccawire.Envelope{Body: &yuccawire.Envelope_Forward{Forward: &yuccawire.Forward{To: "e0", From: "e1", Incarnation: 1, OpenJobs: list}}})
+		time.Sleep(100 * time.Millisecond)
+		caller := e0.submit(0)
+		if order := e0.receiveOrder(500 * time.Millisecond); order != nil {
+			t.Errorf("ordered %v", order)
+		}
+		<-caller.outcome
+	})
+}
