--- a/yuccabroker/broker.go
+++ b/yuccabroker/broker.go
@@ -130,7 +130,7 @@
 	// are those whose open jobs this entry waits for, until the times given.
 	incarnations map[string]uint64
 	members      map[string]bool
-	// gone are the incarnations of other entries that have ended, refusals those whose machines refuse connections.
+	// gone are the incarnations of other entries that have ended, refusals those that may have.
 	gone     map[string]uint64
 	refusals map[string]refusal
 	// openers counts the other entries at which each job is open.
@@ -141,7 +141,7 @@
 	// forwards counts the messages to other entries over third ones.
 	forwards int
 	awaited  map[string]time.Time
-	// awaitedTwice are those of them of which the first list says nothing.
+	// awaitedTwice are those of the awaited entries whose next list may have been sent too early.
 	awaitedTwice map[string]bool
 	startedAt    time.Time
 	// isIsolated is set while this entry has no link at all.
--- a/yuccabroker/gone.go
+++ b/yuccabroker/gone.go
@@ -8,18 +8,18 @@
 	"github.com/yuccaturn/yuccaturn/yuccawire"
 )
 
-// goneAfter is how long an entry whose machine refuses connections must not be heard of to count as ended. A cut may
-// refuse them, too: then its messages come over other processes, within forwardInterval.
+// goneAfter is how long nothing must be heard of an entry whose machine refuses connections until it counts as ended. A cut
+// may refuse them, too: then its messages come over other processes, within forwardInterval.
 const goneAfter = 600 * time.Millisecond
 
-// refusal says since when the machine of another entry has refused connections and that was not heard of.
+// refusal is the refused connection to a process since which nothing was heard of it.
 type refusal struct {
 	incarnation uint64
 	since       time.Time
 }
 
-// HandleEntryGone processes a refused connection to the machine of another entry, or that a third one takes that as
-// ended. The entry is asked over other processes, and counts as ended if it is not heard of for goneAfter.
+// HandleEntryGone processes a refused connection to the machine of another entry, or the news that a third one counts that
+// entry as ended. It is asked over other processes, and counts as ended here if nothing is heard of it for goneAfter.
 func (b *Broker) HandleEntryGone(now time.Time, name string, incarnation uint64) {
 	if b.incarnations[name] != incarnation || b.gone[name] == incarnation {
 		return
@@ -40,8 +40,8 @@
 	}
 }
 
-// checkRefusals takes the entries as ended that were not heard of for goneAfter. Nobody else may receive a job there: the
-// next process places nothing before it knows the open jobs.
+// checkRefusals counts the entries as ended of which nothing was heard for goneAfter. They have received no job that is
+// open here: their next process places nothing before it knows the open jobs.
 func (b *Broker) checkRefusals(now time.Time) {
 	for _, name := range slices.Sorted(maps.Keys(b.refusals)) {
 		r := b.refusals[name]
@@ -61,7 +61,7 @@
 	}
 }
 
-// restartRefusals has the entries be heard of from now on, as this one stood still.
+// restartRefusals counts goneAfter from now on, as this entry has read nothing while it stood still.
 func (b *Broker) restartRefusals(now time.Time) {
 	for name, r := range b.refusals {
 		r.since = now
--- a/yuccabroker/openjobs.go
+++ b/yuccabroker/openjobs.go
@@ -184,7 +184,7 @@
 }
 
 // areRunsTold reports whether the other entries have been told of each task of an ended job that may still
-// run or start. Those that aren't linked may hear of these later than that the job is closed.
+// run or start. One whose link is lost may hear of these tasks later than that the job is closed.
 func (b *Broker) areRunsTold(j *job) bool {
 	if j.runsInFlight == 0 && j.isFinal {
 		return true
