broker: don't tell entries that aren't reached of held tasks

Cause: entries that are slow, as under a burst, confirm late. Each was then told all open jobs and all held tasks of all processes, twice a second in five copies; an overloaded entry held about 95 tasks, which made the others slower.

--- a/yuccabroker/forward.go
+++ b/yuccabroker/forward.go
@@ -34,22 +34,12 @@
 		if (isBehind || !r.lostAt.IsZero()) && now.Sub(r.forwardedAt) >= forwardInterval {
 			r.forwardedAt = now
 			b.metrics.Add("open_jobs_forwarded", 1)
-			b.forward(&yuccawire.Forward{To: name, OpenJobs: b.ListOpenJobs(now), HeldTasks: b.forwardedHeld(now)})
+			b.forward(&yuccawire.Forward{To: name, OpenJobs: b.ListOpenJobs(now)})
 		}
 	}
 	b.requestAwaited(now)
 }
 
-// forwardedHeld returns the held tasks of all processes for an entry that isn't reached. Each list is a part: only its sender
-// says what is over.
-func (b *Broker) forwardedHeld(now time.Time) []*yuccawire.HeldTasks {
-	lists := slices.DeleteFunc(append(b.HeldLists(now), b.HeldParts(now)...), func(list *yuccawire.HeldTasks) bool { return len(list.GetTasks()) == 0 })
-	for _, list := range lists {
-		list.Partial, list.Reached = true, nil
-	}
-	return lists
-}
-
 // requestAwaited requests the lists that are awaited of entries that aren't linked, over other ones.
 func (b *Broker) requestAwaited(now time.Time) {
 	if len(b.awaited) == 0 || now.Sub(b.awaitedRequestedAt) < forwardAfter {
@@ -106,10 +96,6 @@
 	case m.GetTo() == b.options.Name && m.GetGone():
 		b.HandleEntryGone(now, m.GetFrom(), m.GetIncarnation())
 	case m.GetTo() == b.options.Name && m.GetOpenJobs() != nil:
-		// A job may be closed once its runs are told as held tasks.
-		for _, list := range m.GetHeldTasks() {
-			b.HandleHeldTasks(now, list)
-		}
 		b.handleOpenJobs(now, m.GetFrom(), m.GetIncarnation(), m.GetOpenJobs(), true)
 	case m.GetTo() == b.options.Name && b.incarnations[m.GetFrom()] == m.GetIncarnation():
 		b.HandleOpenJobsSeen(now, m.GetFrom(), m.GetOpenJobsSeen())
--- a/yuccabroker/openjobs.go
+++ b/yuccabroker/openjobs.go
@@ -252,7 +252,7 @@
 // sendOpenJobs sends another entry all open jobs.
 func (b *Broker) sendOpenJobs(now time.Time, entry string) {
 	if !slices.Contains(b.peers, entry) {
-		b.forward(&yuccawire.Forward{To: entry, OpenJobs: b.ListOpenJobs(now), HeldTasks: b.forwardedHeld(now)})
+		b.forward(&yuccawire.Forward{To: entry, OpenJobs: b.ListOpenJobs(now)})
 		return
 	}
 	b.emit(Publish{Message: &yuccawire.Envelope{Body: &yuccawire.Envelope_OpenJobs{OpenJobs: b.ListOpenJobs(now)}}, To: []string{entry}})
