broker: send messages to other entries over sides only where links are lost, and few

A message goes over sides only to an entry whose link is lost, and eight of them in half a second at most. A copy of a known list from a linked entry is confirmed and not applied again.

TestMessagesOverSidesGrowWithTheNumberOfSlowEntries fails on the code before: with 15 slow entries 90 messages over sides in 2 s where they are linked, 120 where their links are lost.

--- a/yuccabroker/broker.go
+++ b/yuccabroker/broker.go
@@ -138,9 +138,11 @@
 	evictedElsewhereAt time.Time
 	// awaitedRequestedAt is when awaited lists were last requested over other entries.
 	awaitedRequestedAt time.Time
-	// forwards counts the messages to other entries over third ones.
-	forwards int
-	awaited  map[string]time.Time
+	// forwards counts the messages to other entries over third ones, sideForwards those over sides since
+	// sideForwardsFrom.
+	forwards, sideForwards int
+	sideForwardsFrom       time.Time
+	awaited                map[string]time.Time
 	// awaitedTwice are those of the awaited entries whose next list may have been sent too early.
 	awaitedTwice map[string]bool
 	startedAt    time.Time
--- a/yuccabroker/elsewhere.go
+++ b/yuccabroker/elsewhere.go
@@ -195,6 +195,7 @@
 	}
 	key := entryKey{name: name, incarnation: incarnation}
 	l := b.openElsewhere[key]
+	isCopy := l != nil && isForwarded && m.GetSequence() == l.sequence && slices.Contains(b.peers, name)
 	if l == nil {
 		l = &openList{jobs: make(map[string]openJob)}
 		b.openElsewhere[key] = l
@@ -215,8 +216,12 @@
 		b.options.Logger.Error("too many open jobs of an entry, list ignored", "entry", name, "jobs", len(l.jobs)+len(m.GetOpened()))
 		return
 	}
-	// What was sent during a standstill says nothing of an age, the list that was requested does.
 	_, isAwaited := b.awaited[name]
+	if isCopy && !isAwaited {
+		b.reply(name, &yuccawire.OpenJobsSeen{Sequence: l.sequence})
+		return
+	}
+	// What was sent during a standstill says nothing of an age, the list that was requested does.
 	isDelayed := !m.GetWhole() && (isAwaited || b.ticks.IsOverdue(now))
 	taken, closed := l.update(now, m, b.openers, func(id string, receivedAt time.Time) bool {
 		return !isDelayed && b.takes(now, name, id, receivedAt, isForwarded)
--- a/yuccabroker/forward.go
+++ b/yuccabroker/forward.go
@@ -17,11 +17,17 @@
 	// maxForwardingSides how many linked sides: an entry may reach no other one.
 	maxForwarders      = 3
 	maxForwardingSides = 2
+	// maxSideForwards limits the messages to other entries that go over sides in forwardInterval. An entry that
+	// is slow loses links, and more messages would make it, and the others, slower.
+	maxSideForwards = 8
 )
 
 // forwardOpenJobs tells the readers that don't confirm what they were told, or whose links are lost, over other
 // entries, as the links to them may be cut.
 func (b *Broker) forwardOpenJobs(now time.Time) {
+	if now.Sub(b.sideForwardsFrom) >= forwardInterval {
+		b.sideForwardsFrom, b.sideForwards = now, 0
+	}
 	for _, name := range slices.Sorted(maps.Keys(b.open.readers)) {
 		r := b.open.readers[name]
 		switch {
@@ -53,20 +59,24 @@
 	}
 }
 
-// forward sends a message over linked entries and sides.
+// forward sends a message over linked entries, and over linked sides unless the entry is linked and just slow.
 func (b *Broker) forward(m *yuccawire.Forward) {
 	m.From, m.Incarnation = b.options.Name, b.options.Incarnation
 	entries := slices.DeleteFunc(slices.Clone(b.peers), func(name string) bool { return name == m.GetTo() })
+	b.forwards++
+	if to := nextOf(entries, b.forwards, maxForwarders); len(to) > 0 {
+		b.publishForward(m, to)
+	}
+	if slices.Contains(b.peers, m.GetTo()) || b.sideForwards >= maxSideForwards {
+		return
+	}
+	b.sideForwards++
 	var sides []string
 	for _, s := range b.sideList {
 		if s.linked {
 			sides = append(sides, s.name)
 		}
 	}
-	b.forwards++
-	if to := nextOf(entries, b.forwards, maxForwarders); len(to) > 0 {
-		b.publishForward(m, to)
-	}
 	for _, name := range nextOf(sides, b.forwards, maxForwardingSides) {
 		b.send(name, &yuccawire.Envelope{Body: &yuccawire.Envelope_Forward{Forward: m}})
 	}
--- a/yuccabroker/forward_test.go
+++ b/yuccabroker/forward_test.go
@@ -1,6 +1,7 @@
 package yuccabroker_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -114,6 +115,38 @@
 	}
 }
 
+// A burst makes entries confirm late, and lose their links.
+func TestMessagesOverSidesGrowWithTheNumberOfSlowEntries(t *testing.T) {
+	var names []string
+	for i := range 15 {
+		names = append(names, fmt.Sprint("e", i))
+	}
+	for what, tc := range map[string]struct {
+		linked []string
+		want   int
+	}{
+		"linked": {names, 0},
+		"lost":   {nil, 2 * 2 * 8 * 2},
+	} {
+		f := newOpenPeers(t, names...)
+		f.submit(f.received("a", 0), 1)
+		f.broker.SetPeers(tc.linked)
+		overSides := 0
+		for range 100 {
+			f.now = f.now.Add(20 * time.Millisecond)
+			f.broker.Tick(f.now)
+			for _, a := range f.broker.Actions() {
+				if m, isSend := a.(yuccabroker.Send); isSend && m.Message.GetForward() != nil {
+					overSides++
+				}
+			}
+		}
+		if overSides > tc.want {
+			t.Errorf("%s: %d messages over sides in 2 s, want %d at most", what, overSides, tc.want)
+		}
+	}
+}
+
 func TestWholeListIsCountedTwice(t *testing.T) {
 	f := newOpenPeers(t, "b")
 	var jobs []*yuccawire.OpenJob
