side, entry: say what the end of a lost run rests on

'end' and the new 'cause', which the side sends with the end (Ended.cause), come first in that line now, and lines of runs that were lost are warnings, which have a limit of their own. No logic changes.

--- a/yuccabroker/side.go
+++ b/yuccabroker/side.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"context"
+	"log/slog"
 	"maps"
 	"slices"
 	"time"
@@ -370,9 +372,15 @@
 // mayStartAgain reports whether the worker may still execute a start of the ended run.
 func mayStartAgain(e *yuccawire.Ended) bool { return e.GetMayStart() || e.GetUnanswered() }
 
+// logRunEnd logs the end of a run and what it rests on. Runs that were lost are warnings, which a burst of other
+// lines doesn't displace.
 func (b *Broker) logRunEnd(now time.Time, t *task, s *side, e *yuccawire.Ended) {
-	b.options.Logger.Info("run did not succeed", "job", t.job.ID, "task", t.name, "run", t.run, "side", s.name, "worker", s.worker,
-		"end", e.GetEnd().String(), "refusal", e.GetRefusal().String(), "ran_ms", e.GetRanMs(), "since_order_ms", now.Sub(t.sentAt).Milliseconds(),
+	level := slog.LevelInfo
+	if e.GetEnd() == yuccawire.RunEnd_RUN_END_LOST || e.GetEnd() == yuccawire.RunEnd_RUN_END_CRASHED {
+		level = slog.LevelWarn
+	}
+	b.options.Logger.Log(context.Background(), level, "run did not succeed", "end", e.GetEnd().String(), "cause", e.GetCause(), "task", t.name, "run", t.run,
+		"side", s.name, "worker", s.worker, "job", t.job.ID, "refusal", e.GetRefusal().String(), "ran_ms", e.GetRanMs(), "since_order_ms", now.Sub(t.sentAt).Milliseconds(),
 		"settled", t.settled, "failures", t.failures, "losses", t.losses, "crashes", len(b.crashes.byTask[t.name]))
 }
 
--- a/yuccaworker/hold.go
+++ b/yuccaworker/hold.go
@@ -220,7 +220,7 @@
 		if r := w.runs[e.Key]; r != nil {
 			// A stop may be listed of a run that was not there yet.
 			r.listed = r.listed || e.Outcome != yuccawire.RunEnd_RUN_END_STOPPED
-			w.completeRun(now, r, e.Outcome)
+			w.completeRun(now, r, e.Outcome, "")
 		}
 	}
 }
@@ -279,11 +279,11 @@
 		case isLost && isStopped:
 			w.loseRun(now, r, "the new incarnation does not list it")
 		case isStopped:
-			w.completeRun(now, r, yuccawire.RunEnd_RUN_END_STOPPED)
+			w.completeRun(now, r, yuccawire.RunEnd_RUN_END_STOPPED, "stop answered, the worker does not list it")
 		case isMissing && len(h.Completions) == 0:
 			// Neither running nor completed: the worker lost its record of the run.
 			w.settleCrash(now, r, false)
-			w.completeRunAfter(now, r, yuccawire.RunEnd_RUN_END_LOST, now.Sub(r.startSentAt))
+			w.completeRunAfter(now, r, yuccawire.RunEnd_RUN_END_LOST, now.Sub(r.startSentAt), "started, but the worker does not list it")
 			forgotten = forgotten || r.mayStartLater()
 		}
 	}
--- a/yuccaworker/restart.go
+++ b/yuccaworker/restart.go
@@ -70,7 +70,7 @@
 		"end", r.lostAs.String(), "ran_ms", r.ranBeforeLoss.Milliseconds(), "unreachable", !w.isReachable(), "why", reason)
 	w.metrics.Add("runs_lost", 1)
 	w.settleCrash(now, r, r.clockConfirmed)
-	w.completeRunAfter(now, r, r.lostAs, r.ranBeforeLoss)
+	w.completeRunAfter(now, r, r.lostAs, r.ranBeforeLoss, reason)
 }
 
 // carryOver prepares the takeover of a new incarnation for the runs that it may have
--- a/yuccaworker/run.go
+++ b/yuccaworker/run.go
@@ -311,16 +311,17 @@
 	r.owner.runCount--
 }
 
-// completeRun removes an active run and queues its outcome for the owner.
-func (w *Worker) completeRun(now time.Time, r *run, outcome yuccawire.RunEnd) {
+// completeRun removes an active run and queues its outcome for the owner. The cause is empty if
+// the worker has listed the outcome.
+func (w *Worker) completeRun(now time.Time, r *run, outcome yuccawire.RunEnd, cause string) {
 	w.settleCrash(now, r, false)
-	w.completeRunAfter(now, r, outcome, now.Sub(r.startSentAt))
+	w.completeRunAfter(now, r, outcome, now.Sub(r.startSentAt), cause)
 }
 
 // completeRunAfter is completeRun for a run that has ended before now.
-func (w *Worker) completeRunAfter(now time.Time, r *run, outcome yuccawire.RunEnd, ran time.Duration) {
+func (w *Worker) completeRunAfter(now time.Time, r *run, outcome yuccawire.RunEnd, ran time.Duration, cause string) {
 	w.removeRun(r)
-	ended := &yuccawire.Ended{End: outcome, RanMs: uint32(ran.Milliseconds())}
+	ended := &yuccawire.Ended{End: outcome, RanMs: uint32(ran.Milliseconds()), Cause: cause}
 	if r.mayStartLater() {
 		w.metrics.Add("ends_with_unanswered_start", 1)
 		w.options.Logger.Info("run has ended, a start of it had no answer", "task", r.key.Task, "run", r.key.Run, "owner", r.owner.id.Name,
