worker: ask the worker before a report ends runs that aren't listed yet

Cause: a report of another worker ID with a later start ended all runs of a side as crashed, without the worker being asked, unless one of them was listed. A run isn't listed for up to 50 ms after its start, while a renewal waits. The entry placed its task elsewhere at once, and the worker went on. The class: somebody else's word is taken as proof that a worker, and its runs, have ended.

Ruled out: a change on the entry's side. The side told it RUN_END_CRASHED without may_start, which allows another side.

Why it works: while there is any run, listed or not, a report of another incarnation is followed only once the worker has answered as another one, or no run is left; the hold isn't extended and starts wait until then, as before for listed runs.

--- a/yuccaworker/start.go
+++ b/yuccaworker/start.go
@@ -163,15 +163,16 @@
 	}
 }
 
-// unsettledRuns returns the runs of an owner that are not settled, its queued ones, and those of
-// an earlier incarnation of the worker that the present one may have started.
+// unsettledRuns returns the runs of an owner that are not settled, its queued ones, and those that
+// another incarnation of the worker than the known one may have started.
 func (w *Worker) unsettledRuns(o *owner) []*yuccawire.RunKey {
 	if o.runCount == 0 {
 		return nil
 	}
 	var keys []*yuccawire.RunKey
 	for _, r := range w.runs {
-		if r.owner == o && (!r.isSettled() || r.lostAs != yuccawire.RunEnd_RUN_END_UNSPECIFIED) {
+		isOfAnother := r.lostAs != yuccawire.RunEnd_RUN_END_UNSPECIFIED || w.unconfirmed != nil && !r.listed
+		if r.owner == o && (!r.isSettled() || isOfAnother) {
 			keys = append(keys, r.wireKey())
 		}
 	}
--- a/yuccaworker/unconfirmed.go
+++ b/yuccaworker/unconfirmed.go
@@ -3,7 +3,7 @@
 import "time"
 
 // unconfirmedRestart is a report of a later start of the worker, or of another worker. It is followed once
-// an answer confirms that, or no listed run of the known incarnation is left.
+// an answer confirms that, or no run is left that it could end.
 type unconfirmedRestart struct {
 	report Report
 	// arrivedAt is when the report arrived, askedAt when the first renewal after it was sent.
@@ -11,24 +11,11 @@
 	askedAt   time.Time
 }
 
-// isUnconfirmedRestart reports whether the report would end listed runs, by its start or its ID alone.
+// isUnconfirmedRestart reports whether the report would end runs, by its start or its ID alone.
 func (w *Worker) isUnconfirmedRestart(r Report) bool {
-	return w.report != nil && !w.gone && (r.ID != w.report.ID || r.StartedAtMS > w.report.StartedAtMS) && w.hasListedRuns()
+	return w.report != nil && !w.gone && (r.ID != w.report.ID || r.StartedAtMS > w.report.StartedAtMS) && len(w.runs) > 0
 }
 
-// hasListedRuns reports whether there are runs that a restart of the worker has certainly ended.
-func (w *Worker) hasListedRuns() bool {
-	for _, r := range w.runs {
-		if r.endsWithIncarnation() {
-			return true
-		}
-	}
-	return false
-}
-
-// endsWithIncarnation reports whether only the known incarnation can execute the run.
-func (r *run) endsWithIncarnation() bool { return r.listed && r.tries == 1 }
-
 // noteUnconfirmedRestart asks the worker which incarnation it is. Starts wait for the answer.
 func (w *Worker) noteUnconfirmedRestart(now time.Time, r Report) {
 	if w.unconfirmed != nil && w.unconfirmed.report.ID == r.ID && w.unconfirmed.report.StartedAtMS == r.StartedAtMS {
@@ -83,7 +70,7 @@
 
 // checkUnconfirmedRestart follows the report once the runs that it would have ended are over.
 func (w *Worker) checkUnconfirmedRestart(now time.Time) {
-	if w.unconfirmed != nil && !w.hasListedRuns() {
+	if w.unconfirmed != nil && len(w.runs) == 0 {
 		w.followReport(now)
 	}
 }
