worker: an announced end and a refused connection don't end runs that go on

Callers saw, or could have: a task that ran twice at the same time. A worker's DELETE (a late one of an earlier incarnation, or one of a process that is about to end) beside one refused connection ended all runs of the side at once, listed or not, as RUN_END_LOST without may_start, so that the entry placed their tasks elsewhere. A process that closes its listener before it ends, or whose queue of connections is full, goes on.

The runs end now as those of any worker that refuses connections: once the hold has certainly expired, or by the lists. An announced end is still no crash.

Price: the tasks of a worker that announces its end with runs are placed elsewhere about 0.55 s later.

--- a/yuccadriver/driver.go
+++ b/yuccadriver/driver.go
@@ -349,8 +349,8 @@
 	return yuccaquery.Do(ctx, d.postQuery, func(d *Driver) bool { return d.worker.HandleReport(time.Now(), r) })
 }
 
-// Deregister processes the announcement of a worker that it exits: all its runs are
-// lost. It ignores workers other than the one with the latest report.
+// Deregister processes the announcement of a worker that it exits. Its runs count as active
+// until they end. It ignores workers other than the one with the latest report.
 func (d *Driver) Deregister(ctx context.Context, id string) error {
 	_, err := yuccaquery.Do(ctx, d.postQuery, func(d *Driver) bool {
 		d.worker.HandleDeregistration(time.Now(), id)
--- a/yuccaworker/crash.go
+++ b/yuccaworker/crash.go
@@ -30,7 +30,7 @@
 // checkCrash reports the crash of a worker that keeps refusing connections. Its runs
 // are reported as ended later, when the hold has expired.
 func (w *Worker) checkCrash(now time.Time) {
-	if w.report != nil && !w.gone && !w.report.Leaving && !w.isReachable() && now.Sub(w.unreachableSince) >= crashConfirmation {
+	if w.report != nil && !w.gone && !w.report.Leaving && !w.deregistered && !w.isReachable() && now.Sub(w.unreachableSince) >= crashConfirmation {
 		w.reportCrash(now)
 	}
 }
--- a/yuccaworker/worker.go
+++ b/yuccaworker/worker.go
@@ -341,19 +341,14 @@
 	w.markOwnersDirty()
 }
 
-// checkDeregistration completes the deregistration of a worker without runs, and of one
-// that refuses connections: its runs are lost. Those that it may start after a restart under
-// its ID count as active for a while longer.
+// checkDeregistration completes the deregistration of a worker without runs. Its runs end like
+// those of any other: a process may refuse connections for a while before it ends.
 func (w *Worker) checkDeregistration(now time.Time) {
-	if !w.deregistered || len(w.runs) > 0 && w.isReachable() {
+	if !w.deregistered || len(w.runs) > 0 {
 		return
 	}
 	w.deregistered = false
 	w.gone, w.goneAt = true, now
-	w.loseRuns(now, "worker deregistered", false, func(r *run) bool { return !r.mayStartLater() })
-	for _, r := range w.runs {
-		r.markLost(false, now)
-	}
 }
 
 // Stop prepares for the shutdown of this side: it refuses queued tasks and all
@@ -419,7 +414,6 @@
 	w.options.Logger.Warn("worker unreachable, it refuses connections", "worker", w.report.ID, "born", w.report.StartedAtMS,
 		"runs", len(w.runs), "queued", len(w.queue), "since_answer_ms", now.Sub(w.lastAnswerAt).Milliseconds())
 	w.refuseQueue(now, yuccawire.RunRefusal_RUN_REFUSAL_NO_WORKER)
-	w.checkDeregistration(now)
 	w.markOwnersDirty()
 }
 
