worker: don't follow a report of another worker while the known one answers

Callers saw less capacity: after a report of another worker, a side without runs took that one over, got 421 from its own worker, and refused all orders until that one's next report, up to 1.5 s later.

The side asks the known incarnation first now, with or without runs. It follows the report once another one answers, or once a renewal after it has no answer or is refused while there is no run. The price is one call on the same machine for a worker that was really replaced, and one timeout of 80 ms if nothing answers.

--- a/yuccaworker/hold.go
+++ b/yuccaworker/hold.go
@@ -169,10 +169,13 @@
 	case ResultUnreachable:
 		w.recordUnreachable(now)
 		w.metrics.Add("holds_unanswered", 1)
+		w.noteUnansweredQuery(h.SentAt)
 	default:
 		w.unansweredHolds++
 		w.metrics.Add("holds_unanswered", 1)
+		w.noteUnansweredQuery(h.SentAt)
 	}
+	w.checkUnconfirmedRestart(now)
 	// The first renewal that fails early is repeated at once: its connection broke,
 	// perhaps in a crash.
 	failedEarly := h.Result == ResultUnknown && w.unansweredHolds == 1
--- a/yuccaworker/reported_test.go
+++ b/yuccaworker/reported_test.go
@@ -96,3 +96,42 @@
 		t.Error("the outcome does not say what it rests on")
 	}
 }
+
+func TestReportOfAnotherWorkerTakesAnIdleWorkerOutOfUse(t *testing.T) {
+	for _, id := range []string{"w-1", "w-2"} {
+		t.Run(id, func(t *testing.T) {
+			h := newHarness(t)
+			h.reportAs(id, 100)
+			h.advance(100 * time.Millisecond)
+			if !h.states[entry].GetReady() {
+				t.Error("the worker is not reported as ready")
+			}
+			h.order(entry, lease, task("a", 1, 1600))
+			if !h.running[runA] {
+				t.Error("the run was not started")
+			}
+		})
+	}
+}
+
+// The known worker has gone without a word, and nothing answers for it.
+func TestWorkerThatReportsAtASilentAddressIsNotTakenOver(t *testing.T) {
+	for name, fail := range map[string]func(h *harness, fails bool){
+		"no answer": func(h *harness, fails bool) { h.silent = fails }, "refused": func(h *harness, fails bool) { h.refusing = fails },
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			fail(h, true)
+			h.incarnation = yuccaworker.Incarnation{ID: "w-2", StartedAtMS: h.incarnation.StartedAtMS + 100}
+			h.token = 0
+			h.report(1, false)
+			h.runActions()
+			h.advance(100 * time.Millisecond)
+			fail(h, false)
+			h.advance(300 * time.Millisecond)
+			if state := h.states[entry]; !state.GetReady() || !state.GetTaken() {
+				t.Errorf("the worker is reported as ready %v, taken over %v", state.GetReady(), state.GetTaken())
+			}
+		})
+	}
+}
--- a/yuccaworker/unconfirmed.go
+++ b/yuccaworker/unconfirmed.go
@@ -3,17 +3,19 @@
 import "time"
 
 // unconfirmedRestart is a report of a later start of the worker, or of another worker. It is followed once
-// an answer confirms that, or no run is left that it could end.
+// an answer confirms that, or a renewal has no answer while there is no run that it could end.
 type unconfirmedRestart struct {
 	report Report
 	// arrivedAt is when the report arrived, askedAt when the first renewal after it was sent.
 	arrivedAt time.Time
 	askedAt   time.Time
+	// unanswered is set once a renewal after the report had no answer.
+	unanswered bool
 }
 
-// isUnconfirmedRestart reports whether the report would end runs, by its start or its ID alone.
+// isUnconfirmedRestart reports whether the report would end the known incarnation, by its start or its ID alone.
 func (w *Worker) isUnconfirmedRestart(r Report) bool {
-	return w.report != nil && !w.gone && (r.ID != w.report.ID || r.StartedAtMS > w.report.StartedAtMS) && len(w.runs) > 0
+	return w.report != nil && !w.gone && (r.ID != w.report.ID || r.StartedAtMS > w.report.StartedAtMS)
 }
 
 // noteUnconfirmedRestart asks the worker which incarnation it is. Starts wait for the answer.
@@ -65,12 +67,19 @@
 	clock := workerClock{lastMS: r.ClockMS, observedAt: w.unconfirmed.arrivedAt}
 	r.ClockMS = clock.lowerBound(now)
 	w.unconfirmed = nil
-	w.HandleReport(now, r)
+	w.acceptReport(now, r)
 }
 
-// checkUnconfirmedRestart follows the report once the runs that it would have ended are over.
+// noteUnansweredQuery records that a renewal had no answer, which may have been sent after the report.
+func (w *Worker) noteUnansweredQuery(sentAt time.Time) {
+	if w.unconfirmed != nil && !sentAt.Before(w.unconfirmed.askedAt) {
+		w.unconfirmed.unanswered = true
+	}
+}
+
+// checkUnconfirmedRestart follows the report if the known incarnation doesn't answer and has no runs.
 func (w *Worker) checkUnconfirmedRestart(now time.Time) {
-	if w.unconfirmed != nil && len(w.runs) == 0 {
+	if w.unconfirmed != nil && w.unconfirmed.unanswered && len(w.runs) == 0 {
 		w.followReport(now)
 	}
 }
--- a/yuccaworker/worker.go
+++ b/yuccaworker/worker.go
@@ -247,6 +247,12 @@
 		w.noteUnconfirmedRestart(now, r)
 		return true
 	}
+	w.acceptReport(now, r)
+	return true
+}
+
+// acceptReport records a report of the known incarnation, or takes over the one that the report names.
+func (w *Worker) acceptReport(now time.Time, r Report) {
 	sameIncarnation := w.report != nil && !w.gone && w.incarnation() == Incarnation{ID: r.ID, StartedAtMS: r.StartedAtMS}
 	startsLeaving := sameIncarnation && !w.report.Leaving && r.Leaving
 	w.lastContactAt = now
@@ -285,10 +291,9 @@
 			w.refuseQueue(now, yuccawire.RunRefusal_RUN_REFUSAL_LEAVING)
 			w.markOwnersDirty()
 		}
-		return true
+		return
 	}
 	w.takeOver(now, r, previous != nil && previous.ID == r.ID)
-	return true
 }
 
 // takeOver begins the takeover of a new incarnation of the worker.
