--- a/yuccamodel/faults_test.go
+++ b/yuccamodel/faults_test.go
@@ -161,6 +161,17 @@
 	}},
 	{"worker_cut_from_calls", false, lasting, anywhere, func(p *play, t touch, d time.Duration) { p.set(&t.side.worker.isUnreachable, d) }},
 	{"worker_unheard", false, lasting, anywhere, func(p *play, t touch, d time.Duration) { p.set(&t.side.worker.isUnheard, d) }},
+	{"other_worker_reported", false, once, anywhere, func(_ *play, t touch, _ time.Duration) { t.side.reportAs("w-other", time.Second) }},
+	{"later_start_reported", false, once, anywhere, func(_ *play, t touch, _ time.Duration) {
+		t.side.reportAs(t.side.worker.incarnation.ID, time.Second)
+	}},
+	{"earlier_worker_reported", false, once, anywhere, func(_ *play, t touch, _ time.Duration) { t.side.reportAs("w-other", -time.Second) }},
+	{"end_announced", false, once, anywhere, func(_ *play, t touch, _ time.Duration) { t.side.announceEnd() }},
+	{"end_announced_and_refusing", false, lasting, anywhere, func(p *play, t touch, d time.Duration) {
+		t.side.announceEnd()
+		p.set(&t.side.worker.isUnreachable, d)
+		p.set(&t.side.worker.refuses, d)
+	}},
 	{"run_fails", false, once, anywhere, func(_ *play, t touch, _ time.Duration) {
 		t.side.worker.hasFailed = true
 		for _, key := range t.side.worker.runKeys() {
@@ -186,6 +197,19 @@
 	p.world.after(d, func() { *flag = false })
 }
 
+// reportAs delivers a report of a worker that isn't there, which started later than the one that is.
+func (s *modelSide) reportAs(id string, later time.Duration) {
+	r := s.worker.report()
+	r.ID, r.Sequence = id, 1
+	r.StartedAtMS += later.Milliseconds()
+	s.handle(func() { s.core.HandleReport(s.now(), r) })
+}
+
+// announceEnd announces the end of the worker, which goes on.
+func (s *modelSide) announceEnd() {
+	s.handle(func() { s.core.HandleDeregistration(s.now(), s.worker.incarnation.ID) })
+}
+
 func (p *play) restartWorker(m *modelWorker, d time.Duration, id string, reportDelay time.Duration) {
 	p.world.after(d, func() {
 		m.incarnation.ID = id
