--- a/yuccamodel/found_test.go
+++ b/yuccamodel/found_test.go
@@ -18,6 +18,20 @@
 	})
 }
 
+// Refused connections count as a proof that the process has ended, but it stands still.
+func TestRunOfAStandingWorkerThatRefusesConnectionsOverlapsTheNextOne(t *testing.T) {
+	replaySchedules(t, map[string]string{
+		"announced": "play one_task\nworker_stands at 8 for under_outcome_retention\nend_announced_and_refusing at 11 for over_loss_time",
+	})
+}
+
+// A worker that refuses connections for 20 ms counts as crashed, although it goes on.
+func TestJobIsFailedForAWorkerThatRefusesConnections(t *testing.T) {
+	replaySchedules(t, map[string]string{
+		"after a crash": "play late_notice\nworker_replaced at 14 for at_once\nend_announced_and_refusing at 36 for over_silent_after",
+	})
+}
+
 // Nobody is left who can tell of the run, as in TestResendAfterALostEntryRunsBesideAStandingMachine.
 func TestResendAfterAKilledEntryRunsBesideASuspendedMachine(t *testing.T) {
 	replaySchedules(t, map[string]string{
