--- a/yuccaworker/worker.go
+++ b/yuccaworker/worker.go
@@ -27,8 +27,8 @@
 	actions    []Action
 
 	report *Report
-	// unconfirmed is a report of a later start under the runs of the known incarnation, nil if there
-	// is none.
+	// unconfirmed is a report of another incarnation than the known one that the worker has not confirmed
+	// yet, nil if there is none.
 	unconfirmed *unconfirmedRestart
 	// specVersion counts the changes of the fields that sameSpec compares.
 	specVersion uint64
@@ -235,8 +235,8 @@
 }
 
 // HandleReport processes a report of the worker. It returns false and ignores the
-// report if a later one was received before. A later start under listed runs has to be
-// confirmed by the worker first.
+// report if a later one was received before. One of another incarnation than the known one has
+// to be confirmed by the worker first.
 func (w *Worker) HandleReport(now time.Time, r Report) bool {
 	if w.report != nil && w.isOutdated(now, r) {
 		w.metrics.Add("reports_overtaken", 1)
