worker: let one answer decide on all reports that came before it

Reports of two other workers in turn, faster than the known one answers, each began a new question, so that no answer counted, the hold was not extended, and runs lapsed after 450 ms. An open question stays open now, with the latest report. TestReportsOfTwoOtherWorkersLetTheHoldOfRunsExpire fails without it.

--- /dev/null
+++ b/yuccaworker/replaced_test.go
@@ -0,0 +1,47 @@
+package yuccaworker_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/yuccaturn/yuccaturn/yuccaworker"
+)
+
+// Two other workers report in turn at intervals shorter than the known one takes to answer.
+func TestReportsOfTwoOtherWorkersLetTheHoldOfRunsExpire(t *testing.T) {
+	const latency, interval = 60 * time.Millisecond, 50 * time.Millisecond
+	for _, others := range []int{1, 2} {
+		t.Run(fmt.Sprint(others), func(t *testing.T) {
+			h := newHarness(t)
+			h.order(entry, lease, task("a", 1, 1600))
+			h.advanceWithLease(entry, 200*time.Millisecond)
+			var calls []yuccaworker.CallHold
+			for i := range 200 {
+				h.now = h.now.Add(10 * time.Millisecond)
+				if h.clock() > h.holdUntilMS {
+					t.Fatalf("the hold has expired after %d ms", 10*i)
+				}
+				for len(calls) > 0 && h.now.Sub(calls[0].SentAt) >= latency {
+					calls[0].Wait = 0
+					h.hold(calls[0])
+					calls = calls[1:]
+				}
+				if i%int(interval/(10*time.Millisecond)) == 0 {
+					r := h.newReport(int64(i) + 1)
+					r.ID, r.StartedAtMS = fmt.Sprint("w-", 2+i/5%others), r.StartedAtMS+100
+					h.core.HandleReport(h.now, r)
+				}
+				h.heartbeat(entry)
+				h.core.Tick(h.now)
+				for _, a := range h.core.Actions() {
+					if call, isHold := a.(yuccaworker.CallHold); isHold {
+						calls = append(calls, call)
+					} else {
+						h.runAction(a)
+					}
+				}
+			}
+		})
+	}
+}
--- a/yuccaworker/unconfirmed.go
+++ b/yuccaworker/unconfirmed.go
@@ -18,11 +18,12 @@
 	return w.report != nil && !w.gone && (r.ID != w.report.ID || r.StartedAtMS > w.report.StartedAtMS)
 }
 
-// noteUnconfirmedRestart asks the worker which incarnation it is. Starts wait for the answer.
+// noteUnconfirmedRestart asks the worker which incarnation it is. Starts wait for the answer, which decides on
+// all reports that arrive until then: a restart in the meantime shows in the next answer or report.
 func (w *Worker) noteUnconfirmedRestart(now time.Time, r Report) {
-	if w.unconfirmed != nil && w.unconfirmed.report.ID == r.ID && w.unconfirmed.report.StartedAtMS == r.StartedAtMS {
-		if r.Sequence >= w.unconfirmed.report.Sequence {
-			w.unconfirmed.report, w.unconfirmed.arrivedAt = r, now
+	if w.unconfirmed != nil {
+		if !w.unconfirmed.report.precedes(r) {
+			return
 		}
 		return
 	}
@@ -37,6 +38,7 @@
 	w.unconfirmed.askedAt = w.holdSentAt
 }
 
+		w.unconfirmed.report, w.unconfirmed.arrivedAt = r, now
 // queryIncarnation requests the lists without an extension of the hold. It acknowledges nothing, as
 // a new incarnation has completions of its own.
 func (w *Worker) queryIncarnation(now time.Time) {
@@ -83,3 +85,8 @@
 		w.followReport(now)
 	}
 }
+
+// precedes reports whether the other report is not an earlier one of the same incarnation.
+func (r Report) precedes(other Report) bool {
+	return other.ID != r.ID || other.StartedAtMS != r.StartedAtMS || other.Sequence >= r.Sequence
+}
