--- a/yuccaworker/replaced_test.go
+++ b/yuccaworker/replaced_test.go
@@ -8,6 +8,19 @@
 	"github.com/yuccaturn/yuccaturn/yuccaworker"
 )
 
+func TestWorkerThatReportsBeforeItsPredecessorDeregistersIsNotTakenOver(t *testing.T) {
+	h := newHarness(t)
+	h.incarnation = yuccaworker.Incarnation{ID: "w-2", StartedAtMS: h.incarnation.StartedAtMS + 100}
+	h.token = 0
+	h.report(1, false)
+	h.core.HandleDeregistration(h.now, "w-1")
+	h.runActions()
+	h.advance(300 * time.Millisecond)
+	if state := h.states[entry]; !state.GetReady() {
+		t.Error("the worker that has reported is not in use")
+	}
+}
+
 // Two other workers report in turn at intervals shorter than the known one takes to answer.
 func TestReportsOfTwoOtherWorkersLetTheHoldOfRunsExpire(t *testing.T) {
 	const latency, interval = 60 * time.Millisecond, 50 * time.Millisecond
--- a/yuccaworker/worker.go
+++ b/yuccaworker/worker.go
@@ -361,6 +361,7 @@
 func (w *Worker) Stop(now time.Time) {
 	w.stopping = true
 	w.refuseQueue(now, yuccawire.RunRefusal_RUN_REFUSAL_LEAVING)
+	w.followReport(now)
 	w.markOwnersDirty()
 }
 
