worker: count on delayed renewals after each takeover

Now each takeover allows for it. TestDelayedRenewalOutlivesTheHoldAfterAReportOfAnotherWorker fails without it.

--- a/yuccaworker/replaced_test.go
+++ b/yuccaworker/replaced_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/yuccaturn/yuccaturn/yuccawire"
 	"github.com/yuccaturn/yuccaturn/yuccaworker"
 )
 
@@ -58,3 +59,36 @@
 		})
 	}
 }
+
+// The renewal reaches a new incarnation, for which its deadline is the longest lease; without the other report the side allows for that.
+func TestDelayedRenewalOutlivesTheHoldAfterAReportOfAnotherWorker(t *testing.T) {
+	for name, reports := range map[string]func(h *harness){
+		"no other report":          func(*harness) {},
+		"report of another worker": func(h *harness) { h.reportAs("w-2", 100) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			h.advance(time.Second)
+			h.order(entry, lease, task("z", 1, 1600))
+			h.advanceWithLease(entry, 100*time.Millisecond)
+			h.complete(yuccaworker.Key{Task: "z", Run: 1}, yuccawire.RunEnd_RUN_END_DONE)
+			h.advanceWithLease(entry, 100*time.Millisecond)
+			delayed := yuccaworker.CallHold{Incarnation: h.incarnation, DeadlineMS: h.clock() + yuccaworker.Hold.Milliseconds(), Token: h.token}
+			h.restart(-4000)
+			h.hold(delayed)
+			reports(h)
+			h.report(1, false)
+			h.runActions()
+			h.advance(20 * time.Millisecond)
+			h.order(entry, lease, task("a", 1, 1600))
+			if !h.running[runA] {
+				t.Fatal("the run was not started")
+			}
+			h.unresponsive = true
+			h.advanceWithLease(entry, 1500*time.Millisecond)
+			if h.outcomeOf(entry, "a") == nil {
+				t.Error("no outcome of the run was reported")
+			}
+		})
+	}
+}
--- a/yuccaworker/worker.go
+++ b/yuccaworker/worker.go
@@ -98,8 +98,8 @@
 	deadlineMS  int64
 	holdUntilMS int64
 	extendedAt  time.Time
-	// unfenced is set until a restarted worker has first answered, or any to a new process: it
-	// may execute calls to the earlier incarnation until then.
+	// unfenced is set until an incarnation of the worker has first answered: it may execute calls to an
+	// earlier one until then.
 	unfenced     bool
 	holdInFlight bool
 	// holdSentAt is when the last renewal was sent. It differs between renewals that are
@@ -322,12 +322,12 @@
 	w.clearSince = time.Time{}
 	w.deadlineMS, w.holdUntilMS = 0, 0
 	if sameID {
-		w.unfenced = true
 		w.carryOver(now, r.ClockMS)
 	}
 	w.cursor, w.ackedCursor = 0, 0
 	w.health.reset()
 	// The new incarnation may be of another service, kind or size.
+	w.unfenced = true
 	w.refuseQueue(now, yuccawire.RunRefusal_RUN_REFUSAL_NO_WORKER)
 	w.markOwnersDirty()
 	w.renewHold(now)
