worker: a report that nothing answers proves no crash

Found by a reviewer, not new: a worker was suspected of a crash for its silence, a report of another worker came, and was followed as nothing answered; the suspicion became a proven crash of the tasks that had run there, and two of them fail a job. Only an answer of another incarnation proves it. TestReportOfAnotherWorkerProvesTheCrashOfASilentOne fails without it.

--- a/yuccaworker/replaced_test.go
+++ b/yuccaworker/replaced_test.go
@@ -9,6 +9,39 @@
 	"github.com/yuccaturn/yuccaturn/yuccaworker"
 )
 
+// No connection to the machine of the worker could be opened for a while; the worker has not ended.
+func TestReportOfAnotherWorkerProvesTheCrashOfASilentOne(t *testing.T) {
+	for _, id := range []string{"w-1", "w-2"} {
+		t.Run(id, func(t *testing.T) {
+			h := newHarness(t)
+			h.loseSilentRun()
+			h.reportAs(id, 100)
+			h.advance(200 * time.Millisecond)
+			h.expectNoProvenCrash()
+		})
+	}
+}
+
+// loseSilentRun starts a run at a worker to which no connection can be opened then, until it counts as lost.
+func (h *harness) loseSilentRun() {
+	h.order(entry, lease, task("a", 1, 1600))
+	h.advanceWithLease(entry, 200*time.Millisecond)
+	h.silent, h.unresponsive = true, true
+	h.advanceWithLease(entry, time.Second)
+	if h.outcomeOf(entry, "a") == nil {
+		h.t.Fatal("no outcome of the run was reported")
+	}
+}
+
+func (h *harness) expectNoProvenCrash() {
+	h.t.Helper()
+	for _, c := range h.crashes[entry] {
+		if !c.GetUnproven() {
+			h.t.Errorf("the crash of %s is reported as proven, runs %v", c.GetWorker(), c.GetRuns())
+		}
+	}
+}
+
 func TestWorkerThatReportsBeforeItsPredecessorDeregistersIsNotTakenOver(t *testing.T) {
 	h := newHarness(t)
 	h.incarnation = yuccaworker.Incarnation{ID: "w-2", StartedAtMS: h.incarnation.StartedAtMS + 100}
--- a/yuccaworker/unconfirmed.go
+++ b/yuccaworker/unconfirmed.go
@@ -90,3 +90,4 @@
 func (r Report) precedes(other Report) bool {
 	return other.ID != r.ID || other.StartedAtMS != r.StartedAtMS || other.Sequence >= r.Sequence
 }
+		w.unproven = nil // No answer is no proof that it has crashed.
