worker: an announced end proves no crash that was suspected before

Found by a reviewer, not new: a worker that was suspected of a crash for its silence deregistered, and counted as crashed at the report of the next one. TestCrashOfAWorkerThatHasDeregisteredIsProven fails without it.

--- a/yuccaworker/replaced_test.go
+++ b/yuccaworker/replaced_test.go
@@ -22,6 +22,19 @@
 	}
 }
 
+func TestCrashOfAWorkerThatHasDeregisteredIsProven(t *testing.T) {
+	h := newHarness(t)
+	h.loseSilentRun()
+	h.core.HandleDeregistration(h.now, "w-1")
+	h.silent, h.unresponsive = false, false
+	h.incarnation = yuccaworker.Incarnation{ID: "w-2", StartedAtMS: h.incarnation.StartedAtMS + 100}
+	h.token = 0
+	h.report(1, false)
+	h.runActions()
+	h.advance(200 * time.Millisecond)
+	h.expectNoProvenCrash()
+}
+
 // loseSilentRun starts a run at a worker to which no connection can be opened then, until it counts as lost.
 func (h *harness) loseSilentRun() {
 	h.order(entry, lease, task("a", 1, 1600))
--- a/yuccaworker/worker.go
+++ b/yuccaworker/worker.go
@@ -352,7 +352,7 @@
 	if !w.deregistered || len(w.runs) > 0 {
 		return
 	}
-	w.deregistered = false
+	w.deregistered, w.unproven = false, nil
 	w.gone, w.goneAt = true, now
 }
 
