worker, platform: tell an answer of a restarted worker from that of another one

Found by a reviewer. 421 (another worker has the address) and another born (the worker has restarted) were one result, and whatever report was open was followed after either, although it may contradict the answer: - After a restart under the same ID, which may have executed the run, a report of a third worker ended it, open or arriving later. Such an end has had may_start, which keeps its task at the side: wasted work, no second run. The report is dropped now, or ignored while runs are left. TestReportOfAnotherWorkerEndsARunOfTheNewIncarnation. - After another worker has answered, a run whose only start was answered can't start any more, but ended with may_start, which pins its task to that side, also if the new worker is of another kind. TestTaskOfARunWithAnAnsweredStartIsPinnedAfterItsWorkerWasReplaced. Both fail without it. The product's own interface has one answer for both, ResultOtherIncarnation, and is treated as before. The fakes and the platform's tests name the two results.

--- a/yuccamodel/worker_test.go
+++ b/yuccamodel/worker_test.go
@@ -275,7 +275,7 @@
 	key := c.Key
 	switch {
 	case c.Incarnation.ID != m.incarnation.ID:
-		return yuccaworker.ResultOtherIncarnation
+		return yuccaworker.ResultOtherWorker
 	case m.unhealthyShare > 0 && m.world.random.Float64() < m.unhealthyShare:
 		m.world.logf("%s refuses %v as unhealthy", m.name, key)
 		return yuccaworker.ResultUnhealthy
@@ -362,7 +362,7 @@
 	refusal := yuccaworker.HoldResult{Incarnation: c.Incarnation, SentAt: c.SentAt, ClockMS: m.clock()}
 	switch {
 	case c.Incarnation.ID != "" && c.Incarnation.ID != m.incarnation.ID:
-		refusal.Result = yuccaworker.ResultOtherIncarnation
+		refusal.Result = yuccaworker.ResultOtherWorker
 		reply(refusal)
 		return
 	case c.Token < m.token:
@@ -386,7 +386,7 @@
 func (m *modelWorker) holdResult(c yuccaworker.CallHold) yuccaworker.HoldResult {
 	result := yuccaworker.ResultOK
 	if c.Incarnation != m.incarnation {
-		result = yuccaworker.ResultOtherIncarnation
+		result = yuccaworker.ResultRestarted
 	}
 	return yuccaworker.HoldResult{
 		Incarnation: c.Incarnation, Result: result, SentAt: c.SentAt, ClockMS: m.clock(),
--- a/yuccaworker/hold.go
+++ b/yuccaworker/hold.go
@@ -153,14 +153,8 @@
 		w.reconcileRuns(now, h)
 	case ResultFenced:
 		w.raiseToken(now, h.ClockMS)
-	case ResultOtherIncarnation:
-		w.metrics.Add("other_life", 1)
-		w.options.Logger.Warn("worker address answered by another incarnation, waiting for its report", "worker", w.report.ID)
-		w.gone, w.goneAt = true, now
-		w.fenceUnreported(now)
-		w.endIncarnation(now, "another incarnation answers at the worker's address")
-		w.refuseQueue(now, yuccawire.RunRefusal_RUN_REFUSAL_NO_WORKER)
-		w.markOwnersDirty()
+	case ResultOtherIncarnation, ResultRestarted, ResultOtherWorker:
+		w.handleReplacement(now, h.Result)
 		if w.unconfirmed != nil {
 			// The answer to the takeover, or the next tick, sends the ends.
 			w.followReport(now)
--- a/yuccaworker/replaced_test.go
+++ b/yuccaworker/replaced_test.go
@@ -9,6 +9,28 @@
 	"github.com/yuccaturn/yuccaturn/yuccaworker"
 )
 
+// The worker has restarted under its ID and executed the start; the report is of a third one.
+func TestReportOfAnotherWorkerEndsARunOfTheNewIncarnation(t *testing.T) {
+	for name, reportsFirst := range map[string]bool{"report first": true, "renewal first": false} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			h.advance(time.Second)
+			h.restart(-4000)
+			h.holdsUnanswered = reportsFirst
+			h.order(entry, lease, task("a", 1, 1600))
+			h.holdsUnanswered = false
+			if !h.running[runA] {
+				t.Fatal("the new incarnation has not started the run")
+			}
+			h.reportAs("w-2", 100)
+			h.advanceWithLease(entry, 100*time.Millisecond)
+			if e := h.outcomeOf(entry, "a"); e != nil {
+				t.Errorf("reported as %v, may start %v, cause %q while it runs", e.GetEnd(), e.GetMayStart(), e.GetCause())
+			}
+		})
+	}
+}
+
 // No connection to the machine of the worker could be opened for a while; the worker has not ended.
 func TestReportOfAnotherWorkerProvesTheCrashOfASilentOne(t *testing.T) {
 	for _, id := range []string{"w-1", "w-2"} {
@@ -138,3 +160,19 @@
 		})
 	}
 }
+
+// The other worker answers with its own ID: the run, whose start was answered, has ended.
+func TestTaskOfARunWithAnAnsweredStartIsPinnedAfterItsWorkerWasReplaced(t *testing.T) {
+	h := newHarness(t)
+	h.holdsUnanswered = true
+	h.order(entry, lease, task("a", 1, 1600))
+	h.holdsUnanswered = false
+	delete(h.running, runA)
+	h.incarnation = yuccaworker.Incarnation{ID: "w-2", StartedAtMS: h.incarnation.StartedAtMS + 100}
+	h.token, h.latestRun = 0, make(map[string]uint64)
+	h.reportAs("w-2", 0)
+	h.advanceWithLease(entry, 200*time.Millisecond)
+	if e := h.outcomeOf(entry, "a"); e.GetMayStart() {
+		t.Errorf("reported as %v, may start, cause %q", e.GetEnd(), e.GetCause())
+	}
+}
--- a/yuccaworker/restart.go
+++ b/yuccaworker/restart.go
@@ -15,8 +15,9 @@
 // the ID of the worker only, so that an incarnation with the same ID executes calls to an
 // earlier one: it may have started the runs that the earlier one has not listed, or may do
 // so later. Those count as active until the lists of the new incarnation, or the end of
-// all leases, prove otherwise.
-func (w *Worker) endIncarnation(now time.Time, reason string) {
+// all leases, prove otherwise. Another worker executes no calls to this one, so that runs whose only
+// start was answered start no more.
+func (w *Worker) endIncarnation(now time.Time, reason string, isOtherWorker bool) {
 	if len(w.runs) == 0 {
 		w.proveCrash(now)
 		return
@@ -40,7 +41,10 @@
 		}
 		unconfirmed++
 		// A stop that the earlier incarnation answered doesn't bind the new one.
-		r.state, r.listed, r.stopAckedAt, r.absentSince = uncertain, false, time.Time{}, time.Time{}
+		r.listed, r.stopAckedAt, r.absentSince = false, time.Time{}, time.Time{}
+		if !isOtherWorker || r.state != started {
+			r.state = uncertain
+		}
 		if r.pendingCrash == nil && pending != nil {
 			r.pendingCrash = pending
 			pending.unconfirmed++
@@ -54,6 +58,32 @@
 		"unconfirmed", unconfirmed, "why", reason, "crashed", crashed)
 }
 
+// handleReplacement ends the incarnation, as another one has answered. An open report that contradicts the
+// answer is dropped.
+func (w *Worker) handleReplacement(now time.Time, answer Result) {
+	w.metrics.Add("other_life", 1)
+	w.options.Logger.Warn("worker address answered by another incarnation, waiting for its report", "worker", w.report.ID,
+		"restarted", answer == ResultRestarted, "other_worker", answer == ResultOtherWorker)
+	w.gone, w.goneAt, w.hasRestarted = true, now, answer == ResultRestarted
+	w.fenceUnreported(now)
+	w.endIncarnation(now, replacementReasons[answer], answer == ResultOtherWorker)
+	w.refuseQueue(now, yuccawire.RunRefusal_RUN_REFUSAL_NO_WORKER)
+	w.markOwnersDirty()
+	if w.unconfirmed == nil {
+		return
+	}
+	isOfKnown := w.unconfirmed.report.ID == w.report.ID
+	if isOfKnown && answer == ResultOtherWorker || !isOfKnown && answer == ResultRestarted {
+		w.unconfirmed = nil
+	}
+}
+
+var replacementReasons = map[Result]string{
+	ResultOtherIncarnation: "another incarnation answers at the worker's address",
+	ResultRestarted:        "the worker answers that it has restarted",
+	ResultOtherWorker:      "another worker answers at the worker's address",
+}
+
 // markLost sets how the run ends if it is not active any more.
 func (r *run) markLost(crashed bool, endedAt time.Time) {
 	r.lostAs = yuccawire.RunEnd_RUN_END_LOST
--- a/yuccaworker/types.go
+++ b/yuccaworker/types.go
@@ -86,8 +86,10 @@
 	// ResultFenced means that another process has used a higher token.
 	ResultFenced
 	// ResultOtherIncarnation means that the address belongs to another incarnation
-	// or another worker.
+	// or another worker, ResultRestarted and ResultOtherWorker to which of them.
 	ResultOtherIncarnation
+	ResultRestarted
+	ResultOtherWorker
 	// ResultInvalid means that the worker can't decode the call.
 	ResultInvalid
 )
@@ -95,8 +97,8 @@
 // HoldResult is the answer to a renewal of the hold.
 type HoldResult struct {
 	Incarnation Incarnation
-	// Result is ResultOK, ResultUnknown, ResultUnreachable, ResultFenced or
-	// ResultOtherIncarnation.
+	// Result is ResultOK, ResultUnknown, ResultUnreachable, ResultFenced,
+	// ResultOtherIncarnation, ResultRestarted or ResultOtherWorker.
 	Result Result
 	// SentAt is when the renewal was sent, from [CallHold].
 	SentAt      time.Time
--- a/yuccaworker/unconfirmed.go
+++ b/yuccaworker/unconfirmed.go
@@ -18,6 +18,12 @@
 	return w.report != nil && !w.gone && (r.ID != w.report.ID || r.StartedAtMS > w.report.StartedAtMS)
 }
 
+// contradictsAnswer reports whether the report is that of another worker than the known one, which has answered
+// with a later start and may execute runs.
+func (w *Worker) contradictsAnswer(r Report) bool {
+	return w.gone && w.hasRestarted && r.ID != w.report.ID && len(w.runs) > 0
+}
+
 // noteUnconfirmedRestart asks the worker which incarnation it is. Starts wait for the answer, which decides on
 // all reports that arrive until then: a restart in the meantime shows in the next answer or report.
 func (w *Worker) noteUnconfirmedRestart(now time.Time, r Report) {
@@ -25,6 +31,7 @@
 		if !w.unconfirmed.report.precedes(r) {
 			return
 		}
+		w.unconfirmed.report, w.unconfirmed.arrivedAt = r, now
 		return
 	}
 	w.options.Logger.Warn("report of a later start, asking the worker", "worker", r.ID, "born", r.StartedAtMS, "known", w.report.ID, "known_born", w.report.StartedAtMS,
@@ -38,7 +45,6 @@
 	w.unconfirmed.askedAt = w.holdSentAt
 }
 
-		w.unconfirmed.report, w.unconfirmed.arrivedAt = r, now
 // queryIncarnation requests the lists without an extension of the hold. It acknowledges nothing, as
 // a new incarnation has completions of its own.
 func (w *Worker) queryIncarnation(now time.Time) {
@@ -82,6 +88,7 @@
 // checkUnconfirmedRestart follows the report if the known incarnation doesn't answer and has no runs.
 func (w *Worker) checkUnconfirmedRestart(now time.Time) {
 	if w.unconfirmed != nil && w.unconfirmed.unanswered && len(w.runs) == 0 {
+		w.unproven = nil // No answer is no proof that it has crashed.
 		w.followReport(now)
 	}
 }
@@ -90,4 +97,3 @@
 func (r Report) precedes(other Report) bool {
 	return other.ID != r.ID || other.StartedAtMS != r.StartedAtMS || other.Sequence >= r.Sequence
 }
-		w.unproven = nil // No answer is no proof that it has crashed.
--- a/yuccaworker/worker.go
+++ b/yuccaworker/worker.go
@@ -71,6 +71,8 @@
 	// at its address, goneAt is since when.
 	gone   bool
 	goneAt time.Time
+	// hasRestarted is set if it is gone as it has answered with a later start.
+	hasRestarted bool
 	// deregistered is set while the worker has announced its end and its runs have not
 	// ended yet. An earlier incarnation with the same ID may have sent the announcement.
 	deregistered bool
@@ -243,6 +245,11 @@
 		w.options.Logger.Warn("outdated report ignored", "worker", r.ID, "born", r.StartedAtMS, "sequence", r.Sequence)
 		return false
 	}
+	if w.contradictsAnswer(r) {
+		w.metrics.Add("reports_contradicted", 1)
+		w.options.Logger.Warn("report of another worker ignored, the known one has answered that it has restarted", "worker", r.ID, "known", w.report.ID, "runs", len(w.runs))
+		return false
+	}
 	if w.isUnconfirmedRestart(r) {
 		w.noteUnconfirmedRestart(now, r)
 		return true
@@ -264,7 +271,7 @@
 	switch {
 	case sameIncarnation || previous == nil:
 	case previous.ID == r.ID:
-		w.endIncarnation(now, "worker restarted")
+		w.endIncarnation(now, "worker restarted", false)
 	default:
 		w.loseAllRuns(now, "worker replaced", true)
 	}
@@ -305,7 +312,7 @@
 	w.options.Logger.Info("taking over worker", "worker", r.ID, "born", r.StartedAtMS, "service", r.Service,
 		"cpu_milli", r.CPUMilli, "memory_mb", r.MemoryMB, "clock_ms", r.ClockMS, "since_answer_ms", silent)
 	w.metrics.Add("workers_taken", 1)
-	w.gone = false
+	w.gone, w.hasRestarted = false, false
 	w.unconfirmed = nil
 	w.clock, w.clockAnswered = workerClock{lastMS: r.ClockMS, observedAt: now}, false
 	// Fences the starts that were sent to an earlier incarnation with this ID.
@@ -321,13 +328,13 @@
 	w.holdInFlight = false
 	w.clearSince = time.Time{}
 	w.deadlineMS, w.holdUntilMS = 0, 0
+	w.unfenced = true
 	if sameID {
 		w.carryOver(now, r.ClockMS)
 	}
 	w.cursor, w.ackedCursor = 0, 0
 	w.health.reset()
 	// The new incarnation may be of another service, kind or size.
-	w.unfenced = true
 	w.refuseQueue(now, yuccawire.RunRefusal_RUN_REFUSAL_NO_WORKER)
 	w.markOwnersDirty()
 	w.renewHold(now)
@@ -354,6 +361,7 @@
 	}
 	w.deregistered, w.unproven = false, nil
 	w.gone, w.goneAt = true, now
+	w.followReport(now)
 }
 
 // Stop prepares for the shutdown of this side: it refuses queued tasks and all
@@ -361,7 +369,6 @@
 func (w *Worker) Stop(now time.Time) {
 	w.stopping = true
 	w.refuseQueue(now, yuccawire.RunRefusal_RUN_REFUSAL_LEAVING)
-	w.followReport(now)
 	w.markOwnersDirty()
 }
 
--- a/yuccaworker/worker_test.go
+++ b/yuccaworker/worker_test.go
@@ -240,14 +240,14 @@
 	case h.unresponsive, h.holdsUnanswered:
 		return // no answer yet
 	case a.Incarnation.ID != "" && a.Incarnation.ID != h.incarnation.ID:
-		result.Result = yuccaworker.ResultOtherIncarnation
+		result.Result = yuccaworker.ResultOtherWorker
 	case a.Token < h.token:
 		result.Result = yuccaworker.ResultFenced
 	case a.Incarnation != h.incarnation:
 		h.token = a.Token
 		h.holdUntilMS = max(h.holdUntilMS, min(a.DeadlineMS, h.clock()+1000))
 		h.forgetCompletions(a.Cursor)
-		result.Result = yuccaworker.ResultOtherIncarnation
+		result.Result = yuccaworker.ResultRestarted
 	default:
 		h.token = a.Token
 		h.holdUntilMS = max(h.holdUntilMS, a.DeadlineMS)
