--- a/yuccaworker/replaced_test.go
+++ b/yuccaworker/replaced_test.go
@@ -176,3 +176,32 @@
 		t.Errorf("reported as %v, may start, cause %q", e.GetEnd(), e.GetCause())
 	}
 }
+
+// The first report that a new process of the side receives doesn't state the start, so that an answer can't differ from it.
+func TestReportWithoutAStartKeepsTheWorkerOutOfUse(t *testing.T) {
+	h := newHarness(t)
+	h.restartSide()
+	r := h.newReport(1)
+	r.StartedAtMS = 0
+	h.core.HandleReport(h.now, r)
+	born := h.incarnation.StartedAtMS
+	for i := range 80 {
+		if i%15 == 0 {
+			h.report(int64(i)+2, false)
+		}
+		for _, a := range h.core.Actions() {
+			if hold, ok := a.(yuccaworker.CallHold); ok {
+				h.incarnation.StartedAtMS = hold.Incarnation.StartedAtMS
+			}
+			h.runAction(a)
+			h.incarnation.StartedAtMS = born
+		}
+		h.heartbeat(entry)
+		h.now = h.now.Add(100 * time.Millisecond)
+		h.core.Tick(h.now)
+	}
+	h.runActions()
+	if !h.states[entry].GetReady() {
+		t.Error("the worker reports its start and is not in use after 8 s")
+	}
+}
--- a/yuccaworker/unconfirmed.go
+++ b/yuccaworker/unconfirmed.go
@@ -14,8 +14,15 @@
 }
 
 // isUnconfirmedRestart reports whether the report would end the known incarnation, by its start or its ID alone.
+// An answer can't tell an incarnation that has not stated its start from a later one.
 func (w *Worker) isUnconfirmedRestart(r Report) bool {
-	return w.report != nil && !w.gone && (r.ID != w.report.ID || r.StartedAtMS > w.report.StartedAtMS)
+	switch {
+	case w.report == nil || w.gone:
+		return false
+	case r.ID == w.report.ID && w.report.StartedAtMS == 0 && len(w.runs) == 0:
+		return false
+	}
+	return r.ID != w.report.ID || r.StartedAtMS > w.report.StartedAtMS
 }
 
 // contradictsAnswer reports whether the report is that of another worker than the known one, which has answered
