worker: the clock of a report ends a run that goes on (listed as red)

Found by a reviewer, not new: a report with the right ID and start and a clock up to 1 s ahead moves the clock by which a hold counts as expired. Only answers should. A tighter bound on reports was weighed: after a standstill of the side the last reading is as old as that, and right reports would be refused from then on.

--- a/yuccaworker/replaced_test.go
+++ b/yuccaworker/replaced_test.go
@@ -161,6 +161,34 @@
 	}
 }
 
+// The worker executes a start without an answer, refuses connections and goes on; the report has its ID and start, and another clock.
+func TestClockOfAReportEndsARunThatGoesOn(t *testing.T) {
+	h := newHarness(t)
+	h.order(entry, lease, task("a", 1, 1600))
+	h.advanceWithLease(entry, 200*time.Millisecond)
+	h.holdsUnanswered = true
+	h.advance(240 * time.Millisecond)
+	h.handleOrder(entry, lease, task("b", 1, 1600))
+	for _, a := range h.core.Actions() {
+		if start, ok := a.(yuccaworker.CallStart); ok {
+			h.running[start.Key] = true
+			h.holdUntilMS = max(h.holdUntilMS, start.DeadlineMS)
+			continue
+		}
+		h.runAction(a)
+	}
+	h.refusing = true
+	h.advance(80 * time.Millisecond)
+	r := h.newReport(2)
+	r.ClockMS += 600
+	h.core.HandleReport(h.now, r)
+	h.runActions()
+	for range 40 {
+		h.heartbeat(entry)
+		h.advance(10 * time.Millisecond)
+	}
+}
+
 // The other worker answers with its own ID: the run, whose start was answered, has ended.
 func TestTaskOfARunWithAnAnsweredStartIsPinnedAfterItsWorkerWasReplaced(t *testing.T) {
 	h := newHarness(t)
