broker: tell an entry that isn't reached over one more hop

It would place a task of that list beside its run when the caller comes again there.

Cause: copies of a list that are passed on trust the sender, so that nobody tells an entry that it names. When it names that entry no longer, only those to whom it sends the list know, and these tell their own links. None of them may be linked with the entry; those that are hear nothing, as the tasks aren't new.

Now those of the first three that the side reaches (the order is that for linked ones) that aren't linked with the entry pass all tasks on to their links, and an entry that gets a copy with a later number tells those of its links that copies of the list before named and this one doesn't. A whole list stays whole there, and is taken once by its number; of a part a task counts once for each number. So a list goes over each end of a link once at most, and no further than three relays, their links, and those of the entry. What a new link tells of a side's list names the links of the entry that tells it; it counts no longer as said by the side, since an entry that restarts would take the difference for entries that are reached no longer. No change on the wire.

--- a/yuccabroker/flood_test.go
+++ b/yuccabroker/flood_test.go
@@ -119,3 +119,43 @@
 		t.Errorf("%s has not been told, although it is linked with %v, which have", name, f.peers[name])
 	}
 }
+
+// tellWithout sends the list to all entries that the side names but one.
+func (f *relayFleet) tellWithout(cut string, sequence uint64, tasks ...string) {
+	linked := f.reached
+	f.reached = slices.DeleteFunc(slices.Clone(linked), func(name string) bool { return name == cut })
+	f.tell(sequence, false, tasks...)
+	f.reached = linked
+}
+
+func TestEntryThatIsReachedNoLongerIsToldOfAllTasks(t *testing.T) {
+	for _, c := range []struct{ dataCentres, entries int }{{4, 17}, {4, 18}, {4, 24}, {4, 40}, {6, 40}, {4, 100}} {
+		most, sum := 0, 0
+		names := newRelayFleet(t, c.dataCentres, c.entries).reached
+		for _, name := range names {
+			f := newRelayFleet(t, c.dataCentres, c.entries)
+			f.tellWithout(name, 1, "a.0.0.0")
+			f.tellWithout(name, 2, "a.0.0.0", "b.0.0.0")
+			f.claimed = slices.DeleteFunc(slices.Clone(f.reached), func(other string) bool { return other == name })
+			f.tellWithout(name, 3, "a.0.0.0", "b.0.0.0")
+			messages, cut := f.delivered, f.entries[name]
+			most, sum = max(most, messages), sum+messages
+			if lists := append(cut.broker.HeldLists(cut.now), cut.broker.HeldParts(cut.now)...); len(lists) != 1 || len(lists[0].GetTasks()) != 2 {
+				t.Errorf("%d entries: %s knows %v, want both tasks of the side", c.entries, name, lists)
+			}
+			maxLinks := 0
+			for _, peers := range f.peers {
+				maxLinks = max(maxLinks, len(peers))
+			}
+			// Three relays tell those that they are linked with, these the entry, and it passes on what is new to it.
+			if messages > 5*maxLinks {
+				t.Errorf("%d entries: %d messages, want those of five entries with %d links at most", c.entries, messages, maxLinks)
+			}
+			f.tellWithout(name, 4, "a.0.0.0", "b.0.0.0")
+			if f.delivered > 0 {
+				t.Errorf("%d entries: %d messages for the next list, which has nothing new", c.entries, f.delivered)
+			}
+		}
+		t.Logf("%d entries in %d data centres: %d messages at most, %.1f on average", c.entries, c.dataCentres, most, float64(sum)/float64(len(names)))
+	}
+}
--- a/yuccabroker/held.go
+++ b/yuccabroker/held.go
@@ -45,8 +45,9 @@
 	sequence, partialSequence uint64
 	receivedAt                time.Time
 	tasks                     map[string]heldTask
-	// reached are the entries to which the last list was sent, as its sender has said.
-	reached []string
+	// reached are the entries that the list numbered reachedSequence has reached, reachedBefore those of the one before it.
+	reached, reachedBefore []string
+	reachedSequence        uint64
 }
 
 // heldTask is a task that is held until its sender says otherwise, or until a time: statedUntil
@@ -224,17 +225,17 @@
 	return list
 }
 
-// heldChange is what a list changes: the tasks that other entries have to be told, the names of those for which
-// something else follows than before, and how many are over.
+// heldChange is what a list changes: the tasks that other entries have to be told, those that only a later list
+// names than before, the names of those for which something else follows than before, and how many are over.
 type heldChange struct {
-	news  map[string]heldTask
-	names []string
-	over  int
+	news, repeated map[string]heldTask
+	names          []string
+	over           int
 }
 
 // update applies a list of the process, whole or in part.
 func (l *heldList) update(now time.Time, m *yuccawire.HeldTasks) heldChange {
-	change := heldChange{news: make(map[string]heldTask)}
+	change := heldChange{news: make(map[string]heldTask), repeated: make(map[string]heldTask)}
 	before := l.tasks
 	l.receivedAt = now
 	isPartial := m.GetPartial() || m.GetSequence() < l.partialSequence
@@ -263,9 +264,12 @@
 		if isChanged {
 			change.names = append(change.names, name)
 		}
-		if isChanged || h.statedUntil.Sub(known.passedOnUntil) >= heldExtension {
+		switch {
+		case isChanged || h.statedUntil.Sub(known.passedOnUntil) >= heldExtension:
 			h.passedOnUntil = h.statedUntil
 			change.news[name] = h
+		case isPartial && h.sequence > known.sequence:
+			change.repeated[name] = h
 		}
 		l.tasks[name] = h
 	}
@@ -331,7 +335,7 @@
 		b.options.Logger.Info("tasks held for runs elsewhere", "sender", key.sender, "incarnation", key.incarnation, "tasks", len(l.tasks),
 			"first", firstHeld(m), "over", change.over, "passed_on", m.GetPartial())
 	}
-	b.passOnHeld(now, l, m, change.news, isFromSender)
+	b.passOnHeld(now, l, m, change, isFromSender)
 	jobs := make(map[*job]bool)
 	for _, h := range m.GetTasks() {
 		if j := b.jobs[jobOf(h.GetTask())]; j != nil && !jobs[j] {
--- a/yuccabroker/relay.go
+++ b/yuccabroker/relay.go
@@ -69,49 +69,81 @@
 }
 
 // passOnHeld tells the linked entries that a list has not reached of the tasks that are new, and those that
-// earlier ones were said to have reached of all. The latter only the sender can say: what is passed on names
-// other entries on each way, so that each copy would be passed on again. A sender that doesn't say whom it
-// reaches is of a version that expects nothing to be passed on.
-func (b *Broker) passOnHeld(now time.Time, l *heldList, m *yuccawire.HeldTasks, news map[string]heldTask, isFromSender bool) {
+// earlier ones were said to have reached of all. These go over one more hop where a relay isn't linked with such an
+// entry. There a whole list stays whole, so that copies are recognised by its number. A sender that doesn't say whom
+// it reaches is of a version that expects nothing to be passed on.
+func (b *Broker) passOnHeld(now time.Time, l *heldList, m *yuccawire.HeldTasks, change heldChange, isFromSender bool) {
 	if len(m.GetReached()) == 0 {
-		l.reached = nil
+		l.reached, l.reachedBefore = nil, nil
 		return
 	}
 	unreached := b.unreached(m.GetReached())
-	if !isFromSender {
-		b.passOn(now, m, news, unreached)
+	// A side names entries only. Its list with other names is one that a new link tells, and says nothing of whom it reaches.
+	if slices.Contains(m.GetReached(), m.GetSender()) && !b.members[m.GetSender()] {
+		b.passOn(now, m, change.news, unreached, true)
+		return
+	}
+	l.recordReached(m)
+	all := change.repeated
+	maps.Copy(all, change.news)
+	if isFromSender {
+		all = l.tasks
+	}
+	isReached := isFromSender && slices.Contains(m.GetReached(), b.options.Name)
+	if isReached && b.isRelayForUnlinked(l.reachedBefore, m.GetReached()) {
+		b.passOn(now, m, all, unreached, m.GetPartial())
 		return
 	}
-	before := l.reached
-	l.reached = m.GetReached()
 	left := slices.DeleteFunc(slices.Clone(unreached), func(name string) bool {
-		return !slices.Contains(before, name) || !b.isRelayFor(name, l.reached)
+		return !slices.Contains(l.reachedBefore, name) || isReached && !b.isRelayFor(name, m.GetReached())
 	})
-	b.passOn(now, m, news, slices.DeleteFunc(unreached, func(name string) bool { return slices.Contains(left, name) }))
-	b.passOn(now, m, l.tasks, left)
+	b.passOn(now, m, change.news, slices.DeleteFunc(unreached, func(name string) bool { return slices.Contains(left, name) }), true)
+	b.passOn(now, m, all, left, isReached || m.GetPartial())
+}
+
+// recordReached records the entries that a list has reached. Of the copies that were passed on, which also name
+// others on each way, the first one counts.
+func (l *heldList) recordReached(m *yuccawire.HeldTasks) {
+	if m.GetSequence() > l.reachedSequence {
+		l.reachedBefore, l.reached, l.reachedSequence = l.reached, m.GetReached(), m.GetSequence()
+	}
 }
 
-// isRelayFor reports whether this entry is among the first maxRelays of those reached, in an order that
-// depends on the entry to be told. Those that this entry isn't linked with don't count.
+// isRelayForUnlinked reports whether this entry is among the relays for one that is reached no longer, and isn't
+// linked with it. Other entries, which are told of all tasks then, may be.
+func (b *Broker) isRelayForUnlinked(before, reached []string) bool {
+	return slices.ContainsFunc(before, func(name string) bool {
+		return !slices.Contains(reached, name) && !slices.Contains(b.peers, name) && b.isAmongRelays(name, reached)
+	})
+}
+
+// isRelayFor reports whether this entry is among the relays of those reached for a linked one. Those that this
+// entry isn't linked with don't count.
 func (b *Broker) isRelayFor(entry string, reached []string) bool {
+	return b.isAmongRelays(entry, slices.DeleteFunc(slices.Clone(b.peers), func(name string) bool { return !slices.Contains(reached, name) }))
+}
+
+// isAmongRelays reports whether this entry is among the first maxRelays of the candidates and itself, in an order that
+// depends on the entry to be told.
+func (b *Broker) isAmongRelays(entry string, candidates []string) bool {
 	before := 0
-	for _, name := range b.peers {
-		if slices.Contains(reached, name) && yuccaplacement.Weight(entry, name) > yuccaplacement.Weight(entry, b.options.Name) {
+	for _, name := range candidates {
+		if yuccaplacement.Weight(entry, name) > yuccaplacement.Weight(entry, b.options.Name) {
 			before++
 		}
 	}
 	return before < maxRelays
 }
 
-// passOn sends tasks of a list to linked entries, without those of an earlier version, which would take them for
-// the whole list.
-func (b *Broker) passOn(now time.Time, m *yuccawire.HeldTasks, tasks map[string]heldTask, to []string) {
+// passOn sends tasks of a list, or all of them, to linked entries, without those of an earlier version, which would
+// take a part for the whole list.
+func (b *Broker) passOn(now time.Time, m *yuccawire.HeldTasks, tasks map[string]heldTask, to []string, isPartial bool) {
 	to = slices.DeleteFunc(slices.Clone(to), func(name string) bool { return b.seenByPeer[name] == nil })
 	if len(tasks) == 0 || len(to) == 0 {
 		return
 	}
 	list := &yuccawire.HeldTasks{
-		Sender: m.GetSender(), Incarnation: m.GetIncarnation(), Sequence: m.GetSequence(), Partial: true, Reached: slices.Concat(m.GetReached(), []string{b.options.Name}),
+		Sender: m.GetSender(), Incarnation: m.GetIncarnation(), Sequence: m.GetSequence(), Partial: isPartial, Reached: slices.Concat(m.GetReached(), []string{b.options.Name}),
 	}
 	addHeld(now, list, tasks)
 	b.metrics.Add("held_tasks_passed_on", int64(len(tasks)))
--- a/yuccabroker/relay_test.go
+++ b/yuccabroker/relay_test.go
@@ -88,6 +88,75 @@
 	}
 }
 
+func TestEntryIsToldOfAllTasksAsAnUnlinkedOneIsReachedNoLonger(t *testing.T) {
+	for _, isPartial := range []bool{false, true} {
+		f := newRelay(t, "between")
+		checkPassedOn(t, f.receiveHeld(heldTasks(1, 10*time.Second, "a.0.0.0"), "entry", "cut"), "between", "a.0.0.0")
+		list := heldTasks(2, 10*time.Second, "a.0.0.0")
+		list.Partial = isPartial
+		p := f.receiveHeld(list, "entry")
+		if len(p) != 1 || !slices.Equal(p[0].To, []string{"between"}) || len(p[0].Message.GetHeldTasks().GetTasks()) != 1 || p[0].Message.GetHeldTasks().GetPartial() != isPartial {
+			t.Errorf("passed on %v, want the task again to between, in part: %v", p, isPartial)
+		}
+		if p := f.receiveHeld(heldTasks(3, 10*time.Second, "a.0.0.0"), "entry"); len(p) > 0 {
+			t.Errorf("passed on %v, want nothing more", p)
+		}
+	}
+}
+
+// Each of three entries tells this one, after a part with the first task.
+func TestTasksArePassedOnOnceToAnEntryThatIsReachedNoLonger(t *testing.T) {
+	for _, isPartial := range []bool{false, true} {
+		f := newRelay(t, "cut")
+		part := heldTasks(1, 10*time.Second, "a.0.0.0")
+		part.Sender, part.Partial, part.Reached = "s1", true, []string{"cut", "first", "second", "third"}
+		f.broker.HandleHeldTasks(f.now, part)
+		var told []int
+		for _, relay := range []string{"first", "second", "third"} {
+			list := heldTasks(2, 10*time.Second, "a.0.0.0", "b.0.0.0")
+			list.Sender, list.Partial, list.Reached = "s1", isPartial, []string{"first", "second", "third", relay}
+			f.broker.HandleHeldTasks(f.now, list)
+			for _, a := range f.broker.Actions() {
+				if p, isPublish := a.(yuccabroker.Publish); isPublish && slices.Equal(p.To, []string{"cut"}) {
+					told = append(told, len(p.Message.GetHeldTasks().GetTasks()))
+				}
+			}
+		}
+		if !slices.Equal(told, []int{2}) {
+			t.Errorf("lists with %v tasks are passed on, want one with both, in part: %v", told, isPartial)
+		}
+	}
+}
+
+// A list of an entry names its sender, too.
+func TestEntryThatAnotherOneReachesNoLongerIsToldOfAllItsTasks(t *testing.T) {
+	f := newRelay(t, "cut", "other")
+	f.broker.SetMembers(f.now, []string{"cut", "other"})
+	f.broker.Actions()
+	for i, reached := range [][]string{{"cut", "entry", "other"}, {"entry", "other"}} {
+		list := heldTasks(uint64(i+1), 10*time.Second, "a.0.0.0")
+		list.Sender, list.Reached = "other", reached
+		f.broker.HandleHeldTasks(f.now, list)
+	}
+	if actions := f.broker.Actions(); len(actions) != 1 || !slices.Equal(actions[0].(yuccabroker.Publish).To, []string{"cut"}) {
+		t.Errorf("actions are %v, want the task passed on to cut", actions)
+	}
+}
+
+// An entry tells on a new link that it reaches those that it is linked with itself.
+func TestListThatANewLinkTellsDoesNotSayWhomASideReaches(t *testing.T) {
+	for _, isPartial := range []bool{false, true} {
+		f := newRelay(t, "other")
+		list := heldTasks(1, 10*time.Second, "a.0.0.0")
+		list.Sender, list.Incarnation, list.Partial, list.Reached = "s1", 1, isPartial, []string{"entry", "far", "other", "s1"}
+		list.Tasks[0].Side = "s1"
+		f.broker.HandleHeldTasks(f.now, list)
+		if p := f.receiveHeld(heldTasks(2, 10*time.Second, "a.0.0.0"), "entry"); len(p) > 0 {
+			t.Errorf("passed on %v, which is known", p)
+		}
+	}
+}
+
 // An entry that is slow to confirm lists would get all tasks of a side from each of the others.
 func TestThreeEntriesTellAnotherOneOfAllTasksOfASide(t *testing.T) {
 	names := []string{"e0", "e1", "e2", "e3", "e4", "e5", "e6", "slow"}
