worker: count a hold as expired by the clock of answers, not of reports alone

Found by a reviewer, not new: a report with the right ID and start and a clock up to 1 s ahead, as of another writer, moved the clock by which a hold counts as expired. After 0.3 s of lost answers and a refused connection runs that went on ended, one of them without may_start.

The expiry goes by the lower of the known clock and of what the plausible answers of the incarnation allow: a clock that runs slow, not fast, has not passed its last reading and the time since. So an expiry is never earlier than before, and not later where reports say what answers do. A tighter bound on all reports was ruled out: after a standstill of the side the last reading is as old as that, and right reports would be refused from then on.

--- a/yuccaworker/clock.go
+++ b/yuccaworker/clock.go
@@ -19,11 +19,32 @@
 	}
 }
 
+// advance adds the time for which the machine was suspended.
+func (c *workerClock) advance(d time.Duration) {
+	if !c.observedAt.IsZero() {
+		c.observedAt = c.observedAt.Add(-d)
+	}
+}
+
 // lowerBound returns a time that the worker's clock has certainly reached.
 func (c *workerClock) lowerBound(now time.Time) int64 {
 	return c.lastMS + int64(float64(now.Sub(c.observedAt).Milliseconds())*(1-ClockDrift))
 }
 
+// upperBound returns a time that the worker's clock has not passed, but for the age of the reading.
+func (c *workerClock) upperBound(now time.Time) int64 {
+	return c.lastMS + now.Sub(c.observedAt).Milliseconds()
+}
+
+// provenClock returns a time that the worker's clock has certainly reached. A report alone, which may be that of
+// another writer, moves it no further than the last answer allows.
+func (w *Worker) provenClock(now time.Time) int64 {
+	if w.answered.observedAt.IsZero() {
+		return w.clock.lowerBound(now)
+	}
+	return min(w.clock.lowerBound(now), w.answered.upperBound(now))
+}
+
 // isPlausible reports whether the clock may show ms in an answer that arrives now.
 func (c *workerClock) isPlausible(ms int64, now time.Time) bool {
 	return ms >= c.lowerBound(now)-maxClockAge.Milliseconds() && c.mayShow(ms, now)
--- a/yuccaworker/hold.go
+++ b/yuccaworker/hold.go
@@ -344,7 +344,7 @@
 // may have taken the deadline of a start for one on its own clock, which is behind, unless
 // the known incarnation has confirmed the run and no other try is left.
 func (w *Worker) hasExpired(now time.Time, r *run) bool {
-	if w.clock.lowerBound(now) <= w.holdUntilMS+stopRetry.Milliseconds() {
+	if w.provenClock(now) <= w.holdUntilMS+stopRetry.Milliseconds() {
 		return false
 	}
 	longest := time.Duration(float64(maxLease)*(1+2*ClockDrift)) + stopRetry
--- a/yuccaworker/worker.go
+++ b/yuccaworker/worker.go
@@ -89,6 +89,8 @@
 	clock     workerClock
 	// clockAnswered is set once an answer of this incarnation has stated its clock.
 	clockAnswered bool
+	// answered is the clock by the plausible answers of this incarnation.
+	answered workerClock
 	// takenOver is set while the worker runs only what this process of the side tracks.
 	takenOver      bool
 	nextTakeOverAt time.Time
@@ -315,6 +317,7 @@
 	w.gone, w.hasRestarted = false, false
 	w.unconfirmed = nil
 	w.clock, w.clockAnswered = workerClock{lastMS: r.ClockMS, observedAt: now}, false
+	w.answered = workerClock{}
 	// Fences the starts that were sent to an earlier incarnation with this ID.
 	w.token = max(min(w.token+1, maxToken), r.StartedAtMS+r.ClockMS)
 	w.fencedFrom = w.nextHoldAt(now)
@@ -384,7 +387,8 @@
 	for _, o := range w.ownerList {
 		o.leaseUntil = now
 	}
-	w.clock.observedAt = w.clock.observedAt.Add(-suspendedFor)
+	w.clock.advance(suspendedFor)
+	w.answered.advance(suspendedFor)
 	w.reportedAt = w.reportedAt.Add(-suspendedFor)
 	// Owners extrapolate the side's clock, so it has to include the suspension.
 	w.clockStart = w.clockStart.Add(-suspendedFor)
@@ -408,6 +412,9 @@
 		w.clockAnswered = true
 		w.correctClock(now, clockMS)
 	}
+	if clockMS > 0 && w.clock.isPlausible(clockMS, now) {
+		w.answered.observe(clockMS, now)
+	}
 	w.clock.observe(clockMS, now)
 }
 
