worker: an answer with another clock doesn't make an idle worker usable

Calls to it were refused, it restarts under its ID and has not reported; a late start of the earlier incarnation is executed, and its answer makes the worker reachable again: nine starts follow at once beside the run that the side doesn't track.

A worker without runs, for which no renewal is on its way, is taken over again now before anything starts. TestAnswerOfARestartedWorkerMakesItUsable fails without it.

--- a/yuccaworker/restart_test.go
+++ b/yuccaworker/restart_test.go
@@ -502,3 +502,20 @@
 		})
 	}
 }
+
+// A late start to the earlier incarnation is executed, and its answer arrives.
+func TestAnswerOfARestartedWorkerMakesItUsable(t *testing.T) {
+	h := newHarness(t)
+	h.advance(time.Second)
+	h.refusing = true
+	h.order(entry, lease, task("a", 1, 1600))
+	earlier := h.incarnation
+	h.refusing = false
+	h.restart(-4000)
+	h.running[yuccaworker.Key{Task: "z", Run: 1}] = true
+	h.core.HandleStartReply(h.now, earlier, yuccaworker.Key{Task: "z", Run: 1}, yuccaworker.ResultOK, h.clock())
+	h.order(entry, lease, task("b", 1, 16000))
+	if h.running[yuccaworker.Key{Task: "b", Run: 1}] {
+		t.Error("a run was started beside one that the side does not track")
+	}
+}
--- a/yuccaworker/worker.go
+++ b/yuccaworker/worker.go
@@ -404,6 +404,10 @@
 		w.metrics.Add("answers_with_other_clock", 1)
 		w.options.Logger.Warn("answer with another clock, the worker may have restarted", "worker", w.report.ID, "born", w.report.StartedAtMS,
 			"clock_ms", clockMS, "expected_ms", w.clock.lowerBound(now), "runs", len(w.runs))
+		if len(w.runs) == 0 {
+			// No renewal is on its way that would show it.
+			w.takenOver, w.nextTakeOverAt = false, now
+		}
 	}
 	w.lastContactAt, w.lastAnswerAt = now, now
 	w.unansweredHolds = 0
