--- a/yuccaworker/unconfirmed.go
+++ b/yuccaworker/unconfirmed.go
@@ -14,12 +14,13 @@
 }
 
 // isUnconfirmedRestart reports whether the report would end the known incarnation, by its start or its ID alone.
-// An answer can't tell an incarnation that has not stated its start from a later one.
+// One without runs that refuses connections is of no use, and an answer can't tell one that has not stated its
+// start from a later one.
 func (w *Worker) isUnconfirmedRestart(r Report) bool {
 	switch {
 	case w.report == nil || w.gone:
 		return false
-	case r.ID == w.report.ID && w.report.StartedAtMS == 0 && len(w.runs) == 0:
+	case len(w.runs) == 0 && (!w.isReachable() || r.ID == w.report.ID && w.report.StartedAtMS == 0):
 		return false
 	}
 	return r.ID != w.report.ID || r.StartedAtMS > w.report.StartedAtMS
