--- a/yuccaworker/start.go
+++ b/yuccaworker/start.go
@@ -171,8 +171,8 @@
 	}
 	var keys []*yuccawire.RunKey
 	for _, r := range w.runs {
-		isOfAnother := r.lostAs != yuccawire.RunEnd_RUN_END_UNSPECIFIED || w.unconfirmed != nil && !r.listed
-		if r.owner == o && (!r.isSettled() || isOfAnother) {
+		mayBeOfAnother := r.lostAs != yuccawire.RunEnd_RUN_END_UNSPECIFIED || w.unconfirmed != nil && !r.listed
+		if r.owner == o && (!r.isSettled() || mayBeOfAnother) {
 			keys = append(keys, r.wireKey())
 		}
 	}
--- a/yuccaworker/unconfirmed.go
+++ b/yuccaworker/unconfirmed.go
@@ -14,7 +14,7 @@
 }
 
 // isUnconfirmedRestart reports whether the report would end the known incarnation, by its start or its ID alone.
-// One without runs that refuses connections is of no use, and an answer can't tell one that has not stated its
+// One without runs that refuses connections has nothing to lose, and no answer tells one that has not stated its
 // start from a later one.
 func (w *Worker) isUnconfirmedRestart(r Report) bool {
 	switch {
@@ -86,7 +86,7 @@
 	w.acceptReport(now, r)
 }
 
-// noteUnansweredQuery records that a renewal had no answer, which may have been sent after the report.
+// noteUnansweredQuery records that a renewal had no answer, if it was sent after the report.
 func (w *Worker) noteUnansweredQuery(sentAt time.Time) {
 	if w.unconfirmed != nil && !sentAt.Before(w.unconfirmed.askedAt) {
 		w.unconfirmed.unanswered = true
