--- a/yuccaworker/replaced_test.go
+++ b/yuccaworker/replaced_test.go
@@ -192,14 +192,7 @@
 // The other worker answers with its own ID: the run, whose start was answered, has ended.
 func TestTaskOfARunWithAnAnsweredStartIsPinnedAfterItsWorkerWasReplaced(t *testing.T) {
 	h := newHarness(t)
-	h.holdsUnanswered = true
-	h.order(entry, lease, task("a", 1, 1600))
-	h.holdsUnanswered = false
-	delete(h.running, runA)
-	h.incarnation = yuccaworker.Incarnation{ID: "w-2", StartedAtMS: h.incarnation.StartedAtMS + 100}
-	h.token, h.latestRun = 0, make(map[string]uint64)
-	h.reportAs("w-2", 0)
-	h.advanceWithLease(entry, 200*time.Millisecond)
+	h.replaceUnderUnlistedRun()
 	if e := h.outcomeOf(entry, "a"); e.GetMayStart() {
 		t.Errorf("reported as %v, may start, cause %q", e.GetEnd(), e.GetCause())
 	}
--- a/yuccaworker/reported_test.go
+++ b/yuccaworker/reported_test.go
@@ -80,9 +80,8 @@
 	h.expectNoOutcome("a")
 }
 
-// The report names the worker that answers: the run can't be executed there.
-func TestRunThatIsNotListedIsKeptAfterItsWorkerWasReplaced(t *testing.T) {
-	h := newHarness(t)
+// replaceUnderUnlistedRun replaces the worker while it has a run that it has not listed.
+func (h *harness) replaceUnderUnlistedRun() {
 	h.holdsUnanswered = true
 	h.order(entry, lease, task("a", 1, 1600))
 	h.holdsUnanswered = false
@@ -91,6 +90,12 @@
 	h.token, h.latestRun = 0, make(map[string]uint64)
 	h.reportAs("w-2", 0)
 	h.advanceWithLease(entry, 200*time.Millisecond)
+}
+
+// The report names the worker that answers: the run can't be executed there.
+func TestRunThatIsNotListedIsKeptAfterItsWorkerWasReplaced(t *testing.T) {
+	h := newHarness(t)
+	h.replaceUnderUnlistedRun()
 	h.expectOutcome(entry, "a", yuccawire.RunEnd_RUN_END_CRASHED, 0)
 	if cause := h.outcomeOf(entry, "a").GetCause(); cause == "" {
 		t.Error("the outcome does not say what it rests on")
