--- a/yuccamodel/norace_test.go
+++ b/yuccamodel/norace_test.go
@@ -2,7 +2,5 @@
 
 package yuccamodel_test
 
-// Of the single faults all are played, of those of TestPlantedFaultsAreReported one in plantedShare.
-const (
-	playedShare = 1
-)
+// Of the single faults all are played.
+const playedShare = 1
--- a/yuccamodel/race_test.go
+++ b/yuccamodel/race_test.go
@@ -2,8 +2,5 @@
 
 package yuccamodel_test
 
-// With the race detector, plays take ten times as long: one in playedShare of the single faults is played, and one
-// in plantedShare of those of TestPlantedFaultsAreReported.
-const (
-	playedShare = 53
-)
+// With the race detector, plays take ten times as long: one in playedShare of the single faults is played.
+const playedShare = 53
