review: show that a replica that lost its disk never gets a long log back

Case 6 (CONFIG): while the log of the control group has about 18 to 25 MB, the leader overfills the link to a replica that lacks it, again and again. A group with one lost disk keeps two voters; the next lost disk ends it, and what was acknowledged is gone.

--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -22,6 +22,7 @@
 
 var scenarios = map[string]scenario{
 	"cancelled": playCancelled,
+	"disks":     playDisks,
 }
 
 func main() {
