--- a/review/standin2/cluster.go
+++ b/review/standin2/cluster.go
@@ -58,16 +58,16 @@
 
 // cluster is a small deployment on loopback addresses.
 type cluster struct {
-	rec      *recorder
-	root     string
-	binary   string
-	net1     int
-	net2     int
-	base     int
-	seeds    []string
-	nodes    []*node
-	workers  []*worker
-	seedList string
+	rec     *recorder
+	root    string
+	binary  string
+	net1    int
+	net2    int
+	base    int
+	seeds   []string
+	nodes   []*node
+	workers []*worker
+	procs   []*procWorker
 }
 
 func (c *cluster) frontend(n *node) string { return fmt.Sprintf("%s:%d", n.ip, c.base) }
@@ -251,6 +251,9 @@
 	for _, w := range c.workers {
 		w.close()
 	}
+	for _, p := range c.procs {
+		p.end()
+	}
 	for _, n := range c.nodes {
 		if n.cmd != nil && n.running() {
 			_ = n.cmd.Process.Signal(syscall.SIGCONT)
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -23,9 +23,13 @@
 var scenarios = map[string]scenario{
 	"cancelled": playCancelled,
 	"disks":     playDisks,
+	"frozen":    playFrozen,
 }
 
 func main() {
+	if len(os.Args) == 5 && os.Args[1] == "worker" {
+		workerMain(os.Args[2], os.Args[3], os.Args[4])
+	}
 	if len(os.Args) != 4 {
 		fmt.Fprintln(os.Stderr, "usage: reviewstandin2 SCENARIO BINARY FOLDER")
 		os.Exit(exitNotRun)
--- a/review/standin2/worker.go
+++ b/review/standin2/worker.go
@@ -69,6 +69,9 @@
 	acked    map[string]time.Time // first acknowledged heartbeat with this state
 	closed   chan struct{}
 	cpu      int
+	// onStart and onEnd are called for each run, if they are set.
+	onStart func(task string, run int64)
+	onEnd   func(task string, run int64, how string)
 }
 
 func newWorker(rec *recorder, addr, side, zone string) *worker {
@@ -229,6 +232,9 @@
 	close(w.changed)
 	w.changed = make(chan struct{})
 	w.rec.log("worker %s: end %s run %d %s", w.id, r.task, r.id, how)
+	if w.onEnd != nil {
+		w.onEnd(r.task, r.id, how)
+	}
 	for _, b := range w.begun {
 		if b.task == r.task && b.run == r.id {
 			b.endAt, b.how = time.Now(), how
@@ -266,6 +272,9 @@
 	w.running[c.Task] = r
 	w.begun = append(w.begun, &begun{at: r.startAt, worker: w.id, zone: w.zone, task: c.Task, run: c.RunID, spec: c.Spec})
 	w.rec.log("worker %s: start %s run %d token %d", w.id, c.Task, c.RunID, c.FencingToken)
+	if w.onStart != nil {
+		w.onStart(c.Task, c.RunID)
+	}
 	r.timer = time.AfterFunc(workOf(c.Spec), func() {
 		w.mu.Lock()
 		defer w.mu.Unlock()
