--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -24,6 +24,7 @@
 	"cancelled": playCancelled,
 	"disks":     playDisks,
 	"frozen":    playFrozen,
+	"standing":  playStanding,
 }
 
 func main() {
