--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -25,6 +25,7 @@
 	"disks":     playDisks,
 	"frozen":    playFrozen,
 	"standing":  playStanding,
+	"refusing":  playRefusing,
 }
 
 func main() {
--- a/review/standin2/proxy.go
+++ b/review/standin2/proxy.go
@@ -17,10 +17,11 @@
 	listener net.Listener
 	hole     int
 	fillers  []int
+	open     map[*net.TCPConn]struct{}
 }
 
 func newCutProxy(address, target string) (*cutProxy, error) {
-	p := &cutProxy{address: address, target: target, resume: make(chan struct{})}
+	p := &cutProxy{address: address, target: target, resume: make(chan struct{}), open: make(map[*net.TCPConn]struct{})}
 	close(p.resume)
 	return p, p.listen()
 }
@@ -45,6 +46,14 @@
 
 func (p *cutProxy) forward(c net.Conn) {
 	defer c.Close()
+	p.mu.Lock()
+	p.open[c.(*net.TCPConn)] = struct{}{}
+	p.mu.Unlock()
+	defer func() {
+		p.mu.Lock()
+		delete(p.open, c.(*net.TCPConn))
+		p.mu.Unlock()
+	}()
 	t, err := net.Dial("tcp", p.target)
 	if err != nil {
 		return
@@ -121,3 +130,17 @@
 	close(p.resume)
 	return p.listen()
 }
+
+// refuse ends the open connections and has the kernel refuse new ones.
+func (p *cutProxy) refuse() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.listener.Close()
+	for c := range p.open {
+		_ = c.SetLinger(0)
+		c.Close()
+	}
+}
+
+// accept ends what refuse has begun.
+func (p *cutProxy) accept() error { return p.listen() }
--- a/review/standin2/standing.go
+++ b/review/standin2/standing.go
@@ -16,6 +16,15 @@
 // playStanding lets the worker of a run stand still, while it is cut off from its side for a part of
 // that time.
 func playStanding(rec *recorder, binary string, trouble bool) (bool, error) {
+	return playCutWorker(rec, binary, trouble, false)
+}
+
+// playRefusing is playStanding with a cut that refuses connections.
+func playRefusing(rec *recorder, binary string, trouble bool) (bool, error) {
+	return playCutWorker(rec, binary, trouble, true)
+}
+
+func playCutWorker(rec *recorder, binary string, trouble, refuses bool) (bool, error) {
 	c, err := newCluster(rec, binary, 3, 2, 4)
 	if err != nil {
 		return false, err
@@ -58,13 +67,17 @@
 	if trouble {
 		proxy := proxies[p.side]
 		p.signal(syscall.SIGSTOP)
-		if err := proxy.cut(); err != nil {
+		heal := proxy.heal
+		if refuses {
+			proxy.refuse()
+			heal = proxy.accept
+		} else if err := proxy.cut(); err != nil {
 			return false, err
 		}
 		rec.log("the worker beside %s is cut off", p.side.name)
 		time.AfterFunc(standTime, func() { p.signal(syscall.SIGCONT) })
 		time.Sleep(cutTime)
-		if err := proxy.heal(); err != nil {
+		if err := heal(); err != nil {
 			return false, err
 		}
 		rec.log("the cut of the worker beside %s is healed", p.side.name)
