--- a/review/standin2/cluster.go
+++ b/review/standin2/cluster.go
@@ -105,7 +105,7 @@
 		c.seeds = append(c.seeds, c.control(n))
 	}
 	for i := range plainEntries {
-		add(fmt.Sprintf("edge-%s-2", zones[i%len(zones)]), "entry", zones[i%len(zones)], false)
+		add(fmt.Sprintf("edge-%s-%d", zones[i%len(zones)], i/len(zones)+2), "entry", zones[i%len(zones)], false)
 	}
 	for i := range sides {
 		add(fmt.Sprintf("side-%s-%d", zones[i%len(zones)], i/len(zones)+1), "side", zones[i%len(zones)], false)
--- a/review/standin2/frozen.go
+++ b/review/standin2/frozen.go
@@ -47,7 +47,7 @@
 // playFrozen freezes the machine of a run, its side and its worker, and kills the entry of the job.
 // The client submits the job again at another entry.
 func playFrozen(rec *recorder, binary string, trouble bool) (bool, error) {
-	c, err := newCluster(rec, binary, 3, 2, 4)
+	c, err := newCluster(rec, binary, 3, 4, 11)
 	if err != nil {
 		return false, err
 	}
--- a/review/standin2/standing.go
+++ b/review/standin2/standing.go
@@ -25,7 +25,7 @@
 }
 
 func playCutWorker(rec *recorder, binary string, trouble, refuses bool) (bool, error) {
-	c, err := newCluster(rec, binary, 3, 2, 4)
+	c, err := newCluster(rec, binary, 3, 4, 11)
 	if err != nil {
 		return false, err
 	}
