broker: let backups tell where jobs of a lost entry may have runs

A side's machine stood still with its worker, the entry of the job was killed, and the entry to which the caller came 1.3 s later started the task beside the run.

Cause: until a job was 0.6 s old, and a side silent for 0.6 s, only the entry knew where its runs were, and that was lost with it. The others took the end of the leases for the end of the runs, but a machine that stands still ends them only when it goes on.

Ruled out: a smaller openJobAge. It moves the border and says nothing of the sides; TestResendAfterALostEntryRunsBesideAStandingMachine is of a job that was already told. Lists to all entries at once: their cost grows with the number of entries.

An entry now tells two linked ones, drawn by the id of the job and in other data centres where there are some, at which sides it orders tasks, before the orders. A backup that loses the entry tells all linked ones. A resend waits until each of these sides has replied that it has no run of another entry; it is asked once the orders of the lost entry have expired, so that none can arrive after the reply. Silence proves nothing.

TestResendWaitsForAnEntryThatWasKilled (the task starts within two round trips of the resend where every side answers) holds before and after.

The fake side of yuccaedge's tests answers the query.

--- a/yuccabroker/broker.go
+++ b/yuccabroker/broker.go
@@ -146,6 +146,15 @@
 	// awaitedTwice are those of the awaited entries whose next list may have been sent too early.
 	awaitedTwice map[string]bool
 	startedAt    time.Time
+	// placements are the jobs of this entry that its backups are told of, backups those of the linked entries that this one
+	// is a backup of, and lostOwners those of entries that it or another one has lost.
+	placements *placements
+	backups    map[entryKey]map[string]*placement
+	lostOwners map[entryKey]*lostOwner
+	// lastQuery is the number of the last query about such jobs.
+	lastQuery uint64
+	// dataCentres are those of the linked entries, by name.
+	dataCentres map[string]string
 	// isIsolated is set while this entry has no link at all.
 	isIsolated bool
 	endedNews  *yuccawire.EndedJobs
@@ -208,6 +217,9 @@
 		members:        make(map[string]bool),
 		awaited:        make(map[string]time.Time),
 		awaitedTwice:   make(map[string]bool),
+		placements:     newPlacements(),
+		backups:        make(map[entryKey]map[string]*placement),
+		lostOwners:     make(map[entryKey]*lostOwner),
 		pinned:         make(map[*task]struct{}),
 		linkRequests:   make(map[linkRequest]time.Time),
 		seenByPeer:     make(map[string]*heldSeen),
@@ -328,6 +340,10 @@
 	b.updateIsolation(now)
 	b.checkRefusals(now)
 	b.evictElsewhere(now)
+	b.updateLostOwners(now)
+	b.publishLostOwners(now)
+	b.updatePlacements(now)
+	b.evictPlacements(now)
 	b.publishEnded(now)
 	b.updateOpenJobs(now)
 	b.evictLinkRequests(now)
--- a/yuccabroker/elsewhere.go
+++ b/yuccabroker/elsewhere.go
@@ -146,6 +146,7 @@
 		return
 	}
 	b.incarnations[name] = incarnation
+	b.placements.loseBackup(func(backup string) bool { return backup == name })
 	delete(b.gone, name)
 	delete(b.refusals, name)
 	until, isAwaited := b.awaited[name]
@@ -317,11 +318,12 @@
 }
 
 // updateContested has the tasks of a job wait while another entry may have them started: it has told so,
-// or may have received the job and doesn't know that it is open here.
+// or may have received the job and doesn't know that it is open here, or was lost while a side may have runs of it.
 func (b *Broker) updateContested(now time.Time, j *job) {
 	j.follows = b.isOpenElsewhere(j.ID)
-	j.mayHaveRun = j.mayHaveRun || j.follows
-	isContested := j.follows || now.Sub(j.receivedAt) >= unconfirmedAge && !b.open.isConfirmed(j)
+	mayRunForLostEntry := b.mayRunForLostEntry(j.ID)
+	j.mayHaveRun = j.mayHaveRun || j.follows || mayRunForLostEntry
+	isContested := j.follows || mayRunForLostEntry || now.Sub(j.receivedAt) >= unconfirmedAge && !b.open.isConfirmed(j)
 	if isContested == j.isContested {
 		return
 	}
@@ -334,7 +336,7 @@
 	}
 	b.contested[j] = struct{}{}
 	b.metrics.Add("jobs_contested", 1)
-	b.options.Logger.Info("job waits for other entries", "job", j.ID, "open_there", j.follows, "age_ms", now.Sub(j.receivedAt).Milliseconds(), "runs", j.runsInFlight)
+	b.options.Logger.Info("job waits for other entries", "job", j.ID, "open_there", j.follows, "lost_entry", mayRunForLostEntry, "age_ms", now.Sub(j.receivedAt).Milliseconds(), "runs", j.runsInFlight)
 	for _, st := range j.steps {
 		for _, t := range st.tasks {
 			if t.state == taskQueued {
--- a/yuccabroker/job.go
+++ b/yuccabroker/job.go
@@ -194,6 +194,7 @@
 	b.inheritPins(j)
 	b.extendHeld(j)
 	j.follows = b.isOpenElsewhere(j.ID)
+	j.mayHaveRun = j.mayHaveRun || len(b.lostPlacements(j.ID)) > 0
 	if refusal := b.admissionRefusal(now, j); refusal != nil {
 		if refusal.State == Rejected && j.mayHaveRun {
 			refusal = &Outcome{State: Abandoned, Reason: refusal.Reason}
--- /dev/null
+++ b/yuccabroker/lostplacements.go
@@ -0,0 +1,284 @@
+package yuccabroker
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/yuccaturn/yuccaturn/yuccawire"
+)
+
+const (
+	// queryInterval is the time between two queries about a job at a side that hasn't confirmed that it has no run of it.
+	queryInterval = 100 * time.Millisecond
+	// maxPlacements limits the jobs of another entry whose placements are known.
+	maxPlacements = 100_000
+)
+
+// placement is a job of another entry, with the sides that may have runs of it.
+type placement struct {
+	sides   []string
+	until   time.Time
+	lastRun uint64
+	// queries holds what the sides were asked about the job, absentAt since when those that have replied have no run of it.
+	queries  map[string]sideQuery
+	absentAt map[string]time.Time
+}
+
+// sideQuery is the first query about a job at a side, zero if there was none, and when the last one was sent.
+type sideQuery struct {
+	first           uint64
+	firstAt, lastAt time.Time
+}
+
+// lostOwner is an entry that has ended or is unreachable for one of its backups, with its jobs by id.
+type lostOwner struct {
+	lostAt time.Time
+	jobs   map[string]*placement
+	// isPublished is set once the linked entries were told of it.
+	isPublished bool
+}
+
+// HandlePlacements records at which sides jobs of a linked entry may have runs.
+func (b *Broker) HandlePlacements(now time.Time, name string, incarnation uint64, m *yuccawire.Placements) {
+	key := entryKey{name: name, incarnation: incarnation}
+	jobs := b.backups[key]
+	if jobs == nil {
+		jobs = make(map[string]*placement)
+		b.backups[key] = jobs
+	}
+	for _, id := range m.GetClosed() {
+		delete(jobs, id)
+	}
+	b.mergePlacements(now, key, jobs, m.GetPlaced(), now)
+}
+
+// mergePlacements adds placements to those known of an entry, whose orders may arrive until endAt.
+func (b *Broker) mergePlacements(now time.Time, key entryKey, jobs map[string]*placement, placements []*yuccawire.Placement, endAt time.Time) {
+	for _, m := range placements {
+		p := jobs[m.GetJob()]
+		if p == nil && len(jobs) >= maxPlacements {
+			b.metrics.Add("placements_ignored", 1)
+			b.options.Logger.Error("too many placements of an entry, job ignored", "entry", key.name, "jobs", len(jobs), "job", m.GetJob())
+			continue
+		}
+		if p == nil {
+			p = &placement{queries: make(map[string]sideQuery), absentAt: make(map[string]time.Time)}
+			jobs[m.GetJob()] = p
+		}
+		for _, name := range m.GetSides() {
+			isAbsent := !p.absentAt[name].IsZero() && !p.absentAt[name].Before(endAt)
+			if !isAbsent && !slices.Contains(p.sides, name) {
+				p.sides = append(p.sides, name)
+			}
+		}
+		p.until = later(p.until, now.Add(time.Duration(m.GetRemainingMs())*time.Millisecond))
+		p.lastRun = max(p.lastRun, m.GetLastRun())
+	}
+}
+
+// updateLostOwners notes which of the entries that this one is a backup of are linked no more, or have restarted.
+func (b *Broker) updateLostOwners(now time.Time) {
+	for key, jobs := range b.backups {
+		if slices.Contains(b.peers, key.name) && b.incarnations[key.name] == key.incarnation {
+			continue
+		}
+		delete(b.backups, key)
+		if len(jobs) == 0 {
+			continue
+		}
+		l := b.lostOwner(key, now)
+		maps.Copy(l.jobs, jobs)
+		l.isPublished = false
+		b.options.Logger.Warn("entry was lost, telling the others where its jobs may have runs", "entry", key.name, "incarnation", key.incarnation, "jobs", len(jobs))
+		for _, id := range slices.Sorted(maps.Keys(jobs)) {
+			b.holdLostJob(now, id, key)
+		}
+	}
+}
+
+// lostOwner returns the record of an entry that was lost at the given time, perhaps not for the first time.
+func (b *Broker) lostOwner(key entryKey, lostAt time.Time) *lostOwner {
+	l := b.lostOwners[key]
+	if l == nil {
+		l = &lostOwner{jobs: make(map[string]*placement)}
+		b.lostOwners[key] = l
+	}
+	l.lostAt = later(l.lostAt, lostAt)
+	return l
+}
+
+// publishLostOwners tells the linked entries of the entries that were lost.
+func (b *Broker) publishLostOwners(now time.Time) {
+	m := &yuccawire.LostPlacements{}
+	for _, key := range sortedOwners(b.lostOwners) {
+		if l := b.lostOwners[key]; !l.isPublished {
+			l.isPublished = true
+			m.Owners = append(m.Owners, l.toWire(now, key))
+		}
+	}
+	if len(m.GetOwners()) > 0 {
+		b.metrics.Add("lost_entries_told", int64(len(m.GetOwners())))
+		b.emit(Publish{Message: &yuccawire.Envelope{Body: &yuccawire.Envelope_LostPlacements{LostPlacements: m}}})
+	}
+}
+
+func sortedOwners(owners map[entryKey]*lostOwner) []entryKey {
+	return slices.SortedFunc(maps.Keys(owners), func(x, y entryKey) int {
+		return cmp.Or(cmp.Compare(x.name, y.name), cmp.Compare(x.incarnation, y.incarnation))
+	})
+}
+
+func (l *lostOwner) toWire(now time.Time, key entryKey) *yuccawire.LostOwner {
+	owner := &yuccawire.LostOwner{Entry: key.name, Incarnation: key.incarnation, LostMs: toMilliseconds(now.Sub(l.lostAt))}
+	for _, id := range slices.Sorted(maps.Keys(l.jobs)) {
+		if p := l.jobs[id]; len(p.sides) > 0 {
+			owner.Placements = append(owner.Placements, &yuccawire.Placement{Job: id, Sides: p.sides, RemainingMs: toMilliseconds(p.until.Sub(now)), LastRun: p.lastRun})
+		}
+	}
+	return owner
+}
+
+// LostPlacements returns what is known of the jobs of lost entries. It has to be sent on a new link to another entry before
+// [Broker.ListOpenJobs], for which that one may wait.
+func (b *Broker) LostPlacements(now time.Time) *yuccawire.LostPlacements {
+	b.updateLostOwners(now)
+	m := &yuccawire.LostPlacements{}
+	for _, key := range sortedOwners(b.lostOwners) {
+		if owner := b.lostOwners[key].toWire(now, key); len(owner.GetPlacements()) > 0 {
+			m.Owners = append(m.Owners, owner)
+		}
+	}
+	return m
+}
+
+// HandleLostPlacements records the jobs of entries that another one has lost.
+func (b *Broker) HandleLostPlacements(now time.Time, m *yuccawire.LostPlacements) {
+	for _, owner := range m.GetOwners() {
+		key := entryKey{name: owner.GetEntry(), incarnation: owner.GetIncarnation()}
+		if key == (entryKey{name: b.options.Name, incarnation: b.options.Incarnation}) {
+			continue
+		}
+		isKnown := b.lostOwners[key] != nil
+		lostAt := now.Add(-time.Duration(owner.GetLostMs()) * time.Millisecond)
+		l := b.lostOwner(key, lostAt)
+		// The sender tells all others itself.
+		l.isPublished = l.isPublished || !isKnown
+		b.mergePlacements(now, key, l.jobs, owner.GetPlacements(), lostAt.Add(ordersEndAfter))
+		for _, p := range owner.GetPlacements() {
+			b.holdLostJob(now, p.GetJob(), key)
+		}
+	}
+}
+
+// holdLostJob has an open job of this entry wait for the sides that may have runs of it by a lost entry.
+func (b *Broker) holdLostJob(now time.Time, id string, key entryKey) {
+	j := b.jobs[id]
+	if j == nil || !b.mayRunForLostEntry(id) {
+		return
+	}
+	b.options.Logger.Warn("job may have runs of a lost entry", "job", id, "entry", key.name, "orders", j.runsSent)
+	b.updateContested(now, j)
+}
+
+// lostPlacements returns what is known of a job at lost entries.
+func (b *Broker) lostPlacements(id string) []*placement {
+	var known []*placement
+	for _, l := range b.lostOwners {
+		if p := l.jobs[id]; p != nil {
+			known = append(known, p)
+		}
+	}
+	return known
+}
+
+// mayRunForLostEntry reports whether a side has not confirmed yet that it has no run of the job by a lost entry. The silence
+// of a side proves nothing, nor does the end of its leases: its machine may stand still.
+func (b *Broker) mayRunForLostEntry(id string) bool {
+	return slices.ContainsFunc(b.lostPlacements(id), func(p *placement) bool { return len(p.sides) > 0 })
+}
+
+// querySides asks the sides which of the waiting jobs have no run by a lost entry. They are asked once that one's
+// orders have expired, so that none can arrive after the reply.
+func (b *Broker) querySides(now time.Time) {
+	if len(b.contested) == 0 || len(b.lostOwners) == 0 {
+		return
+	}
+	queries := make(map[string]*yuccawire.RunsQuery)
+	for _, j := range slices.SortedFunc(maps.Keys(b.contested), func(x, y *job) int { return cmp.Compare(x.ID, y.ID) }) {
+		for _, key := range sortedOwners(b.lostOwners) {
+			l := b.lostOwners[key]
+			p := l.jobs[j.ID]
+			if p == nil || now.Sub(l.lostAt) < ordersEndAfter {
+				continue
+			}
+			p.until = later(p.until, j.Deadline)
+			for _, name := range p.sides {
+				b.querySide(now, name, j.ID, p, queries)
+			}
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(queries)) {
+		b.metrics.Add("runs_queries", 1)
+		b.send(name, &yuccawire.Envelope{Body: &yuccawire.Envelope_RunsQuery{RunsQuery: queries[name]}})
+	}
+}
+
+// querySide adds a job to the query for a side, unless that was asked lately.
+func (b *Broker) querySide(now time.Time, name, id string, p *placement, queries map[string]*yuccawire.RunsQuery) {
+	if s := b.sides[name]; s == nil || !s.linked {
+		b.requestLink(now, name)
+		return
+	}
+	asked := p.queries[name]
+	if now.Sub(asked.lastAt) < queryInterval {
+		return
+	}
+	if queries[name] == nil {
+		b.lastQuery++
+		queries[name] = &yuccawire.RunsQuery{Number: b.lastQuery}
+	}
+	queries[name].Jobs = append(queries[name].Jobs, id)
+	if asked.first == 0 {
+		asked.first, asked.firstAt = b.lastQuery, now
+		b.options.Logger.Info("asking a side for runs of a lost entry", "job", id, "side", name)
+	}
+	asked.lastAt = now
+	p.queries[name] = asked
+}
+
+// HandleRunsReply lets jobs go on that the last side has no run of.
+func (b *Broker) HandleRunsReply(now time.Time, sideName string, m *yuccawire.RunsReply) {
+	for _, id := range m.GetAbsent() {
+		lastRun, isKnown := uint64(0), false
+		for _, p := range b.lostPlacements(id) {
+			asked := p.queries[sideName]
+			if asked.first == 0 || m.GetNumber() < asked.first {
+				continue
+			}
+			p.sides = slices.DeleteFunc(p.sides, func(name string) bool { return name == sideName })
+			delete(p.queries, sideName)
+			p.absentAt[sideName] = asked.firstAt
+			lastRun, isKnown = max(lastRun, p.lastRun), true
+		}
+		if isKnown && !b.mayRunForLostEntry(id) {
+			b.options.Logger.Info("no side has a run of a lost entry any more", "job", id, "last_side", sideName)
+			b.handleClosed(now, id, lastRun)
+		}
+	}
+}
+
+// evictPlacements removes the jobs that nobody submits again.
+func (b *Broker) evictPlacements(now time.Time) {
+	isOver := func(_ string, p *placement) bool { return !now.Before(p.until) }
+	for _, jobs := range b.backups {
+		maps.DeleteFunc(jobs, isOver)
+	}
+	for key, l := range b.lostOwners {
+		maps.DeleteFunc(l.jobs, isOver)
+		if len(l.jobs) == 0 {
+			delete(b.lostOwners, key)
+		}
+	}
+}
--- a/yuccabroker/place.go
+++ b/yuccabroker/place.go
@@ -12,6 +12,7 @@
 func (b *Broker) Place(now time.Time) {
 	b.moveFromLeaving(now)
 	b.settleReservations(now)
+	b.querySides(now)
 	if !b.needsPlacement || b.queuedTasks() == 0 || !b.isInformed(now) {
 		return
 	}
@@ -24,6 +25,7 @@
 			b.placeQueues(now, []*taskQueue{q}, batch)
 		}
 	}
+	b.tellBackups(now, batch)
 	for _, s := range batch.sides {
 		m := batch.orders[s]
 		b.logOrders(now, s, m)
--- /dev/null
+++ b/yuccabroker/placements.go
@@ -0,0 +1,161 @@
+package yuccabroker
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/yuccaturn/yuccaturn/yuccaplacement"
+	"github.com/yuccaturn/yuccaturn/yuccawire"
+)
+
+const (
+	// maxBackups is how many linked entries are told at which sides a job may have runs.
+	maxBackups = 2
+	// closedPlacementsInterval is the least time between two messages to a backup that only tell of closed jobs.
+	closedPlacementsInterval = 250 * time.Millisecond
+)
+
+// placements are the jobs of this entry with orders, which their backups are told of.
+type placements struct {
+	told map[*job]*toldPlacement
+	// pending are the messages that are not sent yet, by backup, closedAt is when closed jobs were last told.
+	pending  map[string]*yuccawire.Placements
+	closedAt time.Time
+	// needsBackups is set if jobs may have fewer backups than there are candidates.
+	needsBackups bool
+}
+
+// toldPlacement is what the backups of a job know.
+type toldPlacement struct {
+	sides   []string
+	lastRun uint64
+	backups []string
+}
+
+func newPlacements() *placements {
+	return &placements{told: make(map[*job]*toldPlacement), pending: make(map[string]*yuccawire.Placements)}
+}
+
+func (p *placements) messageTo(backup string) *yuccawire.Placements {
+	if p.pending[backup] == nil {
+		p.pending[backup] = &yuccawire.Placements{}
+	}
+	return p.pending[backup]
+}
+
+// SetDataCentres tells the broker where the linked entries are, by name.
+func (b *Broker) SetDataCentres(dataCentres map[string]string) { b.dataCentres = dataCentres }
+
+// tellBackups tells the backups of jobs about the sides that get orders of them. It has to be called before these
+// are sent: what only one process knows is lost with it.
+func (b *Broker) tellBackups(now time.Time, batch *orderBatch) {
+	for _, s := range batch.sides {
+		for _, ordered := range batch.orders[s].GetJobs() {
+			j := b.jobs[ordered.GetJob()]
+			told := b.placements.told[j]
+			if told == nil {
+				told = &toldPlacement{}
+				b.placements.told[j] = told
+			}
+			if isNew := !slices.Contains(told.sides, s.name); isNew || j.lastRun > told.lastRun {
+				if isNew {
+					told.sides = append(told.sides, s.name)
+				}
+				told.lastRun = j.lastRun
+				b.tellPlacement(now, j, told)
+			}
+		}
+	}
+	b.sendPlacements()
+}
+
+// tellPlacement adds a job to the messages for its backups, and chooses those that it lacks.
+func (b *Broker) tellPlacement(now time.Time, j *job, told *toldPlacement) {
+	b.addBackups(j.ID, told)
+	until := j.Deadline.Add(outcomeRetention)
+	for _, name := range told.backups {
+		m := b.placements.messageTo(name)
+		m.Placed = slices.DeleteFunc(m.Placed, func(p *yuccawire.Placement) bool { return p.GetJob() == j.ID })
+		m.Placed = append(m.Placed, &yuccawire.Placement{Job: j.ID, Sides: slices.Clone(told.sides), RemainingMs: toMilliseconds(until.Sub(now)), LastRun: told.lastRun})
+	}
+}
+
+// addBackups chooses backups among the linked entries by the id of the job, in other data centres than this entry and each
+// other as far as there are some.
+func (b *Broker) addBackups(id string, told *toldPlacement) {
+	for len(told.backups) < maxBackups {
+		used := map[string]int{b.options.DataCentre: 1}
+		for _, name := range told.backups {
+			used[b.dataCentres[name]]++
+		}
+		candidates := slices.DeleteFunc(slices.Clone(b.peers), func(name string) bool { return slices.Contains(told.backups, name) })
+		if len(candidates) == 0 {
+			return
+		}
+		told.backups = append(told.backups, slices.MinFunc(candidates, func(x, y string) int {
+			return cmp.Or(cmp.Compare(used[b.dataCentres[x]], used[b.dataCentres[y]]), cmp.Compare(yuccaplacement.Weight(id, x), yuccaplacement.Weight(id, y)))
+		}))
+	}
+}
+
+// sendPlacements sends the pending messages.
+func (b *Broker) sendPlacements() {
+	for _, name := range slices.Sorted(maps.Keys(b.placements.pending)) {
+		m := b.placements.pending[name]
+		if len(m.GetPlaced()) == 0 {
+			continue
+		}
+		b.sendPlacementsTo(name, m)
+	}
+}
+
+func (b *Broker) sendPlacementsTo(name string, m *yuccawire.Placements) {
+	delete(b.placements.pending, name)
+	b.metrics.Add("placements_told", int64(len(m.GetPlaced())))
+	b.emit(Publish{Message: &yuccawire.Envelope{Body: &yuccawire.Envelope_Placements{Placements: m}}, To: []string{name}})
+}
+
+// updatePlacements closes the jobs whose runs have ended, and replaces the backups that were lost.
+func (b *Broker) updatePlacements(now time.Time) {
+	p := b.placements
+	for j, told := range p.told {
+		if !j.ended || j.runsInFlight > 0 {
+			continue
+		}
+		delete(p.told, j)
+		if next := b.jobs[j.ID]; next != nil && p.told[next] != nil {
+			continue
+		}
+		for _, name := range told.backups {
+			m := p.messageTo(name)
+			m.Closed = append(m.Closed, j.ID)
+		}
+	}
+	if p.needsBackups {
+		p.needsBackups = false
+		for _, j := range slices.SortedFunc(maps.Keys(p.told), func(x, y *job) int { return cmp.Compare(x.ID, y.ID) }) {
+			if told := p.told[j]; len(told.backups) < maxBackups {
+				b.tellPlacement(now, j, told)
+			}
+		}
+		b.sendPlacements()
+	}
+	if now.Sub(p.closedAt) < closedPlacementsInterval {
+		return
+	}
+	p.closedAt = now
+	for _, name := range slices.Sorted(maps.Keys(p.pending)) {
+		b.sendPlacementsTo(name, p.pending[name])
+	}
+}
+
+// loseBackup has the jobs of this entry get another backup, as the given one is linked no more or has restarted.
+func (p *placements) loseBackup(isLost func(name string) bool) {
+	maps.DeleteFunc(p.pending, func(name string, _ *yuccawire.Placements) bool { return isLost(name) })
+	for _, told := range p.told {
+		told.backups = slices.DeleteFunc(told.backups, isLost)
+	}
+	p.needsBackups = true
+}
--- /dev/null
+++ b/yuccabroker/placements_test.go
@@ -0,0 +1,244 @@
+package yuccabroker_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/yuccaturn/yuccaturn/yuccabroker"
+	"github.com/yuccaturn/yuccaturn/yuccawire"
+)
+
+// backupPeers is a fixture of an entry in puno with linked entries, and what it sends them and its sides in order.
+type backupPeers struct {
+	*fixture
+	sent []yuccabroker.Action
+}
+
+func newBackupPeers(t *testing.T, peers ...string) *backupPeers {
+	f := &backupPeers{fixture: newFixture(t, "s1", "s2")}
+	f.link(peers...)
+	for _, name := range peers {
+		f.broker.HandleEntryUp(f.now, name, 1)
+		f.broker.HandleOpenJobs(f.now, name, 1, &yuccawire.OpenJobs{Whole: true})
+	}
+	f.tick(0)
+	return f
+}
+
+// link links the entries, whose names begin with those of their data centres.
+func (f *backupPeers) link(names ...string) {
+	dataCentres := make(map[string]string)
+	for _, name := range names {
+		dataCentres[name] = name[:len(name)-2]
+	}
+	f.broker.SetDataCentres(dataCentres)
+	f.broker.SetPeers(names)
+}
+
+// tick advances the time, with reports of both sides.
+func (f *backupPeers) tick(d time.Duration) {
+	for end := f.now.Add(d); ; f.now = f.now.Add(20 * time.Millisecond) {
+		f.report("s1", fullCPU)
+		f.report("s2", fullCPU)
+		f.broker.Tick(f.now)
+		f.collect()
+		if !f.now.Before(end) {
+			return
+		}
+	}
+}
+
+func (f *backupPeers) collect() {
+	f.broker.Place(f.now)
+	for _, a := range f.broker.Actions() {
+		f.sent = append(f.sent, a)
+		if s, isSend := a.(yuccabroker.Send); isSend && s.Message.GetOrders() != nil {
+			f.lastOrder[s.Side] = s.Message.GetOrders().GetNumber()
+		}
+	}
+}
+
+// submitLater submits a job whose caller waits for 6 s.
+func (f *backupPeers) submitLater(id string) {
+	j := job(id, 1)
+	j.Deadline = f.now.Add(6 * time.Second)
+	f.broker.Submit(f.now, j, 1)
+	f.collect()
+}
+
+// told returns who was told of placements of the job, and of which sides.
+func (f *backupPeers) told(id string) map[string][]string {
+	told := make(map[string][]string)
+	for _, a := range f.sent {
+		p, isPublish := a.(yuccabroker.Publish)
+		for _, placed := range p.Message.GetPlacements().GetPlaced() {
+			if isPublish && placed.GetJob() == id {
+				told[p.To[0]] = placed.GetSides()
+			}
+		}
+	}
+	return told
+}
+
+func (f *backupPeers) orders() int {
+	n := 0
+	for _, a := range f.sent {
+		if s, isSend := a.(yuccabroker.Send); isSend && s.Message.GetOrders() != nil {
+			n++
+		}
+	}
+	return n
+}
+
+// queries returns the numbers of the queries that a side got about the job.
+func (f *backupPeers) queries(side, id string) []uint64 {
+	var numbers []uint64
+	for _, a := range f.sent {
+		if s, isSend := a.(yuccabroker.Send); isSend && s.Side == side && slices.Contains(s.Message.GetRunsQuery().GetJobs(), id) {
+			numbers = append(numbers, s.Message.GetRunsQuery().GetNumber())
+		}
+	}
+	return numbers
+}
+
+// place tells the entry, as a backup, of a job of another one.
+func (f *backupPeers) place(owner, id string, sides ...string) {
+	f.broker.HandlePlacements(f.now, owner, 1, &yuccawire.Placements{Placed: []*yuccawire.Placement{{Job: id, Sides: sides, RemainingMs: 15000, LastRun: 3}}})
+}
+
+// published returns the jobs of a lost entry that all linked entries were told of.
+func (f *backupPeers) published(owner string) []string {
+	var jobs []string
+	for _, a := range f.sent {
+		p, _ := a.(yuccabroker.Publish)
+		for _, lost := range p.Message.GetLostPlacements().GetOwners() {
+			for _, placed := range lost.GetPlacements() {
+				if lost.GetEntry() == owner && p.To == nil {
+					jobs = append(jobs, placed.GetJob())
+				}
+			}
+		}
+	}
+	return jobs
+}
+
+// A data centre that is lost may not take the entry and both backups with it.
+func TestBackupsAreInOtherDataCentresAndKnowOfAnOrderBeforeItIsSent(t *testing.T) {
+	f := newBackupPeers(t, "puno-2", "puno-3", "cusco-1", "cusco-2", "lima-1", "lima-2")
+	used := make(map[string]bool)
+	for i := range 20 {
+		id := fmt.Sprintf("%016d", i)
+		f.sent = nil
+		f.submitLater(id)
+		isKnown := 0
+		for _, a := range f.sent {
+			if p, isPublish := a.(yuccabroker.Publish); isPublish && p.Message.GetPlacements() != nil {
+				isKnown++
+			}
+			if s, isSend := a.(yuccabroker.Send); isSend && s.Message.GetOrders() != nil && isKnown != 2 {
+				t.Fatalf("job %s: order sent when %d backups were told", id, isKnown)
+			}
+		}
+		told := f.told(id)
+		inLima, inCusco := 0, 0
+		for name := range told {
+			used[name] = true
+			if name[:4] == "lima" {
+				inLima++
+			} else if name[:5] == "cusco" {
+				inCusco++
+			}
+		}
+		if inLima != 1 || inCusco != 1 {
+			t.Errorf("job %s: backups %v, want one in each other data centre", id, told)
+		}
+	}
+	if len(used) != 4 {
+		t.Errorf("only %v are ever backups", used)
+	}
+}
+
+func TestJobGetsAnotherBackupAsOneIsLost(t *testing.T) {
+	f := newBackupPeers(t, "cusco-1", "lima-1", "lima-2")
+	f.submitLater("a")
+	first := f.told("a")
+	f.sent = nil
+	f.link("lima-1", "lima-2")
+	f.tick(0)
+	if told := f.told("a"); len(first) != 2 || len(told) != 2 {
+		t.Errorf("told %v first and %v as cusco-1 was lost, want both in lima at last", first, told)
+	}
+}
+
+func TestBackupTellsAllOfTheJobsOfALostEntry(t *testing.T) {
+	for name, lose := range map[string]func(f *backupPeers){
+		"unlinked":  func(f *backupPeers) { f.link("cusco-1") },
+		"restarted": func(f *backupPeers) { f.broker.HandleEntryUp(f.now, "lima-1", 2) },
+		"clock set back": func(f *backupPeers) {
+			f.broker.HandleEntryReplaced(f.now, "lima-1", 0)
+			f.broker.HandleEntryUp(f.now, "lima-1", 7)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newBackupPeers(t, "cusco-1", "lima-1")
+			f.place("lima-1", "a", "s1")
+			f.place("lima-1", "closed", "s1")
+			f.broker.HandlePlacements(f.now, "lima-1", 1, &yuccawire.Placements{Closed: []string{"closed"}})
+			f.tick(time.Second)
+			if jobs := f.published("lima-1"); len(jobs) > 0 {
+				t.Errorf("%v told while the entry is linked", jobs)
+			}
+			lose(f)
+			f.tick(0)
+			if jobs := f.published("lima-1"); len(jobs) != 1 || jobs[0] != "a" {
+				t.Errorf("told %v, want a", jobs)
+			}
+			if owners := f.broker.LostPlacements(f.now).GetOwners(); len(owners) != 1 || owners[0].GetPlacements()[0].GetLastRun() != 3 {
+				t.Errorf("told on a new link: %v", owners)
+			}
+		})
+	}
+}
+
+// Neither the silence of a side nor a reply to a query that was sent while orders of the lost entry could arrive counts.
+func TestJobOfALostEntryIsPlacedWhileASideMayHaveARunOfIt(t *testing.T) {
+	f := newBackupPeers(t)
+	lost := &yuccawire.LostPlacements{Owners: []*yuccawire.LostOwner{{
+		Entry: "cusco-1", Incarnation: 4, Placements: []*yuccawire.Placement{{Job: "a", Sides: []string{"s1", "s2"}, RemainingMs: 15000, LastRun: 3}},
+	}}}
+	f.broker.HandleLostPlacements(f.now, lost)
+	f.submitLater("a")
+	f.submitLater("b")
+	f.tick(600 * time.Millisecond)
+	if len(f.queries("s1", "a")) > 0 || f.orders() != 1 {
+		t.Fatalf("%d queries and %d orders while orders of the lost entry may arrive, want none but the order of b", len(f.queries("s1", "a")), f.orders())
+	}
+	f.tick(1400 * time.Millisecond)
+	queries := f.queries("s1", "a")
+	if len(queries) < 10 || len(f.queries("s1", "b")) > 0 {
+		t.Fatalf("%d queries about a and %d about b", len(queries), len(f.queries("s1", "b")))
+	}
+	f.broker.HandleRunsReply(f.now, "s1", &yuccawire.RunsReply{Number: queries[0], Absent: []string{"a"}})
+	f.broker.HandleRunsReply(f.now, "s2", &yuccawire.RunsReply{Number: queries[0] - 1, Absent: []string{"a"}})
+	f.tick(0)
+	if f.orders() != 1 {
+		t.Fatal("ordered with a reply of one side only, and one to an earlier query")
+	}
+	f.broker.HandleRunsReply(f.now, "s2", &yuccawire.RunsReply{Number: f.queries("s2", "a")[0], Absent: []string{"a"}})
+	f.collect()
+	order, _ := f.sent[len(f.sent)-1].(yuccabroker.Send)
+	if f.orders() != 2 || order.Message.GetOrders().GetJobs()[0].GetTasks()[0].GetRun() != 4 {
+		t.Errorf("last sent %v, want run 4 of a", f.sent[len(f.sent)-1])
+	}
+	// Another backup tells the same late.
+	f.broker.HandleLostPlacements(f.now, &yuccawire.LostPlacements{Owners: []*yuccawire.LostOwner{{
+		Entry: "cusco-1", Incarnation: 4, LostMs: 2000, Placements: lost.GetOwners()[0].GetPlacements(),
+	}}})
+	before := len(f.queries("s1", "a"))
+	f.tick(300 * time.Millisecond)
+	if len(f.queries("s1", "a")) != before {
+		t.Error("the side is asked again")
+	}
+}
--- a/yuccabroker/relay.go
+++ b/yuccabroker/relay.go
@@ -31,6 +31,7 @@
 // SetPeers sets the names of the entries that this one is linked with.
 func (b *Broker) SetPeers(names []string) {
 	b.peers = slices.Clone(names)
+	b.placements.loseBackup(func(name string) bool { return !slices.Contains(names, name) })
 	maps.DeleteFunc(b.seenByPeer, func(name string, _ *heldSeen) bool { return !slices.Contains(names, name) })
 }
 
--- a/yuccadriver/driver.go
+++ b/yuccadriver/driver.go
@@ -250,6 +250,8 @@
 		d.worker.HandleWithdraw(now, from, body.Withdraw)
 	case *yuccawire.Envelope_HeldSeen:
 		d.worker.HandleHeldSeen(now, from, body.HeldSeen)
+	case *yuccawire.Envelope_RunsQuery:
+		d.worker.HandleRunsQuery(now, from, body.RunsQuery)
 	case *yuccawire.Envelope_Forward:
 		d.worker.HandleForward(body.Forward)
 	case *yuccawire.Envelope_LinkRequest:
--- a/yuccaedge/edge.go
+++ b/yuccaedge/edge.go
@@ -254,6 +254,8 @@
 			e.broker.HandleCrashReport(now, body.CrashReport)
 		case *yuccawire.Envelope_HeldTasks:
 			e.broker.HandleHeldBySide(now, name, body.HeldTasks)
+		case *yuccawire.Envelope_RunsReply:
+			e.broker.HandleRunsReply(now, name, body.RunsReply)
 		case *yuccawire.Envelope_Forward:
 			e.broker.HandleForward(now, body.Forward)
 		}
@@ -308,10 +310,13 @@
 // updatePeers tells the broker which entries are linked.
 func (e *Edge) updatePeers() {
 	names := make([]string, 0, len(e.entryPeers))
+	dataCentres := make(map[string]string, len(e.entryPeers))
 	for p := range e.entryPeers {
 		names = append(names, p.Node().GetName())
+		dataCentres[p.Node().GetName()] = p.Node().GetDataCentre()
 	}
 	slices.Sort(names)
+	e.broker.SetDataCentres(dataCentres)
 	e.broker.SetPeers(slices.Compact(names))
 }
 
@@ -335,6 +340,9 @@
 // come last, as its jobs may start once it knows that they aren't open here.
 func (e *Edge) exchangeOpenJobs(now time.Time, p *yuccamesh.Peer) {
 	e.broker.HandleEntryUp(now, p.Node().GetName(), p.Node().GetIncarnation())
+	if lost := e.broker.LostPlacements(now); len(lost.GetOwners()) > 0 {
+		p.Send(&yuccawire.Envelope{Body: &yuccawire.Envelope_LostPlacements{LostPlacements: lost}})
+	}
 	p.Send(&yuccawire.Envelope{Body: &yuccawire.Envelope_OpenJobs{OpenJobs: e.broker.ListOpenJobs(now)}})
 }
 
--- a/yuccaedge/inquiry.go
+++ b/yuccaedge/inquiry.go
@@ -198,6 +198,10 @@
 		e.broker.HandleOpenJobs(now, from.Node().GetName(), from.Node().GetIncarnation(), body.OpenJobs)
 	case *yuccawire.Envelope_OpenJobsSeen:
 		e.broker.HandleOpenJobsSeen(now, from.Node().GetName(), body.OpenJobsSeen)
+	case *yuccawire.Envelope_Placements:
+		e.broker.HandlePlacements(now, from.Node().GetName(), from.Node().GetIncarnation(), body.Placements)
+	case *yuccawire.Envelope_LostPlacements:
+		e.broker.HandleLostPlacements(now, body.LostPlacements)
 	case *yuccawire.Envelope_Forward:
 		e.broker.HandleForward(now, body.Forward)
 	case *yuccawire.Envelope_LinkRequest:
--- a/yuccaedge/openjobs_test.go
+++ b/yuccaedge/openjobs_test.go
@@ -54,6 +54,10 @@
 		if err != nil {
 			return
 		}
+		if query := m.GetRunsQuery(); query != nil {
+			reply := &yuccawire.RunsReply{Number: query.GetNumber(), Absent: query.GetJobs()}
+			_ = e.side.Send(&yuccawire.Envelope{Body: &yuccawire.Envelope_RunsReply{RunsReply: reply}})
+		}
 		for _, j := range m.GetOrders().GetJobs() {
 			for _, order := range j.GetTasks() {
 				e.orders <- order
--- a/yuccamesh/traffic.go
+++ b/yuccamesh/traffic.go
@@ -18,7 +18,7 @@
 type counter struct{ messages, bytes *expvar.Int }
 
 // messageTypes are the names of the types in metrics.
-var messageTypes = []string{"roster", "heartbeat", "beat", "orders", "withdraw", "worker_state", "ends", "inquiry", "inquiry_reply", "crash_report", "demand", "held_tasks", "ended_jobs", "link_request", "held_seen", "other"}
+var messageTypes = []string{"roster", "heartbeat", "beat", "orders", "withdraw", "worker_state", "ends", "inquiry", "inquiry_reply", "crash_report", "demand", "held_tasks", "ended_jobs", "link_request", "held_seen", "placements", "lost_placements", "runs_query", "runs_reply", "other"}
 
 func newTraffic(metrics *yuccametric.Set) *traffic {
 	t := &traffic{sent: make(map[string]*counter), received: make(map[string]*counter)}
@@ -61,6 +61,14 @@
 		return "link_request"
 	case *yuccawire.Envelope_HeldSeen:
 		return "held_seen"
+	case *yuccawire.Envelope_Placements:
+		return "placements"
+	case *yuccawire.Envelope_LostPlacements:
+		return "lost_placements"
+	case *yuccawire.Envelope_RunsQuery:
+		return "runs_query"
+	case *yuccawire.Envelope_RunsReply:
+		return "runs_reply"
 	}
 	return "other"
 }
--- a/yuccamodel/demand_test.go
+++ b/yuccamodel/demand_test.go
@@ -73,11 +73,14 @@
 // updatePeers tells the broker which entries are linked.
 func (e *modelEntry) updatePeers() {
 	var names []string
+	dataCentres := make(map[string]string)
 	for _, peer := range e.peers {
 		if e.world.entryLinks[pairOf(e, peer)].isUp {
 			names = append(names, peer.name)
+			dataCentres[peer.name] = peer.dataCentre
 		}
 	}
+	e.broker.SetDataCentres(dataCentres)
 	e.broker.SetPeers(names)
 }
 
@@ -90,6 +93,9 @@
 // sendOpenJobs sends a peer the open jobs, as its link has come up.
 func (e *modelEntry) sendOpenJobs(to *modelEntry) {
 	e.broker.HandleEntryUp(e.now(), to.name, to.incarnation)
+	if lost := e.broker.LostPlacements(e.now()); len(lost.GetOwners()) > 0 {
+		e.world.sendToPeer(e, to, &yuccawire.Envelope{Body: &yuccawire.Envelope_LostPlacements{LostPlacements: lost}})
+	}
 	m := e.world.alter(&yuccawire.Envelope{Body: &yuccawire.Envelope_OpenJobs{OpenJobs: e.broker.ListOpenJobs(e.now())}})
 	if m != nil {
 		e.world.sendToPeer(e, to, m)
--- /dev/null
+++ b/yuccamodel/lostplacements_test.go
@@ -0,0 +1,105 @@
+package yuccamodel_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// lostRun plays a job whose machine stands still and whose entry is killed, others with it, before its caller comes again.
+type lostRun struct {
+	// freezeAt and killAt are since the submission.
+	freezeAt, killAt time.Duration
+	// downtime is that of the entry, comesToIt is set if the caller comes again there.
+	downtime  time.Duration
+	comesToIt bool
+	// alsoKilled is another entry that is killed, zero for none.
+	alsoKilled int
+}
+
+// play plays the loss in a deployment of entries in three data centres, and returns the job.
+func (l lostRun) play(t *testing.T, entries int) *callerJob {
+	w := newFleet(t, 1, 3, entries, 3)
+	w.start()
+	w.run(warmUp)
+	w.patience = 6 * time.Second
+	first := w.entries[0]
+	w.pickEntry = func() *modelEntry { return first }
+	job := w.submitOneTask(1600, 900*time.Millisecond)
+	w.pickEntry = func() *modelEntry {
+		for _, e := range w.entries[1:] {
+			if !l.comesToIt && !e.isDown {
+				return e
+			}
+		}
+		return first
+	}
+	w.after(10*time.Millisecond, func() {
+		for _, s := range w.sides {
+			if !s.core.Idle() {
+				w.after(l.freezeAt-10*time.Millisecond, func() {
+					s.worker.standStill(4 * time.Second)
+					w.freezeSide(s, 4*time.Second)
+				})
+			}
+		}
+	})
+	w.after(l.killAt, func() {
+		w.killEntry(first, false, l.downtime)
+		if l.alsoKilled > 0 {
+			w.killEntry(w.entries[l.alsoKilled], false, time.Minute)
+		}
+	})
+	w.run(14 * time.Second)
+	return job
+}
+
+// Nobody but the entry and the side knew of the run, whatever the age of the job.
+func TestResendOfAYoungJobRunsBesideAStandingMachine(t *testing.T) {
+	ms := time.Millisecond
+	for _, killAt := range []time.Duration{12 * ms, 20 * ms, 100 * ms, 500 * ms, 700 * ms, 850 * ms} {
+		for _, freezeAt := range []time.Duration{10 * ms, killAt - 2*ms, killAt, killAt + 20*ms, killAt + 200*ms, killAt + 500*ms} {
+			for _, l := range []lostRun{
+				{downtime: time.Minute},
+				{downtime: 300 * ms, comesToIt: true},
+				{downtime: time.Minute, alsoKilled: 1},
+				{downtime: time.Minute, alsoKilled: 2},
+				{downtime: time.Minute, alsoKilled: 3},
+			} {
+				l.freezeAt, l.killAt = freezeAt, killAt
+				t.Run(fmt.Sprintf("frozen %v killed %v back %v with %d", freezeAt, killAt, l.downtime, l.alsoKilled), func(t *testing.T) {
+					if job := l.play(t, 5); !job.isAnswered {
+						t.Error("the caller is not answered")
+					}
+				})
+			}
+		}
+	}
+}
+
+// Every side answers, so that none can have a run that nobody knows of.
+func TestResendWaitsForAnEntryThatWasKilled(t *testing.T) {
+	for _, killAt := range []time.Duration{20 * time.Millisecond, 100 * time.Millisecond, 500 * time.Millisecond} {
+		w := newFleet(t, 1, 3, 5, 3)
+		w.start()
+		w.run(warmUp)
+		w.patience = 6 * time.Second
+		w.pickEntry = func() *modelEntry { return w.entries[0] }
+		job := w.submitOneTask(1600, 900*time.Millisecond)
+		w.pickEntry = func() *modelEntry { return w.entries[1] }
+		w.after(killAt, func() { w.killEntry(w.entries[0], false, time.Minute) })
+		starts := w.starts
+		w.run(killAt + resubmitDelay)
+		if w.starts != starts+1 {
+			t.Fatalf("%d starts before the caller comes again, want 1", w.starts-starts)
+		}
+		w.run(4*oneWay + 10*time.Millisecond)
+		if w.starts != starts+2 {
+			t.Errorf("killed at %v: the job is not started again within two round trips of its resend", killAt)
+		}
+		w.run(3 * time.Second)
+		if !job.isCompleted() {
+			t.Errorf("killed at %v: the job ends as %v", killAt, job.state)
+		}
+	}
+}
--- a/yuccamodel/world_test.go
+++ b/yuccamodel/world_test.go
@@ -461,7 +461,8 @@
 	if m = w.alter(m); m == nil {
 		return
 	}
-	isFlooded := m.GetHeldTasks() == nil && m.GetLinkRequest() == nil && m.GetOpenJobs() == nil && m.GetOpenJobsSeen() == nil && m.GetForward() == nil
+	isFlooded := m.GetHeldTasks() == nil && m.GetLinkRequest() == nil && m.GetOpenJobs() == nil && m.GetOpenJobsSeen() == nil && m.GetForward() == nil &&
+		m.GetPlacements() == nil && m.GetLostPlacements() == nil
 	for _, e := range w.entries {
 		if e == from || e.isDown {
 			continue
@@ -489,6 +490,11 @@
 	case *yuccawire.Envelope_OpenJobsSeen:
 		e.world.logf("%s receives from %s.%d open jobs seen %v", e.name, from.name, incarnation, body.OpenJobsSeen)
 		e.broker.HandleOpenJobsSeen(e.now(), from.name, body.OpenJobsSeen)
+	case *yuccawire.Envelope_Placements:
+		e.broker.HandlePlacements(e.now(), from.name, incarnation, body.Placements)
+	case *yuccawire.Envelope_LostPlacements:
+		e.world.logf("%s receives from %s.%d lost placements %v", e.name, from.name, incarnation, body.LostPlacements)
+		e.broker.HandleLostPlacements(e.now(), body.LostPlacements)
 	case *yuccawire.Envelope_Forward:
 		e.world.logf("%s receives from %s.%d forwarded %v", e.name, from.name, incarnation, body.Forward)
 		e.broker.HandleForward(e.now(), body.Forward)
@@ -829,6 +835,8 @@
 				s.core.HandleWithdraw(s.now(), id, body.Withdraw)
 			case *yuccawire.Envelope_HeldSeen:
 				s.core.HandleHeldSeen(s.now(), id, body.HeldSeen)
+			case *yuccawire.Envelope_RunsQuery:
+				s.core.HandleRunsQuery(s.now(), id, body.RunsQuery)
 			case *yuccawire.Envelope_Forward:
 				s.core.HandleForward(body.Forward)
 			case *yuccawire.Envelope_LinkRequest:
@@ -864,6 +872,9 @@
 				w.heldLists++
 				w.logf("%s receives held tasks from %s.%d %v", e.name, s.name, s.incarnation, body.HeldTasks)
 				e.broker.HandleHeldBySide(e.now(), s.name, body.HeldTasks)
+			case *yuccawire.Envelope_RunsReply:
+				w.logf("%s receives from %s.%d runs reply %v", e.name, s.name, s.incarnation, body.RunsReply)
+				e.broker.HandleRunsReply(e.now(), s.name, body.RunsReply)
 			case *yuccawire.Envelope_Forward:
 				w.logf("%s receives over %s forwarded %v", e.name, s.name, body.Forward)
 				e.broker.HandleForward(e.now(), body.Forward)
