replica: limit what is sent by what the replica has confirmed, in bytes

What callers saw: after many changes of a large configuration, a replica that lost its disk, or a new one, never got the log.

Cause: a leader sent up to 32 appends of 1 MB, and as many again with each heartbeat, whether or not the replica had any of them. The link between controls is closed at 16 MB unsent. So a log of about 18 to 25 MB closed it, each 0.2 s, and the same was sent over the next one. Three bounds of three packages contradicted each other.

Unconfirmed entries are now limited in bytes. The window starts at 256 KB after a loss, grows with what is confirmed, up to a quarter of what the link takes unsent, and halves if a confirmation takes over 0.2 s, as heartbeats wait behind the entries. Rejections of what was lost together have it sent again once. A control whose links take too little for that doesn't start, with a clear error, so that no settings bring the fault back.

--- a/yuccacommand/sizedconfig.go
+++ b/yuccacommand/sizedconfig.go
@@ -134,7 +134,7 @@
 			yuccacontrol.Options{
 				Network: controlNetwork, Self: address, DataCentre: c.dataCentre, Discover: mesh.Replicas, CanFormGroup: f.canFormGroup,
 				OnRecovered: func(sections []*yuccawire.Section) { edge.ApplyRecovered(sections) }, Voters: 2*c.toleratedFailures + 1,
-				SectionPushes: sectionPushes, MaxLogEntries: sizedMaxLogEntries, MaxLogBytes: sizedMaxLogBytes, Random: newRandom(), Suspensions: suspensions, Metrics: c.metrics, Logger: c.logger,
+				SectionPushes: sectionPushes, MaxLogEntries: sizedMaxLogEntries, MaxLogBytes: sizedMaxLogBytes, MaxLinkBytes: replicaPendingBytes, Random: newRandom(), Suspensions: suspensions, Metrics: c.metrics, Logger: c.logger,
 			})
 		p.add(replica)
 	}
--- a/yuccacontrol/control.go
+++ b/yuccacontrol/control.go
@@ -27,7 +27,11 @@
 	expireInterval       = 10 * time.Second
 	defaultMaxLogEntries = 20_000
 	defaultMaxLogBytes   = 64 << 20
-	maxBatchedEvents     = 2048
+	defaultMaxLinkBytes  = 64 << 20
+	// linkShare is the part of what a link takes unsent that entries in flight may
+	// use, next to heartbeats and to a larger entry or a snapshot.
+	linkShare        = 4
+	maxBatchedEvents = 2048
 )
 
 // Errors returned by the methods of Control.
@@ -80,8 +84,11 @@
 	// however few entries they are. The disk needs room for it and two snapshots.
 	// Zero means the default of 64 MB.
 	MaxLogBytes int
-	Random      *rand.Rand
-	Metrics     *yuccametric.Set
+	// MaxLinkBytes is the size of the unsent messages at which a link of Network is
+	// closed. Zero means the default of 64 MB, which is that of yuccamux.
+	MaxLinkBytes int
+	Random       *rand.Rand
+	Metrics      *yuccametric.Set
 	// Logger defaults to one that discards everything.
 	Logger *slog.Logger
 }
@@ -136,7 +143,7 @@
 }
 
 // New returns a control with the log and state read from its storage. It fails if
-// the stored snapshot can't be decoded.
+// the stored snapshot can't be decoded, or if a link takes too little for replication.
 func New(options Options) (*Control, error) {
 	if options.Logger == nil {
 		options.Logger = slog.New(slog.DiscardHandler)
@@ -147,6 +154,12 @@
 	if options.MaxLogBytes == 0 {
 		options.MaxLogBytes = defaultMaxLogBytes
 	}
+	if options.MaxLinkBytes == 0 {
+		options.MaxLinkBytes = defaultMaxLinkBytes
+	}
+	if least := linkShare * yuccareplica.MinInflightBytes; options.MaxLinkBytes < least {
+		return nil, merry.Errorf("links that are closed at %d unsent bytes can't bring a replica up to date, expected %d or more", options.MaxLinkBytes, least)
+	}
 	self := &yuccawire.ReplicaAddress{
 		Name: options.Self.GetName(), Address: options.Self.GetAddress(),
 		OperatorAddress: options.Self.GetOperatorAddress(), Id: options.Storage.ID(),
@@ -185,7 +198,7 @@
 		return err
 	}
 	c.state = state
-	options := yuccareplica.Options{ID: c.self.GetId(), Random: c.options.Random, Voters: c.options.Voters}
+	options := yuccareplica.Options{ID: c.self.GetId(), Random: c.options.Random, Voters: c.options.Voters, MaxInflightBytes: c.options.MaxLinkBytes / linkShare}
 	c.core = yuccareplica.New(options, stored, time.Now())
 	c.formation = nil
 	return nil
--- a/yuccacontrol/discover_test.go
+++ b/yuccacontrol/discover_test.go
@@ -99,7 +99,7 @@
 			}
 			return replicas
 		},
-		CanFormGroup: func() (bool, bool) { return canForm, true }, Suspensions: d.suspensions,
+		CanFormGroup: func() (bool, bool) { return canForm, true }, Suspensions: d.suspensions, MaxLinkBytes: linkBytes,
 		OnRecovered: func(sections []*yuccawire.Section) {
 			d.mu.Lock()
 			defer d.mu.Unlock()
--- /dev/null
+++ b/yuccacontrol/longlog_test.go
@@ -0,0 +1,125 @@
+package yuccacontrol_test
+
+import (
+	"bytes"
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/yuccaturn/yuccaturn/yuccacontrol"
+	"github.com/yuccaturn/yuccaturn/yuccamemnet"
+	"github.com/yuccaturn/yuccaturn/yuccametric"
+	"github.com/yuccaturn/yuccaturn/yuccastate"
+	"github.com/yuccaturn/yuccaturn/yuccawire"
+)
+
+const (
+	// linkBytes is what a link between controls takes unsent, catchUpTime how long a replica
+	// that lost its disk may take until it counts again.
+	linkBytes   = 16 << 20
+	catchUpTime = 4 * time.Second
+)
+
+// newLimitedDeployment returns a deployment whose links have that rate in bytes a second, with a group of a, b and c.
+func newLimitedDeployment(ctx context.Context, t *testing.T, rate int) *deployment {
+	d := newDeployment(t)
+	d.fabric = yuccamemnet.New(yuccamemnet.Options{Delay: time.Millisecond, Seed: 1, BytesPerSecond: rate, MaxPendingBytes: linkBytes})
+	for i, name := range []string{"a", "b", "c"} {
+		d.start(ctx, name, i == 0, "a", "b", "c", "e")
+	}
+	time.Sleep(4 * time.Second)
+	return d
+}
+
+// change applies documents of the size, until all have the number given.
+func (d *deployment) change(ctx context.Context, changes, size int) {
+	leader, status := d.leader(ctx)
+	version := status.Commit * 1000
+	for range changes {
+		version++
+		replace := &yuccawire.ReplaceDocument{Version: version, Body: bytes.Repeat([]byte("x"), size)}
+		result, err := d.controls[leader].Apply(ctx, &yuccawire.Command{Body: &yuccawire.Command_ReplaceDocument{ReplaceDocument: replace}})
+		if err != nil || result.Outcome != yuccastate.Accepted {
+			d.t.Fatalf("version %d: %+v, %v", version, result, err)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// follower returns the name of a control that does not lead.
+func (d *deployment) follower(ctx context.Context) string {
+	leader, _ := d.leader(ctx)
+	for _, name := range []string{"a", "b", "c"} {
+		if name != leader {
+			return name
+		}
+	}
+	return ""
+}
+
+// holdsAll reports whether the replica with the name is a voter again and has committed what the leader has.
+func (d *deployment) holdsAll(ctx context.Context, name string) bool {
+	_, status := d.leader(ctx)
+	own, err := d.controls[name].Status(ctx)
+	isVoter := false
+	for _, r := range status.Replicas {
+		isVoter = isVoter || r.Name == name && r.Voter && r.ID == d.storages[name].id
+	}
+	return err == nil && isVoter && own.Commit >= status.Commit
+}
+
+// A log of about the size that a link takes unsent, and more, up to the size at which it is compacted.
+func TestReplicaThatLostItsDiskNeverGetsALongLog(t *testing.T) {
+	const mb = 1 << 20
+	for _, tc := range []struct {
+		name          string
+		changes, size int
+		rate          int
+		isOther       bool
+	}{
+		{"disk lost", 93, 258 << 10, 40 * mb, false},
+		{"replaced by another machine", 93, 258 << 10, 40 * mb, true},
+		{"few large changes", 7, 8 * mb, 40 * mb, false},
+		{"many small changes", 2000, 12 << 10, 40 * mb, false},
+		{"slower link", 70, 258 << 10, 8 * mb, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				d := newLimitedDeployment(ctx, t, tc.rate)
+				d.change(ctx, tc.changes, tc.size)
+				lost := d.follower(ctx)
+				d.cancels[lost]()
+				d.fabric.Crash(lost)
+				delete(d.controls, lost)
+				synctest.Wait()
+				time.Sleep(time.Second)
+				name := lost
+				if tc.isOther {
+					name = "e"
+				}
+				d.storages[name] = &memoryStorage{id: 100}
+				d.start(ctx, name, false, "a", "b", "c", "e")
+				time.Sleep(catchUpTime)
+				if !d.holdsAll(ctx, name) {
+					own, _ := d.controls[name].Status(ctx)
+					_, status := d.leader(ctx)
+					t.Errorf("%s has committed %d of %d after %v, replicas %+v", name, own.Commit, status.Commit, catchUpTime, status.Replicas)
+				}
+				cancel()
+				synctest.Wait()
+			})
+		})
+	}
+}
+
+// No settings may let entries in flight close the link that they are sent on.
+func TestControlStartsWithLinksThatAReplicaCannotCatchUpOver(t *testing.T) {
+	for maxLinkBytes, isAllowed := range map[int]bool{1: false, 1<<20 - 1: false, 1 << 20: true, 0: true} {
+		_, err := yuccacontrol.New(yuccacontrol.Options{Storage: &memoryStorage{id: 1}, Self: addressOf("a"), MaxLinkBytes: maxLinkBytes, Metrics: yuccametric.New("a")})
+		if (err == nil) != isAllowed {
+			t.Errorf("links of %d bytes: %v", maxLinkBytes, err)
+		}
+	}
+}
--- a/yuccamemnet/fabric.go
+++ b/yuccamemnet/fabric.go
@@ -46,6 +46,11 @@
 	Jitter time.Duration
 	// Seed seeds the jitter, so that a test can repeat it.
 	Seed uint64
+	// BytesPerSecond is the rate at which a link delivers, zero for no limit.
+	BytesPerSecond int
+	// MaxPendingBytes limits the encoded size of all messages on a link that are not
+	// delivered. A link with more is closed. Zero is for no limit.
+	MaxPendingBytes int64
 }
 
 type direction struct{ from, to string }
--- a/yuccamemnet/link.go
+++ b/yuccamemnet/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -48,6 +49,7 @@
 type delayedMessage struct {
 	message *yuccawire.Envelope
 	due     time.Time
+	bytes   int64
 }
 
 // linkState is shared by both ends of a link.
@@ -64,6 +66,8 @@
 	outbox    chan delayedMessage
 	inbox     chan *yuccawire.Envelope
 	peer      *link
+	// pendingBytes is the size of the messages in the outbox.
+	pendingBytes atomic.Int64
 }
 
 func (f *Fabric) newLinkPair(from, to string) (near, far *link) {
@@ -99,7 +103,12 @@
 		return yuccawire.ErrLinkClosed
 	default:
 	}
-	p := delayedMessage{message: proto.CloneOf(m), due: time.Now().Add(l.fabric.nextDelay())}
+	options := l.fabric.options
+	p := delayedMessage{message: proto.CloneOf(m), due: time.Now().Add(l.fabric.nextDelay()), bytes: int64(proto.Size(m))}
+	if pending := l.pendingBytes.Add(p.bytes); options.MaxPendingBytes > 0 && pending > options.MaxPendingBytes {
+		_ = l.Close()
+		return yuccawire.ErrLinkFull
+	}
 	select {
 	case l.outbox <- p:
 		return nil
@@ -156,6 +165,10 @@
 			return false
 		}
 	}
+	if rate := l.fabric.options.BytesPerSecond; rate > 0 && !l.sleep(time.Duration(float64(p.bytes)/float64(rate)*float64(time.Second))) {
+		return false
+	}
+	l.pendingBytes.Add(-p.bytes)
 	select {
 	case l.peer.inbox <- p.message:
 		return true
--- a/yuccareplica/core.go
+++ b/yuccareplica/core.go
@@ -26,6 +26,9 @@
 	// learners and replace voters that are lost. Zero makes every replica a
 	// voter.
 	Voters int
+	// MaxInflightBytes limits the entries that are sent to a replica and not
+	// confirmed, unless a single one is larger. Zero means the default of 4 MB.
+	MaxInflightBytes int
 }
 
 // Stored is the persistent state read from disk at startup.
@@ -83,7 +86,7 @@
 type progress struct {
 	matchIndex     uint64
 	nextIndex      uint64
-	inflight       int
+	flow           flow
 	ackedSendTime  time.Time
 	snapshotSentAt time.Time
 	// snapshotRound is the round in which the snapshot was sent.
@@ -137,6 +140,9 @@
 
 // New returns a core that starts as a follower with the stored state.
 func New(options Options, stored Stored, now time.Time) *Core {
+	if options.MaxInflightBytes == 0 {
+		options.MaxInflightBytes = defaultMaxInflightBytes
+	}
 	c := &Core{
 		options:           options,
 		term:              stored.HardState.GetTerm(),
--- a/yuccareplica/doc.go
+++ b/yuccareplica/doc.go
@@ -39,10 +39,19 @@
 	LeaderLease = 400 * time.Millisecond
 )
 
+// MinInflightBytes is the least that [Options.MaxInflightBytes] may be.
+const MinInflightBytes = 256 << 10
+
 const (
-	maxAppendBytes        = 1 << 20
-	maxAppendEntries      = 1024
-	maxInflightAppends    = 32
+	maxAppendBytes   = 1 << 20
+	maxAppendEntries = 1024
+	// maxInflightAppends and the bytes of a flow limit what is sent to a replica
+	// and not confirmed.
+	maxInflightAppends      = 32
+	defaultMaxInflightBytes = 4 << 20
+	// maxConfirmTime is well below MinElectionTimeout, as heartbeats wait behind
+	// the entries.
+	maxConfirmTime        = 200 * time.Millisecond
 	snapshotRetryInterval = 5 * time.Second
 	defaultLearnerTimeout = 10 * time.Second
 	// commitSaveInterval is the minimum time between writes of the hard state
--- a/yuccareplica/leader.go
+++ b/yuccareplica/leader.go
@@ -47,7 +47,7 @@
 	for _, replicas := range [][]*yuccawire.ReplicaAddress{c.replicas.GetVoters(), c.replicas.GetLearners()} {
 		for _, r := range replicas {
 			if c.progress[r.GetId()] == nil {
-				c.progress[r.GetId()] = &progress{nextIndex: c.log.lastIndex() + 1}
+				c.progress[r.GetId()] = &progress{nextIndex: c.log.lastIndex() + 1, flow: newFlow(c.options.MaxInflightBytes)}
 			}
 		}
 	}
@@ -69,7 +69,6 @@
 	c.roundSentAt[c.round] = now
 	delete(c.roundSentAt, c.round-maxTrackedRounds)
 	for _, id := range c.peers() {
-		c.progress[id].inflight = 0
 		c.sendAppend(now, id, true)
 	}
 }
@@ -176,10 +175,7 @@
 		}
 		previous = c.log.snapshot.GetIndex()
 	}
-	var entries []*yuccawire.Entry
-	if p.inflight < maxInflightAppends {
-		entries = c.log.batchFrom(p.nextIndex)
-	}
+	entries, size := c.nextBatch(p)
 	if len(entries) == 0 && !heartbeat {
 		return
 	}
@@ -194,14 +190,28 @@
 	}}
 	c.ready.Immediate = append(c.ready.Immediate, m)
 	if len(entries) > 0 {
+		p.flow.add(sentAppend{first: p.nextIndex, last: entries[len(entries)-1].GetIndex(), bytes: size, at: now})
 		p.nextIndex += uint64(len(entries))
-		p.inflight++
 	}
 }
 
-// sendSnapshot returns false if the snapshot was sent and may still arrive.
+// nextBatch returns the next entries for a replica and their size, none while too much is unconfirmed.
+func (c *Core) nextBatch(p *progress) ([]*yuccawire.Entry, int) {
+	room := p.flow.room()
+	if room == 0 {
+		return nil, 0
+	}
+	entries := c.log.batchFrom(p.nextIndex, min(room, maxAppendBytes))
+	size := sumCommandBytes(entries)
+	if size > room && !p.flow.isEmpty() {
+		return nil, 0
+	}
+	return entries, size
+}
+
+// sendSnapshot returns false if the snapshot was sent and may still arrive, or entries may.
 func (c *Core) sendSnapshot(now time.Time, id uint64, p *progress) bool {
-	if now.Sub(p.snapshotSentAt) < snapshotRetryInterval {
+	if now.Sub(p.snapshotSentAt) < snapshotRetryInterval || !p.flow.isEmpty() {
 		return false
 	}
 	p.snapshotSentAt, p.snapshotRound = now, c.round
@@ -227,10 +237,13 @@
 	if sent, ok := c.roundSentAt[reply.GetRound()]; ok && sent.After(p.ackedSendTime) {
 		p.ackedSendTime = sent
 	}
-	p.inflight = max(p.inflight-1, 0)
 	if !reply.GetSuccess() {
-		p.nextIndex = max(min(reply.GetHint()+1, c.log.lastIndex()+1), p.matchIndex+1)
-		p.inflight = 0
+		next := max(min(reply.GetHint()+1, c.log.lastIndex()+1), p.matchIndex+1)
+		if p.flow.isRepeated(now, next) {
+			return
+		}
+		p.nextIndex = next
+		p.flow.lose(now)
 		if reply.GetRound() > p.snapshotRound {
 			p.snapshotSentAt = time.Time{}
 		}
@@ -240,6 +253,7 @@
 	if reply.GetMatch() > p.matchIndex {
 		p.matchIndex = reply.GetMatch()
 	}
+	p.flow.confirm(now, p.matchIndex)
 	if p.matchIndex >= c.log.snapshot.GetIndex() {
 		p.snapshotSentAt = time.Time{}
 	}
--- a/yuccareplica/log.go
+++ b/yuccareplica/log.go
@@ -49,8 +49,8 @@
 }
 
 // batchFrom returns the entries from the index on, limited to the size of one
-// append message.
-func (l *memoryLog) batchFrom(from uint64) []*yuccawire.Entry {
+// append message, but at least one.
+func (l *memoryLog) batchFrom(from uint64, maxBytes int) []*yuccawire.Entry {
 	if from < l.firstIndex() || from > l.lastIndex() {
 		return nil
 	}
@@ -58,7 +58,7 @@
 	size := 0
 	for i, e := range entries {
 		size += len(e.GetCommand())
-		if i > 0 && (size > maxAppendBytes || i >= maxAppendEntries) {
+		if i > 0 && (size > maxBytes || i >= maxAppendEntries) {
 			return entries[:i:i]
 		}
 	}
