mux: send one message beyond the limit of unsent bytes

What would be seen: a message that is larger than a link takes unsent, or than what is left of that behind the first messages of a link, closes the link, and each later one on which it is tried again.

A link is now full once it has the limit unsent, so that one message may exceed it. What a link holds stays limited by that and by the largest message.

TestMessageThatIsLargerThanTheLimitClosesEachLink fails before ("link is full: the peer reads too slowly") and holds after; TestSlowPeerLosesLink still holds.

--- a/yuccamemnet/fabric.go
+++ b/yuccamemnet/fabric.go
@@ -48,8 +48,8 @@
 	Seed uint64
 	// BytesPerSecond is the rate at which a link delivers, zero for no limit.
 	BytesPerSecond int
-	// MaxPendingBytes limits the encoded size of all messages on a link that are not
-	// delivered. A link with more is closed. Zero is for no limit.
+	// MaxPendingBytes is the encoded size of the undelivered messages on a link from which on
+	// it is closed if another one is sent. Zero is for no limit.
 	MaxPendingBytes int64
 }
 
--- a/yuccamemnet/link.go
+++ b/yuccamemnet/link.go
@@ -105,7 +105,7 @@
 	}
 	options := l.fabric.options
 	p := delayedMessage{message: proto.CloneOf(m), due: time.Now().Add(l.fabric.nextDelay()), bytes: int64(proto.Size(m))}
-	if pending := l.pendingBytes.Add(p.bytes); options.MaxPendingBytes > 0 && pending > options.MaxPendingBytes {
+	if pending := l.pendingBytes.Add(p.bytes) - p.bytes; options.MaxPendingBytes > 0 && pending >= options.MaxPendingBytes {
 		_ = l.Close()
 		return yuccawire.ErrLinkFull
 	}
--- a/yuccamux/link.go
+++ b/yuccamux/link.go
@@ -66,12 +66,13 @@
 	return nil
 }
 
-// enqueue returns false if the queue would exceed maxPendingBytes.
+// enqueue returns false if the queue has maxPendingBytes or more. The last envelope may exceed that: one that is larger
+// than the limit would otherwise never be sent, however often the link is opened again.
 func (l *link) enqueue(m *yuccawire.Envelope) bool {
 	size := int64(proto.Size(m))
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.pendingBytes+size > l.maxPendingBytes {
+	if l.pendingBytes >= l.maxPendingBytes {
 		return false
 	}
 	l.pendingBytes += size
--- a/yuccamux/network.go
+++ b/yuccamux/network.go
@@ -34,8 +34,8 @@
 type Options struct {
 	// MaxMessageBytes is the maximum encoded size of a received envelope.
 	MaxMessageBytes int64
-	// MaxPendingBytes is the maximum encoded size of all unsent envelopes on a
-	// link.
+	// MaxPendingBytes is the encoded size of all unsent envelopes on a link from which on
+	// it is closed if another one is sent.
 	MaxPendingBytes int64
 	// KeepAlive is the interval between pings of a session. Negative values
 	// disable pings, for users that detect silent links themselves.
--- a/yuccamux/network_test.go
+++ b/yuccamux/network_test.go
@@ -76,6 +76,23 @@
 	}
 }
 
+// It waits behind another one, as the first message on a link does.
+func TestMessageThatIsLargerThanTheLimitClosesEachLink(t *testing.T) {
+	near, far := pair(t, yuccamux.Options{MaxPendingBytes: 1 << 20})
+	big := &yuccawire.Envelope{Body: &yuccawire.Envelope_Finished{Finished: &yuccawire.Finished{Body: make([]byte, 3<<20)}}}
+	for _, m := range []*yuccawire.Envelope{renew(1), big} {
+		if err := near.Send(m); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, want := range []int{0, 3 << 20} {
+		m, err := far.Receive()
+		if got := len(m.GetFinished().GetBody()); err != nil || got != want {
+			t.Fatalf("received %d bytes, %v, want %d", got, err, want)
+		}
+	}
+}
+
 // A link to a peer that does not read is closed once its queue exceeds
 // MaxPendingBytes, instead of using more and more memory.
 func TestSlowPeerLosesLink(t *testing.T) {
