control: tell operators of a replica that doesn't get the log

Neither a line nor a metric said that the group was one loss from its end, or why.

The leader logs which replica has not had for 4 s what was the log then, what it lacks, since when, whether it is in contact, how often the link to it was lost and why last; and when it has caught up. A replica that is a few entries behind while changes go on doesn't count: it is compared with the log as it was at the start.

TestNobodyIsToldOfAReplicaThatDoesNotCatchUp plays a lost replica, and one that is back while changes go on.

--- a/yuccacontrol/conn.go
+++ b/yuccacontrol/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync/atomic"
 	"time"
 
@@ -69,6 +70,9 @@
 	outbox    chan *yuccawire.Envelope
 	cancel    context.CancelFunc
 	connected atomic.Bool
+	// losses counts the links that were opened and lost, lastLoss is why the last one was.
+	losses   atomic.Int64
+	lastLoss atomic.Pointer[error]
 }
 
 func (p *peer) send(m *yuccawire.Replica) {
@@ -117,19 +121,27 @@
 	done := make(chan struct{})
 	reader := &peerReader{conn: &conn{link: link, node: node, events: p.control.events}, done: done}
 	go reader.run(ctx)
-	p.forward(ctx, link, done)
+	if err := p.forward(ctx, link, done); err != nil {
+		p.losses.Add(1)
+		p.lastLoss.Store(&err)
+		p.control.metrics.Add("replica_links_lost", 1)
+		if errors.Is(err, yuccawire.ErrLinkFull) {
+			p.control.metrics.Add("replica_links_full", 1)
+		}
+	}
 }
 
-func (p *peer) forward(ctx context.Context, link yuccawire.Link, done <-chan struct{}) {
+// forward sends the queued messages until the link is lost. It returns why, or nil if the context ends.
+func (p *peer) forward(ctx context.Context, link yuccawire.Link, done <-chan struct{}) error {
 	for {
 		select {
 		case <-ctx.Done():
-			return
+			return nil
 		case <-done:
-			return
+			return yuccawire.ErrLinkClosed
 		case m := <-p.outbox:
-			if link.Send(m) != nil {
-				return
+			if err := link.Send(m); err != nil {
+				return err
 			}
 		}
 	}
--- a/yuccacontrol/control.go
+++ b/yuccacontrol/control.go
@@ -128,7 +128,10 @@
 	nextProbe     time.Time
 	nextExpiry    time.Time
 	nextBalance   time.Time
-	diskErr       error
+	nextLagCheck  time.Time
+	// lags are the replicas that lack entries, by id, while this one leads.
+	lags    map[uint64]*lag
+	diskErr error
 	// suspensions are those after which this replica has stepped down.
 	suspensions yuccasuspend.Suspensions
 	// leaderLastSeen is when this replica last had a leader.
@@ -179,6 +182,7 @@
 		replyLinks: make(map[uint64]*conn),
 		sessions:   make(map[*session]struct{}),
 		waiters:    make(map[uint64]waiter),
+		lags:       make(map[uint64]*lag),
 
 		suspensions: options.Suspensions.Check(),
 	}
--- a/yuccacontrol/discover_test.go
+++ b/yuccacontrol/discover_test.go
@@ -58,6 +58,7 @@
 	controls map[string]*yuccacontrol.Control
 	cancels  map[string]context.CancelFunc
 	storages map[string]*memoryStorage
+	metrics  map[string]*yuccametric.Set
 	// suspensions are those of the machines of all controls.
 	suspensions *yuccasuspend.Monitor
 	mu          sync.Mutex
@@ -68,7 +69,7 @@
 	return &deployment{
 		t: t, fabric: yuccamemnet.New(yuccamemnet.Options{Delay: time.Millisecond, Seed: 1}),
 		controls: make(map[string]*yuccacontrol.Control), cancels: make(map[string]context.CancelFunc),
-		storages: make(map[string]*memoryStorage), recovered: make(map[string][]*yuccawire.Section),
+		storages: make(map[string]*memoryStorage), metrics: make(map[string]*yuccametric.Set), recovered: make(map[string][]*yuccawire.Section),
 	}
 }
 
@@ -84,6 +85,7 @@
 	if d.storages[name] == nil {
 		d.storages[name] = &memoryStorage{id: uint64(name[0])}
 	}
+	d.metrics[name] = yuccametric.New(name)
 	started := time.Now()
 	control, err := yuccacontrol.New(yuccacontrol.Options{
 		Network: d.fabric.Host(name), Storage: d.storages[name], Self: addressOf(name), Voters: 3,
@@ -105,7 +107,7 @@
 			defer d.mu.Unlock()
 			d.recovered[name] = sections
 		},
-		Random: rand.New(rand.NewPCG(1, d.storages[name].id)), Metrics: yuccametric.New(name), Logger: slog.New(slog.DiscardHandler),
+		Random: rand.New(rand.NewPCG(1, d.storages[name].id)), Metrics: d.metrics[name], Logger: slog.New(slog.DiscardHandler),
 	})
 	if err != nil {
 		d.t.Fatal(err)
--- a/yuccacontrol/longlog_test.go
+++ b/yuccacontrol/longlog_test.go
@@ -123,3 +123,32 @@
 		}
 	}
 }
+
+func TestNobodyIsToldOfAReplicaThatDoesNotCatchUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		d := newLimitedDeployment(ctx, t, 40<<20)
+		leader, _ := d.leader(ctx)
+		gauge := func(name string) int64 { return d.metrics[leader].Value(name) }
+		stopped := d.follower(ctx)
+		d.cancels[stopped]()
+		d.fabric.Crash(stopped)
+		delete(d.controls, stopped)
+		d.change(ctx, 60, 10<<10)
+		if gauge("replicas_lagging") != 0 {
+			t.Error("a replica is reported 3 s after it was lost")
+		}
+		time.Sleep(2 * time.Second)
+		if gauge("replicas_lagging") != 1 || gauge("replica_missing_entries") < 60 || gauge("replica_missing_bytes") < 600<<10 {
+			t.Errorf("%d replicas lag, by %d entries and %d bytes", gauge("replicas_lagging"), gauge("replica_missing_entries"), gauge("replica_missing_bytes"))
+		}
+		d.start(ctx, stopped, false, "a", "b", "c")
+		time.Sleep(2 * time.Second)
+		d.change(ctx, 100, 10<<10)
+		if gauge("replicas_lagging") != 0 || !d.holdsAll(ctx, stopped) {
+			t.Errorf("%d replicas lag after the restart, while changes go on", gauge("replicas_lagging"))
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/yuccacontrol/loop.go
+++ b/yuccacontrol/loop.go
@@ -116,6 +116,7 @@
 	if !c.core.IsLeader() {
 		return
 	}
+	c.checkLags(now)
 	c.expireMembers(now)
 	c.expireClaims(now)
 	c.balanceVoters(now)
@@ -254,6 +255,7 @@
 // queued claims, and sends Goodbye to every session, so that the processes look
 // for the new leader.
 func (c *Control) endLeadership() {
+	c.forgetLags()
 	for index, w := range c.waiters {
 		delete(c.waiters, index)
 		w.done(yuccastate.Result{}, ErrUnknownOutcome)
--- a/yuccareplica/leader.go
+++ b/yuccareplica/leader.go
@@ -209,6 +209,34 @@
 	return entries, size
 }
 
+// Lag is what a replica lacks of the log.
+type Lag struct {
+	ID uint64
+	// Confirmed is the index of the last entry that the replica has, Entries how many follow in the log.
+	Confirmed uint64
+	Entries   int
+	// Bytes is the size of the commands of these entries.
+	Bytes int
+	// InContact is set if the replica acknowledges heartbeats.
+	InContact bool
+}
+
+// Lags returns what each other replica has not confirmed, in order of their ids. It is empty unless this replica leads.
+func (c *Core) Lags(now time.Time) []Lag {
+	if c.role != leader {
+		return nil
+	}
+	var lags []Lag
+	for _, id := range c.peers() {
+		p := c.progress[id]
+		missing := c.log.entriesFrom(p.matchIndex + 1)
+		lags = append(lags, Lag{
+			ID: id, Confirmed: p.matchIndex, Entries: int(c.log.lastIndex() - min(p.matchIndex, c.log.lastIndex())), Bytes: sumCommandBytes(missing), InContact: now.Sub(p.ackedSendTime) < voterTimeout,
+		})
+	}
+	return lags
+}
+
 // sendSnapshot returns false if the snapshot was sent and may still arrive, or entries may.
 func (c *Core) sendSnapshot(now time.Time, id uint64, p *progress) bool {
 	if now.Sub(p.snapshotSentAt) < snapshotRetryInterval || !p.flow.isEmpty() {
--- a/yuccareplica/log.go
+++ b/yuccareplica/log.go
@@ -48,13 +48,21 @@
 	return l.entries[index-l.firstIndex()]
 }
 
+// entriesFrom returns the entries from the index on, without those that are compacted.
+func (l *memoryLog) entriesFrom(from uint64) []*yuccawire.Entry {
+	if from > l.lastIndex() {
+		return nil
+	}
+	return l.entries[max(from, l.firstIndex())-l.firstIndex():]
+}
+
 // batchFrom returns the entries from the index on, limited to the size of one
 // append message, but at least one.
 func (l *memoryLog) batchFrom(from uint64, maxBytes int) []*yuccawire.Entry {
-	if from < l.firstIndex() || from > l.lastIndex() {
+	if from < l.firstIndex() {
 		return nil
 	}
-	entries := l.entries[from-l.firstIndex():]
+	entries := l.entriesFrom(from)
 	size := 0
 	for i, e := range entries {
 		size += len(e.GetCommand())
