--- a/yuccacontrol/lag.go
+++ b/yuccacontrol/lag.go
@@ -9,6 +9,9 @@
 const (
 	// lagInterval is the time between two looks at what the replicas lack.
 	lagInterval = 250 * time.Millisecond
+	// snapshotAdvantage is how many times as long as a snapshot the missing part of the log has to be for a snapshot to be
+	// made for it.
+	snapshotAdvantage = 2
 	// lagTimeout is how long a replica may take to get the log before operators are told.
 	lagTimeout = 4 * time.Second
 	// lagLogInterval is the time between two lines about the same replica.
@@ -22,13 +25,21 @@
 	loggedAt  time.Time
 }
 
-// checkLags tells operators of replicas that don't catch up.
+// checkLags tells operators of replicas that don't catch up, and makes a snapshot for one that would get it sooner than the
+// rest of the log.
 func (c *Control) checkLags(now time.Time) {
 	if now.Before(c.nextLagCheck) {
 		return
 	}
 	c.nextLagCheck = now.Add(lagInterval)
-	c.reportLags(now, c.core.Lags(now))
+	lags := c.core.Lags(now)
+	c.reportLags(now, lags)
+	for _, l := range lags {
+		if l.InContact && l.Bytes > c.options.MaxLinkBytes/linkShare {
+			c.compactIfSmaller(l.Bytes / snapshotAdvantage)
+			return
+		}
+	}
 }
 
 // reportLags updates the gauges and logs which replicas have lacked entries for lagTimeout.
--- a/yuccacontrol/longlog_test.go
+++ b/yuccacontrol/longlog_test.go
@@ -83,6 +83,7 @@
 		{"few large changes", 7, 8 * mb, 40 * mb, false},
 		{"many small changes", 2000, 12 << 10, 40 * mb, false},
 		{"slower link", 70, 258 << 10, 8 * mb, false},
+		{"link that takes half a minute for the log", 93, 258 << 10, 800 << 10, false},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/yuccacontrol/loop.go
+++ b/yuccacontrol/loop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/yuccaturn/yuccaturn/yuccadocument"
@@ -278,8 +279,15 @@
 // compact replaces the log with a snapshot of the state once the log has
 // MaxLogEntries entries or MaxLogBytes bytes.
 func (c *Control) compact() {
-	isLong := c.core.LogEntries() >= c.options.MaxLogEntries || c.core.LogBytes() >= c.options.MaxLogBytes
-	if !isLong || c.core.Commit() <= c.core.SnapshotIndex() {
+	if c.core.LogEntries() < c.options.MaxLogEntries && c.core.LogBytes() < c.options.MaxLogBytes {
+		return
+	}
+	c.compactIfSmaller(math.MaxInt)
+}
+
+// compactIfSmaller replaces the log with a snapshot if that has fewer bytes than given.
+func (c *Control) compactIfSmaller(maxBytes int) {
+	if c.core.Commit() <= c.core.SnapshotIndex() {
 		return
 	}
 	data, err := c.state.Encode()
@@ -287,6 +295,9 @@
 		c.diskErr = err
 		return
 	}
+	if len(data) >= maxBytes {
+		return
+	}
 	snapshot := c.core.Compact(c.core.Commit(), data)
 	if snapshot == nil {
 		return
