broker: tell a third entry where jobs have runs

With two backups, a kill of half of the entries at once (7 entries, 3 others with the first) takes an entry and both of its backups in 4 of 20 cases, with three in 1 of 20, by counting.

--- a/yuccabroker/placements.go
+++ b/yuccabroker/placements.go
@@ -12,7 +12,7 @@
 
 const (
 	// maxBackups is how many linked entries are told at which sides a job may have runs.
-	maxBackups = 2
+	maxBackups = 3
 	// closedPlacementsInterval is the least time between two messages to a backup that only tell of closed jobs.
 	closedPlacementsInterval = 250 * time.Millisecond
 )
