broker: pass on to all entries where jobs of a lost entry may have runs

What callers would see: with more than 17 entries, where each is linked with 16 others, a resend at an entry that is linked with no backup of the job runs beside the run at a machine that stands still. Found by playing 40 entries in the model; on the deployments in force every entry is linked with all others.

Backups told the entries that they are linked with only. A message names the entries that it reaches, as lists of held tasks do, and an entry passes what is new to it on to those of its links that are not named. Where all are linked, nothing is passed on. Each entry passes a job of a lost entry on once.

--- a/yuccabroker/lostplacements.go
+++ b/yuccabroker/lostplacements.go
@@ -54,8 +54,10 @@
 	b.mergePlacements(now, key, jobs, m.GetPlaced(), now)
 }
 
-// mergePlacements adds placements to those known of an entry, whose orders may arrive until endAt.
-func (b *Broker) mergePlacements(now time.Time, key entryKey, jobs map[string]*placement, placements []*yuccawire.Placement, endAt time.Time) {
+// mergePlacements adds placements to those known of an entry, whose orders may arrive until endAt. It returns those
+// that say something new.
+func (b *Broker) mergePlacements(now time.Time, key entryKey, jobs map[string]*placement, placements []*yuccawire.Placement, endAt time.Time) []*yuccawire.Placement {
+	var news []*yuccawire.Placement
 	for _, m := range placements {
 		p := jobs[m.GetJob()]
 		if p == nil && len(jobs) >= maxPlacements {
@@ -67,6 +69,7 @@
 			p = &placement{queries: make(map[string]sideQuery), absentAt: make(map[string]time.Time)}
 			jobs[m.GetJob()] = p
 		}
+		known := len(p.sides)
 		for _, name := range m.GetSides() {
 			isAbsent := !p.absentAt[name].IsZero() && !p.absentAt[name].Before(endAt)
 			if !isAbsent && !slices.Contains(p.sides, name) {
@@ -75,7 +78,11 @@
 		}
 		p.until = later(p.until, now.Add(time.Duration(m.GetRemainingMs())*time.Millisecond))
 		p.lastRun = max(p.lastRun, m.GetLastRun())
+		if len(p.sides) > known {
+			news = append(news, m)
+		}
 	}
+	return news
 }
 
 // updateLostOwners notes which of the entries that this one is a backup of are linked no more, or have restarted.
@@ -119,11 +126,17 @@
 		}
 	}
 	if len(m.GetOwners()) > 0 {
-		b.metrics.Add("lost_entries_told", int64(len(m.GetOwners())))
-		b.emit(Publish{Message: &yuccawire.Envelope{Body: &yuccawire.Envelope_LostPlacements{LostPlacements: m}}})
+		b.publishLostPlacements(m, nil, nil)
 	}
 }
 
+// publishLostPlacements sends a message to the linked entries named in to, or to all if that is nil.
+func (b *Broker) publishLostPlacements(m *yuccawire.LostPlacements, reached, to []string) {
+	m.Reached = b.withPeers(reached)
+	b.metrics.Add("lost_entries_told", int64(len(m.GetOwners())))
+	b.emit(Publish{Message: &yuccawire.Envelope{Body: &yuccawire.Envelope_LostPlacements{LostPlacements: m}}, To: to})
+}
+
 func sortedOwners(owners map[entryKey]*lostOwner) []entryKey {
 	return slices.SortedFunc(maps.Keys(owners), func(x, y entryKey) int {
 		return cmp.Or(cmp.Compare(x.name, y.name), cmp.Compare(x.incarnation, y.incarnation))
@@ -144,7 +157,7 @@
 // [Broker.ListOpenJobs], for which that one may wait.
 func (b *Broker) LostPlacements(now time.Time) *yuccawire.LostPlacements {
 	b.updateLostOwners(now)
-	m := &yuccawire.LostPlacements{}
+	m := &yuccawire.LostPlacements{Reached: b.withPeers(nil)}
 	for _, key := range sortedOwners(b.lostOwners) {
 		if owner := b.lostOwners[key].toWire(now, key); len(owner.GetPlacements()) > 0 {
 			m.Owners = append(m.Owners, owner)
@@ -153,8 +166,10 @@
 	return m
 }
 
-// HandleLostPlacements records the jobs of entries that another one has lost.
+// HandleLostPlacements records the jobs of entries that another one has lost, and passes what is new on to the linked
+// entries that this has not reached.
 func (b *Broker) HandleLostPlacements(now time.Time, m *yuccawire.LostPlacements) {
+	passedOn := &yuccawire.LostPlacements{}
 	for _, owner := range m.GetOwners() {
 		key := entryKey{name: owner.GetEntry(), incarnation: owner.GetIncarnation()}
 		if key == (entryKey{name: b.options.Name, incarnation: b.options.Incarnation}) {
@@ -165,11 +180,17 @@
 		l := b.lostOwner(key, lostAt)
 		// The sender tells all others itself.
 		l.isPublished = l.isPublished || !isKnown
-		b.mergePlacements(now, key, l.jobs, owner.GetPlacements(), lostAt.Add(ordersEndAfter))
-		for _, p := range owner.GetPlacements() {
+		news := b.mergePlacements(now, key, l.jobs, owner.GetPlacements(), lostAt.Add(ordersEndAfter))
+		if len(news) > 0 {
+			passedOn.Owners = append(passedOn.Owners, &yuccawire.LostOwner{Entry: key.name, Incarnation: key.incarnation, LostMs: owner.GetLostMs(), Placements: news})
+		}
+		for _, p := range news {
 			b.holdLostJob(now, p.GetJob(), key)
 		}
 	}
+	if to := b.unreached(m.GetReached()); len(passedOn.GetOwners()) > 0 && len(to) > 0 {
+		b.publishLostPlacements(passedOn, m.GetReached(), to)
+	}
 }
 
 // holdLostJob has an open job of this entry wait for the sides that may have runs of it by a lost entry.
--- a/yuccabroker/placements_test.go
+++ b/yuccabroker/placements_test.go
@@ -242,3 +242,29 @@
 		t.Error("the side is asked again")
 	}
 }
+
+// Entries that are linked with all others have nothing to pass on.
+func TestLostPlacementsReachOnlyTheEntriesThatABackupIsLinkedWith(t *testing.T) {
+	f := newBackupPeers(t, "lima-1", "lima-2", "puno-2")
+	lost := &yuccawire.LostPlacements{Reached: []string{"lima-1", "entry"}, Owners: []*yuccawire.LostOwner{{
+		Entry: "cusco-1", Incarnation: 4, Placements: []*yuccawire.Placement{{Job: "a", Sides: []string{"s1"}, RemainingMs: 15000}},
+	}}}
+	passedOn := func() []string {
+		f.sent = nil
+		f.broker.HandleLostPlacements(f.now, lost)
+		f.collect()
+		var to []string
+		for _, a := range f.sent {
+			if p, _ := a.(yuccabroker.Publish); p.Message.GetLostPlacements() != nil {
+				to = append(to, p.To...)
+			}
+		}
+		return to
+	}
+	if to := passedOn(); !slices.Equal(to, []string{"lima-2", "puno-2"}) {
+		t.Errorf("passed on to %v, want the two that it has not reached", to)
+	}
+	if to := passedOn(); len(to) > 0 {
+		t.Errorf("passed on again to %v", to)
+	}
+}
--- a/yuccamodel/lostplacements_test.go
+++ b/yuccamodel/lostplacements_test.go
@@ -15,6 +15,8 @@
 	comesToIt bool
 	// alsoKilled are other entries that are killed.
 	alsoKilled []int
+	// comesTo is the entry to which the caller comes again, zero for the first one that is up.
+	comesTo int
 }
 
 // play plays the loss in a deployment of entries in three data centres, and returns the job.
@@ -27,6 +29,9 @@
 	w.pickEntry = func() *modelEntry { return first }
 	job := w.submitOneTask(1600, 900*time.Millisecond)
 	w.pickEntry = func() *modelEntry {
+		if l.comesTo > 0 {
+			return w.entries[l.comesTo]
+		}
 		for _, e := range w.entries[1:] {
 			if !l.comesToIt && !e.isDown {
 				return e
@@ -121,3 +126,16 @@
 		})
 	}
 }
+
+// Entries are linked with 16 others at most, so that the backups are not linked with all to which the caller may come.
+func TestResendAtAnEntryThatIsLinkedWithNoBackupRunsBesideAStandingMachine(t *testing.T) {
+	const entries = 40
+	for _, target := range []int{2, 12, 15, 16, 23, 39} {
+		l := lostRun{freezeAt: 90 * time.Millisecond, killAt: 100 * time.Millisecond, downtime: time.Minute, comesTo: target}
+		t.Run(fmt.Sprint("entry ", target), func(t *testing.T) {
+			if job := l.play(t, entries); !job.isAnswered {
+				t.Error("the caller is not answered")
+			}
+		})
+	}
+}
