broker: take the reply to the first query about each job of a lost entry

- If several jobs waited for several sides, all but the first job of a query took the number of the last query for theirs, so that the first reply was ignored and the jobs waited 0.1 s more (TestReplyAboutTheSecondJobOfAQueryIsIgnored).
- A reply to a query from before an entry was linked again and lost again counted, though the entry may have ordered the task since (TestReplyBeforeAnEntryWasLostAgainCounts).
What the sides were asked is forgotten with a later loss; entries notice the same one within 0.2 s.
- Messages shared the list of sides with the record that replies shorten, while another goroutine may encode them.

Both tests fail before.

--- a/yuccabroker/lostplacements.go
+++ b/yuccabroker/lostplacements.go
@@ -14,6 +14,8 @@
 	queryInterval = 100 * time.Millisecond
 	// maxPlacements limits the jobs of another entry whose placements are known.
 	maxPlacements = 100_000
+	// sameLoss is the time within which several entries notice the same loss.
+	sameLoss = 200 * time.Millisecond
 )
 
 // placement is a job of another entry, with the sides that may have runs of it.
@@ -105,14 +107,20 @@
 	}
 }
 
-// lostOwner returns the record of an entry that was lost at the given time, perhaps not for the first time.
+// lostOwner returns the record of an entry that was lost at the given time, perhaps not for the first time. What the sides
+// were asked after an earlier loss says nothing of the orders since.
 func (b *Broker) lostOwner(key entryKey, lostAt time.Time) *lostOwner {
 	l := b.lostOwners[key]
 	if l == nil {
 		l = &lostOwner{jobs: make(map[string]*placement)}
 		b.lostOwners[key] = l
 	}
-	l.lostAt = later(l.lostAt, lostAt)
+	if lostAt.Sub(l.lostAt) > sameLoss {
+		l.lostAt = lostAt
+		for _, p := range l.jobs {
+			clear(p.queries)
+		}
+	}
 	return l
 }
 
@@ -147,7 +155,7 @@
 	owner := &yuccawire.LostOwner{Entry: key.name, Incarnation: key.incarnation, LostMs: toMilliseconds(now.Sub(l.lostAt))}
 	for _, id := range slices.Sorted(maps.Keys(l.jobs)) {
 		if p := l.jobs[id]; len(p.sides) > 0 {
-			owner.Placements = append(owner.Placements, &yuccawire.Placement{Job: id, Sides: p.sides, RemainingMs: toMilliseconds(p.until.Sub(now)), LastRun: p.lastRun})
+			owner.Placements = append(owner.Placements, &yuccawire.Placement{Job: id, Sides: slices.Clone(p.sides), RemainingMs: toMilliseconds(p.until.Sub(now)), LastRun: p.lastRun})
 		}
 	}
 	return owner
@@ -178,6 +186,7 @@
 		isKnown := b.lostOwners[key] != nil
 		lostAt := now.Add(-time.Duration(owner.GetLostMs()) * time.Millisecond)
 		l := b.lostOwner(key, lostAt)
+		lostAt = l.lostAt
 		// The sender tells all others itself.
 		l.isPublished = l.isPublished || !isKnown
 		news := b.mergePlacements(now, key, l.jobs, owner.GetPlacements(), lostAt.Add(ordersEndAfter))
@@ -262,7 +271,7 @@
 	}
 	queries[name].Jobs = append(queries[name].Jobs, id)
 	if asked.first == 0 {
-		asked.first, asked.firstAt = b.lastQuery, now
+		asked.first, asked.firstAt = queries[name].GetNumber(), now
 		b.options.Logger.Info("asking a side for runs of a lost entry", "job", id, "side", name)
 	}
 	asked.lastAt = now
--- a/yuccabroker/placements_test.go
+++ b/yuccabroker/placements_test.go
@@ -268,3 +268,52 @@
 		t.Errorf("passed on again to %v", to)
 	}
 }
+
+// The queries about several jobs at several sides go out together.
+func TestReplyAboutTheSecondJobOfAQueryIsIgnored(t *testing.T) {
+	f := newBackupPeers(t)
+	owner := &yuccawire.LostOwner{Entry: "cusco-1", Incarnation: 4, LostMs: 1300}
+	for _, id := range []string{"a", "b"} {
+		owner.Placements = append(owner.Placements, &yuccawire.Placement{Job: id, Sides: []string{"s1", "s2"}, RemainingMs: 15000, LastRun: 1})
+	}
+	f.broker.HandleLostPlacements(f.now, &yuccawire.LostPlacements{Owners: []*yuccawire.LostOwner{owner}})
+	for _, id := range []string{"a", "b"} {
+		f.broker.Submit(f.now, job(id, 1), 1)
+	}
+	f.collect()
+	for _, s := range f.sides {
+		f.broker.HandleRunsReply(f.now, s, &yuccawire.RunsReply{Number: f.queries(s, "b")[0], Absent: []string{"a", "b"}})
+	}
+	f.collect()
+	runs := 0
+	for _, a := range f.sent {
+		s, _ := a.(yuccabroker.Send)
+		runs += len(s.Message.GetOrders().GetJobs())
+	}
+	if runs != 2 {
+		t.Errorf("%d jobs are ordered after the replies of both sides, want 2", runs)
+	}
+}
+
+// The entry was linked again, and has ordered a task since the reply.
+func TestReplyBeforeAnEntryWasLostAgainCounts(t *testing.T) {
+	f := newBackupPeers(t)
+	lose := func(lostMS uint32) {
+		f.broker.HandleLostPlacements(f.now, &yuccawire.LostPlacements{Owners: []*yuccawire.LostOwner{{
+			Entry: "cusco-1", Incarnation: 4, LostMs: lostMS, Placements: []*yuccawire.Placement{{Job: "a", Sides: []string{"s1"}, RemainingMs: 15000, LastRun: 1}},
+		}}})
+	}
+	lose(1300)
+	f.submitLater("a")
+	first := f.queries("s1", "a")
+	lose(0)
+	f.broker.HandleRunsReply(f.now, "s1", &yuccawire.RunsReply{Number: first[0], Absent: []string{"a"}})
+	f.tick(600 * time.Millisecond)
+	if f.orders() > 0 || len(f.queries("s1", "a")) != 1 {
+		t.Errorf("%d orders, %d queries while orders of the lost entry may arrive", f.orders(), len(f.queries("s1", "a")))
+	}
+	f.tick(200 * time.Millisecond)
+	if len(f.queries("s1", "a")) < 2 {
+		t.Error("the side is not asked again")
+	}
+}
