control: play a lost disk in a group of five

One voter of five replicas loses its disk, so that a learner takes its place: the empty replica holds the log after 4 s.

--- a/yuccacontrol/longlog_test.go
+++ b/yuccacontrol/longlog_test.go
@@ -21,12 +21,12 @@
 	catchUpTime = 4 * time.Second
 )
 
-// newLimitedDeployment returns a deployment whose links have that rate in bytes a second, with a group of a, b and c.
-func newLimitedDeployment(ctx context.Context, t *testing.T, rate int) *deployment {
+// newLimitedDeployment returns a deployment whose links have that rate in bytes a second, with a group of the names.
+func newLimitedDeployment(ctx context.Context, t *testing.T, rate int, names ...string) *deployment {
 	d := newDeployment(t)
 	d.fabric = yuccamemnet.New(yuccamemnet.Options{Delay: time.Millisecond, Seed: 1, BytesPerSecond: rate, MaxPendingBytes: linkBytes})
-	for i, name := range []string{"a", "b", "c"} {
-		d.start(ctx, name, i == 0, "a", "b", "c", "e")
+	for i, name := range names {
+		d.start(ctx, name, i == 0, append(names, "e")...)
 	}
 	time.Sleep(4 * time.Second)
 	return d
@@ -47,26 +47,27 @@
 	}
 }
 
-// follower returns the name of a control that does not lead.
+// follower returns the name of a voter that does not lead.
 func (d *deployment) follower(ctx context.Context) string {
-	leader, _ := d.leader(ctx)
-	for _, name := range []string{"a", "b", "c"} {
-		if name != leader {
-			return name
+	leader, status := d.leader(ctx)
+	for _, r := range status.Replicas {
+		if r.Voter && r.Name != leader {
+			return r.Name
 		}
 	}
 	return ""
 }
 
-// holdsAll reports whether the replica with the name is a voter again and has committed what the leader has.
+// holdsAll reports whether the replica with the name belongs to the group, as a voter if there are three, and has
+// committed what the leader has.
 func (d *deployment) holdsAll(ctx context.Context, name string) bool {
 	_, status := d.leader(ctx)
 	own, err := d.controls[name].Status(ctx)
-	isVoter := false
+	isMember := false
 	for _, r := range status.Replicas {
-		isVoter = isVoter || r.Name == name && r.Voter && r.ID == d.storages[name].id
+		isMember = isMember || r.Name == name && (r.Voter || len(status.Replicas) > 3) && r.ID == d.storages[name].id
 	}
-	return err == nil && isVoter && own.Commit >= status.Commit
+	return err == nil && isMember && own.Commit >= status.Commit
 }
 
 // A log of about the size that a link takes unsent, and more, up to the size at which it is compacted.
@@ -77,18 +78,21 @@
 		changes, size int
 		rate          int
 		isOther       bool
+		others        []string
 	}{
-		{"disk lost", 93, 258 << 10, 40 * mb, false},
-		{"replaced by another machine", 93, 258 << 10, 40 * mb, true},
-		{"few large changes", 7, 8 * mb, 40 * mb, false},
-		{"many small changes", 2000, 12 << 10, 40 * mb, false},
-		{"slower link", 70, 258 << 10, 8 * mb, false},
-		{"link that takes half a minute for the log", 93, 258 << 10, 800 << 10, false},
+		{"disk lost", 93, 258 << 10, 40 * mb, false, nil},
+		{"disk lost in a group of five", 93, 258 << 10, 40 * mb, false, []string{"d", "f"}},
+		{"replaced by another machine", 93, 258 << 10, 40 * mb, true, nil},
+		{"few large changes", 7, 8 * mb, 40 * mb, false, nil},
+		{"many small changes", 2000, 12 << 10, 40 * mb, false, nil},
+		{"slower link", 70, 258 << 10, 8 * mb, false, nil},
+		{"link that takes half a minute for the log", 93, 258 << 10, 800 << 10, false, nil},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				ctx, cancel := context.WithCancel(t.Context())
-				d := newLimitedDeployment(ctx, t, tc.rate)
+				names := append([]string{"a", "b", "c"}, tc.others...)
+				d := newLimitedDeployment(ctx, t, tc.rate, names...)
 				d.change(ctx, tc.changes, tc.size)
 				lost := d.follower(ctx)
 				d.cancels[lost]()
@@ -100,8 +104,8 @@
 				if tc.isOther {
 					name = "e"
 				}
-				d.storages[name] = &memoryStorage{id: 100}
-				d.start(ctx, name, false, "a", "b", "c", "e")
+				d.storages[name] = &memoryStorage{id: 200}
+				d.start(ctx, name, false, append(names, "e")...)
 				time.Sleep(catchUpTime)
 				if !d.holdsAll(ctx, name) {
 					own, _ := d.controls[name].Status(ctx)
@@ -128,7 +132,7 @@
 func TestNobodyIsToldOfAReplicaThatDoesNotCatchUp(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		d := newLimitedDeployment(ctx, t, 40<<20)
+		d := newLimitedDeployment(ctx, t, 40<<20, "a", "b", "c")
 		leader, _ := d.leader(ctx)
 		gauge := func(name string) int64 { return d.metrics[leader].Value(name) }
 		stopped := d.follower(ctx)
