broker: tell backups of each side of a job once

A job of many tasks is placed little by little, and each order at another side had all sides of the job told again: for 1,600 tasks at 400 sides up to 400 messages of 5 KB to each backup, by calculation. Backups add what they are told to what they know, so that an order tells the new side only, and a new backup all of them.

TestBackupsAreToldOfAllSidesWithEachOrder fails before. TestJobGetsAnotherBackupAsOneIsLost looked for a message to all three backups; it wants one to the new one now.

--- a/yuccabroker/placements.go
+++ b/yuccabroker/placements.go
@@ -59,32 +59,41 @@
 				told = &toldPlacement{}
 				b.placements.told[j] = told
 			}
-			if isNew := !slices.Contains(told.sides, s.name); isNew || j.lastRun > told.lastRun {
-				if isNew {
-					told.sides = append(told.sides, s.name)
-				}
-				told.lastRun = j.lastRun
-				b.tellPlacement(now, j, told)
+			isNew := !slices.Contains(told.sides, s.name)
+			if !isNew && j.lastRun <= told.lastRun {
+				continue
 			}
+			told.lastRun = j.lastRun
+			var added []string
+			if isNew {
+				added = []string{s.name}
+				told.sides = append(told.sides, s.name)
+			}
+			b.tellPlacement(now, j, told, told.backups, added)
+			b.addBackups(now, j, told)
 		}
 	}
 	b.sendPlacements()
 }
 
-// tellPlacement adds a job to the messages for its backups, and chooses those that it lacks.
-func (b *Broker) tellPlacement(now time.Time, j *job, told *toldPlacement) {
-	b.addBackups(j.ID, told)
+// tellPlacement adds sides of a job to the messages for some of its backups.
+func (b *Broker) tellPlacement(now time.Time, j *job, told *toldPlacement, backups, sides []string) {
 	until := j.Deadline.Add(outcomeRetention)
-	for _, name := range told.backups {
+	for _, name := range backups {
 		m := b.placements.messageTo(name)
-		m.Placed = slices.DeleteFunc(m.Placed, func(p *yuccawire.Placement) bool { return p.GetJob() == j.ID })
-		m.Placed = append(m.Placed, &yuccawire.Placement{Job: j.ID, Sides: slices.Clone(told.sides), RemainingMs: toMilliseconds(until.Sub(now)), LastRun: told.lastRun})
+		i := slices.IndexFunc(m.GetPlaced(), func(p *yuccawire.Placement) bool { return p.GetJob() == j.ID })
+		if i < 0 {
+			i = len(m.GetPlaced())
+			m.Placed = append(m.Placed, &yuccawire.Placement{Job: j.ID, RemainingMs: toMilliseconds(until.Sub(now))})
+		}
+		m.Placed[i].Sides = append(m.Placed[i].Sides, sides...)
+		m.Placed[i].LastRun = told.lastRun
 	}
 }
 
-// addBackups chooses backups among the linked entries by the id of the job, in other data centres than this entry and each
-// other as far as there are some.
-func (b *Broker) addBackups(id string, told *toldPlacement) {
+// addBackups chooses the backups that a job lacks among the linked entries by its id, in other data centres than this entry
+// and each other as far as there are some, and tells them of all its sides.
+func (b *Broker) addBackups(now time.Time, j *job, told *toldPlacement) {
 	for len(told.backups) < maxBackups {
 		used := map[string]int{b.options.DataCentre: 1}
 		for _, name := range told.backups {
@@ -94,9 +103,11 @@
 		if len(candidates) == 0 {
 			return
 		}
-		told.backups = append(told.backups, slices.MinFunc(candidates, func(x, y string) int {
-			return cmp.Or(cmp.Compare(used[b.dataCentres[x]], used[b.dataCentres[y]]), cmp.Compare(yuccaplacement.Weight(id, x), yuccaplacement.Weight(id, y)))
-		}))
+		backup := slices.MinFunc(candidates, func(x, y string) int {
+			return cmp.Or(cmp.Compare(used[b.dataCentres[x]], used[b.dataCentres[y]]), cmp.Compare(yuccaplacement.Weight(j.ID, x), yuccaplacement.Weight(j.ID, y)))
+		})
+		told.backups = append(told.backups, backup)
+		b.tellPlacement(now, j, told, []string{backup}, told.sides)
 	}
 }
 
@@ -136,9 +147,7 @@
 	if p.needsBackups {
 		p.needsBackups = false
 		for _, j := range slices.SortedFunc(maps.Keys(p.told), func(x, y *job) int { return cmp.Compare(x.ID, y.ID) }) {
-			if told := p.told[j]; len(told.backups) < maxBackups {
-				b.tellPlacement(now, j, told)
-			}
+			b.addBackups(now, j, p.told[j])
 		}
 		b.sendPlacements()
 	}
