--- a/yuccacontrol/longlog_test.go
+++ b/yuccacontrol/longlog_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -25,8 +26,9 @@
 func newLimitedDeployment(ctx context.Context, t *testing.T, rate int, names ...string) *deployment {
 	d := newDeployment(t)
 	d.fabric = yuccamemnet.New(yuccamemnet.Options{Delay: time.Millisecond, Seed: 1, BytesPerSecond: rate, MaxPendingBytes: linkBytes})
+	others := slices.Concat(names, []string{"e"})
 	for i, name := range names {
-		d.start(ctx, name, i == 0, append(names, "e")...)
+		d.start(ctx, name, i == 0, others...)
 	}
 	time.Sleep(4 * time.Second)
 	return d
@@ -105,7 +107,7 @@
 					name = "e"
 				}
 				d.storages[name] = &memoryStorage{id: 200}
-				d.start(ctx, name, false, append(names, "e")...)
+				d.start(ctx, name, false, slices.Concat(names, []string{"e"})...)
 				time.Sleep(catchUpTime)
 				if !d.holdsAll(ctx, name) {
 					own, _ := d.controls[name].Status(ctx)
