--- a/yuccacontrol/longlog_test.go
+++ b/yuccacontrol/longlog_test.go
@@ -3,12 +3,14 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/yuccaturn/yuccaturn/yuccacontrol"
+	"github.com/yuccaturn/yuccaturn/yuccadocument"
 	"github.com/yuccaturn/yuccaturn/yuccamemnet"
 	"github.com/yuccaturn/yuccaturn/yuccametric"
 	"github.com/yuccaturn/yuccaturn/yuccastate"
@@ -49,6 +51,20 @@
 	}
 }
 
+// changeSection applies versions of a section of about the size, which the history keeps.
+func (d *deployment) changeSection(ctx context.Context, changes, size int) {
+	leader, _ := d.leader(ctx)
+	body := slices.Concat([]byte("{} //"), bytes.Repeat([]byte("x"), size), []byte("\n"))
+	for version := range changes {
+		section := &yuccawire.ApplySection{Section: yuccadocument.SectionLimits, BaseVersion: uint64(version), RequestId: fmt.Sprint(version), Body: body}
+		result, err := d.controls[leader].Apply(ctx, &yuccawire.Command{Body: &yuccawire.Command_ApplySection{ApplySection: section}})
+		if err != nil || result.Outcome != yuccastate.Accepted {
+			d.t.Fatalf("version %d: %+v, %v", version, result, err)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
 // follower returns the name of a voter that does not lead.
 func (d *deployment) follower(ctx context.Context) string {
 	leader, status := d.leader(ctx)
@@ -121,6 +137,30 @@
 	}
 }
 
+// The state is larger than a link takes, and than a message may be. Its log was replaced with a snapshot.
+func TestReplicaThatLostItsDiskNeverGetsALargeState(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		names := []string{"a", "b", "c"}
+		d := newLimitedDeployment(ctx, t, 40<<20, names...)
+		d.changeSection(ctx, 80, 900<<10)
+		lost := d.follower(ctx)
+		d.cancels[lost]()
+		d.fabric.Crash(lost)
+		delete(d.controls, lost)
+		synctest.Wait()
+		time.Sleep(time.Second)
+		d.storages[lost] = &memoryStorage{id: 200}
+		d.start(ctx, lost, false, names...)
+		time.Sleep(catchUpTime)
+		if size := len(d.storages[lost].stored.Snapshot.GetState()); size < 50<<20 || !d.holdsAll(ctx, lost) {
+			t.Errorf("a snapshot of %d bytes has arrived after %v", size, catchUpTime)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
 // No settings may let entries in flight close the link that they are sent on.
 func TestControlStartsWithLinksThatAReplicaCannotCatchUpOver(t *testing.T) {
 	for maxLinkBytes, isAllowed := range map[int]bool{1: false, 1<<20 - 1: false, 1 << 20: true, 0: true} {
--- a/yuccareplica/core.go
+++ b/yuccareplica/core.go
@@ -66,6 +66,8 @@
 	// the start. No votes are granted for MinElectionTimeout after it.
 	lastLeaderContact time.Time
 	votesReceived     map[uint64]bool
+	// incoming is the snapshot of which parts have arrived.
+	incoming *incomingSnapshot
 
 	// The fields of this group are used by the leader only.
 	progress map[uint64]*progress
@@ -91,6 +93,8 @@
 	snapshotSentAt time.Time
 	// snapshotRound is the round in which the snapshot was sent.
 	snapshotRound uint64
+	// transfer is the snapshot that is sent in parts, if there is one.
+	transfer *transfer
 }
 
 // Ready holds the pending work of a Core. The caller processes the fields in
--- a/yuccareplica/core_test.go
+++ b/yuccareplica/core_test.go
@@ -25,13 +25,16 @@
 }
 
 // group connects cores with instant message delivery and instant disk syncs.
-// Messages from and to isolated replicas are dropped, and snapshots if losesSnapshots
-// is set.
+// Messages from and to isolated replicas are dropped, snapshots if losesSnapshots
+// is set, and those for which isLost returns true.
 type group struct {
 	cores          map[uint64]*yuccareplica.Core
 	isolated       map[uint64]bool
 	losesSnapshots bool
-	now            time.Time
+	isLost         func(m *yuccawire.Replica) bool
+	// onSnapshot is called for a core that has received a snapshot.
+	onSnapshot func(id uint64, s *yuccawire.InstallSnapshot)
+	now        time.Time
 }
 
 func newGroup(ids ...uint64) *group {
@@ -52,11 +55,14 @@
 				continue
 			}
 			active = true
+			if ready.Snapshot != nil && g.onSnapshot != nil {
+				g.onSnapshot(id, ready.Snapshot)
+			}
 			if ready.MustSync() {
 				c.Synced(g.now, ready.SyncMark())
 			}
 			for _, m := range append(ready.Immediate, ready.AfterSync...) {
-				if m.GetInstallSnapshot() != nil && g.losesSnapshots {
+				if m.GetInstallSnapshot() != nil && g.losesSnapshots || g.isLost != nil && g.isLost(m) {
 					continue
 				}
 				if other := g.cores[m.GetTo()]; other != nil && !g.isolated[id] && !g.isolated[m.GetTo()] {
--- a/yuccareplica/doc.go
+++ b/yuccareplica/doc.go
@@ -43,6 +43,7 @@
 const MinInflightBytes = 256 << 10
 
 const (
+	// maxAppendBytes is also the most that is sent of a snapshot at once.
 	maxAppendBytes   = 1 << 20
 	maxAppendEntries = 1024
 	// maxInflightAppends and the bytes of a flow limit what is sent to a replica
--- a/yuccareplica/election.go
+++ b/yuccareplica/election.go
@@ -176,5 +176,9 @@
 		c.handleAppendReply(now, m)
 	case *yuccawire.Replica_InstallSnapshot:
 		c.handleSnapshot(now, m)
+	case *yuccawire.Replica_SnapshotPart:
+		c.handlePart(now, m)
+	case *yuccawire.Replica_SnapshotPartReply:
+		c.handlePartReply(now, m)
 	}
 }
--- a/yuccareplica/follower.go
+++ b/yuccareplica/follower.go
@@ -33,6 +33,7 @@
 		c.ready.Immediate = append(c.ready.Immediate, c.newAppendReply(m, reply))
 		return
 	}
+	c.incoming = nil
 	match := a.GetPreviousIndex() + uint64(len(a.GetEntries()))
 	c.storeEntries(a.GetEntries())
 	c.commit = max(c.commit, min(a.GetCommit(), match))
@@ -100,26 +101,3 @@
 	c.synced = min(c.synced, first-1)
 	c.ready.Entries = append(pending[:len(pending):len(pending)], entries...)
 }
-
-func (c *Core) handleSnapshot(now time.Time, m *yuccawire.Replica) {
-	if !c.acceptLeader(now, m) {
-		return
-	}
-	s := m.GetInstallSnapshot()
-	if s.GetIndex() > c.commit {
-		c.log = newMemoryLog(s, nil)
-		c.commit = s.GetIndex()
-		c.applied = s.GetIndex()
-		c.synced = min(c.synced, s.GetIndex()-1)
-		c.ready.Snapshot = s
-		c.ready.Entries = nil
-		c.ready.Committed = nil
-		c.updateReplicas()
-	}
-	if !c.ready.MustSync() {
-		c.acknowledgeSynced(m, s.GetIndex(), s.GetRound())
-		return
-	}
-	reply := &yuccawire.AppendReply{Success: true, Match: s.GetIndex(), Round: s.GetRound()}
-	c.ready.AfterSync = append(c.ready.AfterSync, c.newAppendReply(m, reply))
-}
--- a/yuccareplica/leader.go
+++ b/yuccareplica/leader.go
@@ -239,6 +239,12 @@
 
 // sendSnapshot returns false if the snapshot was sent and may still arrive, or entries may.
 func (c *Core) sendSnapshot(now time.Time, id uint64, p *progress) bool {
+	if p.transfer == nil && p.flow.isEmpty() && len(c.log.snapshot.GetState()) > maxAppendBytes {
+		c.startTransfer(p)
+	}
+	if p.transfer != nil {
+		return c.sendParts(now, id, p.transfer)
+	}
 	if now.Sub(p.snapshotSentAt) < snapshotRetryInterval || !p.flow.isEmpty() {
 		return false
 	}
@@ -252,19 +258,29 @@
 	return true
 }
 
-func (c *Core) handleAppendReply(now time.Time, m *yuccawire.Replica) {
+// acknowledge records that a replica has replied to a message of the round. It returns nil if that isn't a reply to this leader
+// in its term.
+func (c *Core) acknowledge(now time.Time, m *yuccawire.Replica, round uint64) *progress {
 	if m.GetTerm() > c.term {
 		c.becomeFollower(now, m.GetTerm(), 0)
-		return
+		return nil
 	}
 	p := c.progress[m.GetFrom()]
 	if c.role != leader || m.GetTerm() < c.term || p == nil {
-		return
+		return nil
 	}
-	reply := m.GetAppendReply()
-	if sent, ok := c.roundSentAt[reply.GetRound()]; ok && sent.After(p.ackedSendTime) {
+	if sent, ok := c.roundSentAt[round]; ok && sent.After(p.ackedSendTime) {
 		p.ackedSendTime = sent
 	}
+	return p
+}
+
+func (c *Core) handleAppendReply(now time.Time, m *yuccawire.Replica) {
+	reply := m.GetAppendReply()
+	p := c.acknowledge(now, m, reply.GetRound())
+	if p == nil {
+		return
+	}
 	if !reply.GetSuccess() {
 		next := max(min(reply.GetHint()+1, c.log.lastIndex()+1), p.matchIndex+1)
 		if p.flow.isRepeated(now, next) {
@@ -275,6 +291,9 @@
 		if reply.GetRound() > p.snapshotRound {
 			p.snapshotSentAt = time.Time{}
 		}
+		if p.transfer != nil {
+			p.transfer.restart(now, reply.GetRound())
+		}
 		c.sendAppend(now, m.GetFrom(), false)
 		return
 	}
@@ -282,6 +301,9 @@
 		p.matchIndex = reply.GetMatch()
 	}
 	p.flow.confirm(now, p.matchIndex)
+	if p.transfer != nil && p.matchIndex >= p.transfer.snapshot.GetIndex() {
+		p.transfer = nil
+	}
 	if p.matchIndex >= c.log.snapshot.GetIndex() {
 		p.snapshotSentAt = time.Time{}
 	}
