control: encode a large state once for a replica that lacks much

Cause: the size is known only once the state is encoded, and was forgotten. It is the class of this issue: the same is done again, although nothing has changed.

The size of the last encoding is kept; the state is encoded again only if that would have been small enough. A state that has shrunk since is found by the regular compaction.

--- a/yuccacontrol/control.go
+++ b/yuccacontrol/control.go
@@ -130,8 +130,10 @@
 	nextBalance   time.Time
 	nextLagCheck  time.Time
 	// lags are the replicas that lack entries, by id, while this one leads.
-	lags    map[uint64]*lag
-	diskErr error
+	lags map[uint64]*lag
+	// stateBytes is the size of the state when it was last encoded.
+	stateBytes int
+	diskErr    error
 	// suspensions are those after which this replica has stepped down.
 	suspensions yuccasuspend.Suspensions
 	// leaderLastSeen is when this replica last had a leader.
--- a/yuccacontrol/longlog_test.go
+++ b/yuccacontrol/longlog_test.go
@@ -161,6 +161,30 @@
 	})
 }
 
+// The state is about as large as the log, as its history has the same bodies. The leader does nothing else meanwhile.
+func TestLeaderEncodesItsStateAgainAndAgainForALaggingReplica(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		names := []string{"a", "b", "c"}
+		d := newLimitedDeployment(ctx, t, 8<<20, names...)
+		d.changeSection(ctx, 30, 900<<10)
+		lost := d.follower(ctx)
+		d.cancels[lost]()
+		d.fabric.Crash(lost)
+		delete(d.controls, lost)
+		synctest.Wait()
+		d.storages[lost] = &memoryStorage{id: 200}
+		d.start(ctx, lost, false, names...)
+		time.Sleep(2 * catchUpTime)
+		leader, _ := d.leader(ctx)
+		if encoded := d.metrics[leader].Value("states_encoded"); encoded > 1 || !d.holdsAll(ctx, lost) {
+			t.Errorf("the state was encoded %d times", encoded)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
 // No settings may let entries in flight close the link that they are sent on.
 func TestControlStartsWithLinksThatAReplicaCannotCatchUpOver(t *testing.T) {
 	for maxLinkBytes, isAllowed := range map[int]bool{1: false, 1<<20 - 1: false, 1 << 20: true, 0: true} {
--- a/yuccacontrol/loop.go
+++ b/yuccacontrol/loop.go
@@ -285,17 +285,20 @@
 	c.compactIfSmaller(math.MaxInt)
 }
 
-// compactIfSmaller replaces the log with a snapshot if that has fewer bytes than given.
+// compactIfSmaller replaces the log with a snapshot if that has fewer bytes than given. To encode a large state for nothing
+// would hold up heartbeats, so that it isn't tried again unless the last size would do.
 func (c *Control) compactIfSmaller(maxBytes int) {
-	if c.core.Commit() <= c.core.SnapshotIndex() {
+	if c.core.Commit() <= c.core.SnapshotIndex() || c.stateBytes >= maxBytes {
 		return
 	}
+	c.metrics.Add("states_encoded", 1)
 	data, err := c.state.Encode()
 	if err != nil {
 		c.diskErr = err
 		return
 	}
-	if len(data) >= maxBytes {
+	c.stateBytes = len(data)
+	if c.stateBytes >= maxBytes {
 		return
 	}
 	snapshot := c.core.Compact(c.core.Commit(), data)
