--- a/yuccacontrol/lag.go
+++ b/yuccacontrol/lag.go
@@ -57,7 +57,7 @@
 			}
 			*known = lag{since: now, lastIndex: l.Confirmed + uint64(l.Entries)}
 		}
-		entries, bytes = max(entries, l.Entries), max(bytes, l.Bytes)
+		entries, bytes = max(entries, l.Entries), max(bytes, l.Bytes+l.SnapshotBytes)
 		if now.Sub(known.since) < lagTimeout {
 			continue
 		}
@@ -87,7 +87,7 @@
 		}
 	}
 	c.options.Logger.Warn("replica doesn't hold the log, the group may not survive the next loss", "name", address.GetName(), "address", address.GetAddress(),
-		"missing_entries", l.Entries, "missing_bytes", l.Bytes, "since_ms", now.Sub(known.since).Milliseconds(), "in_contact", l.InContact, "links_lost", losses, "last_cause", cause)
+		"missing_entries", l.Entries, "missing_bytes", l.Bytes+l.SnapshotBytes, "since_ms", now.Sub(known.since).Milliseconds(), "in_contact", l.InContact, "links_lost", losses, "last_cause", cause)
 }
 
 // forgetLags is called when this replica no longer leads.
--- a/yuccareplica/leader.go
+++ b/yuccareplica/leader.go
@@ -215,8 +215,9 @@
 	// Confirmed is the index of the last entry that the replica has, Entries how many follow in the log.
 	Confirmed uint64
 	Entries   int
-	// Bytes is the size of the commands of these entries.
-	Bytes int
+	// Bytes is the size of the commands of these entries, as far as the log has them, SnapshotBytes what the replica lacks of
+	// the snapshot before.
+	Bytes, SnapshotBytes int
 	// InContact is set if the replica acknowledges heartbeats.
 	InContact bool
 }
@@ -231,7 +232,8 @@
 		p := c.progress[id]
 		missing := c.log.entriesFrom(p.matchIndex + 1)
 		lags = append(lags, Lag{
-			ID: id, Confirmed: p.matchIndex, Entries: int(c.log.lastIndex() - min(p.matchIndex, c.log.lastIndex())), Bytes: sumCommandBytes(missing), InContact: now.Sub(p.ackedSendTime) < voterTimeout,
+			ID: id, Confirmed: p.matchIndex, Entries: int(c.log.lastIndex() - min(p.matchIndex, c.log.lastIndex())),
+			Bytes: sumCommandBytes(missing), SnapshotBytes: c.missingSnapshotBytes(p), InContact: now.Sub(p.ackedSendTime) < voterTimeout,
 		})
 	}
 	return lags
--- a/yuccareplica/snapshot.go
+++ b/yuccareplica/snapshot.go
@@ -24,6 +24,17 @@
 	state               []byte
 }
 
+// missingSnapshotBytes returns how much of a snapshot a replica lacks.
+func (c *Core) missingSnapshotBytes(p *progress) int {
+	if p.matchIndex >= c.log.snapshot.GetIndex() {
+		return 0
+	}
+	if t := p.transfer; t != nil {
+		return len(t.snapshot.GetState()) - t.next + t.flow.bytes
+	}
+	return len(c.log.snapshot.GetState())
+}
+
 // startTransfer begins to send the snapshot in parts.
 func (c *Core) startTransfer(p *progress) {
 	p.transfer = &transfer{snapshot: c.log.snapshot, flow: newFlow(c.options.MaxInflightBytes)}
--- a/yuccareplica/snapshot_test.go
+++ b/yuccareplica/snapshot_test.go
@@ -143,3 +143,36 @@
 		t.Errorf("%d bytes, %d of the first leader, commit %d of %d", len(state), bytes.Count(state, []byte("a")), g.cores[lagging].Commit(), second.Commit())
 	}
 }
+
+func TestLeaderDoesNotTellThatASnapshotIsMissing(t *testing.T) {
+	const size = 20 << 20
+	g, lagging := snapshotNeeded(t, make([]byte, size))
+	missing := func() int {
+		for _, l := range g.leader().Lags(g.now) {
+			if l.ID == lagging {
+				return l.SnapshotBytes
+			}
+		}
+		return -1
+	}
+	if missing() != size {
+		t.Errorf("%d bytes of the snapshot are said to be missing, want %d", missing(), size)
+	}
+	parts := 0
+	g.isLost = func(m *yuccawire.Replica) bool {
+		if m.GetSnapshotPart() != nil {
+			parts++
+		}
+		return parts > 10
+	}
+	g.isolated = make(map[uint64]bool)
+	g.advance(25 * time.Millisecond)
+	if missing() <= 0 || missing() >= size {
+		t.Errorf("%d bytes are said to be missing when some parts have arrived, want some of %d", missing(), size)
+	}
+	g.isLost = isLarge
+	g.advance(time.Second)
+	if missing() != 0 {
+		t.Errorf("%d bytes are said to be missing at the end", missing())
+	}
+}
