--- a/yuccabroker/doc.go
+++ b/yuccabroker/doc.go
@@ -8,7 +8,8 @@
 // openjobs.go for the jobs of this entry, elsewhere.go for those of the others, forward.go
 // for entries that can't be reached directly, and gone.go for those that have ended. A few entries are
 // told at which sides its tasks are ordered, as what only this entry knows is lost with it: see
-// placements.go, and lostplacements.go for the jobs of entries that were lost. At most
+// placements.go, lostplacements.go for the jobs of entries that were lost, and runsquery.go for what
+// sides are asked about these. At most
 // one run of a task is alive at any time. A run counts as alive until its side has reported
 // its end, or the next process of the side has taken over the worker. The expiry of the leases that keep it alive
 // frees what it used here and proves no end: its machine may stand still. A run that
--- a/yuccareplica/snapshot.go
+++ b/yuccareplica/snapshot.go
@@ -24,6 +24,27 @@
 	state               []byte
 }
 
+// sendSnapshot returns false if the snapshot was sent and may still arrive, or entries may.
+func (c *Core) sendSnapshot(now time.Time, id uint64, p *progress) bool {
+	if p.transfer == nil && p.flow.isEmpty() && len(c.log.snapshot.GetState()) > maxAppendBytes {
+		c.startTransfer(p)
+	}
+	if p.transfer != nil {
+		return c.sendParts(now, id, p.transfer)
+	}
+	if now.Sub(p.snapshotSentAt) < snapshotRetryInterval || !p.flow.isEmpty() {
+		return false
+	}
+	p.snapshotSentAt, p.snapshotRound = now, c.round
+	s := c.log.snapshot
+	m := c.newMessage(id)
+	m.Body = &yuccawire.Replica_InstallSnapshot{InstallSnapshot: &yuccawire.InstallSnapshot{
+		Index: s.GetIndex(), IndexTerm: s.GetIndexTerm(), State: s.GetState(), Replicas: s.GetReplicas(), Round: c.round,
+	}}
+	c.ready.Immediate = append(c.ready.Immediate, m)
+	return true
+}
+
 // missingSnapshotBytes returns how much of a snapshot a replica lacks.
 func (c *Core) missingSnapshotBytes(p *progress) int {
 	if p.matchIndex >= c.log.snapshot.GetIndex() {
