mesh: a link that is never idle counts as contact

Cause, the first of two: contact with an entry is recorded when a link is opened, and with heartbeats and rosters. Heartbeats go only on idle links. Since entries tell each other of placements, links between busy entries are never idle, and linked entries drop out of those with contact within 15 s (ownerMemory), of which the broker is told. The fault is older; so far, links had pauses.

Each check of a link now records when something last came over it.

TestEntryThatIsNeverIdleSeemsToBeOutOfContact: contact with nobody within 3 s, after 3 s; now with the linked entry all the time.

--- a/yuccamesh/gossip.go
+++ b/yuccamesh/gossip.go
@@ -150,8 +150,8 @@
 	return min(max(time.Duration(size)*heartbeatPerLink, minHeartbeatInterval), maxHeartbeatInterval)
 }
 
-// maintainLinks closes silent links, sends a heartbeat on the idle ones, and tells
-// peers of changed members.
+// maintainLinks closes silent links, records the contact with the others, sends a heartbeat
+// on the idle ones, and tells peers of changed members.
 func (m *Mesh) maintainLinks(now time.Time) {
 	m.mu.Lock()
 	interval := m.heartbeatInterval()
@@ -159,12 +159,17 @@
 	m.mu.Unlock()
 	sinceStart := now.Sub(m.startedAt)
 	for _, p := range m.peerList() {
-		if silent := p.silence(sinceStart); silent > p.maxSilence() {
+		silent := p.silence(sinceStart)
+		if silent > p.maxSilence() {
 			m.options.Metrics.Add("mesh_links_silent", 1)
 			m.options.Logger.Warn("closing silent link", "peer", p.node.GetName(), "silent_ms", silent.Milliseconds())
 			m.disconnect(p)
 			continue
 		}
+		// A link that is never idle gets no heartbeats.
+		m.mu.Lock()
+		m.roster.RecordContact(now.Add(-silent), p.node)
+		m.mu.Unlock()
 		m.sendChanges(now, p, version)
 		m.sendHeartbeat(sinceStart, p, interval)
 	}
--- a/yuccamesh/mesh_test.go
+++ b/yuccamesh/mesh_test.go
@@ -50,6 +50,13 @@
 	}
 }
 
+// peer returns the link to the named process.
+func (m *testMember) peer(name string) *yuccamesh.Peer {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.up[name]
+}
+
 // isLinked reports whether a link to the named process is open.
 func (m *testMember) isLinked(name string) bool {
 	m.mu.Lock()
@@ -116,3 +123,23 @@
 		synctest.Wait()
 	})
 }
+
+// Heartbeats are only sent on idle links.
+func TestEntryThatIsNeverIdleSeemsToBeOutOfContact(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		fabric := yuccamemnet.New(yuccamemnet.Options{Delay: time.Millisecond, Seed: 1})
+		first := startMember(ctx, fabric, "e0", yuccawire.Role_ROLE_ENTRY, "e0:1")
+		second := startMember(ctx, fabric, "e1", yuccawire.Role_ROLE_ENTRY, "e0:1")
+		time.Sleep(time.Second)
+		for range 400 {
+			second.peer("e0").Send(&yuccawire.Envelope{Body: &yuccawire.Envelope_EndedJobs{EndedJobs: &yuccawire.EndedJobs{}}})
+			time.Sleep(50 * time.Millisecond)
+			if nodes := first.mesh.RecentNodes(3 * time.Second); len(nodes) != 1 {
+				t.Fatalf("in contact with %v within 3 s, want e1", nodes)
+			}
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/yuccaroster/roster.go
+++ b/yuccaroster/roster.go
@@ -70,17 +70,19 @@
 	return &Roster{self: self, replica: replica, members: make(map[string]*member)}
 }
 
-// RecordContact records direct contact with a process. Processes other than
+// RecordContact records direct contact with a process at that time. Processes other than
 // entries are ignored.
-func (r *Roster) RecordContact(now time.Time, node *yuccawire.Node) {
+func (r *Roster) RecordContact(at time.Time, node *yuccawire.Node) {
 	if node.GetRole() != yuccawire.Role_ROLE_ENTRY {
 		return
 	}
 	if m := r.members[node.GetName()]; m != nil && m.node.GetIncarnation() == node.GetIncarnation() {
-		m.lastContact = now
+		if at.After(m.lastContact) {
+			m.lastContact = at
+		}
 		return
 	}
-	r.update(now, node, nil)
+	r.update(at, node, nil)
 }
 
 // Merge applies the roster of a peer and drops expired members. It ignores invalid
