broker: don't forget linked entries

Cause, the second of two: the broker forgets the incarnation of an entry that the roster no longer names, also while it is linked. A backup took that for a restart: it told all others where the jobs may have runs, at each tick with new placements, and sides were asked about jobs of entries that live.

Linked entries stay members until their link is lost.

--- a/yuccabroker/elsewhere.go
+++ b/yuccabroker/elsewhere.go
@@ -67,7 +67,7 @@
 	}
 }
 
-// SetMembers tells the broker which other entries there are. One that has just started places nothing
+// SetMembers tells the broker which other entries there are, beside the linked ones. One that has just started places nothing
 // until it knows their open jobs, or startTimeout has passed.
 func (b *Broker) SetMembers(now time.Time, names []string) {
 	if b.startedAt.IsZero() {
@@ -81,7 +81,11 @@
 		}
 	}
 	for name := range b.members {
-		if !members[name] {
+		switch {
+		case members[name]:
+		case slices.Contains(b.peers, name):
+			members[name] = true
+		default:
 			delete(b.incarnations, name)
 			delete(b.gone, name)
 			delete(b.refusals, name)
--- a/yuccabroker/placements_test.go
+++ b/yuccabroker/placements_test.go
@@ -205,6 +205,23 @@
 	}
 }
 
+// The roster may forget an entry that no other process has had contact with.
+func TestLinkedEntryCountsAsLostAsTheRosterForgetsIt(t *testing.T) {
+	f := newBackupPeers(t, "cusco-1", "lima-1")
+	f.broker.SetMembers(f.now, []string{"cusco-1", "lima-1"})
+	f.place("lima-1", "a", "s1")
+	f.broker.SetMembers(f.now, []string{"cusco-1"})
+	f.tick(time.Second)
+	if jobs := f.published("lima-1"); len(jobs) > 0 {
+		t.Errorf("%v told while the entry is linked", jobs)
+	}
+	f.broker.HandleEntryUp(f.now, "lima-1", 2)
+	f.tick(0)
+	if jobs := f.published("lima-1"); len(jobs) != 1 {
+		t.Errorf("told %v as the entry had restarted, want a", jobs)
+	}
+}
+
 // Neither the silence of a side nor a reply to a query that was sent while orders of the lost entry could arrive counts.
 func TestJobOfALostEntryIsPlacedWhileASideMayHaveARunOfIt(t *testing.T) {
 	f := newBackupPeers(t)
