--- a/review/standin3/worker.go
+++ b/review/standin3/worker.go
@@ -20,6 +20,7 @@
 const (
 	maxHold        = time.Second
 	stopTime       = 20 * time.Millisecond
+	failTime       = 300 * time.Millisecond
 	maxListedEnds  = 500
 	maxWait        = 2 * time.Second
 	beatTimeout    = time.Second
@@ -31,7 +32,9 @@
 type worker struct {
 	id, address, control, service, zone, label string
 	cpuMilli, memoryMB                         int
-	beatInterval, suspendTime                  time.Duration
+	beatInterval, suspendTime, downTime        time.Duration
+	lateAfterLoss                              time.Duration
+	lateStarts                                 bool
 	record                                     *recorder
 	startedAt                                  time.Time
 
@@ -45,6 +48,11 @@
 	ended    chan struct{}
 	draining bool
 	sequence int64
+	// tried are the runs of which a start has come, failing are the tasks whose first run fails. late are the starts
+	// that have had no answer and are not carried out yet.
+	tried, failing map[string]bool
+	late           []startRequest
+	isDown         bool
 	// suspended is how long the machine was suspended in total, which its steady clock doesn't count.
 	suspended time.Duration
 }
@@ -56,6 +64,8 @@
 	endsAt int64
 	// stopsAt is when the stop of the run ends, zero if it is not being stopped.
 	stopsAt int64
+	// failsAt is when the run fails by its own fault, zero if it doesn't.
+	failsAt int64
 }
 
 type runEnd struct {
@@ -110,7 +120,7 @@
 
 func runWorker(ctx context.Context, arguments []string) (int, error) {
 	flags := flag.NewFlagSet("worker", flag.ContinueOnError)
-	w := &worker{startedAt: time.Now(), running: make(map[string]*taskRun), highest: make(map[string]uint64), ended: make(chan struct{})}
+	w := &worker{startedAt: time.Now(), running: make(map[string]*taskRun), highest: make(map[string]uint64), tried: make(map[string]bool), failing: make(map[string]bool), ended: make(chan struct{})}
 	flags.StringVar(&w.id, "id", "", "ID of the worker")
 	flags.StringVar(&w.address, "address", "", "address to listen at")
 	flags.StringVar(&w.control, "control", "", "control address of the side")
@@ -120,6 +130,9 @@
 	flags.IntVar(&w.cpuMilli, "cpu", 16000, "thousandths of a core")
 	flags.IntVar(&w.memoryMB, "memory", 32768, "megabytes")
 	flags.DurationVar(&w.suspendTime, "suspend", 3*time.Second, "how long a SIGUSR1 suspends the machine")
+	flags.BoolVar(&w.lateStarts, "late-starts", false, "leave the first start of each of the first two runs unanswered, carry it out after a SIGUSR2, and fail the first run after 300 ms")
+	flags.DurationVar(&w.downTime, "down", 600*time.Millisecond, "how long a SIGUSR2 takes the power from the machine")
+	flags.DurationVar(&w.lateAfterLoss, "late-after", 100*time.Millisecond, "when late starts are carried out after the power is back")
 	flags.DurationVar(&w.beatInterval, "beat", 1500*time.Millisecond, "interval of heartbeats")
 	path := flags.String("record", "record.txt", "file for the record")
 	if err := flags.Parse(arguments); err != nil {
@@ -150,7 +163,7 @@
 	l := &runWatch{worker: w}
 	go l.run(ctx)
 	m := &machine{worker: w, signals: make(chan os.Signal, 1)}
-	signal.Notify(m.signals, syscall.SIGUSR1)
+	signal.Notify(m.signals, syscall.SIGUSR1, syscall.SIGUSR2)
 	go m.run(ctx)
 	c := &serverCloser{server: server}
 	go c.run(ctx)
@@ -169,7 +182,8 @@
 }
 
 // machine suspends the worker's machine for suspendTime at a SIGUSR1: nothing is done meanwhile, and the steady clock
-// doesn't count the time. The process of the side on this machine has to be stopped for as long.
+// doesn't count the time. The process of the side on this machine has to be stopped for as long. At a SIGUSR2 the machine
+// loses power for downTime; the worker starts again under its ID, and knows nothing of before.
 type machine struct {
 	worker  *worker
 	signals chan os.Signal
@@ -180,12 +194,42 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-m.signals:
-			m.suspend()
+		case s := <-m.signals:
+			if s == syscall.SIGUSR1 {
+				m.suspend()
+			} else {
+				m.losePower()
+			}
 		}
 	}
 }
 
+func (m *machine) losePower() {
+	w := m.worker
+	w.mu.Lock()
+	w.isDown = true
+	for _, r := range w.running {
+		w.end(r, "crashed")
+	}
+	w.record.note("lost power")
+	w.mu.Unlock()
+	time.Sleep(w.downTime)
+	w.mu.Lock()
+	w.startedAt, w.suspended, w.isDown = time.Now(), 0, false
+	w.token, w.deadline, w.ends, w.lastEnd, w.sequence = 0, 0, nil, 0, 0
+	clear(w.highest)
+	w.record.note("worker up born=%d zone=%s", w.startedAt.UnixMilli(), w.zone)
+	w.mu.Unlock()
+	time.Sleep(w.lateAfterLoss)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, late := range w.late {
+		status, reason := w.start(late)
+		w.record.note("late start %s run=%d carried out: %d %s", late.Task, late.RunID, status, reason)
+	}
+	w.late = nil
+}
+
 func (m *machine) suspend() {
 	w := m.worker
 	w.mu.Lock()
@@ -221,6 +265,8 @@
 		switch {
 		case now > w.deadline:
 			w.end(r, "lapsed")
+		case r.failsAt > 0 && now >= r.failsAt:
+			w.end(r, "failed")
 		case r.stopsAt > 0 && now >= r.stopsAt:
 			w.end(r, "stopped")
 		case now >= r.endsAt:
@@ -251,6 +297,13 @@
 
 func (w *worker) decode(r *http.Request) (startRequest, int) {
 	var body startRequest
+	w.mu.Lock()
+	isDown := w.isDown
+	w.mu.Unlock()
+	if isDown {
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
 	if expected := r.Header.Get("Expected-Instance"); expected != "" && expected != w.id {
 		return body, http.StatusMisdirectedRequest
 	}
@@ -281,6 +334,15 @@
 		return
 	}
 	w.mu.Lock()
+	if key := runName(body.Task, body.RunID); w.lateStarts && body.RunID <= 2 && !w.tried[key] {
+		w.tried[key] = true
+		w.failing[body.Task] = body.RunID == 1
+		w.late = append(w.late, body)
+		w.record.note("unanswered start of %s run=%d", body.Task, body.RunID)
+		w.mu.Unlock()
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
 	status, reason := w.start(body)
 	clock := w.clock()
 	w.mu.Unlock()
@@ -303,6 +365,9 @@
 	}
 	w.extend(body.DeadlineMs)
 	t := &taskRun{task: body.Task, run: body.RunID, endsAt: w.clock() + runTime(body.Spec).Milliseconds()}
+	if w.failing[t.task] {
+		t.failsAt = w.clock() + failTime.Milliseconds()
+	}
 	w.running[runName(t.task, t.run)] = t
 	w.record.note("start %s run=%d zone=%s token=%d", t.task, t.run, w.zone, body.FencingToken)
 	return http.StatusOK, ""
@@ -417,7 +482,11 @@
 	if w.draining {
 		body.State = "draining"
 	}
+	isDown := w.isDown
 	w.mu.Unlock()
+	if isDown {
+		return false
+	}
 	encoded, err := json.Marshal(body)
 	if err != nil {
 		return false
