broker: choose the backups of a job by what may be lost at once

Cause: the three backups of a job were drawn by its id among all linked entries. Any number of entries without a disk may be lost at once, and for some jobs all three were lost with the owner.

Ruled out: news of the loss that came too late.

Why it works: settings say how many entries with a disk may be lost. One more of these than that knows of each job, the owner counted, so that one is left if all others are lost; an entry without a disk knows as well, as all disks may lose power. Entries that are linked with some of the others only ask for the links.

--- a/yuccabroker/broker.go
+++ b/yuccabroker/broker.go
@@ -22,10 +22,14 @@
 	// Incarnation identifies this start of the entry, DataCentre is where it runs.
 	Incarnation uint64
 	DataCentre  string
-	Scheduling  Scheduling
-	Random      *rand.Rand
-	Metrics     *yuccametric.Set
-	Logger      *slog.Logger
+	// IsReplica is set if the entry has a replica of the configuration, ToleratedFailures is how many of these may be lost
+	// at once.
+	IsReplica         bool
+	ToleratedFailures int
+	Scheduling        Scheduling
+	Random            *rand.Rand
+	Metrics           *yuccametric.Set
+	Logger            *slog.Logger
 }
 
 // Broker owns the jobs of one entry. It is not safe for concurrent use.
@@ -153,8 +157,9 @@
 	lostOwners map[entryKey]*lostOwner
 	// lastQuery is the number of the last query about such jobs.
 	lastQuery uint64
-	// dataCentres are those of the linked entries, by name.
+	// dataCentres are those of the linked entries, by name, replicas the other entries with a replica of the configuration.
 	dataCentres map[string]string
+	replicas    map[string]bool
 	// isIsolated is set while this entry has no link at all.
 	isIsolated bool
 	endedNews  *yuccawire.EndedJobs
--- a/yuccabroker/placements.go
+++ b/yuccabroker/placements.go
@@ -11,8 +11,9 @@
 )
 
 const (
-	// maxBackups is how many linked entries are told at which sides a job may have runs.
-	maxBackups = 3
+	// minBackups is how many linked entries are told at which sides a job may have runs. There are more if that many replicas
+	// may be lost.
+	minBackups = 3
 	// closedPlacementsInterval is the least time between two messages to a backup that only tell of closed jobs.
 	closedPlacementsInterval = 250 * time.Millisecond
 )
@@ -91,26 +92,54 @@
 	}
 }
 
-// addBackups chooses the backups that a job lacks among the linked entries by its id, in other data centres than this entry
-// and each other as far as there are some, and tells them of all its sides.
+// addBackups chooses the backups that a job lacks among the linked entries by its id, and tells them of all its sides.
 func (b *Broker) addBackups(now time.Time, j *job, told *toldPlacement) {
-	for len(told.backups) < maxBackups {
-		used := map[string]int{b.options.DataCentre: 1}
-		for _, name := range told.backups {
-			used[b.dataCentres[name]]++
-		}
-		candidates := slices.DeleteFunc(slices.Clone(b.peers), func(name string) bool { return slices.Contains(told.backups, name) })
-		if len(candidates) == 0 {
+	for {
+		backup := b.nextBackup(j.ID, told.backups)
+		if backup == "" {
 			return
 		}
-		backup := slices.MinFunc(candidates, func(x, y string) int {
-			return cmp.Or(cmp.Compare(used[b.dataCentres[x]], used[b.dataCentres[y]]), cmp.Compare(yuccaplacement.Weight(j.ID, x), yuccaplacement.Weight(j.ID, y)))
-		})
 		told.backups = append(told.backups, backup)
 		b.tellPlacement(now, j, told, []string{backup}, told.sides)
 	}
 }
 
+// nextBackup returns another backup for a job, empty if it needs none or no linked entry is left. One replica more than may
+// be lost knows of each job, so that one is left if all other entries are lost with them, and an entry without a replica, as
+// all replicas may lose power at once. Backups are in other data centres than this entry and each other as far as there are
+// some.
+func (b *Broker) nextBackup(id string, backups []string) string {
+	replicas := 0
+	used := map[string]int{b.options.DataCentre: 1}
+	for _, name := range backups {
+		used[b.dataCentres[name]]++
+		if b.replicas[name] {
+			replicas++
+		}
+	}
+	others, needed := len(backups)-replicas, b.replicaBackups()
+	isLeft := func(name string) bool { return !slices.Contains(backups, name) }
+	isReplica := func(name string) bool { return isLeft(name) && b.replicas[name] }
+	isOther := func(name string) bool { return isLeft(name) && !b.replicas[name] }
+	isCandidate := isLeft
+	switch {
+	case replicas < needed && slices.ContainsFunc(b.peers, isReplica):
+		isCandidate = isReplica
+	case others < max(minBackups-needed, 1) && slices.ContainsFunc(b.peers, isOther):
+		isCandidate = isOther
+	case len(backups) >= minBackups:
+		return ""
+	}
+	best := ""
+	for _, name := range b.peers {
+		if isCandidate(name) && (best == "" || cmp.Or(cmp.Compare(used[b.dataCentres[name]], used[b.dataCentres[best]]),
+			cmp.Compare(yuccaplacement.Weight(id, name), yuccaplacement.Weight(id, best))) < 0) {
+			best = name
+		}
+	}
+	return best
+}
+
 // sendPlacements sends the pending messages.
 func (b *Broker) sendPlacements() {
 	for _, name := range slices.Sorted(maps.Keys(b.placements.pending)) {
--- a/yuccabroker/placements_test.go
+++ b/yuccabroker/placements_test.go
@@ -18,13 +18,17 @@
 
 func newBackupPeers(t *testing.T, peers ...string) *backupPeers {
 	f := &backupPeers{fixture: newFixture(t, "s1", "s2")}
+	f.learnPeers(peers...)
+	return f
+}
+
+func (f *backupPeers) learnPeers(peers ...string) {
 	f.link(peers...)
 	for _, name := range peers {
 		f.broker.HandleEntryUp(f.now, name, 1)
 		f.broker.HandleOpenJobs(f.now, name, 1, &yuccawire.OpenJobs{Whole: true})
 	}
 	f.tick(0)
-	return f
 }
 
 // link links the entries, whose names begin with those of their data centres.
@@ -160,6 +164,55 @@
 	}
 }
 
+// One replica more than may be lost has to know of a job, and an entry without a replica, also if it is late known who has one.
+func TestBackupsAreLostTogether(t *testing.T) {
+	for _, tc := range []struct {
+		tolerated        int
+		isReplica        bool
+		replicas, others int
+	}{{tolerated: 0, replicas: 1, others: 2}, {tolerated: 1, replicas: 2, others: 1}, {tolerated: 1, isReplica: true, replicas: 1, others: 2}, {tolerated: 2, replicas: 3, others: 1}} {
+		t.Run(fmt.Sprintf("%+v", tc), func(t *testing.T) {
+			f := &backupPeers{fixture: newFixtureWith(t, func(o *yuccabroker.Options) { o.ToleratedFailures, o.IsReplica = tc.tolerated, tc.isReplica })}
+			f.sides = []string{"s1"}
+			f.broker.HandleLinkUp(f.now, yuccabroker.Side{Name: "s1", Incarnation: 1, DataCentre: "puno"})
+			f.learnPeers("cusco-1", "cusco-2", "cusco-3", "lima-1", "lima-2", "lima-3", "puno-2", "puno-3")
+			for i := range 20 {
+				f.submitLater(fmt.Sprintf("%016d", i))
+			}
+			f.broker.SetReplicas([]string{"cusco-1", "lima-1", "puno-2"})
+			f.tick(0)
+			for i := range 20 {
+				id := fmt.Sprintf("%016d", i)
+				replicas, others := 0, 0
+				for name := range f.told(id) {
+					if name == "cusco-1" || name == "lima-1" || name == "puno-2" {
+						replicas++
+					} else {
+						others++
+					}
+				}
+				if replicas < tc.replicas || others < tc.others {
+					t.Errorf("job %s: %d replicas and %d others told, want %d and %d", id, replicas, others, tc.replicas, tc.others)
+				}
+			}
+		})
+	}
+}
+
+// An entry that is linked with some of the others may be linked with no replica, and its jobs have no backup that is left.
+func TestEntryIsLinkedWithTooFewReplicas(t *testing.T) {
+	f := &backupPeers{fixture: newFixtureWith(t, func(o *yuccabroker.Options) { o.ToleratedFailures = 1 })}
+	f.broker.SetReplicas([]string{"cusco-1", "lima-1", "puno-1"})
+	f.link("lima-1", "puno-2")
+	if missing := f.broker.MissingReplicas(); len(missing) != 1 || missing[0] == "lima-1" {
+		t.Errorf("linked with one replica: %v are missing, want one of the other two", missing)
+	}
+	f.link("cusco-1", "lima-1")
+	if missing := f.broker.MissingReplicas(); len(missing) > 0 {
+		t.Errorf("linked with two replicas: %v are missing", missing)
+	}
+}
+
 func TestJobGetsAnotherBackupAsOneIsLost(t *testing.T) {
 	f := newBackupPeers(t, "cusco-1", "lima-1", "puno-2", "puno-3")
 	f.submitLater("a")
--- a/yuccacommand/sizedconfig.go
+++ b/yuccacommand/sizedconfig.go
@@ -142,7 +142,7 @@
 		Mesh: mesh, Lease: lease, Replica: replica, Decode: decode, MaxConfigurationAge: c.maxConfigurationAge,
 		Broker: yuccabroker.New(yuccabroker.Options{
 			Name: c.name, Incarnation: node.GetIncarnation(), DataCentre: c.dataCentre, Scheduling: c.scheduling,
-			Random: newRandom(), Metrics: c.metrics, Logger: c.logger,
+			IsReplica: folder != nil, ToleratedFailures: c.toleratedFailures, Random: newRandom(), Metrics: c.metrics, Logger: c.logger,
 		}),
 		Suspensions: suspensions, Metrics: c.metrics, Logger: c.logger,
 	})
--- a/yuccaedge/doc.go
+++ b/yuccaedge/doc.go
@@ -29,6 +29,8 @@
 	memberDiscovery = time.Second
 	// membersInterval is the time between two updates of the other entries that are known.
 	membersInterval = 500 * time.Millisecond
+	// replicaLinkPeriod is how long a link to a replica is kept that is needed no more.
+	replicaLinkPeriod = 5 * time.Second
 	// responseMargin is subtracted from Options.MaxConfigurationAge, since the
 	// response takes time to arrive.
 	responseMargin = 400 * time.Millisecond
--- a/yuccaedge/edge.go
+++ b/yuccaedge/edge.go
@@ -320,7 +320,8 @@
 	e.broker.SetPeers(slices.Compact(names))
 }
 
-// updateMembers tells the broker which other entries there are, in its first second as they are discovered.
+// updateMembers tells the broker which other entries there are and which have a replica, in its first second as they are
+// discovered, and opens the links that it needs to replicas.
 func (e *Edge) updateMembers(now time.Time) {
 	if e.startedAt.IsZero() {
 		e.startedAt = now
@@ -334,6 +335,15 @@
 		names = append(names, node.GetName())
 	}
 	e.broker.SetMembers(now, names)
+	replicas := e.options.Mesh.Replicas()
+	names = make([]string, 0, len(replicas))
+	for _, r := range replicas {
+		names = append(names, r.GetName())
+	}
+	e.broker.SetReplicas(names)
+	for _, name := range e.broker.MissingReplicas() {
+		e.options.Mesh.LinkTo(name, replicaLinkPeriod)
+	}
 }
 
 // exchangeOpenJobs tells the other end of a link the open jobs. They
--- a/yuccamodel/lostplacements_test.go
+++ b/yuccamodel/lostplacements_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 )
@@ -17,11 +18,16 @@
 	alsoKilled []int
 	// comesTo is the entry to which the caller comes again, zero for the first one that is up.
 	comesTo int
+	// replicas are the entries with a replica of the configuration.
+	replicas []int
 }
 
 // play plays the loss in a deployment of entries in three data centres, and returns the job.
 func (l lostRun) play(t *testing.T, entries int) *callerJob {
 	w := newFleet(t, 1, 3, entries, 3)
+	for _, i := range l.replicas {
+		w.entries[i].isReplica = true
+	}
 	w.start()
 	w.run(warmUp)
 	w.patience = 6 * time.Second
@@ -133,6 +139,33 @@
 	}
 }
 
+// The entry is lost with all others without a replica and one replica of three, as many as may be, or with all replicas.
+func TestResendAfterAllEntriesThatMayBeLostRunsBesideAStandingMachine(t *testing.T) {
+	for _, replicas := range [][]int{{0, 1, 2}, {1, 2, 3}, {4, 5, 6}} {
+		lost := [][]int{replicas}
+		var others []int
+		for i := 1; i <= 6; i++ {
+			if !slices.Contains(replicas, i) {
+				others = append(others, i)
+			}
+		}
+		lost = append(lost, others)
+		for _, i := range replicas {
+			if replicas[0] != 0 {
+				lost = append(lost, append([]int{i}, others...))
+			}
+		}
+		for _, alsoKilled := range lost {
+			l := lostRun{freezeAt: 90 * time.Millisecond, killAt: 100 * time.Millisecond, downtime: time.Minute, replicas: replicas, alsoKilled: alsoKilled}
+			t.Run(fmt.Sprint("replicas ", replicas, " lost with ", alsoKilled), func(t *testing.T) {
+				if job := l.play(t, 7); !job.isAnswered {
+					t.Error("the caller is not answered")
+				}
+			})
+		}
+	}
+}
+
 // Entries are linked with 16 others at most, so that the backups are not linked with all to which the caller may come.
 func TestResendAtAnEntryThatIsLinkedWithNoBackupRunsBesideAStandingMachine(t *testing.T) {
 	const entries = 40
--- a/yuccamodel/world_test.go
+++ b/yuccamodel/world_test.go
@@ -161,6 +161,8 @@
 	name        string
 	dataCentre  string
 	incarnation uint64
+	// isReplica is set if it has a replica of the configuration.
+	isReplica   bool
 	broker      *yuccabroker.Broker
 	isDown      bool
 	isFrozen    bool
@@ -383,7 +385,7 @@
 	e.isDown, e.suspensions.unnoticed = false, 0
 	e.waiters = make(map[uint64]*callerJob)
 	e.broker = yuccabroker.New(yuccabroker.Options{
-		Name: e.name, Incarnation: e.incarnation, DataCentre: e.dataCentre, Scheduling: w.scheduling, Random: rand.New(rand.NewPCG(w.seed, uint64(e.index)<<8|e.incarnation)),
+		Name: e.name, Incarnation: e.incarnation, DataCentre: e.dataCentre, IsReplica: e.isReplica, ToleratedFailures: 1, Scheduling: w.scheduling, Random: rand.New(rand.NewPCG(w.seed, uint64(e.index)<<8|e.incarnation)),
 		Metrics: yuccametric.New(e.name), Logger: slog.New(slog.DiscardHandler),
 	})
 	for _, s := range w.sides {
@@ -397,11 +399,15 @@
 
 // setMembers tells the broker which other entries there are.
 func (e *modelEntry) setMembers() {
-	var names []string
+	var names, replicas []string
 	for _, peer := range e.peers {
 		names = append(names, peer.name)
+		if peer.isReplica {
+			replicas = append(replicas, peer.name)
+		}
 	}
 	e.broker.SetMembers(e.now(), names)
+	e.broker.SetReplicas(replicas)
 }
 
 // start starts a new incarnation of the side.
