broker: have an entry confirm that is heard only over another one

Callers would see: TWICE. A request waits at a suspended entry, its caller comes again at an entry that has restarted meanwhile. Both place the task.

Cause: an entry that has restarted has to confirm open jobs only from its first list on a new link on. The first news of it was a message over a third entry that had waited with the request, so that the entry that woke asked everybody but it.

Ruled out, by the trace: that it placed the task before lists were there. The list of the earlier process had waited as well, and counted.

Why it works: who can send a message over another entry can receive a job. It is asked to confirm over other entries, as one whose link was lost, and the job waits for that.

--- a/yuccabroker/forward.go
+++ b/yuccabroker/forward.go
@@ -101,6 +101,7 @@
 func (b *Broker) HandleForward(now time.Time, m *yuccawire.Forward) {
 	if m.GetTo() == b.options.Name && !m.GetGone() {
 		b.HandleEntryUp(now, m.GetFrom(), m.GetIncarnation())
+		b.addUnlinkedReader(m.GetFrom(), m.GetIncarnation())
 	}
 	switch {
 	case m.GetTo() == b.options.Name && m.GetGone():
@@ -115,3 +116,13 @@
 		b.publishForward(&yuccawire.Forward{To: m.GetFrom(), From: m.GetTo(), Incarnation: b.gone[m.GetTo()], Gone: true}, []string{m.GetFrom()})
 	}
 }
+
+// addUnlinkedReader has an entry that was heard over another one confirm open jobs. No list has to come from it first, as on a
+// new link: its message may have waited here, and jobs may have come to it since it has started.
+func (b *Broker) addUnlinkedReader(name string, incarnation uint64) {
+	if b.incarnations[name] != incarnation || b.open.readers[name] != nil || slices.Contains(b.peers, name) {
+		return
+	}
+	b.open.readers[name] = &reader{}
+	b.open.updateConfirmed()
+}
--- a/yuccabroker/forward_test.go
+++ b/yuccabroker/forward_test.go
@@ -82,6 +82,24 @@
 	}
 }
 
+// What it asks for has waited here, and a job has come to it meanwhile.
+func TestProcessThatIsHeardOverAnotherEntryHasNotToConfirm(t *testing.T) {
+	f := newOpenPeers(t, "b", "c")
+	f.broker.SetPeers([]string{"c"})
+	f.broker.HandleForward(f.now, &yuccawire.Forward{To: "entry", From: "b", Incarnation: 2, OpenJobsSeen: &yuccawire.OpenJobsSeen{WantsWhole: true}})
+	f.submit(f.received("a", 1400*time.Millisecond), 1)
+	f.step(100 * time.Millisecond)
+	f.confirm("c")
+	if len(f.sentRuns()) > 0 {
+		t.Fatalf("sent %v before b has confirmed that a is open here", f.sentRuns())
+	}
+	f.broker.HandleForward(f.now, &yuccawire.Forward{To: "entry", From: "b", Incarnation: 2, OpenJobsSeen: &yuccawire.OpenJobsSeen{Sequence: f.told[len(f.told)-1].GetSequence()}})
+	f.collect()
+	if len(f.sentRuns()) != 1 {
+		t.Errorf("sent %v after b has confirmed it, want a run", f.sentRuns())
+	}
+}
+
 // It has started during a cut.
 func TestListOfAProcessThatWasNeverLinkedIsIgnored(t *testing.T) {
 	f := newOpenPeers(t, "c")
