broker: tell sides where jobs may have runs, for a loss of all entries

Cause: only entries knew where a job may have runs. More of them than may be lost may stop the service, but no rule may be broken as they start again.

Ruled out: entries that start before they have the lists of the others. These are empty.

Why it works: sides outlive entries and link themselves with those that start. A side without a run of the job knows of it, or two sides, so that one is left if the machine of a run stands still. An entry that starts where no older one is linked, and hears of lost ones, waits for the sides for 0.6 s.

--- a/yuccabroker/broker.go
+++ b/yuccabroker/broker.go
@@ -150,6 +150,8 @@
 	// awaitedTwice are those of the awaited entries whose next list may have been sent too early.
 	awaitedTwice map[string]bool
 	startedAt    time.Time
+	// hasLosses is set once this entry was told of a lost one, hasOlderPeer once it is linked with one that had run before it.
+	hasLosses, hasOlderPeer bool
 	// placements are the jobs of this entry that its backups are told of, owners the linked entries that this one is a backup
 	// of, and lostOwners those that it or another one has lost or not heard for a while.
 	placements *placements
--- a/yuccabroker/elsewhere.go
+++ b/yuccabroker/elsewhere.go
@@ -136,7 +136,13 @@
 // isInformed reports whether this entry knows the open jobs of the others, as far as they can tell.
 func (b *Broker) isInformed(now time.Time) bool {
 	maps.DeleteFunc(b.awaited, func(_ string, until time.Time) bool { return !now.Before(until) })
-	return len(b.awaited) == 0 && !b.ticks.IsOverdue(now)
+	return len(b.awaited) == 0 && !b.ticks.IsOverdue(now) && !b.awaitsSides(now)
+}
+
+// awaitsSides reports whether this entry may have started after all entries were lost. Then only the sides know where jobs may
+// have runs, and most of them are linked with it within startTimeout.
+func (b *Broker) awaitsSides(now time.Time) bool {
+	return b.hasLosses && !b.hasOlderPeer && !b.startedAt.IsZero() && now.Sub(b.startedAt) < startTimeout
 }
 
 // HandleEntryUp processes a new link to another entry. The jobs of its earlier incarnations are over. The link of
@@ -150,7 +156,7 @@
 		return
 	}
 	b.incarnations[name] = incarnation
-	b.placements.loseBackup(func(backup string) bool { return backup == name })
+	b.placements.loseBackup(func(to backup) bool { return to == backup{name: name} })
 	delete(b.gone, name)
 	delete(b.refusals, name)
 	until, isAwaited := b.awaited[name]
@@ -234,6 +240,8 @@
 	b.reply(name, &yuccawire.OpenJobsSeen{Sequence: l.sequence, Taken: taken, WantsWhole: isDelayed})
 	if m.GetWhole() {
 		b.recordAwaited(name)
+		// Earlier versions don't say how long they have run.
+		b.hasOlderPeer = b.hasOlderPeer || m.GetRunningMs() == 0 || time.Duration(m.GetRunningMs())*time.Millisecond >= startTimeout
 	}
 	for _, opened := range m.GetOpened() {
 		if j := b.jobs[opened.GetJob()]; j != nil {
--- a/yuccabroker/lostplacements.go
+++ b/yuccabroker/lostplacements.go
@@ -207,6 +207,7 @@
 		if key == (entryKey{name: b.options.Name, incarnation: b.options.Incarnation}) {
 			continue
 		}
+		b.hasLosses = true
 		isKnown := b.lostOwners[key] != nil
 		lostAt := now.Add(-time.Duration(owner.GetLostMs()) * time.Millisecond)
 		l := b.lostOwner(key, lostAt)
--- a/yuccabroker/openjobs.go
+++ b/yuccabroker/openjobs.go
@@ -217,7 +217,7 @@
 
 // ListOpenJobs returns all open jobs that the other entries are told of, as the first message on a link.
 func (b *Broker) ListOpenJobs(now time.Time) *yuccawire.OpenJobs {
-	m := &yuccawire.OpenJobs{Sequence: b.open.sequence, Whole: true}
+	m := &yuccawire.OpenJobs{Sequence: b.open.sequence, Whole: true, RunningMs: max(toMilliseconds(now.Sub(b.startedAt)), 1)}
 	for _, id := range slices.Sorted(maps.Keys(b.open.listed)) {
 		b.open.listed[id].isTold = true
 		m.Opened = append(m.Opened, b.open.listed[id].toOpenJob(now))
--- a/yuccabroker/placements_test.go
+++ b/yuccabroker/placements_test.go
@@ -213,6 +213,79 @@
 	}
 }
 
+// toldSides returns the sides that were told of placements of the job, with the sides named.
+func (f *backupPeers) toldSides(id string) map[string][]string {
+	told := make(map[string][]string)
+	for _, a := range f.sent {
+		s, _ := a.(yuccabroker.Send)
+		for _, placed := range s.Message.GetPlacements().GetPlaced() {
+			if placed.GetJob() == id {
+				told[s.Side] = append(told[s.Side], placed.GetSides()...)
+			}
+		}
+	}
+	return told
+}
+
+// If all entries are lost, a side has to know of the run that has none of its machine.
+func TestNoSideIsToldOfAnOrder(t *testing.T) {
+	f := newBackupPeers(t, "cusco-1", "lima-1")
+	f.broker.HandleLinkUp(f.now, yuccabroker.Side{Name: "far", Incarnation: 1, DataCentre: "cusco"})
+	f.submitLater("a")
+	if told := f.toldSides("a"); len(told) != 1 || len(told["far"]) != 1 {
+		t.Fatalf("told %v, want only the side in another data centre", told)
+	}
+	f.sent = nil
+	f.broker.HandleLinkDown(f.now, "far")
+	f.tick(0)
+	told := f.toldSides("a")
+	if len(told) != 1 || len(told["s1"])+len(told["s2"]) != 1 || slices.Contains(told["s1"], "s1") || slices.Contains(told["s2"], "s2") {
+		t.Errorf("told %v as that one was lost, want the side without a run", told)
+	}
+}
+
+// Each side may have runs, and the machine of one of them stands still.
+func TestOnlyASideWithARunIsToldOfOrders(t *testing.T) {
+	f := newBackupPeers(t, "cusco-1")
+	j := job("a", 12)
+	j.Deadline = f.now.Add(6 * time.Second)
+	j.Steps[0].CPUMilli = fullCPU / 8
+	f.broker.Submit(f.now, j, 1)
+	f.collect()
+	if told := f.toldSides("a"); len(told) != 2 {
+		t.Errorf("told %v, want both sides", told)
+	}
+}
+
+// Sides tell an entry that starts after all were lost. Before they are linked, it knows of no run.
+func TestEntryThatStartsPlacesBeforeTheSidesHaveToldItOfLostEntries(t *testing.T) {
+	for name, tc := range map[string]struct {
+		runningMS uint32
+		orders    int
+	}{"earlier version": {0, 1}, "started as well": {100, 0}, "older": {5000, 1}} {
+		t.Run(name, func(t *testing.T) {
+			f := &backupPeers{fixture: newFixture(t, "s1", "s2")}
+			f.link("cusco-1")
+			f.broker.SetMembers(f.now, []string{"cusco-1"})
+			f.broker.HandleEntryUp(f.now, "cusco-1", 2)
+			for range 2 {
+				f.broker.HandleOpenJobs(f.now, "cusco-1", 2, &yuccawire.OpenJobs{Whole: true, RunningMs: tc.runningMS})
+			}
+			f.broker.HandleLostPlacements(f.now, &yuccawire.LostPlacements{Owners: []*yuccawire.LostOwner{{Entry: "cusco-1", Incarnation: 1, Placements: placed("b", "s1")}}})
+			f.tick(100 * time.Millisecond)
+			f.submitLater("a")
+			f.tick(400 * time.Millisecond)
+			if f.orders() != tc.orders {
+				t.Errorf("%d orders 0.5 s after the start, want %d", f.orders(), tc.orders)
+			}
+			f.tick(200 * time.Millisecond)
+			if f.orders() != 1 {
+				t.Errorf("%d orders 0.7 s after the start, want 1", f.orders())
+			}
+		})
+	}
+}
+
 func TestJobGetsAnotherBackupAsOneIsLost(t *testing.T) {
 	f := newBackupPeers(t, "cusco-1", "lima-1", "puno-2", "puno-3")
 	f.submitLater("a")
--- a/yuccabroker/relay.go
+++ b/yuccabroker/relay.go
@@ -31,7 +31,7 @@
 // SetPeers sets the names of the entries that this one is linked with.
 func (b *Broker) SetPeers(names []string) {
 	b.peers = slices.Clone(names)
-	b.placements.loseBackup(func(name string) bool { return !slices.Contains(names, name) })
+	b.placements.loseBackup(func(to backup) bool { return !to.isSide && !slices.Contains(names, to.name) })
 	maps.DeleteFunc(b.seenByPeer, func(name string, _ *heldSeen) bool { return !slices.Contains(names, name) })
 }
 
--- a/yuccabroker/side.go
+++ b/yuccabroker/side.go
@@ -158,6 +158,7 @@
 	}
 	s.Side = peer
 	s.linked, s.linkedAt = true, now
+	b.placements.loseBackup(func(to backup) bool { return to == backup{name: s.name, isSide: true} })
 	s.lastOrder = 0
 	s.unreported = nil
 	s.lastReport = time.Time{}
@@ -177,6 +178,7 @@
 	if s := b.sides[name]; s != nil && s.linked {
 		s.linked = false
 		s.linkLostAt = now
+		b.placements.loseBackup(func(to backup) bool { return to == backup{name: name, isSide: true} })
 		b.metrics.Add("side_links_lost", 1)
 		b.updateIsolation(now)
 		b.options.Logger.Info("side link lost", "side", name, "runs", len(s.runs), "stamp_age_ms", now.Sub(s.lastReport).Milliseconds())
--- a/yuccadriver/driver.go
+++ b/yuccadriver/driver.go
@@ -227,7 +227,7 @@
 	case yuccamesh.LinkDown:
 		if d.entryPeers[m.Peer.Node().GetName()] == m.Peer {
 			delete(d.entryPeers, m.Peer.Node().GetName())
-			d.worker.HandleLinkDown(ownerOf(m.Peer))
+			d.worker.HandleLinkDown(now, ownerOf(m.Peer))
 		}
 	case yuccamesh.LinkSurplus:
 		if d.entryPeers[m.Peer.Node().GetName()] == m.Peer {
@@ -252,6 +252,8 @@
 		d.worker.HandleHeldSeen(now, from, body.HeldSeen)
 	case *yuccawire.Envelope_RunsQuery:
 		d.worker.HandleRunsQuery(now, from, body.RunsQuery)
+	case *yuccawire.Envelope_Placements:
+		d.worker.HandlePlacements(now, from, body.Placements)
 	case *yuccawire.Envelope_Forward:
 		d.worker.HandleForward(body.Forward)
 	case *yuccawire.Envelope_LinkRequest:
--- a/yuccaedge/edge.go
+++ b/yuccaedge/edge.go
@@ -256,6 +256,8 @@
 			e.broker.HandleHeldBySide(now, name, body.HeldTasks)
 		case *yuccawire.Envelope_RunsReply:
 			e.broker.HandleRunsReply(now, name, body.RunsReply)
+		case *yuccawire.Envelope_LostPlacements:
+			e.broker.HandleLostPlacements(now, body.LostPlacements)
 		case *yuccawire.Envelope_Forward:
 			e.broker.HandleForward(now, body.Forward)
 		}
--- a/yuccamodel/crossing_test.go
+++ b/yuccamodel/crossing_test.go
@@ -160,7 +160,7 @@
 	}
 	if l.atSide == c {
 		l.atSide = nil
-		s.core.HandleLinkDown(id)
+		s.core.HandleLinkDown(s.now(), id)
 	}
 	if l.newest == c && w.noticeSpread > 0 {
 		w.connect(e, s)
--- a/yuccamodel/lostplacements_test.go
+++ b/yuccamodel/lostplacements_test.go
@@ -209,3 +209,36 @@
 		})
 	}
 }
+
+// loseAllEntries has a random machine stand still, unless one does, and kills all entries around that moment.
+func (w *world) loseAllEntries() {
+	s, d := w.sides[w.random.IntN(len(w.sides))], 100*time.Millisecond+w.randomDuration(4*time.Second)
+	w.after(w.randomDuration(600*time.Millisecond), func() {
+		if !slices.ContainsFunc(w.sides, func(s *modelSide) bool { return s.isFrozen }) {
+			s.worker.standStill(d)
+			w.freezeSide(s, d)
+		}
+	})
+	at, spread := w.randomDuration(600*time.Millisecond), w.randomDuration(400*time.Millisecond)
+	for _, e := range w.entries {
+		later, unreachable, downtime := w.random.Float64(), w.random.IntN(4) == 0, w.randomDuration(1200*time.Millisecond)
+		w.after(at+time.Duration(later*float64(spread)), func() { w.killEntry(e, unreachable, downtime) })
+	}
+}
+
+// Only sides are left that know of a run. A task runs at most once at a time, a refused job never, and nothing hangs
+// afterwards.
+func TestFaultsOfAllEntriesLostBesideStandingMachines(t *testing.T) {
+	t.Parallel()
+	for i := range *seeds {
+		seed := *firstSeed + 16400 + uint64(i)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			w := newFleet(t, seed, 3, 6, 5)
+			w.start()
+			w.patience = 6 * time.Second
+			w.playFaults(0.3, 5, w.loseAllEntries)
+			w.checkInUse()
+		})
+	}
+}
--- a/yuccamodel/world_test.go
+++ b/yuccamodel/world_test.go
@@ -843,6 +843,8 @@
 				s.core.HandleHeldSeen(s.now(), id, body.HeldSeen)
 			case *yuccawire.Envelope_RunsQuery:
 				s.core.HandleRunsQuery(s.now(), id, body.RunsQuery)
+			case *yuccawire.Envelope_Placements:
+				s.core.HandlePlacements(s.now(), id, body.Placements)
 			case *yuccawire.Envelope_Forward:
 				s.core.HandleForward(body.Forward)
 			case *yuccawire.Envelope_LinkRequest:
@@ -881,6 +883,9 @@
 			case *yuccawire.Envelope_RunsReply:
 				w.logf("%s receives from %s.%d runs reply %v", e.name, s.name, s.incarnation, body.RunsReply)
 				e.broker.HandleRunsReply(e.now(), s.name, body.RunsReply)
+			case *yuccawire.Envelope_LostPlacements:
+				w.logf("%s receives from %s.%d lost placements %v", e.name, s.name, s.incarnation, body.LostPlacements)
+				e.broker.HandleLostPlacements(e.now(), body.LostPlacements)
 			case *yuccawire.Envelope_Forward:
 				w.logf("%s receives over %s forwarded %v", e.name, s.name, body.Forward)
 				e.broker.HandleForward(e.now(), body.Forward)
--- a/yuccaworker/drain_test.go
+++ b/yuccaworker/drain_test.go
@@ -22,7 +22,7 @@
 	h.expectOutcome(entry, "c", yuccawire.RunEnd_RUN_END_REFUSED, yuccawire.RunRefusal_RUN_REFUSAL_DRAINED)
 	say(entry, 3, false)
 	h.order(entry, lease, task("d", 1, 1600))
-	h.core.HandleLinkDown(otherEntry)
+	h.core.HandleLinkDown(h.now, otherEntry)
 	say(otherEntry, 4, true)
 	h.expectOutcome(entry, "d", yuccawire.RunEnd_RUN_END_REFUSED, yuccawire.RunRefusal_RUN_REFUSAL_DRAINED)
 	h.advanceWithLease(entry, yuccaworker.OutcomeRetention)
--- a/yuccaworker/forward_test.go
+++ b/yuccaworker/forward_test.go
@@ -27,7 +27,7 @@
 	if to := passedOn(); len(to) != 1 || to[0] != third {
 		t.Errorf("passed on to %v, want %v", to, third)
 	}
-	h.core.HandleLinkDown(third)
+	h.core.HandleLinkDown(h.now, third)
 	if to := passedOn(); len(to) > 0 {
 		t.Errorf("passed on to %v, whose link is down", to)
 	}
--- a/yuccaworker/held_test.go
+++ b/yuccaworker/held_test.go
@@ -197,7 +197,7 @@
 	h := newHarness(t)
 	h.orderWithLostStart(task("a", 1, 1600))
 	h.advanceWithLease(entry, 100*time.Millisecond)
-	h.core.HandleLinkDown(entry)
+	h.core.HandleLinkDown(h.now, entry)
 	h.advance(300 * time.Millisecond)
 	lists := h.held[otherEntry]
 	if last := lists[len(lists)-1]; !slices.Equal(last.GetReached(), []string{otherEntry.Name}) || len(last.GetTasks()) != 1 {
--- a/yuccaworker/owner.go
+++ b/yuccaworker/owner.go
@@ -58,6 +58,8 @@
 	w.expireOwners(now)
 	o := w.ensureOwner(id)
 	w.dropUnsent(id)
+	w.losePlacements(now, func(lost Owner) bool { return lost.Name == id.Name && lost != id })
+	delete(w.placements, id)
 	o.linked = true
 	o.closing = false
 	o.ordersSeen = 0
@@ -80,6 +82,7 @@
 		}
 	}
 	o.stateSentAt = now
+	w.sendAllLostPlacements(now, o)
 	w.sendRecentCrashes(now, o)
 	w.emit(Send{Owner: id, Message: &yuccawire.Envelope{Body: &yuccawire.Envelope_Ends{Ends: message}}})
 	w.sendHeld(now, o)
@@ -127,9 +130,10 @@
 
 // HandleLinkDown processes the loss of the link to an owner. Its runs continue until
 // its lease expires, as the owner may reconnect before.
-func (w *Worker) HandleLinkDown(id Owner) {
-	if o := w.owners[id]; o != nil {
+func (w *Worker) HandleLinkDown(now time.Time, id Owner) {
+	if o := w.owners[id]; o != nil && o.linked {
 		o.linked = false
+		w.losePlacements(now, func(lost Owner) bool { return lost == id })
 	}
 }
 
--- a/yuccaworker/owner_test.go
+++ b/yuccaworker/owner_test.go
@@ -106,7 +106,7 @@
 func TestListHasAllEndsOfRunsOrderedWithinTheRetention(t *testing.T) {
 	h := newHarness(t)
 	h.order(entry, lease, task("a", 1, 1600))
-	h.core.HandleLinkDown(entry)
+	h.core.HandleLinkDown(h.now, entry)
 	h.complete(yuccaworker.Key{Task: "a", Run: 1}, yuccawire.RunEnd_RUN_END_DONE)
 	h.advance(yuccaworker.OutcomeRetention - 10*time.Millisecond)
 	h.core.HandleLinkUp(h.now, entry)
--- a/yuccaworker/reserve_test.go
+++ b/yuccaworker/reserve_test.go
@@ -153,7 +153,7 @@
 // withdrawn, or its order has expired.
 func TestReservationEndsWithItsOrder(t *testing.T) {
 	for name, end := range map[string]func(h *harness){
-		"owner dies": func(h *harness) { h.core.HandleLinkDown(otherEntry) },
+		"owner dies": func(h *harness) { h.core.HandleLinkDown(h.now, otherEntry) },
 		"withdrawn": func(h *harness) {
 			h.core.HandleWithdraw(h.now, otherEntry, &yuccawire.Withdraw{Runs: []*yuccawire.RunKey{{Task: "large", Run: 1}}})
 		},
--- a/yuccaworker/worker.go
+++ b/yuccaworker/worker.go
@@ -124,6 +124,9 @@
 	runs   map[Key]*run
 	queue  []*run
 	owners map[Owner]*owner
+	// placements are the jobs of owners that may have runs, at other sides, too.
+	placements          map[Owner]*placements
+	placementsEvictedAt time.Time
 	// ownerList holds the owners in order of arrival.
 	ownerList []*owner
 	used      resources
@@ -205,6 +208,7 @@
 		clockStart: now,
 		runs:       make(map[Key]*run),
 		owners:     make(map[Owner]*owner),
+		placements: make(map[Owner]*placements),
 		// The worker may be stopping runs of an earlier process, and have restarted since it
 		// last answered that one.
 		hadUntracked: true,
@@ -478,4 +482,5 @@
 	w.startQueued(now)
 	w.sendStates(now)
 	w.releaseLinks()
+	w.evictPlacements(now)
 }
--- a/yuccaworker/worker_test.go
+++ b/yuccaworker/worker_test.go
@@ -747,7 +747,7 @@
 func TestOwnerReconnects(t *testing.T) {
 	h := newHarness(t)
 	h.order(entry, lease, task("a", 1, 1600), task("b", 1, 1600))
-	h.core.HandleLinkDown(entry)
+	h.core.HandleLinkDown(h.now, entry)
 	h.complete(yuccaworker.Key{Task: "a", Run: 1}, yuccawire.RunEnd_RUN_END_DONE)
 	h.advance(200 * time.Millisecond)
 	h.core.HandleLinkUp(h.now, entry)
