platform: refuse an evacuation whose caller has left

Two entries freeze as operators take a data centre back, who repeat that elsewhere; the data centre is evacuated again. An entry that wakes carries out the order of a second ago.

Cause: calls without a body were carried out whether their caller was there or not, and the version that a change is based on is read when the call is handled, after newer ones that had waited as well. Besides, an event was posted with an ended context half of the time, and a change that was overtaken was proposed again if the end of its time had not been noticed.

Ruled out, by reading: a proposal that the leader takes late. It names the version that it is based on.

Why it works: the end of the connection lies in the socket behind the call, and is looked at before the order is carried out, as for jobs.

--- a/yuccabroker/placements.go
+++ b/yuccabroker/placements.go
@@ -14,8 +14,7 @@
 	// minBackups is how many linked entries are told at which sides a job may have runs. There are more if that many replicas
 	// may be lost.
 	minBackups = 3
-	// placementsInterval is the time between two messages to a backup that tell of closed jobs, or only that this entry goes
-	// on.
+	// placementsInterval is the time between two messages to an entry that tell of closed jobs, or only that this one goes on.
 	placementsInterval = 250 * time.Millisecond
 )
 
@@ -166,10 +165,10 @@
 	}
 }
 
-// nextBackup returns another entry to know of a job, beside those that do, empty if it needs none or no linked entry is left. One replica more than may
-// be lost knows of each job, so that one is left if all other entries are lost with them, and an entry without a replica, as
-// all replicas may lose power at once. Backups are in other data centres than this entry and each other as far as there are
-// some.
+// nextBackup returns another entry to tell of a job, beside those that know of it. It is empty if they are enough, or no linked
+// entry is left. One replica more than may be lost has to know of each job, so that one is left if all other entries are lost
+// with them, and an entry without a replica, as all replicas may lose power at once. Entries in other data centres than this
+// one and those that know come first.
 func (b *Broker) nextBackup(id string, known []string) string {
 	replicas := 0
 	used := map[string]int{b.options.DataCentre: 1}
--- a/yuccaedge/change.go
+++ b/yuccaedge/change.go
@@ -72,7 +72,8 @@
 //
 // The change names the version that it is based on, so that a proposal which a
 // partition delays can't undo a later change. If another change was faster, it is
-// proposed again while the operator waits.
+// proposed again while the operator waits: also after a standstill, when the end of the
+// context may not have been noticed yet.
 func (e *Edge) SetDrained(ctx context.Context, dataCentre string, drained bool) (*yuccastate.ChangeResult, error) {
 	base := e.config.Load().view.Version(yuccadocument.SectionDrainedDataCentres)
 	for {
@@ -83,6 +84,9 @@
 		if err != nil || result.Outcome != yuccastate.Conflict {
 			return result, err
 		}
+		if deadline, ok := ctx.Deadline(); ctx.Err() != nil || ok && !time.Now().Before(deadline) {
+			return nil, context.DeadlineExceeded
+		}
 		base = result.Version
 	}
 }
--- a/yuccaquery/query.go
+++ b/yuccaquery/query.go
@@ -46,6 +46,9 @@
 		return ErrEnded
 	default:
 	}
+	if err := ctx.Err(); err != nil {
+		return err
+	}
 	select {
 	case events <- ev:
 		return nil
--- a/yuccaserver/received.go
+++ b/yuccaserver/received.go
@@ -18,6 +18,13 @@
 	return time.Now().Add(-c.sinceLastData())
 }
 
+// HasClientLeft reports whether the client of a request has closed the connection, by the context of the request. One that
+// has waited in the socket may have been sent again elsewhere. It returns false for a request of another server.
+func HasClientLeft(ctx context.Context) bool {
+	c, ok := ctx.Value(connKey{}).(*conn)
+	return ok && c.hasEnded()
+}
+
 // sinceLastData returns how long ago the kernel has received data on the connection, zero if it doesn't say.
 func (c *conn) sinceLastData() time.Duration {
 	var info *unix.TCPInfo
--- a/yuccasized/operators.go
+++ b/yuccasized/operators.go
@@ -9,6 +9,7 @@
 
 	"github.com/yuccaturn/yuccaturn/yuccaedge"
 	"github.com/yuccaturn/yuccaturn/yuccaproblem"
+	"github.com/yuccaturn/yuccaturn/yuccaserver"
 	"github.com/yuccaturn/yuccaturn/yuccastate"
 )
 
@@ -88,6 +89,10 @@
 		o.refuse(w, r, yuccaproblem.NotRunf(http.StatusNotFound, yuccaproblem.UnknownDataCentre, "data centre: %q is not in the settings", name))
 		return
 	}
+	if yuccaserver.HasClientLeft(r.Context()) {
+		o.refuse(w, r, yuccaproblem.New(http.StatusServiceUnavailable, yuccaproblem.OutcomeUnknown, yuccaserver.ErrClientLeft.Error()).WithRetryAfter(retryAfter))
+		return
+	}
 	ctx, cancel := context.WithTimeout(r.Context(), changeTimeout)
 	defer cancel()
 	result, err := o.edge.SetDrained(ctx, name, drained)
