broker: keep messages to backups in the data centre where one elsewhere knows

One replica in another data centre is enough for the loss of a data centre, so that the backups beside replicas, and the side, are in that of the entry. Each set that may be lost leaves the same backups as before; the tests of lost and silent entries pass.

--- a/yuccabroker/placements.go
+++ b/yuccabroker/placements.go
@@ -132,8 +132,8 @@
 }
 
 // addSideBackups tells linked sides where the job may have runs, as all entries may be lost: one that has no run of it itself,
-// or two, so that one is left if the machine of a run stands still. They are in another data centre than this entry if there
-// are some.
+// or two, so that one is left if the machine of a run stands still. They are in the data centre of this entry if there are some:
+// if that is lost, entries in others know.
 func (b *Broker) addSideBackups(now time.Time, j *job, told *toldPlacement) {
 	mayHaveRun := func(name string) bool { return slices.Contains(told.sides, name) }
 	for len(told.sideBackups) < 2 && !slices.ContainsFunc(told.sideBackups, func(name string) bool { return !mayHaveRun(name) }) {
@@ -144,7 +144,7 @@
 				continue
 			}
 			rank := 1
-			if s.DataCentre != b.options.DataCentre {
+			if s.DataCentre == b.options.DataCentre {
 				rank++
 			}
 			if !mayHaveRun(s.name) {
@@ -168,7 +168,7 @@
 // nextBackup returns another entry to tell of a job, beside those that know of it. It is empty if they are enough, or no linked
 // entry is left. One replica more than may be lost has to know of each job, so that one is left if all other entries are lost
 // with them, and an entry without a replica, as all replicas may lose power at once. Entries in other data centres than this
-// one and those that know come first.
+// one and those that know come first, but beside replicas there are others in this one, where messages cost less.
 func (b *Broker) nextBackup(id string, known []string) string {
 	replicas := 0
 	used := map[string]int{b.options.DataCentre: 1}
@@ -191,9 +191,15 @@
 	case len(known) >= minBackups:
 		return ""
 	}
+	rank := func(name string) int {
+		if replicas > 0 && !b.replicas[name] && b.dataCentres[name] == b.options.DataCentre {
+			return -1
+		}
+		return used[b.dataCentres[name]]
+	}
 	best := ""
 	for _, name := range b.peers {
-		if isCandidate(name) && (best == "" || cmp.Or(cmp.Compare(used[b.dataCentres[name]], used[b.dataCentres[best]]),
+		if isCandidate(name) && (best == "" || cmp.Or(cmp.Compare(rank(name), rank(best)),
 			cmp.Compare(yuccaplacement.Weight(id, name), yuccaplacement.Weight(id, best))) < 0) {
 			best = name
 		}
