--- a/yuccamodel/lostplacements_test.go
+++ b/yuccamodel/lostplacements_test.go
@@ -89,16 +89,22 @@
 	}
 }
 
+// newResent returns a world with a job that has come to the first of five entries, and comes to the second one next.
+func newResent(t *testing.T) (*world, *callerJob) {
+	w := newFleet(t, 1, 3, 5, 3)
+	w.start()
+	w.run(warmUp)
+	w.patience = 6 * time.Second
+	w.pickEntry = func() *modelEntry { return w.entries[0] }
+	job := w.submitOneTask(1600, 900*time.Millisecond)
+	w.pickEntry = func() *modelEntry { return w.entries[1] }
+	return w, job
+}
+
 // Every side answers, so that none can have a run that nobody knows of.
 func TestResendWaitsForAnEntryThatWasKilled(t *testing.T) {
 	for _, killAt := range []time.Duration{20 * time.Millisecond, 100 * time.Millisecond, 500 * time.Millisecond} {
-		w := newFleet(t, 1, 3, 5, 3)
-		w.start()
-		w.run(warmUp)
-		w.patience = 6 * time.Second
-		w.pickEntry = func() *modelEntry { return w.entries[0] }
-		job := w.submitOneTask(1600, 900*time.Millisecond)
-		w.pickEntry = func() *modelEntry { return w.entries[1] }
+		w, job := newResent(t)
 		w.after(killAt, func() { w.killEntry(w.entries[0], false, time.Minute) })
 		starts := w.starts
 		w.run(killAt + resubmitDelay)
--- a/yuccamodel/silententry_test.go
+++ b/yuccamodel/silententry_test.go
@@ -92,13 +92,7 @@
 // Every side answers, so that the caller of a silent entry is served as any other.
 func TestResendWaitsForASilentEntry(t *testing.T) {
 	for _, duration := range []time.Duration{700 * time.Millisecond, 1200 * time.Millisecond, 3 * time.Second} {
-		w := newFleet(t, 1, 3, 5, 3)
-		w.start()
-		w.run(warmUp)
-		w.patience = 6 * time.Second
-		w.pickEntry = func() *modelEntry { return w.entries[0] }
-		job := w.submitOneTask(1600, 900*time.Millisecond)
-		w.pickEntry = func() *modelEntry { return w.entries[1] }
+		w, job := newResent(t)
 		w.run(50 * time.Millisecond)
 		w.freezeEntry(w.entries[0], duration)
 		job.leaveUnseen()
--- a/yuccaworker/placements.go
+++ b/yuccaworker/placements.go
@@ -76,36 +76,36 @@
 			m.Owners = append(m.Owners, known.toWire(now, id))
 		}
 	}
-	for _, o := range w.ownerList {
-		if o.linked {
-			w.sendLostPlacements(o, m)
-		}
-	}
+	w.sendLostPlacements(m, func(o *owner) bool { return o.linked })
 }
 
 // sendAllLostPlacements tells an owner on a new link of all that were lost.
-func (w *Worker) sendAllLostPlacements(now time.Time, o *owner) {
+func (w *Worker) sendAllLostPlacements(now time.Time, to *owner) {
 	m := &yuccawire.LostPlacements{}
 	for _, id := range w.sortedPlacements() {
 		if known := w.placements[id]; !known.lostAt.IsZero() && len(known.jobs) > 0 {
 			m.Owners = append(m.Owners, known.toWire(now, id))
 		}
 	}
-	w.sendLostPlacements(o, m)
+	w.sendLostPlacements(m, func(o *owner) bool { return o == to })
 }
 
-func (w *Worker) sendLostPlacements(o *owner, m *yuccawire.LostPlacements) {
+// sendLostPlacements sends a message to some of the linked owners. All of them know it then, or are told otherwise.
+func (w *Worker) sendLostPlacements(m *yuccawire.LostPlacements, isTold func(o *owner) bool) {
 	if len(m.GetOwners()) == 0 {
 		return
 	}
-	for _, other := range w.ownerList {
-		if other.linked {
-			m.Reached = append(m.Reached, other.id.Name)
+	for _, o := range w.ownerList {
+		if o.linked {
+			m.Reached = append(m.Reached, o.id.Name)
 		}
 	}
 	slices.Sort(m.Reached)
-	m.Reached = slices.Compact(m.Reached)
-	w.emit(Send{Owner: o.id, Message: &yuccawire.Envelope{Body: &yuccawire.Envelope_LostPlacements{LostPlacements: m}}})
+	for _, o := range w.ownerList {
+		if o.linked && isTold(o) {
+			w.emit(Send{Owner: o.id, Message: &yuccawire.Envelope{Body: &yuccawire.Envelope_LostPlacements{LostPlacements: m}}})
+		}
+	}
 }
 
 func (w *Worker) sortedPlacements() []Owner {
