broker: keep the links to the replicas that jobs need as backups

An entry that is linked with some of the others only (more than 16) asked for links to as many replicas as it lacked, also to one that is down, and asked no more once it had them, so that they were closed after 5 s. It wants as many linked ones as it needs for as long as it runs, and all while there are fewer. Found by reading; TestEntryIsLinkedWithTooFewReplicas has the cases now, and failed for them.

--- a/yuccabroker/placements_test.go
+++ b/yuccabroker/placements_test.go
@@ -199,17 +199,21 @@
 	}
 }
 
-// An entry that is linked with some of the others may be linked with no replica, and its jobs have no backup that is left.
+// An entry that is linked with some of the others may be linked with no replica, and its jobs have no backup that is left. The
+// links that it needs have to be kept.
 func TestEntryIsLinkedWithTooFewReplicas(t *testing.T) {
 	f := &backupPeers{fixture: newFixtureWith(t, func(o *yuccabroker.Options) { o.ToleratedFailures = 1 })}
 	f.broker.SetReplicas([]string{"cusco-1", "lima-1", "puno-1"})
-	f.link("lima-1", "puno-2")
-	if missing := f.broker.MissingReplicas(); len(missing) != 1 || missing[0] == "lima-1" {
-		t.Errorf("linked with one replica: %v are missing, want one of the other two", missing)
-	}
-	f.link("cusco-1", "lima-1")
-	if missing := f.broker.MissingReplicas(); len(missing) > 0 {
-		t.Errorf("linked with two replicas: %v are missing", missing)
+	for _, tc := range []struct {
+		linked []string
+		wanted int
+	}{{nil, 3}, {[]string{"lima-1", "puno-2"}, 3}, {[]string{"cusco-1", "lima-1"}, 2}, {[]string{"cusco-1", "lima-1", "puno-1"}, 2}} {
+		f.link(tc.linked...)
+		wanted := f.broker.WantedReplicas()
+		areLinked := !slices.ContainsFunc(wanted, func(name string) bool { return !slices.Contains(tc.linked, name) })
+		if len(wanted) != tc.wanted || tc.wanted == 2 && !areLinked {
+			t.Errorf("linked with %v: wants links to %v, want %d", tc.linked, wanted, tc.wanted)
+		}
 	}
 }
 
--- a/yuccabroker/replicas.go
+++ b/yuccabroker/replicas.go
@@ -27,18 +27,22 @@
 	return b.options.ToleratedFailures + 1
 }
 
-// MissingReplicas returns the entries that this one has to be linked with for its jobs to have enough backups.
-func (b *Broker) MissingReplicas() []string {
-	isLinked := func(name string) bool { return slices.Contains(b.peers, name) }
-	linked, missing := 0, slices.Sorted(maps.Keys(b.replicas))
-	for name := range b.replicas {
-		if isLinked(name) {
-			linked++
-		}
-	}
-	missing = slices.DeleteFunc(missing, isLinked)
-	slices.SortFunc(missing, func(x, y string) int {
+// WantedReplicas returns the entries that this one has to be linked with for its jobs to have enough backups: as many linked
+// replicas as that takes, and all others while there are fewer, as some of these may be down.
+func (b *Broker) WantedReplicas() []string {
+	byWeight := slices.SortedFunc(maps.Keys(b.replicas), func(x, y string) int {
 		return cmp.Compare(yuccaplacement.Weight(b.options.Name, x), yuccaplacement.Weight(b.options.Name, y))
 	})
-	return missing[:min(max(b.replicaBackups()-linked, 0), len(missing))]
+	var linked, others []string
+	for _, name := range byWeight {
+		if slices.Contains(b.peers, name) {
+			linked = append(linked, name)
+		} else {
+			others = append(others, name)
+		}
+	}
+	if needed := b.replicaBackups(); len(linked) >= needed {
+		return linked[:needed]
+	}
+	return append(linked, others...)
 }
--- a/yuccaedge/edge.go
+++ b/yuccaedge/edge.go
@@ -343,7 +343,7 @@
 		names = append(names, r.GetName())
 	}
 	e.broker.SetReplicas(names)
-	for _, name := range e.broker.MissingReplicas() {
+	for _, name := range e.broker.WantedReplicas() {
 		e.options.Mesh.LinkTo(name, replicaLinkPeriod)
 	}
 }
