--- a/yuccaedge/change.go
+++ b/yuccaedge/change.go
@@ -72,8 +72,8 @@
 //
 // The change names the version that it is based on, so that a proposal which a
 // partition delays can't undo a later change. If another change was faster, it is
-// proposed again while the operator waits: also after a standstill, when the end of the
-// context may not have been noticed yet.
+// proposed again while the operator waits. The deadline of the context counts by itself:
+// after a standstill its end may not have been noticed yet.
 func (e *Edge) SetDrained(ctx context.Context, dataCentre string, drained bool) (*yuccastate.ChangeResult, error) {
 	base := e.config.Load().view.Version(yuccadocument.SectionDrainedDataCentres)
 	for {
