--- a/yuccamodel/lostplacements_test.go
+++ b/yuccamodel/lostplacements_test.go
@@ -20,6 +20,8 @@
 	comesTo int
 	// replicas are the entries with a replica of the configuration.
 	replicas []int
+	// alsoFrozen is set if the machine of the next side stands still with that of the run, or of the one after it.
+	alsoFrozen int
 }
 
 // play plays the loss in a deployment of entries in three data centres, and returns the job.
@@ -46,11 +48,13 @@
 		return first
 	}
 	w.after(10*time.Millisecond, func() {
-		for _, s := range w.sides {
+		for i, s := range w.sides {
 			if !s.core.Idle() {
 				w.after(l.freezeAt-10*time.Millisecond, func() {
-					s.worker.standStill(4 * time.Second)
-					w.freezeSide(s, 4*time.Second)
+					for _, frozen := range []*modelSide{s, w.sides[(i+l.alsoFrozen)%len(w.sides)]} {
+						frozen.worker.standStill(4 * time.Second)
+						w.freezeSide(frozen, 4*time.Second)
+					}
 				})
 			}
 		}
@@ -172,6 +176,18 @@
 	}
 }
 
+// All entries are lost, and the side that knows of the run stands still as well.
+func TestResendAfterAllEntriesWereLostRunsBesideAStandingMachineAsTheSideThatKnowsStandsStill(t *testing.T) {
+	for next := 1; next <= 2; next++ {
+		l := lostRun{freezeAt: 90 * time.Millisecond, killAt: 100 * time.Millisecond, downtime: 300 * time.Millisecond, alsoKilled: []int{1, 2, 3, 4, 5}, alsoFrozen: next}
+		t.Run(fmt.Sprint("side after ", next), func(t *testing.T) {
+			if job := l.play(t, 6); !job.isAnswered {
+				t.Error("the caller is not answered")
+			}
+		})
+	}
+}
+
 // Entries are linked with 16 others at most, so that the backups are not linked with all to which the caller may come.
 func TestResendAtAnEntryThatIsLinkedWithNoBackupRunsBesideAStandingMachine(t *testing.T) {
 	const entries = 40
